Give gossip a number, its echo and a vector of ages

Cause: an age that arrives late, out of a socket buffer filled while its reader was paused or cut off, would pass for a new one. Change: a gossip message carries the sender's number and the number it answers, so that the reader can add the whole round trip to each age; a hash of the roster lets the ages go without names while both sides know the same members. A member's revision orders changes within one start. Conclusion: fields at the end only; nothing that stood changes.

--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -90,6 +90,7 @@
 	guint32 age_ms; /* since last heard of, directly or not */
 	guint64 config_version; /* in force at its entry, as last heard */
 	guint32 load_permille; /* busy share of its entry, for placement */
+	guint64 revision; /* changes its control made to it since its start */
 };
 
 /* One service's owner. Lists of these are GPtrArray. */
@@ -133,6 +134,11 @@
 	bool store_reachable;
 	guint32 fresh_ms; /* age of the last confirmation by the store */
 	GPtrArray *members; /* of struct aub_member */
+	guint64 number; /* sender's clock, to be echoed; 0: no answer wanted */
+	guint64 echo; /* number this one answers; 0: none */
+	guint64 roster; /* hash over the members known and their revisions */
+	guint32 known; /* how many those are */
+	struct aub_bytes ages; /* a row a member: see membership.h */
 };
 
 /* Names an object and the version held; the answer carries a newer one. */
