--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 B = build$(if $(SAN),/san)
 
 WARN = -Wall -Wextra -Wshadow -Wno-unused-parameter
-CPPFLAGS = -Iinclude -D_GNU_SOURCE -DG_LOG_DOMAIN=\"auburnstile\" \
+CPPFLAGS = -Iinclude -Itools -D_GNU_SOURCE -DG_LOG_DOMAIN=\"auburnstile\" \
 	$(shell pkg-config --cflags $(PKGS) | sed 's/-I/-isystem /g')
 OPT = $(if $(SAN),-O1 -fsanitize=address$(comma)undefined \
 	-fno-omit-frame-pointer -fno-sanitize-recover=undefined,-O2)
@@ -29,6 +29,7 @@
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/obj/%.o) $(LIB_CXX:%.cc=$(B)/obj/%.o)
 PROGRAMS = $(patsubst programs/%.c,$(B)/%,$(wildcard programs/*.c))
 TOOLS = $(patsubst tools/%.c,$(B)/%,$(wildcard tools/*.c))
+TOOL_LIB_OBJ = $(patsubst %.c,$(B)/obj/%.o,$(sort $(wildcard tools/*/*.c)))
 TESTS = $(patsubst tests/%.cc,$(B)/tests/%,$(sort $(wildcard tests/test_*.cc)))
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc')
 
@@ -46,13 +47,18 @@
 	@rm -f $@
 	ar rcs $@ $^
 
+$(B)/libfleet.a: $(TOOL_LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
 $(PROGRAMS): $(B)/%: $(B)/obj/programs/%.o $(B)/libauburnstile.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(TOOLS): $(B)/%: $(B)/obj/tools/%.o $(B)/libauburnstile.a
+$(TOOLS): $(B)/%: $(B)/obj/tools/%.o $(B)/libfleet.a $(B)/libauburnstile.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
-$(TESTS): $(B)/tests/%: $(B)/obj/tests/%.o $(B)/libauburnstile.a
+$(TESTS): $(B)/tests/%: $(B)/obj/tests/%.o $(B)/libfleet.a \
+		$(B)/libauburnstile.a
 	@mkdir -p $(@D)
 	$(CXX) $(CXXFLAGS) -o $@ $^ $(TESTLIBS)
 
