Read TOML and check settings at the door

Cause: each process has to refuse a bad settings file as a whole, naming every problem with its line. Ruled out: a parser of our own, and a JSON or key-file format; no C library for TOML is packaged, so toml++ stands behind one C interface. Seen: test_settings passes with the sanitizers on.

--- /dev/null
+++ b/src/protocol/settings.c
@@ -0,0 +1,279 @@
+/*
+ * Settings of a process: one TOML file against the program's table of keys.
+ *
+ * All keys are looked at before anything is reported, and a file with any
+ * problem fills nothing: a process starts whole or not at all.
+ */
+#include <auburnstile/error.h>
+#include <auburnstile/internal/problems.h>
+#include <auburnstile/internal/toml_reader.h>
+#include <auburnstile/settings.h>
+
+#include <string.h>
+
+/* A settings file is a page of text; a larger one is another file. */
+#define SETTINGS_LIMIT (256u << 10)
+
+struct reader {
+	const struct aub_setting *table;
+	struct aub_problems *problems;
+	const char *section; /* "" at the top, else "section." */
+	guint8 *settings;
+	bool *found; /* a flag for each line of the table */
+};
+
+static const char *const type_names[] = {
+	[AUB_SETTING_STRING] = "a string",
+	[AUB_SETTING_INTEGER] = "an integer",
+	[AUB_SETTING_BOOLEAN] = "true or false",
+	[AUB_SETTING_ADDRESS] = "an address \"ip:port\"",
+	[AUB_SETTING_STRINGS] = "a list of strings",
+};
+
+static void *field_of(void *settings, const struct aub_setting *setting)
+{
+	return (guint8 *)settings + setting->offset;
+}
+
+static void string_put(void *settings, const struct aub_setting *setting,
+		       const char *value)
+{
+	char **field = field_of(settings, setting);
+
+	g_free(*field);
+	*field = g_strdup(value);
+}
+
+/* True when the value is of the right type; a bad range is added here. */
+static bool integer_read(struct reader *reader,
+			 const struct aub_setting *setting,
+			 const struct aub_toml_node *node)
+{
+	gint64 value;
+
+	if (!aub_toml_integer(node, &value))
+		return false;
+	if (value < setting->minimum || value > setting->maximum)
+		aub_problems_add(reader->problems, aub_toml_line(node),
+				 setting->key, NULL,
+				 "%" G_GINT64_FORMAT
+				 " is out of range: %" G_GINT64_FORMAT
+				 " to %" G_GINT64_FORMAT,
+				 value, setting->minimum, setting->maximum);
+	*(gint64 *)field_of(reader->settings, setting) = value;
+	return true;
+}
+
+static bool strings_read(struct reader *reader,
+			 const struct aub_setting *setting,
+			 const struct aub_toml_node *node)
+{
+	char ***field = field_of(reader->settings, setting);
+	GPtrArray *list;
+	const char *value;
+	bool good = true;
+
+	if (aub_toml_type(node) != AUB_TOML_ARRAY)
+		return false;
+	list = g_ptr_array_new();
+	for (guint i = 0; i < aub_toml_size(node); i++) {
+		if (aub_toml_string(aub_toml_item(node, i), &value))
+			g_ptr_array_add(list, g_strdup(value));
+		else
+			good = false;
+	}
+	g_ptr_array_add(list, NULL);
+	g_strfreev(*field);
+	*field = (char **)g_ptr_array_free(list, FALSE);
+	return good;
+}
+
+static bool value_read(struct reader *reader, const struct aub_setting *setting,
+		       const struct aub_toml_node *node)
+{
+	const char *text;
+
+	switch (setting->type) {
+	case AUB_SETTING_STRING:
+	case AUB_SETTING_ADDRESS:
+		if (!aub_toml_string(node, &text))
+			return false;
+		if (setting->type == AUB_SETTING_ADDRESS &&
+		    !aub_address_parse(text, NULL, NULL))
+			return false;
+		string_put(reader->settings, setting, text);
+		return true;
+	case AUB_SETTING_INTEGER:
+		return integer_read(reader, setting, node);
+	case AUB_SETTING_BOOLEAN:
+		return aub_toml_boolean(node,
+					field_of(reader->settings, setting));
+	case AUB_SETTING_STRINGS:
+		return strings_read(reader, setting, node);
+	}
+	return false;
+}
+
+static bool is_section(const struct reader *reader, const char *name)
+{
+	char *prefix = g_strconcat(name, ".", NULL);
+	bool known = false;
+
+	for (guint i = 0; reader->table[i].key; i++)
+		known = known || g_str_has_prefix(reader->table[i].key, prefix);
+	g_free(prefix);
+	return known;
+}
+
+static void member_read(const char *key, const struct aub_toml_node *node,
+			void *context)
+{
+	struct reader *reader = context;
+	char *name = g_strconcat(reader->section, key, NULL);
+	guint i = 0;
+
+	while (reader->table[i].key && strcmp(reader->table[i].key, name) != 0)
+		i++;
+	if (reader->table[i].key) {
+		reader->found[i] = true;
+		if (!value_read(reader, &reader->table[i], node))
+			aub_problems_add(reader->problems, aub_toml_line(node),
+					 name, NULL, "must be %s, not %s",
+					 type_names[reader->table[i].type],
+					 aub_toml_type_name(
+						 aub_toml_type(node)));
+	} else if (aub_toml_type(node) == AUB_TOML_TABLE && !*reader->section &&
+		   is_section(reader, key)) {
+		char *section = g_strconcat(key, ".", NULL);
+
+		reader->section = section;
+		aub_toml_visit(node, member_read, reader);
+		reader->section = "";
+		g_free(section);
+	} else {
+		aub_problems_add(reader->problems, aub_toml_line(node), name,
+				 NULL, "unknown key");
+	}
+	g_free(name);
+}
+
+/* The default of a key, given as text in the program's table. */
+static void fallback_put(void *settings, const struct aub_setting *setting)
+{
+	switch (setting->type) {
+	case AUB_SETTING_STRING:
+	case AUB_SETTING_ADDRESS:
+		string_put(settings, setting, setting->fallback);
+		break;
+	case AUB_SETTING_INTEGER:
+		*(gint64 *)field_of(settings, setting) =
+			g_ascii_strtoll(setting->fallback, NULL, 10);
+		break;
+	case AUB_SETTING_BOOLEAN:
+		*(bool *)field_of(settings, setting) =
+			strcmp(setting->fallback, "true") == 0;
+		break;
+	case AUB_SETTING_STRINGS:
+		*(char ***)field_of(settings, setting) =
+			g_strsplit(setting->fallback, ",",
+				   *setting->fallback ? -1 : 0);
+		break;
+	}
+}
+
+static void absent_fill(struct reader *reader)
+{
+	for (guint i = 0; reader->table[i].key; i++) {
+		const struct aub_setting *setting = &reader->table[i];
+
+		if (reader->found[i])
+			continue;
+		if (setting->required)
+			aub_problems_add(reader->problems, 0, setting->key,
+					 NULL, "missing; it must be %s (%s)",
+					 type_names[setting->type],
+					 setting->help ? setting->help : "");
+		else if (setting->fallback)
+			fallback_put(reader->settings, setting);
+	}
+}
+
+bool aub_settings_parse(const char *text, gsize length, const char *source,
+			const struct aub_setting *table, void *settings,
+			GError **error)
+{
+	struct reader reader = {
+		.table = table,
+		.section = "",
+		.settings = settings,
+	};
+	struct aub_toml *document = aub_toml_parse(text, length, source, error);
+	guint count = 0;
+	bool good;
+
+	if (!document)
+		return false;
+	while (table[count].key)
+		count++;
+	reader.found = g_new0(bool, count + 1);
+	reader.problems = aub_problems_new(source);
+	aub_toml_visit(aub_toml_root(document), member_read, &reader);
+	absent_fill(&reader);
+	good = aub_problems_finish(reader.problems, "read settings", error);
+	if (!good)
+		aub_settings_clear(table, settings);
+	aub_problems_free(reader.problems);
+	g_free(reader.found);
+	aub_toml_free(document);
+	return good;
+}
+
+bool aub_settings_load(const char *file, const struct aub_setting *table,
+		       void *settings, GError **error)
+{
+	GError *problem = NULL;
+	char *text = NULL;
+	gsize length = 0;
+	bool good;
+
+	if (!g_file_get_contents(file, &text, &length, &problem)) {
+		aub_error_set(error, AUB_ERROR_INVALID, "read settings", file,
+			      "%s", problem->message);
+		g_error_free(problem);
+		return false;
+	}
+	if (length > SETTINGS_LIMIT) {
+		aub_error_set(error, AUB_ERROR_TOO_LARGE, "read settings", file,
+			      "%" G_GSIZE_FORMAT " bytes, at most %u", length,
+			      SETTINGS_LIMIT);
+		good = false;
+	} else {
+		good = aub_settings_parse(text, length, file, table, settings,
+					  error);
+	}
+	g_free(text);
+	return good;
+}
+
+void aub_settings_clear(const struct aub_setting *table, void *settings)
+{
+	for (; table->key; table++) {
+		void *field = field_of(settings, table);
+
+		switch (table->type) {
+		case AUB_SETTING_STRING:
+		case AUB_SETTING_ADDRESS:
+			g_clear_pointer((char **)field, g_free);
+			break;
+		case AUB_SETTING_STRINGS:
+			g_clear_pointer((char ***)field, g_strfreev);
+			break;
+		case AUB_SETTING_INTEGER:
+			*(gint64 *)field = 0;
+			break;
+		case AUB_SETTING_BOOLEAN:
+			*(bool *)field = false;
+			break;
+		}
+	}
+}
