Add stand-in upstreams with faults and an oracle

Cause: proofs and the demonstration need upstreams that run cold, slow, crash and spoil answers, and a record of what really ran that is not the system's own view.

Change: tools/standin-upstream.c carries many upstreams in one process; tools/upstream holds one upstream's slots, queue, cold start and faults. GET /oracle gives runs of each nonce and each upstream's figures.

Seen: by hand each fault and the overload of a cold upstream, under the sanitizers.

--- /dev/null
+++ b/tools/standin-upstream.c
@@ -0,0 +1,360 @@
+/*
+ * Stand-in upstreams, many in one process, for tests, the demonstration and
+ * measurements.
+ *
+ * `--listen IP:PORT[,slots=N,...]` adds one with its own options; the other
+ * options are the defaults of those that follow. The control address takes
+ *   POST /fault   {"port": N (0 or absent: all), fault or state: value...}
+ *   GET  /oracle  what really ran: figures of each, and runs of each nonce
+ *   POST /forget  drop the record of nonces
+ */
+#include "upstream/upstream.h"
+
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum option_type { OPTION_UINT, OPTION_DOUBLE, OPTION_BOOL };
+
+/* Options of an upstream: on the command line and inside --listen. */
+struct option_row {
+	const char *name;
+	enum option_type type;
+	gsize offset;
+	const char *help;
+};
+
+#define ROW(field, kind, text)                                                 \
+	{                                                                      \
+#field, kind, G_STRUCT_OFFSET(struct upstream_options, field), \
+			text                                                   \
+	}
+
+static const struct option_row rows[] = {
+	ROW(slots, OPTION_UINT, "requests run at once"),
+	ROW(cold_slots, OPTION_UINT, "requests borne at once while cold"),
+	ROW(connections, OPTION_UINT, "open connections at most"),
+	ROW(cold_ms, OPTION_UINT, "how long it stays cold"),
+	ROW(cold_factor, OPTION_DOUBLE, "service takes longer while cold"),
+	ROW(fall_ms, OPTION_UINT, "refuses so long after a crash"),
+	ROW(mean_us, OPTION_DOUBLE, "mean service time"),
+	ROW(sigma, OPTION_DOUBLE, "of the service time's logarithm"),
+	ROW(connect_us, OPTION_UINT, "cost of a new connection"),
+	ROW(probe_us, OPTION_UINT, "cost of a probe"),
+	ROW(body_bytes, OPTION_UINT, "size of an answer at least"),
+	ROW(shed, OPTION_BOOL, "beyond the slots refuse, don't queue"),
+};
+
+#define FIRST_ROW_KEY 1000 /* argp keys of `rows` start here */
+
+struct program {
+	struct upstream_options defaults;
+	struct upstream_world *world;
+	GPtrArray *upstreams; /* of struct upstream, owned */
+	GPtrArray *wanted; /* of struct upstream_options, owned */
+	const char *control;
+	const char *host;
+	guint first_port;
+	guint count;
+	bool cold;
+	guint32 seed;
+};
+
+static void set_row(struct upstream_options *options,
+		    const struct option_row *row, const char *text)
+{
+	void *field = (char *)options + row->offset;
+
+	if (row->type == OPTION_UINT)
+		*(guint *)field = strtoul(text, NULL, 10);
+	else if (row->type == OPTION_DOUBLE)
+		*(double *)field = g_ascii_strtod(text, NULL);
+	else
+		*(bool *)field = strcmp(text, "0") != 0;
+}
+
+static bool set_by_name(struct upstream_options *options, const char *pair)
+{
+	const char *equals = strchr(pair, '=');
+	gsize length = equals ? equals - pair : 0;
+	guint i;
+
+	for (i = 0; equals && i < G_N_ELEMENTS(rows); i++) {
+		if (strlen(rows[i].name) != length ||
+		    memcmp(rows[i].name, pair, length) != 0)
+			continue;
+		set_row(options, &rows[i], equals + 1);
+		return true;
+	}
+	return false;
+}
+
+static void want(struct program *program, const char *host, guint16 port)
+{
+	struct upstream_options *options;
+
+	options = g_memdup2(&program->defaults, sizeof(*options));
+	options->host = host;
+	options->port = port;
+	g_ptr_array_add(program->wanted, options);
+}
+
+/* IP:PORT[,name=value...]; the strings live as long as the program. */
+static bool want_listed(struct program *program, const char *text)
+{
+	char **parts = g_strsplit(text, ",", -1);
+	char *colon = strrchr(parts[0], ':');
+	struct upstream_options *options;
+	bool ok = colon != NULL;
+	guint i;
+
+	if (ok) {
+		want(program,
+		     g_intern_string(strndupa(parts[0], colon - parts[0])),
+		     strtoul(colon + 1, NULL, 10));
+		options = program->wanted->pdata[program->wanted->len - 1];
+		for (i = 1; ok && parts[i]; i++)
+			ok = set_by_name(options, parts[i]);
+	}
+	g_strfreev(parts);
+	return ok;
+}
+
+static error_t parse_option(int key, char *argument, struct argp_state *state)
+{
+	struct program *program = state->input;
+
+	switch (key) {
+	case 'l':
+		if (!want_listed(program, argument))
+			argp_error(state, "bad --listen %s", argument);
+		return 0;
+	case 'c':
+		program->control = argument;
+		return 0;
+	case 's':
+		program->seed = strtoul(argument, NULL, 10);
+		return 0;
+	case 'h':
+		program->host = argument;
+		return 0;
+	case 'p':
+		program->first_port = strtoul(argument, NULL, 10);
+		return 0;
+	case 'n':
+		program->count = strtoul(argument, NULL, 10);
+		return 0;
+	case 'C':
+		program->cold = true;
+		return 0;
+	default:
+		break;
+	}
+	if (key < FIRST_ROW_KEY ||
+	    key >= FIRST_ROW_KEY + (int)G_N_ELEMENTS(rows))
+		return ARGP_ERR_UNKNOWN;
+	set_row(&program->defaults, &rows[key - FIRST_ROW_KEY], argument);
+	return 0;
+}
+
+static const struct argp_option fixed_options[] = {
+	{ "listen", 'l', "IP:PORT[,name=value...]", 0, "add an upstream", 0 },
+	{ "control", 'c', "IP:PORT", 0, "faults and the oracle", 0 },
+	{ "seed", 's', "N", 0, "of service times", 0 },
+	{ "host", 'h', "IP", 0, "with --first-port", 0 },
+	{ "first-port", 'p', "PORT", 0, "add --count upstreams from here", 0 },
+	{ "count", 'n', "N", 0, "with --first-port", 0 },
+	{ "cold", 'C', NULL, 0, "start cold", 0 },
+};
+
+/* Writes argp's table: the fixed options, then one for each row. */
+static void fill_options(struct argp_option *table, char **names)
+{
+	guint i;
+
+	memcpy(table, fixed_options, sizeof(fixed_options));
+	table += G_N_ELEMENTS(fixed_options);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++) {
+		names[i] = g_strdelimit(g_strdup(rows[i].name), "_", '-');
+		table[i] = (struct argp_option){ .name = names[i],
+						 .key = FIRST_ROW_KEY + i,
+						 .arg = "N",
+						 .doc = rows[i].help };
+	}
+}
+
+static void on_fault(SoupServer *server, SoupServerMessage *message,
+		     const char *path, GHashTable *query, gpointer data)
+{
+	struct program *program = data;
+	JsonObject *body = tool_body_json(message);
+	guint found = 0;
+	gint64 port;
+	guint i;
+
+	if (!body) {
+		tool_answer_text(message, 400, "expected a JSON object\n");
+		return;
+	}
+	port = tool_json_int(body, "port", 0);
+	for (i = 0; i < program->upstreams->len; i++) {
+		struct upstream *upstream = program->upstreams->pdata[i];
+
+		if (port && upstream->options.port != port)
+			continue;
+		upstream_apply(upstream, body);
+		found++;
+	}
+	json_object_unref(body);
+	tool_answer_text(message, found ? 200 : 404, "");
+}
+
+static void build_runs(struct upstream_world *world, JsonBuilder *builder)
+{
+	struct upstream_run *run;
+	GHashTableIter iter;
+	const char *nonce;
+
+	json_builder_begin_object(builder);
+	g_hash_table_iter_init(&iter, world->runs);
+	while (g_hash_table_iter_next(&iter, (void **)&nonce, (void **)&run)) {
+		json_builder_set_member_name(builder, nonce);
+		json_builder_begin_array(builder);
+		json_builder_add_int_value(builder, run->started);
+		json_builder_add_int_value(builder, run->completed);
+		json_builder_add_int_value(builder, run->cancelled);
+		json_builder_end_array(builder);
+	}
+	json_builder_end_object(builder);
+}
+
+/* nonces: {NONCE: [started, completed, cancelled]}; ?short=1 omits them. */
+static void on_oracle(SoupServer *server, SoupServerMessage *message,
+		      const char *path, GHashTable *query, gpointer data)
+{
+	struct program *program = data;
+	JsonBuilder *builder = json_builder_new();
+	guint i;
+
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "now_us");
+	json_builder_add_int_value(builder, g_get_monotonic_time());
+	json_builder_set_member_name(builder, "upstreams");
+	json_builder_begin_array(builder);
+	for (i = 0; i < program->upstreams->len; i++)
+		upstream_build(program->upstreams->pdata[i], builder);
+	json_builder_end_array(builder);
+	if (!query || !g_hash_table_contains(query, "short")) {
+		json_builder_set_member_name(builder, "nonces");
+		build_runs(program->world, builder);
+	}
+	json_builder_end_object(builder);
+	tool_answer_json(message, 200, json_builder_get_root(builder));
+	g_object_unref(builder);
+}
+
+/* Jobs inside hold on to their record, so it is zeroed, not removed. */
+static void on_forget(SoupServer *server, SoupServerMessage *message,
+		      const char *path, GHashTable *query, gpointer data)
+{
+	struct program *program = data;
+	struct upstream_run *run;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, program->world->runs);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&run))
+		*run = (struct upstream_run){ 0 };
+	tool_answer_text(message, 200, "");
+}
+
+static bool start_all(struct program *program, GError **error)
+{
+	struct upstream *upstream;
+	guint i;
+
+	for (i = 0; i < program->count; i++)
+		want(program, program->host, program->first_port + i);
+	for (i = 0; i < program->wanted->len; i++) {
+		upstream = upstream_new(program->wanted->pdata[i],
+					program->world, error);
+		if (!upstream)
+			return false;
+		if (program->cold)
+			upstream_turn_cold(upstream);
+		g_ptr_array_add(program->upstreams, upstream);
+	}
+	return true;
+}
+
+static void free_upstream(void *upstream)
+{
+	upstream_free(upstream);
+}
+
+static int run(struct program *program)
+{
+	SoupServer *control = soup_server_new(NULL, NULL);
+	GError *error = NULL;
+	guint16 port = 0;
+	int status = 1;
+
+	soup_server_add_handler(control, "/fault", on_fault, program, NULL);
+	soup_server_add_handler(control, "/oracle", on_oracle, program, NULL);
+	soup_server_add_handler(control, "/forget", on_forget, program, NULL);
+	program->world = upstream_world_new(program->seed);
+	program->upstreams = g_ptr_array_new_with_free_func(free_upstream);
+	if (start_all(program, &error) &&
+	    tool_listen(control, program->control, &port, &error)) {
+		printf("listening %.*s:%u\n",
+		       (int)strcspn(program->control, ":"), program->control,
+		       port);
+		fflush(stdout);
+		tool_run_until_signal(NULL);
+		status = 0;
+	} else {
+		fprintf(stderr, "standin-upstream: %s\n", error->message);
+		g_error_free(error);
+	}
+	g_ptr_array_unref(program->upstreams);
+	g_object_unref(control);
+	upstream_world_free(program->world);
+	return status;
+}
+
+int main(int argc, char **argv)
+{
+	struct argp_option options[G_N_ELEMENTS(fixed_options) +
+				   G_N_ELEMENTS(rows) + 1] = { { 0 } };
+	char *names[G_N_ELEMENTS(rows)];
+	const struct argp parser = {
+		.options = options,
+		.parser = parse_option,
+		.doc = "Stand-in upstreams, many in one process.",
+	};
+	struct program program = {
+		.defaults = { .slots = 2,
+			      .cold_slots = 1,
+			      .connections = 200,
+			      .cold_ms = 3000,
+			      .cold_factor = 3,
+			      .fall_ms = 1000,
+			      .mean_us = 20000,
+			      .sigma = 0.5,
+			      .connect_us = 1000,
+			      .probe_us = 1000,
+			      .body_bytes = 512 },
+		.control = "127.0.0.1:0",
+		.host = "127.0.0.1",
+	};
+	int status;
+	guint i;
+
+	program.wanted = g_ptr_array_new_with_free_func(g_free);
+	fill_options(options, names);
+	argp_parse(&parser, argc, argv, 0, NULL, &program);
+	status = run(&program);
+	for (i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_free(names[i]);
+	g_ptr_array_unref(program.wanted);
+	return status;
+}
--- /dev/null
+++ b/tools/upstream/upstream.c
@@ -0,0 +1,582 @@
+/*
+ * The life of requests inside a stand-in upstream; see upstream.h.
+ *
+ * While cold it bears `cold_slots` requests at once; one more and it falls
+ * over: all its connections die, as in a crash. A closed connection cancels
+ * its request. A request whose X-Deadline-Ms passed while it waited is
+ * refused, not run.
+ */
+#include "upstream/upstream.h"
+
+#include <math.h>
+#include <string.h>
+#include <sys/socket.h>
+
+static const char *const fault_names[UPSTREAM_FAULTS] = {
+	[UPSTREAM_FAIL_FAST] = "fail_fast",
+	[UPSTREAM_TRUNCATE] = "truncate",
+	[UPSTREAM_WRONG_LENGTH] = "wrong_length",
+	[UPSTREAM_RESET_MIDDLE] = "reset_middle",
+	[UPSTREAM_NEVER] = "never",
+	[UPSTREAM_LATE] = "late",
+	[UPSTREAM_CRASH_AFTER] = "crash_after",
+	[UPSTREAM_SHED] = "shed",
+};
+
+struct upstream_world *upstream_world_new(guint32 seed)
+{
+	struct upstream_world *world = g_new0(struct upstream_world, 1);
+
+	world->random = g_rand_new_with_seed(seed);
+	world->runs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return world;
+}
+
+void upstream_world_free(struct upstream_world *world)
+{
+	g_rand_free(world->random);
+	g_hash_table_unref(world->runs);
+	g_free(world);
+}
+
+static struct upstream_run *world_run(struct upstream_world *world,
+				      const char *nonce)
+{
+	struct upstream_run *run;
+
+	if (!nonce)
+		return NULL;
+	run = g_hash_table_lookup(world->runs, nonce);
+	if (!run) {
+		run = g_new0(struct upstream_run, 1);
+		g_hash_table_insert(world->runs, g_strdup(nonce), run);
+	}
+	return run;
+}
+
+bool upstream_is_cold(const struct upstream *upstream)
+{
+	return g_get_monotonic_time() < upstream->cold_until_us;
+}
+
+void upstream_turn_cold(struct upstream *upstream)
+{
+	upstream->cold_until_us = g_get_monotonic_time() +
+				  upstream->options.cold_ms * (gint64)1000;
+}
+
+static void job_free(void *data)
+{
+	struct upstream_job *job = data;
+
+	if (job->timer)
+		g_source_remove(job->timer);
+	if (job->watch) {
+		g_source_destroy(job->watch);
+		g_source_unref(job->watch);
+	}
+	g_object_unref(job->message);
+	g_free(job->nonce);
+	g_free(job);
+}
+
+static guint inside(const struct upstream *upstream)
+{
+	return upstream->running->len + upstream->queue.length;
+}
+
+static bool spend(gint64 *count)
+{
+	if (!*count)
+		return false;
+	if (*count > 0)
+		--*count;
+	return true;
+}
+
+/* The first fault due that spoils a whole run; UPSTREAM_FAULTS for none. */
+static enum upstream_fault next_fault(struct upstream *upstream)
+{
+	int fault;
+
+	for (fault = UPSTREAM_TRUNCATE; fault < UPSTREAM_SHED; fault++)
+		if (spend(&upstream->faults[fault]))
+			return fault;
+	return UPSTREAM_FAULTS;
+}
+
+/* Lognormal with the mean asked for, by the Box-Muller transform. */
+static double service_us(struct upstream *upstream, bool new_connection)
+{
+	const struct upstream_options *options = &upstream->options;
+	GRand *random = upstream->world->random;
+	double u = 1 - g_rand_double(random);
+	double v = g_rand_double(random);
+	double normal = sqrt(-2 * log(u)) * cos(2 * G_PI * v);
+	double sigma = options->sigma;
+	double time_us =
+		options->mean_us * exp(sigma * normal - sigma * sigma / 2);
+
+	if (upstream_is_cold(upstream))
+		time_us *= options->cold_factor;
+	if (g_get_monotonic_time() < upstream->slow_until_us)
+		time_us *= upstream->slow_factor;
+	if (new_connection)
+		time_us += options->connect_us;
+	return time_us;
+}
+
+static void start_job(struct upstream_job *job);
+
+/* Runs what waits, and refuses what waited past its deadline. */
+static void run_queue(struct upstream *upstream)
+{
+	struct upstream_job *job;
+
+	while (upstream->running->len < upstream->options.slots) {
+		job = g_queue_pop_head(&upstream->queue);
+		if (!job)
+			return;
+		if (job->deadline_us &&
+		    g_get_monotonic_time() >= job->deadline_us) {
+			upstream_refuse(upstream, job->message, "too late\n");
+			soup_server_message_unpause(job->message);
+			job_free(job);
+			continue;
+		}
+		start_job(job);
+	}
+}
+
+static void end_job(struct upstream_job *job)
+{
+	struct upstream *upstream = job->upstream;
+
+	g_ptr_array_remove_fast(upstream->running, job);
+	run_queue(upstream);
+}
+
+/* Late and lost answers keep no slot: only their connection stays. */
+static gboolean on_late(gpointer data)
+{
+	struct upstream_job *job = data;
+
+	job->timer = 0;
+	upstream_answer(job);
+	g_ptr_array_remove_fast(job->upstream->late, job);
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean on_served(gpointer data)
+{
+	struct upstream_job *job = data;
+	struct upstream *upstream = job->upstream;
+	guint index;
+
+	job->timer = 0;
+	upstream->oracle.completed++;
+	if (job->run)
+		job->run->completed++;
+	switch (job->fault) {
+	case UPSTREAM_NEVER:
+	case UPSTREAM_LATE:
+		if (g_ptr_array_find(upstream->running, job, &index))
+			g_ptr_array_steal_index_fast(upstream->running, index);
+		g_ptr_array_add(upstream->late, job);
+		if (job->fault == UPSTREAM_LATE)
+			job->timer =
+				g_timeout_add(upstream->late_ms, on_late, job);
+		run_queue(upstream);
+		return G_SOURCE_REMOVE;
+	case UPSTREAM_CRASH_AFTER:
+		upstream_crash(upstream, upstream->options.fall_ms);
+		return G_SOURCE_REMOVE;
+	default:
+		upstream_answer(job);
+		end_job(job);
+		return G_SOURCE_REMOVE;
+	}
+}
+
+static void start_job(struct upstream_job *job)
+{
+	struct upstream *upstream = job->upstream;
+	struct upstream_oracle *oracle = &upstream->oracle;
+	double time_us = service_us(upstream, job->new_connection);
+
+	job->started = true;
+	job->fault = next_fault(upstream);
+	oracle->started++;
+	oracle->last_started_us = g_get_monotonic_time();
+	if (job->run)
+		job->run->started++;
+	g_ptr_array_add(upstream->running, job);
+	oracle->max_running = MAX(oracle->max_running, upstream->running->len);
+	job->timer =
+		g_timeout_add((guint)(time_us / 1000 + 0.5), on_served, job);
+	if (soup_message_headers_get_one(
+		    soup_server_message_get_request_headers(job->message),
+		    "X-Test-Crash"))
+		upstream_crash(upstream, upstream->options.fall_ms);
+}
+
+/* The other end closed: the request is cancelled, its slot is free. */
+static gboolean on_readable(GSocket *socket, GIOCondition condition,
+			    gpointer data)
+{
+	struct upstream_job *job = data;
+	struct upstream *upstream = job->upstream;
+	char byte;
+	ssize_t got;
+
+	got = recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	if (got > 0)
+		return G_SOURCE_REMOVE;
+	tool_drop(job->message, false);
+	if (g_queue_remove(&upstream->queue, job)) {
+		job_free(job);
+		return G_SOURCE_REMOVE;
+	}
+	if (g_ptr_array_remove_fast(upstream->late, job))
+		return G_SOURCE_REMOVE;
+	upstream->oracle.cancelled++;
+	if (job->run)
+		job->run->cancelled++;
+	end_job(job);
+	return G_SOURCE_REMOVE;
+}
+
+static void on_socket_gone(gpointer data, GObject *gone)
+{
+	struct upstream *upstream = data;
+
+	upstream->open_connections--;
+}
+
+static bool count_connection(struct upstream *upstream, GSocket *socket)
+{
+	static const char mark[] = "upstream-seen";
+
+	if (g_object_get_data(G_OBJECT(socket), mark))
+		return false;
+	g_object_set_data(G_OBJECT(socket), mark, upstream);
+	g_object_weak_ref(G_OBJECT(socket), on_socket_gone, upstream);
+	upstream->open_connections++;
+	upstream->oracle.connections++;
+	return true;
+}
+
+static struct upstream_job *job_new(struct upstream *upstream,
+				    SoupServerMessage *message,
+				    bool new_connection)
+{
+	struct upstream_job *job = g_new0(struct upstream_job, 1);
+	SoupMessageHeaders *headers =
+		soup_server_message_get_request_headers(message);
+	const char *deadline =
+		soup_message_headers_get_one(headers, "X-Deadline-Ms");
+
+	job->upstream = upstream;
+	job->message = g_object_ref(message);
+	job->nonce = g_strdup(soup_message_headers_get_one(headers, "X-Nonce"));
+	job->run = world_run(upstream->world, job->nonce);
+	job->new_connection = new_connection;
+	job->fault = UPSTREAM_FAULTS;
+	if (deadline)
+		job->deadline_us = g_get_monotonic_time() +
+				   g_ascii_strtoll(deadline, NULL, 10) * 1000;
+	job->watch =
+		g_socket_create_source(soup_server_message_get_socket(message),
+				       G_IO_IN, NULL);
+	g_source_set_callback(job->watch, G_SOURCE_FUNC(on_readable), job,
+			      NULL);
+	g_source_attach(job->watch, NULL);
+	soup_server_message_pause(message);
+	return job;
+}
+
+/* True when the request was turned away at the door. */
+static bool turn_away(struct upstream *upstream, SoupServerMessage *message)
+{
+	if (upstream->open_connections > upstream->options.connections) {
+		upstream->oracle.refused++;
+		tool_drop(message, true);
+		return true;
+	}
+	if (spend(&upstream->faults[UPSTREAM_FAIL_FAST])) {
+		upstream_add_state(upstream, message);
+		tool_answer_text(message, 500, "failed\n");
+		return true;
+	}
+	if (upstream->draining) {
+		upstream_refuse(upstream, message, "draining\n");
+		return true;
+	}
+	if (spend(&upstream->faults[UPSTREAM_SHED]) ||
+	    (upstream->options.shed &&
+	     upstream->running->len >= upstream->options.slots)) {
+		upstream_refuse(upstream, message, "busy\n");
+		return true;
+	}
+	return false;
+}
+
+static void on_request(SoupServer *server, SoupServerMessage *message,
+		       const char *path, GHashTable *query, gpointer data)
+{
+	struct upstream *upstream = data;
+	struct upstream_oracle *oracle = &upstream->oracle;
+	bool new_connection =
+		count_connection(upstream,
+				 soup_server_message_get_socket(message));
+	struct upstream_job *job;
+
+	oracle->requests++;
+	oracle->last_new_us = g_get_monotonic_time();
+	if (turn_away(upstream, message))
+		return;
+	job = job_new(upstream, message, new_connection);
+	if (upstream->running->len < upstream->options.slots)
+		start_job(job);
+	else
+		g_queue_push_tail(&upstream->queue, job);
+	oracle->max_inside = MAX(oracle->max_inside, inside(upstream));
+	if (!upstream_is_cold(upstream))
+		return;
+	oracle->max_cold = MAX(oracle->max_cold, inside(upstream));
+	if (inside(upstream) > upstream->options.cold_slots) {
+		oracle->fell_over++;
+		upstream_crash(upstream, upstream->options.fall_ms);
+	}
+}
+
+/* A probe's answer that waits for its cost to be paid. */
+struct probe {
+	struct upstream *upstream;
+	SoupServerMessage *message; /* owned reference */
+};
+
+static gboolean on_probe_served(gpointer data)
+{
+	struct probe *probe = data;
+	struct upstream *upstream = probe->upstream;
+	bool cold = upstream_is_cold(upstream) && !upstream->mislead;
+	JsonBuilder *builder = json_builder_new();
+
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "boot_id");
+	json_builder_add_int_value(builder, upstream->boot_id);
+	json_builder_set_member_name(builder, "state");
+	json_builder_add_string_value(builder, upstream->draining ? "draining" :
+					       cold		  ? "cold" :
+								    "warm");
+	json_builder_set_member_name(builder, "busy");
+	json_builder_add_int_value(builder, inside(upstream));
+	json_builder_set_member_name(builder, "slots");
+	json_builder_add_int_value(builder, upstream->options.slots);
+	json_builder_end_object(builder);
+	upstream_add_state(upstream, probe->message);
+	tool_answer_json(probe->message, 200, json_builder_get_root(builder));
+	soup_server_message_unpause(probe->message);
+	g_object_unref(builder);
+	g_object_unref(probe->message);
+	g_free(probe);
+	return G_SOURCE_REMOVE;
+}
+
+static void on_probe(SoupServer *server, SoupServerMessage *message,
+		     const char *path, GHashTable *query, gpointer data)
+{
+	struct upstream *upstream = data;
+	struct probe *probe = g_new0(struct probe, 1);
+
+	count_connection(upstream, soup_server_message_get_socket(message));
+	upstream->oracle.probes++;
+	upstream->oracle.probe_us += upstream->options.probe_us;
+	probe->upstream = upstream;
+	probe->message = g_object_ref(message);
+	soup_server_message_pause(message);
+	g_timeout_add((upstream->options.probe_us + 500) / 1000,
+		      on_probe_served, probe);
+}
+
+static bool open_server(struct upstream *upstream, GError **error)
+{
+	char *address = g_strdup_printf("%s:%u", upstream->options.host,
+					upstream->options.port);
+	SoupServer *server = soup_server_new(NULL, NULL);
+	bool ok;
+
+	soup_server_add_handler(server, NULL, on_request, upstream, NULL);
+	soup_server_add_handler(server, "/load", on_probe, upstream, NULL);
+	ok = tool_listen(server, address, &upstream->options.port, error);
+	if (ok)
+		upstream->server = server;
+	else
+		g_object_unref(server);
+	upstream->boot_id = g_rand_int(upstream->world->random) | 1;
+	g_free(address);
+	return ok;
+}
+
+static void drop_jobs(GPtrArray *jobs)
+{
+	struct upstream_job *job;
+	guint i;
+
+	for (i = 0; i < jobs->len; i++) {
+		job = jobs->pdata[i];
+		tool_drop(job->message, true);
+	}
+	g_ptr_array_set_size(jobs, 0);
+}
+
+/* Everything inside dies unanswered; started work was begun, not ended. */
+static void close_server(struct upstream *upstream)
+{
+	struct upstream_job *job;
+
+	drop_jobs(upstream->running);
+	drop_jobs(upstream->late);
+	while (!g_queue_is_empty(&upstream->queue)) {
+		job = g_queue_pop_head(&upstream->queue);
+		tool_drop(job->message, true);
+		job_free(job);
+	}
+	if (upstream->server)
+		soup_server_disconnect(upstream->server);
+	g_clear_object(&upstream->server);
+}
+
+static gboolean on_restart(gpointer data)
+{
+	struct upstream *upstream = data;
+	GError *error = NULL;
+
+	if (!open_server(upstream, &error)) {
+		g_warning("restart of port %u: %s", upstream->options.port,
+			  error->message);
+		g_error_free(error);
+		return G_SOURCE_CONTINUE;
+	}
+	upstream->restart_timer = 0;
+	upstream_turn_cold(upstream);
+	return G_SOURCE_REMOVE;
+}
+
+static gboolean on_crash(gpointer data)
+{
+	struct upstream *upstream = data;
+
+	upstream->crash_idle = 0;
+	upstream->oracle.crashes++;
+	close_server(upstream);
+	upstream->restart_timer =
+		g_timeout_add(upstream->refuse_ms, on_restart, upstream);
+	return G_SOURCE_REMOVE;
+}
+
+void upstream_crash(struct upstream *upstream, guint refuse_ms)
+{
+	if (upstream->crash_idle || upstream->restart_timer)
+		return;
+	upstream->refuse_ms = refuse_ms;
+	upstream->crash_idle =
+		g_idle_add_full(G_PRIORITY_HIGH, on_crash, upstream, NULL);
+}
+
+struct upstream *upstream_new(const struct upstream_options *options,
+			      struct upstream_world *world, GError **error)
+{
+	struct upstream *upstream = g_new0(struct upstream, 1);
+
+	upstream->options = *options;
+	upstream->world = world;
+	upstream->slow_factor = 1;
+	upstream->running = g_ptr_array_new_with_free_func(job_free);
+	upstream->late = g_ptr_array_new_with_free_func(job_free);
+	g_queue_init(&upstream->queue);
+	if (!open_server(upstream, error)) {
+		upstream_free(upstream);
+		return NULL;
+	}
+	return upstream;
+}
+
+void upstream_free(struct upstream *upstream)
+{
+	if (upstream->restart_timer)
+		g_source_remove(upstream->restart_timer);
+	if (upstream->crash_idle)
+		g_source_remove(upstream->crash_idle);
+	close_server(upstream);
+	g_ptr_array_unref(upstream->running);
+	g_ptr_array_unref(upstream->late);
+	g_free(upstream);
+}
+
+void upstream_apply(struct upstream *upstream, JsonObject *body)
+{
+	gint64 now = g_get_monotonic_time();
+	int i;
+
+	if (tool_json_int(body, "clear", 0)) {
+		memset(upstream->faults, 0, sizeof(upstream->faults));
+		upstream->slow_until_us = 0;
+		upstream->draining = false;
+		upstream->mislead = false;
+	}
+	for (i = 0; i < UPSTREAM_FAULTS; i++)
+		upstream->faults[i] = tool_json_int(body, fault_names[i],
+						    upstream->faults[i]);
+	upstream->late_ms = tool_json_int(body, "late_ms", upstream->late_ms);
+	upstream->draining =
+		tool_json_int(body, "draining", upstream->draining) != 0;
+	upstream->mislead =
+		tool_json_int(body, "mislead", upstream->mislead) != 0;
+	upstream->slow_factor =
+		tool_json_double(body, "slow_factor", upstream->slow_factor);
+	if (json_object_has_member(body, "slow_ms"))
+		upstream->slow_until_us =
+			now + tool_json_int(body, "slow_ms", 0) * 1000;
+	if (tool_json_int(body, "cold", 0))
+		upstream_turn_cold(upstream);
+	if (json_object_has_member(body, "crash_ms"))
+		upstream_crash(upstream, tool_json_int(body, "crash_ms", 0));
+}
+
+static void add_int(JsonBuilder *builder, const char *name, gint64 value)
+{
+	json_builder_set_member_name(builder, name);
+	json_builder_add_int_value(builder, value);
+}
+
+void upstream_build(struct upstream *upstream, JsonBuilder *builder)
+{
+	const struct upstream_oracle *oracle = &upstream->oracle;
+
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "host");
+	json_builder_add_string_value(builder, upstream->options.host);
+	add_int(builder, "port", upstream->options.port);
+	add_int(builder, "slots", upstream->options.slots);
+	add_int(builder, "cold_slots", upstream->options.cold_slots);
+	add_int(builder, "cold", upstream_is_cold(upstream));
+	add_int(builder, "requests", oracle->requests);
+	add_int(builder, "started", oracle->started);
+	add_int(builder, "completed", oracle->completed);
+	add_int(builder, "cancelled", oracle->cancelled);
+	add_int(builder, "refused", oracle->refused);
+	add_int(builder, "fell_over", oracle->fell_over);
+	add_int(builder, "crashes", oracle->crashes);
+	add_int(builder, "connections", oracle->connections);
+	add_int(builder, "probes", oracle->probes);
+	add_int(builder, "probe_us", oracle->probe_us);
+	add_int(builder, "max_running", oracle->max_running);
+	add_int(builder, "max_inside", oracle->max_inside);
+	add_int(builder, "max_cold", oracle->max_cold);
+	add_int(builder, "last_new_us", oracle->last_new_us);
+	add_int(builder, "last_started_us", oracle->last_started_us);
+	json_builder_end_object(builder);
+}
