Decide membership, agreement and ownership without a clock

Cause: configuration and ownership have to hold on many controls without a consensus group, through pauses, partitions and store outages. Ruled out: ages taken from any message (a paused reader believes old ones); a lease in the store per owner (calls grow with the fleet).

--- /dev/null
+++ b/include/auburnstile/internal/agreement.h
@@ -0,0 +1,76 @@
+/*
+ * Which configuration and assignments a control holds, how fresh that is,
+ * and what follows: whether its entry may take new work, whether operators'
+ * changes may be accepted, who watches the store.
+ *
+ * Plain decisions: `now_us` comes in. agreement_notes.txt weighs the rule.
+ */
+#ifndef AUBURNSTILE_INTERNAL_AGREEMENT_H
+#define AUBURNSTILE_INTERNAL_AGREEMENT_H
+
+#include <auburnstile/internal/membership.h>
+
+G_BEGIN_DECLS
+
+#define AUB_FRESH_US ((gint64)3000000) /* older: no proof of anything */
+#define AUB_SERVE_MAX_US ((gint64)1500000) /* longest permission given */
+#define AUB_WATCHERS 2 /* of the store, a region */
+
+struct aub_agreement {
+	guint64 config_version; /* held; only rises */
+	guint64 epoch; /* version of the assignments held; only rises */
+	guint64 confirmed_version; /* newest the store is known to hold */
+	gint64 confirmed_us; /* moment at which that was so; 0 for never */
+	gint64 store_us; /* last answer from the store itself */
+	gint64 started_us;
+	gint64 watch_until_us; /* a watch once begun lasts this long */
+};
+
+struct aub_agreement aub_agreement_start(gint64 now_us);
+
+/*
+ * Take a version if it is newer than what is held. False for a stale read,
+ * a peer that is behind, or what is held already: nothing may be changed.
+ */
+bool aub_agreement_hold_config(struct aub_agreement *agreement,
+			       guint64 version);
+bool aub_agreement_hold_epoch(struct aub_agreement *agreement, guint64 epoch);
+
+/*
+ * At `at_us` the newest configuration was `version`: by the store itself or
+ * by a peer that was told so. One older than what is held says nothing.
+ */
+void aub_agreement_confirm(struct aub_agreement *agreement, guint64 version,
+			   gint64 at_us);
+/* The same, out of a peer's gossip. */
+void aub_agreement_relayed(struct aub_agreement *agreement,
+			   const struct aub_gossip *gossip, gint64 now_us);
+
+/* Time since what is held was surely the newest; AUB_MEMBER_NEVER. */
+gint64 aub_agreement_fresh_us(const struct aub_agreement *agreement,
+			      gint64 now_us);
+
+/*
+ * How long the entry may go on taking new work, in us; 0 for not at all.
+ * Holds while a configuration is held and either it is fresh, or so many
+ * members are heard that the others can be no majority.
+ */
+gint64 aub_agreement_serve_us(const struct aub_agreement *agreement,
+			      const struct aub_membership *membership,
+			      gint64 now_us);
+
+/* May an operator's change be accepted here? Needs a majority heard. */
+bool aub_agreement_may_accept(const struct aub_membership *membership,
+			      gint64 now_us);
+
+/*
+ * Should this control watch the store itself? `rank` is its rank among the
+ * live members of its region.
+ */
+bool aub_agreement_watches(struct aub_agreement *agreement,
+			   const struct aub_membership *membership, guint rank,
+			   gint64 now_us);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/coordination/membership.c
@@ -0,0 +1,430 @@
+/*
+ * Members of the fleet as one control knows them.
+ *
+ * Rules kept here:
+ *   - a record only gives way to one of a newer start or a higher revision;
+ *   - only a member itself changes its record, others relay it;
+ *   - "dead" is each control's own judgement from ages, never relayed;
+ *   - a proof of life is relayed as an age that only grows on its way.
+ *
+ * membership_notes.txt gives the bytes this costs.
+ */
+#include <auburnstile/internal/membership_table.h>
+
+#include <string.h>
+
+#define LOST_PICK 6 /* every 6th peer is a dead one or a seed */
+
+static void record_free(void *data)
+{
+	struct aub_member_record *record = data;
+
+	aub_member_free(record->member);
+	g_free(record->key);
+	g_free(record);
+}
+
+static guint64 mix(guint64 x)
+{
+	x ^= x >> 30;
+	x *= G_GUINT64_CONSTANT(0xbf58476d1ce4e5b9);
+	x ^= x >> 27;
+	x *= G_GUINT64_CONSTANT(0x94d049bb133111eb);
+	return x ^ (x >> 31);
+}
+
+static guint32 record_tag(const struct aub_member_record *record)
+{
+	guint64 x = g_str_hash(record->key);
+
+	x = mix(x ^ record->member->control_incarnation);
+	return (guint32)mix(x ^ record->member->revision);
+}
+
+void aub_membership_rehash(struct aub_membership *membership)
+{
+	guint64 roster = 0;
+	guint i;
+
+	for (i = 0; i < membership->records->len; i++) {
+		struct aub_member_record *record =
+			membership->records->pdata[i];
+
+		record->tag = record_tag(record);
+		roster += mix(record->tag);
+	}
+	membership->roster = roster;
+}
+
+struct aub_member_record *aub_membership_find(
+	const struct aub_membership *membership, const char *key)
+{
+	guint low = 0;
+	guint high = membership->records->len;
+
+	while (low < high) {
+		guint middle = (low + high) / 2;
+		struct aub_member_record *record =
+			membership->records->pdata[middle];
+		int order = strcmp(key, record->key);
+
+		if (!order)
+			return record;
+		if (order < 0)
+			high = middle;
+		else
+			low = middle + 1;
+	}
+	return NULL;
+}
+
+static int by_key(const void *a, const void *b)
+{
+	const struct aub_member_record *left =
+		*(struct aub_member_record *const *)a;
+	const struct aub_member_record *right =
+		*(struct aub_member_record *const *)b;
+
+	return strcmp(left->key, right->key);
+}
+
+struct aub_member_record *aub_membership_insert(
+	struct aub_membership *membership, char *key,
+	const struct aub_member *member)
+{
+	struct aub_member_record *record = g_new0(struct aub_member_record, 1);
+
+	record->member = aub_member_copy(member);
+	record->key = key;
+	g_ptr_array_add(membership->records, record);
+	g_ptr_array_sort(membership->records, by_key);
+	return record;
+}
+
+static bool is_past(const struct aub_member_record *record)
+{
+	return strchr(record->key, '#') != NULL;
+}
+
+static bool counts(const struct aub_member_record *record)
+{
+	return !is_past(record) && record->member->state != AUB_MEMBER_STOPPED;
+}
+
+static gint64 last_us(const struct aub_member_record *record)
+{
+	return MAX(record->heard_us, record->proved_us);
+}
+
+static bool is_live(const struct aub_membership *membership,
+		    const struct aub_member_record *record, gint64 now_us)
+{
+	if (!counts(record))
+		return false;
+	if (record == membership->self)
+		return true;
+	return last_us(record) && now_us - last_us(record) < AUB_MEMBER_LIVE_US;
+}
+
+guint32 aub_membership_age_ms(const struct aub_membership *membership,
+			      const struct aub_member_record *record,
+			      gint64 now_us)
+{
+	gint64 age_us = now_us - last_us(record);
+
+	if (record == membership->self)
+		return 0;
+	return (guint32)MIN(MAX(age_us, 0) / 1000, G_MAXUINT32);
+}
+
+struct aub_membership *aub_membership_new(const struct aub_member *self,
+					  const char *const *seeds,
+					  guint32 seed)
+{
+	struct aub_membership *membership = g_new0(struct aub_membership, 1);
+
+	membership->records = g_ptr_array_new_with_free_func(record_free);
+	membership->random = g_rand_new_with_seed(seed);
+	membership->seeds = g_strdupv((char **)seeds);
+	membership->self =
+		aub_membership_insert(membership, g_strdup(self->name), self);
+	membership->self->shown_live = true;
+	aub_membership_rehash(membership);
+	return membership;
+}
+
+void aub_membership_free(struct aub_membership *membership)
+{
+	if (!membership)
+		return;
+	g_ptr_array_unref(membership->records);
+	g_rand_free(membership->random);
+	g_strfreev(membership->seeds);
+	g_free(membership);
+}
+
+const struct aub_member *aub_membership_self(
+	const struct aub_membership *membership)
+{
+	return membership->self->member;
+}
+
+bool aub_membership_superseded(const struct aub_membership *membership)
+{
+	return membership->superseded;
+}
+
+/*
+ * An entry that left in order is about to be replaced under its name: keys
+ * granted by it would be answered "unknown" though its heir has them. Its
+ * record goes on under its own incarnation until the keys have expired.
+ */
+bool aub_membership_keep_past(struct aub_membership *membership,
+			      const struct aub_member *past, gint64 now_us)
+{
+	struct aub_member_record *record;
+	char *key;
+
+	if (past->state != AUB_MEMBER_STOPPED || !past->heir)
+		return false;
+	if ((gint64)past->age_ms * 1000 >= AUB_MEMBER_STOPPED_US)
+		return false;
+	key = g_strdup_printf("%s#%" G_GINT64_MODIFIER "x", past->name,
+			      past->incarnation);
+	if (aub_membership_find(membership, key)) {
+		g_free(key);
+		return false;
+	}
+	record = aub_membership_insert(membership, key, past);
+	record->heard_us = MAX(1, now_us - (gint64)past->age_ms * 1000);
+	return true;
+}
+
+static bool same_text(const char *a, const char *b)
+{
+	return !g_strcmp0(a, b);
+}
+
+static bool same_record(const struct aub_member *a, const struct aub_member *b)
+{
+	return a->state == b->state && a->incarnation == b->incarnation &&
+	       a->heir == b->heir && same_text(a->zone, b->zone) &&
+	       same_text(a->callers_address, b->callers_address) &&
+	       same_text(a->inner_address, b->inner_address) &&
+	       same_text(a->control_address, b->control_address) &&
+	       same_text(a->entry_admin, b->entry_admin) &&
+	       same_text(a->control_admin, b->control_admin);
+}
+
+void aub_membership_update_self(struct aub_membership *membership,
+				const struct aub_member *self, gint64 now_us)
+{
+	struct aub_member_record *record = membership->self;
+	struct aub_member *old = record->member;
+	struct aub_member *copy = aub_member_copy(self);
+
+	aub_string_set(&copy->name, old->name);
+	copy->control_incarnation = old->control_incarnation;
+	copy->revision = old->revision;
+	if (!same_record(old, copy))
+		copy->revision++;
+	record->member = copy;
+	if (old->incarnation != copy->incarnation)
+		aub_membership_keep_past(membership, old, now_us);
+	aub_member_free(old);
+	aub_membership_rehash(membership);
+}
+
+static bool expired(const struct aub_membership *membership,
+		    const struct aub_member_record *record, gint64 now_us)
+{
+	gint64 age_us = now_us - last_us(record);
+
+	if (record == membership->self)
+		return false;
+	if (record->member->state == AUB_MEMBER_STOPPED)
+		return age_us >= AUB_MEMBER_STOPPED_US;
+	return age_us >= AUB_MEMBER_EXPIRE_US;
+}
+
+bool aub_membership_tick(struct aub_membership *membership, gint64 now_us)
+{
+	guint before = membership->records->len;
+	bool changed = false;
+	guint i;
+
+	for (i = before; i > 0; i--) {
+		struct aub_member_record *record =
+			membership->records->pdata[i - 1];
+		bool live = is_live(membership, record, now_us);
+
+		if (live != record->shown_live)
+			changed = true;
+		record->shown_live = live;
+		if (expired(membership, record, now_us))
+			g_ptr_array_remove_index(membership->records, i - 1);
+	}
+	if (membership->records->len != before)
+		aub_membership_rehash(membership);
+	return changed || membership->records->len != before;
+}
+
+/* Seeds at which no live member is known: a peer may be there unknown. */
+static void add_seeds(const struct aub_membership *membership,
+		      GPtrArray *addresses, gint64 now_us)
+{
+	guint i;
+	guint j;
+
+	for (i = 0; membership->seeds && membership->seeds[i]; i++) {
+		bool known = false;
+
+		for (j = 0; j < membership->records->len; j++) {
+			struct aub_member_record *record =
+				membership->records->pdata[j];
+
+			if (is_live(membership, record, now_us) &&
+			    same_text(record->member->control_address,
+				      membership->seeds[i]))
+				known = true;
+		}
+		if (!known)
+			g_ptr_array_add(addresses, membership->seeds[i]);
+	}
+}
+
+const char *aub_membership_pick(struct aub_membership *membership,
+				gint64 now_us)
+{
+	GPtrArray *live = g_ptr_array_new();
+	GPtrArray *lost = g_ptr_array_new();
+	GPtrArray *from = live;
+	const char *address = NULL;
+	guint i;
+
+	for (i = 0; i < membership->records->len; i++) {
+		struct aub_member_record *record =
+			membership->records->pdata[i];
+
+		if (record == membership->self || !counts(record))
+			continue;
+		g_ptr_array_add(is_live(membership, record, now_us) ? live :
+								      lost,
+				record->member->control_address);
+	}
+	add_seeds(membership, lost, now_us);
+	membership->picks++;
+	if (!live->len || (lost->len && membership->picks % LOST_PICK == 0))
+		from = lost;
+	if (from->len)
+		address = from->pdata[g_rand_int_range(membership->random, 0,
+						       (gint32)from->len)];
+	g_ptr_array_unref(live);
+	g_ptr_array_unref(lost);
+	return address;
+}
+
+GPtrArray *aub_membership_list(const struct aub_membership *membership,
+			       gint64 now_us)
+{
+	GPtrArray *list;
+	guint i;
+
+	list = g_ptr_array_new_with_free_func((GDestroyNotify)aub_member_free);
+	for (i = 0; i < membership->records->len; i++) {
+		const struct aub_member_record *record =
+			membership->records->pdata[i];
+		struct aub_member *copy = aub_member_copy(record->member);
+
+		copy->age_ms =
+			aub_membership_age_ms(membership, record, now_us);
+		if (counts(record) && !is_live(membership, record, now_us))
+			copy->state = AUB_MEMBER_DEAD;
+		g_ptr_array_add(list, copy);
+	}
+	return list;
+}
+
+guint aub_membership_known(const struct aub_membership *membership)
+{
+	guint known = 0;
+	guint i;
+
+	for (i = 0; i < membership->records->len; i++)
+		known += counts(membership->records->pdata[i]);
+	return known;
+}
+
+guint aub_membership_live(const struct aub_membership *membership,
+			  gint64 now_us)
+{
+	guint live = 0;
+	guint i;
+
+	for (i = 0; i < membership->records->len; i++)
+		live += is_live(membership, membership->records->pdata[i],
+				now_us);
+	return live;
+}
+
+static int by_time_falling(const void *a, const void *b)
+{
+	gint64 left = *(const gint64 *)a;
+	gint64 right = *(const gint64 *)b;
+
+	return left > right ? -1 : left < right;
+}
+
+gint64 aub_membership_heard_us(const struct aub_membership *membership,
+			       guint count, gint64 now_us)
+{
+	GArray *times = g_array_new(FALSE, FALSE, sizeof(gint64));
+	gint64 age_us = AUB_MEMBER_NEVER;
+	guint i;
+
+	for (i = 0; i < membership->records->len; i++) {
+		const struct aub_member_record *record =
+			membership->records->pdata[i];
+		gint64 at_us = record->proved_us;
+
+		if (record == membership->self)
+			at_us = now_us;
+		if (counts(record) && at_us)
+			g_array_append_val(times, at_us);
+	}
+	g_array_sort(times, by_time_falling);
+	if (!count)
+		age_us = 0;
+	else if (times->len >= count)
+		age_us = now_us - g_array_index(times, gint64, count - 1);
+	g_array_unref(times);
+	return age_us;
+}
+
+static bool outranks(const struct aub_member *a, const struct aub_member *b)
+{
+	if (a->control_incarnation != b->control_incarnation)
+		return a->control_incarnation < b->control_incarnation;
+	return strcmp(a->name, b->name) < 0;
+}
+
+guint aub_membership_rank(const struct aub_membership *membership,
+			  aub_member_filter *same, void *context, gint64 now_us)
+{
+	const struct aub_member *self = membership->self->member;
+	guint rank = 0;
+	guint i;
+
+	for (i = 0; i < membership->records->len; i++) {
+		const struct aub_member_record *record =
+			membership->records->pdata[i];
+
+		if (!is_live(membership, record, now_us))
+			continue;
+		if (same && !same(record->member, context))
+			continue;
+		if (outranks(record->member, self))
+			rank++;
+	}
+	return rank;
+}
