Add events, metrics, logs, messages and links

Cause: processes need one way to talk, and one way each to tell what they do.

Change: a bounded event ring; counters and log-linear histograms with the text form; structured logs; messages described by one table a type, which encoder, decoder, copy and free all walk; links over non-blocking sockets.

Seen: tests of core, message and link pass in the sanitizer build; linter clean.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 TESTS = $(patsubst tests/%.cc,$(B)/tests/%,$(sort $(wildcard tests/test_*.cc)))
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc')
 
-all: $(PROGRAMS) $(TOOLS)
+all: $(B)/libauburnstile.a $(PROGRAMS) $(TOOLS)
 
 $(B)/obj/%.o: %.c
 	@mkdir -p $(@D)
--- a/include/auburnstile/link.h
+++ b/include/auburnstile/link.h
@@ -5,7 +5,8 @@
  * hello each way; the first hello has to come within a second. A bad frame,
  * a frame past the limit, an output queue past its limit or a closed peer
  * ends the link with an error that names step and peer. A link that was
- * closed is never used again.
+ * closed is never used again. Pings are answered by the link itself; pongs
+ * are delivered like any message.
  */
 #ifndef AUBURNSTILE_LINK_H
 #define AUBURNSTILE_LINK_H
--- /dev/null
+++ b/src/protocol/message_fields.c
@@ -0,0 +1,240 @@
+/*
+ * The messages' fields, one table a type.
+ *
+ * Encoder, decoder, free and copy all walk these tables, so that a field
+ * added to a struct needs one row here and nothing else. Rows are positional
+ * on the wire: a new field goes to the end and raises AUB_PROTOCOL_VERSION.
+ */
+#include <auburnstile/internal/message_fields.h>
+
+#define NAME_LIMIT 64
+#define ADDRESS_LIMIT 64
+#define PATH_LIMIT 8192
+#define HEADER_LIMIT 16384
+#define HEADERS_LIMIT 256 /* headers a message */
+#define MEMBERS_LIMIT 1024
+#define SERVICES_LIMIT 4096
+#define KEYS_LIMIT 4096 /* keys a part */
+#define OBJECT_LIMIT (1u << 20) /* the store's megabyte */
+#define BODY_LIMIT (8u << 20)
+
+#define FIELD(kind_, struct_, member_, limit_, element_)                      \
+	{                                                                     \
+		.kind = (kind_), .offset = offsetof(struct struct_, member_), \
+		.name = #member_, .limit = (limit_), .element = (element_)    \
+	}
+#define END                            \
+	{                              \
+		.kind = AUBI_FIELD_END \
+	}
+#define NUMBER(s, m) FIELD(AUBI_FIELD_U64, s, m, 0, NULL)
+#define NUMBER32(s, m) FIELD(AUBI_FIELD_U32, s, m, 0, NULL)
+#define FLAG(s, m) FIELD(AUBI_FIELD_BOOL, s, m, 0, NULL)
+#define CHOICE(s, m, most) FIELD(AUBI_FIELD_ENUM, s, m, most, NULL)
+#define STRING(s, m, most) FIELD(AUBI_FIELD_STRING, s, m, most, NULL)
+#define BYTES(s, m, most) FIELD(AUBI_FIELD_BYTES, s, m, most, NULL)
+#define LIST(s, m, most, of) FIELD(AUBI_FIELD_LIST, s, m, most, of)
+
+#define LAYOUT(text, struct_, fields_)                          \
+	{                                                       \
+		.name = (text), .size = sizeof(struct struct_), \
+		.fields = (fields_)                             \
+	}
+
+static const struct aubi_field header_fields[] = {
+	STRING(aub_header, name, HEADER_LIMIT),
+	STRING(aub_header, value, HEADER_LIMIT),
+	END,
+};
+
+const struct aubi_layout aubi_header_layout =
+	LAYOUT("header", aub_header, header_fields);
+
+static const struct aubi_field member_fields[] = {
+	STRING(aub_member, name, NAME_LIMIT),
+	STRING(aub_member, zone, NAME_LIMIT),
+	CHOICE(aub_member, state, AUB_MEMBER_STOPPED),
+	NUMBER(aub_member, incarnation),
+	NUMBER(aub_member, control_incarnation),
+	STRING(aub_member, callers_address, ADDRESS_LIMIT),
+	STRING(aub_member, inner_address, ADDRESS_LIMIT),
+	STRING(aub_member, control_address, ADDRESS_LIMIT),
+	STRING(aub_member, entry_admin, ADDRESS_LIMIT),
+	STRING(aub_member, control_admin, ADDRESS_LIMIT),
+	NUMBER(aub_member, heir),
+	NUMBER32(aub_member, age_ms),
+	NUMBER(aub_member, config_version),
+	NUMBER32(aub_member, load_permille),
+	END,
+};
+
+const struct aubi_layout aubi_member_layout =
+	LAYOUT("member", aub_member, member_fields);
+
+static const struct aubi_field assignment_fields[] = {
+	STRING(aub_assignment, service, NAME_LIMIT),
+	STRING(aub_assignment, owner, NAME_LIMIT),
+	NUMBER(aub_assignment, owner_incarnation),
+	STRING(aub_assignment, standby, NAME_LIMIT),
+	NUMBER(aub_assignment, standby_incarnation),
+	NUMBER(aub_assignment, epoch),
+	END,
+};
+
+const struct aubi_layout aubi_assignment_layout =
+	LAYOUT("assignment", aub_assignment, assignment_fields);
+
+static const struct aubi_field key_record_fields[] = {
+	STRING(aub_key_record, key, HEADER_LIMIT),
+	BYTES(aub_key_record, fingerprint, NAME_LIMIT),
+	NUMBER32(aub_key_record, keep_ms),
+	CHOICE(aub_key_record, outcome, AUB_OUTCOME_UNKNOWN),
+	NUMBER32(aub_key_record, status),
+	LIST(aub_key_record, headers, HEADERS_LIMIT, &aubi_header_layout),
+	BYTES(aub_key_record, body, BODY_LIMIT),
+	END,
+};
+
+const struct aubi_layout aubi_key_record_layout =
+	LAYOUT("key record", aub_key_record, key_record_fields);
+
+static const struct aubi_field hello_fields[] = {
+	CHOICE(aub_hello, role, AUB_ROLE_CONTROL),
+	STRING(aub_hello, name, NAME_LIMIT),
+	STRING(aub_hello, zone, NAME_LIMIT),
+	NUMBER(aub_hello, incarnation),
+	STRING(aub_hello, address, ADDRESS_LIMIT),
+	STRING(aub_hello, callers_address, ADDRESS_LIMIT),
+	STRING(aub_hello, admin_address, ADDRESS_LIMIT),
+	END,
+};
+
+static const struct aubi_field ping_fields[] = {
+	NUMBER(aub_ping, number),
+	END,
+};
+
+static const struct aubi_field view_fields[] = {
+	NUMBER(aub_view, config_version),
+	BYTES(aub_view, config, OBJECT_LIMIT),
+	NUMBER(aub_view, epoch),
+	LIST(aub_view, assignments, SERVICES_LIMIT, &aubi_assignment_layout),
+	LIST(aub_view, members, MEMBERS_LIMIT, &aubi_member_layout),
+	FLAG(aub_view, serve),
+	NUMBER32(aub_view, serve_ms),
+	END,
+};
+
+static const struct aubi_field view_ack_fields[] = {
+	NUMBER(aub_view_ack, config_version),
+	NUMBER(aub_view_ack, epoch),
+	NUMBER32(aub_view_ack, load_permille),
+	FLAG(aub_view_ack, stopping),
+	NUMBER(aub_view_ack, heir),
+	END,
+};
+
+static const struct aubi_field gossip_fields[] = {
+	NUMBER(aub_gossip, config_version),
+	NUMBER(aub_gossip, epoch),
+	FLAG(aub_gossip, store_reachable),
+	NUMBER32(aub_gossip, fresh_ms),
+	LIST(aub_gossip, members, MEMBERS_LIMIT, &aubi_member_layout),
+	END,
+};
+
+static const struct aubi_field config_pull_fields[] = {
+	NUMBER(aub_config_pull, config_version),
+	NUMBER(aub_config_pull, epoch),
+	END,
+};
+
+static const struct aubi_field config_push_fields[] = {
+	NUMBER(aub_config_push, config_version),
+	BYTES(aub_config_push, config, OBJECT_LIMIT),
+	NUMBER(aub_config_push, epoch),
+	BYTES(aub_config_push, assignments, OBJECT_LIMIT),
+	END,
+};
+
+static const struct aubi_field call_fields[] = {
+	NUMBER(aub_call, id),
+	CHOICE(aub_call, purpose, AUB_CALL_OWNER),
+	NUMBER(aub_call, receiver),
+	STRING(aub_call, service, NAME_LIMIT),
+	FLAG(aub_call, once),
+	STRING(aub_call, key, HEADER_LIMIT),
+	NUMBER32(aub_call, deadline_ms),
+	NUMBER32(aub_call, retry_budget),
+	STRING(aub_call, method, NAME_LIMIT),
+	STRING(aub_call, path, PATH_LIMIT),
+	LIST(aub_call, headers, HEADERS_LIMIT, &aubi_header_layout),
+	BYTES(aub_call, body, BODY_LIMIT),
+	END,
+};
+
+static const struct aubi_field answer_fields[] = {
+	NUMBER(aub_answer, id),
+	CHOICE(aub_answer, outcome, AUB_OUTCOME_UNKNOWN),
+	NUMBER32(aub_answer, status),
+	NUMBER32(aub_answer, retry_after_ms),
+	STRING(aub_answer, reason, HEADER_LIMIT),
+	LIST(aub_answer, headers, HEADERS_LIMIT, &aubi_header_layout),
+	BYTES(aub_answer, body, BODY_LIMIT),
+	END,
+};
+
+static const struct aubi_field cancel_fields[] = {
+	NUMBER(aub_cancel, id),
+	END,
+};
+
+static const struct aubi_field keys_fields[] = {
+	NUMBER(aub_keys, incarnation),
+	NUMBER32(aub_keys, part),
+	FLAG(aub_keys, last),
+	LIST(aub_keys, records, KEYS_LIMIT, &aubi_key_record_layout),
+	END,
+};
+
+static const struct aubi_field keys_ack_fields[] = {
+	NUMBER(aub_keys_ack, incarnation),
+	NUMBER32(aub_keys_ack, part),
+	END,
+};
+
+static const struct aubi_layout layouts[AUB_MESSAGE_TYPE_COUNT] = {
+	[AUB_MESSAGE_HELLO] = LAYOUT("hello", aub_hello, hello_fields),
+	[AUB_MESSAGE_PING] = LAYOUT("ping", aub_ping, ping_fields),
+	[AUB_MESSAGE_PONG] = LAYOUT("pong", aub_ping, ping_fields),
+	[AUB_MESSAGE_VIEW] = LAYOUT("view", aub_view, view_fields),
+	[AUB_MESSAGE_VIEW_ACK] =
+		LAYOUT("view acknowledgement", aub_view_ack, view_ack_fields),
+	[AUB_MESSAGE_GOSSIP] = LAYOUT("gossip", aub_gossip, gossip_fields),
+	[AUB_MESSAGE_CONFIG_PULL] =
+		LAYOUT("config pull", aub_config_pull, config_pull_fields),
+	[AUB_MESSAGE_CONFIG] =
+		LAYOUT("config", aub_config_push, config_push_fields),
+	[AUB_MESSAGE_CALL] = LAYOUT("call", aub_call, call_fields),
+	[AUB_MESSAGE_ANSWER] = LAYOUT("answer", aub_answer, answer_fields),
+	[AUB_MESSAGE_CANCEL] = LAYOUT("cancel", aub_cancel, cancel_fields),
+	[AUB_MESSAGE_KEYS] = LAYOUT("keys", aub_keys, keys_fields),
+	[AUB_MESSAGE_KEYS_ACK] =
+		LAYOUT("keys acknowledgement", aub_keys_ack, keys_ack_fields),
+};
+
+const struct aubi_layout *aubi_message_layout(guint64 type)
+{
+	if (type >= AUB_MESSAGE_TYPE_COUNT || !layouts[type].name)
+		return NULL;
+	return &layouts[type];
+}
+
+guint aubi_layout_count(const struct aubi_layout *layout)
+{
+	guint count = 0;
+
+	while (layout->fields[count].kind != AUBI_FIELD_END)
+		count++;
+	return count;
+}
--- a/tests/test_core.cc
+++ b/tests/test_core.cc
@@ -1,9 +1,13 @@
-/* The core layer: errors carry step and peer; timers fire and are ended. */
+/* The core layer: errors, timers, the event ring and metrics. */
 #include <gtest/gtest.h>
 
 #include <auburnstile/error.h>
+#include <auburnstile/event.h>
+#include <auburnstile/metrics.h>
 #include <auburnstile/timer.h>
 
+#include <vector>
+
 TEST(Error, CarriesStepAndPeerThroughCopies)
 {
 	GError *error = NULL;
@@ -45,3 +49,74 @@
 	EXPECT_EQ(never, 0);
 	aub_timer_service_free(service);
 }
+
+static void collect(const struct aub_event *event, void *context)
+{
+	((std::vector<struct aub_event> *)context)->push_back(*event);
+}
+
+TEST(EventRing, KeepsTheNewestAndCountsTheRest)
+{
+	struct aub_event_ring *ring = aub_event_ring_new(4);
+	std::vector<struct aub_event> seen;
+
+	for (int i = 1; i <= 6; i++)
+		aub_event_note(ring, AUB_EVENT_ARRIVED, (guint64)i, 0,
+			       "a-name-longer-than-the-bound-allows", NULL);
+	aub_event_ring_visit(ring, 0, collect, &seen);
+	ASSERT_EQ(seen.size(), 4u);
+	EXPECT_EQ(seen[0].request, 3u);
+	EXPECT_EQ(seen[3].sequence, 6u);
+	EXPECT_EQ(strlen(seen[0].upstream), (size_t)AUB_EVENT_NAME - 1);
+	EXPECT_EQ(aub_event_ring_lost(ring), 2u);
+	seen.clear();
+	aub_event_ring_visit(ring, 5, collect, &seen);
+	EXPECT_EQ(seen.size(), 1u);
+	aub_event_ring_free(ring);
+}
+
+TEST(EventType, NamesParseBack)
+{
+	for (int i = 0; i < AUB_EVENT_TYPE_COUNT; i++)
+		EXPECT_EQ(aub_event_type_parse(
+				  aub_event_type_name((enum aub_event_type)i)),
+			  i);
+	EXPECT_EQ(aub_event_type_parse("nonsense"), -1);
+}
+
+TEST(Metrics, QuantilesAreWithinThreePercent)
+{
+	struct aub_metrics *metrics = aub_metrics_new();
+	guint handle = aub_metrics_histogram(metrics, "t_us", NULL, "T.");
+
+	for (gint64 value = 1; value <= 100000; value++)
+		aub_metrics_observe(metrics, handle, value);
+	for (double q : { 0.01, 0.5, 0.9, 0.99, 0.999 }) {
+		double exact = q * 100000;
+		double got = (double)aub_metrics_quantile(metrics, handle, q);
+
+		EXPECT_NEAR(got / exact, 1.0, 0.033) << q;
+	}
+	aub_metrics_observe(metrics, handle, G_MAXINT64);
+	aub_metrics_observe(metrics, handle, -5);
+	aub_metrics_free(metrics);
+}
+
+TEST(Metrics, TextGroupsSeriesByFamily)
+{
+	struct aub_metrics *metrics = aub_metrics_new();
+	guint a = aub_metrics_counter(metrics, "n_total", "k=\"a\"", "N.");
+	guint g = aub_metrics_gauge(metrics, "g", NULL, "G.");
+	guint b = aub_metrics_counter(metrics, "n_total", "k=\"b\"", "N.");
+
+	EXPECT_EQ(aub_metrics_counter(metrics, "n_total", "k=\"a\"", "N."), a);
+	aub_metrics_add(metrics, a, 2);
+	aub_metrics_add(metrics, b, 3);
+	aub_metrics_set(metrics, g, -1);
+	char *text = aub_metrics_text(metrics);
+	EXPECT_STREQ(text, "# HELP n_total N.\n# TYPE n_total counter\n"
+			   "n_total{k=\"a\"} 2\nn_total{k=\"b\"} 3\n"
+			   "# HELP g G.\n# TYPE g gauge\ng -1\n");
+	g_free(text);
+	aub_metrics_free(metrics);
+}
--- /dev/null
+++ b/tests/test_link.cc
@@ -0,0 +1,212 @@
+/* Links: hello first, whole messages in order, errors that name the peer. */
+#include <gtest/gtest.h>
+
+#include <auburnstile/error.h>
+#include <auburnstile/link.h>
+#include <gio/gio.h>
+
+#include <string>
+#include <vector>
+
+struct end {
+	struct aub_link *link = NULL;
+	std::string peer_name;
+	std::vector<guint64> pings; /* numbers of pongs and cancels seen */
+	std::string error;
+	bool down = false;
+};
+
+static void on_up(struct aub_link *link, const struct aub_hello *hello,
+		  void *context)
+{
+	struct end *end = (struct end *)context;
+
+	end->link = link;
+	end->peer_name = hello->name;
+}
+
+static void on_message(struct aub_link *link, struct aub_message *message,
+		       void *context)
+{
+	struct end *end = (struct end *)context;
+
+	if (message->type == AUB_MESSAGE_PONG)
+		end->pings.push_back(((struct aub_ping *)message)->number);
+	if (message->type == AUB_MESSAGE_CANCEL)
+		end->pings.push_back(((struct aub_cancel *)message)->id);
+	aub_message_free(message);
+}
+
+static void on_down(struct aub_link *link, const GError *error, void *context)
+{
+	struct end *end = (struct end *)context;
+
+	end->down = true;
+	end->error = error->message;
+	aub_link_free(link);
+	end->link = NULL;
+}
+
+static const struct aub_link_callbacks callbacks = {
+	.up = on_up,
+	.message = on_message,
+	.down = on_down,
+};
+
+static const struct aub_link_callbacks *on_accepted(
+	struct aub_link *link, const struct aub_hello *hello,
+	void *server_context, void **context)
+{
+	if (!strcmp(hello->name, "stranger"))
+		return NULL;
+	*context = server_context;
+	return &callbacks;
+}
+
+static struct aub_hello *make_hello(const char *name)
+{
+	struct aub_hello *hello =
+		(struct aub_hello *)aub_message_new(AUB_MESSAGE_HELLO);
+
+	aub_string_set(&hello->name, name);
+	return hello;
+}
+
+static std::string free_address(void)
+{
+	GSocketListener *listener = g_socket_listener_new();
+	guint16 port =
+		g_socket_listener_add_any_inet_port(listener, NULL, NULL);
+
+	g_socket_listener_close(listener);
+	g_object_unref(listener);
+	return "127.0.0.1:" + std::to_string(port);
+}
+
+class Link : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		GError *error = NULL;
+
+		address = free_address();
+		server_hello = make_hello("server");
+		server = aub_link_server_new(address.c_str(), server_hello,
+					     on_accepted, &far, &error);
+		ASSERT_NE(server, nullptr) << error->message;
+	}
+	void TearDown() override
+	{
+		aub_link_free(near.link);
+		aub_link_free(far.link);
+		aub_link_server_free(server);
+		aub_message_free(&server_hello->base);
+	}
+	void Connect(const char *name)
+	{
+		struct aub_hello *hello = make_hello(name);
+
+		near.link = aub_link_connect(address.c_str(), hello, 2000,
+					     &callbacks, &near);
+		aub_message_free(&hello->base);
+	}
+	template <class Condition> void Await(Condition condition)
+	{
+		while (!condition())
+			g_main_context_iteration(NULL, TRUE);
+	}
+
+	std::string address;
+	struct aub_hello *server_hello = NULL;
+	struct aub_link_server *server = NULL;
+	struct end near, far;
+};
+
+TEST_F(Link, HelloEachWayThenMessagesInOrder)
+{
+	struct aub_cancel *cancel =
+		(struct aub_cancel *)aub_message_new(AUB_MESSAGE_CANCEL);
+
+	Connect("client");
+	for (cancel->id = 1; cancel->id <= 1000; cancel->id++)
+		EXPECT_TRUE(aub_link_send(near.link, &cancel->base));
+	Await([&] { return far.pings.size() == 1000; });
+	EXPECT_EQ(near.peer_name, "server");
+	EXPECT_EQ(far.peer_name, "client");
+	for (guint64 i = 0; i < 1000; i++)
+		EXPECT_EQ(far.pings[i], i + 1);
+	aub_message_free(&cancel->base);
+}
+
+TEST_F(Link, BodiesLargerThanTheSocketTakesArriveWhole)
+{
+	struct aub_answer *answer =
+		(struct aub_answer *)aub_message_new(AUB_MESSAGE_ANSWER);
+	struct aub_ping *ping =
+		(struct aub_ping *)aub_message_new(AUB_MESSAGE_PING);
+	std::string body(6 << 20, 'x');
+
+	aub_bytes_set(&answer->body, body.data(), body.size());
+	ping->number = 7;
+	Connect("client");
+	EXPECT_TRUE(aub_link_send(near.link, &answer->base));
+	EXPECT_TRUE(aub_link_send(near.link, &ping->base));
+	Await([&] { return near.pings.size() == 1; });
+	EXPECT_EQ(near.pings[0], 7u);
+	aub_message_free(&answer->base);
+	aub_message_free(&ping->base);
+}
+
+/*
+ * A stranger connects to the inner port and speaks HTTP. It is cut off, and
+ * nobody else notices.
+ */
+TEST_F(Link, StrangersBytesEndTheirConnectionOnly)
+{
+	GSocketClient *client = g_socket_client_new();
+	GSocketConnection *connection =
+		g_socket_client_connect_to_host(client, address.c_str(), 0,
+						NULL, NULL);
+	const char *request = "GET /v1/status HTTP/1.1\r\n\r\n";
+	GOutputStream *out =
+		g_io_stream_get_output_stream(G_IO_STREAM(connection));
+
+	g_output_stream_write_all(out, request, strlen(request), NULL, NULL,
+				  NULL);
+	Connect("client");
+	Await([&] { return far.link && near.link; });
+	GInputStream *in =
+		g_io_stream_get_input_stream(G_IO_STREAM(connection));
+	g_socket_set_blocking(g_socket_connection_get_socket(connection),
+			      FALSE);
+	Await([&] {
+		char byte[512];
+		gssize got =
+			g_input_stream_read(in, byte, sizeof(byte), NULL, NULL);
+		return got == 0;
+	});
+	EXPECT_TRUE(aub_link_is_up(near.link));
+	g_object_unref(connection);
+	g_object_unref(client);
+}
+
+TEST_F(Link, RefusedPeerGoesDown)
+{
+	Connect("stranger");
+	Await([&] { return near.down; });
+	EXPECT_NE(near.error.find(address), std::string::npos);
+	EXPECT_FALSE(far.down);
+}
+
+TEST_F(Link, NobodyListeningIsAnErrorNamingStepAndPeer)
+{
+	std::string wrong = free_address();
+	struct aub_hello *hello = make_hello("client");
+
+	near.link =
+		aub_link_connect(wrong.c_str(), hello, 2000, &callbacks, &near);
+	Await([&] { return near.down; });
+	EXPECT_EQ(near.error.find("connect: " + wrong), 0u) << near.error;
+	aub_message_free(&hello->base);
+}
--- /dev/null
+++ b/tests/test_message.cc
@@ -0,0 +1,189 @@
+/* Messages: what is encoded comes back; what is malformed is refused. */
+#include <gtest/gtest.h>
+
+#include <auburnstile/error.h>
+#include <auburnstile/message.h>
+#include <msgpack.h>
+
+#include <functional>
+#include <string>
+
+static GBytes *encode(const struct aub_message *message)
+{
+	GError *error = NULL;
+	GBytes *bytes = aub_message_encode(message, &error);
+
+	EXPECT_EQ(error, nullptr);
+	return bytes;
+}
+
+static struct aub_message *decode(GBytes *bytes, GError **error)
+{
+	gsize length;
+	const void *data = g_bytes_get_data(bytes, &length);
+
+	return aub_message_decode(data, length, "127.0.0.1:9", error);
+}
+
+TEST(Message, EveryTypeRoundTripsEmpty)
+{
+	for (int type = 1; type < AUB_MESSAGE_TYPE_COUNT; type++) {
+		struct aub_message *message =
+			aub_message_new((enum aub_message_type)type);
+		GBytes *bytes = encode(message);
+		GError *error = NULL;
+		struct aub_message *back = decode(bytes, &error);
+
+		ASSERT_NE(back, nullptr) << error->message;
+		EXPECT_EQ(back->type, type);
+		aub_message_free(back);
+		aub_message_free(message);
+		g_bytes_unref(bytes);
+	}
+}
+
+static struct aub_call *example_call(void)
+{
+	struct aub_call *call =
+		(struct aub_call *)aub_message_new(AUB_MESSAGE_CALL);
+
+	call->id = G_MAXUINT64;
+	call->purpose = AUB_CALL_OWNER;
+	call->once = true;
+	aub_string_set(&call->service, "fees");
+	aub_string_set(&call->method, "POST");
+	aub_string_set(&call->path, "/fees/7?x=1");
+	aub_bytes_set(&call->body, "a\0b", 3);
+	g_ptr_array_add(call->headers, aub_header_new("X-Name", "\xe9t\xe9"));
+	return call;
+}
+
+TEST(Message, CallKeepsFieldsHeadersAndBinaryBody)
+{
+	struct aub_call *call = example_call();
+	GBytes *bytes = encode(&call->base);
+	struct aub_call *back = (struct aub_call *)decode(bytes, NULL);
+
+	ASSERT_NE(back, nullptr);
+	EXPECT_EQ(back->id, G_MAXUINT64);
+	EXPECT_TRUE(back->once);
+	EXPECT_STREQ(back->path, "/fees/7?x=1");
+	ASSERT_EQ(back->headers->len, 1u);
+	const struct aub_header *header =
+		(struct aub_header *)g_ptr_array_index(back->headers, 0);
+	EXPECT_STREQ(header->value, "\xe9t\xe9");
+	ASSERT_EQ(back->body.length, 3u);
+	EXPECT_EQ(memcmp(back->body.data, "a\0b", 3), 0);
+	aub_message_free(&back->base);
+	aub_message_free(&call->base);
+	g_bytes_unref(bytes);
+}
+
+/*
+ * A peer's frame is cut short or has a bit turned. The receiver must refuse
+ * it or read some valid message, and never read past the frame; the
+ * sanitizers watch for that.
+ */
+TEST(Message, CutAndDamagedFramesAreRefusedOrValid)
+{
+	struct aub_call *call = example_call();
+	GBytes *bytes = encode(&call->base);
+	gsize length;
+	const char *data = (const char *)g_bytes_get_data(bytes, &length);
+
+	for (gsize cut = 0; cut < length; cut++) {
+		std::string part(data, cut);
+		GError *error = NULL;
+
+		EXPECT_EQ(aub_message_decode(part.data(), cut, "p", &error),
+			  nullptr);
+		EXPECT_STREQ(aub_error_peer(error), "p");
+		g_clear_error(&error);
+	}
+	for (gsize bit = 0; bit < length * 8; bit++) {
+		std::string whole(data, length);
+		GError *error = NULL;
+
+		whole[bit / 8] = (char)(whole[bit / 8] ^ (1 << (bit % 8)));
+		aub_message_free(
+			aub_message_decode(whole.data(), length, "p", &error));
+		g_clear_error(&error);
+	}
+	aub_message_free(&call->base);
+	g_bytes_unref(bytes);
+}
+
+/*
+ * A peer sends five bytes that announce a list of four thousand million
+ * elements. The decoder would reserve 100 GB for it and the process would
+ * end; the frame has to be refused before that.
+ */
+TEST(Message, AnnouncedSizesBeyondTheFrameAreRefused)
+{
+	const char frame[] = "\xdd\xff\xff\xff\xff";
+	GError *error = NULL;
+
+	EXPECT_EQ(aub_message_decode(frame, 5, "p", &error), nullptr);
+	EXPECT_EQ(error->code, AUB_ERROR_INVALID);
+	g_clear_error(&error);
+}
+
+static std::string packed(const std::function<void(msgpack_packer *)> &fill)
+{
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	fill(&packer);
+	std::string text(buffer.data, buffer.size);
+	msgpack_sbuffer_destroy(&buffer);
+	return text;
+}
+
+TEST(Message, ErrorsNameMessageAndField)
+{
+	struct {
+		std::string frame;
+		const char *text;
+	} cases[] = {
+		{ packed([](msgpack_packer *p) {
+			  msgpack_pack_array(p, 3);
+			  msgpack_pack_int(p, 9);
+			  msgpack_pack_int(p, AUB_MESSAGE_PING);
+			  msgpack_pack_int(p, 1);
+		  }),
+		  "message: version" },
+		{ packed([](msgpack_packer *p) {
+			  msgpack_pack_array(p, 2);
+			  msgpack_pack_int(p, AUB_PROTOCOL_VERSION);
+			  msgpack_pack_int(p, 99);
+		  }),
+		  "message: type" },
+		{ packed([](msgpack_packer *p) {
+			  msgpack_pack_array(p, 2);
+			  msgpack_pack_int(p, AUB_PROTOCOL_VERSION);
+			  msgpack_pack_int(p, AUB_MESSAGE_PING);
+		  }),
+		  "ping: wrong number of fields" },
+		{ packed([](msgpack_packer *p) {
+			  msgpack_pack_array(p, 3);
+			  msgpack_pack_int(p, AUB_PROTOCOL_VERSION);
+			  msgpack_pack_int(p, AUB_MESSAGE_PING);
+			  msgpack_pack_int(p, -1);
+		  }),
+		  "ping: number: not a number" },
+	};
+
+	for (const auto &one : cases) {
+		GError *error = NULL;
+
+		EXPECT_EQ(aub_message_decode(one.frame.data(), one.frame.size(),
+					     "p", &error),
+			  nullptr);
+		ASSERT_NE(error, nullptr) << one.text;
+		EXPECT_NE(strstr(error->message, one.text), nullptr)
+			<< error->message;
+		g_clear_error(&error);
+	}
+}
