--- a/include/auburnstile/dispatch.h
+++ b/include/auburnstile/dispatch.h
@@ -90,6 +90,30 @@
 	bool hedge; /* SEND: a second attempt beside a running one */
 };
 
+/* Totals since the dispatcher was made. */
+struct aub_dispatch_counts {
+	guint64 arrived;
+	guint64 sent; /* attempts, hedges among them */
+	guint64 delivered;
+	guint64 refused;
+	guint64 unknown;
+	guint64 retries;
+	guint64 hedges;
+	guint64 hedges_won;
+	guint64 probes;
+	guint64 probe_us; /* upstream time that probes took, by their cost */
+	guint64 ejections;
+	guint64 cold_turns; /* an upstream was seen to start cold */
+	guint64 deaths; /* an upstream went down with requests in flight */
+};
+
+/* A request that upstreams died under, for other entries to learn. */
+struct aub_crash_mark {
+	guint64 fingerprint;
+	guint32 deaths;
+	guint32 age_ms; /* since the last death */
+};
+
 struct aub_dispatcher_options {
 	enum aub_policy policy;
 	guint32 seed; /* of the baselines' and ties' choices */
@@ -120,7 +144,11 @@
 			   const struct aub_dispatch_request *request,
 			   gint64 now_us);
 
-/* An attempt ended. `signs` may be NULL. */
+/*
+ * An attempt ended. `signs` may be NULL. Each attempt sent is reported once,
+ * cancelled ones and those of refused or abandoned requests too: a slot is
+ * free only then.
+ */
 void aub_dispatcher_attempt_done(struct aub_dispatcher *dispatcher,
 				 guint64 request, guint32 attempt,
 				 enum aub_attempt_result result,
@@ -131,7 +159,10 @@
 void aub_dispatcher_abandon(struct aub_dispatcher *dispatcher, guint64 request,
 			    gint64 now_us);
 
-/* A probe ended; `answered` false when it failed or timed out. */
+/*
+ * A probe ended; `answered` false when it failed or timed out. Don't report
+ * one that was asked for under an earlier inventory.
+ */
 void aub_dispatcher_probe_done(struct aub_dispatcher *dispatcher,
 			       guint16 upstream, bool answered,
 			       const struct aub_upstream_signs *signs,
@@ -167,6 +198,21 @@
 			    struct aub_upstream_status *list, guint limit);
 guint aub_dispatcher_queued(const struct aub_dispatcher *dispatcher);
 
+void aub_dispatcher_counts(const struct aub_dispatcher *dispatcher,
+			   struct aub_dispatch_counts *counts);
+
+/*
+ * Requests that are refused for the upstreams they brought down: up to
+ * `limit` of them, and how many were written. Learning a mark that is known
+ * already keeps the larger count and the younger age.
+ */
+guint aub_dispatcher_crashes(const struct aub_dispatcher *dispatcher,
+			     struct aub_crash_mark *list, guint limit,
+			     gint64 now_us);
+void aub_dispatcher_learn_crash(struct aub_dispatcher *dispatcher,
+				const struct aub_crash_mark *mark,
+				gint64 now_us);
+
 /* Walks all invariants; aborts where one is broken. For tests. */
 void aub_dispatcher_check(const struct aub_dispatcher *dispatcher);
 
--- /dev/null
+++ b/src/state/dispatch_attempt.c
@@ -0,0 +1,340 @@
+/*
+ * Attempts: sending them, and what follows from their ends.
+ *
+ * A request is sent again only if what came before provably did not run, or
+ * if it may be repeated; within its own budget, the service's, and its
+ * deadline. Each request gets exactly one final action.
+ */
+#include <auburnstile/internal/dispatch.h>
+
+#define RETRY_TOKEN 1000
+#define RETRY_ATTEMPT 100 /* of the retry budget, 1/100 */
+#define FIRST_TRY_LEAST_US (250 * AUB_MS)
+#define RETRY_AFTER_CRASH_MS 30000
+#define RETRY_AFTER_MS 1000
+
+void dispatch_act(struct aub_dispatcher *dispatcher,
+		  const struct aub_action *action)
+{
+	g_queue_push_tail(&dispatcher->actions,
+			  g_memdup2(action, sizeof(*action)));
+}
+
+/* Attempts that were not cancelled. */
+guint request_active(const struct request *request)
+{
+	guint active = 0;
+
+	for (guint i = 0; i < request->running->len; i++) {
+		const struct attempt *attempt = request->running->pdata[i];
+
+		if (!attempt->cancelled)
+			active++;
+	}
+	return active;
+}
+
+/*
+ * Failure: something between the ends lost track of a connection.
+ * Symptom: the request waits in silence until its deadline, and is lost.
+ * Enough: one that may be sent again gives up halfway, in time to do so.
+ */
+static gint64 attempt_timeout_us(const struct request *request, gint64 now_us)
+{
+	gint64 left = request->deadline_us - now_us;
+
+	if (request->once || request->retry_budget < RETRY_ATTEMPT)
+		return request->deadline_us;
+	if (left / 2 < FIRST_TRY_LEAST_US)
+		return request->deadline_us;
+	return now_us + left / 2;
+}
+
+void dispatch_send(struct aub_dispatcher *dispatcher, struct request *request,
+		   struct upstream *upstream, bool hedge, gint64 now_us)
+{
+	struct attempt *attempt = g_new0(struct attempt, 1);
+
+	attempt->number = ++request->attempts;
+	attempt->request = request;
+	attempt->upstream = upstream;
+	attempt->sent_us = now_us;
+	attempt->hedge = hedge;
+	attempt->link.data = attempt;
+	g_queue_push_tail_link(&upstream->running, &attempt->link);
+	g_ptr_array_add(request->running, attempt);
+	upstream->sent++;
+	dispatcher->counts.sent++;
+	dispatch_act(dispatcher,
+		     &(struct aub_action){
+			     .type = AUB_ACTION_SEND,
+			     .request = request->id,
+			     .attempt = attempt->number,
+			     .upstream = upstream->handle,
+			     .timeout_us = attempt_timeout_us(request, now_us),
+			     .hedge = hedge,
+		     });
+	if (!hedge)
+		hedge_arm(dispatcher, request, now_us);
+}
+
+static void attempt_free(struct attempt *attempt)
+{
+	g_queue_unlink(&attempt->upstream->running, &attempt->link);
+	g_ptr_array_remove_fast(attempt->request->running, attempt);
+	g_free(attempt);
+}
+
+/* Abort what still runs; its reports are awaited. */
+void dispatch_cancel(struct aub_dispatcher *dispatcher, struct request *request)
+{
+	for (guint i = 0; i < request->running->len; i++) {
+		struct attempt *attempt = request->running->pdata[i];
+
+		if (attempt->cancelled)
+			continue;
+		attempt->cancelled = true;
+		dispatch_act(dispatcher,
+			     &(struct aub_action){
+				     .type = AUB_ACTION_CANCEL,
+				     .request = request->id,
+				     .attempt = attempt->number,
+				     .upstream = attempt->upstream->handle,
+			     });
+	}
+}
+
+static void request_finish(struct aub_dispatcher *dispatcher,
+			   struct request *request, struct aub_action *action)
+{
+	g_assert(!request->final);
+	if (request->waiting)
+		dispatch_dequeue(dispatcher, request);
+	dispatch_timer_clear(dispatcher, request);
+	request->final = true;
+	action->request = request->id;
+	dispatch_act(dispatcher, action);
+	dispatch_cancel(dispatcher, request);
+}
+
+/* Forget a request once its last attempt is reported; true if it was. */
+bool dispatch_forget_if_done(struct aub_dispatcher *dispatcher,
+			     struct request *request)
+{
+	if (!request->final || request->running->len)
+		return false;
+	g_hash_table_remove(dispatcher->requests, &request->id);
+	return true;
+}
+
+static guint32 retry_after_ms(const struct aub_dispatcher *dispatcher,
+			      enum aub_refusal refusal, gint64 now_us)
+{
+	gint64 drain_ms;
+
+	switch (refusal) {
+	case AUB_REFUSAL_CRASHES:
+		return RETRY_AFTER_CRASH_MS;
+	case AUB_REFUSAL_NO_UPSTREAM:
+		return RETRY_AFTER_MS;
+	case AUB_REFUSAL_NOT_OWNER:
+	case AUB_REFUSAL_STOPPING:
+		return 1;
+	default:
+		drain_ms = dispatch_drain_us(dispatcher, now_us) / AUB_MS;
+		return (guint32)CLAMP(drain_ms, 1, 60 * RETRY_AFTER_MS);
+	}
+}
+
+/*
+ * Failure: a request is refused after an attempt of it was lost.
+ * Symptom: told "not run", its caller repeats what has run.
+ * Enough: whatever the reason, one that may have run ends as unknown.
+ */
+void dispatch_refuse(struct aub_dispatcher *dispatcher, struct request *request,
+		     enum aub_refusal refusal, gint64 now_us)
+{
+	struct aub_action action = {
+		.type = AUB_ACTION_REFUSE,
+		.refusal = refusal,
+	};
+
+	if (request->may_have_run) {
+		action.type = AUB_ACTION_UNKNOWN;
+		dispatcher->counts.unknown++;
+	} else {
+		action.retry_after_ms =
+			retry_after_ms(dispatcher, refusal, now_us);
+		dispatcher->counts.refused++;
+	}
+	request_finish(dispatcher, request, &action);
+	dispatch_forget_if_done(dispatcher, request);
+}
+
+static void request_deliver(struct aub_dispatcher *dispatcher,
+			    struct request *request, guint32 attempt,
+			    bool hedge)
+{
+	struct aub_action action = {
+		.type = AUB_ACTION_DELIVER,
+		.attempt = attempt,
+	};
+
+	dispatcher->counts.delivered++;
+	if (hedge)
+		dispatcher->counts.hedges_won++;
+	request_finish(dispatcher, request, &action);
+	dispatch_forget_if_done(dispatcher, request);
+}
+
+static void note_answered(struct aub_dispatcher *dispatcher, struct upstream *u,
+			  const struct request *request,
+			  const struct aub_upstream_signs *signs,
+			  gint64 sent_us, gint64 now_us)
+{
+	bool failed = signs && signs->failed;
+	guint64 boot_id = u->boot_id;
+	gint64 took_us = now_us - sent_us;
+
+	u->answered++;
+	u->last_answer_us = now_us;
+	cold_note_signs(dispatcher, u, signs, now_us);
+	if (u->boot_id == boot_id)
+		crash_note_alive(u, sent_us);
+	crash_note_success(dispatcher, request->fingerprint, now_us);
+	upstream_note_result(dispatcher, u, failed, now_us);
+	if (failed)
+		return;
+	cold_note_answer(dispatcher, u, took_us, now_us);
+	upstream_note_time(dispatcher, u, took_us, true, now_us);
+}
+
+static void note_ended(struct aub_dispatcher *dispatcher, struct upstream *u,
+		       const struct request *request,
+		       enum aub_attempt_result result,
+		       const struct aub_upstream_signs *signs, gint64 sent_us,
+		       gint64 now_us)
+{
+	gint64 took_us = now_us - sent_us;
+
+	switch (result) {
+	case AUB_ATTEMPT_ANSWERED:
+		note_answered(dispatcher, u, request, signs, sent_us, now_us);
+		break;
+	case AUB_ATTEMPT_SHED:
+		cold_note_signs(dispatcher, u, signs, now_us);
+		if (!u->draining)
+			upstream_note_shed(u, now_us);
+		break;
+	case AUB_ATTEMPT_NOT_CONNECTED:
+		crash_note_death(dispatcher, u, now_us);
+		upstream_note_unreachable(u, now_us);
+		break;
+	case AUB_ATTEMPT_LOST:
+		u->lost_count++;
+		cold_doubt(u, now_us);
+		crash_note_lost(dispatcher, u, request->fingerprint, now_us);
+		break;
+	case AUB_ATTEMPT_TIMEOUT:
+		u->lost_count++;
+		upstream_note_time(dispatcher, u, took_us, false, now_us);
+		if (took_us > 2 * dispatcher->slow_us)
+			upstream_note_result(dispatcher, u, true, now_us);
+		break;
+	default:
+		upstream_note_time(dispatcher, u, took_us, false, now_us);
+		break;
+	}
+}
+
+/* Spend an attempt; a part of one is spent for a part of the requests. */
+static bool retry_budget_take(struct request *request)
+{
+	guint32 odds = (guint32)((request->id * 0x9E3779B97F4A7C15u) >> 32) %
+		       RETRY_ATTEMPT;
+
+	if (request->retry_budget >= RETRY_ATTEMPT) {
+		request->retry_budget -= RETRY_ATTEMPT;
+		return true;
+	}
+	if (odds >= request->retry_budget)
+		return false;
+	request->retry_budget = 0;
+	return true;
+}
+
+/* May the request be sent once more, after `result` on `u`? Pays for it. */
+static bool may_retry(struct aub_dispatcher *dispatcher,
+		      struct request *request, const struct upstream *u,
+		      enum aub_attempt_result result, gint64 now_us)
+{
+	bool never_reached = result == AUB_ATTEMPT_NOT_CONNECTED ||
+			     (result == AUB_ATTEMPT_SHED && u->draining);
+
+	if (request->may_have_run && request->once)
+		return false;
+	if (now_us >= request->deadline_us)
+		return false;
+	if (crash_refuses(dispatcher, request->fingerprint, now_us))
+		return false;
+	if (never_reached && request->free_retries < AUB_FREE_RETRIES) {
+		request->free_retries++;
+		return true;
+	}
+	return bucket_take(&dispatcher->retries, RETRY_TOKEN) &&
+	       retry_budget_take(request);
+}
+
+static void request_failed(struct aub_dispatcher *dispatcher,
+			   struct request *request, struct upstream *u,
+			   enum aub_attempt_result result, gint64 now_us)
+{
+	enum aub_refusal why = AUB_REFUSAL_NO_BUDGET;
+
+	if (result != AUB_ATTEMPT_SHED && result != AUB_ATTEMPT_NOT_CONNECTED)
+		request->may_have_run = true;
+	if (request_active(request))
+		return;
+	if (may_retry(dispatcher, request, u, result, now_us)) {
+		dispatcher->counts.retries++;
+		request->avoid = u;
+		dispatch_timer_clear(dispatcher, request);
+		dispatch_enqueue(dispatcher, request, true);
+		return;
+	}
+	if (crash_refuses(dispatcher, request->fingerprint, now_us))
+		why = AUB_REFUSAL_CRASHES;
+	else if (now_us >= request->deadline_us)
+		why = AUB_REFUSAL_DEADLINE;
+	dispatch_refuse(dispatcher, request, why, now_us);
+}
+
+void dispatch_attempt_done(struct aub_dispatcher *dispatcher,
+			   struct request *request, struct attempt *attempt,
+			   enum aub_attempt_result result,
+			   const struct aub_upstream_signs *signs,
+			   gint64 now_us)
+{
+	struct upstream *u = attempt->upstream;
+	guint32 number = attempt->number;
+	bool hedge = attempt->hedge;
+	gint64 sent_us = attempt->sent_us;
+	bool failed = signs && signs->failed;
+
+	if (result == AUB_ATTEMPT_CANCELLED && !attempt->cancelled)
+		result = AUB_ATTEMPT_LOST;
+	else if (result == AUB_ATTEMPT_LOST && attempt->cancelled)
+		result = AUB_ATTEMPT_CANCELLED;
+	attempt_free(attempt);
+	note_ended(dispatcher, u, request, result, signs, sent_us, now_us);
+	if (request->final) {
+		dispatch_forget_if_done(dispatcher, request);
+		return;
+	}
+	if (result != AUB_ATTEMPT_ANSWERED)
+		request_failed(dispatcher, request, u, result, now_us);
+	else if (failed && request_active(request))
+		request->may_have_run = true; /* its twin may do better */
+	else
+		request_deliver(dispatcher, request, number, hedge);
+}
--- /dev/null
+++ b/src/state/dispatch_crash.c
@@ -0,0 +1,285 @@
+/*
+ * Requests that bring down each upstream that runs them.
+ *
+ * A connection lost with an attempt on it is a suspicion; it becomes a death
+ * when the upstream refuses connections or comes back under another boot id,
+ * and is dropped when the same start answers again. A request with two
+ * marks (deaths or fresh suspicions) is refused; one that ran well lately is
+ * not blamed, since what merely ran beside a crash runs well elsewhere.
+ */
+#include <auburnstile/internal/dispatch.h>
+
+#define SUSPICION_US (2 * AUB_SECOND) /* counts unconfirmed that long */
+#define CONFIRM_US (30 * AUB_SECOND) /* can be confirmed that long */
+#define HOLD_BASE_US (30 * AUB_SECOND) /* refusal; doubles with deaths */
+#define HOLD_MOST_US (3600 * AUB_SECOND)
+#define CRASH_LIMIT 1024 /* fingerprints remembered */
+#define INNOCENT_LIMIT 4096
+#define INNOCENT_US (60 * AUB_SECOND)
+
+struct crash {
+	guint64 fingerprint;
+	guint32 deaths;
+	gint64 last_us;
+};
+
+struct innocent {
+	guint64 fingerprint;
+	gint64 at_us;
+};
+
+struct crash_table {
+	GHashTable *crashes; /* fingerprint -> struct crash, owned */
+	GHashTable *innocents; /* fingerprint -> struct innocent in `ring` */
+	struct innocent ring[INNOCENT_LIMIT];
+	guint next;
+};
+
+struct crash_table *crash_table_new(void)
+{
+	struct crash_table *table = g_new0(struct crash_table, 1);
+
+	table->crashes = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, g_free);
+	table->innocents = g_hash_table_new(g_int64_hash, g_int64_equal);
+	return table;
+}
+
+void crash_table_free(struct crash_table *table)
+{
+	g_hash_table_unref(table->crashes);
+	g_hash_table_unref(table->innocents);
+	g_free(table);
+}
+
+static gint64 crash_hold_us(const struct crash *crash)
+{
+	guint doublings = crash->deaths > AUB_CRASH_DEATHS ?
+				  crash->deaths - AUB_CRASH_DEATHS :
+				  0;
+
+	return MIN(HOLD_BASE_US << MIN(doublings, 10), HOLD_MOST_US);
+}
+
+static guint suspicions(const struct aub_dispatcher *dispatcher,
+			guint64 fingerprint, gint64 now_us)
+{
+	guint marks = 0;
+
+	for (guint i = 0; i < dispatcher->upstreams->len; i++) {
+		const struct upstream *u = upstream_at(dispatcher, i);
+
+		for (guint n = 0; n < u->lost->len; n++) {
+			const struct lost_attempt *lost =
+				&g_array_index(u->lost, struct lost_attempt, n);
+
+			if (lost->fingerprint == fingerprint &&
+			    now_us - lost->at_us < SUSPICION_US) {
+				marks++;
+				break;
+			}
+		}
+	}
+	return marks;
+}
+
+/* Upstreams that went down, or may have, under this request. */
+guint crash_marks(const struct aub_dispatcher *dispatcher, guint64 fingerprint,
+		  gint64 now_us)
+{
+	const struct crash *crash;
+	guint marks;
+
+	if (!fingerprint)
+		return 0;
+	marks = suspicions(dispatcher, fingerprint, now_us);
+	crash = g_hash_table_lookup(dispatcher->crashes->crashes, &fingerprint);
+	if (crash && now_us - crash->last_us < crash_hold_us(crash))
+		marks += crash->deaths;
+	return marks;
+}
+
+/*
+ * Failure: a request crashes each upstream that runs it, and is sent again.
+ * Symptom: the whole service goes down, one upstream after the other.
+ * Enough: two deaths are the most it gets, then a trial after long pauses.
+ */
+bool crash_refuses(const struct aub_dispatcher *dispatcher, guint64 fingerprint,
+		   gint64 now_us)
+{
+	return crash_marks(dispatcher, fingerprint, now_us) >= AUB_CRASH_DEATHS;
+}
+
+static bool is_innocent(const struct crash_table *table, guint64 fingerprint,
+			gint64 now_us)
+{
+	const struct innocent *known =
+		g_hash_table_lookup(table->innocents, &fingerprint);
+
+	return known && now_us - known->at_us < INNOCENT_US;
+}
+
+/* Innocence once lost is to be shown anew. */
+static void forget_innocent(struct crash_table *table, guint64 fingerprint)
+{
+	g_hash_table_remove(table->innocents, &fingerprint);
+}
+
+void crash_note_lost(struct aub_dispatcher *dispatcher,
+		     struct upstream *upstream, guint64 fingerprint,
+		     gint64 now_us)
+{
+	struct lost_attempt lost = { fingerprint, now_us };
+
+	if (!fingerprint)
+		return;
+	if (is_innocent(dispatcher->crashes, fingerprint, now_us)) {
+		forget_innocent(dispatcher->crashes, fingerprint);
+		return;
+	}
+	g_array_append_val(upstream->lost, lost);
+}
+
+static void expire_crashes(struct crash_table *table, gint64 now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, table->crashes);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct crash *crash = value;
+
+		if (now_us - crash->last_us > 4 * crash_hold_us(crash))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+static struct crash *crash_find(struct crash_table *table, guint64 fingerprint,
+				gint64 now_us)
+{
+	struct crash *crash = g_hash_table_lookup(table->crashes, &fingerprint);
+
+	if (crash)
+		return crash;
+	expire_crashes(table, now_us);
+	if (g_hash_table_size(table->crashes) >= CRASH_LIMIT)
+		return NULL;
+	crash = g_new0(struct crash, 1);
+	crash->fingerprint = fingerprint;
+	crash->last_us = now_us;
+	g_hash_table_insert(table->crashes, &crash->fingerprint, crash);
+	return crash;
+}
+
+static bool blamed_before(const GArray *lost, guint n)
+{
+	guint64 fingerprint =
+		g_array_index(lost, struct lost_attempt, n).fingerprint;
+
+	for (guint i = 0; i < n; i++)
+		if (g_array_index(lost, struct lost_attempt, i).fingerprint ==
+		    fingerprint)
+			return true;
+	return false;
+}
+
+/* It went down: what was lost on it shortly before bears a death each. */
+void crash_note_death(struct aub_dispatcher *dispatcher,
+		      struct upstream *upstream, gint64 now_us)
+{
+	if (!upstream->lost->len)
+		return;
+	dispatcher->counts.deaths++;
+	for (guint i = 0; i < upstream->lost->len; i++) {
+		const struct lost_attempt *lost =
+			&g_array_index(upstream->lost, struct lost_attempt, i);
+		struct crash *crash;
+
+		if (now_us - lost->at_us > CONFIRM_US ||
+		    blamed_before(upstream->lost, i))
+			continue;
+		crash = crash_find(dispatcher->crashes, lost->fingerprint,
+				   now_us);
+		if (!crash)
+			continue;
+		crash->deaths++;
+		crash->last_us = now_us;
+	}
+	g_array_set_size(upstream->lost, 0);
+}
+
+/* The same start answered a request sent at `sent_us`: it lived on. */
+void crash_note_alive(struct upstream *upstream, gint64 sent_us)
+{
+	for (guint i = upstream->lost->len; i > 0; i--) {
+		const struct lost_attempt *lost =
+			&g_array_index(upstream->lost, struct lost_attempt,
+				       i - 1);
+
+		if (lost->at_us <= sent_us)
+			g_array_remove_index_fast(upstream->lost, i - 1);
+	}
+}
+
+void crash_note_success(struct aub_dispatcher *dispatcher, guint64 fingerprint,
+			gint64 now_us)
+{
+	struct crash_table *table = dispatcher->crashes;
+	struct innocent *known;
+
+	if (!fingerprint)
+		return;
+	if (g_hash_table_size(table->crashes))
+		g_hash_table_remove(table->crashes, &fingerprint);
+	known = g_hash_table_lookup(table->innocents, &fingerprint);
+	if (!known) {
+		known = &table->ring[table->next];
+		table->next = (table->next + 1) % INNOCENT_LIMIT;
+		if (g_hash_table_lookup(table->innocents,
+					&known->fingerprint) == known)
+			g_hash_table_remove(table->innocents,
+					    &known->fingerprint);
+		known->fingerprint = fingerprint;
+		g_hash_table_insert(table->innocents, &known->fingerprint,
+				    known);
+	}
+	known->at_us = now_us;
+}
+
+guint aub_dispatcher_crashes(const struct aub_dispatcher *dispatcher,
+			     struct aub_crash_mark *list, guint limit,
+			     gint64 now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint count = 0;
+
+	g_hash_table_iter_init(&iter, dispatcher->crashes->crashes);
+	while (count < limit && g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct crash *crash = value;
+		gint64 age_ms = (now_us - crash->last_us) / AUB_MS;
+
+		list[count++] = (struct aub_crash_mark){
+			.fingerprint = crash->fingerprint,
+			.deaths = crash->deaths,
+			.age_ms = (guint32)CLAMP(age_ms, 0, G_MAXUINT32),
+		};
+	}
+	return count;
+}
+
+void aub_dispatcher_learn_crash(struct aub_dispatcher *dispatcher,
+				const struct aub_crash_mark *mark,
+				gint64 now_us)
+{
+	gint64 last_us = now_us - (gint64)mark->age_ms * AUB_MS;
+	struct crash *crash;
+
+	if (!mark->fingerprint)
+		return;
+	crash = crash_find(dispatcher->crashes, mark->fingerprint, now_us);
+	if (!crash)
+		return;
+	crash->last_us = crash->deaths ? MAX(crash->last_us, last_us) : last_us;
+	crash->deaths = MAX(crash->deaths, mark->deaths);
+}
--- /dev/null
+++ b/src/state/dispatch_policy.c
@@ -0,0 +1,136 @@
+/*
+ * Names of policies and refusals, the baselines' choices, and the small
+ * shared means of decision: a seeded random source and token buckets.
+ *
+ * A baseline looks at no slot counts and keeps no queue: each entry sends at
+ * once, as balancers with stale or private knowledge do.
+ */
+#include <auburnstile/internal/dispatch.h>
+
+static const char *const policy_names[] = {
+	[AUB_POLICY_AUBURNSTILE] = "auburnstile",
+	[AUB_POLICY_RANDOM] = "random",
+	[AUB_POLICY_ROUND_ROBIN] = "round-robin",
+	[AUB_POLICY_LEAST_REPORTED] = "least-reported",
+	[AUB_POLICY_TWO_CHOICES] = "two-choices",
+};
+
+static const char *const refusal_names[] = {
+	[AUB_REFUSAL_NONE] = "none",
+	[AUB_REFUSAL_QUEUE_FULL] = "queue-full",
+	[AUB_REFUSAL_DEADLINE] = "deadline",
+	[AUB_REFUSAL_NO_UPSTREAM] = "no-upstream",
+	[AUB_REFUSAL_CRASHES] = "crashes",
+	[AUB_REFUSAL_NOT_OWNER] = "not-owner",
+	[AUB_REFUSAL_NO_BUDGET] = "no-budget",
+	[AUB_REFUSAL_STOPPING] = "stopping",
+};
+
+const char *aub_refusal_name(enum aub_refusal refusal)
+{
+	if ((guint)refusal >= G_N_ELEMENTS(refusal_names))
+		return "invalid";
+	return refusal_names[refusal];
+}
+
+const char *aub_policy_name(enum aub_policy policy)
+{
+	if ((guint)policy >= G_N_ELEMENTS(policy_names))
+		return "invalid";
+	return policy_names[policy];
+}
+
+int aub_policy_parse(const char *name)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(policy_names); i++)
+		if (g_str_equal(name, policy_names[i]))
+			return (int)i;
+	return -1;
+}
+
+/* xorshift32: enough for ties and the baselines, and equal everywhere. */
+guint32 dispatch_random(struct aub_dispatcher *dispatcher, guint32 below)
+{
+	guint32 x = dispatcher->random;
+
+	x ^= x << 13;
+	x ^= x >> 17;
+	x ^= x << 5;
+	dispatcher->random = x;
+	return (guint32)(((guint64)x * below) >> 32);
+}
+
+bool bucket_take(struct bucket *bucket, gint64 tokens)
+{
+	if (bucket->tokens < tokens)
+		return false;
+	bucket->tokens -= tokens;
+	return true;
+}
+
+void bucket_add(struct bucket *bucket, gint64 tokens)
+{
+	bucket->tokens = MIN(bucket->tokens + tokens, bucket->depth);
+}
+
+static struct upstream *least_reported(struct aub_dispatcher *dispatcher,
+				       const GPtrArray *open)
+{
+	guint start = dispatch_random(dispatcher, open->len);
+	struct upstream *best = NULL;
+
+	for (guint i = 0; i < open->len; i++) {
+		struct upstream *u = open->pdata[(start + i) % open->len];
+
+		if (!best || u->reported_busy < best->reported_busy)
+			best = u;
+	}
+	return best;
+}
+
+static struct upstream *two_choices(struct aub_dispatcher *dispatcher,
+				    const GPtrArray *open)
+{
+	guint first = dispatch_random(dispatcher, open->len);
+	guint second = dispatch_random(dispatcher, open->len);
+	struct upstream *a = open->pdata[first];
+	struct upstream *b = open->pdata[second];
+
+	return upstream_in_flight(b) < upstream_in_flight(a) ? b : a;
+}
+
+/* A baseline's choice; NULL when no upstream takes anything new. */
+struct upstream *policy_choose(struct aub_dispatcher *dispatcher,
+			       const struct request *request)
+{
+	struct upstream *chosen = NULL;
+	GPtrArray *open = g_ptr_array_new();
+
+	for (guint i = 0; i < dispatcher->upstreams->len; i++) {
+		struct upstream *u = dispatcher->upstreams->pdata[i];
+
+		if (u->takes_new && !u->draining && u != request->avoid)
+			g_ptr_array_add(open, u);
+	}
+	if (!open->len && request->avoid && request->avoid->takes_new)
+		g_ptr_array_add(open, request->avoid);
+	if (!open->len)
+		goto out;
+	switch (dispatcher->policy) {
+	case AUB_POLICY_ROUND_ROBIN:
+		chosen = open->pdata[dispatcher->turn++ % open->len];
+		break;
+	case AUB_POLICY_LEAST_REPORTED:
+		chosen = least_reported(dispatcher, open);
+		break;
+	case AUB_POLICY_TWO_CHOICES:
+		chosen = two_choices(dispatcher, open);
+		break;
+	default:
+		chosen = open->pdata[dispatch_random(dispatcher, open->len)];
+		break;
+	}
+out:
+	g_ptr_array_free(open, TRUE);
+	return chosen;
+}
--- /dev/null
+++ b/src/state/dispatch_probe.c
@@ -0,0 +1,219 @@
+/*
+ * Probes: spent where own traffic says nothing, out of a budget.
+ *
+ * The budget is upstream time a second. An owner spends three eighths of it
+ * and saves up at most an eighth, so that two who both believe that they own
+ * the service stay within it together. The bucket starts empty: restarts
+ * earn nothing.
+ */
+#include <auburnstile/internal/dispatch.h>
+
+#define PROBE_TIMEOUT_US (500 * AUB_MS)
+#define REPORT_PERIOD_US (100 * AUB_MS) /* baseline least-reported */
+#define NEVER G_MAXINT64
+
+static gint64 owner_rate(const struct aub_dispatcher *dispatcher)
+{
+	gint64 budget = dispatcher->probe_budget_us;
+
+	if (dispatcher->policy == AUB_POLICY_LEAST_REPORTED)
+		return budget;
+	if (dispatcher->role == AUB_DISPATCH_STANDBY)
+		return budget / 8;
+	return budget * 3 / 8;
+}
+
+void probe_configure(struct aub_dispatcher *dispatcher, gint64 now_us)
+{
+	gint64 dearest = 0;
+
+	for (guint i = 0; i < dispatcher->upstreams->len; i++)
+		dearest =
+			MAX(dearest, upstream_at(dispatcher, i)->probe_cost_us);
+	dispatcher->probes.depth =
+		1000 * MAX(dearest, dispatcher->probe_budget_us / 8);
+	dispatcher->probes.tokens =
+		MIN(dispatcher->probes.tokens, dispatcher->probes.depth);
+	if (!dispatcher->probes_filled_us)
+		dispatcher->probes_filled_us = now_us;
+}
+
+/* Tokens are thousandths of a us, so a us of time fills rate / 1000. */
+static void probe_refill(struct aub_dispatcher *dispatcher, gint64 now_us)
+{
+	gint64 elapsed = now_us - dispatcher->probes_filled_us;
+
+	if (elapsed <= 0)
+		return;
+	elapsed = MIN(elapsed, 10 * AUB_SECOND);
+	bucket_add(&dispatcher->probes,
+		   elapsed * owner_rate(dispatcher) / 1000);
+	dispatcher->probes_filled_us = now_us;
+}
+
+static bool may_probe(const struct aub_dispatcher *dispatcher)
+{
+	if (!dispatcher->probe_budget_us || dispatcher->stopping)
+		return false;
+	if (dispatcher->policy == AUB_POLICY_LEAST_REPORTED)
+		return true;
+	if (dispatcher->policy != AUB_POLICY_AUBURNSTILE)
+		return false;
+	if (dispatcher->role == AUB_DISPATCH_STANDBY)
+		return g_hash_table_size(dispatcher->requests) > 0;
+	return dispatcher->role == AUB_DISPATCH_OWNER;
+}
+
+/* How long to leave it alone between probes; NEVER while traffic tells. */
+static gint64 probe_period(const struct aub_dispatcher *dispatcher,
+			   const struct upstream *u)
+{
+	gint64 now_us = dispatcher->now_us;
+
+	if (u->lost->len)
+		return 100 * AUB_MS;
+	if (u->draining)
+		return AUB_SECOND;
+	if (upstream_in_flight(u) || now_us < u->shut_until_us)
+		return NEVER;
+	if (u->trial)
+		return 500 * AUB_MS;
+	if (u->state == UPSTREAM_UNKNOWN && dispatcher->queue.length)
+		return 100 * AUB_MS;
+	if (u->state != UPSTREAM_WARM)
+		return AUB_SECOND;
+	return 5 * AUB_SECOND;
+}
+
+static gint64 probe_due_us(const struct aub_dispatcher *dispatcher,
+			   const struct upstream *u)
+{
+	gint64 period;
+
+	if (!u->takes_new || u->probing)
+		return NEVER;
+	if (dispatcher->policy == AUB_POLICY_LEAST_REPORTED)
+		return u->last_probe_us + REPORT_PERIOD_US;
+	period = probe_period(dispatcher, u);
+	if (period == NEVER)
+		return NEVER;
+	return MAX(u->last_probe_us, u->last_answer_us) + period;
+}
+
+/* The one that has been due for longest; NULL when none is due. */
+static struct upstream *probe_next(const struct aub_dispatcher *dispatcher)
+{
+	struct upstream *next = NULL;
+	gint64 next_due = dispatcher->now_us;
+
+	for (guint i = 0; i < dispatcher->upstreams->len; i++) {
+		struct upstream *u = upstream_at(dispatcher, i);
+		gint64 due = probe_due_us(dispatcher, u);
+
+		if (due > dispatcher->now_us || (next && due >= next_due))
+			continue;
+		next = u;
+		next_due = due;
+	}
+	return next;
+}
+
+void probe_pump(struct aub_dispatcher *dispatcher, gint64 now_us)
+{
+	struct upstream *u;
+
+	probe_refill(dispatcher, now_us);
+	if (!may_probe(dispatcher))
+		return;
+	for (u = probe_next(dispatcher); u; u = probe_next(dispatcher)) {
+		if (!bucket_take(&dispatcher->probes,
+				 1000 * (gint64)u->probe_cost_us))
+			return;
+		u->probing = true;
+		u->probes++;
+		u->last_probe_us = now_us;
+		dispatcher->counts.probes++;
+		dispatcher->counts.probe_us += u->probe_cost_us;
+		dispatch_act(dispatcher,
+			     &(struct aub_action){
+				     .type = AUB_ACTION_PROBE,
+				     .upstream = u->handle,
+				     .timeout_us = now_us + PROBE_TIMEOUT_US,
+			     });
+	}
+}
+
+static gint64 affordable_us(const struct aub_dispatcher *dispatcher,
+			    const struct upstream *u)
+{
+	gint64 missing =
+		1000 * (gint64)u->probe_cost_us - dispatcher->probes.tokens;
+	gint64 rate = owner_rate(dispatcher);
+
+	if (missing <= 0)
+		return dispatcher->probes_filled_us;
+	if (rate <= 0)
+		return NEVER;
+	return dispatcher->probes_filled_us + missing * 1000 / rate + 1;
+}
+
+/* When the next probe is due and paid for; G_MAXINT64 for never. */
+gint64 probe_wake_us(const struct aub_dispatcher *dispatcher)
+{
+	gint64 wake = NEVER;
+
+	if (!may_probe(dispatcher))
+		return wake;
+	for (guint i = 0; i < dispatcher->upstreams->len; i++) {
+		const struct upstream *u = upstream_at(dispatcher, i);
+		gint64 due = probe_due_us(dispatcher, u);
+
+		if (due == NEVER)
+			continue;
+		due = MAX(due, affordable_us(dispatcher, u));
+		wake = MIN(wake, MAX(due, dispatcher->now_us + 1));
+	}
+	return wake;
+}
+
+static void probe_answered(struct aub_dispatcher *dispatcher,
+			   struct upstream *u,
+			   const struct aub_upstream_signs *signs,
+			   gint64 now_us)
+{
+	guint64 boot_id = u->boot_id;
+
+	cold_note_signs(dispatcher, u, signs, now_us);
+	u->slow_until_us = 0;
+	if (!signs || !signs->boot_id || signs->boot_id != boot_id)
+		boot_id = 0;
+	if (boot_id)
+		crash_note_alive(u, u->last_probe_us);
+	if (u->state != UPSTREAM_UNKNOWN || !signs || signs->cold)
+		return;
+	if (boot_id)
+		u->state = UPSTREAM_WARM;
+	else
+		u->vouched = true;
+}
+
+void aub_dispatcher_probe_done(struct aub_dispatcher *dispatcher,
+			       guint16 upstream, bool answered,
+			       const struct aub_upstream_signs *signs,
+			       guint32 reported_busy, gint64 now_us)
+{
+	struct upstream *u = upstream_by_handle(dispatcher, upstream);
+
+	dispatcher->now_us = MAX(dispatcher->now_us, now_us);
+	if (!u || !u->probing)
+		return; /* asked under an earlier inventory */
+	u->probing = false;
+	u->reported_busy = reported_busy;
+	if (answered) {
+		probe_answered(dispatcher, u, signs, now_us);
+	} else if (!upstream_in_flight(u)) {
+		crash_note_death(dispatcher, u, now_us);
+		upstream_note_unreachable(u, now_us);
+	}
+	dispatch_pump(dispatcher, now_us);
+}
--- /dev/null
+++ b/src/state/dispatch_queue.c
@@ -0,0 +1,106 @@
+/*
+ * Waiting requests of one service: first come, first served, bounded, each
+ * with a moment at which it lapses.
+ *
+ * A request that fails before it ran goes back to the head: it has waited
+ * longer than all others.
+ */
+#include <auburnstile/internal/dispatch.h>
+
+/* Time until all that waits now has left, at the current drain rate, us. */
+gint64 dispatch_drain_us(const struct aub_dispatcher *dispatcher, gint64 now_us)
+{
+	guint slots = upstream_total_allowed(dispatcher, now_us);
+
+	if (!slots)
+		slots = 1;
+	return (gint64)dispatcher->queue.length * dispatcher->mean_us / slots;
+}
+
+/*
+ * Failure: a request waits, then starts too late to finish in time.
+ * Symptom: its caller gives up, and the slot's work served nobody.
+ * Enough: with others ahead of it, it must have the queue's time and a slow
+ * answer's left; with none ahead it is always tried, so estimates heal.
+ */
+bool dispatch_hopeless(const struct aub_dispatcher *dispatcher,
+		       const struct aub_dispatch_request *request,
+		       gint64 now_us)
+{
+	gint64 left = request->deadline_us - now_us;
+
+	if (left <= 0)
+		return true;
+	if (!dispatcher->queue.length)
+		return false;
+	return dispatch_drain_us(dispatcher, now_us) + dispatcher->slow_us >
+	       left;
+}
+
+static gint compare_timers(gconstpointer a, gconstpointer b, gpointer context)
+{
+	const struct request *x = a;
+	const struct request *y = b;
+
+	if (x->timer_us != y->timer_us)
+		return x->timer_us < y->timer_us ? -1 : 1;
+	if (x->id != y->id)
+		return x->id < y->id ? -1 : 1;
+	return 0;
+}
+
+void dispatch_timer_clear(struct aub_dispatcher *dispatcher,
+			  struct request *request)
+{
+	if (!request->timer)
+		return;
+	g_sequence_remove(request->timer);
+	request->timer = NULL;
+}
+
+void dispatch_timer_set(struct aub_dispatcher *dispatcher,
+			struct request *request, gint64 at_us)
+{
+	dispatch_timer_clear(dispatcher, request);
+	request->timer_us = at_us;
+	request->timer = g_sequence_insert_sorted(dispatcher->timers, request,
+						  compare_timers, NULL);
+}
+
+/* Takes out and returns a request whose timer is due; NULL for none. */
+struct request *dispatch_timer_due(struct aub_dispatcher *dispatcher,
+				   gint64 now_us)
+{
+	GSequenceIter *first = g_sequence_get_begin_iter(dispatcher->timers);
+	struct request *request;
+
+	if (g_sequence_iter_is_end(first))
+		return NULL;
+	request = g_sequence_get(first);
+	if (request->timer_us > now_us)
+		return NULL;
+	dispatch_timer_clear(dispatcher, request);
+	return request;
+}
+
+void dispatch_enqueue(struct aub_dispatcher *dispatcher,
+		      struct request *request, bool first)
+{
+	gint64 left = request->deadline_us - request->arrived_us;
+	gint64 need = MIN(dispatcher->mean_us, left / 2);
+
+	request->waiting = true;
+	if (first)
+		g_queue_push_head_link(&dispatcher->queue, &request->link);
+	else
+		g_queue_push_tail_link(&dispatcher->queue, &request->link);
+	dispatch_timer_set(dispatcher, request, request->deadline_us - need);
+}
+
+void dispatch_dequeue(struct aub_dispatcher *dispatcher,
+		      struct request *request)
+{
+	g_queue_unlink(&dispatcher->queue, &request->link);
+	request->waiting = false;
+	dispatch_timer_clear(dispatcher, request);
+}
--- /dev/null
+++ b/src/state/dispatch_upstream.c
@@ -0,0 +1,473 @@
+/*
+ * The upstreams of one service: exact counts, who may take a request now,
+ * and which free slot is best.
+ */
+#include <auburnstile/internal/dispatch.h>
+
+#define OVERRUN_FACTOR 4 /* times the mean: a running attempt is suspect */
+#define SLOW_HOLD_US (100 * AUB_MS) /* a slow answer counts that long */
+#define OTHER_ZONE_US 1000 /* what another zone costs, as service time */
+#define EJECT_PERMILLE 500 /* failed answers that eject */
+#define EJECT_ANSWERS 5 /* answers judged before an ejection */
+#define FORGIVE_ANSWERS 32 /* good ones that reset the back-off */
+#define SHED_REGROW 16 /* answers until a shed slot is tried again */
+#define EJECT_BASE_US (1 * AUB_SECOND)
+#define EJECT_MOST_US (30 * AUB_SECOND)
+#define UNREACHABLE_BASE_US (50 * AUB_MS)
+#define UNREACHABLE_MOST_US (2 * AUB_SECOND)
+#define SHED_BASE_US (5 * AUB_MS)
+#define SHED_MOST_US (500 * AUB_MS)
+
+struct upstream *upstream_new(const char *name)
+{
+	struct upstream *u = g_new0(struct upstream, 1);
+
+	u->name = g_strdup(name);
+	u->lost = g_array_new(FALSE, FALSE, sizeof(struct lost_attempt));
+	return u;
+}
+
+void upstream_free(gpointer data)
+{
+	struct upstream *u = data;
+
+	g_array_free(u->lost, TRUE);
+	g_free(u->name);
+	g_free(u);
+}
+
+guint upstream_in_flight(const struct upstream *upstream)
+{
+	return upstream->running.length;
+}
+
+struct upstream *upstream_at(const struct aub_dispatcher *dispatcher, guint i)
+{
+	return dispatcher->upstreams->pdata[i];
+}
+
+struct upstream *upstream_by_handle(const struct aub_dispatcher *dispatcher,
+				    guint16 handle)
+{
+	for (guint i = 0; i < dispatcher->upstreams->len; i++)
+		if (upstream_at(dispatcher, i)->handle == handle)
+			return upstream_at(dispatcher, i);
+	return NULL;
+}
+
+static struct upstream *take_by_name(GPtrArray *list, const char *name)
+{
+	for (guint i = 0; i < list->len; i++) {
+		struct upstream *u = list->pdata[i];
+
+		if (g_str_equal(u->name, name))
+			return g_ptr_array_steal_index_fast(list, i);
+	}
+	return NULL;
+}
+
+static void upstream_configure(struct aub_dispatcher *dispatcher,
+			       struct upstream *u, guint16 handle,
+			       gint64 now_us)
+{
+	const struct aub_upstream *line =
+		aub_upstream_at(dispatcher->inventory, handle);
+	bool takes_new = aub_upstream_takes_new(dispatcher->inventory, handle);
+
+	if (u->slots != line->slots)
+		u->limit = line->slots;
+	if (takes_new && !u->takes_new) {
+		upstream_open(u);
+		u->draining = false;
+		cold_doubt(u, now_us);
+	}
+	u->handle = handle;
+	u->slots = line->slots;
+	u->cold_slots = line->cold_slots;
+	u->zone = line->zone;
+	u->probe_cost_us = line->probe_cost_us;
+	u->takes_new = takes_new;
+	u->probing = false;
+}
+
+static void forget_upstream(struct aub_dispatcher *dispatcher,
+			    struct upstream *u)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, dispatcher->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct request *request = value;
+
+		if (request->avoid == u)
+			request->avoid = NULL;
+	}
+	upstream_free(u);
+}
+
+/* Follow the inventory: keep by name, add, and let go of what is done. */
+void upstreams_configure(struct aub_dispatcher *dispatcher, gint64 now_us)
+{
+	GPtrArray *before = dispatcher->upstreams;
+	const GArray *lines = dispatcher->inventory->upstreams;
+
+	dispatcher->upstreams = g_ptr_array_new();
+	for (guint i = 0; i < lines->len; i++) {
+		const struct aub_upstream *line =
+			&g_array_index(lines, struct aub_upstream, i);
+		struct upstream *u;
+
+		if (line->service != dispatcher->service)
+			continue;
+		u = take_by_name(before, line->name);
+		if (!u)
+			u = upstream_new(line->name);
+		upstream_configure(dispatcher, u, (guint16)i, now_us);
+		g_ptr_array_add(dispatcher->upstreams, u);
+	}
+	for (guint i = 0; i < before->len; i++) {
+		struct upstream *u = before->pdata[i];
+
+		if (!u->running.length) {
+			forget_upstream(dispatcher, u);
+			continue;
+		}
+		u->handle = AUB_NO_HANDLE;
+		u->takes_new = false;
+		g_ptr_array_add(dispatcher->upstreams, u);
+	}
+	g_ptr_array_free(before, TRUE);
+}
+
+bool upstream_usable(const struct upstream *upstream, gint64 now_us)
+{
+	return upstream->takes_new && !upstream->draining &&
+	       now_us >= upstream->shut_until_us;
+}
+
+/*
+ * Failure: two entries believe that they own a service, for a moment.
+ * Symptom: their exact counts add up to twice the slots.
+ * Enough: who is new, or stands in, takes half, and nothing that is cold.
+ */
+static guint share_allowed(const struct aub_dispatcher *dispatcher,
+			   const struct upstream *upstream, guint allowed,
+			   gint64 now_us)
+{
+	bool shared = dispatcher->role == AUB_DISPATCH_STANDBY ||
+		      now_us < dispatcher->settle_until_us;
+
+	if (dispatcher->role == AUB_DISPATCH_NONE)
+		return 0;
+	if (!shared)
+		return allowed;
+	if (upstream->state == UPSTREAM_WARM || upstream->vouched)
+		return MIN(allowed, upstream->slots / 2);
+	return 0;
+}
+
+/* Attempts that may run on it at once, now. */
+guint upstream_allowed(const struct aub_dispatcher *dispatcher,
+		       const struct upstream *upstream, gint64 now_us)
+{
+	guint allowed;
+
+	if (!upstream_usable(upstream, now_us))
+		return 0;
+	allowed = cold_allowed(dispatcher, upstream, now_us);
+	allowed = MIN(allowed, upstream->limit);
+	if (upstream->trial)
+		allowed = MIN(allowed, 1);
+	return share_allowed(dispatcher, upstream, allowed, now_us);
+}
+
+/* Free slots of all upstreams that may take a request now. */
+guint upstream_total_free(const struct aub_dispatcher *dispatcher,
+			  gint64 now_us)
+{
+	guint total = 0;
+
+	for (guint i = 0; i < dispatcher->upstreams->len; i++) {
+		const struct upstream *u = upstream_at(dispatcher, i);
+		guint allowed = upstream_allowed(dispatcher, u, now_us);
+		guint in_flight = upstream_in_flight(u);
+
+		total += allowed > in_flight ? allowed - in_flight : 0;
+	}
+	return total;
+}
+
+guint upstream_total_allowed(const struct aub_dispatcher *dispatcher,
+			     gint64 now_us)
+{
+	guint total = 0;
+
+	for (guint i = 0; i < dispatcher->upstreams->len; i++)
+		total += upstream_allowed(dispatcher,
+					  upstream_at(dispatcher, i), now_us);
+	return total;
+}
+
+/*
+ * Failure: an upstream turns slow, and reports nothing of it.
+ * Symptom: each request that it gets next is late.
+ * Enough: what runs on it for too long shows it before any answer does, and
+ * its free slots are taken last until a quick answer.
+ */
+bool upstream_overruns(const struct aub_dispatcher *dispatcher,
+		       const struct upstream *upstream, gint64 now_us)
+{
+	const GList *head = upstream->running.head;
+	const struct attempt *oldest = head ? head->data : NULL;
+	gint64 usual = MAX(upstream->mean_us, dispatcher->mean_us);
+
+	if (now_us < upstream->slow_until_us)
+		return true;
+	return oldest && usual &&
+	       now_us - oldest->sent_us > OVERRUN_FACTOR * usual;
+}
+
+/* Lower is better: class first, then expected time, then how busy. */
+struct score {
+	guint class;
+	gint64 cost_us;
+};
+
+static struct score upstream_score(const struct aub_dispatcher *dispatcher,
+				   const struct upstream *u,
+				   const struct request *request, gint64 now_us)
+{
+	struct score score = { .cost_us = u->mean_us };
+	gint64 busy = upstream_in_flight(u);
+
+	if (!score.cost_us)
+		score.cost_us = dispatcher->mean_us;
+	score.cost_us += score.cost_us * busy / (2 * (gint64)u->slots);
+	if (request->zone != AUB_NO_HANDLE && request->zone != u->zone)
+		score.cost_us += OTHER_ZONE_US;
+	if (upstream_overruns(dispatcher, u, now_us))
+		score.class = 1;
+	if (u == request->avoid)
+		score.class = 2;
+	return score;
+}
+
+static bool runs_on(const struct request *request, const struct upstream *u)
+{
+	for (guint i = 0; i < request->running->len; i++) {
+		const struct attempt *attempt = request->running->pdata[i];
+
+		if (attempt->upstream == u)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * The best free slot for a request, NULL when none is free. A hedge goes to
+ * no upstream that is suspect or runs the request already.
+ */
+struct upstream *upstream_choose(struct aub_dispatcher *dispatcher,
+				 const struct request *request, bool hedge,
+				 gint64 now_us)
+{
+	struct upstream *best = NULL;
+	struct score best_score = { 0 };
+	guint count = dispatcher->upstreams->len;
+	guint start = count ? dispatch_random(dispatcher, count) : 0;
+
+	for (guint i = 0; i < count; i++) {
+		struct upstream *u =
+			upstream_at(dispatcher, (start + i) % count);
+		struct score score;
+
+		if (upstream_in_flight(u) >=
+		    upstream_allowed(dispatcher, u, now_us))
+			continue;
+		score = upstream_score(dispatcher, u, request, now_us);
+		if (hedge && (score.class || runs_on(request, u)))
+			continue;
+		if (best && (score.class > best_score.class ||
+			     (score.class == best_score.class &&
+			      score.cost_us >= best_score.cost_us)))
+			continue;
+		best = u;
+		best_score = score;
+	}
+	return best;
+}
+
+static void note_slow_mark(struct aub_dispatcher *dispatcher, gint64 took_us,
+			   bool whole)
+{
+	gint64 share = dispatcher->hedge_percent ?
+			       MIN(dispatcher->hedge_percent, 50) :
+			       3;
+	gint64 step = MAX(dispatcher->slow_us / 32, 20);
+
+	if (!dispatcher->slow_us) {
+		dispatcher->slow_us = 3 * took_us;
+		return;
+	}
+	if (took_us > dispatcher->slow_us)
+		dispatcher->slow_us += step * (100 - share) / 100;
+	else if (whole)
+		dispatcher->slow_us -= step * share / 100;
+	dispatcher->slow_us = MAX(dispatcher->slow_us, 100);
+}
+
+/* A good answer took `took_us`, or (`whole` false) would have taken more. */
+void upstream_note_time(struct aub_dispatcher *dispatcher,
+			struct upstream *upstream, gint64 took_us, bool whole,
+			gint64 now_us)
+{
+	gint64 usual = MAX(upstream->mean_us, dispatcher->mean_us);
+
+	if (usual && took_us > OVERRUN_FACTOR * usual)
+		upstream->slow_until_us = now_us + SLOW_HOLD_US;
+	else if (whole && took_us <= usual)
+		upstream->slow_until_us = 0;
+	note_slow_mark(dispatcher, took_us, whole);
+	if (!whole && took_us < upstream->mean_us)
+		return;
+	if (!upstream->mean_us)
+		upstream->mean_us = MAX(took_us, 1);
+	if (!dispatcher->mean_us)
+		dispatcher->mean_us = MAX(took_us, 1);
+	upstream->mean_us += (took_us - upstream->mean_us) / 16;
+	dispatcher->mean_us += (took_us - dispatcher->mean_us) / 64;
+}
+
+/* Everything that kept it from work is lifted. */
+void upstream_open(struct upstream *upstream)
+{
+	upstream->shut_until_us = 0;
+	upstream->shut_times = 0;
+	upstream->trial = false;
+	upstream->ejected = false;
+	upstream->failed_permille = 0;
+	upstream->judged = 0;
+	upstream->slow_until_us = 0;
+	upstream->limit = upstream->slots;
+}
+
+static void upstream_shut(struct upstream *upstream, gint64 base_us,
+			  gint64 most_us, gint64 now_us)
+{
+	gint64 wait = base_us << MIN(upstream->shut_times, 10);
+
+	upstream->shut_until_us = now_us + MIN(wait, most_us);
+	upstream->shut_times++;
+	upstream->judged = 0;
+	upstream->trial = true;
+}
+
+void upstream_note_unreachable(struct upstream *upstream, gint64 now_us)
+{
+	cold_doubt(upstream, now_us);
+	if (now_us < upstream->shut_until_us)
+		return; /* several attempts, one failure */
+	upstream_shut(upstream, UNREACHABLE_BASE_US, UNREACHABLE_MOST_US,
+		      now_us);
+}
+
+/* It refused although a slot was thought free: someone else uses it. */
+void upstream_note_shed(struct upstream *upstream, gint64 now_us)
+{
+	guint in_flight = upstream_in_flight(upstream);
+
+	upstream->limit = (guint16)CLAMP(in_flight, 1, upstream->slots);
+	upstream->limit_successes = 0;
+	if (now_us >= upstream->shut_until_us)
+		upstream_shut(upstream, SHED_BASE_US, SHED_MOST_US, now_us);
+}
+
+/* True if it fails far more than its peers and few enough are ejected. */
+static bool may_eject(const struct aub_dispatcher *dispatcher,
+		      const struct upstream *upstream)
+{
+	guint ejected = 0;
+	guint others = 0;
+	guint failed = 0;
+
+	for (guint i = 0; i < dispatcher->upstreams->len; i++) {
+		const struct upstream *u = upstream_at(dispatcher, i);
+
+		if (u == upstream || !u->takes_new)
+			continue;
+		others++;
+		if (u->ejected)
+			ejected++;
+		else
+			failed += u->failed_permille;
+	}
+	if (ejected >= (others + 1) / AUB_EJECT_SHARE)
+		return false;
+	return others > ejected &&
+	       2 * failed / (others - ejected) < upstream->failed_permille;
+}
+
+/*
+ * Failure: an upstream answers each request with an error, at once.
+ * Symptom: always idle, it attracts most requests, and most callers fail.
+ * Enough: its errors count for no speed and eject it, with back-off; a share
+ * bounds the ejected, since errors of the requests' own eject nobody.
+ */
+void upstream_note_result(struct aub_dispatcher *dispatcher,
+			  struct upstream *upstream, bool failed, gint64 now_us)
+{
+	gint32 target = failed ? 1000 : 0;
+
+	upstream->failed_permille +=
+		(target - (gint32)upstream->failed_permille) / 8;
+	upstream->judged++;
+	if (!failed) {
+		upstream->trial = false;
+		upstream->ejected = false;
+		if (upstream->judged >= FORGIVE_ANSWERS)
+			upstream->shut_times = 0;
+		upstream->limit_successes++;
+		if (upstream->limit < upstream->slots &&
+		    upstream->limit_successes >= SHED_REGROW) {
+			upstream->limit++;
+			upstream->limit_successes = 0;
+		}
+		return;
+	}
+	if (upstream->trial && upstream->ejected) {
+		upstream_shut(upstream, EJECT_BASE_US, EJECT_MOST_US, now_us);
+		return;
+	}
+	if (upstream->failed_permille < EJECT_PERMILLE ||
+	    upstream->judged < EJECT_ANSWERS ||
+	    !may_eject(dispatcher, upstream))
+		return;
+	upstream_shut(upstream, EJECT_BASE_US, EJECT_MOST_US, now_us);
+	upstream->ejected = true;
+	dispatcher->counts.ejections++;
+}
+
+/* The earlier of two moments, where `at_us` counts if it is to come. */
+gint64 wake_after(gint64 now_us, gint64 at_us, gint64 wake_us)
+{
+	return at_us > now_us ? MIN(at_us, wake_us) : wake_us;
+}
+
+/* When something that waits may become sendable; G_MAXINT64 for never. */
+gint64 upstreams_wake_us(const struct aub_dispatcher *dispatcher)
+{
+	gint64 now_us = dispatcher->now_us;
+	gint64 wake_us = G_MAXINT64;
+
+	if (!dispatcher->queue.length)
+		return wake_us;
+	wake_us = wake_after(now_us, dispatcher->settle_until_us, wake_us);
+	for (guint i = 0; i < dispatcher->upstreams->len; i++) {
+		const struct upstream *u = upstream_at(dispatcher, i);
+
+		if (u->takes_new)
+			wake_us = wake_after(now_us, u->shut_until_us, wake_us);
+	}
+	return wake_us;
+}
