Parse and check the inventory and its rules

Cause: operators feed in zones, VMs, services and upstreams; a mistake has to be named with rule, line and field before it reaches the fleet. Ruled out: matching once rules against the path as written: an upstream reads /fees//pay or /fees/%70ay as /fees/pay, and a retry would run a payment twice. Rules and routes see a canonical path.

--- a/include/auburnstile/inventory.h
+++ b/include/auburnstile/inventory.h
@@ -71,6 +71,11 @@
 	GArray *vms; /* of struct aub_vm */
 	GArray *services; /* of struct aub_service */
 	GArray *upstreams; /* of struct aub_upstream */
+	guint64 base_version; /* the file's `version` key, 0 if absent */
+	GHashTable *zone_names; /* name -> handle + 1; likewise below */
+	GHashTable *vm_names;
+	GHashTable *service_names;
+	GHashTable *upstream_names;
 };
 
 /*
@@ -80,12 +85,17 @@
  */
 struct aub_inventory *aub_inventory_parse(const char *text, gsize length,
 					  const char *source, GError **error);
+
+/* One without anything in it: nothing was applied yet. */
+struct aub_inventory *aub_inventory_new(void);
 struct aub_inventory *aub_inventory_ref(struct aub_inventory *inventory);
 void aub_inventory_unref(struct aub_inventory *inventory);
 
 /* Handles by name; AUB_NO_HANDLE where there is none. */
 guint16 aub_inventory_zone(const struct aub_inventory *inventory,
 			   const char *name);
+guint16 aub_inventory_vm(const struct aub_inventory *inventory,
+			 const char *name);
 guint16 aub_inventory_service(const struct aub_inventory *inventory,
 			      const char *name);
 guint16 aub_inventory_upstream(const struct aub_inventory *inventory,
@@ -104,6 +114,12 @@
 bool aub_upstream_takes_new(const struct aub_inventory *inventory,
 			    guint16 upstream);
 
+/*
+ * The text with `version = N` as its first line, in place of one it may
+ * have; N 0 only takes it away. Owned by the caller.
+ */
+char *aub_inventory_text_version(const char *text, guint64 version);
+
 #define aub_zone_at(i, n) (&g_array_index((i)->zones, struct aub_zone, (n)))
 #define aub_vm_at(i, n) (&g_array_index((i)->vms, struct aub_vm, (n)))
 #define aub_service_at(i, n) \
--- /dev/null
+++ b/src/state/inventory.c
@@ -0,0 +1,194 @@
+/*
+ * An inventory once parsed: its life, look-ups, routes and rules.
+ */
+#include <auburnstile/inventory.h>
+#include <auburnstile/internal/inventory_draft.h>
+#include <auburnstile/internal/request_path.h>
+
+#include <string.h>
+
+static void zone_clear(gpointer data)
+{
+	struct aub_zone *zone = data;
+
+	g_free(zone->name);
+	g_free(zone->region);
+}
+
+static void vm_clear(gpointer data)
+{
+	struct aub_vm *vm = data;
+
+	g_free(vm->name);
+}
+
+static void once_clear(gpointer data)
+{
+	struct aub_once_rule *rule = data;
+
+	g_free(rule->method);
+	g_free(rule->path);
+}
+
+static void service_clear(gpointer data)
+{
+	struct aub_service *service = data;
+
+	g_free(service->name);
+	g_free(service->path);
+	if (service->once)
+		g_array_unref(service->once);
+	if (service->zones)
+		g_array_unref(service->zones);
+}
+
+static void upstream_clear(gpointer data)
+{
+	struct aub_upstream *upstream = data;
+
+	g_free(upstream->name);
+	g_free(upstream->host);
+}
+
+static GArray *table_new(guint size, GDestroyNotify clear)
+{
+	GArray *table = g_array_new(FALSE, TRUE, size);
+
+	g_array_set_clear_func(table, clear);
+	return table;
+}
+
+GArray *aub_once_rules_new(void)
+{
+	return table_new(sizeof(struct aub_once_rule), once_clear);
+}
+
+static GHashTable *names_new(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+struct aub_inventory *aub_inventory_new(void)
+{
+	struct aub_inventory *inventory = g_new0(struct aub_inventory, 1);
+
+	inventory->reference_count = 1;
+	inventory->text = g_strdup("");
+	inventory->zones = table_new(sizeof(struct aub_zone), zone_clear);
+	inventory->vms = table_new(sizeof(struct aub_vm), vm_clear);
+	inventory->services =
+		table_new(sizeof(struct aub_service), service_clear);
+	inventory->upstreams =
+		table_new(sizeof(struct aub_upstream), upstream_clear);
+	inventory->zone_names = names_new();
+	inventory->vm_names = names_new();
+	inventory->service_names = names_new();
+	inventory->upstream_names = names_new();
+	return inventory;
+}
+
+struct aub_inventory *aub_inventory_ref(struct aub_inventory *inventory)
+{
+	g_atomic_int_inc(&inventory->reference_count);
+	return inventory;
+}
+
+void aub_inventory_unref(struct aub_inventory *inventory)
+{
+	if (!inventory ||
+	    !g_atomic_int_dec_and_test(&inventory->reference_count))
+		return;
+	g_array_unref(inventory->zones);
+	g_array_unref(inventory->vms);
+	g_array_unref(inventory->services);
+	g_array_unref(inventory->upstreams);
+	g_hash_table_unref(inventory->zone_names);
+	g_hash_table_unref(inventory->vm_names);
+	g_hash_table_unref(inventory->service_names);
+	g_hash_table_unref(inventory->upstream_names);
+	g_free(inventory->text);
+	g_free(inventory);
+}
+
+static guint16 find(GHashTable *names, const char *name)
+{
+	guint handle = GPOINTER_TO_UINT(g_hash_table_lookup(names, name));
+
+	return handle ? (guint16)(handle - 1) : AUB_NO_HANDLE;
+}
+
+guint16 aub_inventory_zone(const struct aub_inventory *inventory,
+			   const char *name)
+{
+	return find(inventory->zone_names, name);
+}
+
+guint16 aub_inventory_vm(const struct aub_inventory *inventory,
+			 const char *name)
+{
+	return find(inventory->vm_names, name);
+}
+
+guint16 aub_inventory_service(const struct aub_inventory *inventory,
+			      const char *name)
+{
+	return find(inventory->service_names, name);
+}
+
+guint16 aub_inventory_upstream(const struct aub_inventory *inventory,
+			       const char *name)
+{
+	return find(inventory->upstream_names, name);
+}
+
+guint16 aub_inventory_route(const struct aub_inventory *inventory,
+			    const char *path)
+{
+	char *canonical = aub_path_canonical(path);
+	guint16 best = AUB_NO_HANDLE;
+	gsize longest = 0;
+
+	for (guint i = 0; i < inventory->services->len; i++) {
+		const char *prefix = aub_service_at(inventory, i)->path;
+		gsize length = strlen(prefix);
+
+		if (length > longest && aub_path_below(canonical, prefix)) {
+			longest = length;
+			best = (guint16)i;
+		}
+	}
+	g_free(canonical);
+	return best;
+}
+
+const struct aub_once_rule *aub_service_once_rule(
+	const struct aub_service *service, const char *method, const char *path)
+{
+	const struct aub_once_rule *found = NULL;
+	char *canonical;
+
+	if (!service->once->len)
+		return NULL;
+	canonical = aub_path_canonical(path);
+	for (guint i = 0; i < service->once->len && !found; i++) {
+		const struct aub_once_rule *rule =
+			&g_array_index(service->once, struct aub_once_rule, i);
+
+		if (strcmp(rule->method, "*") != 0 &&
+		    g_ascii_strcasecmp(rule->method, method) != 0)
+			continue;
+		if (aub_path_below(canonical, rule->path))
+			found = rule;
+	}
+	g_free(canonical);
+	return found;
+}
+
+bool aub_upstream_takes_new(const struct aub_inventory *inventory,
+			    guint16 upstream)
+{
+	const struct aub_upstream *it = aub_upstream_at(inventory, upstream);
+
+	return !it->leaving && !aub_vm_at(inventory, it->vm)->leaving &&
+	       !aub_zone_at(inventory, it->zone)->out;
+}
--- /dev/null
+++ b/src/state/inventory_check.c
@@ -0,0 +1,216 @@
+/*
+ * Rules of an inventory that span items. Each has a name, which is part of
+ * the message and explained in docs/OPERATIONS.md.
+ */
+#include <auburnstile/internal/inventory_draft.h>
+#include <auburnstile/internal/request_path.h>
+
+#include <string.h>
+
+static const struct aub_draft_origin *service_origin(
+	const struct aub_inventory_draft *draft, guint service)
+{
+	return &g_array_index(draft->services, struct aub_draft_origin,
+			      service);
+}
+
+static const struct aub_draft_origin *upstream_origin(
+	const struct aub_inventory_draft *draft, guint upstream)
+{
+	return &g_array_index(draft->upstreams, struct aub_draft_origin,
+			      upstream);
+}
+
+static void check_paths(struct aub_inventory_draft *draft)
+{
+	GHashTable *paths = g_hash_table_new(g_str_hash, g_str_equal);
+	GArray *services = draft->inventory->services;
+
+	for (guint i = 0; i < services->len; i++) {
+		struct aub_service *service =
+			aub_service_at(draft->inventory, i);
+		const char *other = g_hash_table_lookup(paths, service->path);
+
+		if (!*service->path)
+			continue;
+		if (other)
+			aub_draft_problem(draft, service_origin(draft, i),
+					  "path", "path-twice",
+					  "\"%s\" is already routed to service "
+					  "\"%s\"",
+					  service->path, other);
+		else
+			g_hash_table_insert(paths, service->path,
+					    service->name);
+		if (aub_path_below(service->path, AUB_RESERVED_PATH))
+			aub_draft_problem(draft, service_origin(draft, i),
+					  "path", "path-reserved",
+					  "paths below \"%s\" are the "
+					  "system's own",
+					  AUB_RESERVED_PATH);
+	}
+	g_hash_table_unref(paths);
+}
+
+/*
+ * A rule works on requests that are routed to its service: below both the
+ * rule's and the service's path, and not taken by a longer route.
+ */
+static bool once_matches(const struct aub_inventory *inventory, guint service,
+			 const struct aub_once_rule *rule)
+{
+	const char *path = aub_service_at(inventory, service)->path;
+
+	if (aub_path_below(path, rule->path))
+		return true;
+	return aub_inventory_route(inventory, rule->path) == service;
+}
+
+static bool method_is_good(const char *method)
+{
+	gsize length = strlen(method);
+
+	if (strcmp(method, "*") == 0)
+		return true;
+	return length > 0 && length <= 16 &&
+	       strspn(method, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") == length;
+}
+
+static void check_once(struct aub_inventory_draft *draft, guint handle)
+{
+	const struct aub_draft_origin *origin = service_origin(draft, handle);
+	struct aub_service *service = aub_service_at(draft->inventory, handle);
+
+	for (guint i = 0; i < service->once->len; i++) {
+		const struct aub_once_rule *rule =
+			&g_array_index(service->once, struct aub_once_rule, i);
+		const struct aub_toml_node *list =
+			aub_toml_member(origin->node, "once");
+		struct aub_draft_origin at = { .node = origin->node };
+
+		at.label =
+			g_strdup_printf("%s.once[#%u]", origin->label, i + 1);
+		if (i < aub_toml_size(list))
+			at.node = aub_toml_item(list, i);
+		if (!method_is_good(rule->method))
+			aub_draft_problem(draft, &at, "method", "method",
+					  "\"%s\" is no method such as POST, "
+					  "nor \"*\"",
+					  rule->method);
+		if (!once_matches(draft->inventory, handle, rule))
+			aub_draft_problem(draft, &at, "path", "once-unmatched",
+					  "no request to service \"%s\" (path "
+					  "\"%s\") has a path below \"%s\"",
+					  service->name, service->path,
+					  rule->path);
+		g_free(at.label);
+	}
+}
+
+static bool has_zone(const struct aub_service *service, guint16 zone)
+{
+	for (guint i = 0; i < service->zones->len; i++)
+		if (g_array_index(service->zones, guint16, i) == zone)
+			return true;
+	return service->zones->len == 0;
+}
+
+static void check_upstream(struct aub_inventory_draft *draft, guint handle)
+{
+	const struct aub_inventory *inventory = draft->inventory;
+	const struct aub_draft_origin *origin = upstream_origin(draft, handle);
+	const struct aub_upstream *it = aub_upstream_at(inventory, handle);
+	const struct aub_service *service;
+
+	if (it->cold_slots > it->slots)
+		aub_draft_problem(draft, origin, "cold_slots", "cold-slots",
+				  "%u when cold is more than its %u slots",
+				  it->cold_slots, it->slots);
+	if (it->connections < it->slots)
+		aub_draft_problem(draft, origin, "connections", "connections",
+				  "%u connections can't fill %u slots",
+				  it->connections, it->slots);
+	if (it->service == AUB_NO_HANDLE)
+		return;
+	service = aub_service_at(inventory, it->service);
+	if (service->probe_budget_us &&
+	    it->probe_cost_us > service->probe_budget_us)
+		aub_draft_problem(draft, origin, "probe_cost_us",
+				  "probe-budget",
+				  "one probe of %u us is more than the %u us a "
+				  "second that service \"%s\" allows",
+				  it->probe_cost_us, service->probe_budget_us,
+				  service->name);
+	if (it->zone != AUB_NO_HANDLE && !has_zone(service, it->zone))
+		aub_draft_problem(draft, origin, "vm", "zone-restriction",
+				  "its zone \"%s\" is none of those that "
+				  "service \"%s\" may run in",
+				  aub_zone_at(inventory, it->zone)->name,
+				  service->name);
+}
+
+static void check_addresses(struct aub_inventory_draft *draft)
+{
+	GHashTable *seen =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	for (guint i = 0; i < draft->inventory->upstreams->len; i++) {
+		const struct aub_upstream *it =
+			aub_upstream_at(draft->inventory, i);
+		const char *other;
+		char *address;
+
+		if (!it->host)
+			continue;
+		address = g_strdup_printf("%s:%u", it->host, it->port);
+		other = g_hash_table_lookup(seen, address);
+		if (other) {
+			aub_draft_problem(draft, upstream_origin(draft, i),
+					  "address", "address-twice",
+					  "\"%s\" already belongs to upstream "
+					  "\"%s\"",
+					  address, other);
+			g_free(address);
+			continue;
+		}
+		g_hash_table_insert(seen, address, it->name);
+	}
+	g_hash_table_unref(seen);
+}
+
+static void check_services_have_upstreams(struct aub_inventory_draft *draft)
+{
+	const struct aub_inventory *inventory = draft->inventory;
+	guint *counts = g_new0(guint, inventory->services->len + 1);
+
+	for (guint i = 0; i < inventory->upstreams->len; i++) {
+		guint16 service = aub_upstream_at(inventory, i)->service;
+
+		if (service != AUB_NO_HANDLE)
+			counts[service]++;
+	}
+	for (guint i = 0; i < inventory->services->len; i++)
+		if (!counts[i])
+			aub_draft_problem(draft, service_origin(draft, i), NULL,
+					  "no-upstream",
+					  "no upstream serves it");
+	g_free(counts);
+}
+
+void aub_inventory_check(struct aub_inventory_draft *draft)
+{
+	/*
+	 * A file cut short by its editor parses well and means "nothing".
+	 * Applied, it would refuse every caller. A service must be there.
+	 */
+	if (!draft->services->len && !aub_problems_count(draft->problems))
+		aub_problems_add(draft->problems, 0, "service", "empty",
+				 "there is no service in it");
+	check_paths(draft);
+	for (guint i = 0; i < draft->services->len; i++)
+		check_once(draft, i);
+	for (guint i = 0; i < draft->upstreams->len; i++)
+		check_upstream(draft, i);
+	check_addresses(draft);
+	check_services_have_upstreams(draft);
+}
