Add the store client

Cause: configuration and assignments live in the platform's store, which can be slow, down, stale, or lose the answer of a write.

Ruled out: repeating a put blindly after a lost answer, which is told a conflict with itself; pooled connections for writes, on which the HTTP library may resend by itself.

Change: get, list, conditional put and a resumed watch, each try under a deadline, repeats with full-jitter backoff, a token bucket for calls. A doubtful write is read back and ends as done or ambiguous. Tests run the stand-in store as a child process, by tools/common/child.

--- a/include/auburnstile/store_client.h
+++ b/include/auburnstile/store_client.h
@@ -11,7 +11,8 @@
  * Versions rise over the whole store. Every call counts against a budget,
  * a waiting watch as one. Calls are asynchronous on the thread's default
  * main context; a callback is called exactly once, never from within the
- * call. Freeing the client cancels what is open; callbacks are not called.
+ * call. Freeing the client cancels what is open; callbacks are not called. It
+ * must not be freed from within one of its callbacks.
  */
 #ifndef AUBURNSTILE_STORE_CLIENT_H
 #define AUBURNSTILE_STORE_CLIENT_H
--- /dev/null
+++ b/src/transport/store_exchange.c
@@ -0,0 +1,253 @@
+/*
+ * One HTTP exchange with the store, under a deadline of its own and within
+ * the client's budget of calls a second.
+ *
+ * The budget is a token bucket as deep as one second's calls; exchanges
+ * beyond it wait in order.
+ */
+#include <auburnstile/internal/store_client.h>
+
+#include <auburnstile/error.h>
+
+#define BACKOFF_FIRST_MS 50 /* bound of the first wait */
+#define BACKOFF_LIMIT_MS 2000 /* a store that came back is found in 2 s */
+#define BACKOFF_DOUBLINGS 6
+
+struct store_exchange {
+	struct aub_store_client *client; /* NULL once cancelled */
+	SoupMessage *message; /* owned reference, NULL for a bad URL */
+	GCancellable *cancellable;
+	GSource *timer;
+	guint timeout_ms;
+	bool timed_out;
+	bool sent;
+	store_exchange_done *done;
+	void *context;
+};
+
+GSource *store_timer(struct aub_store_client *client, guint delay_ms,
+		     GSourceFunc function, void *data)
+{
+	GSource *source = g_timeout_source_new(delay_ms);
+
+	g_source_set_callback(source, function, data, NULL);
+	g_source_attach(source, client->context);
+	return source;
+}
+
+void store_timer_clear(GSource **timer)
+{
+	if (!*timer)
+		return;
+	g_source_destroy(*timer);
+	g_source_unref(*timer);
+	*timer = NULL;
+}
+
+guint store_backoff_ms(struct aub_store_client *client, guint failures)
+{
+	guint doublings = MIN(failures, BACKOFF_DOUBLINGS);
+	guint bound = MIN(BACKOFF_FIRST_MS << doublings, BACKOFF_LIMIT_MS);
+
+	return g_rand_int_range(client->random, 1, bound + 1);
+}
+
+static void exchange_free(struct store_exchange *exchange)
+{
+	store_timer_clear(&exchange->timer);
+	g_clear_object(&exchange->message);
+	g_object_unref(exchange->cancellable);
+	g_free(exchange);
+}
+
+/* Takes the exchange from its client's lists; it may outlive the client. */
+static void exchange_detach(struct store_exchange *exchange)
+{
+	struct aub_store_client *client = exchange->client;
+
+	g_ptr_array_remove_fast(client->exchanges, exchange);
+	g_queue_remove(&client->waiting, exchange);
+	exchange->client = NULL;
+}
+
+void store_exchange_cancel(struct store_exchange *exchange)
+{
+	if (!exchange)
+		return;
+	exchange_detach(exchange);
+	store_timer_clear(&exchange->timer);
+	if (exchange->sent)
+		g_cancellable_cancel(exchange->cancellable);
+	else
+		exchange_free(exchange);
+}
+
+static void exchange_finish(struct store_exchange *exchange,
+			    const struct store_result *result)
+{
+	store_exchange_done *done = exchange->done;
+	void *context = exchange->context;
+
+	exchange_detach(exchange);
+	done(result, context);
+}
+
+static gboolean on_timeout(gpointer data)
+{
+	struct store_exchange *exchange = data;
+
+	exchange->timed_out = true;
+	g_cancellable_cancel(exchange->cancellable);
+	return G_SOURCE_REMOVE;
+}
+
+static void fail(struct store_exchange *exchange, const GError *cause)
+{
+	struct store_result result = { 0 };
+	GError *error = NULL;
+	const char *peer = exchange->client->url;
+
+	result.refused = g_error_matches(cause, G_IO_ERROR,
+					 G_IO_ERROR_CONNECTION_REFUSED);
+	if (exchange->timed_out)
+		aub_error_set(&error, AUB_ERROR_TIMEOUT, "call store", peer,
+			      "no answer in %u ms", exchange->timeout_ms);
+	else
+		aub_error_set(&error, AUB_ERROR_CLOSED, "call store", peer,
+			      "%s", cause ? cause->message : "bad URL");
+	result.error = error;
+	exchange_finish(exchange, &result);
+	g_error_free(error);
+}
+
+static void on_answer(GObject *source, GAsyncResult *async, gpointer data)
+{
+	struct store_exchange *exchange = data;
+	struct store_result result = { 0 };
+	GError *error = NULL;
+	const char *version;
+
+	result.body = soup_session_send_and_read_finish(SOUP_SESSION(source),
+							async, &error);
+	if (exchange->client && error) {
+		fail(exchange, error);
+	} else if (exchange->client) {
+		version = soup_message_headers_get_one(
+			soup_message_get_response_headers(exchange->message),
+			"X-Version");
+		if (version)
+			result.version = g_ascii_strtoull(version, NULL, 10);
+		result.status = soup_message_get_status(exchange->message);
+		exchange_finish(exchange, &result);
+	}
+	if (result.body)
+		g_bytes_unref(result.body);
+	g_clear_error(&error);
+	exchange_free(exchange);
+}
+
+static void exchange_send(struct store_exchange *exchange)
+{
+	struct aub_store_client *client = exchange->client;
+
+	if (!exchange->message) {
+		fail(exchange, NULL);
+		exchange_free(exchange);
+		return;
+	}
+	exchange->sent = true;
+	client->calls++;
+	exchange->timer =
+		store_timer(client, exchange->timeout_ms, on_timeout, exchange);
+	soup_session_send_and_read_async(client->session, exchange->message,
+					 G_PRIORITY_DEFAULT,
+					 exchange->cancellable, on_answer,
+					 exchange);
+}
+
+static void refill(struct aub_store_client *client)
+{
+	gint64 now = g_get_monotonic_time();
+	double rate = client->options.calls_per_s;
+	double elapsed_s = (now - client->tokens_at_us) / 1e6;
+
+	client->tokens = MIN(client->tokens + elapsed_s * rate, rate);
+	client->tokens_at_us = now;
+}
+
+static void schedule_pump(struct aub_store_client *client);
+
+static gboolean on_pump(gpointer data)
+{
+	struct aub_store_client *client = data;
+	struct store_exchange *exchange = NULL;
+
+	store_timer_clear(&client->pump);
+	refill(client);
+	if (client->tokens >= 1 && !g_queue_is_empty(&client->waiting)) {
+		exchange = g_queue_pop_head(&client->waiting);
+		client->tokens -= 1;
+	}
+	schedule_pump(client);
+	if (exchange)
+		exchange_send(exchange);
+	return G_SOURCE_REMOVE;
+}
+
+static void schedule_pump(struct aub_store_client *client)
+{
+	double missing;
+
+	if (client->pump || g_queue_is_empty(&client->waiting))
+		return;
+	refill(client);
+	missing = 1 - client->tokens;
+	client->pump = store_timer(
+		client,
+		missing > 0 ? 1 + missing * 1000 / client->options.calls_per_s :
+			      0,
+		on_pump, client);
+}
+
+static SoupMessage *make_message(const struct aub_store_client *client,
+				 const struct store_request *request)
+{
+	char *url = g_strconcat(client->url, request->path, NULL);
+	SoupMessage *message = soup_message_new(request->method, url);
+	char version[24];
+
+	g_free(url);
+	if (!message)
+		return NULL;
+	if (request->new_connection)
+		soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
+	if (request->body) {
+		g_snprintf(version, sizeof(version), "%" G_GUINT64_FORMAT,
+			   request->if_match);
+		soup_message_headers_replace(soup_message_get_request_headers(
+						     message),
+					     "If-Match", version);
+		soup_message_set_request_body_from_bytes(
+			message, "application/octet-stream", request->body);
+	}
+	return message;
+}
+
+struct store_exchange *store_exchange_start(struct aub_store_client *client,
+					    const struct store_request *request,
+					    store_exchange_done *done,
+					    void *context)
+{
+	struct store_exchange *exchange = g_new0(struct store_exchange, 1);
+
+	exchange->client = client;
+	exchange->message = make_message(client, request);
+	exchange->cancellable = g_cancellable_new();
+	exchange->timeout_ms = request->timeout_ms;
+	exchange->done = done;
+	exchange->context = context;
+	g_ptr_array_add(client->exchanges, exchange);
+	g_queue_push_tail(&client->waiting, exchange);
+	schedule_pump(client);
+	return exchange;
+}
--- /dev/null
+++ b/src/transport/store_operation.c
@@ -0,0 +1,430 @@
+/*
+ * Operations on the store: get, list and conditional put, each repeated with
+ * backoff until four times the timeout of one try has passed.
+ *
+ * A put whose answer is lost is settled by reading back. Once a try may have
+ * taken effect, the put is never reported as refused or conflicting, only as
+ * done or ambiguous.
+ */
+#include <auburnstile/internal/store_client.h>
+
+#include <auburnstile/error.h>
+#include <string.h>
+
+#define OPERATION_TRIES 4 /* an operation's time, in timeouts of one try */
+
+enum operation_kind { OPERATION_GET, OPERATION_LIST, OPERATION_PUT };
+
+struct operation {
+	struct aub_store_client *client; /* borrowed */
+	enum operation_kind kind;
+	char *key; /* or the prefix */
+	GBytes *value; /* PUT */
+	guint64 expected; /* PUT */
+	char *change; /* PUT */
+	guint64 floor; /* PUT: reads below this version are stale */
+	bool doubtful; /* PUT: an earlier try may have taken effect */
+	bool reading_back; /* PUT: the open or next exchange reads back */
+	gint64 deadline_us;
+	guint failures;
+	GError *error; /* of the last failed try */
+	struct store_exchange *exchange;
+	GSource *timer;
+	union {
+		aub_store_get_callback *get;
+		aub_store_list_callback *list;
+		aub_store_put_callback *put;
+	} callback;
+	void *context;
+};
+
+void store_operation_free(void *data)
+{
+	struct operation *operation = data;
+
+	store_exchange_cancel(operation->exchange);
+	store_timer_clear(&operation->timer);
+	if (operation->value)
+		g_bytes_unref(operation->value);
+	g_clear_error(&operation->error);
+	g_free(operation->key);
+	g_free(operation->change);
+	g_free(operation);
+}
+
+/* Report and forget the operation. `error` NULL: done. */
+static void finish(struct operation *operation,
+		   const struct aub_store_object *objects, guint count,
+		   guint64 version, const GError *error)
+{
+	struct aub_store_client *client = operation->client;
+	guint index;
+
+	if (g_ptr_array_find(client->operations, operation, &index))
+		g_ptr_array_steal_index_fast(client->operations, index);
+	switch (operation->kind) {
+	case OPERATION_GET:
+		operation->callback.get(objects, error, operation->context);
+		break;
+	case OPERATION_LIST:
+		operation->callback.list(objects, count, error,
+					 operation->context);
+		break;
+	case OPERATION_PUT:
+		operation->callback.put(version, error, operation->context);
+		break;
+	}
+	store_operation_free(operation);
+}
+
+static void finish_code(struct operation *operation, enum aub_error_code code,
+			guint64 version, const char *text)
+{
+	GError *error = NULL;
+
+	aub_error_set(&error, code, "put object", operation->client->url,
+		      "%s: %s", operation->key, text);
+	finish(operation, NULL, 0, version, error);
+	g_error_free(error);
+}
+
+static void start_try(struct operation *operation);
+
+static gboolean on_retry(gpointer data)
+{
+	struct operation *operation = data;
+
+	store_timer_clear(&operation->timer);
+	start_try(operation);
+	return G_SOURCE_REMOVE;
+}
+
+/* Takes `error` over. */
+static void retry(struct operation *operation, GError *error)
+{
+	guint delay_ms =
+		store_backoff_ms(operation->client, operation->failures++);
+	gint64 at_us = g_get_monotonic_time() + delay_ms * (gint64)1000;
+
+	g_clear_error(&operation->error);
+	operation->error = error;
+	if (at_us < operation->deadline_us) {
+		operation->timer = store_timer(operation->client, delay_ms,
+					       on_retry, operation);
+		return;
+	}
+	if (operation->doubtful) {
+		finish_code(operation, AUB_ERROR_AMBIGUOUS, 0, error->message);
+		return;
+	}
+	finish(operation, NULL, 0, 0, error);
+}
+
+static void retry_stale(struct operation *operation)
+{
+	GError *error = NULL;
+
+	aub_error_set(&error, AUB_ERROR_UNAVAILABLE, "read object",
+		      operation->client->url, "%s: stale read", operation->key);
+	retry(operation, error);
+}
+
+/* True when the try failed and the operation was repeated or ended. */
+static bool failed_try(struct operation *operation,
+		       const struct store_result *result)
+{
+	GError *error = NULL;
+
+	if (!result->error && result->status < 500)
+		return false;
+	if (result->error)
+		error = g_error_copy(result->error);
+	else
+		store_status_error(&error, "call store", operation->client,
+				   result->status);
+	retry(operation, error);
+	return true;
+}
+
+static void finish_status(struct operation *operation,
+			  const struct store_result *result)
+{
+	GError *error = NULL;
+
+	store_status_error(&error, "call store", operation->client,
+			   result->status);
+	finish(operation, NULL, 0, 0, error);
+	g_error_free(error);
+}
+
+static struct aub_store_object body_object(const struct operation *operation,
+					   const struct store_result *result)
+{
+	struct aub_store_object object = { .key = operation->key,
+					   .version = result->version };
+
+	object.value = g_bytes_get_data(result->body, &object.length);
+	if (!object.value)
+		object.value = "";
+	return object;
+}
+
+static void got_object(struct operation *operation,
+		       const struct store_result *result)
+{
+	struct aub_store_object object;
+	bool known =
+		g_hash_table_contains(operation->client->seen, operation->key);
+
+	bool stale = false;
+
+	if (failed_try(operation, result))
+		return;
+	if (result->status == 404)
+		stale = known;
+	else if (result->status == 200)
+		stale = !store_saw(operation->client, operation->key,
+				   result->version);
+	if (stale) {
+		retry_stale(operation);
+	} else if (result->status != 200) {
+		finish_status(operation, result);
+	} else {
+		object = body_object(operation, result);
+		finish(operation, &object, 1, object.version, NULL);
+	}
+}
+
+/* Objects of a list's body; false where malformed. They borrow from `root`. */
+static bool read_objects(JsonNode *root, GArray *objects)
+{
+	struct aub_store_object object;
+	JsonArray *array;
+	guint i;
+
+	if (!root || !JSON_NODE_HOLDS_ARRAY(root))
+		return false;
+	array = json_node_get_array(root);
+	for (i = 0; i < json_array_get_length(array); i++) {
+		if (!store_object_read(json_array_get_element(array, i),
+				       &object))
+			return false;
+		g_array_append_val(objects, object);
+	}
+	return true;
+}
+
+static bool saw_all(struct aub_store_client *client, const GArray *objects)
+{
+	const struct aub_store_object *object;
+	bool fresh = true;
+	guint i;
+
+	for (i = 0; i < objects->len; i++) {
+		object = &g_array_index(objects, struct aub_store_object, i);
+		fresh = store_saw(client, object->key, object->version) &&
+			fresh;
+	}
+	return fresh;
+}
+
+static void got_list(struct operation *operation,
+		     const struct store_result *result)
+{
+	GArray *objects;
+	JsonParser *parser;
+	GError *error = NULL;
+
+	if (failed_try(operation, result))
+		return;
+	if (result->status != 200) {
+		finish_status(operation, result);
+		return;
+	}
+	objects = g_array_new(FALSE, FALSE, sizeof(struct aub_store_object));
+	parser = json_parser_new();
+	json_parser_load_from_data(parser, g_bytes_get_data(result->body, NULL),
+				   g_bytes_get_size(result->body), NULL);
+	if (!read_objects(json_parser_get_root(parser), objects)) {
+		aub_error_set(&error, AUB_ERROR_INVALID, "list objects",
+			      operation->client->url, "malformed answer");
+		retry(operation, error);
+	} else if (!saw_all(operation->client, objects)) {
+		retry_stale(operation);
+	} else {
+		finish(operation, (struct aub_store_object *)objects->data,
+		       objects->len, 0, NULL);
+	}
+	g_object_unref(parser);
+	g_array_unref(objects);
+}
+
+/*
+ * The answer of a write that took effect was lost; repeated blindly, it
+ * would be told a conflict with itself. The object is read back: our change
+ * in it means done; the version we expected means that it may be repeated;
+ * anything else may have overwritten ours, and is called ambiguous.
+ */
+static void got_back(struct operation *operation,
+		     const struct store_result *result)
+{
+	struct aub_store_object object = { .value = "" };
+	bool ours;
+
+	if (failed_try(operation, result))
+		return;
+	if (result->status != 200 && result->status != 404) {
+		finish_status(operation, result);
+		return;
+	}
+	if (result->status == 200)
+		object = body_object(operation, result);
+	ours = operation->change &&
+	       memmem(object.value, object.length, operation->change,
+		      strlen(operation->change));
+	if (object.version < MAX(operation->floor, operation->expected)) {
+		retry_stale(operation);
+	} else if (ours) {
+		store_saw(operation->client, operation->key, object.version);
+		finish(operation, NULL, 0, object.version, NULL);
+	} else if (object.version == operation->expected) {
+		operation->reading_back = false;
+		start_try(operation);
+	} else if (operation->doubtful) {
+		finish_code(operation, AUB_ERROR_AMBIGUOUS, object.version,
+			    "overwritten, or never written");
+	} else {
+		finish_code(operation, AUB_ERROR_CONFLICT, object.version,
+			    "changed by another writer");
+	}
+}
+
+static void got_put(struct operation *operation,
+		    const struct store_result *result)
+{
+	bool failed = result->error || result->status >= 500;
+
+	if (failed && !result->refused)
+		operation->doubtful = true;
+	operation->reading_back = operation->doubtful;
+	if (failed_try(operation, result))
+		return;
+	if (result->status == 200) {
+		store_saw(operation->client, operation->key, result->version);
+		finish(operation, NULL, 0, result->version, NULL);
+	} else if (result->status == 412) {
+		operation->floor = result->version;
+		operation->reading_back = true;
+		start_try(operation);
+	} else if (operation->doubtful) {
+		finish_code(operation, AUB_ERROR_AMBIGUOUS, 0,
+			    "refused after a lost answer");
+	} else {
+		finish_status(operation, result);
+	}
+}
+
+static void on_try_done(const struct store_result *result, void *context)
+{
+	struct operation *operation = context;
+
+	operation->exchange = NULL;
+	if (operation->kind == OPERATION_GET)
+		got_object(operation, result);
+	else if (operation->kind == OPERATION_LIST)
+		got_list(operation, result);
+	else if (operation->reading_back)
+		got_back(operation, result);
+	else
+		got_put(operation, result);
+}
+
+static char *operation_path(const struct operation *operation)
+{
+	bool list = operation->kind == OPERATION_LIST;
+	char *escaped = g_uri_escape_string(operation->key, "/", FALSE);
+	char *path = g_strconcat(list ? "/v1/objects?prefix=" : "/v1/objects/",
+				 escaped, NULL);
+
+	g_free(escaped);
+	return path;
+}
+
+/*
+ * Pooled connections can be silent for good, and a library may resend on one
+ * that closed; the caller would see timeouts, or a conflict with its own
+ * write. Writes and repeats therefore open a connection of their own.
+ */
+static void start_try(struct operation *operation)
+{
+	struct aub_store_client *client = operation->client;
+	bool write =
+		operation->kind == OPERATION_PUT && !operation->reading_back;
+	gint64 left_ms =
+		(operation->deadline_us - g_get_monotonic_time()) / 1000;
+	char *path = operation_path(operation);
+	struct store_request request = {
+		.method = write ? "PUT" : "GET",
+		.path = path,
+		.body = write ? operation->value : NULL,
+		.if_match = operation->expected,
+		.timeout_ms = CLAMP(left_ms, 1, client->options.timeout_ms),
+		.new_connection = write || operation->failures > 0,
+	};
+
+	operation->exchange =
+		store_exchange_start(client, &request, on_try_done, operation);
+	g_free(path);
+}
+
+static struct operation *operation_new(struct aub_store_client *client,
+				       enum operation_kind kind,
+				       const char *key, void *context)
+{
+	struct operation *operation = g_new0(struct operation, 1);
+
+	operation->client = client;
+	operation->kind = kind;
+	operation->key = g_strdup(key);
+	operation->context = context;
+	operation->deadline_us =
+		g_get_monotonic_time() +
+		(gint64)client->options.timeout_ms * OPERATION_TRIES * 1000;
+	g_ptr_array_add(client->operations, operation);
+	return operation;
+}
+
+void aub_store_get(struct aub_store_client *client, const char *key,
+		   aub_store_get_callback *callback, void *context)
+{
+	struct operation *operation =
+		operation_new(client, OPERATION_GET, key, context);
+
+	operation->callback.get = callback;
+	start_try(operation);
+}
+
+void aub_store_list(struct aub_store_client *client, const char *prefix,
+		    aub_store_list_callback *callback, void *context)
+{
+	struct operation *operation =
+		operation_new(client, OPERATION_LIST, prefix, context);
+
+	operation->callback.list = callback;
+	start_try(operation);
+}
+
+void aub_store_put(struct aub_store_client *client, const char *key,
+		   const char *value, gsize length, guint64 expected,
+		   const char *change, aub_store_put_callback *callback,
+		   void *context)
+{
+	struct operation *operation =
+		operation_new(client, OPERATION_PUT, key, context);
+
+	operation->value = g_bytes_new(value, length);
+	operation->expected = expected;
+	operation->change = change && *change ? g_strdup(change) : NULL;
+	operation->callback.put = callback;
+	start_try(operation);
+}
--- /dev/null
+++ b/tests/test_store_client.cc
@@ -0,0 +1,370 @@
+/*
+ * The store client against the stand-in store as a real process: outages,
+ * lost answers, stale reads, the budget, and the resumed watch.
+ */
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include <auburnstile/error.h>
+#include <auburnstile/store_client.h>
+#include <libsoup/soup.h>
+#include <signal.h>
+
+#include "common/child.h"
+
+namespace
+{
+
+struct Result {
+	bool done = false;
+	guint64 version = 0;
+	std::string value;
+	int code = -1; /* -1: no error */
+	guint count = 0;
+};
+
+void on_put(guint64 version, const GError *error, void *context)
+{
+	Result *result = static_cast<Result *>(context);
+
+	EXPECT_FALSE(result->done);
+	result->done = true;
+	result->version = version;
+	result->code = error ? error->code : -1;
+}
+
+void on_get(const struct aub_store_object *object, const GError *error,
+	    void *context)
+{
+	Result *result = static_cast<Result *>(context);
+
+	EXPECT_FALSE(result->done);
+	result->done = true;
+	result->code = error ? error->code : -1;
+	if (object) {
+		result->version = object->version;
+		result->value.assign(object->value, object->length);
+	}
+}
+
+void on_list(const struct aub_store_object *objects, guint count,
+	     const GError *error, void *context)
+{
+	Result *result = static_cast<Result *>(context);
+
+	result->done = true;
+	result->code = error ? error->code : -1;
+	result->count = count;
+	if (count)
+		result->value.assign(objects[count - 1].value,
+				     objects[count - 1].length);
+}
+
+struct Watched {
+	std::vector<guint64> versions;
+	std::string value;
+	guint confirmations = 0;
+	guint failures = 0;
+};
+
+void on_watch(const struct aub_store_object *object, guint64 version,
+	      const GError *error, void *context)
+{
+	Watched *watched = static_cast<Watched *>(context);
+
+	if (error) {
+		watched->failures++;
+	} else if (object) {
+		watched->versions.push_back(version);
+		watched->value.assign(object->value, object->length);
+	} else {
+		watched->confirmations++;
+	}
+}
+
+class Store : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		const char *none[] = { NULL };
+		GError *error = NULL;
+
+		store = child_start("standin-store", none, true, NULL, &error);
+		ASSERT_NE(store, nullptr) << error->message;
+		url = std::string("http://") + store->address;
+		client = open(200);
+	}
+
+	void TearDown() override
+	{
+		aub_store_client_free(client);
+		while (g_main_context_iteration(NULL, FALSE))
+			;
+		child_free(store);
+	}
+
+	struct aub_store_client *open(guint calls_per_s)
+	{
+		struct aub_store_client_options options = {};
+
+		options.url = url.c_str();
+		options.timeout_ms = 300;
+		options.watch_ms = 200;
+		options.calls_per_s = calls_per_s;
+		options.seed = 7;
+		return aub_store_client_new(&options);
+	}
+
+	void fault(const char *json)
+	{
+		guint status = 0;
+
+		g_free(child_http("POST", (url + "/fault").c_str(), NULL, json,
+				  5000, &status, NULL));
+		ASSERT_EQ(status, 200u);
+	}
+
+	template <typename Condition> bool wait(Condition condition)
+	{
+		gint64 end_us = g_get_monotonic_time() + 20 * G_USEC_PER_SEC;
+		guint tick = g_timeout_add(5, G_SOURCE_FUNC(on_tick), NULL);
+
+		while (!condition() && g_get_monotonic_time() < end_us)
+			g_main_context_iteration(NULL, TRUE);
+		g_source_remove(tick);
+		return condition();
+	}
+
+	static gboolean on_tick(gpointer data)
+	{
+		return G_SOURCE_CONTINUE;
+	}
+
+	Result put(const char *value, guint64 expected, const char *change)
+	{
+		Result result;
+
+		aub_store_put(client, "a/one", value, strlen(value), expected,
+			      change, on_put, &result);
+		EXPECT_FALSE(result.done);
+		EXPECT_TRUE(wait([&] { return result.done; }));
+		return result;
+	}
+
+	Result get()
+	{
+		Result result;
+
+		aub_store_get(client, "a/one", on_get, &result);
+		EXPECT_TRUE(wait([&] { return result.done; }));
+		return result;
+	}
+
+	struct child *store = NULL;
+	struct aub_store_client *client = NULL;
+	std::string url;
+};
+
+} // namespace
+
+TEST_F(Store, ConditionalWritesConflictAndReadsReturnTheNewest)
+{
+	EXPECT_EQ(get().code, AUB_ERROR_NOT_FOUND);
+	EXPECT_EQ(put("first c1", 0, "c1").version, 1u);
+	Result conflict = put("second c2", 0, "c2");
+	EXPECT_EQ(conflict.code, AUB_ERROR_CONFLICT);
+	EXPECT_EQ(conflict.version, 1u);
+	EXPECT_EQ(put("second c2", 1, "c2").version, 2u);
+	EXPECT_EQ(get().value, "second c2");
+
+	Result list;
+	aub_store_list(client, "a/", on_list, &list);
+	EXPECT_TRUE(wait([&] { return list.done; }));
+	EXPECT_EQ(list.count, 1u);
+	EXPECT_EQ(list.value, "second c2");
+}
+
+/*
+ * An operator applies a configuration; the store writes it and its answer is
+ * lost. Told a failure, the operator would apply again and meet a conflict
+ * with their own edit. The client reads back, finds the change, and reports
+ * the version under which it took effect, once.
+ */
+TEST_F(Store, LostAnswerOfAWriteIsSettledByReadingBack)
+{
+	fault("{\"lose_answers\":1}");
+	Result result = put("value c1", 0, "c1");
+	EXPECT_EQ(result.code, -1);
+	EXPECT_EQ(result.version, 1u);
+
+	/* The read back is stale at first: it must not cause a second write. */
+	fault("{\"lose_answers\":1,\"stale\":1}");
+	Result second;
+	aub_store_put(client, "a/one", "value c2", 8, 1, "c2", on_put, &second);
+	guint lift = g_timeout_add(
+		150,
+		[](gpointer data) -> gboolean {
+			std::string *address = static_cast<std::string *>(data);
+			g_free(child_http("POST", (*address + "/fault").c_str(),
+					  NULL, "{\"clear\":1}", 5000, NULL,
+					  NULL));
+			return G_SOURCE_REMOVE;
+		},
+		&url);
+	EXPECT_TRUE(wait([&] { return second.done; }));
+	EXPECT_GT(lift, 0u);
+	EXPECT_EQ(second.code, -1);
+	EXPECT_EQ(second.version, 2u);
+	EXPECT_EQ(get().value, "value c2");
+}
+
+/*
+ * A write is sent, the store hangs past every try. The caller sees one
+ * "ambiguous" within four timeouts, never "failed": it may have taken effect.
+ * A store whose port refuses connections provably did nothing, and says so.
+ */
+TEST_F(Store, UnsettledWriteIsAmbiguousAndAnUnsentOneIsNot)
+{
+	fault("{\"down\":\"hang\"}");
+	gint64 start_us = g_get_monotonic_time();
+	EXPECT_EQ(put("value c1", 0, "c1").code, AUB_ERROR_AMBIGUOUS);
+	EXPECT_LT(g_get_monotonic_time() - start_us, 10 * G_USEC_PER_SEC);
+
+	child_signal(store, SIGKILL);
+	child_wait(store, 5000);
+	Result unsent = put("value c2", 0, "c2");
+	EXPECT_NE(unsent.code, AUB_ERROR_AMBIGUOUS);
+	EXPECT_NE(unsent.code, -1);
+}
+
+/*
+ * Another operator's write lands between our lost answer and the read back.
+ * Whether ours took effect before it can't be told: not a conflict.
+ */
+TEST_F(Store, OverwrittenDoubtfulWriteIsNotCalledAConflict)
+{
+	guint status = 0;
+	Result result;
+
+	fault("{\"lose_answers\":1,\"delay_ms\":100}");
+	aub_store_put(client, "a/one", "value c1", 8, 0, "c1", on_put, &result);
+	Watched watched;
+	aub_store_watch_start(client, "a/", 0, on_watch, &watched);
+	EXPECT_TRUE(wait([&] { return !watched.versions.empty(); }));
+	std::string command = url + "/v1/objects/a/one";
+	SoupSession *session = soup_session_new();
+	SoupMessage *message = soup_message_new("PUT", command.c_str());
+	GBytes *body = g_bytes_new("other", 5);
+	soup_message_headers_replace(soup_message_get_request_headers(message),
+				     "If-Match", "1");
+	soup_message_set_request_body_from_bytes(message, "text/plain", body);
+	GBytes *answer =
+		soup_session_send_and_read(session, message, NULL, NULL);
+	status = soup_message_get_status(message);
+	g_bytes_unref(answer);
+	g_bytes_unref(body);
+	g_object_unref(message);
+	g_object_unref(session);
+	ASSERT_EQ(status, 200u);
+	EXPECT_TRUE(wait([&] { return result.done; }));
+	/* The read back may also have come first; then it is done. */
+	EXPECT_NE(result.code, AUB_ERROR_CONFLICT);
+}
+
+/*
+ * A reader behind the writer answers with an older object. Taken as the
+ * newest, it would turn a configuration back. It is refused instead.
+ */
+TEST_F(Store, StaleReadIsNeverDelivered)
+{
+	put("old c1", 0, "c1");
+	put("new c2", 1, "c2");
+	EXPECT_EQ(get().value, "new c2");
+	fault("{\"stale\":1}");
+	EXPECT_EQ(get().code, AUB_ERROR_UNAVAILABLE);
+	fault("{\"clear\":1}");
+	EXPECT_EQ(get().value, "new c2");
+}
+
+/*
+ * The store goes away for a while and comes back. The watch reports failed
+ * tries, resumes by itself from where it was, and delivers each change once.
+ */
+TEST_F(Store, WatchResumesAfterAnOutageAndDeliversEachChangeOnce)
+{
+	Watched watched;
+
+	put("v1 c1", 0, "c1");
+	aub_store_watch_start(client, "a/", 0, on_watch, &watched);
+	EXPECT_TRUE(wait([&] { return watched.confirmations > 0; }));
+	EXPECT_EQ(watched.versions, std::vector<guint64>({ 1 }));
+	fault("{\"down\":\"refuse\"}");
+	EXPECT_TRUE(wait([&] { return watched.failures > 1; }));
+	fault("{\"down\":\"hang\"}");
+	guint failures = watched.failures;
+	EXPECT_TRUE(wait([&] { return watched.failures > failures; }));
+	fault("{\"clear\":1}");
+	put("v2 c2", 1, "c2");
+	put("v3 c3", 2, "c3");
+	EXPECT_TRUE(wait([&] { return watched.value == "v3 c3"; }));
+	EXPECT_TRUE(wait([&] { return watched.confirmations > 2; }));
+	for (size_t i = 1; i < watched.versions.size(); i++)
+		EXPECT_GT(watched.versions[i], watched.versions[i - 1]);
+	aub_store_watch_stop(client);
+}
+
+/* The platform counts calls: more than the budget wait their turn. */
+TEST_F(Store, BudgetOfCallsHolds)
+{
+	struct aub_store_client *slow = open(20);
+	Result results[50];
+	gint64 start_us = g_get_monotonic_time();
+
+	for (Result &result : results)
+		aub_store_get(slow, "a/one", on_get, &result);
+	EXPECT_TRUE(wait([&] {
+		for (Result &result : results)
+			if (!result.done)
+				return false;
+		return true;
+	}));
+	double elapsed_s = (g_get_monotonic_time() - start_us) / 1e6;
+	EXPECT_LE(aub_store_client_calls(slow), 20 + elapsed_s * 20 + 1);
+	aub_store_client_free(slow);
+}
+
+TEST_F(Store, FreeingCancelsWithoutCallbacks)
+{
+	Result result;
+	Watched watched;
+
+	aub_store_get(client, "a/one", on_get, &result);
+	aub_store_put(client, "a/one", "v", 1, 0, "v", on_put, &result);
+	aub_store_watch_start(client, "a/", 0, on_watch, &watched);
+	g_main_context_iteration(NULL, FALSE);
+	aub_store_client_free(client);
+	client = NULL;
+	for (int i = 0; i < 20; i++)
+		g_main_context_iteration(NULL, FALSE);
+	EXPECT_FALSE(result.done);
+	EXPECT_EQ(watched.failures, 0u);
+}
+
+TEST(StoreClient, UnusableUrlIsAnErrorNotACrash)
+{
+	struct aub_store_client_options options = {};
+	Result result;
+
+	options.url = "not a url";
+	options.timeout_ms = 10;
+	options.calls_per_s = 10;
+	struct aub_store_client *client = aub_store_client_new(&options);
+	aub_store_get(client, "a", on_get, &result);
+	while (!result.done)
+		g_main_context_iteration(NULL, TRUE);
+	EXPECT_NE(result.code, -1);
+	aub_store_client_free(client);
+}
--- /dev/null
+++ b/tools/common/child.c
@@ -0,0 +1,332 @@
+/* Child processes; see child.h. */
+#include "common/child.h"
+
+#include <auburnstile/error.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <gio/gio.h>
+#include <libsoup/soup.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define CHILD_LIMIT 256 /* children at a time; a handler walks the table */
+#define LISTENING_MS 10000
+#define POLL_US 2000UL
+
+/* Pids for the signal handler, which must not allocate or lock. */
+static volatile pid_t running[CHILD_LIMIT];
+
+static void remember(pid_t pid, pid_t instead_of)
+{
+	int i;
+
+	for (i = 0; i < CHILD_LIMIT; i++) {
+		if (running[i] != instead_of)
+			continue;
+		running[i] = pid;
+		return;
+	}
+	g_error("more than %d children", CHILD_LIMIT);
+}
+
+char *child_program_path(const char *program)
+{
+	const char *build = g_getenv("BUILD");
+	char *self;
+	char *folder;
+	char *path;
+
+	if (build)
+		return g_build_filename(build, program, NULL);
+	self = g_file_read_link("/proc/self/exe", NULL);
+	folder = g_path_get_dirname(self ? self : "./");
+	if (g_str_has_suffix(folder, "/tests") ||
+	    g_str_has_suffix(folder, "/proofs"))
+		*strrchr(folder, '/') = '\0';
+	path = g_build_filename(folder, program, NULL);
+	g_free(self);
+	g_free(folder);
+	return path;
+}
+
+static void on_child_setup(gpointer data)
+{
+	const char *log = data;
+	int file;
+
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	signal(SIGINT, SIG_IGN);
+	if (!log)
+		return;
+	file = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	if (file >= 0)
+		dup2(file, STDERR_FILENO);
+}
+
+/* Reads up to the first line's end; NULL after the time or at the end. */
+static char *read_line(int file, guint timeout_ms)
+{
+	gint64 end_us = g_get_monotonic_time() + timeout_ms * (gint64)1000;
+	GString *line = g_string_new(NULL);
+	struct pollfd poller = { .fd = file, .events = POLLIN };
+	gint64 left_ms;
+	char byte;
+
+	for (;;) {
+		left_ms = (end_us - g_get_monotonic_time()) / 1000;
+		if (left_ms <= 0 || poll(&poller, 1, left_ms) <= 0 ||
+		    read(file, &byte, 1) != 1) {
+			g_string_free(line, TRUE);
+			return NULL;
+		}
+		if (byte == '\n')
+			return g_string_free(line, FALSE);
+		g_string_append_c(line, byte);
+	}
+}
+
+static bool wait_listening(struct child *child, int output, GError **error)
+{
+	char *line = read_line(output, LISTENING_MS);
+	bool ok = line && g_str_has_prefix(line, "listening ");
+
+	if (ok)
+		child->address = g_strdup(line + strlen("listening "));
+	else
+		aub_error_set(error, AUB_ERROR_UNAVAILABLE, "start program",
+			      child->name, "did not come up: %s",
+			      line ? line : "no line");
+	g_free(line);
+	return ok;
+}
+
+struct child *child_start(const char *program, const char *const *arguments,
+			  bool listening, const char *log, GError **error)
+{
+	GPtrArray *command = g_ptr_array_new();
+	char *path = child_program_path(program);
+	struct child *child = g_new0(struct child, 1);
+	int output = -1;
+	bool ok;
+
+	g_ptr_array_add(command, path);
+	while (*arguments)
+		g_ptr_array_add(command, (char *)*arguments++);
+	g_ptr_array_add(command, NULL);
+	child->name = g_strdup(program);
+	ok = g_spawn_async_with_pipes(
+		NULL, (char **)command->pdata, NULL,
+		G_SPAWN_DO_NOT_REAP_CHILD |
+			(listening ? 0 : G_SPAWN_STDOUT_TO_DEV_NULL),
+		on_child_setup, (char *)log, &child->pid, NULL,
+		listening ? &output : NULL, NULL, error);
+	if (ok)
+		remember(child->pid, 0);
+	if (ok && listening)
+		ok = wait_listening(child, output, error);
+	if (output >= 0)
+		close(output);
+	g_ptr_array_unref(command);
+	g_free(path);
+	if (ok)
+		return child;
+	child_free(child);
+	return NULL;
+}
+
+bool child_ended(struct child *child)
+{
+	if (!child->pid)
+		return true;
+	if (waitpid(child->pid, &child->status, WNOHANG) != child->pid)
+		return false;
+	remember(0, child->pid);
+	child->pid = 0;
+	return true;
+}
+
+bool child_signal(struct child *child, int number)
+{
+	return !child_ended(child) && kill(child->pid, number) == 0;
+}
+
+bool child_wait(struct child *child, guint timeout_ms)
+{
+	gint64 end_us = g_get_monotonic_time() + timeout_ms * (gint64)1000;
+
+	while (!child_ended(child)) {
+		if (g_get_monotonic_time() >= end_us)
+			return false;
+		g_usleep(POLL_US);
+	}
+	return true;
+}
+
+void child_free(struct child *child)
+{
+	if (!child)
+		return;
+	if (child_signal(child, SIGKILL)) {
+		waitpid(child->pid, &child->status, 0);
+		remember(0, child->pid);
+	}
+	g_free(child->name);
+	g_free(child->address);
+	g_free(child);
+}
+
+/* Async-signal-safe. */
+void child_end_all(void)
+{
+	pid_t pid;
+	int i;
+
+	for (i = 0; i < CHILD_LIMIT; i++)
+		if (running[i])
+			kill(running[i], SIGKILL);
+	for (i = 0; i < CHILD_LIMIT; i++) {
+		pid = running[i];
+		if (!pid)
+			continue;
+		waitpid(pid, NULL, 0);
+		running[i] = 0;
+	}
+}
+
+static void on_end_signal(int number)
+{
+	child_end_all();
+	_exit(128 + number);
+}
+
+void child_guard(void)
+{
+	struct sigaction action = { .sa_handler = on_end_signal };
+
+	sigaction(SIGINT, &action, NULL);
+	sigaction(SIGTERM, &action, NULL);
+	sigaction(SIGHUP, &action, NULL);
+	atexit(child_end_all);
+}
+
+guint16 child_free_port(void)
+{
+	GSocketListener *listener = g_socket_listener_new();
+	GInetAddress *loopback =
+		g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
+	GSocketAddress *address = g_inet_socket_address_new(loopback, 0);
+	GSocketAddress *bound = NULL;
+	guint16 port = 0;
+
+	if (g_socket_listener_add_address(listener, address,
+					  G_SOCKET_TYPE_STREAM,
+					  G_SOCKET_PROTOCOL_TCP, NULL, &bound,
+					  NULL)) {
+		port = g_inet_socket_address_get_port(
+			G_INET_SOCKET_ADDRESS(bound));
+		g_object_unref(bound);
+	}
+	g_socket_listener_close(listener);
+	g_object_unref(listener);
+	g_object_unref(address);
+	g_object_unref(loopback);
+	return port;
+}
+
+static gboolean on_http_timeout(gpointer data)
+{
+	g_cancellable_cancel(data);
+	return G_SOURCE_REMOVE;
+}
+
+struct http_wait {
+	GBytes *body;
+	GError *error;
+	bool done;
+};
+
+static void on_http_done(GObject *source, GAsyncResult *result, gpointer data)
+{
+	struct http_wait *wait = data;
+
+	wait->body = soup_session_send_and_read_finish(SOUP_SESSION(source),
+						       result, &wait->error);
+	wait->done = true;
+}
+
+/* On a context of its own, so that it can be used inside a main loop. */
+static void http_run(SoupMessage *message, guint timeout_ms,
+		     struct http_wait *wait)
+{
+	GMainContext *context = g_main_context_new();
+	GCancellable *cancellable = g_cancellable_new();
+	GSource *timer = g_timeout_source_new(timeout_ms);
+	SoupSession *session;
+
+	g_main_context_push_thread_default(context);
+	session = soup_session_new();
+	g_source_set_callback(timer, on_http_timeout, cancellable, NULL);
+	g_source_attach(timer, context);
+	soup_session_send_and_read_async(session, message, G_PRIORITY_DEFAULT,
+					 cancellable, on_http_done, wait);
+	while (!wait->done)
+		g_main_context_iteration(context, TRUE);
+	soup_session_abort(session);
+	while (g_main_context_iteration(context, FALSE))
+		;
+	g_object_unref(session);
+	g_main_context_pop_thread_default(context);
+	g_source_destroy(timer);
+	g_source_unref(timer);
+	g_object_unref(cancellable);
+	g_main_context_unref(context);
+}
+
+char *child_http(const char *method, const char *url, const char *token,
+		 const char *body, guint timeout_ms, guint *status,
+		 GError **error)
+{
+	SoupMessage *message = soup_message_new(method, url);
+	struct http_wait wait = { 0 };
+	char *text = NULL;
+	char *bearer;
+	GBytes *sent;
+
+	if (!message) {
+		aub_error_set(error, AUB_ERROR_INVALID, "http", url, "bad URL");
+		return NULL;
+	}
+	if (token) {
+		bearer = g_strconcat("Bearer ", token, NULL);
+		soup_message_headers_replace(soup_message_get_request_headers(
+						     message),
+					     "Authorization", bearer);
+		g_free(bearer);
+	}
+	if (body) {
+		sent = g_bytes_new(body, strlen(body));
+		soup_message_set_request_body_from_bytes(message,
+							 "application/json",
+							 sent);
+		g_bytes_unref(sent);
+	}
+	http_run(message, timeout_ms, &wait);
+	if (wait.error)
+		aub_error_set(error, AUB_ERROR_CLOSED, "http", url, "%s",
+			      wait.error->message);
+	else
+		text = g_strndup(g_bytes_get_data(wait.body, NULL),
+				 g_bytes_get_size(wait.body));
+	if (status)
+		*status = soup_message_get_status(message);
+	if (wait.body)
+		g_bytes_unref(wait.body);
+	g_clear_error(&wait.error);
+	g_object_unref(message);
+	return text;
+}
