Remember keys and their outcomes

Cause: a request that may not be repeated needs one keeper of its outcome. Seen: running and unexpired keys are never forgotten; a full table refuses.

--- a/src/state/dispatch.c
+++ b/src/state/dispatch.c
@@ -27,9 +27,9 @@
 					    request_free);
 	d->timers = g_sequence_new(NULL);
 	d->crashes = crash_table_new();
-	d->retries.depth = 1000 * AUB_RETRY_BURST;
+	d->retries.depth = 1000 * (gint64)AUB_RETRY_BURST;
 	d->retries.tokens = d->retries.depth;
-	d->hedges.depth = 1000 * AUB_HEDGE_BURST;
+	d->hedges.depth = 1000 * (gint64)AUB_HEDGE_BURST;
 	return d;
 }
 
@@ -210,7 +210,7 @@
 		dispatch_refuse(d, own, refusal, now_us);
 		return;
 	}
-	bucket_add(&d->retries, 10 * AUB_RETRY_PERCENT);
+	bucket_add(&d->retries, 10 * (gint64)AUB_RETRY_PERCENT);
 	bucket_add(&d->hedges, 10 * (gint64)d->hedge_percent);
 	dispatch_enqueue(d, own, false);
 	dispatch_pump(d, now_us);
--- a/src/state/dispatch_attempt.c
+++ b/src/state/dispatch_attempt.c
@@ -142,7 +142,7 @@
 		return 1;
 	default:
 		drain_ms = dispatch_drain_us(dispatcher, now_us) / AUB_MS;
-		return (guint32)CLAMP(drain_ms, 1, 60 * RETRY_AFTER_MS);
+		return (guint32)CLAMP(drain_ms, 1, 60 * (gint64)RETRY_AFTER_MS);
 	}
 }
 
--- /dev/null
+++ b/tests/test_key_table.cc
@@ -0,0 +1,218 @@
+/* Remembered keys: bound, kept, handed over, never forgotten early. */
+#include <gtest/gtest.h>
+
+#include <auburnstile/key_table.h>
+#include <auburnstile/timer.h>
+
+#include <string>
+
+static const gint64 KEEP_US = 60 * AUB_SECOND;
+
+class KeyTable : public testing::Test
+{
+      protected:
+	struct aub_key_table *table = aub_key_table_new(64 << 10, KEEP_US);
+	guint8 mine[AUB_FINGERPRINT_BYTES];
+	guint8 other[AUB_FINGERPRINT_BYTES];
+	const struct aub_key_record *record = NULL;
+
+	void SetUp() override
+	{
+		aub_request_fingerprint("POST", "/fees", NULL, "me", NULL,
+					mine);
+		aub_request_fingerprint("POST", "/fees", NULL, "you", NULL,
+					other);
+	}
+	void TearDown() override
+	{
+		aub_key_table_free(table);
+	}
+	enum aub_key_verdict begin(const std::string &key, gint64 now_us)
+	{
+		return aub_key_table_begin(table, key.c_str(), mine, now_us,
+					   &record);
+	}
+	void finish(const std::string &key, enum aub_outcome outcome,
+		    gsize length, gint64 now_us)
+	{
+		auto *answer = (struct aub_answer *)aub_message_new(
+			AUB_MESSAGE_ANSWER);
+		std::string body(length, 'x');
+
+		answer->outcome = outcome;
+		answer->status = 201;
+		aub_bytes_set(&answer->body, body.data(), body.size());
+		g_ptr_array_add(answer->headers,
+				aub_header_new("Content-Type", "text/plain"));
+		aub_key_table_finish(table, key.c_str(), answer, now_us);
+		aub_message_free(&answer->base);
+	}
+};
+
+TEST_F(KeyTable, RepeatGetsTheKeptAnswerUntilItsTimeIsOver)
+{
+	EXPECT_EQ(begin("k", 0), AUB_KEY_NEW);
+	EXPECT_EQ(begin("k", 1), AUB_KEY_RUNNING);
+	finish("k", AUB_OUTCOME_RUN, 5, 10);
+	ASSERT_EQ(begin("k", 10 + KEEP_US - 1), AUB_KEY_KEPT);
+	EXPECT_EQ(record->outcome, AUB_OUTCOME_RUN);
+	EXPECT_EQ(record->status, 201u);
+	EXPECT_EQ(record->body.length, 5u);
+	EXPECT_EQ(record->headers->len, 1u);
+	EXPECT_EQ(begin("k", 10 + KEEP_US), AUB_KEY_NEW);
+}
+
+/*
+ * A caller who guesses another's key sees neither its answer nor whether it
+ * runs still: the key is bound to credentials and content from the start.
+ */
+TEST_F(KeyTable, AnotherCallersKeyOpensNothing)
+{
+	EXPECT_EQ(begin("k", 0), AUB_KEY_NEW);
+	EXPECT_EQ(aub_key_table_begin(table, "k", other, 1, &record),
+		  AUB_KEY_MISMATCH);
+	finish("k", AUB_OUTCOME_RUN, 5, 10);
+	EXPECT_EQ(aub_key_table_begin(table, "k", other, 11, &record),
+		  AUB_KEY_MISMATCH);
+	EXPECT_EQ(record, nullptr);
+}
+
+TEST_F(KeyTable, NotRunMayRunAgainAndUnknownMayNot)
+{
+	EXPECT_EQ(begin("a", 0), AUB_KEY_NEW);
+	finish("a", AUB_OUTCOME_NOT_RUN, 0, 1);
+	EXPECT_EQ(begin("a", 2), AUB_KEY_NEW);
+	finish("a", AUB_OUTCOME_UNKNOWN, 0, 3);
+	ASSERT_EQ(begin("a", 4), AUB_KEY_KEPT);
+	EXPECT_EQ(record->outcome, AUB_OUTCOME_UNKNOWN);
+}
+
+/*
+ * The table is filled with running keys. New ones are refused, "not run";
+ * forgetting an old one instead would let its repeat run a second time.
+ */
+TEST_F(KeyTable, FullRefusesTheNewAndForgetsNothing)
+{
+	guint count = 0;
+
+	while (begin("key-" + std::to_string(count), 0) == AUB_KEY_NEW)
+		count++;
+	EXPECT_GT(count, 200u);
+	EXPECT_EQ(begin("key-" + std::to_string(count), KEEP_US * 9),
+		  AUB_KEY_FULL);
+	for (guint i = 0; i < count; i++)
+		EXPECT_EQ(begin("key-" + std::to_string(i), KEEP_US * 9),
+			  AUB_KEY_RUNNING);
+	EXPECT_LE(aub_key_table_bytes(table), 64u << 10);
+}
+
+TEST_F(KeyTable, AnswerThatDoesNotFitIsKeptAsItsOutcome)
+{
+	EXPECT_EQ(begin("a", 0), AUB_KEY_NEW);
+	finish("a", AUB_OUTCOME_RUN, 60 << 10, 1);
+	ASSERT_EQ(begin("a", 2), AUB_KEY_KEPT);
+	EXPECT_EQ(record->outcome, AUB_OUTCOME_RUN);
+	EXPECT_EQ(record->status, 201u);
+	EXPECT_EQ(record->body.length, 0u);
+}
+
+/*
+ * An entry stops in order and hands its keys on. What still ran there is
+ * unknown to the heir; the time left to remember goes on from where it was.
+ */
+TEST_F(KeyTable, HandOverKeepsAnswersAndTimes)
+{
+	struct aub_key_table *heir = aub_key_table_new(64 << 10, KEEP_US);
+
+	begin("ran", 0);
+	finish("ran", AUB_OUTCOME_RUN, 7, 0);
+	begin("runs", 0);
+	GPtrArray *list = aub_key_table_export(table, KEEP_US / 2);
+	ASSERT_EQ(list->len, 2u);
+	for (guint i = 0; i < list->len; i++)
+		aub_key_table_import(heir,
+				     (struct aub_key_record *)list->pdata[i],
+				     1000);
+	ASSERT_EQ(aub_key_table_begin(heir, "ran", mine, 1001, &record),
+		  AUB_KEY_KEPT);
+	EXPECT_EQ(record->body.length, 7u);
+	ASSERT_EQ(aub_key_table_begin(heir, "runs", mine, 1001, &record),
+		  AUB_KEY_KEPT);
+	EXPECT_EQ(record->outcome, AUB_OUTCOME_UNKNOWN);
+	EXPECT_EQ(aub_key_table_begin(heir, "ran", mine, 1000 + KEEP_US / 2,
+				      &record),
+		  AUB_KEY_NEW);
+	g_ptr_array_unref(list);
+	aub_key_table_free(heir);
+}
+
+TEST_F(KeyTable, MemoryOfEndedKeysIsGivenBack)
+{
+	for (int i = 0; i < 1000; i++) {
+		std::string key = "key-" + std::to_string(i);
+		gint64 now_us = i * KEEP_US;
+
+		ASSERT_EQ(begin(key, now_us), AUB_KEY_NEW);
+		finish(key, AUB_OUTCOME_RUN, 1000, now_us);
+		ASSERT_EQ(aub_key_table_count(table), 1u);
+	}
+	EXPECT_LT(aub_key_table_bytes(table), 2000u);
+}
+
+TEST(Key, ParsesWhatAGrantMade)
+{
+	char *grant = aub_grant_make("e.1", 0xabc, 7);
+	char *key = g_strconcat(grant, "/order/9", NULL);
+	char *entry = NULL;
+	guint64 incarnation = 0;
+	GError *error = NULL;
+
+	ASSERT_TRUE(aub_key_parse(key, &entry, &incarnation, &error));
+	EXPECT_STREQ(entry, "e.1");
+	EXPECT_EQ(incarnation, 0xabcu);
+	g_free(entry);
+	g_free(key);
+	g_free(grant);
+}
+
+TEST(Key, RefusesWhatNoGrantMade)
+{
+	const std::string long_text(300, 'x');
+	const std::string bad[] = { "",
+				    "text",
+				    "/text",
+				    "a.1/t",
+				    "a.1.2",
+				    "a.1.2/",
+				    ".1.2/t",
+				    "a.x.2/t",
+				    "a.1.-2/t",
+				    "a.1.2/a b",
+				    "a.1.2/t\n",
+				    "a..2/t",
+				    "a.1.2/" + long_text };
+
+	for (const std::string &key : bad) {
+		char *entry = NULL;
+		guint64 incarnation;
+		GError *error = NULL;
+
+		EXPECT_FALSE(aub_key_parse(key.c_str(), &entry, &incarnation,
+					   &error))
+			<< key;
+		EXPECT_NE(error, nullptr);
+		g_clear_error(&error);
+	}
+}
+
+TEST(Key, FingerprintTellsPartsApart)
+{
+	guint8 a[AUB_FINGERPRINT_BYTES];
+	guint8 b[AUB_FINGERPRINT_BYTES];
+
+	aub_request_fingerprint("POST", "/a", NULL, "bc", "", a);
+	aub_request_fingerprint("POST", "/a", NULL, "b", "c", b);
+	EXPECT_NE(memcmp(a, b, sizeof(a)), 0);
+	aub_request_fingerprint("POST", "/a", NULL, "bc", NULL, b);
+	EXPECT_EQ(memcmp(a, b, sizeof(a)), 0);
+}
