--- a/include/auburnstile/internal/agreement.h
+++ b/include/auburnstile/internal/agreement.h
@@ -12,11 +12,11 @@
 
 G_BEGIN_DECLS
 
-#define AUB_FRESH_US ((gint64)3000000) /* older: no proof of anything */
-#define AUB_SERVE_MAX_US ((gint64)1500000) /* longest permission given */
-#define AUB_WATCHERS 2 /* of the store, a region */
+#define AUBI_FRESH_US ((gint64)3000000) /* older: no proof of anything */
+#define AUBI_SERVE_MAX_US ((gint64)1500000) /* longest permission given */
+#define AUBI_WATCHERS 2 /* of the store, a region */
 
-struct aub_agreement {
+struct aubi_agreement {
 	guint64 config_version; /* held; only rises */
 	guint64 epoch; /* version of the assignments held; only rises */
 	guint64 confirmed_version; /* newest the store is known to hold */
@@ -26,50 +26,50 @@
 	gint64 watch_until_us; /* a watch once begun lasts this long */
 };
 
-struct aub_agreement aub_agreement_start(gint64 now_us);
+struct aubi_agreement aubi_agreement_start(gint64 now_us);
 
 /*
  * Take a version if it is newer than what is held. False for a stale read,
  * a peer that is behind, or what is held already: nothing may be changed.
  */
-bool aub_agreement_hold_config(struct aub_agreement *agreement,
-			       guint64 version);
-bool aub_agreement_hold_epoch(struct aub_agreement *agreement, guint64 epoch);
+bool aubi_agreement_hold_config(struct aubi_agreement *agreement,
+				guint64 version);
+bool aubi_agreement_hold_epoch(struct aubi_agreement *agreement, guint64 epoch);
 
 /*
  * At `at_us` the newest configuration was `version`: by the store itself or
  * by a peer that was told so. One older than what is held says nothing.
  */
-void aub_agreement_confirm(struct aub_agreement *agreement, guint64 version,
-			   gint64 at_us);
+void aubi_agreement_confirm(struct aubi_agreement *agreement, guint64 version,
+			    gint64 at_us);
 /* The same, out of a peer's gossip. */
-void aub_agreement_relayed(struct aub_agreement *agreement,
-			   const struct aub_gossip *gossip, gint64 now_us);
+void aubi_agreement_relayed(struct aubi_agreement *agreement,
+			    const struct aub_gossip *gossip, gint64 now_us);
 
-/* Time since what is held was surely the newest; AUB_MEMBER_NEVER. */
-gint64 aub_agreement_fresh_us(const struct aub_agreement *agreement,
-			      gint64 now_us);
+/* Time since what is held was surely the newest; AUBI_MEMBER_NEVER. */
+gint64 aubi_agreement_fresh_us(const struct aubi_agreement *agreement,
+			       gint64 now_us);
 
 /*
  * How long the entry may go on taking new work, in us; 0 for not at all.
  * Holds while a configuration is held and either it is fresh, or so many
  * members are heard that the others can be no majority.
  */
-gint64 aub_agreement_serve_us(const struct aub_agreement *agreement,
-			      const struct aub_membership *membership,
-			      gint64 now_us);
+gint64 aubi_agreement_serve_us(const struct aubi_agreement *agreement,
+			       const struct aubi_membership *membership,
+			       gint64 now_us);
 
 /* May an operator's change be accepted here? Needs a majority heard. */
-bool aub_agreement_may_accept(const struct aub_membership *membership,
-			      gint64 now_us);
+bool aubi_agreement_may_accept(const struct aubi_membership *membership,
+			       gint64 now_us);
 
 /*
  * Should this control watch the store itself? `rank` is its rank among the
  * live members of its region.
  */
-bool aub_agreement_watches(struct aub_agreement *agreement,
-			   const struct aub_membership *membership, guint rank,
-			   gint64 now_us);
+bool aubi_agreement_watches(struct aubi_agreement *agreement,
+			    const struct aubi_membership *membership,
+			    guint rank, gint64 now_us);
 
 G_END_DECLS
 
--- a/include/auburnstile/internal/membership.h
+++ b/include/auburnstile/internal/membership.h
@@ -25,94 +25,95 @@
 
 G_BEGIN_DECLS
 
-#define AUB_MEMBER_LIVE_US ((gint64)3000000) /* unheard of: dead */
-#define AUB_MEMBER_EXPIRE_US ((gint64)900000000) /* dead: forgotten */
-#define AUB_MEMBER_STOPPED_US ((gint64)3900000000) /* longer than keys live */
-#define AUB_MEMBER_NEVER G_MAXINT64 /* an age that is not known */
+#define AUBI_MEMBER_LIVE_US ((gint64)3000000) /* unheard of: dead */
+#define AUBI_MEMBER_EXPIRE_US ((gint64)900000000) /* dead: forgotten */
+#define AUBI_MEMBER_STOPPED_US ((gint64)3900000000) /* longer than keys live \
+						     */
+#define AUBI_MEMBER_NEVER G_MAXINT64 /* an age that is not known */
 
-struct aub_membership;
+struct aubi_membership;
 
 /* `self` is copied; `seeds` ("ip:port"..., NULL-terminated) too. */
-struct aub_membership *aub_membership_new(const struct aub_member *self,
-					  const char *const *seeds,
-					  guint32 seed);
-void aub_membership_free(struct aub_membership *membership);
+struct aubi_membership *aubi_membership_new(const struct aub_member *self,
+					    const char *const *seeds,
+					    guint32 seed);
+void aubi_membership_free(struct aubi_membership *membership);
 
 /* Own record. Borrowed until the next change. */
-const struct aub_member *aub_membership_self(
-	const struct aub_membership *membership);
+const struct aub_member *aubi_membership_self(
+	const struct aubi_membership *membership);
 
 /*
  * Replace the own record, name and control incarnation excepted. Its
  * revision rises if anything but load and version differs. An entry
  * incarnation that left in order and is replaced is kept for its heir.
  */
-void aub_membership_update_self(struct aub_membership *membership,
-				const struct aub_member *self, gint64 now_us);
+void aubi_membership_update_self(struct aubi_membership *membership,
+				 const struct aub_member *self, gint64 now_us);
 
 /* True once a newer process with the own name has been heard of. */
-bool aub_membership_superseded(const struct aub_membership *membership);
+bool aubi_membership_superseded(const struct aubi_membership *membership);
 
 /* Message 1. The caller fills in versions and the store's state. */
-void aub_membership_ask(const struct aub_membership *membership,
-			struct aub_gossip *gossip, gint64 now_us);
+void aubi_membership_ask(const struct aubi_membership *membership,
+			 struct aub_gossip *gossip, gint64 now_us);
 
 /*
  * Take what a message says. True if a record came, changed or left. `from`
  * is the sender's name. Messages 1 and 4 bring no ages.
  */
-bool aub_membership_hear(struct aub_membership *membership, const char *from,
-			 const struct aub_gossip *gossip, gint64 now_us);
+bool aubi_membership_hear(struct aubi_membership *membership, const char *from,
+			  const struct aub_gossip *gossip, gint64 now_us);
 
 /*
  * The message to answer with: 2 to 1, 3 to 2, 4 to 3. False where none is
  * wanted. `gossip` is new and empty but for versions and the store's state.
  */
-bool aub_membership_answer(const struct aub_membership *membership,
-			   const struct aub_gossip *heard,
-			   struct aub_gossip *gossip, gint64 now_us);
+bool aubi_membership_answer(const struct aubi_membership *membership,
+			    const struct aub_gossip *heard,
+			    struct aub_gossip *gossip, gint64 now_us);
 
 /* Upper bound of the time since `gossip`'s sender wrote it. */
-gint64 aub_gossip_delay_us(const struct aub_gossip *gossip, gint64 now_us);
+gint64 aubi_gossip_delay_us(const struct aub_gossip *gossip, gint64 now_us);
 
 /*
  * Forget what expired and note who fell silent. True if a state changed.
  */
-bool aub_membership_tick(struct aub_membership *membership, gint64 now_us);
+bool aubi_membership_tick(struct aubi_membership *membership, gint64 now_us);
 
 /*
  * Address of the next peer to ask, borrowed until the next call; NULL for
  * none. Mostly a live one; now and then a dead one or a seed, so that halves
  * of a fleet find each other again.
  */
-const char *aub_membership_pick(struct aub_membership *membership,
-				gint64 now_us);
+const char *aubi_membership_pick(struct aubi_membership *membership,
+				 gint64 now_us);
 
 /* Copies with state and age as of now; list owned by the caller. */
-GPtrArray *aub_membership_list(const struct aub_membership *membership,
-			       gint64 now_us);
+GPtrArray *aubi_membership_list(const struct aubi_membership *membership,
+				gint64 now_us);
 
 /* Members that count: neither stopped in order nor forgotten. */
-guint aub_membership_known(const struct aub_membership *membership);
-guint aub_membership_live(const struct aub_membership *membership,
-			  gint64 now_us);
+guint aubi_membership_known(const struct aubi_membership *membership);
+guint aubi_membership_live(const struct aubi_membership *membership,
+			   gint64 now_us);
 
 /*
  * Age of the oldest proof among the `count` members proved most lately,
- * itself included; AUB_MEMBER_NEVER if fewer were ever proved.
+ * itself included; AUBI_MEMBER_NEVER if fewer were ever proved.
  */
-gint64 aub_membership_heard_us(const struct aub_membership *membership,
-			       guint count, gint64 now_us);
+gint64 aubi_membership_heard_us(const struct aubi_membership *membership,
+				guint count, gint64 now_us);
 
 /*
  * Live members with a lower rank than the own one, and those among them for
  * which `same` is true. Rank is by start, oldest first, so that a restart
  * takes no duty away from those that hold it.
  */
-typedef bool aub_member_filter(const struct aub_member *member, void *context);
-guint aub_membership_rank(const struct aub_membership *membership,
-			  aub_member_filter *same, void *context,
-			  gint64 now_us);
+typedef bool aubi_member_filter(const struct aub_member *member, void *context);
+guint aubi_membership_rank(const struct aubi_membership *membership,
+			   aubi_member_filter *same, void *context,
+			   gint64 now_us);
 
 G_END_DECLS
 
--- a/include/auburnstile/internal/membership_table.h
+++ b/include/auburnstile/internal/membership_table.h
@@ -1,5 +1,5 @@
 /*
- * The table behind struct aub_membership, shared by membership.c (who is
+ * The table behind struct aubi_membership, shared by membership.c (who is
  * known and live) and gossip.c (what is told to whom).
  */
 #ifndef AUBURNSTILE_INTERNAL_MEMBERSHIP_TABLE_H
@@ -9,7 +9,7 @@
 
 G_BEGIN_DECLS
 
-struct aub_member_record {
+struct aubi_member_record {
 	struct aub_member *member; /* owned */
 	char *key; /* name, or name#incarnation of one that left */
 	guint32 tag;
@@ -18,9 +18,9 @@
 	bool shown_live; /* as last reported by tick */
 };
 
-struct aub_membership {
-	GPtrArray *records; /* of struct aub_member_record, sorted by key */
-	struct aub_member_record *self; /* borrowed from records */
+struct aubi_membership {
+	GPtrArray *records; /* of struct aubi_member_record, sorted by key */
+	struct aubi_member_record *self; /* borrowed from records */
 	char **seeds;
 	GRand *random;
 	guint picks;
@@ -28,25 +28,25 @@
 	bool superseded;
 };
 
-struct aub_member_record *aub_membership_find(
-	const struct aub_membership *membership, const char *key);
+struct aubi_member_record *aubi_membership_find(
+	const struct aubi_membership *membership, const char *key);
 
 /* Takes `key` over; copies `member`. */
-struct aub_member_record *aub_membership_insert(
-	struct aub_membership *membership, char *key,
+struct aubi_member_record *aubi_membership_insert(
+	struct aubi_membership *membership, char *key,
 	const struct aub_member *member);
 
 /* Keep a member that left in order for its heir. True if it is new. */
-bool aub_membership_keep_past(struct aub_membership *membership,
-			      const struct aub_member *past, gint64 now_us);
+bool aubi_membership_keep_past(struct aubi_membership *membership,
+			       const struct aub_member *past, gint64 now_us);
 
 /* Compute tags and roster hash anew, after any change of records. */
-void aub_membership_rehash(struct aub_membership *membership);
+void aubi_membership_rehash(struct aubi_membership *membership);
 
 /* Age to relay of a record; 0 of the own one. */
-guint32 aub_membership_age_ms(const struct aub_membership *membership,
-			      const struct aub_member_record *record,
-			      gint64 now_us);
+guint32 aubi_membership_age_ms(const struct aubi_membership *membership,
+			       const struct aubi_member_record *record,
+			       gint64 now_us);
 
 G_END_DECLS
 
--- a/include/auburnstile/internal/ownership.h
+++ b/include/auburnstile/internal/ownership.h
@@ -13,22 +13,23 @@
 
 G_BEGIN_DECLS
 
-#define AUB_ASSIGNMENTS_KEY "auburnstile/assignments"
+#define AUBI_ASSIGNMENTS_KEY "auburnstile/assignments"
 
 /* The stored object: {"change": "ID", "assignments": [...]}. */
-struct aub_assignments {
+struct aubi_assignments {
 	guint64 epoch; /* store version */
 	GPtrArray *lines; /* of struct aub_assignment, sorted by service */
 };
 
-struct aub_assignments *aub_assignments_new(void);
-void aub_assignments_free(struct aub_assignments *assignments);
-struct aub_assignments *aub_assignments_parse(const char *json, gsize length,
-					      guint64 version, GError **error);
-char *aub_assignments_serialize(const struct aub_assignments *assignments,
-				const char *change);
-const struct aub_assignment *aub_assignments_find(
-	const struct aub_assignments *assignments, const char *service);
+struct aubi_assignments *aubi_assignments_new(void);
+void aubi_assignments_free(struct aubi_assignments *assignments);
+struct aubi_assignments *aubi_assignments_parse(const char *json, gsize length,
+						guint64 version,
+						GError **error);
+char *aubi_assignments_serialize(const struct aubi_assignments *assignments,
+				 const char *change);
+const struct aub_assignment *aubi_assignments_find(
+	const struct aubi_assignments *assignments, const char *service);
 
 /*
  * The assignments that should be in force, owned by the caller; NULL if
@@ -43,8 +44,8 @@
  *     another one has at least two fewer;
  *   - what need not move stays.
  */
-struct aub_assignments *aub_ownership_propose(
-	const struct aub_assignments *current,
+struct aubi_assignments *aubi_ownership_propose(
+	const struct aubi_assignments *current,
 	const struct aub_inventory *inventory, const GPtrArray *leaving,
 	const GPtrArray *members, bool rebalance);
 
@@ -53,7 +54,7 @@
  * only if the need has lasted a step longer. No election, no herd on the
  * store. `needed_us` is when the need was first seen here, 0 for none.
  */
-bool aub_ownership_turn(guint rank, gint64 needed_us, gint64 now_us);
+bool aubi_ownership_turn(guint rank, gint64 needed_us, gint64 now_us);
 
 G_END_DECLS
 
--- a/src/coordination/agreement.c
+++ b/src/coordination/agreement.c
@@ -10,15 +10,16 @@
 #include <auburnstile/internal/agreement.h>
 
 #define JOIN_US ((gint64)1000000) /* peers answer first after a start */
-#define ANXIOUS_US ((gint64)1500000) /* half of AUB_FRESH_US */
+#define ANXIOUS_US ((gint64)1500000) /* half of AUBI_FRESH_US */
 #define WATCH_HOLD_US ((gint64)5000000)
 
-struct aub_agreement aub_agreement_start(gint64 now_us)
+struct aubi_agreement aubi_agreement_start(gint64 now_us)
 {
-	return (struct aub_agreement){ .started_us = now_us };
+	return (struct aubi_agreement){ .started_us = now_us };
 }
 
-bool aub_agreement_hold_config(struct aub_agreement *agreement, guint64 version)
+bool aubi_agreement_hold_config(struct aubi_agreement *agreement,
+				guint64 version)
 {
 	/*
 	 * A stale read or a peer that is behind offers an older version.
@@ -31,7 +32,7 @@
 	return true;
 }
 
-bool aub_agreement_hold_epoch(struct aub_agreement *agreement, guint64 epoch)
+bool aubi_agreement_hold_epoch(struct aubi_agreement *agreement, guint64 epoch)
 {
 	if (epoch <= agreement->epoch)
 		return false;
@@ -39,8 +40,8 @@
 	return true;
 }
 
-void aub_agreement_confirm(struct aub_agreement *agreement, guint64 version,
-			   gint64 at_us)
+void aubi_agreement_confirm(struct aubi_agreement *agreement, guint64 version,
+			    gint64 at_us)
 {
 	if (version < agreement->config_version ||
 	    version < agreement->confirmed_version)
@@ -52,75 +53,77 @@
 	agreement->confirmed_us = at_us;
 }
 
-void aub_agreement_relayed(struct aub_agreement *agreement,
-			   const struct aub_gossip *gossip, gint64 now_us)
+void aubi_agreement_relayed(struct aubi_agreement *agreement,
+			    const struct aub_gossip *gossip, gint64 now_us)
 {
-	gint64 delay_us = aub_gossip_delay_us(gossip, now_us);
+	gint64 delay_us = aubi_gossip_delay_us(gossip, now_us);
 
-	if (delay_us == AUB_MEMBER_NEVER || gossip->fresh_ms == G_MAXUINT32)
+	if (delay_us == AUBI_MEMBER_NEVER || gossip->fresh_ms == G_MAXUINT32)
 		return;
-	aub_agreement_confirm(agreement, gossip->config_version,
-			      now_us - delay_us -
-				      (gint64)gossip->fresh_ms * 1000);
+	aubi_agreement_confirm(agreement, gossip->config_version,
+			       now_us - delay_us -
+				       (gint64)gossip->fresh_ms * 1000);
 }
 
-gint64 aub_agreement_fresh_us(const struct aub_agreement *agreement,
-			      gint64 now_us)
+gint64 aubi_agreement_fresh_us(const struct aubi_agreement *agreement,
+			       gint64 now_us)
 {
 	if (!agreement->confirmed_us ||
 	    agreement->config_version < agreement->confirmed_version)
-		return AUB_MEMBER_NEVER;
+		return AUBI_MEMBER_NEVER;
 	return MAX(now_us - agreement->confirmed_us, 0);
 }
 
 /* Age of the proof that the members not heard are no majority. */
-static gint64 half_heard_us(const struct aub_membership *membership,
+static gint64 half_heard_us(const struct aubi_membership *membership,
 			    gint64 now_us)
 {
-	guint known = aub_membership_known(membership);
+	guint known = aubi_membership_known(membership);
 
-	return aub_membership_heard_us(membership, (known + 1) / 2, now_us);
+	return aubi_membership_heard_us(membership, (known + 1) / 2, now_us);
 }
 
-gint64 aub_agreement_serve_us(const struct aub_agreement *agreement,
-			      const struct aub_membership *membership,
-			      gint64 now_us)
+gint64 aubi_agreement_serve_us(const struct aubi_agreement *agreement,
+			       const struct aubi_membership *membership,
+			       gint64 now_us)
 {
 	gint64 age_us;
 
-	if (!agreement->config_version || aub_membership_superseded(membership))
+	if (!agreement->config_version ||
+	    aubi_membership_superseded(membership))
 		return 0;
-	age_us = MIN(aub_agreement_fresh_us(agreement, now_us),
+	age_us = MIN(aubi_agreement_fresh_us(agreement, now_us),
 		     half_heard_us(membership, now_us));
 	/*
 	 * Cut off from store and peers, it would miss a change for good.
 	 * Requests would go on to a zone that was taken out.
-	 * The permission ends AUB_FRESH_US after the last proof, wherever
+	 * The permission ends AUBI_FRESH_US after the last proof, wherever
 	 * the process hangs, as it is handed out as time left.
 	 */
-	if (age_us >= AUB_FRESH_US)
+	if (age_us >= AUBI_FRESH_US)
 		return 0;
-	return MIN(AUB_FRESH_US - age_us, AUB_SERVE_MAX_US);
+	return MIN(AUBI_FRESH_US - age_us, AUBI_SERVE_MAX_US);
 }
 
-bool aub_agreement_may_accept(const struct aub_membership *membership,
-			      gint64 now_us)
+bool aubi_agreement_may_accept(const struct aubi_membership *membership,
+			       gint64 now_us)
 {
-	guint majority = aub_membership_known(membership) / 2 + 1;
+	guint majority = aubi_membership_known(membership) / 2 + 1;
 
-	if (aub_membership_superseded(membership))
+	if (aubi_membership_superseded(membership))
 		return false;
-	return aub_membership_heard_us(membership, majority, now_us) <
-	       AUB_FRESH_US;
+	return aubi_membership_heard_us(membership, majority, now_us) <
+	       AUBI_FRESH_US;
 }
 
-bool aub_agreement_watches(struct aub_agreement *agreement,
-			   const struct aub_membership *membership, guint rank,
-			   gint64 now_us)
+bool aubi_agreement_watches(struct aubi_agreement *agreement,
+			    const struct aubi_membership *membership,
+			    guint rank, gint64 now_us)
 {
 	bool joined = now_us - agreement->started_us >= JOIN_US;
-	bool anxious = aub_agreement_fresh_us(agreement, now_us) > ANXIOUS_US &&
-		       half_heard_us(membership, now_us) > ANXIOUS_US;
+	bool anxious =
+		aubi_agreement_fresh_us(agreement, now_us) > ANXIOUS_US &&
+		half_heard_us(membership, now_us) > ANXIOUS_US;
 
 	/*
 	 * A whole zone that restarts would read the store all at once.
@@ -128,7 +131,7 @@
 	 * For its first second a control only asks peers, and only a few
 	 * of a region watch at any time.
 	 */
-	if (joined && (rank < AUB_WATCHERS || anxious))
+	if (joined && (rank < AUBI_WATCHERS || anxious))
 		agreement->watch_until_us = now_us + WATCH_HOLD_US;
 	return now_us < agreement->watch_until_us;
 }
--- a/src/coordination/assignments.c
+++ b/src/coordination/assignments.c
@@ -9,17 +9,17 @@
 
 #define STEP "read assignments"
 
-struct aub_assignments *aub_assignments_new(void)
+struct aubi_assignments *aubi_assignments_new(void)
 {
-	struct aub_assignments *assignments;
+	struct aubi_assignments *assignments;
 
-	assignments = g_new0(struct aub_assignments, 1);
+	assignments = g_new0(struct aubi_assignments, 1);
 	assignments->lines = g_ptr_array_new_with_free_func(
 		(GDestroyNotify)aub_assignment_free);
 	return assignments;
 }
 
-void aub_assignments_free(struct aub_assignments *assignments)
+void aubi_assignments_free(struct aubi_assignments *assignments)
 {
 	if (!assignments)
 		return;
@@ -27,8 +27,8 @@
 	g_free(assignments);
 }
 
-const struct aub_assignment *aub_assignments_find(
-	const struct aub_assignments *assignments, const char *service)
+const struct aub_assignment *aubi_assignments_find(
+	const struct aubi_assignments *assignments, const char *service)
 {
 	guint i;
 
@@ -87,10 +87,10 @@
 	return json_node_get_array(node);
 }
 
-struct aub_assignments *aub_assignments_parse(const char *json, gsize length,
-					      guint64 version, GError **error)
+struct aubi_assignments *aubi_assignments_parse(const char *json, gsize length,
+						guint64 version, GError **error)
 {
-	struct aub_assignments *assignments = NULL;
+	struct aubi_assignments *assignments = NULL;
 	JsonParser *parser = json_parser_new();
 	JsonArray *lines;
 	guint i;
@@ -105,7 +105,7 @@
 			      "no list of assignments");
 		goto out;
 	}
-	assignments = aub_assignments_new();
+	assignments = aubi_assignments_new();
 	assignments->epoch = version;
 	for (i = 0; i < json_array_get_length(lines); i++) {
 		JsonNode *node = json_array_get_element(lines, i);
@@ -137,8 +137,8 @@
 	json_builder_end_object(builder);
 }
 
-char *aub_assignments_serialize(const struct aub_assignments *assignments,
-				const char *change)
+char *aubi_assignments_serialize(const struct aubi_assignments *assignments,
+				 const char *change)
 {
 	JsonBuilder *builder = json_builder_new();
 	JsonNode *root;
--- a/src/coordination/gossip.c
+++ b/src/coordination/gossip.c
@@ -19,8 +19,8 @@
 #define TAG_BYTES 4
 #define RECORDS_LIMIT 256 /* records a message; the rest comes next time */
 
-void aub_membership_ask(const struct aub_membership *membership,
-			struct aub_gossip *gossip, gint64 now_us)
+void aubi_membership_ask(const struct aubi_membership *membership,
+			 struct aub_gossip *gossip, gint64 now_us)
 {
 	gossip->number = (guint64)(now_us / 1000);
 	gossip->echo = 0;
@@ -28,12 +28,12 @@
 	gossip->known = membership->records->len;
 }
 
-gint64 aub_gossip_delay_us(const struct aub_gossip *gossip, gint64 now_us)
+gint64 aubi_gossip_delay_us(const struct aub_gossip *gossip, gint64 now_us)
 {
 	gint64 sent_us = (gint64)(gossip->echo * 1000);
 
 	if (!gossip->echo || sent_us > now_us)
-		return AUB_MEMBER_NEVER;
+		return AUBI_MEMBER_NEVER;
 	return now_us - sent_us;
 }
 
@@ -47,12 +47,12 @@
 }
 
 /* One full record out of a message. True if the table changed. */
-static bool hear_record(struct aub_membership *membership,
+static bool hear_record(struct aubi_membership *membership,
 			const struct aub_member *member, gint64 now_us)
 {
 	gint64 age_us = (gint64)member->age_ms * 1000;
-	struct aub_member_record *record =
-		aub_membership_find(membership, member->name);
+	struct aubi_member_record *record =
+		aubi_membership_find(membership, member->name);
 	struct aub_member *old;
 
 	if (strchr(member->name, '#'))
@@ -62,38 +62,38 @@
 		    record->member->control_incarnation)
 			membership->superseded = true;
 		else if (member->incarnation != record->member->incarnation)
-			return aub_membership_keep_past(membership, member,
-							now_us);
+			return aubi_membership_keep_past(membership, member,
+							 now_us);
 		return false;
 	}
 	if (!record) {
 		if (age_us >= (member->state == AUB_MEMBER_STOPPED ?
-				       AUB_MEMBER_STOPPED_US :
-				       AUB_MEMBER_EXPIRE_US))
+				       AUBI_MEMBER_STOPPED_US :
+				       AUBI_MEMBER_EXPIRE_US))
 			return false;
-		record = aub_membership_insert(membership,
-					       g_strdup(member->name), member);
+		record = aubi_membership_insert(membership,
+						g_strdup(member->name), member);
 		record->heard_us = MAX(1, now_us - age_us);
 		return true;
 	}
 	if (newer(member, record->member) < 0 &&
 	    member->incarnation != record->member->incarnation)
-		return aub_membership_keep_past(membership, member, now_us);
+		return aubi_membership_keep_past(membership, member, now_us);
 	if (newer(member, record->member) <= 0)
 		return false;
 	old = record->member;
 	record->member = aub_member_copy(member);
 	record->heard_us = MAX(record->heard_us, now_us - age_us);
 	if (old->incarnation != member->incarnation)
-		aub_membership_keep_past(membership, old, now_us);
+		aubi_membership_keep_past(membership, old, now_us);
 	if (old->control_incarnation != member->control_incarnation)
 		record->proved_us = 0;
 	aub_member_free(old);
 	return true;
 }
 
-static struct aub_member_record *find_tag(
-	const struct aub_membership *membership, const guint8 *row)
+static struct aubi_member_record *find_tag(
+	const struct aubi_membership *membership, const guint8 *row)
 {
 	guint32 tag;
 	guint i;
@@ -101,7 +101,7 @@
 	memcpy(&tag, row, sizeof(tag));
 	tag = GUINT32_FROM_BE(tag);
 	for (i = 0; i < membership->records->len; i++) {
-		struct aub_member_record *record =
+		struct aubi_member_record *record =
 			membership->records->pdata[i];
 
 		if (record->tag == tag)
@@ -121,7 +121,7 @@
 }
 
 static void hear_row(const struct aub_gossip *gossip,
-		     struct aub_member_record *record, const guint8 *age_flags,
+		     struct aubi_member_record *record, const guint8 *age_flags,
 		     gint64 delay_us, gint64 now_us)
 {
 	gint64 at_us = now_us - delay_us - age_flags[0] * AGE_UNIT_US;
@@ -136,15 +136,15 @@
 	record->member->load_permille = load;
 }
 
-static void hear_ages(struct aub_membership *membership,
+static void hear_ages(struct aubi_membership *membership,
 		      const struct aub_gossip *gossip, gint64 now_us)
 {
-	gint64 delay_us = aub_gossip_delay_us(gossip, now_us);
+	gint64 delay_us = aubi_gossip_delay_us(gossip, now_us);
 	bool compact = is_compact(gossip);
 	gsize step = compact ? COMPACT_ROW : TAGGED_ROW;
 	guint i;
 
-	if (delay_us == AUB_MEMBER_NEVER)
+	if (delay_us == AUBI_MEMBER_NEVER)
 		return;
 	if (compact && gossip->roster != membership->roster)
 		return;
@@ -152,7 +152,7 @@
 		return;
 	for (i = 0; i < gossip->known; i++) {
 		const guint8 *row = gossip->ages.data + i * step;
-		struct aub_member_record *record;
+		struct aubi_member_record *record;
 
 		record = compact ? membership->records->pdata[i] :
 				   find_tag(membership, row);
@@ -163,10 +163,10 @@
 	}
 }
 
-bool aub_membership_hear(struct aub_membership *membership, const char *from,
-			 const struct aub_gossip *gossip, gint64 now_us)
+bool aubi_membership_hear(struct aubi_membership *membership, const char *from,
+			  const struct aub_gossip *gossip, gint64 now_us)
 {
-	struct aub_member_record *sender;
+	struct aubi_member_record *sender;
 	bool changed = false;
 	guint i;
 
@@ -174,8 +174,8 @@
 		changed |= hear_record(membership, gossip->members->pdata[i],
 				       now_us);
 	if (changed)
-		aub_membership_rehash(membership);
-	sender = aub_membership_find(membership, from);
+		aubi_membership_rehash(membership);
+	sender = aubi_membership_find(membership, from);
 	if (sender && sender != membership->self)
 		sender->heard_us = now_us;
 	if (gossip->ages.length)
@@ -190,14 +190,14 @@
 	return (guint8)CLAMP(units, 0, AGE_UNKNOWN);
 }
 
-static void write_ages(const struct aub_membership *membership,
+static void write_ages(const struct aubi_membership *membership,
 		       struct aub_gossip *gossip, bool compact, gint64 now_us)
 {
 	GByteArray *rows = g_byte_array_new();
 	guint i;
 
 	for (i = 0; i < membership->records->len; i++) {
-		const struct aub_member_record *record =
+		const struct aubi_member_record *record =
 			membership->records->pdata[i];
 		guint32 tag = GUINT32_TO_BE(record->tag);
 		guint8 pair[COMPACT_ROW] = { AGE_UNKNOWN, 0 };
@@ -219,7 +219,7 @@
 }
 
 /* Add the full records whose tag `heard` doesn't list. */
-static void write_missing(const struct aub_membership *membership,
+static void write_missing(const struct aubi_membership *membership,
 			  const struct aub_gossip *heard,
 			  struct aub_gossip *gossip, gint64 now_us)
 {
@@ -229,12 +229,13 @@
 	for (i = 0; i < heard->known; i++) {
 		guint32 tag;
 
-		memcpy(&tag, heard->ages.data + i * TAGGED_ROW, sizeof(tag));
+		memcpy(&tag, heard->ages.data + (gsize)i * TAGGED_ROW,
+		       sizeof(tag));
 		g_hash_table_add(theirs,
 				 GUINT_TO_POINTER(GUINT32_FROM_BE(tag)));
 	}
 	for (i = 0; i < membership->records->len; i++) {
-		const struct aub_member_record *record =
+		const struct aubi_member_record *record =
 			membership->records->pdata[i];
 		struct aub_member *copy;
 
@@ -245,15 +246,15 @@
 			continue;
 		copy = aub_member_copy(record->member);
 		copy->age_ms =
-			aub_membership_age_ms(membership, record, now_us);
+			aubi_membership_age_ms(membership, record, now_us);
 		g_ptr_array_add(gossip->members, copy);
 	}
 	g_hash_table_destroy(theirs);
 }
 
-bool aub_membership_answer(const struct aub_membership *membership,
-			   const struct aub_gossip *heard,
-			   struct aub_gossip *gossip, gint64 now_us)
+bool aubi_membership_answer(const struct aubi_membership *membership,
+			    const struct aub_gossip *heard,
+			    struct aub_gossip *gossip, gint64 now_us)
 {
 	bool lists =
 		heard->ages.length && !is_compact(heard) && is_tagged(heard);
@@ -264,7 +265,7 @@
 		write_missing(membership, heard, gossip, now_us);
 	if (!heard->number)
 		return gossip->members->len > 0;
-	aub_membership_ask(membership, gossip, now_us);
+	aubi_membership_ask(membership, gossip, now_us);
 	if (heard->echo)
 		gossip->number = 0;
 	gossip->echo = heard->number;
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -17,7 +17,7 @@
 
 static void record_free(void *data)
 {
-	struct aub_member_record *record = data;
+	struct aubi_member_record *record = data;
 
 	aub_member_free(record->member);
 	g_free(record->key);
@@ -33,7 +33,7 @@
 	return x ^ (x >> 31);
 }
 
-static guint32 record_tag(const struct aub_member_record *record)
+static guint32 record_tag(const struct aubi_member_record *record)
 {
 	guint64 x = g_str_hash(record->key);
 
@@ -41,13 +41,13 @@
 	return (guint32)mix(x ^ record->member->revision);
 }
 
-void aub_membership_rehash(struct aub_membership *membership)
+void aubi_membership_rehash(struct aubi_membership *membership)
 {
 	guint64 roster = 0;
 	guint i;
 
 	for (i = 0; i < membership->records->len; i++) {
-		struct aub_member_record *record =
+		struct aubi_member_record *record =
 			membership->records->pdata[i];
 
 		record->tag = record_tag(record);
@@ -56,15 +56,15 @@
 	membership->roster = roster;
 }
 
-struct aub_member_record *aub_membership_find(
-	const struct aub_membership *membership, const char *key)
+struct aubi_member_record *aubi_membership_find(
+	const struct aubi_membership *membership, const char *key)
 {
 	guint low = 0;
 	guint high = membership->records->len;
 
 	while (low < high) {
 		guint middle = (low + high) / 2;
-		struct aub_member_record *record =
+		struct aubi_member_record *record =
 			membership->records->pdata[middle];
 		int order = strcmp(key, record->key);
 
@@ -80,19 +80,20 @@
 
 static int by_key(const void *a, const void *b)
 {
-	const struct aub_member_record *left =
-		*(struct aub_member_record *const *)a;
-	const struct aub_member_record *right =
-		*(struct aub_member_record *const *)b;
+	const struct aubi_member_record *left =
+		*(struct aubi_member_record *const *)a;
+	const struct aubi_member_record *right =
+		*(struct aubi_member_record *const *)b;
 
 	return strcmp(left->key, right->key);
 }
 
-struct aub_member_record *aub_membership_insert(
-	struct aub_membership *membership, char *key,
+struct aubi_member_record *aubi_membership_insert(
+	struct aubi_membership *membership, char *key,
 	const struct aub_member *member)
 {
-	struct aub_member_record *record = g_new0(struct aub_member_record, 1);
+	struct aubi_member_record *record =
+		g_new0(struct aubi_member_record, 1);
 
 	record->member = aub_member_copy(member);
 	record->key = key;
@@ -101,34 +102,35 @@
 	return record;
 }
 
-static bool is_past(const struct aub_member_record *record)
+static bool is_past(const struct aubi_member_record *record)
 {
 	return strchr(record->key, '#') != NULL;
 }
 
-static bool counts(const struct aub_member_record *record)
+static bool counts(const struct aubi_member_record *record)
 {
 	return !is_past(record) && record->member->state != AUB_MEMBER_STOPPED;
 }
 
-static gint64 last_us(const struct aub_member_record *record)
+static gint64 last_us(const struct aubi_member_record *record)
 {
 	return MAX(record->heard_us, record->proved_us);
 }
 
-static bool is_live(const struct aub_membership *membership,
-		    const struct aub_member_record *record, gint64 now_us)
+static bool is_live(const struct aubi_membership *membership,
+		    const struct aubi_member_record *record, gint64 now_us)
 {
 	if (!counts(record))
 		return false;
 	if (record == membership->self)
 		return true;
-	return last_us(record) && now_us - last_us(record) < AUB_MEMBER_LIVE_US;
+	return last_us(record) &&
+	       now_us - last_us(record) < AUBI_MEMBER_LIVE_US;
 }
 
-guint32 aub_membership_age_ms(const struct aub_membership *membership,
-			      const struct aub_member_record *record,
-			      gint64 now_us)
+guint32 aubi_membership_age_ms(const struct aubi_membership *membership,
+			       const struct aubi_member_record *record,
+			       gint64 now_us)
 {
 	gint64 age_us = now_us - last_us(record);
 
@@ -137,23 +139,23 @@
 	return (guint32)MIN(MAX(age_us, 0) / 1000, G_MAXUINT32);
 }
 
-struct aub_membership *aub_membership_new(const struct aub_member *self,
-					  const char *const *seeds,
-					  guint32 seed)
+struct aubi_membership *aubi_membership_new(const struct aub_member *self,
+					    const char *const *seeds,
+					    guint32 seed)
 {
-	struct aub_membership *membership = g_new0(struct aub_membership, 1);
+	struct aubi_membership *membership = g_new0(struct aubi_membership, 1);
 
 	membership->records = g_ptr_array_new_with_free_func(record_free);
 	membership->random = g_rand_new_with_seed(seed);
 	membership->seeds = g_strdupv((char **)seeds);
 	membership->self =
-		aub_membership_insert(membership, g_strdup(self->name), self);
+		aubi_membership_insert(membership, g_strdup(self->name), self);
 	membership->self->shown_live = true;
-	aub_membership_rehash(membership);
+	aubi_membership_rehash(membership);
 	return membership;
 }
 
-void aub_membership_free(struct aub_membership *membership)
+void aubi_membership_free(struct aubi_membership *membership)
 {
 	if (!membership)
 		return;
@@ -163,13 +165,13 @@
 	g_free(membership);
 }
 
-const struct aub_member *aub_membership_self(
-	const struct aub_membership *membership)
+const struct aub_member *aubi_membership_self(
+	const struct aubi_membership *membership)
 {
 	return membership->self->member;
 }
 
-bool aub_membership_superseded(const struct aub_membership *membership)
+bool aubi_membership_superseded(const struct aubi_membership *membership)
 {
 	return membership->superseded;
 }
@@ -179,23 +181,23 @@
  * granted by it would be answered "unknown" though its heir has them. Its
  * record goes on under its own incarnation until the keys have expired.
  */
-bool aub_membership_keep_past(struct aub_membership *membership,
-			      const struct aub_member *past, gint64 now_us)
+bool aubi_membership_keep_past(struct aubi_membership *membership,
+			       const struct aub_member *past, gint64 now_us)
 {
-	struct aub_member_record *record;
+	struct aubi_member_record *record;
 	char *key;
 
 	if (past->state != AUB_MEMBER_STOPPED || !past->heir)
 		return false;
-	if ((gint64)past->age_ms * 1000 >= AUB_MEMBER_STOPPED_US)
+	if ((gint64)past->age_ms * 1000 >= AUBI_MEMBER_STOPPED_US)
 		return false;
 	key = g_strdup_printf("%s#%" G_GINT64_MODIFIER "x", past->name,
 			      past->incarnation);
-	if (aub_membership_find(membership, key)) {
+	if (aubi_membership_find(membership, key)) {
 		g_free(key);
 		return false;
 	}
-	record = aub_membership_insert(membership, key, past);
+	record = aubi_membership_insert(membership, key, past);
 	record->heard_us = MAX(1, now_us - (gint64)past->age_ms * 1000);
 	return true;
 }
@@ -216,10 +218,10 @@
 	       same_text(a->control_admin, b->control_admin);
 }
 
-void aub_membership_update_self(struct aub_membership *membership,
-				const struct aub_member *self, gint64 now_us)
+void aubi_membership_update_self(struct aubi_membership *membership,
+				 const struct aub_member *self, gint64 now_us)
 {
-	struct aub_member_record *record = membership->self;
+	struct aubi_member_record *record = membership->self;
 	struct aub_member *old = record->member;
 	struct aub_member *copy = aub_member_copy(self);
 
@@ -230,31 +232,31 @@
 		copy->revision++;
 	record->member = copy;
 	if (old->incarnation != copy->incarnation)
-		aub_membership_keep_past(membership, old, now_us);
+		aubi_membership_keep_past(membership, old, now_us);
 	aub_member_free(old);
-	aub_membership_rehash(membership);
+	aubi_membership_rehash(membership);
 }
 
-static bool expired(const struct aub_membership *membership,
-		    const struct aub_member_record *record, gint64 now_us)
+static bool expired(const struct aubi_membership *membership,
+		    const struct aubi_member_record *record, gint64 now_us)
 {
 	gint64 age_us = now_us - last_us(record);
 
 	if (record == membership->self)
 		return false;
 	if (record->member->state == AUB_MEMBER_STOPPED)
-		return age_us >= AUB_MEMBER_STOPPED_US;
-	return age_us >= AUB_MEMBER_EXPIRE_US;
+		return age_us >= AUBI_MEMBER_STOPPED_US;
+	return age_us >= AUBI_MEMBER_EXPIRE_US;
 }
 
-bool aub_membership_tick(struct aub_membership *membership, gint64 now_us)
+bool aubi_membership_tick(struct aubi_membership *membership, gint64 now_us)
 {
 	guint before = membership->records->len;
 	bool changed = false;
 	guint i;
 
 	for (i = before; i > 0; i--) {
-		struct aub_member_record *record =
+		struct aubi_member_record *record =
 			membership->records->pdata[i - 1];
 		bool live = is_live(membership, record, now_us);
 
@@ -265,12 +267,12 @@
 			g_ptr_array_remove_index(membership->records, i - 1);
 	}
 	if (membership->records->len != before)
-		aub_membership_rehash(membership);
+		aubi_membership_rehash(membership);
 	return changed || membership->records->len != before;
 }
 
 /* Seeds at which no live member is known: a peer may be there unknown. */
-static void add_seeds(const struct aub_membership *membership,
+static void add_seeds(const struct aubi_membership *membership,
 		      GPtrArray *addresses, gint64 now_us)
 {
 	guint i;
@@ -280,7 +282,7 @@
 		bool known = false;
 
 		for (j = 0; j < membership->records->len; j++) {
-			struct aub_member_record *record =
+			struct aubi_member_record *record =
 				membership->records->pdata[j];
 
 			if (is_live(membership, record, now_us) &&
@@ -293,8 +295,8 @@
 	}
 }
 
-const char *aub_membership_pick(struct aub_membership *membership,
-				gint64 now_us)
+const char *aubi_membership_pick(struct aubi_membership *membership,
+				 gint64 now_us)
 {
 	GPtrArray *live = g_ptr_array_new();
 	GPtrArray *lost = g_ptr_array_new();
@@ -303,7 +305,7 @@
 	guint i;
 
 	for (i = 0; i < membership->records->len; i++) {
-		struct aub_member_record *record =
+		struct aubi_member_record *record =
 			membership->records->pdata[i];
 
 		if (record == membership->self || !counts(record))
@@ -324,20 +326,20 @@
 	return address;
 }
 
-GPtrArray *aub_membership_list(const struct aub_membership *membership,
-			       gint64 now_us)
+GPtrArray *aubi_membership_list(const struct aubi_membership *membership,
+				gint64 now_us)
 {
 	GPtrArray *list;
 	guint i;
 
 	list = g_ptr_array_new_with_free_func((GDestroyNotify)aub_member_free);
 	for (i = 0; i < membership->records->len; i++) {
-		const struct aub_member_record *record =
+		const struct aubi_member_record *record =
 			membership->records->pdata[i];
 		struct aub_member *copy = aub_member_copy(record->member);
 
 		copy->age_ms =
-			aub_membership_age_ms(membership, record, now_us);
+			aubi_membership_age_ms(membership, record, now_us);
 		if (counts(record) && !is_live(membership, record, now_us))
 			copy->state = AUB_MEMBER_DEAD;
 		g_ptr_array_add(list, copy);
@@ -345,7 +347,7 @@
 	return list;
 }
 
-guint aub_membership_known(const struct aub_membership *membership)
+guint aubi_membership_known(const struct aubi_membership *membership)
 {
 	guint known = 0;
 	guint i;
@@ -355,8 +357,8 @@
 	return known;
 }
 
-guint aub_membership_live(const struct aub_membership *membership,
-			  gint64 now_us)
+guint aubi_membership_live(const struct aubi_membership *membership,
+			   gint64 now_us)
 {
 	guint live = 0;
 	guint i;
@@ -375,15 +377,15 @@
 	return left > right ? -1 : left < right;
 }
 
-gint64 aub_membership_heard_us(const struct aub_membership *membership,
-			       guint count, gint64 now_us)
+gint64 aubi_membership_heard_us(const struct aubi_membership *membership,
+				guint count, gint64 now_us)
 {
 	GArray *times = g_array_new(FALSE, FALSE, sizeof(gint64));
-	gint64 age_us = AUB_MEMBER_NEVER;
+	gint64 age_us = AUBI_MEMBER_NEVER;
 	guint i;
 
 	for (i = 0; i < membership->records->len; i++) {
-		const struct aub_member_record *record =
+		const struct aubi_member_record *record =
 			membership->records->pdata[i];
 		gint64 at_us = record->proved_us;
 
@@ -408,15 +410,16 @@
 	return strcmp(a->name, b->name) < 0;
 }
 
-guint aub_membership_rank(const struct aub_membership *membership,
-			  aub_member_filter *same, void *context, gint64 now_us)
+guint aubi_membership_rank(const struct aubi_membership *membership,
+			   aubi_member_filter *same, void *context,
+			   gint64 now_us)
 {
 	const struct aub_member *self = membership->self->member;
 	guint rank = 0;
 	guint i;
 
 	for (i = 0; i < membership->records->len; i++) {
-		const struct aub_member_record *record =
+		const struct aubi_member_record *record =
 			membership->records->pdata[i];
 
 		if (!is_live(membership, record, now_us))
--- a/src/coordination/ownership.c
+++ b/src/coordination/ownership.c
@@ -251,7 +251,7 @@
 
 /* Move one service from the fullest to the emptiest of its region. */
 static void move_one(const struct placement *placement,
-		     struct aub_assignments *proposal)
+		     struct aubi_assignments *proposal)
 {
 	struct aub_assignment *best_line = NULL;
 	struct candidate *best = NULL;
@@ -296,8 +296,8 @@
 	       a->standby_incarnation == b->standby_incarnation;
 }
 
-static bool differs(const struct aub_assignments *current,
-		    const struct aub_assignments *proposal)
+static bool differs(const struct aubi_assignments *current,
+		    const struct aubi_assignments *proposal)
 {
 	guint i;
 
@@ -306,7 +306,7 @@
 	for (i = 0; i < proposal->lines->len; i++) {
 		const struct aub_assignment *line = proposal->lines->pdata[i];
 
-		if (!same_line(aub_assignments_find(current, line->service),
+		if (!same_line(aubi_assignments_find(current, line->service),
 			       line))
 			return true;
 	}
@@ -314,15 +314,15 @@
 }
 
 /* Lines that change get the epoch after the current one, at the least. */
-static void raise_epochs(const struct aub_assignments *current,
-			 struct aub_assignments *proposal)
+static void raise_epochs(const struct aubi_assignments *current,
+			 struct aubi_assignments *proposal)
 {
 	guint i;
 
 	for (i = 0; i < proposal->lines->len; i++) {
 		struct aub_assignment *line = proposal->lines->pdata[i];
 
-		if (!same_line(aub_assignments_find(current, line->service),
+		if (!same_line(aubi_assignments_find(current, line->service),
 			       line))
 			line->epoch = current->epoch + 1;
 	}
@@ -336,12 +336,12 @@
 	return strcmp(left->service, right->service);
 }
 
-struct aub_assignments *aub_ownership_propose(
-	const struct aub_assignments *current,
+struct aubi_assignments *aubi_ownership_propose(
+	const struct aubi_assignments *current,
 	const struct aub_inventory *inventory, const GPtrArray *leaving,
 	const GPtrArray *members, bool rebalance)
 {
-	struct aub_assignments *proposal = aub_assignments_new();
+	struct aubi_assignments *proposal = aubi_assignments_new();
 	struct placement placement = { .inventory = inventory };
 	guint i;
 
@@ -353,7 +353,7 @@
 		const struct aub_assignment *old;
 		struct aub_assignment *line;
 
-		old = aub_assignments_find(current, name);
+		old = aubi_assignments_find(current, name);
 		line = old ? aub_assignment_copy(old) : aub_assignment_new();
 		aub_string_set(&line->service, name);
 		g_ptr_array_add(proposal->lines, line);
@@ -364,7 +364,7 @@
 	 * lines still say whom a stand-by stands by for.
 	 */
 	if (!placement.candidates->len) {
-		aub_assignments_free(proposal);
+		aubi_assignments_free(proposal);
 		g_array_unref(placement.candidates);
 		return NULL;
 	}
@@ -376,14 +376,14 @@
 		move_one(&placement, proposal);
 	g_array_unref(placement.candidates);
 	if (!differs(current, proposal)) {
-		aub_assignments_free(proposal);
+		aubi_assignments_free(proposal);
 		return NULL;
 	}
 	raise_epochs(current, proposal);
 	return proposal;
 }
 
-bool aub_ownership_turn(guint rank, gint64 needed_us, gint64 now_us)
+bool aubi_ownership_turn(guint rank, gint64 needed_us, gint64 now_us)
 {
 	return needed_us && now_us - needed_us >= rank * TURN_STEP_US;
 }
