Carry gossip's numbers and ages; let a view name the ack it follows

Cause: a view that waited in a socket while its entry was paused would give the entry leave to serve by an old configuration when it wakes. Change: VIEW_ACK carries the entry's clock, VIEW echoes the last one read; serve_ms counts from it. Gossip and member fields of the same kind go on the wire.

--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -116,6 +116,7 @@
 	GPtrArray *members; /* of struct aub_member */
 	bool serve; /* false: freshness can't be confirmed, no new work */
 	guint32 serve_ms; /* how long this permission holds, unrenewed */
+	guint64 echo; /* `number` of the last VIEW_ACK read before this */
 };
 
 struct aub_view_ack {
@@ -125,6 +126,9 @@
 	guint32 load_permille;
 	bool stopping; /* the entry began a planned stop */
 	guint64 heir; /* that took its keys, 0 for none yet */
+	guint64 number; /* entry's clock, ms. serve_ms counts from this one:
+			   a view that waited in a buffer while the entry was
+			   paused then gives no permission */
 };
 
 struct aub_gossip {
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -12,6 +12,7 @@
 #define PATH_LIMIT 8192
 #define HEADER_LIMIT 16384
 #define HEADERS_LIMIT 256 /* headers a message */
+#define AGES_LIMIT (6 * MEMBERS_LIMIT) /* bytes */
 #define MEMBERS_LIMIT 1024
 #define SERVICES_LIMIT 4096
 #define KEYS_LIMIT 4096 /* keys a part */
@@ -65,6 +66,7 @@
 	NUMBER32(aub_member, age_ms),
 	NUMBER(aub_member, config_version),
 	NUMBER32(aub_member, load_permille),
+	NUMBER(aub_member, revision),
 	END,
 };
 
@@ -122,6 +124,7 @@
 	LIST(aub_view, members, MEMBERS_LIMIT, &aubi_member_layout),
 	FLAG(aub_view, serve),
 	NUMBER32(aub_view, serve_ms),
+	NUMBER(aub_view, echo),
 	END,
 };
 
@@ -131,6 +134,7 @@
 	NUMBER32(aub_view_ack, load_permille),
 	FLAG(aub_view_ack, stopping),
 	NUMBER(aub_view_ack, heir),
+	NUMBER(aub_view_ack, number),
 	END,
 };
 
@@ -140,6 +144,11 @@
 	FLAG(aub_gossip, store_reachable),
 	NUMBER32(aub_gossip, fresh_ms),
 	LIST(aub_gossip, members, MEMBERS_LIMIT, &aubi_member_layout),
+	NUMBER(aub_gossip, number),
+	NUMBER(aub_gossip, echo),
+	NUMBER(aub_gossip, roster),
+	NUMBER32(aub_gossip, known),
+	BYTES(aub_gossip, ages, AGES_LIMIT),
 	END,
 };
 
