--- /dev/null
+++ b/include/auburnstile/internal/control.h
@@ -0,0 +1,160 @@
+/*
+ * The control of one VM: tasks that own their sockets and their state, and
+ * the hub through which they tell each other what came in.
+ *
+ *   control.c          hub: what is held, the tick, the planned stop
+ *   control_peers.c    gossip and configuration to and from other controls
+ *   control_store.c    watches the store, proposes assignments
+ *   control_entry.c    views to the local entry, its acknowledgements
+ *   control_book.c     configurations seen lately
+ *   control_apply.c    operators' changes
+ *   control_admin.c    operators' questions
+ *
+ * All tasks run on one thread's default main context.
+ */
+#ifndef AUBURNSTILE_INTERNAL_CONTROL_H
+#define AUBURNSTILE_INTERNAL_CONTROL_H
+
+#include <auburnstile/admin.h>
+#include <auburnstile/config.h>
+#include <auburnstile/event.h>
+#include <auburnstile/internal/agreement.h>
+#include <auburnstile/internal/ownership.h>
+#include <auburnstile/link.h>
+#include <auburnstile/metrics.h>
+#include <auburnstile/store_client.h>
+#include <auburnstile/timer.h>
+
+G_BEGIN_DECLS
+
+/* As read from settings; borrowed while the control runs. */
+struct aubi_control_settings {
+	char *name;
+	char *zone;
+	char *inner;
+	char *admin;
+	char **peers;
+	char *store;
+	char *token_file;
+	char *log_level;
+	bool log_json;
+	gint64 stop_ms;
+	gint64 event_capacity;
+	gint64 seed; /* 0: from the clock */
+};
+
+struct aubi_peers;
+struct aubi_store_task;
+struct aubi_entry_task;
+struct aubi_book;
+struct aubi_applies;
+
+struct aubi_control {
+	const struct aubi_control_settings *settings;
+	guint64 incarnation;
+	struct aub_timer_service *timers;
+	struct aub_metrics *metrics;
+	struct aub_event_ring *events;
+	struct aub_admin *admin;
+	struct aubi_membership *membership;
+	struct aubi_agreement agreement;
+	struct aubi_book *book; /* configurations seen */
+	struct aub_inventory *inventory; /* of the one held; NULL for none */
+	struct aubi_assignments *assignments; /* held; epoch 0 for none */
+	struct aubi_peers *peers;
+	struct aubi_store_task *store;
+	struct aubi_entry_task *entry;
+	struct aubi_applies *applies;
+	bool store_reachable;
+	bool leaving; /* planned stop */
+	bool finished; /* the planned stop is done */
+	gint64 leave_by_us;
+	gint64 stopped_us; /* when STOPPED was told to peers; 0 before */
+	guint series_messages;
+	guint series_exchanges;
+	guint series_silent;
+	guint series_proposals;
+};
+
+struct aubi_control *aubi_control_new(
+	const struct aubi_control_settings *settings, GError **error);
+void aubi_control_free(struct aubi_control *control);
+
+/* Begin the planned stop; `finished` is set when it is done. */
+void aubi_control_leave(struct aubi_control *control);
+
+/*
+ * Something newer came from `source` ("store", a peer's name). True if it
+ * was taken. What doesn't parse is refused and logged.
+ */
+bool aubi_control_take_config(struct aubi_control *control, const char *json,
+			      gsize length, guint64 version,
+			      const char *source);
+bool aubi_control_take_assignments(struct aubi_control *control,
+				   const char *json, gsize length,
+				   guint64 version, const char *source);
+
+/* Members, or the own record, changed: ownership and view follow. */
+void aubi_control_members_changed(struct aubi_control *control);
+
+/* The store answered, or failed to (`error`). */
+void aubi_control_store_heard(struct aubi_control *control,
+			      const GError *error);
+
+/* The own region, "" for unknown; borrowed. */
+const char *aubi_control_region(const struct aubi_control *control,
+				const char *zone);
+guint aubi_control_rank(const struct aubi_control *control, bool in_region,
+			gint64 now_us);
+bool aubi_control_owns_any(const struct aubi_control *control);
+
+/* control_book.c: the configurations seen lately, the held one last. */
+struct aubi_book *aubi_book_new(void);
+void aubi_book_free(struct aubi_book *book);
+void aubi_book_add(struct aubi_book *book, struct aub_config *config,
+		   const char *json, gsize length); /* takes config over */
+const struct aub_config *aubi_book_held(const struct aubi_book *book);
+const struct aub_config *aubi_book_find(const struct aubi_book *book,
+					guint64 version);
+const char *aubi_book_json(const struct aubi_book *book, gsize *length);
+
+/* control_peers.c */
+struct aubi_peers *aubi_peers_new(struct aubi_control *control,
+				  GError **error);
+void aubi_peers_free(struct aubi_peers *peers);
+/* Exchange with a few peers now: there is news. Bounded in rate. */
+void aubi_peers_hurry(struct aubi_peers *peers);
+void aubi_peers_hello(const struct aubi_control *control,
+		      struct aub_hello *hello);
+
+/* control_store.c */
+struct aubi_store_task *aubi_store_task_new(struct aubi_control *control);
+void aubi_store_task_free(struct aubi_store_task *task);
+void aubi_store_task_tick(struct aubi_store_task *task, gint64 now_us);
+void aubi_store_task_members_changed(struct aubi_store_task *task);
+struct aub_store_client *aubi_store_task_client(struct aubi_store_task *task);
+
+/* control_entry.c. The link is taken over. */
+struct aubi_entry_task *aubi_entry_task_new(struct aubi_control *control);
+void aubi_entry_task_free(struct aubi_entry_task *task);
+const struct aub_link_callbacks *aubi_entry_task_callbacks(void);
+bool aubi_entry_task_accept(struct aubi_entry_task *task,
+			    struct aub_link *link,
+			    const struct aub_hello *hello);
+void aubi_entry_task_changed(struct aubi_entry_task *task);
+void aubi_entry_task_tick(struct aubi_entry_task *task, gint64 now_us);
+bool aubi_entry_task_connected(const struct aubi_entry_task *task);
+
+/* control_apply.c and control_admin.c */
+struct aubi_applies *aubi_applies_new(struct aubi_control *control);
+void aubi_applies_free(struct aubi_applies *applies);
+void aubi_applies_tick(struct aubi_applies *applies, gint64 now_us);
+void aubi_admin_install(struct aubi_control *control);
+
+/* control_metrics.c */
+void aubi_control_metrics_register(struct aubi_control *control);
+void aubi_control_metrics_refresh(struct aubi_control *control, gint64 now_us);
+
+G_END_DECLS
+
+#endif
