--- a/include/auburnstile/internal/control.h
+++ b/include/auburnstile/internal/control.h
@@ -119,8 +119,7 @@
 const char *aubi_book_json(const struct aubi_book *book, gsize *length);
 
 /* control_peers.c */
-struct aubi_peers *aubi_peers_new(struct aubi_control *control,
-				  GError **error);
+struct aubi_peers *aubi_peers_new(struct aubi_control *control, GError **error);
 void aubi_peers_free(struct aubi_peers *peers);
 /* Exchange with a few peers now: there is news. Bounded in rate. */
 void aubi_peers_hurry(struct aubi_peers *peers);
@@ -138,8 +137,7 @@
 struct aubi_entry_task *aubi_entry_task_new(struct aubi_control *control);
 void aubi_entry_task_free(struct aubi_entry_task *task);
 const struct aub_link_callbacks *aubi_entry_task_callbacks(void);
-bool aubi_entry_task_accept(struct aubi_entry_task *task,
-			    struct aub_link *link,
+bool aubi_entry_task_accept(struct aubi_entry_task *task, struct aub_link *link,
 			    const struct aub_hello *hello);
 void aubi_entry_task_changed(struct aubi_entry_task *task);
 void aubi_entry_task_tick(struct aubi_entry_task *task, gint64 now_us);
--- a/include/auburnstile/internal/membership.h
+++ b/include/auburnstile/internal/membership.h
@@ -27,8 +27,7 @@
 
 #define AUBI_MEMBER_LIVE_US ((gint64)3000000) /* unheard of: dead */
 #define AUBI_MEMBER_EXPIRE_US ((gint64)900000000) /* dead: forgotten */
-#define AUBI_MEMBER_STOPPED_US ((gint64)3900000000) /* longer than keys live \
-						     */
+#define AUBI_MEMBER_STOPPED_US ((gint64)3900000000) /* past keys */
 #define AUBI_GOSSIP_US ((gint64)333000) /* between exchanges */
 #define AUBI_MEMBER_NEVER G_MAXINT64 /* an age that is not known */
 
--- a/src/coordination/control_book.c
+++ b/src/coordination/control_book.c
@@ -16,8 +16,8 @@
 {
 	struct aubi_book *book = g_new0(struct aubi_book, 1);
 
-	book->configs = g_ptr_array_new_with_free_func(
-		(GDestroyNotify)aub_config_free);
+	book->configs =
+		g_ptr_array_new_with_free_func((GDestroyNotify)aub_config_free);
 	return book;
 }
 
--- a/src/coordination/control_peers.c
+++ b/src/coordination/control_peers.c
@@ -146,8 +146,8 @@
 
 	if (heard->echo)
 		peer->asked_us = 0;
-	changed = aubi_membership_hear(control->membership, from, heard,
-				       now_us);
+	changed =
+		aubi_membership_hear(control->membership, from, heard, now_us);
 	aubi_agreement_relayed(&control->agreement, heard, now_us);
 	if (aubi_membership_answer(control->membership, heard, answer, now_us))
 		peer_send(peer, &answer->base);
@@ -364,8 +364,8 @@
 	struct aub_hello *hello;
 
 	task->control = control;
-	task->outward = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					      peer_free);
+	task->outward =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
 	task->inward = g_hash_table_new_full(NULL, NULL, peer_free, NULL);
 	hello = (struct aub_hello *)aub_message_new(AUB_MESSAGE_HELLO);
 	aubi_peers_hello(control, hello);
@@ -376,9 +376,9 @@
 		aubi_peers_free(task);
 		return NULL;
 	}
-	task->gossip_timer = aub_timer_every(control->timers, "gossip",
-					     AUBI_GOSSIP_US, on_gossip_due,
-					     task);
+	task->gossip_timer =
+		aub_timer_every(control->timers, "gossip", AUBI_GOSSIP_US,
+				on_gossip_due, task);
 	return task;
 }
 
