Listen for metrics, health, events and operators

Cause: every process needs a listener of its own for operators; the control's API changes the fleet and has to be closed to all others. Ruled out: answering all kept events at once: it would hold the thread, and a caller's request with it; a reader asks again from the last sequence.

--- a/include/auburnstile/admin.h
+++ b/include/auburnstile/admin.h
@@ -58,6 +58,18 @@
 /* {"error": {"code", "step", "peer", "message"}} with a fitting status. */
 void aub_admin_fail(struct aub_admin_request *request, const GError *error);
 
+/* The port listened on: of use where the address named port 0. */
+guint aub_admin_port(const struct aub_admin *admin);
+
+/*
+ * Read the token file again (on SIGHUP). False leaves the old token in
+ * force.
+ */
+bool aub_admin_reload(struct aub_admin *admin, GError **error);
+
+/* Largest body of a request in bytes; a larger one gets 413. */
+#define AUB_ADMIN_BODY_LIMIT (2u << 20)
+
 G_END_DECLS
 
 #endif
--- a/include/auburnstile/internal/json.h
+++ b/include/auburnstile/internal/json.h
@@ -35,6 +35,12 @@
 /* Element of an array as an object; NULL where it is something else. */
 JsonObject *aub_json_element(JsonArray *array, guint index);
 
+/*
+ * Append a quoted string: for lists too long to be built as objects. Bytes
+ * that are no UTF-8 are replaced.
+ */
+void aub_json_append_string(GString *out, const char *text);
+
 G_END_DECLS
 
 #endif
--- a/src/protocol/json.c
+++ b/src/protocol/json.c
@@ -143,3 +143,20 @@
 		       json_node_get_object(node) :
 		       NULL;
 }
+
+void aub_json_append_string(GString *out, const char *text)
+{
+	char *valid = g_utf8_make_valid(text, -1);
+
+	g_string_append_c(out, '"');
+	for (const char *c = valid; *c; c++) {
+		if (*c == '"' || *c == '\\')
+			g_string_append_c(out, '\\');
+		if ((guchar)*c < 0x20)
+			g_string_append_printf(out, "\\u%04x", (guint)*c);
+		else
+			g_string_append_c(out, *c);
+	}
+	g_string_append_c(out, '"');
+	g_free(valid);
+}
--- /dev/null
+++ b/src/transport/token.c
@@ -0,0 +1,65 @@
+/*
+ * The operators' token.
+ */
+#include <auburnstile/error.h>
+#include <auburnstile/internal/token.h>
+
+#include <string.h>
+
+char *aub_token_read(const char *file, GError **error)
+{
+	GError *problem = NULL;
+	char *text = NULL;
+
+	if (!g_file_get_contents(file, &text, NULL, &problem)) {
+		aub_error_set(error, AUB_ERROR_INVALID, "read token", file,
+			      "%s", problem->message);
+		g_error_free(problem);
+		return NULL;
+	}
+	text[strcspn(text, "\r\n")] = '\0';
+	g_strstrip(text);
+	if (strlen(text) < AUB_TOKEN_MINIMUM) {
+		aub_error_set(error, AUB_ERROR_INVALID, "read token", file,
+			      "must have at least %d characters in its first "
+			      "line",
+			      AUB_TOKEN_MINIMUM);
+		g_free(text);
+		return NULL;
+	}
+	return text;
+}
+
+char *aub_token_digest(const char *token)
+{
+	return g_compute_checksum_for_string(G_CHECKSUM_SHA256, token, -1);
+}
+
+/*
+ * A comparison that stops at the first difference lets a stranger guess the
+ * token byte by byte from the time an answer takes. Digests of one length
+ * are compared to their end: time depends on neither token.
+ */
+static bool same(const char *left, const char *right, gsize length)
+{
+	volatile guchar difference = 0;
+
+	for (gsize i = 0; i < length; i++)
+		difference |= (guchar)(left[i] ^ right[i]);
+	return difference == 0;
+}
+
+bool aub_token_matches(const char *digest, const char *header)
+{
+	static const char scheme[] = "Bearer ";
+	char *given;
+	bool good;
+
+	if (!digest || !header || !g_str_has_prefix(header, scheme))
+		return false;
+	given = aub_token_digest(header + strlen(scheme));
+	good = strlen(digest) == strlen(given) &&
+	       same(digest, given, strlen(given));
+	g_free(given);
+	return good;
+}
