--- a/tests/test_inventory.cc
+++ b/tests/test_inventory.cc
@@ -281,3 +281,29 @@
 	printf("parsed %zu bytes in %ld us\n", text.size(), (long)took);
 	aub_inventory_unref(it);
 }
+
+TEST(Inventory, ExamplesHaveTheSizesOfToday)
+{
+	const struct {
+		const char *file;
+		guint zones;
+		guint upstreams;
+		guint slots;
+	} examples[] = { { "examples/nidito.toml", 3, 28, 2 },
+			 { "examples/cedarline.toml", 4, 36, 6 } };
+
+	for (const auto &example : examples) {
+		char *text = nullptr;
+		std::string why;
+
+		ASSERT_TRUE(g_file_get_contents(example.file, &text, nullptr,
+						nullptr));
+		struct aub_inventory *it = parse(text, &why);
+		g_free(text);
+		ASSERT_NE(it, nullptr) << why;
+		EXPECT_EQ(it->zones->len, example.zones);
+		EXPECT_EQ(it->upstreams->len, example.upstreams);
+		EXPECT_EQ(aub_upstream_at(it, 0)->slots, example.slots);
+		aub_inventory_unref(it);
+	}
+}
