Add the callers' load that checks every answer

Change: tools/load (arrivals, lookups, a request's life, the comparison) and tools/caller-load around it.

--- /dev/null
+++ b/tools/caller-load.c
@@ -0,0 +1,171 @@
+/*
+ * Callers' load from the command line: see load/load.h for what it does.
+ * Ends with 0 when no answer was wrong.
+ */
+#include "common/tool.h"
+#include "load/load.h"
+
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+struct program {
+	struct load_options options;
+	GPtrArray *entries; /* of char *, NULL at its end once parsed */
+	GArray *services; /* of struct load_service */
+	const char *out;
+};
+
+/* NAME:/PATH:WEIGHT[:keyed]; strings live as long as the program. */
+static bool add_service(struct program *program, const char *text)
+{
+	char **parts = g_strsplit(text, ":", 4);
+	guint count = g_strv_length(parts);
+	struct load_service service = { 0 };
+
+	if (count >= 3) {
+		service.name = g_intern_string(parts[0]);
+		service.path = g_intern_string(parts[1]);
+		service.weight = strtoul(parts[2], NULL, 10);
+		service.keyed = count == 4 && !strcmp(parts[3], "keyed");
+		g_array_append_val(program->services, service);
+	}
+	g_strfreev(parts);
+	return service.weight > 0;
+}
+
+static const struct argp_option option_table[] = {
+	{ "entry", 'e', "IP:PORT", 0, "an entry to ask (repeatable)", 0 },
+	{ "service", 's', "NAME:/PATH:WEIGHT[:keyed]", 0, "what to send", 0 },
+	{ "rate", 'r', "N", 0, "arrivals a second", 0 },
+	{ "seconds", 't', "N", 0, "length of the load", 0 },
+	{ "requests", 'n', "N", 0, "number of requests", 0 },
+	{ "connections", 'c', "N", 0, "to one entry at most", 0 },
+	{ "callers", 'k', "N", 0, "that keep their own addresses", 0 },
+	{ "deadline-ms", 'd', "N", 0, "of a request with its repeats", 0 },
+	{ "try-ms", 'y', "N", 0, "of one try", 0 },
+	{ "no-repeat", 'R', NULL, 0, "the first thing told is final", 0 },
+	{ "body-bytes", 'b', "N", 0, "of a keyed request", 0 },
+	{ "seed", 'S', "N", 0, "of arrivals and of the mix", 0 },
+	{ "prefix", 'p', "TEXT", 0, "of nonces", 0 },
+	{ "out", 'o', "FILE", 0, "result as JSON (default: stdout)", 0 },
+	{ 0 }
+};
+
+static error_t parse_option(int key, char *argument, struct argp_state *state)
+{
+	struct program *program = state->input;
+	struct load_options *options = &program->options;
+
+	switch (key) {
+	case 'e':
+		g_ptr_array_add(program->entries, argument);
+		break;
+	case 's':
+		if (!add_service(program, argument))
+			argp_error(state, "bad --service %s", argument);
+		break;
+	case 'r':
+		options->rate = g_ascii_strtod(argument, NULL);
+		break;
+	case 't':
+		options->seconds = g_ascii_strtod(argument, NULL);
+		break;
+	case 'n':
+		options->requests = strtoul(argument, NULL, 10);
+		break;
+	case 'c':
+		options->connections = strtoul(argument, NULL, 10);
+		break;
+	case 'k':
+		options->callers = strtoul(argument, NULL, 10);
+		break;
+	case 'd':
+		options->deadline_ms = strtoul(argument, NULL, 10);
+		break;
+	case 'y':
+		options->try_ms = strtoul(argument, NULL, 10);
+		break;
+	case 'R':
+		options->repeat = false;
+		break;
+	case 'b':
+		options->body_bytes = strtoul(argument, NULL, 10);
+		break;
+	case 'S':
+		options->seed = strtoul(argument, NULL, 10);
+		break;
+	case 'p':
+		options->prefix = argument;
+		break;
+	case 'o':
+		program->out = argument;
+		break;
+	case ARGP_KEY_END:
+		if (!program->entries->len || !program->services->len)
+			argp_error(state, "needs --entry and --service");
+		if (options->rate <= 0 ||
+		    (!options->requests && options->seconds <= 0))
+			argp_error(state, "needs --rate and a length");
+		break;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+	return 0;
+}
+
+static const struct argp parser = {
+	.options = option_table,
+	.parser = parse_option,
+	.doc = "Callers' load that checks every answer.",
+};
+
+static bool write_result(const struct program *program, struct load *load)
+{
+	char *text = tool_json_text(load_result(load));
+	GError *error = NULL;
+	bool ok = true;
+
+	if (program->out)
+		ok = g_file_set_contents(program->out, text, -1, &error);
+	else
+		puts(text);
+	if (!ok) {
+		fprintf(stderr, "caller-load: %s\n", error->message);
+		g_error_free(error);
+	}
+	g_free(text);
+	return ok;
+}
+
+int main(int argc, char **argv)
+{
+	struct program program = {
+		.options = { .rate = 100,
+			     .callers = 8,
+			     .deadline_ms = 5000,
+			     .repeat = true,
+			     .seed = 1 },
+		.entries = g_ptr_array_new(),
+		.services =
+			g_array_new(FALSE, TRUE, sizeof(struct load_service)),
+	};
+	struct load_figures figures;
+	struct load *load;
+	bool ok;
+
+	argp_parse(&parser, argc, argv, 0, NULL, &program);
+	g_ptr_array_add(program.entries, NULL);
+	program.options.entries = (const char *const *)program.entries->pdata;
+	program.options.services =
+		(const struct load_service *)program.services->data;
+	program.options.service_count = program.services->len;
+	load = load_new(&program.options);
+	load_run(load);
+	load_get_figures(load, &figures);
+	ok = write_result(&program, load);
+	load_free(load);
+	g_ptr_array_unref(program.entries);
+	g_array_unref(program.services);
+	return ok && !figures.told[LOAD_WRONG] ? 0 : 1;
+}
--- /dev/null
+++ b/tools/load/load.c
@@ -0,0 +1,285 @@
+/*
+ * Arrivals, figures, and the comparison with what upstreams ran; see load.h.
+ */
+#include "load/load_internal.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+static const char *const told_names[LOAD_TOLD_COUNT] = {
+	[LOAD_OPEN] = "open",	    [LOAD_RUN] = "run",
+	[LOAD_NOT_RUN] = "not-run", [LOAD_UNKNOWN] = "unknown",
+	[LOAD_ERROR] = "error",	    [LOAD_WRONG] = "wrong",
+};
+
+const char *load_told_name(enum load_told told)
+{
+	return told_names[told];
+}
+
+const GPtrArray *load_requests(const struct load *load)
+{
+	return load->requests;
+}
+
+static void free_caller(void *data)
+{
+	struct load_caller *caller = data;
+	guint i;
+
+	for (i = 0; i < caller->load->options.service_count; i++)
+		load_lookup_clear(&caller->lookups[i]);
+	g_free(caller->lookups);
+	g_free(caller);
+}
+
+static struct load_caller *make_caller(struct load *load, guint number)
+{
+	struct load_caller *caller = g_new0(struct load_caller, 1);
+	guint count = load->options.service_count;
+	guint i;
+
+	caller->load = load;
+	caller->lookups = g_new0(struct load_lookup, count);
+	for (i = 0; i < count; i++)
+		load_lookup_init(&caller->lookups[i], caller,
+				 &load->options.services[i], number + i);
+	return caller;
+}
+
+struct load *load_new(const struct load_options *options)
+{
+	struct load *load = g_new0(struct load, 1);
+	guint connections = options->connections ? options->connections : 64;
+	guint i;
+
+	load->options = *options;
+	load->options.callers = MAX(options->callers, 1);
+	load->timers = aub_timer_service_new(NULL);
+	load->session =
+		soup_session_new_with_options("max-conns", 4096,
+					      "max-conns-per-host", connections,
+					      "idle-timeout", 60, "timeout", 0,
+					      NULL);
+	load->random = g_rand_new_with_seed(options->seed);
+	load->requests = g_ptr_array_new_with_free_func(load_request_free);
+	load->callers = g_ptr_array_new_with_free_func(free_caller);
+	load->samples = g_ptr_array_new_with_free_func(g_free);
+	for (i = 0; i < options->service_count; i++)
+		load->total_weight += options->services[i].weight;
+	for (i = 0; i < load->options.callers; i++)
+		g_ptr_array_add(load->callers, make_caller(load, i));
+	return load;
+}
+
+void load_free(struct load *load)
+{
+	guint i;
+
+	aub_timer_cancel(load->timers, load->arrival);
+	soup_session_abort(load->session);
+	/* Cancelled calls end in the main loop and look at their owners. */
+	for (i = 0; i < 1000 && g_main_context_iteration(NULL, FALSE); i++)
+		;
+	g_ptr_array_unref(load->requests);
+	g_ptr_array_unref(load->callers);
+	g_ptr_array_unref(load->samples);
+	g_object_unref(load->session);
+	g_rand_free(load->random);
+	aub_timer_service_free(load->timers);
+	g_free(load);
+}
+
+static void schedule_arrival(struct load *load);
+
+static bool arrivals_over(const struct load *load)
+{
+	const struct load_options *options = &load->options;
+
+	if (options->requests && load->requests->len >= options->requests)
+		return true;
+	return options->seconds > 0 &&
+	       load->next_us - load->started_us >= options->seconds * 1e6;
+}
+
+static void on_arrival(void *context, gint64 now_us)
+{
+	struct load *load = context;
+	struct load_request *request;
+
+	load->arrival = 0;
+	request = load_request_new(load, load->requests->len);
+	g_ptr_array_add(load->requests, request);
+	load->open++;
+	load_request_start(request);
+	schedule_arrival(load);
+}
+
+/* Exponential gaps: arrivals don't wait for answers. */
+static void schedule_arrival(struct load *load)
+{
+	double gap_s =
+		-log(1 - g_rand_double(load->random)) / load->options.rate;
+
+	load->next_us += (gint64)(gap_s * 1e6);
+	if (arrivals_over(load))
+		return;
+	load->arrival = aub_timer_at(load->timers, "arrival", load->next_us,
+				     on_arrival, load);
+}
+
+void load_start(struct load *load)
+{
+	load->started_us = g_get_monotonic_time();
+	load->next_us = load->started_us;
+	schedule_arrival(load);
+}
+
+void load_stop_arrivals(struct load *load)
+{
+	aub_timer_cancel(load->timers, load->arrival);
+	load->arrival = 0;
+}
+
+bool load_done(const struct load *load)
+{
+	return !load->arrival && !load->open;
+}
+
+void load_run(struct load *load)
+{
+	load_start(load);
+	while (!load_done(load))
+		g_main_context_iteration(NULL, TRUE);
+}
+
+static int compare_times(const void *a, const void *b)
+{
+	gint64 one = *(const gint64 *)a;
+	gint64 two = *(const gint64 *)b;
+
+	return (one > two) - (one < two);
+}
+
+static double quantile_ms(const GArray *sorted, double quantile)
+{
+	guint index;
+
+	if (!sorted->len)
+		return 0;
+	index = MIN((guint)(quantile * sorted->len), sorted->len - 1);
+	return g_array_index(sorted, gint64, index) / 1000.0;
+}
+
+void load_get_figures(const struct load *load, struct load_figures *figures)
+{
+	GArray *times = g_array_new(FALSE, FALSE, sizeof(gint64));
+	const struct load_request *request;
+	guint i;
+
+	*figures = (struct load_figures){ .requests = load->requests->len,
+					  .repeats = load->repeats };
+	for (i = 0; i < load->requests->len; i++) {
+		request = load->requests->pdata[i];
+		figures->told[request->told]++;
+		if (request->told != LOAD_RUN)
+			continue;
+		figures->failed += request->status >= 500;
+		g_array_append_val(times, request->latency_us);
+	}
+	g_array_sort(times, compare_times);
+	figures->p50_ms = quantile_ms(times, 0.5);
+	figures->p99_ms = quantile_ms(times, 0.99);
+	figures->p999_ms = quantile_ms(times, 0.999);
+	figures->max_ms = quantile_ms(times, 1);
+	g_array_unref(times);
+}
+
+static void compare_one(const struct load_request *request, JsonArray *runs,
+			struct load_verdict *verdict)
+{
+	gint64 started = runs ? json_array_get_int_element(runs, 0) : 0;
+	gint64 completed = runs ? json_array_get_int_element(runs, 1) : 0;
+
+	verdict->twice += request->service->keyed && started > 1;
+	verdict->false_not_run += request->told == LOAD_NOT_RUN && started;
+	verdict->false_run += request->told == LOAD_RUN &&
+			      request->status < 500 && !completed;
+	verdict->unknown_not_started +=
+		request->told == LOAD_UNKNOWN && !started;
+}
+
+void load_compare(const struct load *load, JsonObject *nonces,
+		  struct load_verdict *verdict)
+{
+	const struct load_request *request;
+	JsonArray *runs;
+	guint i;
+
+	*verdict = (struct load_verdict){ 0 };
+	for (i = 0; i < load->requests->len; i++) {
+		request = load->requests->pdata[i];
+		runs = NULL;
+		if (json_object_has_member(nonces, request->nonce))
+			runs = json_object_get_array_member(nonces,
+							    request->nonce);
+		compare_one(request, runs, verdict);
+	}
+}
+
+static void add_number(JsonBuilder *builder, const char *name, double value)
+{
+	json_builder_set_member_name(builder, name);
+	if (value == floor(value))
+		json_builder_add_int_value(builder, (gint64)value);
+	else
+		json_builder_add_double_value(builder, value);
+}
+
+static void add_told(const struct load *load, JsonBuilder *builder)
+{
+	const struct load_request *request;
+	guint i;
+
+	json_builder_set_member_name(builder, "told");
+	json_builder_begin_object(builder);
+	for (i = 0; i < load->requests->len; i++) {
+		request = load->requests->pdata[i];
+		json_builder_set_member_name(builder, request->nonce);
+		json_builder_add_string_value(builder,
+					      told_names[request->told]);
+	}
+	json_builder_end_object(builder);
+	json_builder_set_member_name(builder, "samples");
+	json_builder_begin_array(builder);
+	for (i = 0; i < load->samples->len; i++)
+		json_builder_add_string_value(builder, load->samples->pdata[i]);
+	json_builder_end_array(builder);
+}
+
+JsonNode *load_result(const struct load *load)
+{
+	JsonBuilder *builder = json_builder_new();
+	struct load_figures figures;
+	JsonNode *root;
+
+	load_get_figures(load, &figures);
+	json_builder_begin_object(builder);
+	add_number(builder, "requests", figures.requests);
+	add_number(builder, "whole", figures.told[LOAD_RUN]);
+	add_number(builder, "wrong", figures.told[LOAD_WRONG]);
+	add_number(builder, "not_run", figures.told[LOAD_NOT_RUN]);
+	add_number(builder, "unknown", figures.told[LOAD_UNKNOWN]);
+	add_number(builder, "errors", figures.told[LOAD_ERROR]);
+	add_number(builder, "failed", figures.failed);
+	add_number(builder, "repeats", figures.repeats);
+	add_number(builder, "p50_ms", figures.p50_ms);
+	add_number(builder, "p99_ms", figures.p99_ms);
+	add_number(builder, "p999_ms", figures.p999_ms);
+	add_number(builder, "max_ms", figures.max_ms);
+	add_told(load, builder);
+	json_builder_end_object(builder);
+	root = json_builder_get_root(builder);
+	g_object_unref(builder);
+	return root;
+}
--- /dev/null
+++ b/tools/load/load_internal.h
@@ -0,0 +1,63 @@
+/* Inside the callers' load: see load.h. */
+#ifndef TOOL_LOAD_INTERNAL_H
+#define TOOL_LOAD_INTERNAL_H
+
+#include "load/load.h"
+
+G_BEGIN_DECLS
+
+struct load {
+	struct load_options options;
+	struct aub_timer_service *timers;
+	SoupSession *session;
+	GRand *random;
+	GPtrArray *requests; /* of struct load_request, owned */
+	GPtrArray *callers; /* of struct load_caller, owned */
+	GPtrArray *samples; /* of char *, what was wrong */
+	guint total_weight;
+	guint open;
+	guint repeats;
+	gint64 started_us;
+	gint64 next_us;
+	guint arrival; /* timer handle, 0 when arrivals ended */
+};
+
+/* Which addresses one caller uses for one service. */
+struct load_lookup {
+	struct load_caller *caller;
+	const struct load_service *service;
+	GPtrArray *addresses; /* of char *, owner first */
+	char *grant;
+	gint64 valid_until_us; /* 0: ask */
+	GPtrArray *waiting; /* of struct load_request, borrowed */
+	guint asked; /* rotates over those that can be asked */
+	bool asking;
+	guint timer; /* timer handle of the next attempt to ask */
+	guint ask_timer; /* timer handle that ends the one in flight */
+	GCancellable *cancellable;
+};
+
+struct load_caller {
+	struct load *load;
+	struct load_lookup *lookups; /* one a service */
+};
+
+void load_lookup_init(struct load_lookup *lookup, struct load_caller *caller,
+		      const struct load_service *service, guint first);
+void load_lookup_clear(struct load_lookup *lookup);
+struct load_lookup *load_lookup_of(const struct load_request *request);
+
+/* Calls load_request_send() now or when the addresses are known. */
+void load_lookup_wait(struct load_lookup *lookup, struct load_request *request);
+void load_lookup_forget(struct load_lookup *lookup,
+			struct load_request *request);
+void load_lookup_stale(struct load_lookup *lookup);
+
+struct load_request *load_request_new(struct load *load, guint number);
+void load_request_start(struct load_request *request);
+void load_request_send(struct load_request *request);
+void load_request_free(void *data);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/tools/load/request.c
@@ -0,0 +1,386 @@
+/*
+ * The life of one caller's request: tries, checks of the answer, repeats.
+ *
+ * A keyed request keeps its key over all tries, so that the system can tell
+ * a repeat. It is repeated when lost or unknown, in turn through the same
+ * entry and another one.
+ */
+#include "load/load_internal.h"
+
+#include <string.h>
+
+#define LOST_AGAIN_US (20 * AUB_MS) /* wait after a lost try */
+#define NOT_RUN_AGAIN_US (100 * AUB_MS) /* where the answer names no time */
+#define UNKNOWN_LIMIT 3 /* answers of "unknown" before it is believed */
+#define SAMPLE_LIMIT 10
+#define GRACE_US (300 * AUB_MS) /* for the system to say so itself */
+
+static const struct load_service *pick_service(struct load *load)
+{
+	const struct load_service *service = load->options.services;
+	guint turn = g_rand_int_range(load->random, 0, load->total_weight);
+
+	while (turn >= service->weight)
+		turn -= service++->weight;
+	return service;
+}
+
+static char *make_body(const struct load_request *request)
+{
+	GString *body = g_string_new(NULL);
+
+	g_string_printf(body, "reserve %s\n", request->nonce);
+	while (body->len < request->load->options.body_bytes)
+		g_string_append(body, "payload ");
+	return g_string_free(body, FALSE);
+}
+
+struct load_request *load_request_new(struct load *load, guint number)
+{
+	struct load_request *request = g_new0(struct load_request, 1);
+
+	request->load = load;
+	request->service = pick_service(load);
+	request->caller = load->callers->pdata[number % load->options.callers];
+	request->nonce =
+		g_strdup_printf("%s%c-%u-%u",
+				load->options.prefix ? load->options.prefix :
+						       "",
+				request->service->keyed ? 'k' : 'g',
+				load->options.seed, number);
+	if (request->service->keyed)
+		request->body = make_body(request);
+	request->arrived_us = g_get_monotonic_time();
+	request->deadline_us =
+		request->arrived_us + load->options.deadline_ms * AUB_MS;
+	return request;
+}
+
+void load_request_free(void *data)
+{
+	struct load_request *request = data;
+
+	if (request->cancellable)
+		g_cancellable_cancel(request->cancellable);
+	g_clear_object(&request->cancellable);
+	g_clear_object(&request->message);
+	aub_timer_cancel(request->load->timers, request->timer);
+	g_free(request->nonce);
+	g_free(request->key);
+	g_free(request->body);
+	g_free(request->entry);
+	g_free(request->reason);
+	g_free(request);
+}
+
+static void finish(struct load_request *request, enum load_told told)
+{
+	aub_timer_cancel(request->load->timers, request->timer);
+	request->timer = 0;
+	load_lookup_forget(load_lookup_of(request), request);
+	request->told = told;
+	request->latency_us = g_get_monotonic_time() - request->arrived_us;
+	request->load->open--;
+}
+
+static void finish_wrong(struct load_request *request, const char *why)
+{
+	GPtrArray *samples = request->load->samples;
+
+	if (samples->len < SAMPLE_LIMIT)
+		g_ptr_array_add(samples, g_strdup_printf("%s: %s (status %u)",
+							 request->nonce, why,
+							 request->status));
+	finish(request, LOAD_WRONG);
+}
+
+static void on_again(void *context, gint64 now_us)
+{
+	struct load_request *request = context;
+
+	request->timer = 0;
+	load_lookup_wait(load_lookup_of(request), request);
+}
+
+/* True when another try was scheduled before the deadline. */
+static bool again(struct load_request *request, gint64 delay_us)
+{
+	gint64 at_us = g_get_monotonic_time() + delay_us;
+
+	if (!request->load->options.repeat || at_us >= request->deadline_us)
+		return false;
+	request->load->repeats++;
+	request->timer = aub_timer_at(request->load->timers, "again", at_us,
+				      on_again, request);
+	return true;
+}
+
+static const char *response_header(SoupMessage *message, const char *name)
+{
+	return soup_message_headers_get_one(soup_message_get_response_headers(
+						    message),
+					    name);
+}
+
+static bool same_checksum(const char *expected, const void *data, gsize length)
+{
+	char *sum =
+		g_compute_checksum_for_data(G_CHECKSUM_SHA256, data, length);
+	bool same = expected && !strcmp(sum, expected);
+
+	g_free(sum);
+	return same;
+}
+
+/* NULL for a whole answer of its own, or what is wrong with it. */
+static const char *find_fault(const struct load_request *request,
+			      SoupMessage *message, GBytes *body)
+{
+	const char *nonce = response_header(message, "X-Nonce");
+	const char *sent = request->body ? request->body : "";
+	gsize length;
+	const char *data = g_bytes_get_data(body, &length);
+	char *line = g_strdup_printf("nonce=%s\n", request->nonce);
+	bool own = length >= strlen(line) && !memcmp(data, line, strlen(line));
+
+	g_free(line);
+	if (!nonce || strcmp(nonce, request->nonce) != 0)
+		return "another request's header";
+	if (!own)
+		return "another request's body";
+	if (!same_checksum(response_header(message, "X-Body-Sha256"), data,
+			   length))
+		return "body's checksum differs";
+	if (!same_checksum(response_header(message, "X-Request-Sha256"), sent,
+			   strlen(sent)))
+		return "the request's body arrived otherwise";
+	return NULL;
+}
+
+static void told_run(struct load_request *request, SoupMessage *message,
+		     GBytes *body)
+{
+	const char *fault = NULL;
+
+	if (request->status < 300)
+		fault = find_fault(request, message, body);
+	if (fault)
+		finish_wrong(request, fault);
+	else
+		finish(request, LOAD_RUN);
+}
+
+static gint64 retry_after_us(SoupMessage *message)
+{
+	const char *text =
+		response_header(message, "Auburnstile-Retry-After-Ms");
+
+	if (text)
+		return MAX(g_ascii_strtoll(text, NULL, 10), 1) * AUB_MS;
+	text = response_header(message, "Retry-After");
+	if (text)
+		return MAX(g_ascii_strtoll(text, NULL, 10), 1) * AUB_SECOND;
+	return NOT_RUN_AGAIN_US;
+}
+
+static void told_not_run(struct load_request *request, SoupMessage *message)
+{
+	bool final = request->status < 500 && request->status != 429;
+
+	if (!final && again(request, retry_after_us(message)))
+		return;
+	/* Of a GET whose earlier try was lost, this told of the last only. */
+	finish(request,
+	       request->doubt && !request->key ? LOAD_UNKNOWN : LOAD_NOT_RUN);
+}
+
+static void told_unknown(struct load_request *request)
+{
+	request->doubt = true;
+	if (++request->unknowns < UNKNOWN_LIMIT &&
+	    again(request, LOST_AGAIN_US))
+		return;
+	finish(request, LOAD_UNKNOWN);
+}
+
+static void lost(struct load_request *request, const GError *error)
+{
+	bool refused = g_error_matches(error, G_IO_ERROR,
+				       G_IO_ERROR_CONNECTION_REFUSED);
+
+	load_lookup_stale(load_lookup_of(request));
+	if (!refused)
+		request->doubt = true;
+	if (again(request, LOST_AGAIN_US))
+		return;
+	finish(request, LOAD_ERROR);
+}
+
+static void answered(struct load_request *request, SoupMessage *message,
+		     GBytes *body)
+{
+	const char *outcome = response_header(message, "Auburnstile-Outcome");
+
+	g_free(request->reason);
+	request->reason =
+		g_strdup(response_header(message, "Auburnstile-Reason"));
+	request->status = soup_message_get_status(message);
+	if (response_header(message, "Auburnstile-Addresses-Stale"))
+		load_lookup_stale(load_lookup_of(request));
+	if (!g_strcmp0(outcome, "run"))
+		told_run(request, message, body);
+	else if (!g_strcmp0(outcome, "not-run"))
+		told_not_run(request, message);
+	else if (!g_strcmp0(outcome, "unknown"))
+		told_unknown(request);
+	else
+		finish_wrong(request, "no outcome");
+}
+
+/* The cancellable tells whether the request still waits for this try. */
+struct
+try {
+	struct load_request *request;
+	GCancellable *cancellable; /* owned reference */
+	SoupMessage *message; /* owned reference */
+};
+
+static void on_try_done(GObject *source, GAsyncResult *result, gpointer data)
+{
+	struct try *try = data;
+	struct load_request *request = try->request;
+	GError *error = NULL;
+	GBytes *body = soup_session_send_and_read_finish(SOUP_SESSION(source),
+							 result, &error);
+
+	if (request->cancellable == try->cancellable) {
+		g_clear_object(&request->cancellable);
+		g_clear_object(&request->message);
+		aub_timer_cancel(request->load->timers, request->timer);
+		request->timer = 0;
+		if (error)
+			lost(request, error);
+		else
+			answered(request, try->message, body);
+	}
+	if (body)
+		g_bytes_unref(body);
+	g_clear_error(&error);
+	g_object_unref(try->message);
+	g_object_unref(try->cancellable);
+	g_free(try);
+}
+
+static void on_try_timeout(void *context, gint64 now_us)
+{
+	struct load_request *request = context;
+
+	request->timer = 0;
+	request->timed_out = true;
+	g_cancellable_cancel(request->cancellable);
+}
+
+/* Owner first; a repeat alternates between the last entry and the next. */
+static const char *pick_entry(const struct load_request *request)
+{
+	const GPtrArray *addresses = load_lookup_of(request)->addresses;
+	guint turn = request->doubt ? request->tries / 2 : 0;
+
+	return addresses->pdata[turn % addresses->len];
+}
+
+static void set_headers(struct load_request *request, gint64 left_us)
+{
+	SoupMessageHeaders *headers =
+		soup_message_get_request_headers(request->message);
+	char deadline[24];
+
+	g_snprintf(deadline, sizeof(deadline), "%" G_GINT64_FORMAT,
+		   left_us / AUB_MS);
+	soup_message_headers_replace(headers, "X-Nonce", request->nonce);
+	soup_message_headers_replace(headers, "Auburnstile-Deadline-Ms",
+				     deadline);
+	if (request->key)
+		soup_message_headers_replace(headers, "Auburnstile-Key",
+					     request->key);
+}
+
+static void make_message(struct load_request *request)
+{
+	char *url = g_strdup_printf("http://%s%s?n=%s", request->entry,
+				    request->service->path, request->nonce);
+	GBytes *body;
+
+	request->message =
+		soup_message_new(request->body ? "POST" : "GET", url);
+	if (request->body) {
+		body = g_bytes_new(request->body, strlen(request->body));
+		soup_message_set_request_body_from_bytes(request->message,
+							 "text/plain", body);
+		g_bytes_unref(body);
+	}
+	if (request->doubt)
+		soup_message_add_flags(request->message,
+				       SOUP_MESSAGE_NEW_CONNECTION);
+	g_free(url);
+}
+
+static gint64 try_time_us(const struct load_request *request, gint64 left_us)
+{
+	guint try_ms = request->load->options.try_ms;
+
+	left_us += GRACE_US;
+	return try_ms ? MIN(left_us, try_ms * AUB_MS) : left_us;
+}
+
+void load_request_send(struct load_request *request)
+{
+	struct load *load = request->load;
+	gint64 now_us = g_get_monotonic_time();
+	gint64 left_us = request->deadline_us - now_us;
+	struct try *try;
+
+	if (left_us < AUB_MS) {
+		finish(request, LOAD_ERROR);
+		return;
+	}
+	if (request->service->keyed && !request->key)
+		request->key = g_strconcat(load_lookup_of(request)->grant, "/",
+					   request->nonce, NULL);
+	g_free(request->entry);
+	request->entry = g_strdup(pick_entry(request));
+	request->tries++;
+	make_message(request);
+	set_headers(request, left_us);
+	request->cancellable = g_cancellable_new();
+	try = g_new0(struct try, 1);
+	try->request = request;
+	try->message = g_object_ref(request->message);
+	try->cancellable = g_object_ref(request->cancellable);
+	aub_timer_cancel(load->timers, request->timer);
+	request->timer = aub_timer_at(load->timers, "try timeout",
+				      now_us + try_time_us(request, left_us),
+				      on_try_timeout, request);
+	soup_session_send_and_read_async(load->session, request->message,
+					 G_PRIORITY_DEFAULT,
+					 request->cancellable, on_try_done,
+					 try);
+}
+
+static void on_never_asked(void *context, gint64 now_us)
+{
+	struct load_request *request = context;
+
+	request->timer = 0;
+	finish(request, LOAD_ERROR);
+}
+
+void load_request_start(struct load_request *request)
+{
+	struct load *load = request->load;
+
+	request->timer =
+		aub_timer_at(load->timers, "never asked", request->deadline_us,
+			     on_never_asked, request);
+	load_lookup_wait(load_lookup_of(request), request);
+}
