--- a/include/auburnstile/internal/control.h
+++ b/include/auburnstile/internal/control.h
@@ -51,6 +51,7 @@
 
 struct aubi_control {
 	const struct aubi_control_settings *settings;
+	char *process; /* "control-a1" */
 	guint64 incarnation;
 	struct aub_timer_service *timers;
 	struct aub_metrics *metrics;
@@ -66,7 +67,10 @@
 	struct aubi_entry_task *entry;
 	struct aubi_applies *applies;
 	bool store_reachable;
+	GHashTable *seen; /* member name -> state last noted */
+	bool superseded; /* noted */
 	bool leaving; /* planned stop */
+	gint64 left_us; /* when it began */
 	bool finished; /* the planned stop is done */
 	gint64 leave_by_us;
 	gint64 stopped_us; /* when STOPPED was told to peers; 0 before */
@@ -142,9 +146,12 @@
 void aubi_entry_task_changed(struct aubi_entry_task *task);
 void aubi_entry_task_tick(struct aubi_entry_task *task, gint64 now_us);
 bool aubi_entry_task_connected(const struct aubi_entry_task *task);
+guint64 aubi_entry_task_bytes(const struct aubi_entry_task *task);
+bool aubi_entry_task_stopping(const struct aubi_entry_task *task);
 
 /* control_apply.c and control_admin.c */
 struct aubi_applies *aubi_applies_new(struct aubi_control *control);
+void aubi_applies_install(struct aubi_applies *applies);
 void aubi_applies_free(struct aubi_applies *applies);
 void aubi_applies_tick(struct aubi_applies *applies, gint64 now_us);
 void aubi_admin_install(struct aubi_control *control);
--- a/include/auburnstile/link.h
+++ b/include/auburnstile/link.h
@@ -57,6 +57,9 @@
 gint64 aub_link_last_heard_us(const struct aub_link *link); /* monotonic */
 gsize aub_link_queued(const struct aub_link *link); /* bytes */
 
+/* Bytes read and written over one link. */
+guint64 aub_link_bytes(const struct aub_link *link);
+
 /* Bytes read and written by all links of this process, for metrics. */
 void aub_link_totals(guint64 *bytes_in, guint64 *bytes_out);
 
--- /dev/null
+++ b/src/coordination/control_apply.c
@@ -0,0 +1,480 @@
+/*
+ * Operators' changes: read the newest configuration, edit it, write it under
+ * the condition that nobody wrote in between, and wait for it to be in force.
+ *
+ * An edit of the inventory names the version it began from and never goes
+ * onto another one. Taking something out or back is rebased by itself.
+ */
+#include <auburnstile/error.h>
+#include <auburnstile/internal/control.h>
+#include <auburnstile/internal/control_json.h>
+#include <auburnstile/internal/json.h>
+
+#include <string.h>
+
+#define IN_FORCE_US ((gint64)9000000) /* the letter's 9 s */
+#define SETTLE_US ((gint64)300000) /* a look at peers before the answer */
+#define TRIES 5 /* of a change that is rebased by itself */
+#define STEP "apply change"
+
+/* What /v1/KIND/NAME/WORD does to the configuration. */
+struct edit {
+	const char *kind;
+	const char *word;
+	bool add; /* to the list, else off it */
+	size_t list; /* offset of it in struct aub_config */
+	bool (*exists)(const struct aub_inventory *inventory, const char *name);
+};
+
+struct apply {
+	struct aubi_applies *owner;
+	struct aub_admin_request *request;
+	const struct edit *edit; /* NULL: a whole inventory */
+	char *name; /* of what is edited */
+	char *text; /* of the inventory */
+	char *author;
+	char *change;
+	guint64 base;
+	bool override; /* the operator knows that a majority is gone */
+	guint tries;
+	char *json; /* being written */
+	guint64 version; /* accepted; 0 before */
+	gint64 accepted_us;
+};
+
+struct aubi_applies {
+	struct aubi_control *control;
+	GPtrArray *open; /* of struct apply */
+};
+
+static bool zone_exists(const struct aub_inventory *inventory, const char *name)
+{
+	return aub_inventory_zone(inventory, name) != AUB_NO_HANDLE;
+}
+
+static bool vm_exists(const struct aub_inventory *inventory, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < inventory->vms->len; i++) {
+		if (!strcmp(aub_vm_at(inventory, i)->name, name))
+			return true;
+	}
+	return false;
+}
+
+static bool upstream_exists(const struct aub_inventory *inventory,
+			    const char *name)
+{
+	return aub_inventory_upstream(inventory, name) != AUB_NO_HANDLE;
+}
+
+#define LIST(member) offsetof(struct aub_config, member)
+
+static const struct edit edits[] = {
+	{ "zones", "out", true, LIST(zones_out), zone_exists },
+	{ "zones", "in", false, LIST(zones_out), zone_exists },
+	{ "vms", "leave", true, LIST(vms_leaving), vm_exists },
+	{ "vms", "return", false, LIST(vms_leaving), vm_exists },
+	{ "upstreams", "leave", true, LIST(upstreams_leaving),
+	  upstream_exists },
+	{ "upstreams", "return", false, LIST(upstreams_leaving),
+	  upstream_exists },
+};
+
+static GPtrArray *list_of(const struct aub_config *config, size_t offset)
+{
+	return *(GPtrArray *const *)((const char *)config + offset);
+}
+
+static int list_index(const GPtrArray *list, const char *name)
+{
+	guint i;
+
+	for (i = 0; i < list->len; i++) {
+		if (!strcmp(list->pdata[i], name))
+			return (int)i;
+	}
+	return -1;
+}
+
+/* Ends the apply; the request must have been answered. */
+static void apply_free(struct apply *apply)
+{
+	if (apply->owner)
+		g_ptr_array_remove_fast(apply->owner->open, apply);
+	g_free(apply->name);
+	g_free(apply->text);
+	g_free(apply->author);
+	g_free(apply->change);
+	g_free(apply->json);
+	g_free(apply);
+}
+
+static void apply_fail(struct apply *apply, const GError *error)
+{
+	aub_admin_fail(apply->request, error);
+	apply_free(apply);
+}
+
+static void apply_refuse(struct apply *apply, enum aub_error_code code,
+			 const char *text)
+{
+	GError *error = NULL;
+
+	aub_error_set(&error, code, STEP, NULL, "%s", text);
+	apply_fail(apply, error);
+	g_error_free(error);
+}
+
+static void apply_conflict(struct apply *apply)
+{
+	const struct aubi_book *book = apply->owner->control->book;
+	JsonObject *answer = json_object_new();
+	JsonObject *error = json_object_new();
+
+	json_object_set_string_member(error, "code", "conflict");
+	json_object_set_string_member(error, "step", STEP);
+	json_object_set_string_member(error, "peer", "");
+	json_object_set_string_member(error, "message",
+				      "the configuration was changed since "
+				      "the version this edit began from");
+	json_object_set_object_member(answer, "error", error);
+	aubi_json_set_config(answer, "base_config",
+			     aubi_book_find(book, apply->base));
+	aubi_json_set_config(answer, "current_config", aubi_book_held(book));
+	json_object_set_int_member(
+		answer, "current_version",
+		(gint64)apply->owner->control->agreement.config_version);
+	aub_admin_answer(apply->request, 409, aub_json_print(answer));
+	apply_free(apply);
+}
+
+/* The answer of a change that was accepted, or needed no write. */
+static void apply_done(struct apply *apply, gint64 now_us)
+{
+	struct aubi_control *control = apply->owner->control;
+	JsonObject *answer = json_object_new();
+
+	json_object_set_boolean_member(answer, "accepted", TRUE);
+	json_object_set_int_member(answer, "version", (gint64)apply->version);
+	json_object_set_string_member(answer, "change",
+				      apply->change ? apply->change : "");
+	json_object_set_boolean_member(answer, "everywhere",
+				       aubi_in_force_everywhere(control,
+								apply->version,
+								now_us));
+	json_object_set_array_member(answer, "in_force",
+				     aubi_json_in_force(control, apply->version,
+							now_us));
+	aub_admin_answer(apply->request, 200, aub_json_print(answer));
+	apply_free(apply);
+}
+
+static void prune(GPtrArray *list, const struct aub_inventory *inventory,
+		  bool (*exists)(const struct aub_inventory *inventory,
+				 const char *name))
+{
+	guint i;
+
+	for (i = list->len; i > 0; i--) {
+		if (!exists(inventory, list->pdata[i - 1]))
+			g_ptr_array_remove_index(list, i - 1);
+	}
+}
+
+/* The configuration with a new inventory; what it lacks is off the lists. */
+static bool edit_inventory(struct apply *apply, struct aub_config *config,
+			   GError **error)
+{
+	struct aub_inventory *inventory;
+
+	inventory = aub_inventory_parse(apply->text, strlen(apply->text),
+					"inventory", error);
+	if (!inventory)
+		return false;
+	aub_string_set(&config->text, apply->text);
+	prune(config->zones_out, inventory, zone_exists);
+	prune(config->vms_leaving, inventory, vm_exists);
+	prune(config->upstreams_leaving, inventory, upstream_exists);
+	aub_inventory_unref(inventory);
+	return true;
+}
+
+/* False with no error: it is so already. */
+static bool edit_list(struct apply *apply, struct aub_config *config,
+		      GError **error)
+{
+	const struct aub_inventory *inventory =
+		apply->owner->control->inventory;
+	GPtrArray *list = list_of(config, apply->edit->list);
+	int index = list_index(list, apply->name);
+
+	if (!inventory ||
+	    (index < 0 && !apply->edit->exists(inventory, apply->name))) {
+		aub_error_set(error, AUB_ERROR_NOT_FOUND, STEP, apply->name,
+			      "not in the inventory's %s", apply->edit->kind);
+		return false;
+	}
+	if (apply->edit->add == (index >= 0))
+		return false;
+	if (apply->edit->add)
+		g_ptr_array_add(list, g_strdup(apply->name));
+	else
+		g_ptr_array_remove_index(list, (guint)index);
+	return true;
+}
+
+static void apply_read(struct apply *apply);
+
+static void on_reread(const struct aub_store_object *object,
+		      const GError *error, void *context)
+{
+	struct apply *apply = context;
+	struct aubi_control *control = apply->owner->control;
+
+	if (object)
+		aubi_control_take_config(control, object->value, object->length,
+					 object->version, "store");
+	apply_conflict(apply);
+}
+
+static void on_written(guint64 version, const GError *error, void *context)
+{
+	struct apply *apply = context;
+	struct aubi_control *control = apply->owner->control;
+
+	aubi_control_store_heard(control, error);
+	if (error && error->code == AUB_ERROR_CONFLICT) {
+		if (apply->edit && apply->tries < TRIES)
+			apply_read(apply);
+		else
+			aub_store_get(aubi_store_task_client(control->store),
+				      AUB_CONFIG_KEY, on_reread, apply);
+		return;
+	}
+	if (error) {
+		apply_fail(apply, error);
+		return;
+	}
+	apply->version = version;
+	apply->accepted_us = aub_timer_now(control->timers);
+	aubi_control_take_config(control, apply->json, strlen(apply->json),
+				 version, "operator");
+}
+
+/*
+ * Accepted on the side of a partition that is no majority, a change would
+ * not reach entries that go on serving. They would send requests to a zone
+ * that operators believe empty. Hearing a majority is enough: whoever then
+ * hears none of it hears less than half, and has stopped.
+ */
+static bool may_accept(struct apply *apply)
+{
+	const struct aubi_control *control = apply->owner->control;
+	gint64 now_us = aub_timer_now(control->timers);
+
+	return apply->override ||
+	       aubi_agreement_may_accept(control->membership, now_us);
+}
+
+static void apply_write(struct apply *apply)
+{
+	struct aubi_control *control = apply->owner->control;
+	const struct aub_config *held = aubi_book_held(control->book);
+	struct aub_config *config;
+	GError *error = NULL;
+	bool edited;
+
+	config = held ? aub_config_copy(held) : aub_config_new();
+	edited = apply->edit ? edit_list(apply, config, &error) :
+			       edit_inventory(apply, config, &error);
+	if (error) {
+		apply_fail(apply, error);
+		g_error_free(error);
+	} else if (!edited) {
+		apply->version = held->version;
+		apply->accepted_us = aub_timer_now(control->timers);
+	} else if (!may_accept(apply)) {
+		apply_refuse(apply, AUB_ERROR_UNAVAILABLE,
+			     "a majority of the members isn't heard: nothing "
+			     "was changed (\"override\" accepts it anyway)");
+	} else {
+		g_free(apply->change);
+		apply->change = g_strdup_printf("%08x%08x", g_random_int(),
+						g_random_int());
+		aub_string_set(&config->change, apply->change);
+		aub_string_set(&config->author, apply->author);
+		g_free(apply->json);
+		apply->json = aub_config_serialize(config);
+		aub_store_put(aubi_store_task_client(control->store),
+			      AUB_CONFIG_KEY, apply->json, strlen(apply->json),
+			      control->agreement.config_version, apply->change,
+			      on_written, apply);
+	}
+	aub_config_free(config);
+}
+
+static void on_read(const struct aub_store_object *object, const GError *error,
+		    void *context)
+{
+	struct apply *apply = context;
+	struct aubi_control *control = apply->owner->control;
+
+	aubi_control_store_heard(control, error);
+	if (error && error->code != AUB_ERROR_NOT_FOUND) {
+		apply_fail(apply, error);
+		return;
+	}
+	if (object)
+		aubi_control_take_config(control, object->value, object->length,
+					 object->version, "store");
+	if (!apply->edit && apply->base != control->agreement.config_version)
+		apply_conflict(apply);
+	else
+		apply_write(apply);
+}
+
+static void apply_read(struct apply *apply)
+{
+	apply->tries++;
+	aub_store_get(aubi_store_task_client(apply->owner->control->store),
+		      AUB_CONFIG_KEY, on_read, apply);
+}
+
+void aubi_applies_tick(struct aubi_applies *applies, gint64 now_us)
+{
+	guint i;
+
+	for (i = applies->open->len; i > 0; i--) {
+		struct apply *apply = applies->open->pdata[i - 1];
+		gint64 waited_us = now_us - apply->accepted_us;
+
+		if (!apply->version || waited_us < SETTLE_US)
+			continue;
+		if (waited_us >= IN_FORCE_US ||
+		    aubi_in_force_everywhere(applies->control, apply->version,
+					     now_us))
+			apply_done(apply, now_us);
+	}
+}
+
+/* The request's body as an object; answers and returns NULL if it is none. */
+static JsonObject *body_of(struct aub_admin_request *request)
+{
+	GError *error = NULL;
+	JsonObject *body;
+	const char *text;
+	gsize length;
+
+	text = aub_admin_body(request, &length);
+	if (!length)
+		return json_object_new();
+	body = aub_json_parse(text, length, STEP, NULL, &error);
+	if (!body) {
+		aub_admin_fail(request, error);
+		g_error_free(error);
+	}
+	return body;
+}
+
+static struct apply *apply_new(struct aubi_applies *applies,
+			       struct aub_admin_request *request,
+			       JsonObject *body)
+{
+	struct apply *apply = g_new0(struct apply, 1);
+	const char *author = aub_json_string(body, "author");
+
+	apply->owner = applies;
+	apply->request = request;
+	apply->author = g_strdup(author ? author : "");
+	apply->override = aub_json_boolean(body, "override");
+	g_ptr_array_add(applies->open, apply);
+	return apply;
+}
+
+static void on_apply(struct aub_admin_request *request, void *context)
+{
+	JsonObject *body = body_of(request);
+	struct apply *apply;
+	const char *text;
+
+	if (!body)
+		return;
+	apply = apply_new(context, request, body);
+	text = aub_json_string(body, "inventory");
+	apply->text = g_strdup(text);
+	apply->base = (guint64)aub_json_integer(body, "base");
+	if (!text)
+		apply_refuse(apply, AUB_ERROR_INVALID,
+			     "\"inventory\" is missing");
+	else
+		apply_read(apply);
+	json_object_unref(body);
+}
+
+/* "/v1/KIND/NAME/WORD": finds the edit, and the name (owned by caller). */
+static const struct edit *edit_of(const char *path, char **name)
+{
+	char **parts = g_strsplit(path, "/", -1);
+	const struct edit *edit = NULL;
+	gsize i;
+
+	if (g_strv_length(parts) != 5)
+		goto out;
+	for (i = 0; i < G_N_ELEMENTS(edits); i++) {
+		if (!strcmp(edits[i].kind, parts[2]) &&
+		    !strcmp(edits[i].word, parts[4]))
+			edit = &edits[i];
+	}
+	if (edit)
+		*name = g_strdup(parts[3]);
+out:
+	g_strfreev(parts);
+	return edit;
+}
+
+static void on_edit(struct aub_admin_request *request, void *context)
+{
+	JsonObject *body = body_of(request);
+	struct apply *apply;
+
+	if (!body)
+		return;
+	apply = apply_new(context, request, body);
+	apply->edit = edit_of(aub_admin_path(request), &apply->name);
+	if (!apply->edit)
+		apply_refuse(apply, AUB_ERROR_NOT_FOUND, "no such command");
+	else
+		apply_read(apply);
+	json_object_unref(body);
+}
+
+struct aubi_applies *aubi_applies_new(struct aubi_control *control)
+{
+	struct aubi_applies *applies = g_new0(struct aubi_applies, 1);
+
+	applies->control = control;
+	applies->open = g_ptr_array_new();
+	return applies;
+}
+
+void aubi_applies_install(struct aubi_applies *applies)
+{
+	struct aub_admin *admin = applies->control->admin;
+
+	aub_admin_handle(admin, "POST", "/v1/config/apply", on_apply, applies);
+	aub_admin_handle(admin, "POST", "/v1/zones/", on_edit, applies);
+	aub_admin_handle(admin, "POST", "/v1/vms/", on_edit, applies);
+	aub_admin_handle(admin, "POST", "/v1/upstreams/", on_edit, applies);
+}
+
+void aubi_applies_free(struct aubi_applies *applies)
+{
+	if (!applies)
+		return;
+	while (applies->open->len)
+		apply_free(applies->open->pdata[0]);
+	g_ptr_array_unref(applies->open);
+	g_free(applies);
+}
--- /dev/null
+++ b/src/coordination/control_store.c
@@ -0,0 +1,262 @@
+/*
+ * The control's dealings with the platform's store: a watch while it is this
+ * control's turn, and assignments proposed by conditional writes.
+ */
+#include <auburnstile/error.h>
+#include <auburnstile/internal/control.h>
+#include <auburnstile/log.h>
+
+#include <string.h>
+
+#define PREFIX "auburnstile/"
+#define TRY_MS 1000
+#define WATCH_MS 500 /* a confirmation of freshness twice a second */
+#define CALLS_PER_S 10
+#define PROPOSE_US ((gint64)250000) /* between computations, lowest rank */
+#define PROPOSE_RANK_US ((gint64)500000) /* more, a rank */
+#define REBALANCE_US ((gint64)5000000) /* between moves for balance */
+#define BACKOFF_MIN_US ((gint64)500000)
+#define BACKOFF_MAX_US ((gint64)8000000)
+
+struct aubi_store_task {
+	struct aubi_control *control;
+	struct aub_store_client *client;
+	bool watching;
+	gint64 polled_us; /* no later than the watch's request now open */
+	guint64 newest_config; /* seen in the store, parsed or not */
+	bool dirty; /* members, configuration or assignments changed */
+	gint64 computed_us;
+	gint64 needed_us; /* another assignment is needed since then */
+	gint64 rebalanced_us;
+	gint64 not_before_us; /* backoff after a failed write */
+	gint64 backoff_us;
+	bool writing;
+	struct aubi_assignments *proposal; /* being written */
+	char *json; /* its text */
+};
+
+static void take_object(struct aubi_store_task *task,
+			const struct aub_store_object *object)
+{
+	struct aubi_control *control = task->control;
+
+	if (!strcmp(object->key, AUB_CONFIG_KEY)) {
+		task->newest_config = MAX(task->newest_config, object->version);
+		aubi_control_take_config(control, object->value, object->length,
+					 object->version, "store");
+	} else if (!strcmp(object->key, AUBI_ASSIGNMENTS_KEY)) {
+		aubi_control_take_assignments(control, object->value,
+					      object->length, object->version,
+					      "store");
+	}
+}
+
+static void on_watch(const struct aub_store_object *object, guint64 version,
+		     const GError *error, void *context)
+{
+	struct aubi_store_task *task = context;
+	struct aubi_control *control = task->control;
+	gint64 now_us = aub_timer_now(control->timers);
+
+	aubi_control_store_heard(control, error);
+	if (error) {
+		task->polled_us = now_us;
+		return;
+	}
+	if (object) {
+		take_object(task, object);
+		return;
+	}
+	/*
+	 * The answer may have waited in a buffer while this process was
+	 * paused. A stale picture would pass for a fresh one.
+	 * So it counts from when the watch before it was answered, which
+	 * is no later than this one's request.
+	 */
+	if (version >= control->agreement.config_version && task->polled_us)
+		aubi_agreement_confirm(&control->agreement,
+				       MAX(control->agreement.config_version,
+					   task->newest_config),
+				       task->polled_us);
+	task->polled_us = now_us;
+}
+
+static void set_watching(struct aubi_store_task *task, bool wanted)
+{
+	const struct aubi_agreement *held = &task->control->agreement;
+
+	if (wanted == task->watching)
+		return;
+	task->watching = wanted;
+	if (!wanted) {
+		aub_store_watch_stop(task->client);
+		return;
+	}
+	aub_log_info("watching the store");
+	task->polled_us = aub_timer_now(task->control->timers);
+	aub_store_watch_start(task->client, PREFIX,
+			      MIN(held->config_version, held->epoch), on_watch,
+			      task);
+}
+
+static void on_reread(const struct aub_store_object *object,
+		      const GError *error, void *context)
+{
+	struct aubi_store_task *task = context;
+
+	aubi_control_store_heard(task->control, error);
+	task->writing = false;
+	task->dirty = true;
+	if (object)
+		take_object(task, object);
+}
+
+static void back_off(struct aubi_store_task *task, gint64 now_us)
+{
+	task->backoff_us =
+		CLAMP(task->backoff_us * 2, BACKOFF_MIN_US, BACKOFF_MAX_US);
+	task->not_before_us = now_us + task->backoff_us;
+}
+
+static void on_proposed(guint64 version, const GError *error, void *context)
+{
+	struct aubi_store_task *task = context;
+	struct aubi_control *control = task->control;
+
+	aubi_control_store_heard(control, error);
+	g_clear_pointer(&task->proposal, aubi_assignments_free);
+	if (error) {
+		aub_log_info("assignments not written: %s", error->message);
+		back_off(task, aub_timer_now(control->timers));
+		aub_store_get(task->client, AUBI_ASSIGNMENTS_KEY, on_reread,
+			      task);
+	} else {
+		task->writing = false;
+		task->backoff_us = 0;
+		aubi_control_take_assignments(control, task->json,
+					      strlen(task->json), version,
+					      "own proposal");
+	}
+	g_clear_pointer(&task->json, g_free);
+}
+
+static void write_proposal(struct aubi_store_task *task,
+			   struct aubi_assignments *proposal)
+{
+	struct aubi_control *control = task->control;
+	char *change;
+
+	change = g_strdup_printf("%s-%08x%08x", control->settings->name,
+				 g_random_int(), g_random_int());
+	task->proposal = proposal;
+	task->json = aubi_assignments_serialize(proposal, change);
+	task->writing = true;
+	aub_metrics_add(control->metrics, control->series_proposals, 1);
+	aub_store_put(task->client, AUBI_ASSIGNMENTS_KEY, task->json,
+		      strlen(task->json), control->assignments->epoch, change,
+		      on_proposed, task);
+	g_free(change);
+}
+
+static struct aubi_assignments *compute(struct aubi_store_task *task,
+					bool rebalance, gint64 now_us)
+{
+	struct aubi_control *control = task->control;
+	const struct aub_config *config = aubi_book_held(control->book);
+	struct aubi_assignments *proposal;
+	GPtrArray *members;
+
+	members = aubi_membership_list(control->membership, now_us);
+	proposal =
+		aubi_ownership_propose(control->assignments, control->inventory,
+				       config->vms_leaving, members, rebalance);
+	g_ptr_array_unref(members);
+	return proposal;
+}
+
+/* Ownership is moved where a majority is heard, in order of rank. */
+static void propose(struct aubi_store_task *task, gint64 now_us)
+{
+	struct aubi_control *control = task->control;
+	guint rank = aubi_control_rank(control, false, now_us);
+	struct aubi_assignments *proposal;
+	bool rebalance;
+
+	if (task->writing || now_us < task->not_before_us)
+		return;
+	if (now_us - task->computed_us < PROPOSE_US + rank * PROPOSE_RANK_US)
+		return;
+	rebalance = now_us - task->rebalanced_us >= REBALANCE_US;
+	if (!task->dirty && !task->needed_us && !rebalance)
+		return;
+	task->computed_us = now_us;
+	task->dirty = false;
+	if (rebalance)
+		task->rebalanced_us = now_us;
+	proposal = compute(task, rebalance && rank == 0, now_us);
+	if (!proposal) {
+		task->needed_us = 0;
+		return;
+	}
+	if (!task->needed_us)
+		task->needed_us = now_us;
+	if (aubi_ownership_turn(rank, task->needed_us, now_us) &&
+	    aubi_agreement_may_accept(control->membership, now_us))
+		write_proposal(task, proposal);
+	else
+		aubi_assignments_free(proposal);
+}
+
+void aubi_store_task_members_changed(struct aubi_store_task *task)
+{
+	if (task)
+		task->dirty = true;
+}
+
+void aubi_store_task_tick(struct aubi_store_task *task, gint64 now_us)
+{
+	struct aubi_control *control = task->control;
+	guint rank = aubi_control_rank(control, true, now_us);
+	bool retired = control->leaving ||
+		       aubi_membership_superseded(control->membership);
+	bool wanted;
+
+	wanted = aubi_agreement_watches(&control->agreement,
+					control->membership, rank, now_us);
+	set_watching(task, wanted && !retired);
+	if (control->inventory && !retired &&
+	    now_us - control->agreement.started_us > 2 * AUB_SECOND)
+		propose(task, now_us);
+}
+
+struct aub_store_client *aubi_store_task_client(struct aubi_store_task *task)
+{
+	return task->client;
+}
+
+struct aubi_store_task *aubi_store_task_new(struct aubi_control *control)
+{
+	struct aubi_store_task *task = g_new0(struct aubi_store_task, 1);
+	struct aub_store_client_options options = {
+		.url = control->settings->store,
+		.timeout_ms = TRY_MS,
+		.watch_ms = WATCH_MS,
+		.calls_per_s = CALLS_PER_S,
+		.seed = (guint32)control->incarnation,
+	};
+
+	task->control = control;
+	task->client = aub_store_client_new(&options);
+	task->dirty = true;
+	return task;
+}
+
+void aubi_store_task_free(struct aubi_store_task *task)
+{
+	if (!task)
+		return;
+	aub_store_client_free(task->client);
+	aubi_assignments_free(task->proposal);
+	g_free(task->json);
+	g_free(task);
+}
--- a/src/transport/link.c
+++ b/src/transport/link.c
@@ -51,6 +51,7 @@
 	struct buffer in;
 	struct buffer out;
 	gint64 last_heard_us;
+	guint64 bytes; /* read and written */
 	const struct aub_link_callbacks *callbacks;
 	void *context;
 	struct aubi_link_acceptor acceptor; /* accepted links, till greeted */
@@ -191,6 +192,7 @@
 			return false;
 		}
 		total_out += (guint64)sent;
+		link->bytes += (guint64)sent;
 		buffer_consume(&link->out, (gsize)sent);
 	}
 	drop_source(&link->writable);
@@ -303,6 +305,7 @@
 			      filled + (guint)MAX(got, (gssize)0));
 	if (got > 0) {
 		total_in += (guint64)got;
+		link->bytes += (guint64)got;
 		link->last_heard_us = g_get_monotonic_time();
 		deliver_all(link);
 	} else if (got == 0) {
@@ -515,6 +518,11 @@
 	return buffer_length(&link->out);
 }
 
+guint64 aub_link_bytes(const struct aub_link *link)
+{
+	return link->bytes;
+}
+
 void aub_link_totals(guint64 *bytes_in, guint64 *bytes_out)
 {
 	*bytes_in = total_in;
