--- a/src/coordination/control_apply.c
+++ b/src/coordination/control_apply.c
@@ -98,11 +98,10 @@
 	return -1;
 }
 
-/* Ends the apply; the request must have been answered. */
-static void apply_free(struct apply *apply)
+static void apply_free(void *data)
 {
-	if (apply->owner)
-		g_ptr_array_remove_fast(apply->owner->open, apply);
+	struct apply *apply = data;
+
 	g_free(apply->name);
 	g_free(apply->text);
 	g_free(apply->author);
@@ -111,10 +110,16 @@
 	g_free(apply);
 }
 
+/* Ends the apply; the request must have been answered. */
+static void apply_end(struct apply *apply)
+{
+	g_ptr_array_remove_fast(apply->owner->open, apply);
+}
+
 static void apply_fail(struct apply *apply, const GError *error)
 {
 	aub_admin_fail(apply->request, error);
-	apply_free(apply);
+	apply_end(apply);
 }
 
 static void apply_refuse(struct apply *apply, enum aub_error_code code,
@@ -147,7 +152,7 @@
 		answer, "current_version",
 		(gint64)apply->owner->control->agreement.config_version);
 	aub_admin_answer(apply->request, 409, aub_json_print(answer));
-	apply_free(apply);
+	apply_end(apply);
 }
 
 /* The answer of a change that was accepted, or needed no write. */
@@ -168,7 +173,7 @@
 				     aubi_json_in_force(control, apply->version,
 							now_us));
 	aub_admin_answer(apply->request, 200, aub_json_print(answer));
-	apply_free(apply);
+	apply_end(apply);
 }
 
 static void prune(GPtrArray *list, const struct aub_inventory *inventory,
@@ -293,7 +298,8 @@
 		apply_fail(apply, error);
 		g_error_free(error);
 	} else if (!edited) {
-		apply->version = held->version;
+		apply->version =
+			apply->owner->control->agreement.config_version;
 		apply->accepted_us = aub_timer_now(control->timers);
 	} else if (!may_accept(apply)) {
 		apply_refuse(apply, AUB_ERROR_UNAVAILABLE,
@@ -455,7 +461,7 @@
 	struct aubi_applies *applies = g_new0(struct aubi_applies, 1);
 
 	applies->control = control;
-	applies->open = g_ptr_array_new();
+	applies->open = g_ptr_array_new_with_free_func(apply_free);
 	return applies;
 }
 
@@ -473,8 +479,6 @@
 {
 	if (!applies)
 		return;
-	while (applies->open->len)
-		apply_free(applies->open->pdata[0]);
 	g_ptr_array_unref(applies->open);
 	g_free(applies);
 }
