Add a library that runs a whole fleet of real processes

Cause: the demonstration and the proofs start a store, upstreams and members as processes of their own, kill and freeze them, and must leave none behind.

Change: tools/fleet writes settings into a temporary folder, starts, signals and stops parts, talks to the admin API and reads the oracle. Children end with their parent. Ports are taken below the range of outgoing connections, each once.

--- a/tools/common/child.c
+++ b/tools/common/child.c
@@ -15,6 +15,8 @@
 #include <unistd.h>
 
 #define CHILD_LIMIT 256 /* children at a time; a handler walks the table */
+#define PORT_FIRST 21000
+#define PORT_COUNT 11000
 #define LISTENING_MS 10000
 #define POLL_US 2000UL
 
@@ -54,13 +56,19 @@
 	return path;
 }
 
+/* A terminal's Ctrl-C goes to all; the parent ends its children itself. */
+void child_in_setup(void)
+{
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	signal(SIGINT, SIG_IGN);
+}
+
 static void on_child_setup(gpointer data)
 {
 	const char *log = data;
 	int file;
 
-	prctl(PR_SET_PDEATHSIG, SIGKILL);
-	signal(SIGINT, SIG_IGN);
+	child_in_setup();
 	if (!log)
 		return;
 	file = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
@@ -214,27 +222,31 @@
 	atexit(child_end_all);
 }
 
-guint16 child_free_port(void)
+static bool port_is_free(guint16 port)
 {
-	GSocketListener *listener = g_socket_listener_new();
-	GInetAddress *loopback =
-		g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
-	GSocketAddress *address = g_inet_socket_address_new(loopback, 0);
-	GSocketAddress *bound = NULL;
-	guint16 port = 0;
-
-	if (g_socket_listener_add_address(listener, address,
-					  G_SOCKET_TYPE_STREAM,
-					  G_SOCKET_PROTOCOL_TCP, NULL, &bound,
-					  NULL)) {
-		port = g_inet_socket_address_get_port(
-			G_INET_SOCKET_ADDRESS(bound));
-		g_object_unref(bound);
-	}
-	g_socket_listener_close(listener);
-	g_object_unref(listener);
+	GSocket *socket =
+		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+			     G_SOCKET_PROTOCOL_TCP, NULL);
+	GSocketAddress *address =
+		g_inet_socket_address_new_from_string("127.0.0.1", port);
+	bool free = socket && g_socket_bind(socket, address, TRUE, NULL) &&
+		    g_socket_listen(socket, NULL);
+
+	g_clear_object(&socket);
 	g_object_unref(address);
-	g_object_unref(loopback);
+	return free;
+}
+
+guint16 child_free_port(void)
+{
+	static guint next;
+	guint16 port;
+
+	if (!next)
+		next = g_random_int_range(0, PORT_COUNT);
+	do {
+		port = PORT_FIRST + next++ % PORT_COUNT;
+	} while (!port_is_free(port));
 	return port;
 }
 
--- a/tools/common/child.h
+++ b/tools/common/child.h
@@ -50,7 +50,13 @@
 /* Path of a program of the build folder; owned by the caller. */
 char *child_program_path(const char *program);
 
-/* A loopback port that was free a moment ago. */
+/* For a child's setup function: it ends when its parent does. */
+void child_in_setup(void);
+
+/*
+ * A loopback port that was free a moment ago, never the same twice. Below
+ * the range from which the system takes ports for outgoing connections.
+ */
 guint16 child_free_port(void);
 
 /*
--- /dev/null
+++ b/tools/fleet/fleet.h
@@ -0,0 +1,122 @@
+/*
+ * A whole fleet of real processes on loopback: the stand-in store, stand-in
+ * upstreams, and members (an entry and its control each) in zones.
+ *
+ * Settings, logs and the token file are in a temporary folder that goes with
+ * the fleet. Every child ends with this process (see common/child.h).
+ */
+#ifndef TOOL_FLEET_H
+#define TOOL_FLEET_H
+
+#include "common/child.h"
+
+#include <auburnstile/inventory.h>
+#include <json-glib/json-glib.h>
+
+G_BEGIN_DECLS
+
+struct fleet_member {
+	char *name;
+	char *zone;
+	char *callers; /* addresses, "ip:port" */
+	char *inner;
+	char *admin;
+	char *control_inner;
+	char *control_admin;
+	char *store_url; /* through the proxy, when there is one */
+	struct child *entry; /* NULL when not running */
+	struct child *control;
+};
+
+struct fleet_options {
+	const char *inventory; /* TOML; its addresses get upstreams */
+	guint members; /* spread over the zones in turn */
+	guint32 seed;
+	double mean_us; /* of upstreams' service time; 0: 20 ms */
+	bool proxies; /* before the store and before each upstream */
+	const char *const *upstream_options; /* more of them, NULL at end */
+};
+
+struct fleet {
+	struct fleet_options options;
+	char *folder;
+	char *token;
+	char *token_file;
+	char *inventory_file;
+	struct aub_inventory *inventory;
+	struct child *store;
+	struct child *upstreams; /* its address is the control's */
+	struct child *proxy; /* NULL without proxies */
+	GPtrArray *members; /* of struct fleet_member, owned */
+	GArray *upstream_ports; /* guint16, of the stand-ins, by handle */
+};
+
+/* Starts store, upstreams and proxies; members are made but not started. */
+struct fleet *fleet_new(const struct fleet_options *options, GError **error);
+
+/* Ends every process and removes the folder; logs stay if `keep_logs`. */
+void fleet_free(struct fleet *fleet, bool keep_logs);
+
+/* Start one member's processes that don't run, or all members'. */
+bool fleet_start_member(struct fleet *fleet, struct fleet_member *member,
+			GError **error);
+bool fleet_start(struct fleet *fleet, GError **error);
+
+/* Wait until the entries that run say that they are ready. */
+bool fleet_wait_ready(struct fleet *fleet, guint timeout_ms, GError **error);
+bool fleet_member_ready(const struct fleet_member *member);
+
+struct fleet_member *fleet_member(const struct fleet *fleet, guint index);
+
+/* Which of a member's two processes is meant. */
+enum fleet_part { FLEET_ENTRY = 1, FLEET_CONTROL = 2, FLEET_BOTH = 3 };
+
+/* Send a signal. SIGKILL is waited for; the part can be started again. */
+void fleet_signal(struct fleet_member *member, enum fleet_part part,
+		  int number);
+/* SIGTERM, then wait; true when all ended in time with status 0. */
+bool fleet_stop(struct fleet_member *member, enum fleet_part part,
+		guint timeout_ms);
+
+/*
+ * Run auburnstilectl against a member's control. `arguments` ends with
+ * NULL. The output is owned by the caller; NULL when it can't be run.
+ * `status` is its exit code.
+ */
+char *fleet_ctl(struct fleet *fleet, const struct fleet_member *member,
+		const char *const *arguments, int *status, GError **error);
+
+/* Admin API of a member's control, as JSON; NULL on error. */
+JsonNode *fleet_admin(struct fleet *fleet, const struct fleet_member *member,
+		      const char *method, const char *path, const char *body,
+		      guint *status, GError **error);
+
+/* Apply an inventory by the admin API. False when it was not accepted. */
+bool fleet_apply(struct fleet *fleet, const struct fleet_member *member,
+		 const char *inventory, GError **error);
+
+/* Post a fault, JSON, to a stand-in. False when it was not taken. */
+bool fleet_store_fault(struct fleet *fleet, const char *json);
+bool fleet_upstream_fault(struct fleet *fleet, const char *json);
+bool fleet_proxy_fault(struct fleet *fleet, const char *json);
+
+/* The same, for one upstream's stand-in or for the proxy before it. */
+bool fleet_one_upstream_fault(struct fleet *fleet, guint16 upstream,
+			      const char *json);
+bool fleet_one_proxy_fault(struct fleet *fleet, guint16 upstream,
+			   const char *json);
+
+/* What really ran. Owned by the caller; ends the program if unreachable. */
+JsonNode *fleet_oracle(struct fleet *fleet);
+JsonObject *fleet_oracle_upstream(JsonNode *oracle, const struct fleet *fleet,
+				  guint16 upstream);
+
+/* NULL-terminated callers' addresses of all members; free with g_free(). */
+const char **fleet_entries(const struct fleet *fleet);
+
+/* Run the main loop for a while. */
+void fleet_run_ms(guint ms);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/tools/fleet/fleet_talk.c
@@ -0,0 +1,223 @@
+/* Talking to a fleet's processes: operators, faults, the oracle. */
+#include "fleet/fleet.h"
+
+#include <auburnstile/error.h>
+#include <gio/gio.h>
+#include <string.h>
+
+#define ADMIN_TIMEOUT_MS 15000
+#define FAULT_TIMEOUT_MS 5000
+
+static void end_with_parent(gpointer data)
+{
+	child_in_setup();
+}
+
+char *fleet_ctl(struct fleet *fleet, const struct fleet_member *member,
+		const char *const *arguments, int *status, GError **error)
+{
+	GPtrArray *command = g_ptr_array_new_with_free_func(g_free);
+	GSubprocessLauncher *launcher =
+		g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_STDOUT_PIPE |
+					  G_SUBPROCESS_FLAGS_STDERR_MERGE);
+	GSubprocess *process;
+	char *output = NULL;
+
+	g_subprocess_launcher_set_child_setup(launcher, end_with_parent, NULL,
+					      NULL);
+	g_ptr_array_add(command, child_program_path("auburnstilectl"));
+	g_ptr_array_add(command,
+			g_strdup_printf("--control=%s", member->control_admin));
+	g_ptr_array_add(command,
+			g_strdup_printf("--token-file=%s", fleet->token_file));
+	while (*arguments)
+		g_ptr_array_add(command, g_strdup(*arguments++));
+	g_ptr_array_add(command, NULL);
+	process = g_subprocess_launcher_spawnv(
+		launcher, (const char *const *)command->pdata, error);
+	if (process && g_subprocess_communicate_utf8(process, NULL, NULL,
+						     &output, NULL, error))
+		*status = g_subprocess_get_if_exited(process) ?
+				  g_subprocess_get_exit_status(process) :
+				  -1;
+	g_clear_object(&process);
+	g_object_unref(launcher);
+	g_ptr_array_unref(command);
+	return output;
+}
+
+static JsonNode *parse_json(const char *text, const char *peer, GError **error)
+{
+	GError *cause = NULL;
+	JsonNode *root = json_from_string(text, &cause);
+
+	if (!root)
+		aub_error_set(error, AUB_ERROR_INVALID, "read JSON", peer, "%s",
+			      cause ? cause->message : "empty");
+	g_clear_error(&cause);
+	return root;
+}
+
+JsonNode *fleet_admin(struct fleet *fleet, const struct fleet_member *member,
+		      const char *method, const char *path, const char *body,
+		      guint *status, GError **error)
+{
+	char *url = g_strdup_printf("http://%s%s", member->control_admin, path);
+	char *text = child_http(method, url, fleet->token, body,
+				ADMIN_TIMEOUT_MS, status, error);
+	JsonNode *root = text ? parse_json(text, url, error) : NULL;
+
+	g_free(text);
+	g_free(url);
+	return root;
+}
+
+static char *apply_body(const char *inventory, gint64 base)
+{
+	JsonBuilder *builder = json_builder_new();
+	JsonNode *root;
+	char *text;
+
+	json_builder_begin_object(builder);
+	json_builder_set_member_name(builder, "base");
+	json_builder_add_int_value(builder, base);
+	json_builder_set_member_name(builder, "inventory");
+	json_builder_add_string_value(builder, inventory);
+	json_builder_set_member_name(builder, "author");
+	json_builder_add_string_value(builder, "fleet");
+	json_builder_end_object(builder);
+	root = json_builder_get_root(builder);
+	text = json_to_string(root, FALSE);
+	json_node_unref(root);
+	g_object_unref(builder);
+	return text;
+}
+
+static gint64 current_version(struct fleet *fleet,
+			      const struct fleet_member *member)
+{
+	JsonNode *root = fleet_admin(fleet, member, "GET", "/v1/config", NULL,
+				     NULL, NULL);
+	gint64 version = 0;
+
+	if (root && JSON_NODE_HOLDS_OBJECT(root))
+		version = json_object_get_int_member_with_default(
+			json_node_get_object(root), "version", 0);
+	if (root)
+		json_node_unref(root);
+	return version;
+}
+
+bool fleet_apply(struct fleet *fleet, const struct fleet_member *member,
+		 const char *inventory, GError **error)
+{
+	char *body = apply_body(inventory, current_version(fleet, member));
+	guint status = 0;
+	JsonNode *root = fleet_admin(fleet, member, "POST", "/v1/config/apply",
+				     body, &status, error);
+	char *text;
+
+	g_free(body);
+	if (!root)
+		return false;
+	if (status != 200) {
+		text = json_to_string(root, FALSE);
+		aub_error_set(error, AUB_ERROR_REFUSED, "apply", member->name,
+			      "status %u: %s", status, text);
+		g_free(text);
+	}
+	json_node_unref(root);
+	return status == 200;
+}
+
+static bool post_fault(const struct child *child, const char *json)
+{
+	char *url = g_strdup_printf("http://%s/fault", child->address);
+	guint status = 0;
+
+	g_free(child_http("POST", url, NULL, json, FAULT_TIMEOUT_MS, &status,
+			  NULL));
+	g_free(url);
+	return status == 200;
+}
+
+bool fleet_store_fault(struct fleet *fleet, const char *json)
+{
+	return post_fault(fleet->store, json);
+}
+
+bool fleet_upstream_fault(struct fleet *fleet, const char *json)
+{
+	return post_fault(fleet->upstreams, json);
+}
+
+bool fleet_proxy_fault(struct fleet *fleet, const char *json)
+{
+	return post_fault(fleet->proxy, json);
+}
+
+/* The fault's object with the port put in front. */
+static bool post_to_port(const struct child *child, guint16 port,
+			 const char *json)
+{
+	char *text = g_strdup_printf("{\"port\":%u,%s", port, json + 1);
+	bool ok = post_fault(child, text);
+
+	g_free(text);
+	return ok;
+}
+
+bool fleet_one_upstream_fault(struct fleet *fleet, guint16 upstream,
+			      const char *json)
+{
+	return post_to_port(fleet->upstreams,
+			    g_array_index(fleet->upstream_ports, guint16,
+					  upstream),
+			    json);
+}
+
+bool fleet_one_proxy_fault(struct fleet *fleet, guint16 upstream,
+			   const char *json)
+{
+	return post_to_port(fleet->proxy,
+			    aub_upstream_at(fleet->inventory, upstream)->port,
+			    json);
+}
+
+JsonNode *fleet_oracle(struct fleet *fleet)
+{
+	char *url =
+		g_strdup_printf("http://%s/oracle", fleet->upstreams->address);
+	GError *error = NULL;
+	char *text = child_http("GET", url, NULL, NULL, FAULT_TIMEOUT_MS, NULL,
+				&error);
+	JsonNode *root = text ? parse_json(text, url, &error) : NULL;
+
+	if (!root)
+		g_error("oracle: %s", error->message);
+	g_free(text);
+	g_free(url);
+	return root;
+}
+
+JsonObject *fleet_oracle_upstream(JsonNode *oracle, const struct fleet *fleet,
+				  guint16 upstream)
+{
+	/* The stand-in keeps the order of its command line. */
+	JsonArray *list =
+		json_object_get_array_member(json_node_get_object(oracle),
+					     "upstreams");
+
+	g_assert(upstream < json_array_get_length(list));
+	return json_array_get_object_element(list, upstream);
+}
+
+const char **fleet_entries(const struct fleet *fleet)
+{
+	const char **entries = g_new0(const char *, fleet->members->len + 1);
+	guint i;
+
+	for (i = 0; i < fleet->members->len; i++)
+		entries[i] = fleet_member(fleet, i)->callers;
+	return entries;
+}
