Add auburnstilectl and the time line of all processes

Cause: operators need one command for edits, changes, and questions; what happened to a request is spread over several processes whose clocks differ. Ruled out: trusting wall clocks (an answer showed before its request in the skewed test), and repeating a change whose answer was lost: it would overwrite a colleague's. The change id is chosen by the command and kept by the configuration, so a repeat from the same base finds its own write. Change: check, diff, apply, show, zone, vm, upstream, status, watch, timeline, explain; exit codes; text, JSON and SVG. The merge moves each clock by the least that keeps cause before effect, then orders by ties. The commands that ask a control have run against none yet.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 LIB_SRC = $(sort $(wildcard src/*/*.c))
 LIB_CXX = $(sort $(wildcard src/*/*.cc))
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/obj/%.o) $(LIB_CXX:%.cc=$(B)/obj/%.o)
+CTL_OBJ = $(patsubst %.c,$(B)/obj/%.o,$(sort $(wildcard programs/ctl/*.c)))
 PROGRAMS = $(patsubst programs/%.c,$(B)/%,$(wildcard programs/*.c))
 TOOLS = $(patsubst tools/%.c,$(B)/%,$(wildcard tools/*.c))
 TOOL_LIB_OBJ = $(patsubst %.c,$(B)/obj/%.o,$(sort $(wildcard tools/*/*.c)))
@@ -51,8 +52,10 @@
 	@rm -f $@
 	ar rcs $@ $^
 
+$(B)/auburnstilectl: $(CTL_OBJ)
+
 $(PROGRAMS): $(B)/%: $(B)/obj/programs/%.o $(B)/libauburnstile.a
-	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+	$(CC) $(CFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
 
 $(TOOLS): $(B)/%: $(B)/obj/tools/%.o $(B)/libfleet.a $(B)/libauburnstile.a
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
--- /dev/null
+++ b/include/auburnstile/internal/timeline_parts.h
@@ -0,0 +1,73 @@
+/*
+ * What the parts of the time line share: its tables.
+ */
+#ifndef AUBURNSTILE_INTERNAL_TIMELINE_PARTS_H
+#define AUBURNSTILE_INTERNAL_TIMELINE_PARTS_H
+
+#include <auburnstile/internal/timeline.h>
+
+G_BEGIN_DECLS
+
+/* One process and its events, oldest first. */
+struct aub_timeline_lane {
+	char *name;
+	char *zone;
+	guint64 incarnation;
+	gint64 offset_us;
+	GArray *events; /* of struct aub_event */
+};
+
+struct aub_timeline {
+	GArray *lanes; /* of struct aub_timeline_lane */
+	GArray *entries; /* of struct aub_timeline_entry, in order */
+};
+
+#define AUB_NO_NODE G_MAXUINT
+
+/* One event of one process, numbered over all processes while merging. */
+struct aub_timeline_node {
+	guint process;
+	guint index; /* in the process */
+	guint cause; /* node of another process, or AUB_NO_NODE */
+	guint next_effect; /* further node with the same cause */
+	guint first_effect; /* node that waits for this one */
+	gint64 time_us; /* corrected */
+	bool done;
+};
+
+struct aub_timeline_merge {
+	struct aub_timeline *timeline;
+	GArray *nodes; /* of struct aub_timeline_node */
+	guint *base; /* node number of each process's first event */
+};
+
+static inline struct aub_timeline_lane *aub_timeline_lane_at(
+	const struct aub_timeline *timeline, guint process)
+{
+	return &g_array_index(timeline->lanes, struct aub_timeline_lane,
+			      process);
+}
+
+static inline struct aub_timeline_node *aub_timeline_node_at(
+	const struct aub_timeline_merge *merge, guint index)
+{
+	return &g_array_index(merge->nodes, struct aub_timeline_node, index);
+}
+
+static inline const struct aub_event *aub_timeline_event_at(
+	const struct aub_timeline_merge *merge, guint index)
+{
+	const struct aub_timeline_node *node =
+		aub_timeline_node_at(merge, index);
+
+	return &g_array_index(
+		aub_timeline_lane_at(merge->timeline, node->process)->events,
+		struct aub_event, node->index);
+}
+
+/* Find the causes of events among those of other processes. */
+void aub_timeline_tie(struct aub_timeline_merge *merge);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/programs/auburnstilectl.c
@@ -0,0 +1,294 @@
+/*
+ * auburnstilectl: the operators' command line.
+ *
+ * Options are read by argp; the first word chooses a command of the table.
+ */
+#include "ctl/ctl.h"
+
+#include <argp.h>
+#include <string.h>
+
+const char *argp_program_version = "auburnstilectl 0.1";
+
+static const char doc[] =
+	"Operate an auburnstile fleet.\v"
+	"Commands:\n"
+	"  check FILE              check an inventory, naming broken rules\n"
+	"  diff FILE               what applying FILE would change\n"
+	"  diff OLD NEW            compare two files\n"
+	"  apply FILE              bring an inventory into force\n"
+	"  show                    print the inventory in force, with version\n"
+	"  zone out|in NAME        take an availability zone out or back\n"
+	"  vm leave|return NAME    the same for the upstreams of a VM\n"
+	"  upstream leave|return NAME\n"
+	"  status                  members, zones, owners of services\n"
+	"  watch                   print changes of these as they come\n"
+	"  timeline                events of all processes in one order\n"
+	"  explain REQUEST         what became of a request (its hex id)\n"
+	"\n"
+	"Exit codes:\n"
+	"  0 done; 1 invalid or refused; 2 wrong usage; 3 conflict with a\n"
+	"  newer version; 4 accepted, not yet in force everywhere; 5 no control\n"
+	"  answered, nothing changed; 6 sent, and the outcome is unknown;\n"
+	"  7 diff found differences\n"
+	"\n"
+	"Environment: AUBURNSTILE_CONTROL (addresses, separated by commas), "
+	"AUBURNSTILE_TOKEN_FILE.";
+
+enum {
+	OPTION_JSON = 1000,
+	OPTION_BASE,
+	OPTION_AUTHOR,
+	OPTION_OVERRIDE,
+	OPTION_TIMEOUT,
+	OPTION_REQUEST,
+	OPTION_UPSTREAM,
+	OPTION_ZONE,
+	OPTION_PROCESS,
+	OPTION_SINCE,
+	OPTION_UNTIL,
+	OPTION_LIMIT
+};
+
+static const struct argp_option option_table[] = {
+	{ "control", 'c', "IP:PORT", 0,
+	  "Admin address of a control; may be repeated, the next is tried "
+	  "when one doesn't answer",
+	  1 },
+	{ "token-file", 't', "FILE", 0, "File with the operators' token", 1 },
+	{ "timeout", OPTION_TIMEOUT, "MS", 0,
+	  "Longest wait for an answer (5000)", 1 },
+	{ "json", OPTION_JSON, NULL, 0, "Print JSON", 1 },
+	{ "base", OPTION_BASE, "VERSION", 0,
+	  "apply: the version the file was edited from; without it, the "
+	  "file's own `version`, or 0",
+	  2 },
+	{ "author", OPTION_AUTHOR, "NAME", 0, "Who makes a change ($USER)", 2 },
+	{ "override-majority", OPTION_OVERRIDE, NULL, 0,
+	  "Accept a change although most members aren't heard", 2 },
+	{ "format", 'f', "text|json|svg", 0, "timeline: form of the output",
+	  3 },
+	{ "output", 'o', "FILE", 0, "timeline, explain: write to FILE", 3 },
+	{ "request", OPTION_REQUEST, "HEX", 0, "timeline: of one request", 3 },
+	{ "upstream", OPTION_UPSTREAM, "NAME", 0, "timeline: of one upstream",
+	  3 },
+	{ "zone", OPTION_ZONE, "NAME", 0, "timeline: of one zone", 3 },
+	{ "process", OPTION_PROCESS, "NAME", 0, "timeline: of one process", 3 },
+	{ "since", OPTION_SINCE, "TIME", 0,
+	  "timeline: from then on; ISO 8601 (2026-05-04T10:00:00Z), or -30 for "
+	  "30 s ago",
+	  3 },
+	{ "until", OPTION_UNTIL, "TIME", 0, "timeline: until then", 3 },
+	{ "limit", OPTION_LIMIT, "N", 0,
+	  "timeline: the newest N events at most (0: all; 400 for svg)", 3 },
+	{ 0 }
+};
+
+struct command {
+	const char *name;
+	ctl_command *run;
+};
+
+static const struct command commands[] = {
+	{ "check", ctl_check },	      { "diff", ctl_diff },
+	{ "apply", ctl_apply },	      { "show", ctl_show },
+	{ "zone", ctl_zone },	      { "vm", ctl_vm },
+	{ "upstream", ctl_upstream }, { "status", ctl_status },
+	{ "watch", ctl_watch },	      { "timeline", ctl_timeline },
+	{ "explain", ctl_explain },
+};
+
+#define SVG_LIMIT 400
+
+struct invocation {
+	struct ctl_options options;
+	GPtrArray *words; /* of char *, borrowed from argv */
+	bool limited;
+};
+
+/* Wall time in us; argp's usage error where the text is none. */
+static gint64 moment_of(struct argp_state *state, const char *text)
+{
+	GTimeZone *utc;
+	GDateTime *moment;
+	guint64 seconds;
+	gint64 result;
+
+	if (text[0] == '-' &&
+	    g_ascii_string_to_unsigned(text + 1, 10, 0, G_MAXUINT32, &seconds,
+				       NULL))
+		return g_get_real_time() - (gint64)seconds * G_TIME_SPAN_SECOND;
+	utc = g_time_zone_new_utc();
+	moment = g_date_time_new_from_iso8601(text, utc);
+	g_time_zone_unref(utc);
+	if (!moment)
+		argp_error(state, "\"%s\" is no time", text);
+	result = g_date_time_to_unix(moment) * G_TIME_SPAN_SECOND +
+		 g_date_time_get_microsecond(moment);
+	g_date_time_unref(moment);
+	return result;
+}
+
+static guint64 number_of(struct argp_state *state, const char *text, guint base,
+			 guint64 maximum)
+{
+	guint64 value = 0;
+
+	if (!g_ascii_string_to_unsigned(text, base, 0, maximum, &value, NULL))
+		argp_error(state, "\"%s\" is no number in range", text);
+	return value;
+}
+
+static enum ctl_format format_of(struct argp_state *state, const char *text)
+{
+	if (strcmp(text, "json") == 0)
+		return CTL_JSON;
+	if (strcmp(text, "svg") == 0)
+		return CTL_SVG;
+	if (strcmp(text, "text") != 0)
+		argp_error(state, "no such format: %s", text);
+	return CTL_TEXT;
+}
+
+static error_t filter_parse(int key, char *value, struct argp_state *state,
+			    struct invocation *invocation)
+{
+	struct aub_timeline_filter *filter = &invocation->options.filter;
+
+	switch (key) {
+	case OPTION_REQUEST:
+		filter->request = number_of(state, value, 16, G_MAXUINT64);
+		return 0;
+	case OPTION_UPSTREAM:
+		filter->upstream = value;
+		return 0;
+	case OPTION_ZONE:
+		filter->zone = value;
+		return 0;
+	case OPTION_PROCESS:
+		filter->process = value;
+		return 0;
+	case OPTION_SINCE:
+		filter->since_us = moment_of(state, value);
+		return 0;
+	case OPTION_UNTIL:
+		filter->until_us = moment_of(state, value);
+		return 0;
+	case OPTION_LIMIT:
+		invocation->options.limit =
+			(guint)number_of(state, value, 10, G_MAXUINT32);
+		invocation->limited = true;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static error_t parse(int key, char *value, struct argp_state *state)
+{
+	struct invocation *invocation = state->input;
+	struct ctl_options *options = &invocation->options;
+
+	switch (key) {
+	case 'c':
+		g_ptr_array_add(options->controls, value);
+		return 0;
+	case 't':
+		options->token_file = value;
+		return 0;
+	case 'f':
+		options->format = format_of(state, value);
+		return 0;
+	case 'o':
+		options->output = value;
+		return 0;
+	case OPTION_JSON:
+		options->format = CTL_JSON;
+		return 0;
+	case OPTION_BASE:
+		options->base = (gint64)number_of(state, value, 10, G_MAXINT64);
+		return 0;
+	case OPTION_AUTHOR:
+		options->author = value;
+		return 0;
+	case OPTION_OVERRIDE:
+		options->override_majority = true;
+		return 0;
+	case OPTION_TIMEOUT:
+		options->timeout_ms =
+			(guint)number_of(state, value, 10, 600000);
+		return 0;
+	case ARGP_KEY_ARG:
+		g_ptr_array_add(invocation->words, value);
+		return 0;
+	default:
+		return filter_parse(key, value, state, invocation);
+	}
+}
+
+static const struct argp argp = {
+	.options = option_table,
+	.parser = parse,
+	.args_doc = "COMMAND [WORD...]",
+	.doc = doc,
+};
+
+/* Addresses from the environment, where the command line names none. */
+static char **environment_controls(struct ctl_options *options)
+{
+	const char *text = g_getenv("AUBURNSTILE_CONTROL");
+	char **list;
+
+	if (options->controls->len || !text)
+		return NULL;
+	list = g_strsplit_set(text, ", ", -1);
+	for (guint i = 0; list[i]; i++)
+		if (*list[i])
+			g_ptr_array_add(options->controls, list[i]);
+	return list;
+}
+
+static int run(struct invocation *invocation)
+{
+	struct ctl_options *options = &invocation->options;
+	char **words = (char **)invocation->words->pdata;
+	guint count = invocation->words->len;
+	int code = CTL_USAGE;
+
+	if (options->format == CTL_SVG && !invocation->limited)
+		options->limit = SVG_LIMIT;
+	for (guint i = 0; count && i < G_N_ELEMENTS(commands); i++)
+		if (strcmp(commands[i].name, words[0]) == 0)
+			code = commands[i].run(options, words + 1, count - 1);
+	if (code == CTL_USAGE)
+		g_printerr("usage: auburnstilectl [OPTION...] COMMAND "
+			   "[WORD...]; see --help\n");
+	return code;
+}
+
+int main(int argc, char **argv)
+{
+	struct invocation invocation = {
+		.options = { .controls = g_ptr_array_new(),
+			     .token_file = g_getenv("AUBURNSTILE_TOKEN_FILE"),
+			     .author = g_get_user_name(),
+			     .base = -1,
+			     .timeout_ms = 5000 },
+		.words = g_ptr_array_new(),
+	};
+	char **controls;
+	int code;
+
+	argp_err_exit_status = CTL_USAGE;
+	argp_parse(&argp, argc, argv, 0, NULL, &invocation);
+	controls = environment_controls(&invocation.options);
+	code = run(&invocation);
+	if (invocation.options.token)
+		memset(invocation.options.token, 0,
+		       strlen(invocation.options.token));
+	g_free(invocation.options.token);
+	g_strfreev(controls);
+	g_ptr_array_unref(invocation.options.controls);
+	g_ptr_array_unref(invocation.words);
+	return code;
+}
--- /dev/null
+++ b/programs/ctl/change.c
@@ -0,0 +1,353 @@
+/*
+ * Commands that change the configuration: apply, and taking a zone, VM or
+ * upstream out and back.
+ */
+#include "ctl.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+/* The control waits up to 9 s until a change is in force everywhere. */
+#define CHANGE_TIMEOUT_MS 20000
+/* A change whose answer was lost is sent again, with the same id. */
+#define CHANGE_TRIES 3
+#define CHANGE_PAUSE_US 200000
+
+static void print_lines(const char *title, const char *lines)
+{
+	char **list = g_strsplit(lines, "\n", -1);
+
+	g_print("%s\n", title);
+	for (guint i = 0; list[i]; i++)
+		if (*list[i])
+			g_print("  %s\n", list[i]);
+	if (!*lines)
+		g_print("  nothing\n");
+	g_strfreev(list);
+}
+
+/* Members that a change isn't in force at; true when there are none. */
+static bool print_members(JsonObject *answer, const char *list, guint64 version)
+{
+	JsonArray *members = aub_json_array(answer, list);
+	guint behind = 0;
+	guint whole = 0;
+
+	for (guint i = 0; members && i < json_array_get_length(members); i++) {
+		JsonObject *it = aub_json_element(members, i);
+		const char *name = it ? aub_json_string(it, "member") : NULL;
+		const char *state = it ? aub_json_string(it, "state") : NULL;
+		guint64 held;
+
+		if (!name || !state)
+			continue;
+		held = (guint64)aub_json_integer(it, "version");
+		if (held >= version) {
+			whole++;
+			continue;
+		}
+		if (strcmp(state, "live") == 0 || strcmp(state, "leaving") == 0)
+			behind++;
+		g_print("  %s: %s, at version %" G_GUINT64_FORMAT "\n", name,
+			state, held);
+	}
+	g_print("in force at %u member%s, %u behind\n", whole,
+		whole == 1 ? "" : "s", behind);
+	return behind == 0;
+}
+
+static int print_accepted(struct ctl_options *options, JsonObject *answer,
+			  const char *list)
+{
+	guint64 version = (guint64)aub_json_integer(answer, "version");
+	bool everywhere = aub_json_boolean(answer, "everywhere");
+
+	if (options->format == CTL_JSON) {
+		ctl_print_json(answer);
+	} else {
+		g_print("accepted: version %" G_GUINT64_FORMAT "\n", version);
+		everywhere = print_members(answer, list, version) && everywhere;
+		if (!everywhere)
+			g_print("not yet in force everywhere; a member that "
+				"stays cut off takes no new work\n");
+	}
+	return everywhere ? CTL_OK : CTL_NOT_EVERYWHERE;
+}
+
+/* The change took effect as `version`, as another question has shown. */
+static int print_settled(struct ctl_options *options, guint64 version)
+{
+	char *path = g_strdup_printf("/v1/in-force?version=%" G_GUINT64_FORMAT,
+				     version);
+	int code = CTL_OK;
+	JsonObject *answer = ctl_get(options, path, &code);
+
+	g_free(path);
+	if (!answer) {
+		g_print("accepted: version %" G_GUINT64_FORMAT "\n", version);
+		return CTL_NOT_EVERYWHERE;
+	}
+	json_object_set_boolean_member(answer, "accepted", TRUE);
+	code = print_accepted(options, answer, "members");
+	json_object_unref(answer);
+	return code;
+}
+
+/*
+ * Both operators' edits, each against the version this one began from, so
+ * that neither is lost by guessing.
+ */
+static int print_conflict(struct ctl_options *options, JsonObject *answer,
+			  const char *text)
+{
+	guint64 version = (guint64)aub_json_integer(answer, "current_version");
+	struct aub_config *base = ctl_config_of(answer, "base_config", 0);
+	struct aub_config *current = ctl_config_of(answer, "current_config", 0);
+	struct aub_config *yours = ctl_config_with(base ? base : current, text);
+	char *theirs = ctl_diff_text(base, current);
+	char *mine = ctl_diff_text(base ? base : current, yours);
+
+	if (options->format == CTL_JSON) {
+		json_object_set_string_member(answer, "base_to_current",
+					      theirs);
+		json_object_set_string_member(answer, "base_to_yours", mine);
+		ctl_print_json(answer);
+	} else {
+		g_print("conflict: the configuration is at version "
+			"%" G_GUINT64_FORMAT ", your edit began from an older "
+			"one; nothing was changed\n",
+			version);
+		print_lines(
+			base ? "changed since by others (base -> current):" :
+			       "current (the base is no longer known):",
+			theirs);
+		print_lines(base ? "changed by you (base -> yours):" :
+				   "changed by you (current -> yours):",
+			    mine);
+		g_print("take the current one (auburnstilectl show), edit it, "
+			"and apply that\n");
+	}
+	aub_config_free(base);
+	aub_config_free(current);
+	aub_config_free(yours);
+	g_free(theirs);
+	g_free(mine);
+	return CTL_CONFLICT;
+}
+
+/* True if the current configuration in an answer is this very change. */
+static bool is_ours(JsonObject *answer, const char *change)
+{
+	JsonObject *config = aub_json_object(answer, "current_config");
+	const char *held = config ? aub_json_string(config, "change") : NULL;
+
+	return held && strcmp(held, change) == 0;
+}
+
+static char *change_new(void)
+{
+	return g_strdup_printf("ctl-%08x%08x%08x", g_random_int(),
+			       g_random_int(), g_random_int());
+}
+
+/*
+ * Send a change until it is known what became of it.
+ *
+ * The operator repeats a change whose answer was lost, and overwrites what a
+ * colleague did in between. The id is chosen here and kept by the
+ * configuration: sent again from the same base, the change is either written
+ * now, or found to be the current one.
+ */
+static bool change_send(struct ctl_options *options, const char *path,
+			const char *body, struct ctl_answer *answer, bool *lost,
+			GError **error)
+{
+	*lost = false;
+	for (guint i = 0; i < CHANGE_TRIES; i++) {
+		g_clear_error(error);
+		if (ctl_ask(options, "POST", path, body, CHANGE_TIMEOUT_MS,
+			    answer, error)) {
+			/* The control itself lost the store's answer. */
+			if (answer->status != SOUP_STATUS_GATEWAY_TIMEOUT)
+				return true;
+			*lost = true;
+			if (i + 1 == CHANGE_TRIES)
+				return true;
+		} else if ((*error)->code == AUB_ERROR_INVALID) {
+			return false;
+		} else if ((*error)->code == AUB_ERROR_AMBIGUOUS) {
+			*lost = true;
+		}
+		g_usleep(CHANGE_PAUSE_US);
+	}
+	return false;
+}
+
+/* No answer came at all: what can be said of the change? */
+static int print_unsettled(GError *error, bool lost)
+{
+	if (error->code == AUB_ERROR_INVALID)
+		return ctl_print_error(error, CTL_USAGE);
+	if (!lost)
+		return ctl_print_error(error, CTL_UNREACHABLE);
+	g_printerr("auburnstilectl: the change was sent, and no control can "
+		   "say what became of it: look at `auburnstilectl show` "
+		   "before you repeat it\n");
+	return ctl_print_error(error, CTL_UNKNOWN);
+}
+
+/* A refusal is final, unless an earlier try may have gone through. */
+static int print_refused(const struct ctl_answer *answer, bool lost)
+{
+	int code = ctl_print_refusal(answer);
+
+	if (!lost)
+		return code;
+	g_printerr("auburnstilectl: an earlier answer was lost: look at "
+		   "`auburnstilectl show` before you repeat this\n");
+	return CTL_UNKNOWN;
+}
+
+static void author_set(struct ctl_options *options, JsonObject *body,
+		       const char *change)
+{
+	json_object_set_string_member(body, "author", options->author);
+	json_object_set_string_member(body, "change", change);
+	if (options->override_majority)
+		json_object_set_boolean_member(body, "override", TRUE);
+}
+
+/* A 409 after a lost answer: ours, superseded, or never taken. */
+static int conflict_after(struct ctl_options *options,
+			  struct ctl_answer *answer, const char *text,
+			  const char *change, bool lost)
+{
+	if (is_ours(answer->body, change))
+		return print_settled(
+			options, (guint64)aub_json_integer(answer->body,
+							   "current_version"));
+	if (!lost)
+		return print_conflict(options, answer->body, text);
+	print_conflict(options, answer->body, text);
+	g_printerr("auburnstilectl: an earlier answer was lost: your change "
+		   "may have been in force before the current one\n");
+	return CTL_UNKNOWN;
+}
+
+static int apply_text(struct ctl_options *options, const char *text,
+		      guint64 base)
+{
+	char *plain = aub_inventory_text_version(text, 0);
+	JsonObject *body = json_object_new();
+	struct ctl_answer answer = { 0 };
+	char *change = change_new();
+	GError *error = NULL;
+	bool lost = false;
+	char *json;
+	int code;
+
+	json_object_set_int_member(body, "base", (gint64)base);
+	json_object_set_string_member(body, "inventory", plain);
+	author_set(options, body, change);
+	json = aub_json_print(body);
+	if (!change_send(options, "/v1/config/apply", json, &answer, &lost,
+			 &error))
+		code = print_unsettled(error, lost);
+	else if (answer.status == SOUP_STATUS_OK && answer.body)
+		code = print_accepted(options, answer.body, "in_force");
+	else if (answer.status == SOUP_STATUS_CONFLICT && answer.body)
+		code = conflict_after(options, &answer, plain, change, lost);
+	else
+		code = print_refused(&answer, lost);
+	ctl_answer_clear(&answer);
+	g_free(json);
+	g_free(change);
+	g_free(plain);
+	return code;
+}
+
+int ctl_apply(struct ctl_options *options, char **words, guint count)
+{
+	struct aub_inventory *inventory = NULL;
+	guint64 base;
+	char *text;
+	int code;
+
+	if (count != 1)
+		return CTL_USAGE;
+	text = ctl_file_checked(words[0], &inventory);
+	if (!text)
+		return CTL_REFUSED;
+	base = options->base >= 0 ? (guint64)options->base :
+				    inventory->base_version;
+	aub_inventory_unref(inventory);
+	code = apply_text(options, text, base);
+	g_free(text);
+	return code;
+}
+
+static int item_send(struct ctl_options *options, const char *path,
+		     const char *what)
+{
+	JsonObject *body = json_object_new();
+	struct ctl_answer answer = { 0 };
+	char *change = change_new();
+	GError *error = NULL;
+	bool lost = false;
+	char *json;
+	int code;
+
+	author_set(options, body, change);
+	json = aub_json_print(body);
+	if (!change_send(options, path, json, &answer, &lost, &error)) {
+		code = print_unsettled(error, lost);
+	} else if (answer.status == SOUP_STATUS_OK && answer.body) {
+		if (options->format != CTL_JSON)
+			g_print("%s: ", what);
+		code = print_accepted(options, answer.body, "in_force");
+	} else {
+		code = print_refused(&answer, lost);
+	}
+	ctl_answer_clear(&answer);
+	g_free(json);
+	g_free(change);
+	return code;
+}
+
+/* "zone out NAME" and its like: the word, the name, and the path. */
+static int change_item(struct ctl_options *options, char **words, guint count,
+		       const char *kind, const char *first, const char *second)
+{
+	char *name;
+	char *path;
+	char *what;
+	int code;
+
+	if (count != 2 ||
+	    (strcmp(words[0], first) != 0 && strcmp(words[0], second) != 0))
+		return CTL_USAGE;
+	name = g_uri_escape_string(words[1], NULL, FALSE);
+	path = g_strdup_printf("/v1/%ss/%s/%s", kind, name, words[0]);
+	what = g_strdup_printf("%s %s %s", kind, words[1], words[0]);
+	code = item_send(options, path, what);
+	g_free(what);
+	g_free(path);
+	g_free(name);
+	return code;
+}
+
+int ctl_zone(struct ctl_options *options, char **words, guint count)
+{
+	return change_item(options, words, count, "zone", "out", "in");
+}
+
+int ctl_vm(struct ctl_options *options, char **words, guint count)
+{
+	return change_item(options, words, count, "vm", "leave", "return");
+}
+
+int ctl_upstream(struct ctl_options *options, char **words, guint count)
+{
+	return change_item(options, words, count, "upstream", "leave",
+			   "return");
+}
--- /dev/null
+++ b/programs/ctl/events.c
@@ -0,0 +1,217 @@
+/*
+ * Commands on events: gather them from all processes, then show the time
+ * line or explain one request.
+ */
+#include "ctl.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+
+/* A process that answers page after page without end is left. */
+#define PAGES 200
+
+static void text_take(JsonObject *object, const char *name, char *field,
+		      gsize size)
+{
+	const char *text = aub_json_string(object, name);
+
+	if (text)
+		g_strlcpy(field, text, size);
+}
+
+/* One event from JSON; false where it has no known type. */
+static bool event_read(JsonObject *object, struct aub_event *event)
+{
+	const char *type = aub_json_string(object, "type");
+	const char *request = aub_json_string(object, "request");
+	int known = type ? aub_event_type_parse(type) : -1;
+
+	if (known < 0)
+		return false;
+	event->type = (enum aub_event_type)known;
+	event->sequence = (guint64)aub_json_integer(object, "sequence");
+	event->monotonic_us = aub_json_integer(object, "monotonic_us");
+	event->wall_us = aub_json_integer(object, "wall_us");
+	event->number = aub_json_integer(object, "number");
+	if (request)
+		event->request = g_ascii_strtoull(request, NULL, 16);
+	text_take(object, "upstream", event->upstream, sizeof(event->upstream));
+	text_take(object, "zone", event->zone, sizeof(event->zone));
+	text_take(object, "peer", event->peer, sizeof(event->peer));
+	text_take(object, "text", event->text, sizeof(event->text));
+	return true;
+}
+
+/* Add a page of events; the sequence of the last, 0 if it was empty. */
+static guint64 page_add(struct aub_timeline *timeline, JsonObject *page,
+			const char *zone)
+{
+	const char *process = aub_json_string(page, "process");
+	JsonArray *list = aub_json_array(page, "events");
+	guint64 last = 0;
+	guint handle;
+
+	if (!process || !list)
+		return 0;
+	handle = aub_timeline_process(timeline, process, zone,
+				      (guint64)aub_json_integer(page,
+								"incarnation"));
+	for (guint i = 0; i < json_array_get_length(list); i++) {
+		JsonObject *object = aub_json_element(list, i);
+		struct aub_event event = { 0 };
+
+		if (!object)
+			continue;
+		last = (guint64)aub_json_integer(object, "sequence");
+		if (event_read(object, &event))
+			aub_timeline_add(timeline, handle, &event);
+	}
+	return last;
+}
+
+static void gather_from(struct ctl_options *options,
+			struct aub_timeline *timeline, const char *address,
+			const char *zone)
+{
+	guint64 after = 0;
+
+	for (guint i = 0; i < PAGES; i++) {
+		char *path =
+			g_strdup_printf("/v1/events?after=%" G_GUINT64_FORMAT,
+					after);
+		struct ctl_answer answer = { 0 };
+		GError *error = NULL;
+		guint64 last = 0;
+
+		if (!ctl_ask_one(options, address, path, &answer, &error))
+			ctl_print_error(error, 0);
+		else if (answer.status != SOUP_STATUS_OK || !answer.body)
+			ctl_print_refusal(&answer);
+		else
+			last = page_add(timeline, answer.body, zone);
+		ctl_answer_clear(&answer);
+		g_free(path);
+		if (last <= after)
+			return;
+		after = last;
+	}
+}
+
+/* All events there are, merged; NULL with `*code` set. */
+static struct aub_timeline *gather(struct ctl_options *options, int *code)
+{
+	JsonObject *status = ctl_get(options, "/v1/status", code);
+	struct aub_timeline *timeline;
+	JsonArray *members;
+
+	if (!status)
+		return NULL;
+	timeline = aub_timeline_new();
+	members = aub_json_array(status, "members");
+	for (guint i = 0; members && i < json_array_get_length(members); i++) {
+		JsonObject *it = aub_json_element(members, i);
+		const char *const fields[] = { "entry_admin", "control_admin" };
+		const char *state = it ? aub_json_string(it, "state") : NULL;
+
+		if (!state || strcmp(state, "dead") == 0 ||
+		    strcmp(state, "stopped") == 0)
+			continue;
+		for (guint f = 0; f < G_N_ELEMENTS(fields); f++) {
+			const char *address = aub_json_string(it, fields[f]);
+
+			if (address && *address)
+				gather_from(options, timeline, address,
+					    aub_json_string(it, "zone"));
+		}
+	}
+	json_object_unref(status);
+	aub_timeline_merge(timeline);
+	return timeline;
+}
+
+static int write_out(struct ctl_options *options, const char *text)
+{
+	GError *error = NULL;
+
+	if (!options->output) {
+		g_print("%s", text);
+		return CTL_OK;
+	}
+	if (g_file_set_contents(options->output, text, -1, &error))
+		return CTL_OK;
+	return ctl_print_error(error, CTL_REFUSED);
+}
+
+int ctl_timeline(struct ctl_options *options, char **words, guint count)
+{
+	struct aub_timeline *timeline;
+	GPtrArray *entries;
+	int code = CTL_OK;
+	char *text;
+
+	if (count != 0)
+		return CTL_USAGE;
+	timeline = gather(options, &code);
+	if (!timeline)
+		return code;
+	entries = aub_timeline_select(timeline, &options->filter);
+	if (options->limit && entries->len > options->limit) {
+		g_printerr("auburnstilectl: the newest %u of %u events "
+			   "(--limit)\n",
+			   options->limit, entries->len);
+		g_ptr_array_remove_range(entries, 0,
+					 entries->len - options->limit);
+	}
+	if (options->format == CTL_SVG)
+		text = aub_timeline_svg(timeline, entries);
+	else if (options->format == CTL_JSON)
+		text = aub_timeline_json(timeline, entries);
+	else
+		text = aub_timeline_text(timeline, entries);
+	code = write_out(options, text);
+	g_free(text);
+	g_ptr_array_unref(entries);
+	aub_timeline_free(timeline);
+	return code;
+}
+
+static char *explain_json(const struct aub_timeline *timeline, guint64 request)
+{
+	struct aub_timeline_filter filter = { .request = request };
+	GPtrArray *entries = aub_timeline_select(timeline, &filter);
+	char *text = entries->len ? aub_timeline_json(timeline, entries) :
+				    g_strdup("");
+
+	g_ptr_array_unref(entries);
+	return text;
+}
+
+int ctl_explain(struct ctl_options *options, char **words, guint count)
+{
+	struct aub_timeline *timeline;
+	guint64 request;
+	int code = CTL_OK;
+	char *text;
+
+	if (count != 1 ||
+	    !g_ascii_string_to_unsigned(words[0], 16, 1, G_MAXUINT64, &request,
+					NULL))
+		return CTL_USAGE;
+	timeline = gather(options, &code);
+	if (!timeline)
+		return code;
+	text = options->format == CTL_JSON ?
+		       explain_json(timeline, request) :
+		       aub_timeline_narrate(timeline, request);
+	if (*text) {
+		code = write_out(options, text);
+	} else {
+		g_printerr("auburnstilectl: no process has an event of request "
+			   "%s; events are kept for a while only\n",
+			   words[0]);
+		code = CTL_REFUSED;
+	}
+	g_free(text);
+	aub_timeline_free(timeline);
+	return code;
+}
