Add the demonstration: a load, a zone out and back

Cause: a team should see the whole path with one command.

Waiting for HTTP or the command line turns the main loop, so the load goes on.

Seen: it builds; the entry it needs is not there yet, so it was not run.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # auburnstile: build, tests, demonstration and measurements.
 #
 #   make            release build of programs and tools into build/
+#   make demo       a fleet on loopback, a load, a zone out and back
 #   make check      sanitizer build, all tests, ends with "N passed, N failed"
 #   make format     rewrite sources in the project's format
 #   make lint       formatter and linter, changing nothing
@@ -71,6 +72,9 @@
 	@$(MAKE) --no-print-directory -s SAN=1 -j$$(nproc) all tests
 	@sh tests/run.sh build/san
 
+demo: all
+	@$(B)/demo
+
 format:
 	clang-format -i $(SOURCES)
 
@@ -83,7 +87,7 @@
 clean:
 	rm -rf build
 
-.PHONY: all tests check format lint clean
+.PHONY: all tests check demo format lint clean
 .SECONDARY:
 
 -include $(shell find build -name '*.d' 2>/dev/null)
--- a/tools/common/child.c
+++ b/tools/common/child.c
@@ -271,32 +271,23 @@
 	wait->done = true;
 }
 
-/* On a context of its own, so that it can be used inside a main loop. */
+/* Turns the default main loop, so that a load under way goes on. */
 static void http_run(SoupMessage *message, guint timeout_ms,
 		     struct http_wait *wait)
 {
-	GMainContext *context = g_main_context_new();
 	GCancellable *cancellable = g_cancellable_new();
-	GSource *timer = g_timeout_source_new(timeout_ms);
-	SoupSession *session;
+	SoupSession *session = soup_session_new();
+	guint timer = g_timeout_add(timeout_ms, on_http_timeout, cancellable);
 
-	g_main_context_push_thread_default(context);
-	session = soup_session_new();
-	g_source_set_callback(timer, on_http_timeout, cancellable, NULL);
-	g_source_attach(timer, context);
 	soup_session_send_and_read_async(session, message, G_PRIORITY_DEFAULT,
 					 cancellable, on_http_done, wait);
 	while (!wait->done)
-		g_main_context_iteration(context, TRUE);
+		g_main_context_iteration(NULL, TRUE);
+	if (!g_cancellable_is_cancelled(cancellable))
+		g_source_remove(timer);
 	soup_session_abort(session);
-	while (g_main_context_iteration(context, FALSE))
-		;
 	g_object_unref(session);
-	g_main_context_pop_thread_default(context);
-	g_source_destroy(timer);
-	g_source_unref(timer);
 	g_object_unref(cancellable);
-	g_main_context_unref(context);
 }
 
 char *child_http(const char *method, const char *url, const char *token,
--- a/tools/common/child.h
+++ b/tools/common/child.h
@@ -60,8 +60,9 @@
 guint16 child_free_port(void);
 
 /*
- * One HTTP request, waited for up to `timeout_ms`. `token` and `body` may be
- * NULL. The body of the answer is owned by the caller; NULL on error.
+ * One HTTP request, waited for up to `timeout_ms` while the default main loop
+ * turns. `token` and `body` may be NULL. The body of the answer is owned by the
+ * caller; NULL on error.
  */
 char *child_http(const char *method, const char *url, const char *token,
 		 const char *body, guint timeout_ms, guint *status,
--- a/tools/fleet/fleet.c
+++ b/tools/fleet/fleet.c
@@ -353,9 +353,9 @@
 	return fleet->members->pdata[index];
 }
 
-bool fleet_member_ready(const struct fleet_member *member)
+static bool answers(const char *address, const char *path)
 {
-	char *url = g_strdup_printf("http://%s/readyz", member->admin);
+	char *url = g_strdup_printf("http://%s%s", address, path);
 	guint status = 0;
 
 	g_free(child_http("GET", url, NULL, NULL, 500, &status, NULL));
@@ -363,6 +363,28 @@
 	return status == 200;
 }
 
+bool fleet_member_ready(const struct fleet_member *member)
+{
+	return answers(member->admin, "/readyz");
+}
+
+bool fleet_wait_control(const struct fleet_member *member, guint timeout_ms,
+			GError **error)
+{
+	gint64 end_us = g_get_monotonic_time() + timeout_ms * (gint64)1000;
+
+	while (!answers(member->control_admin, "/readyz")) {
+		if (g_get_monotonic_time() > end_us) {
+			aub_error_set(error, AUB_ERROR_TIMEOUT,
+				      "wait for control", member->name,
+				      "not ready in %u ms", timeout_ms);
+			return false;
+		}
+		fleet_run_ms(READY_POLL_MS);
+	}
+	return true;
+}
+
 bool fleet_wait_ready(struct fleet *fleet, guint timeout_ms, GError **error)
 {
 	gint64 end_us = g_get_monotonic_time() + timeout_ms * (gint64)1000;
--- a/tools/fleet/fleet.h
+++ b/tools/fleet/fleet.h
@@ -64,6 +64,9 @@
 
 /* Wait until the entries that run say that they are ready. */
 bool fleet_wait_ready(struct fleet *fleet, guint timeout_ms, GError **error);
+/* Wait until a member's control answers operators. */
+bool fleet_wait_control(const struct fleet_member *member, guint timeout_ms,
+			GError **error);
 bool fleet_member_ready(const struct fleet_member *member);
 
 struct fleet_member *fleet_member(const struct fleet *fleet, guint index);
--- a/tools/fleet/fleet_talk.c
+++ b/tools/fleet/fleet_talk.c
@@ -13,6 +13,39 @@
 	child_in_setup();
 }
 
+struct ctl_wait {
+	char *output;
+	GError *error;
+	bool ok;
+	bool done;
+};
+
+static void on_ctl_done(GObject *source, GAsyncResult *result, gpointer data)
+{
+	struct ctl_wait *wait = data;
+
+	wait->ok = g_subprocess_communicate_utf8_finish(G_SUBPROCESS(source),
+							result, &wait->output,
+							NULL, &wait->error);
+	wait->done = true;
+}
+
+/* Turns the main loop meanwhile, so that a load under way goes on. */
+static char *wait_output(GSubprocess *process, int *status, GError **error)
+{
+	struct ctl_wait wait = { 0 };
+
+	g_subprocess_communicate_utf8_async(process, NULL, NULL, on_ctl_done,
+					    &wait);
+	while (!wait.done)
+		g_main_context_iteration(NULL, TRUE);
+	if (!wait.ok)
+		g_propagate_error(error, wait.error);
+	else if (g_subprocess_get_if_exited(process))
+		*status = g_subprocess_get_exit_status(process);
+	return wait.output;
+}
+
 char *fleet_ctl(struct fleet *fleet, const struct fleet_member *member,
 		const char *const *arguments, int *status, GError **error)
 {
@@ -35,11 +68,9 @@
 	g_ptr_array_add(command, NULL);
 	process = g_subprocess_launcher_spawnv(
 		launcher, (const char *const *)command->pdata, error);
-	if (process && g_subprocess_communicate_utf8(process, NULL, NULL,
-						     &output, NULL, error))
-		*status = g_subprocess_get_if_exited(process) ?
-				  g_subprocess_get_exit_status(process) :
-				  -1;
+	*status = -1;
+	if (process)
+		output = wait_output(process, status, error);
 	g_clear_object(&process);
 	g_object_unref(launcher);
 	g_ptr_array_unref(command);
