--- a/programs/auburnstilectl.c
+++ b/programs/auburnstilectl.c
@@ -253,17 +253,18 @@
 	struct ctl_options *options = &invocation->options;
 	char **words = (char **)invocation->words->pdata;
 	guint count = invocation->words->len;
-	int code = CTL_USAGE;
+	int code = CTL_WORDS;
 
 	if (options->format == CTL_SVG && !invocation->limited)
 		options->limit = SVG_LIMIT;
 	for (guint i = 0; count && i < G_N_ELEMENTS(commands); i++)
 		if (strcmp(commands[i].name, words[0]) == 0)
 			code = commands[i].run(options, words + 1, count - 1);
-	if (code == CTL_USAGE)
-		g_printerr("usage: auburnstilectl [OPTION...] COMMAND "
-			   "[WORD...]; see --help\n");
-	return code;
+	if (code != CTL_WORDS)
+		return code;
+	g_printerr("usage: auburnstilectl [OPTION...] COMMAND [WORD...]; "
+		   "see --help\n");
+	return CTL_USAGE;
 }
 
 int main(int argc, char **argv)
--- a/programs/ctl/change.c
+++ b/programs/ctl/change.c
@@ -274,7 +274,7 @@
 	int code;
 
 	if (count != 1)
-		return CTL_USAGE;
+		return CTL_WORDS;
 	text = ctl_file_checked(words[0], &inventory);
 	if (!text)
 		return CTL_REFUSED;
@@ -325,7 +325,7 @@
 
 	if (count != 2 ||
 	    (strcmp(words[0], first) != 0 && strcmp(words[0], second) != 0))
-		return CTL_USAGE;
+		return CTL_WORDS;
 	name = g_uri_escape_string(words[1], NULL, FALSE);
 	path = g_strdup_printf("/v1/%ss/%s/%s", kind, name, words[0]);
 	what = g_strdup_printf("%s %s %s", kind, words[1], words[0]);
--- a/programs/ctl/ctl.h
+++ b/programs/ctl/ctl.h
@@ -15,6 +15,7 @@
 
 /* Exit codes that scripts can rely on; listed in --help. */
 enum ctl_exit {
+	CTL_WORDS = -1, /* wrong words: CTL_USAGE, with the usage shown */
 	CTL_OK = 0,
 	CTL_REFUSED = 1, /* invalid input, or the control said no */
 	CTL_USAGE = 2, /* the command line is wrong */
--- a/programs/ctl/edit.c
+++ b/programs/ctl/edit.c
@@ -40,7 +40,7 @@
 	char *text;
 
 	if (count != 1)
-		return CTL_USAGE;
+		return CTL_WORDS;
 	text = ctl_file_checked(words[0], &inventory);
 	if (!text)
 		return CTL_REFUSED;
@@ -128,7 +128,7 @@
 	int code = CTL_REFUSED;
 
 	if (count < 1 || count > 2)
-		return CTL_USAGE;
+		return CTL_WORDS;
 	text = ctl_file_checked(words[count - 1], &inventory);
 	aub_inventory_unref(inventory);
 	if (!text)
@@ -167,7 +167,7 @@
 	int code = CTL_OK;
 
 	if (count != 0)
-		return CTL_USAGE;
+		return CTL_WORDS;
 	answer = ctl_get(options, "/v1/config", &code);
 	if (!answer)
 		return code;
--- a/programs/ctl/events.c
+++ b/programs/ctl/events.c
@@ -150,7 +150,7 @@
 	char *text;
 
 	if (count != 0)
-		return CTL_USAGE;
+		return CTL_WORDS;
 	timeline = gather(options, &code);
 	if (!timeline)
 		return code;
@@ -196,7 +196,7 @@
 	if (count != 1 ||
 	    !g_ascii_string_to_unsigned(words[0], 16, 1, G_MAXUINT64, &request,
 					NULL))
-		return CTL_USAGE;
+		return CTL_WORDS;
 	timeline = gather(options, &code);
 	if (!timeline)
 		return code;
--- a/programs/ctl/status.c
+++ b/programs/ctl/status.c
@@ -74,7 +74,7 @@
 	int code = CTL_OK;
 
 	if (count != 0)
-		return CTL_USAGE;
+		return CTL_WORDS;
 	status = ctl_get(options, "/v1/status", &code);
 	if (!status)
 		return code;
@@ -205,7 +205,7 @@
 	gint64 version = -1;
 
 	if (count != 0)
-		return CTL_USAGE;
+		return CTL_WORDS;
 	for (;;) {
 		int code = CTL_OK;
 		JsonObject *status = ctl_get(options, "/v1/status", &code);
