Let a change be sent twice and written once

Cause: a change whose answer was lost is sent again, to the same control or another. The control would report a conflict with the operator's own edit, and a "zone out" held up on its way could be written after a later "zone in": changes of one item are rebased by themselves. Ruled out: comparing with the newest change only: a later edit hides it. Change: the command chooses the id ("change" in the request, optional); the configuration remembers the last 32 as digests; a control that finds the id there writes nothing and answers with the version held.

--- a/include/auburnstile/config.h
+++ b/include/auburnstile/config.h
@@ -4,7 +4,8 @@
  *
  * Stored as JSON:
  *   {"change": "ID", "author": "NAME", "inventory": "TOML text",
- *    "zones_out": ["b"], "vms_leaving": [], "upstreams_leaving": []}
+ *    "zones_out": ["b"], "vms_leaving": [], "upstreams_leaving": [],
+ *    "recent_changes": ["DIGEST"]}
  * `change` identifies the edit, so that a writer whose answer was lost can
  * tell by reading back whether its own write took effect.
  */
@@ -25,6 +26,7 @@
 	GPtrArray *zones_out; /* of char *, owned */
 	GPtrArray *vms_leaving;
 	GPtrArray *upstreams_leaving;
+	GPtrArray *recent; /* of char *: digests of earlier changes' ids */
 };
 
 struct aub_config *aub_config_new(void);
@@ -36,6 +38,17 @@
 				    guint64 version, GError **error);
 char *aub_config_serialize(const struct aub_config *config);
 
+/*
+ * Make it the result of an edit with this id; the id it had becomes one of
+ * the recent ones. A digest stands for each, so that an id's own text is in
+ * the object only while the edit is the newest.
+ */
+#define AUB_CONFIG_RECENT 32 /* earlier edits remembered */
+void aub_config_change_set(struct aub_config *config, const char *change);
+
+/* True where the edit with this id is the newest, or an earlier one. */
+bool aub_config_has_change(const struct aub_config *config, const char *change);
+
 /* Parse its inventory and mark what is out or leaving; owned by caller. */
 struct aub_inventory *aub_config_inventory(const struct aub_config *config,
 					   GError **error);
--- a/programs/ctl/change.c
+++ b/programs/ctl/change.c
@@ -74,25 +74,6 @@
 	return everywhere ? CTL_OK : CTL_NOT_EVERYWHERE;
 }
 
-/* The change took effect as `version`, as another question has shown. */
-static int print_settled(struct ctl_options *options, guint64 version)
-{
-	char *path = g_strdup_printf("/v1/in-force?version=%" G_GUINT64_FORMAT,
-				     version);
-	int code = CTL_OK;
-	JsonObject *answer = ctl_get(options, path, &code);
-
-	g_free(path);
-	if (!answer) {
-		g_print("accepted: version %" G_GUINT64_FORMAT "\n", version);
-		return CTL_NOT_EVERYWHERE;
-	}
-	json_object_set_boolean_member(answer, "accepted", TRUE);
-	code = print_accepted(options, answer, "members");
-	json_object_unref(answer);
-	return code;
-}
-
 /*
  * Both operators' edits, each against the version this one began from, so
  * that neither is lost by guessing.
@@ -135,15 +116,6 @@
 	return CTL_CONFLICT;
 }
 
-/* True if the current configuration in an answer is this very change. */
-static bool is_ours(JsonObject *answer, const char *change)
-{
-	JsonObject *config = aub_json_object(answer, "current_config");
-	const char *held = config ? aub_json_string(config, "change") : NULL;
-
-	return held && strcmp(held, change) == 0;
-}
-
 static char *change_new(void)
 {
 	return g_strdup_printf("ctl-%08x%08x%08x", g_random_int(),
@@ -155,8 +127,8 @@
  *
  * The operator repeats a change whose answer was lost, and overwrites what a
  * colleague did in between. The id is chosen here and kept by the
- * configuration: sent again from the same base, the change is either written
- * now, or found to be the current one.
+ * configuration: sent again, the change is either written now, or finds
+ * itself among those accepted.
  */
 static bool change_send(struct ctl_options *options, const char *path,
 			const char *body, struct ctl_answer *answer, bool *lost,
@@ -164,23 +136,22 @@
 {
 	*lost = false;
 	for (guint i = 0; i < CHANGE_TRIES; i++) {
+		bool answered;
+
+		if (i)
+			g_usleep(CHANGE_PAUSE_US);
 		g_clear_error(error);
-		if (ctl_ask(options, "POST", path, body, CHANGE_TIMEOUT_MS,
-			    answer, error)) {
-			/* The control itself lost the store's answer. */
-			if (answer->status != SOUP_STATUS_GATEWAY_TIMEOUT)
-				return true;
-			*lost = true;
-			if (i + 1 == CHANGE_TRIES)
-				return true;
-		} else if ((*error)->code == AUB_ERROR_INVALID) {
+		ctl_answer_clear(answer);
+		answered = ctl_ask(options, "POST", path, body,
+				   CHANGE_TIMEOUT_MS, answer, error);
+		if (!answered && (*error)->code == AUB_ERROR_INVALID)
 			return false;
-		} else if ((*error)->code == AUB_ERROR_AMBIGUOUS) {
-			*lost = true;
-		}
-		g_usleep(CHANGE_PAUSE_US);
+		/* The control itself may have lost the store's answer. */
+		if (answered && answer->status != SOUP_STATUS_GATEWAY_TIMEOUT)
+			return true;
+		*lost = *lost || answered || answer->lost;
 	}
-	return false;
+	return answer->status != 0;
 }
 
 /* No answer came at all: what can be said of the change? */
@@ -217,23 +188,6 @@
 		json_object_set_boolean_member(body, "override", TRUE);
 }
 
-/* A 409 after a lost answer: ours, superseded, or never taken. */
-static int conflict_after(struct ctl_options *options,
-			  struct ctl_answer *answer, const char *text,
-			  const char *change, bool lost)
-{
-	if (is_ours(answer->body, change))
-		return print_settled(
-			options, (guint64)aub_json_integer(answer->body,
-							   "current_version"));
-	if (!lost)
-		return print_conflict(options, answer->body, text);
-	print_conflict(options, answer->body, text);
-	g_printerr("auburnstilectl: an earlier answer was lost: your change "
-		   "may have been in force before the current one\n");
-	return CTL_UNKNOWN;
-}
-
 static int apply_text(struct ctl_options *options, const char *text,
 		      guint64 base)
 {
@@ -256,7 +210,7 @@
 	else if (answer.status == SOUP_STATUS_OK && answer.body)
 		code = print_accepted(options, answer.body, "in_force");
 	else if (answer.status == SOUP_STATUS_CONFLICT && answer.body)
-		code = conflict_after(options, &answer, plain, change, lost);
+		code = print_conflict(options, answer.body, plain);
 	else
 		code = print_refused(&answer, lost);
 	ctl_answer_clear(&answer);
--- a/programs/ctl/ctl.h
+++ b/programs/ctl/ctl.h
@@ -46,15 +46,16 @@
 struct ctl_answer {
 	guint status; /* HTTP */
 	JsonObject *body; /* owned; NULL where it was no JSON object */
+	bool lost; /* an earlier control may have got the request, too */
 };
 
 void ctl_answer_clear(struct ctl_answer *answer);
 
 /*
- * Ask the controls in turn, until one answers. False with
- * AUB_ERROR_UNAVAILABLE when none did, or AUB_ERROR_AMBIGUOUS when a request
- * was sent and its answer lost (`body` non-NULL only: a question that
- * changes nothing is asked again).
+ * Ask the controls in turn, until one answers. A change carries an id of its
+ * own, so that it may reach several of them. False with AUB_ERROR_INVALID
+ * when the token or an address is missing, AUB_ERROR_AMBIGUOUS when a change
+ * was sent and its answer lost, else AUB_ERROR_UNAVAILABLE.
  */
 bool ctl_ask(struct ctl_options *options, const char *method, const char *path,
 	     const char *body, guint timeout_ms, struct ctl_answer *answer,
--- a/programs/ctl/http.c
+++ b/programs/ctl/http.c
@@ -134,8 +134,9 @@
 	     GError **error)
 {
 	GError *last = NULL;
-	bool sent = false;
+	bool sent;
 
+	answer->lost = false;
 	if (!token_ready(options, error))
 		return false;
 	if (!options->controls->len) {
@@ -150,22 +151,19 @@
 		g_clear_error(&last);
 		ctl_answer_clear(answer);
 		if (exchange(options, address, method, path, body, timeout_ms,
-			     answer, &sent, &last)) {
-			if (!try_another(answer) ||
-			    i + 1 == options->controls->len)
-				return true;
-			continue;
-		}
-		if (sent && body) {
-			aub_error_set(error, AUB_ERROR_AMBIGUOUS, "ask control",
-				      address, "the answer was lost");
-			g_error_free(last);
-			return false;
-		}
+			     answer, &sent, &last) &&
+		    !try_another(answer))
+			return true;
+		answer->lost = answer->lost || (sent && body);
 	}
 	if (answer->status)
 		return true;
-	g_propagate_error(error, last);
+	if (answer->lost)
+		aub_error_set(error, AUB_ERROR_AMBIGUOUS, "ask control", NULL,
+			      "the answer was lost (%s)", last->message);
+	else
+		g_propagate_error(error, g_error_copy(last));
+	g_error_free(last);
 	return false;
 }
 
--- a/src/coordination/control_apply.c
+++ b/src/coordination/control_apply.c
@@ -34,6 +34,7 @@
 	char *text; /* of the inventory */
 	char *author;
 	char *change;
+	bool chosen; /* `change` came with the request */
 	guint64 base;
 	bool override; /* the operator knows that a majority is gone */
 	guint tries;
@@ -232,6 +233,25 @@
 
 static void apply_read(struct apply *apply);
 
+/*
+ * Failure: the answer to an accepted change was lost, and the operator's
+ * command sends it again. It would be told of a conflict with itself, or be
+ * written once more over what came after. The id it chose is among those of
+ * the configuration held: it was accepted, there is nothing to write.
+ */
+static bool is_held_already(struct apply *apply)
+{
+	const struct aub_config *held =
+		aubi_book_held(apply->owner->control->book);
+
+	if (!apply->chosen || !held ||
+	    !aub_config_has_change(held, apply->change))
+		return false;
+	apply->version = held->version;
+	apply->accepted_us = aub_timer_now(apply->owner->control->timers);
+	return true;
+}
+
 static void on_reread(const struct aub_store_object *object,
 		      const GError *error, void *context)
 {
@@ -241,7 +261,8 @@
 	if (object)
 		aubi_control_take_config(control, object->value, object->length,
 					 object->version, "store");
-	apply_conflict(apply);
+	if (!is_held_already(apply))
+		apply_conflict(apply);
 }
 
 static void on_written(guint64 version, const GError *error, void *context)
@@ -306,10 +327,13 @@
 			     "a majority of the members isn't heard: nothing "
 			     "was changed (\"override\" accepts it anyway)");
 	} else {
-		g_free(apply->change);
-		apply->change = g_strdup_printf("%08x%08x", g_random_int(),
+		if (!apply->chosen) {
+			g_free(apply->change);
+			apply->change =
+				g_strdup_printf("%08x%08x", g_random_int(),
 						g_random_int());
-		aub_string_set(&config->change, apply->change);
+		}
+		aub_config_change_set(config, apply->change);
 		aub_string_set(&config->author, apply->author);
 		g_free(apply->json);
 		apply->json = aub_config_serialize(config);
@@ -335,6 +359,8 @@
 	if (object)
 		aubi_control_take_config(control, object->value, object->length,
 					 object->version, "store");
+	if (is_held_already(apply))
+		return;
 	if (!apply->edit && apply->base != control->agreement.config_version)
 		apply_conflict(apply);
 	else
@@ -423,10 +449,28 @@
 	apply->request = request;
 	apply->author = g_strdup(author ? author : "");
 	apply->override = aub_json_boolean(body, "override");
+	apply->change = g_strdup(aub_json_string(body, "change"));
+	apply->chosen = apply->change != NULL;
 	g_ptr_array_add(applies->open, apply);
 	return apply;
 }
 
+#define CHANGE_RULE "\"change\" must be 8 to 64 letters, digits or hyphens"
+
+/* An id is looked for in the object's text: it must stand out there. */
+static bool change_is_good(const struct apply *apply)
+{
+	gsize length;
+
+	if (!apply->chosen)
+		return true;
+	length = strlen(apply->change);
+	return length >= 8 && length <= 64 &&
+	       strspn(apply->change, "abcdefghijklmnopqrstuvwxyz"
+				     "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				     "0123456789-") == length;
+}
+
 static void on_apply(struct aub_admin_request *request, void *context)
 {
 	JsonObject *body = body_of(request);
@@ -442,6 +486,8 @@
 	if (!text)
 		apply_refuse(apply, AUB_ERROR_INVALID,
 			     "\"inventory\" is missing");
+	else if (!change_is_good(apply))
+		apply_refuse(apply, AUB_ERROR_INVALID, CHANGE_RULE);
 	else
 		apply_read(apply);
 	json_object_unref(body);
@@ -479,6 +525,8 @@
 	apply->edit = edit_of(aub_admin_path(request), &apply->name);
 	if (!apply->edit)
 		apply_refuse(apply, AUB_ERROR_NOT_FOUND, "no such command");
+	else if (!change_is_good(apply))
+		apply_refuse(apply, AUB_ERROR_INVALID, CHANGE_RULE);
 	else
 		apply_read(apply);
 	json_object_unref(body);
--- a/src/state/config.c
+++ b/src/state/config.c
@@ -30,6 +30,7 @@
 	config->zones_out = names_new();
 	config->vms_leaving = names_new();
 	config->upstreams_leaving = names_new();
+	config->recent = names_new();
 	return config;
 }
 
@@ -46,6 +47,8 @@
 		g_ptr_array_copy(config->vms_leaving, name_copy, NULL);
 	copy->upstreams_leaving =
 		g_ptr_array_copy(config->upstreams_leaving, name_copy, NULL);
+	copy->recent = g_ptr_array_copy(config->recent, name_copy, NULL);
+	g_ptr_array_set_free_func(copy->recent, g_free);
 	g_ptr_array_set_free_func(copy->zones_out, g_free);
 	g_ptr_array_set_free_func(copy->vms_leaving, g_free);
 	g_ptr_array_set_free_func(copy->upstreams_leaving, g_free);
@@ -62,9 +65,50 @@
 	g_ptr_array_unref(config->zones_out);
 	g_ptr_array_unref(config->vms_leaving);
 	g_ptr_array_unref(config->upstreams_leaving);
+	g_ptr_array_unref(config->recent);
 	g_free(config);
 }
 
+#define DIGEST_LENGTH 16 /* hex digits kept of an id's digest */
+
+static char *change_digest(const char *change)
+{
+	char *digest =
+		g_compute_checksum_for_string(G_CHECKSUM_SHA256, change, -1);
+
+	digest[DIGEST_LENGTH] = '\0';
+	return digest;
+}
+
+void aub_config_change_set(struct aub_config *config, const char *change)
+{
+	char *copy = g_strdup(change);
+
+	if (*config->change)
+		g_ptr_array_add(config->recent, change_digest(config->change));
+	while (config->recent->len > AUB_CONFIG_RECENT)
+		g_ptr_array_remove_index(config->recent, 0);
+	g_free(config->change);
+	config->change = copy;
+}
+
+/*
+ * An operator's "zone out" is sent twice because its answer was lost, and
+ * one of the two is held up. Written after the colleague's "zone in", it
+ * would undo that without anybody having asked. It finds itself among the
+ * recent edits and is not written again.
+ */
+bool aub_config_has_change(const struct aub_config *config, const char *change)
+{
+	bool found = strcmp(config->change, change) == 0;
+	char *digest = change_digest(change);
+
+	for (guint i = 0; i < config->recent->len && !found; i++)
+		found = strcmp(config->recent->pdata[i], digest) == 0;
+	g_free(digest);
+	return found;
+}
+
 static const char step[] = "read configuration";
 
 static bool string_read(JsonObject *object, const char *name, char **field,
@@ -123,7 +167,8 @@
 	       names_read(object, "zones_out", config->zones_out, error) &&
 	       names_read(object, "vms_leaving", config->vms_leaving, error) &&
 	       names_read(object, "upstreams_leaving",
-			  config->upstreams_leaving, error);
+			  config->upstreams_leaving, error) &&
+	       names_read(object, "recent_changes", config->recent, error);
 	json_object_unref(object);
 	if (!good)
 		g_clear_pointer(&config, aub_config_free);
@@ -150,6 +195,7 @@
 	names_write(object, "zones_out", config->zones_out);
 	names_write(object, "vms_leaving", config->vms_leaving);
 	names_write(object, "upstreams_leaving", config->upstreams_leaving);
+	names_write(object, "recent_changes", config->recent);
 	return aub_json_print(object);
 }
 
--- a/tests/test_config.cc
+++ b/tests/test_config.cc
@@ -65,6 +65,30 @@
 	g_free(json);
 }
 
+TEST(Config, RemembersRecentChangesByDigest)
+{
+	struct aub_config *config = make("");
+	GError *error = nullptr;
+
+	for (int i = 0; i < AUB_CONFIG_RECENT + 3; i++)
+		aub_config_change_set(config,
+				      ("change-" + std::to_string(i)).c_str());
+	char *json = aub_config_serialize(config);
+	struct aub_config *back =
+		aub_config_parse(json, strlen(json), 1, &error);
+
+	ASSERT_NE(back, nullptr);
+	EXPECT_EQ(strstr(json, "change-33"), nullptr);
+	EXPECT_TRUE(aub_config_has_change(back, "change-34"));
+	EXPECT_TRUE(aub_config_has_change(back, "change-33"));
+	EXPECT_TRUE(aub_config_has_change(back, "change-2"));
+	EXPECT_FALSE(aub_config_has_change(back, "change-1"));
+	EXPECT_FALSE(aub_config_has_change(back, ""));
+	aub_config_free(config);
+	aub_config_free(back);
+	g_free(json);
+}
+
 TEST(Config, RefusesWhatIsNoConfiguration)
 {
 	std::string deep(100000, '[');
