--- a/include/auburnstile/settings.h
+++ b/include/auburnstile/settings.h
@@ -25,7 +25,7 @@
 struct aub_setting {
 	const char *key; /* "section.key" or "key" */
 	enum aub_setting_type type;
-	size_t offset; /* into the program's settings struct */
+	guint32 offset; /* into the program's settings struct */
 	bool required;
 	gint64 minimum; /* of integers */
 	gint64 maximum;
