--- a/tools/fleet/fleet.c
+++ b/tools/fleet/fleet.c
@@ -320,17 +320,22 @@
 	return child;
 }
 
-bool fleet_start_member(struct fleet *fleet, struct fleet_member *member,
-			GError **error)
+bool fleet_start_control(struct fleet *fleet, struct fleet_member *member,
+			 GError **error)
 {
-	if (!member->control) {
+	if (!member->control)
 		member->control =
 			start_part(fleet, member, "auburnstile-control",
 				   "-control", control_settings(fleet, member),
 				   error);
-		if (!member->control)
-			return false;
-	}
+	return member->control != NULL;
+}
+
+bool fleet_start_member(struct fleet *fleet, struct fleet_member *member,
+			GError **error)
+{
+	if (!fleet_start_control(fleet, member, error))
+		return false;
 	if (!member->entry)
 		member->entry =
 			start_part(fleet, member, "auburnstile-entry", "-entry",
--- a/tools/fleet/fleet.h
+++ b/tools/fleet/fleet.h
@@ -61,6 +61,9 @@
 bool fleet_start_member(struct fleet *fleet, struct fleet_member *member,
 			GError **error);
 bool fleet_start(struct fleet *fleet, GError **error);
+/* The control alone. */
+bool fleet_start_control(struct fleet *fleet, struct fleet_member *member,
+			 GError **error);
 
 /* Wait until the entries that run say that they are ready. */
 bool fleet_wait_ready(struct fleet *fleet, guint timeout_ms, GError **error);
