Fuzz the decoders; mend what it found

Cause: frames, TOML and JSON come from outside a process. Change: three libFuzzer targets (make fuzz, 20 s each), a corpus in the tree, and test_corpus, which replays it.

--- a/Makefile
+++ b/Makefile
@@ -7,18 +7,21 @@
 #   make lint       formatter and linter, changing nothing
 #   make fuzz       bounded fuzzing of the decoders
 #
-# SAN=1 selects the sanitizer build, which lives in build/san.
+# SAN=1 selects the sanitizer build, which lives in build/san; FUZZ=1 the one
+# for libFuzzer, by clang, in build/fuzz.
 
-CC = gcc
-CXX = g++
+CC = $(if $(FUZZ),clang,gcc)
+CXX = $(if $(FUZZ),clang++,g++)
 PKGS = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 msgpack json-glib-1.0
-B = build$(if $(SAN),/san)
+B = build$(if $(SAN),/san)$(if $(FUZZ),/fuzz)
 
 WARN = -Wall -Wextra -Wshadow -Wno-unused-parameter
 CPPFLAGS = -Iinclude -Itools -D_GNU_SOURCE -DG_LOG_DOMAIN=\"auburnstile\" \
 	$(shell pkg-config --cflags $(PKGS) | sed 's/-I/-isystem /g')
 OPT = $(if $(SAN),-O1 -fsanitize=address$(comma)undefined \
-	-fno-omit-frame-pointer -fno-sanitize-recover=undefined,-O2)
+	-fno-omit-frame-pointer -fno-sanitize-recover=undefined,$(if $(FUZZ),\
+	-O1 -fsanitize=fuzzer-no-link$(comma)address$(comma)undefined \
+	-fno-sanitize-recover=undefined,-O2))
 comma = ,
 CFLAGS = -std=gnu11 -g $(WARN) -Wmissing-prototypes $(OPT)
 CXXFLAGS = -std=c++20 -g $(WARN) $(OPT)
@@ -32,6 +35,8 @@
 PROGRAMS = $(patsubst programs/%.c,$(B)/%,$(wildcard programs/*.c))
 TOOLS = $(patsubst tools/%.c,$(B)/%,$(wildcard tools/*.c))
 TOOL_LIB_OBJ = $(patsubst %.c,$(B)/obj/%.o,$(sort $(wildcard tools/*/*.c)))
+FUZZERS = $(patsubst fuzz/%.c,%,$(sort $(wildcard fuzz/fuzz_*.c)))
+FUZZ_SECONDS = 20
 TESTS = $(patsubst tests/%.cc,$(B)/tests/%,$(sort $(wildcard tests/test_*.cc)))
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc')
 
@@ -64,7 +69,22 @@
 $(TESTS): $(B)/tests/%: $(B)/obj/tests/%.o $(B)/libfleet.a \
 		$(B)/libauburnstile.a
 	@mkdir -p $(@D)
-	$(CXX) $(CXXFLAGS) -o $@ $^ $(TESTLIBS)
+	$(CXX) $(CXXFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(TESTLIBS)
+
+$(B)/obj/fuzz/%.o: CPPFLAGS += $(if $(FUZZ),,-DFUZZ_REPLAY)
+$(B)/obj/tests/test_corpus.o: CPPFLAGS += -Ifuzz -DFUZZ_REPLAY
+$(B)/tests/test_corpus: $(FUZZERS:%=$(B)/obj/fuzz/%.o)
+
+$(FUZZERS:%=build/fuzz/%): build/fuzz/%: build/fuzz/obj/fuzz/%.o \
+		build/fuzz/libauburnstile.a
+	$(CXX) -fsanitize=fuzzer$(comma)address$(comma)undefined -o $@ $^ \
+		$(LDLIBS)
+
+fuzz-build: $(FUZZERS:%=build/fuzz/%)
+
+fuzz:
+	@$(MAKE) --no-print-directory -s FUZZ=1 -j$$(nproc) fuzz-build
+	@sh fuzz/run.sh build/fuzz $(FUZZ_SECONDS) $(FUZZERS)
 
 tests: $(TESTS)
 
@@ -87,7 +107,7 @@
 clean:
 	rm -rf build
 
-.PHONY: all tests check demo format lint clean
+.PHONY: all tests check demo format fuzz fuzz-build lint clean
 .SECONDARY:
 
 -include $(shell find build -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/fuzz/fuzz.h
@@ -0,0 +1,22 @@
+/*
+ * Entry points of the fuzz targets. libFuzzer wants them all by one name;
+ * the test that replays the corpus gets each by its file's name.
+ */
+#ifndef FUZZ_H
+#define FUZZ_H
+
+#include <glib.h>
+
+G_BEGIN_DECLS
+
+#ifdef FUZZ_REPLAY
+int fuzz_toml(const guint8 *data, gsize size);
+int fuzz_message(const guint8 *data, gsize size);
+int fuzz_config(const guint8 *data, gsize size);
+#else
+int LLVMFuzzerTestOneInput(const guint8 *data, gsize size);
+#endif
+
+G_END_DECLS
+
+#endif
--- a/src/protocol/json.c
+++ b/src/protocol/json.c
@@ -12,19 +12,34 @@
  */
 #define JSON_DEPTH 32
 
-static bool depth_is_good(const char *text, gsize length)
+/*
+ * What JSON has between its strings. json-glib also skips comments, and a
+ * quote in one would hide brackets from the count.
+ */
+#define OUTSIDE_STRINGS " \t\r\n{}[]:,+-.0123456789Etrufalsn"
+
+/* An escape that JSON knows; json-glib would take octal bytes, too. */
+static bool escape_is_good(const char *text, gsize length, gsize at)
+{
+	return at < length && text[at] && strchr("\"\\/bfnrtu", text[at]);
+}
+
+static bool text_is_good(const char *text, gsize length)
 {
 	guint depth = 0;
 	bool quoted = false;
 
 	for (gsize i = 0; i < length; i++) {
 		if (quoted) {
-			if (text[i] == '\\')
-				i++;
-			else if (text[i] == '"')
+			if (text[i] == '"')
 				quoted = false;
+			else if (text[i] == '\\' &&
+				 !escape_is_good(text, length, ++i))
+				return false;
 		} else if (text[i] == '"') {
 			quoted = true;
+		} else if (!text[i] || !strchr(OUTSIDE_STRINGS, text[i])) {
+			return false;
 		} else if (text[i] == '[' || text[i] == '{') {
 			if (++depth > JSON_DEPTH)
 				return false;
@@ -44,9 +59,10 @@
 	JsonNode *root;
 
 	if (!g_utf8_validate(text, (gssize)length, NULL) ||
-	    !depth_is_good(text, length)) {
+	    !text_is_good(text, length)) {
 		aub_error_set(error, AUB_ERROR_INVALID, step, peer,
-			      "not UTF-8, or nested deeper than %d",
+			      "not UTF-8, no plain JSON, or nested deeper "
+			      "than %d",
 			      JSON_DEPTH);
 		return NULL;
 	}
@@ -101,7 +117,9 @@
 {
 	JsonNode *node = member(object, name, G_TYPE_STRING);
 
-	return node ? json_node_get_string(node) : NULL;
+	const char *text = node ? json_node_get_string(node) : NULL;
+
+	return text && g_utf8_validate(text, -1, NULL) ? text : NULL;
 }
 
 gint64 aub_json_integer(JsonObject *object, const char *name)
--- a/tests/test_config.cc
+++ b/tests/test_config.cc
@@ -105,6 +105,8 @@
 		open + ",\"zones_out\":[null]}",
 		"{\"change\":\"\xff\"}",
 		"{\"a\":" + deep,
+		"{/*\"*/\"a\":" + deep,
+		open + ",\"zones_out\":[\"\\377\"]}",
 	};
 
 	for (const std::string &json : bad) {
--- /dev/null
+++ b/tests/test_corpus.cc
@@ -0,0 +1,43 @@
+/* Replays the fuzzers' corpora: faults found once stay mended. */
+#include <gtest/gtest.h>
+
+#include "fuzz.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <vector>
+
+typedef int target(const guint8 *data, gsize size);
+
+static int replay(const char *name, target *run)
+{
+	int count = 0;
+
+	for (const auto &file : std::filesystem::directory_iterator(
+		     std::string("fuzz/corpus/") + name)) {
+		std::ifstream stream(file.path(), std::ios::binary);
+		std::vector<char> bytes(
+			(std::istreambuf_iterator<char>(stream)), {});
+
+		run(reinterpret_cast<const guint8 *>(bytes.data()),
+		    bytes.size());
+		count++;
+	}
+	return count;
+}
+
+TEST(Corpus, Toml)
+{
+	EXPECT_GT(replay("fuzz_toml", fuzz_toml), 0);
+}
+
+TEST(Corpus, Message)
+{
+	EXPECT_GT(replay("fuzz_message", fuzz_message), 0);
+}
+
+TEST(Corpus, Config)
+{
+	EXPECT_GT(replay("fuzz_config", fuzz_config), 0);
+}
