--- a/tests/test_inventory.cc
+++ b/tests/test_inventory.cc
@@ -4,6 +4,7 @@
 #include <auburnstile/error.h>
 #include <auburnstile/inventory.h>
 
+#include <cstring>
 #include <string>
 
 static const char base[] = R"(version = 7
@@ -218,6 +219,24 @@
 	}
 }
 
+TEST(Inventory, OperatorsCanLookUpEachRule)
+{
+	char *page = nullptr;
+
+	ASSERT_TRUE(g_file_get_contents("docs/OPERATIONS.md", &page, nullptr,
+					nullptr));
+	for (const struct fault &fault : faults) {
+		std::string line = fault.expected;
+		size_t at = line.rfind("(rule ") + strlen("(rule ");
+		std::string rule = line.substr(at, line.size() - at - 1);
+
+		EXPECT_NE(std::string(page).find("`" + rule + "`"),
+			  std::string::npos)
+			<< rule;
+	}
+	g_free(page);
+}
+
 TEST(Inventory, AFileCutShortIsNoEmptyFleet)
 {
 	std::string why;
