Give no leave to serve by a version known to be old

Cause: a control back from a pause or a cut hears all peers at once, a moment before it has pulled the version they hold; for that moment its entry had leave to serve by the old one. Change: a control that knows of a newer version and had no leave a second ago gets none before it holds it, and relays no proofs of others. News of configuration no longer waits behind news of members.

--- a/include/auburnstile/internal/agreement.h
+++ b/include/auburnstile/internal/agreement.h
@@ -22,6 +22,9 @@
 	guint64 confirmed_version; /* newest the store is known to hold */
 	gint64 confirmed_us; /* moment at which that was so; 0 for never */
 	gint64 store_us; /* last answer from the store itself */
+	guint64 heard_version; /* newest that any peer said it holds */
+	gint64 behind_us; /* since when that is newer than what is held */
+	gint64 serving_us; /* last moment at which leave to serve was due */
 	gint64 started_us;
 	gint64 watch_until_us; /* a watch once begun lasts this long */
 };
@@ -42,10 +45,13 @@
  */
 void aubi_agreement_confirm(struct aubi_agreement *agreement, guint64 version,
 			    gint64 at_us);
-/* The same, out of a peer's gossip. */
+/* The same, out of a peer's gossip, and what the peer holds. */
 void aubi_agreement_relayed(struct aubi_agreement *agreement,
 			    const struct aub_gossip *gossip, gint64 now_us);
 
+/* Does a peer hold a newer configuration than this control? */
+bool aubi_agreement_is_behind(const struct aubi_agreement *agreement);
+
 /* Time since what is held was surely the newest; AUBI_MEMBER_NEVER. */
 gint64 aubi_agreement_fresh_us(const struct aubi_agreement *agreement,
 			       gint64 now_us);
@@ -59,6 +65,11 @@
 			       const struct aubi_membership *membership,
 			       gint64 now_us);
 
+/* To be called ten times a second: notes whether leave to serve is due. */
+void aubi_agreement_tick(struct aubi_agreement *agreement,
+			 const struct aubi_membership *membership,
+			 gint64 now_us);
+
 /* May an operator's change be written from here? Needs a majority heard. */
 bool aubi_agreement_may_accept(const struct aubi_membership *membership,
 			       gint64 now_us);
--- a/include/auburnstile/internal/control.h
+++ b/include/auburnstile/internal/control.h
@@ -126,7 +126,7 @@
 struct aubi_peers *aubi_peers_new(struct aubi_control *control, GError **error);
 void aubi_peers_free(struct aubi_peers *peers);
 /* Exchange with a few peers now: there is news. Bounded in rate. */
-void aubi_peers_hurry(struct aubi_peers *peers);
+void aubi_peers_hurry(struct aubi_peers *peers, bool urgent);
 void aubi_peers_hello(const struct aubi_control *control,
 		      struct aub_hello *hello);
 
--- a/include/auburnstile/internal/membership.h
+++ b/include/auburnstile/internal/membership.h
@@ -69,9 +69,11 @@
 /*
  * The message to answer with: 2 to 1, 3 to 2, 4 to 3. False where none is
  * wanted. `gossip` is new and empty but for versions and the store's state.
+ * `behind`: a peer holds a newer configuration. Then no proofs of others are
+ * relayed, so that a proof never overtakes the version that came with it.
  */
 bool aubi_membership_answer(const struct aubi_membership *membership,
-			    const struct aub_gossip *heard,
+			    const struct aub_gossip *heard, bool behind,
 			    struct aub_gossip *gossip, gint64 now_us);
 
 /* Upper bound of the time since `gossip`'s sender wrote it. */
--- a/src/coordination/agreement.c
+++ b/src/coordination/agreement.c
@@ -11,6 +11,7 @@
 
 #define JOIN_US ((gint64)1000000) /* peers answer first after a start */
 #define ANXIOUS_US ((gint64)1500000) /* half of AUBI_FRESH_US */
+#define BEHIND_US ((gint64)1000000) /* a pull takes much less */
 #define WATCH_HOLD_US ((gint64)5000000)
 
 struct aubi_agreement aubi_agreement_start(gint64 now_us)
@@ -57,7 +58,12 @@
 			    const struct aub_gossip *gossip, gint64 now_us)
 {
 	gint64 delay_us = aubi_gossip_delay_us(gossip, now_us);
+	bool was_behind = aubi_agreement_is_behind(agreement);
 
+	agreement->heard_version =
+		MAX(agreement->heard_version, gossip->config_version);
+	if (!was_behind && aubi_agreement_is_behind(agreement))
+		agreement->behind_us = now_us;
 	if (delay_us == AUBI_MEMBER_NEVER || gossip->fresh_ms == G_MAXUINT32)
 		return;
 	aubi_agreement_confirm(agreement, gossip->config_version,
@@ -65,6 +71,11 @@
 				       (gint64)gossip->fresh_ms * 1000);
 }
 
+bool aubi_agreement_is_behind(const struct aubi_agreement *agreement)
+{
+	return agreement->heard_version > agreement->config_version;
+}
+
 gint64 aubi_agreement_fresh_us(const struct aubi_agreement *agreement,
 			       gint64 now_us)
 {
@@ -83,6 +94,19 @@
 	return aubi_membership_heard_us(membership, (known + 1) / 2, now_us);
 }
 
+/*
+ * A control that was paused or cut off hears all its peers at once when it is
+ * back, a moment before it has pulled what they hold. Leave to serve by the
+ * old version would send requests to a zone that was taken out. So one that
+ * had no leave a second ago gets none, and another keeps its own for a second
+ * at most, until it holds what it has heard of.
+ */
+static bool may_be_behind(const struct aubi_agreement *agreement, gint64 now_us)
+{
+	return now_us - agreement->behind_us < BEHIND_US &&
+	       now_us - agreement->serving_us < BEHIND_US;
+}
+
 gint64 aubi_agreement_serve_us(const struct aubi_agreement *agreement,
 			       const struct aubi_membership *membership,
 			       gint64 now_us)
@@ -92,6 +116,9 @@
 	if (!agreement->config_version ||
 	    aubi_membership_superseded(membership))
 		return 0;
+	if (aubi_agreement_is_behind(agreement) &&
+	    !may_be_behind(agreement, now_us))
+		return 0;
 	age_us = MIN(aubi_agreement_fresh_us(agreement, now_us),
 		     half_heard_us(membership, now_us));
 	/*
@@ -105,6 +132,14 @@
 	return MIN(AUBI_FRESH_US - age_us, AUBI_SERVE_MAX_US);
 }
 
+void aubi_agreement_tick(struct aubi_agreement *agreement,
+			 const struct aubi_membership *membership,
+			 gint64 now_us)
+{
+	if (aubi_agreement_serve_us(agreement, membership, now_us) > 0)
+		agreement->serving_us = now_us;
+}
+
 bool aubi_agreement_may_accept(const struct aubi_membership *membership,
 			       gint64 now_us)
 {
--- a/src/coordination/control.c
+++ b/src/coordination/control.c
@@ -61,11 +61,11 @@
 	return false;
 }
 
-static void tell_all(struct aubi_control *control)
+static void tell_all(struct aubi_control *control, bool urgent)
 {
 	aubi_store_task_members_changed(control->store);
 	aubi_entry_task_changed(control->entry);
-	aubi_peers_hurry(control->peers);
+	aubi_peers_hurry(control->peers, urgent);
 }
 
 static void note(struct aubi_control *control, enum aub_event_type type,
@@ -108,7 +108,7 @@
 	aub_log_message("configuration %" G_GUINT64_FORMAT " from %s", version,
 			source);
 	note(control, AUB_EVENT_CONFIG, version, source, NULL, config->change);
-	tell_all(control);
+	tell_all(control, true);
 	return true;
 }
 
@@ -134,7 +134,7 @@
 	aub_log_info("assignments %" G_GUINT64_FORMAT " from %s", version,
 		     source);
 	note(control, AUB_EVENT_ASSIGNMENT, version, source, NULL, NULL);
-	tell_all(control);
+	tell_all(control, true);
 	return true;
 }
 
@@ -183,7 +183,7 @@
 				"one serves no longer",
 				control->settings->name);
 	}
-	tell_all(control);
+	tell_all(control, false);
 }
 
 void aubi_control_store_heard(struct aubi_control *control, const GError *error)
@@ -263,6 +263,7 @@
 
 	if (aubi_membership_tick(control->membership, now_us))
 		aubi_control_members_changed(control);
+	aubi_agreement_tick(&control->agreement, control->membership, now_us);
 	aubi_store_task_tick(control->store, now_us);
 	aubi_entry_task_tick(control->entry, now_us);
 	aubi_applies_tick(control->applies, now_us);
--- a/src/coordination/control_peers.c
+++ b/src/coordination/control_peers.c
@@ -14,7 +14,8 @@
 #define IDLE_US ((gint64)60000000) /* unused for so long: closed */
 #define PULL_US ((gint64)1000000) /* wait for one pull before another */
 #define HURRY_PEERS 3
-#define HURRY_PER_S 6 /* extra exchanges a second, for news */
+#define HURRY_PER_S 6 /* extra exchanges a second, for news of members */
+#define URGENT_PER_S 24 /* and of configuration or assignments: rare */
 
 /* A link to or from one peer. */
 struct peer {
@@ -149,7 +150,10 @@
 	changed =
 		aubi_membership_hear(control->membership, from, heard, now_us);
 	aubi_agreement_relayed(&control->agreement, heard, now_us);
-	if (aubi_membership_answer(control->membership, heard, answer, now_us))
+	if (aubi_membership_answer(control->membership, heard,
+				   aubi_agreement_is_behind(
+					   &control->agreement),
+				   answer, now_us))
 		peer_send(peer, &answer->base);
 	aub_message_free(&answer->base);
 	pull(peer, heard);
@@ -312,18 +316,20 @@
 		peer_ask(connect_to(task, address));
 }
 
-void aubi_peers_hurry(struct aubi_peers *task)
+void aubi_peers_hurry(struct aubi_peers *task, bool urgent)
 {
-	gint64 now_us = now_of(task);
+	guint limit = urgent ? URGENT_PER_S : HURRY_PER_S;
+	gint64 now_us;
 	guint i;
 
 	if (!task)
 		return;
+	now_us = now_of(task);
 	if (now_us - task->hurry_from_us >= AUB_SECOND) {
 		task->hurry_from_us = now_us;
 		task->hurried = 0;
 	}
-	for (i = 0; i < HURRY_PEERS && task->hurried < HURRY_PER_S; i++) {
+	for (i = 0; i < HURRY_PEERS && task->hurried < limit; i++) {
 		task->hurried++;
 		exchange(task);
 	}
--- a/src/coordination/gossip.c
+++ b/src/coordination/gossip.c
@@ -196,7 +196,8 @@
 }
 
 static void write_ages(const struct aubi_membership *membership,
-		       struct aub_gossip *gossip, bool compact, gint64 now_us)
+		       struct aub_gossip *gossip, bool compact, bool behind,
+		       gint64 now_us)
 {
 	GByteArray *rows = g_byte_array_new();
 	guint i;
@@ -209,7 +210,7 @@
 
 		if (record == membership->self)
 			pair[0] = 0;
-		else if (record->proved_us)
+		else if (record->proved_us && !behind)
 			pair[0] = age_byte(now_us - record->proved_us);
 		pair[1] = (guint8)(MIN(record->member->load_permille, 1000) /
 				   LOAD_UNIT);
@@ -261,7 +262,7 @@
 }
 
 bool aubi_membership_answer(const struct aubi_membership *membership,
-			    const struct aub_gossip *heard,
+			    const struct aub_gossip *heard, bool behind,
 			    struct aub_gossip *gossip, gint64 now_us)
 {
 	bool lists =
@@ -277,6 +278,6 @@
 	if (heard->echo)
 		gossip->number = 0;
 	gossip->echo = heard->number;
-	write_ages(membership, gossip, compact, now_us);
+	write_ages(membership, gossip, compact, behind, now_us);
 	return true;
 }
--- a/tests/fleet_of_memberships.h
+++ b/tests/fleet_of_memberships.h
@@ -25,6 +25,7 @@
 	std::function<bool(int, int)> reaches = [](int, int) { return true; };
 	std::function<bool(int)> store = [](int) { return true; };
 	guint64 store_version = 0;
+	std::vector<std::pair<int, guint64>> pulls;
 	gsize bytes = 0; /* of encoded gossip, by all */
 
 	~Fleet()
@@ -89,10 +90,9 @@
 		aubi_membership_hear(nodes[to].membership,
 				     nodes[from].name.c_str(), gossip, now_us);
 		aubi_agreement_relayed(&nodes[to].agreement, gossip, now_us);
-		/* A pull would bring what the other holds. */
+		/* A pull brings what the other holds, by the next round. */
 		if (reaches(to, from))
-			aubi_agreement_hold_config(&nodes[to].agreement,
-						   gossip->config_version);
+			pulls.push_back({ to, gossip->config_version });
 		return true;
 	}
 
@@ -105,9 +105,10 @@
 		aubi_membership_ask(nodes[a].membership, message, now_us);
 		while (hand(from, to, message)) {
 			struct aub_gossip *answer = blank(to);
-			bool wanted =
-				aubi_membership_answer(nodes[to].membership,
-						       message, answer, now_us);
+			bool wanted = aubi_membership_answer(
+				nodes[to].membership, message,
+				aubi_agreement_is_behind(&nodes[to].agreement),
+				answer, now_us);
 
 			aub_message_free(&message->base);
 			message = answer;
@@ -122,6 +123,10 @@
 	void round()
 	{
 		now_us += AUBI_GOSSIP_US;
+		for (auto &pull : pulls)
+			aubi_agreement_hold_config(&nodes[pull.first].agreement,
+						   pull.second);
+		pulls.clear();
 		for (size_t i = 0; i < nodes.size(); i++) {
 			Node &node = nodes[i];
 			int to = find(
@@ -131,6 +136,8 @@
 						     nullptr, now_us);
 
 			aubi_membership_tick(node.membership, now_us);
+			aubi_agreement_tick(&node.agreement, node.membership,
+					    now_us);
 			if (to >= 0 && to != (int)i)
 				exchange((int)i, to);
 			if (store((int)i) &&
--- a/tests/test_agreement.cc
+++ b/tests/test_agreement.cc
@@ -149,15 +149,24 @@
 					continue;
 				accepted++;
 				fleet.run(3.1);
-				for (int i = 0; i < 9; i++)
-					EXPECT_FALSE(
-						fleet.serves(i) &&
-						fleet.nodes[i].agreement
-								.config_version <
-							6)
-						<< "side " << side << " later "
-						<< later << " store "
-						<< with_store << " node " << i;
+				for (int round = 0; round < 30; round++) {
+					fleet.round();
+					if (round == 15)
+						fleet.reaches = [](int, int) {
+							return true;
+						};
+					for (int i = 0; i < 9; i++)
+						EXPECT_FALSE(
+							fleet.serves(i) &&
+							fleet.nodes[i].agreement
+									.config_version <
+								6)
+							<< "side " << side
+							<< " later " << later
+							<< " store "
+							<< with_store
+							<< " node " << i;
+				}
 			}
 		}
 	}
--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -29,6 +29,7 @@
 	std::vector<std::pair<guint64, guint64>> heirs; /* incarnation, heir */
 	std::vector<std::string> owners;
 	bool down = false;
+	guint64 floor = 0; /* no leave to serve by an older version */
 
 	FakeEntry(const struct fleet_member *member, guint64 number)
 	    : incarnation(number)
@@ -76,6 +77,7 @@
 	void take(const struct aub_view *view)
 	{
 		EXPECT_GE(view->config_version, config_version) << "went back";
+		EXPECT_FALSE(view->serve && view->config_version < floor);
 		configs += view->config.length > 0;
 		if (view->config.length)
 			config_version = view->config_version;
@@ -464,6 +466,41 @@
 	EXPECT_EQ(number(0, "config_version"), 2);
 }
 
+/*
+ * A control is frozen for six seconds; meanwhile a zone is taken out. When it
+ * wakes, its sockets hold old gossip and an old answer of the store. A view
+ * that gives leave to serve by the old version would send requests to the
+ * zone long after the operator was told that it is out.
+ */
+TEST_F(Control, FrozenControlGivesNoLeaveByAnOldVersion)
+{
+	start(5, true);
+	ASSERT_EQ(apply(1, 0)->status, 200u);
+	for (guint frozen : { 0u, 4u }) {
+		guint64 version = (guint64)number(2, "config_version");
+
+		fleet_signal(at(frozen), FLEET_CONTROL, SIGSTOP);
+		fleet_run_ms(1000);
+		auto out = post(2,
+				version == 1 ? "/v1/zones/z1/out" :
+					       "/v1/zones/z1/in",
+				"{}");
+		ASSERT_TRUE(soon([&] { return out->done; }, 14));
+		EXPECT_EQ(out->status, 200u) << out->body;
+		fleet_run_ms(3000);
+		guint64 newer = (guint64)number(2, "config_version");
+		EXPECT_GT(newer, version);
+		entries[frozen]->floor = newer;
+		fleet_signal(at(frozen), FLEET_CONTROL, SIGCONT);
+		EXPECT_TRUE(soon(
+			[&] {
+				return entries[frozen]->serve &&
+				       entries[frozen]->config_version == newer;
+			},
+			8));
+	}
+}
+
 /*
  * An entry stops answering while its control lives. Its services would stand
  * still; ownership moves though nobody is dead for three seconds yet.
--- a/tests/test_membership.cc
+++ b/tests/test_membership.cc
@@ -163,7 +163,7 @@
 	aubi_membership_ask(fleet.nodes[0].membership, ask, fleet.now_us);
 	answer = fleet.blank(1);
 	ASSERT_TRUE(aubi_membership_answer(fleet.nodes[1].membership, ask,
-					   answer, fleet.now_us));
+					   false, answer, fleet.now_us));
 	fleet.now_us += 10 * 1000000LL;
 	aubi_membership_hear(fleet.nodes[0].membership, "n1", answer,
 			     fleet.now_us);
