Accept the letter e in JSON's words again

Cause: the list of characters outside strings had E and no e, so that every answer with true or false was taken for no JSON. Change: the letter; a test with each kind of value in a member that this version doesn't know.

--- a/src/protocol/json.c
+++ b/src/protocol/json.c
@@ -16,7 +16,7 @@
  * What JSON has between its strings. json-glib also skips comments, and a
  * quote in one would hide brackets from the count.
  */
-#define OUTSIDE_STRINGS " \t\r\n{}[]:,+-.0123456789Etrufalsn"
+#define OUTSIDE_STRINGS " \t\r\n{}[]:,+-.0123456789Etruefalsn"
 
 /* An escape that JSON knows; json-glib would take octal bytes, too. */
 static bool escape_is_good(const char *text, gsize length, gsize at)
--- a/tests/test_config.cc
+++ b/tests/test_config.cc
@@ -120,6 +120,18 @@
 	}
 }
 
+TEST(Config, PassesOverMembersItDoesNotKnow)
+{
+	const std::string json =
+		R"({"change":"c","author":"","inventory":"",)"
+		R"("later":[true,false,null,-1.5E+3,1e2,{"a":"\u00e9\n"}]})";
+	struct aub_config *config =
+		aub_config_parse(json.data(), json.size(), 1, nullptr);
+
+	ASSERT_NE(config, nullptr);
+	aub_config_free(config);
+}
+
 TEST(Config, MarksWhatIsOutAndPassesOverWhatIsGone)
 {
 	struct aub_config *config = make(toml);
