Add proofs with real processes and faults

Cause: what must always hold needs proof by what upstreams ran, under crashes, freezes, planned stops, a store that is down, spoiled answers.

Change: tools/proofs holds the proofs by promise, tools/proofs.c runs them (make proofs). The callers' load counts reasons of refusals, and takes a new grant when the connection was refused before anything was sent.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 #
 #   make            release build of programs and tools into build/
 #   make demo       a fleet on loopback, a load, a zone out and back
+#   make proofs     what must always hold, under faults, with real processes
 #   make check      sanitizer build, all tests, ends with "N passed, N failed"
 #   make format     rewrite sources in the project's format
 #   make lint       formatter and linter, changing nothing
@@ -92,6 +93,9 @@
 	@$(MAKE) --no-print-directory -s SAN=1 -j$$(nproc) all tests
 	@sh tests/run.sh build/san
 
+proofs: all
+	@$(B)/proofs
+
 demo: all
 	@$(B)/demo
 
@@ -107,7 +111,7 @@
 clean:
 	rm -rf build
 
-.PHONY: all tests check demo format fuzz fuzz-build lint clean
+.PHONY: all tests check demo proofs format fuzz fuzz-build lint clean
 .SECONDARY:
 
 -include $(shell find build -name '*.d' 2>/dev/null)
--- a/tools/demo.c
+++ b/tools/demo.c
@@ -156,7 +156,8 @@
 				&error) ||
 	    !command(demo, apply))
 		goto done;
-	ok = fleet_wait_ready(demo->fleet, READY_MS, &error);
+	ok = fleet_wait_ready(demo->fleet, READY_MS, &error) &&
+	     fleet_wait_owners(demo->fleet, READY_MS, &error);
 	show_progress(demo, ok ? "all entries ready" : "not ready");
 done:
 	if (error) {
@@ -247,6 +248,7 @@
 static void print_table(const struct demo *demo,
 			const struct load_figures *figures)
 {
+	char *reasons = load_reasons_text(demo->load);
 	guint i;
 
 	printf("\n  %-26s %-6s %8s %8s %8s %8s\n", "path", "rule", "requests",
@@ -257,6 +259,9 @@
 	       "repeats by callers: %u\n",
 	       figures->p50_ms, figures->p99_ms, figures->p999_ms,
 	       figures->max_ms, figures->repeats);
+	if (*reasons)
+		printf("  tries told otherwise than run: %s\n", reasons);
+	g_free(reasons);
 	printf("  zone %s: last new request %" G_GINT64_FORMAT
 	       " ms after the command to take it out, %" G_GUINT64_FORMAT
 	       " requests after its return\n\n",
--- a/tools/fleet/fleet.c
+++ b/tools/fleet/fleet.c
@@ -378,7 +378,7 @@
 {
 	gint64 end_us = g_get_monotonic_time() + timeout_ms * (gint64)1000;
 
-	while (!answers(member->control_admin, "/readyz")) {
+	while (!answers(member->control_admin, "/healthz")) {
 		if (g_get_monotonic_time() > end_us) {
 			aub_error_set(error, AUB_ERROR_TIMEOUT,
 				      "wait for control", member->name,
--- a/tools/fleet/fleet.h
+++ b/tools/fleet/fleet.h
@@ -101,6 +101,15 @@
 bool fleet_apply(struct fleet *fleet, const struct fleet_member *member,
 		 const char *inventory, GError **error);
 
+/* The same through the first member, repeated while it is refused. */
+bool fleet_apply_patiently(struct fleet *fleet, const char *inventory,
+			   guint timeout_ms, GError **error);
+
+/* The member that owns a service, as a control says; NULL if unknown. */
+struct fleet_member *fleet_owner(struct fleet *fleet, const char *service);
+/* Wait until every service of the inventory has an owner. */
+bool fleet_wait_owners(struct fleet *fleet, guint timeout_ms, GError **error);
+
 /* Post a fault, JSON, to a stand-in. False when it was not taken. */
 bool fleet_store_fault(struct fleet *fleet, const char *json);
 bool fleet_upstream_fault(struct fleet *fleet, const char *json);
--- a/tools/fleet/fleet_talk.c
+++ b/tools/fleet/fleet_talk.c
@@ -1,12 +1,16 @@
 /* Talking to a fleet's processes: operators, faults, the oracle. */
 #include "fleet/fleet.h"
 
+#include "common/tool.h"
+
 #include <auburnstile/error.h>
 #include <gio/gio.h>
 #include <string.h>
 
 #define ADMIN_TIMEOUT_MS 15000
 #define FAULT_TIMEOUT_MS 5000
+#define APPLY_AGAIN_MS 200
+#define OWNER_POLL_MS 50
 
 static void end_with_parent(gpointer data)
 {
@@ -161,6 +165,89 @@
 	return status == 200;
 }
 
+bool fleet_apply_patiently(struct fleet *fleet, const char *inventory,
+			   guint timeout_ms, GError **error)
+{
+	gint64 end_us = g_get_monotonic_time() + timeout_ms * (gint64)1000;
+	GError *cause = NULL;
+
+	while (!fleet_apply(fleet, fleet_member(fleet, 0), inventory, &cause)) {
+		if (g_get_monotonic_time() > end_us) {
+			g_propagate_error(error, cause);
+			return false;
+		}
+		g_clear_error(&cause);
+		fleet_run_ms(APPLY_AGAIN_MS);
+	}
+	return true;
+}
+
+static const char *find_owner(JsonNode *status, const char *service)
+{
+	JsonArray *list = NULL;
+	JsonObject *row;
+	guint i;
+
+	if (JSON_NODE_HOLDS_OBJECT(status) &&
+	    json_object_has_member(json_node_get_object(status), "assignments"))
+		list = json_object_get_array_member(json_node_get_object(
+							    status),
+						    "assignments");
+	for (i = 0; list && i < json_array_get_length(list); i++) {
+		row = json_array_get_object_element(list, i);
+		if (!strcmp(tool_json_string(row, "service", ""), service))
+			return tool_json_string(row, "owner", NULL);
+	}
+	return NULL;
+}
+
+struct fleet_member *fleet_owner(struct fleet *fleet, const char *service)
+{
+	struct fleet_member *found = NULL;
+	struct fleet_member *member;
+	const char *owner = NULL;
+	JsonNode *status = NULL;
+	guint i;
+
+	for (i = 0; !status && i < fleet->members->len; i++) {
+		member = fleet_member(fleet, i);
+		if (member->control)
+			status = fleet_admin(fleet, member, "GET", "/v1/status",
+					     NULL, NULL, NULL);
+	}
+	if (status)
+		owner = find_owner(status, service);
+	for (i = 0; owner && i < fleet->members->len; i++) {
+		member = fleet_member(fleet, i);
+		if (!strcmp(member->name, owner))
+			found = member;
+	}
+	if (status)
+		json_node_unref(status);
+	return found;
+}
+
+bool fleet_wait_owners(struct fleet *fleet, guint timeout_ms, GError **error)
+{
+	gint64 end_us = g_get_monotonic_time() + timeout_ms * (gint64)1000;
+	const char *service;
+	guint i;
+
+	for (i = 0; i < fleet->inventory->services->len; i++) {
+		service = aub_service_at(fleet->inventory, i)->name;
+		while (!fleet_owner(fleet, service)) {
+			if (g_get_monotonic_time() > end_us) {
+				aub_error_set(error, AUB_ERROR_TIMEOUT,
+					      "wait for an owner", service,
+					      "none in %u ms", timeout_ms);
+				return false;
+			}
+			fleet_run_ms(OWNER_POLL_MS);
+		}
+	}
+	return true;
+}
+
 static bool post_fault(const struct child *child, const char *json)
 {
 	char *url = g_strdup_printf("http://%s/fault", child->address);
--- a/tools/load/load.c
+++ b/tools/load/load.c
@@ -65,6 +65,8 @@
 	load->requests = g_ptr_array_new_with_free_func(load_request_free);
 	load->callers = g_ptr_array_new_with_free_func(free_caller);
 	load->samples = g_ptr_array_new_with_free_func(g_free);
+	load->reasons =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	for (i = 0; i < options->service_count; i++)
 		load->total_weight += options->services[i].weight;
 	for (i = 0; i < load->options.callers; i++)
@@ -84,6 +86,7 @@
 	g_ptr_array_unref(load->requests);
 	g_ptr_array_unref(load->callers);
 	g_ptr_array_unref(load->samples);
+	g_hash_table_unref(load->reasons);
 	g_object_unref(load->session);
 	g_rand_free(load->random);
 	aub_timer_service_free(load->timers);
@@ -227,6 +230,20 @@
 	}
 }
 
+char *load_reasons_text(const struct load *load)
+{
+	GString *text = g_string_new(NULL);
+	GHashTableIter iter;
+	const char *reason;
+	void *count;
+
+	g_hash_table_iter_init(&iter, load->reasons);
+	while (g_hash_table_iter_next(&iter, (void **)&reason, &count))
+		g_string_append_printf(text, "%s%s %u", text->len ? ", " : "",
+				       reason, GPOINTER_TO_UINT(count));
+	return g_string_free(text, FALSE);
+}
+
 static void add_number(JsonBuilder *builder, const char *name, double value)
 {
 	json_builder_set_member_name(builder, name);
--- a/tools/load/load.h
+++ b/tools/load/load.h
@@ -64,6 +64,7 @@
 	gint64 deadline_us;
 	gint64 latency_us;
 	guint tries;
+	guint refusals; /* tries whose connection failed */
 	guint unknowns; /* answers of "unknown" so far */
 	bool doubt; /* a try was lost: it may have run */
 	enum load_told told;
@@ -118,6 +119,9 @@
 
 const char *load_told_name(enum load_told told);
 
+/* "REASON COUNT, ..." of what was not "run", tries included; g_free(). */
+char *load_reasons_text(const struct load *load);
+
 /* All requests so far, of struct load_request; borrowed. */
 const GPtrArray *load_requests(const struct load *load);
 
--- a/tools/load/load_internal.h
+++ b/tools/load/load_internal.h
@@ -14,6 +14,7 @@
 	GPtrArray *requests; /* of struct load_request, owned */
 	GPtrArray *callers; /* of struct load_caller, owned */
 	GPtrArray *samples; /* of char *, what was wrong */
+	GHashTable *reasons; /* of refusals and unknowns -> how often */
 	guint total_weight;
 	guint open;
 	guint repeats;
--- a/tools/load/request.c
+++ b/tools/load/request.c
@@ -209,13 +209,27 @@
 				       G_IO_ERROR_CONNECTION_REFUSED);
 
 	load_lookup_stale(load_lookup_of(request));
+	request->refusals++;
 	if (!refused)
 		request->doubt = true;
+	/* Nothing was ever sent under the key: a new grant may be used. */
+	if (refused && !request->doubt)
+		g_clear_pointer(&request->key, g_free);
 	if (again(request, LOST_AGAIN_US))
 		return;
 	finish(request, LOAD_ERROR);
 }
 
+static void count_reason(struct load_request *request, const char *outcome)
+{
+	GHashTable *reasons = request->load->reasons;
+	char *name = g_strdup_printf("%s/%s", outcome,
+				     request->reason ? request->reason : "-");
+	guint count = GPOINTER_TO_UINT(g_hash_table_lookup(reasons, name));
+
+	g_hash_table_replace(reasons, name, GUINT_TO_POINTER(count + 1));
+}
+
 static void answered(struct load_request *request, SoupMessage *message,
 		     GBytes *body)
 {
@@ -227,6 +241,8 @@
 	request->status = soup_message_get_status(message);
 	if (response_header(message, "Auburnstile-Addresses-Stale"))
 		load_lookup_stale(load_lookup_of(request));
+	if (outcome && strcmp(outcome, "run") != 0)
+		count_reason(request, outcome);
 	if (!g_strcmp0(outcome, "run"))
 		told_run(request, message, body);
 	else if (!g_strcmp0(outcome, "not-run"))
@@ -280,12 +296,18 @@
 	g_cancellable_cancel(request->cancellable);
 }
 
-/* Owner first; a repeat alternates between the last entry and the next. */
+/*
+ * Owner first; a repeat alternates between the last entry and the next. A
+ * key that was never sent goes only to the entry that its grant names.
+ */
 static const char *pick_entry(const struct load_request *request)
 {
 	const GPtrArray *addresses = load_lookup_of(request)->addresses;
 	guint turn = request->doubt ? request->tries / 2 : 0;
 
+	if (!request->service->keyed && !request->doubt)
+		turn = request->refusals;
+
 	return addresses->pdata[turn % addresses->len];
 }
 
--- /dev/null
+++ b/tools/proofs/common.c
@@ -0,0 +1,82 @@
+/* Fleets and loads that several proofs share; see common.h. */
+#include "proofs/common.h"
+
+const struct load_service mixed_services[2] = {
+	{ "calendar", "/calendar/page", 2, false },
+	{ "fees", "/fees/pay", 1, true },
+};
+
+const struct load_service keyed_service[1] = {
+	{ "fees", "/fees/pay", 1, true },
+};
+
+static const struct fleet_service fleet_services[] = {
+	{ .name = "calendar",
+	  .path = "/calendar",
+	  .upstreams = 6,
+	  .queue_limit = 100,
+	  .hedge_percent = 5 },
+	{ .name = "fees",
+	  .path = "/fees",
+	  .upstreams = 4,
+	  .once = true,
+	  .queue_limit = 100 },
+};
+
+bool mixed_start(struct proof_run *run, bool proxies, double mean_us)
+{
+	struct proof_fleet fleet = {
+		.services = fleet_services,
+		.service_count = G_N_ELEMENTS(fleet_services),
+		.members = 6,
+		.zones = 3,
+		.proxies = proxies,
+		.mean_us = mean_us,
+	};
+
+	return proof_start(run, &fleet);
+}
+
+void mixed_load(struct proof_run *run, double rate, double seconds, bool repeat)
+{
+	struct load_options options = {
+		.services = mixed_services,
+		.service_count = G_N_ELEMENTS(mixed_services),
+		.rate = rate,
+		.seconds = seconds,
+		.repeat = repeat,
+		.body_bytes = 300,
+	};
+
+	proof_load(run, &options);
+}
+
+void keyed_load(struct proof_run *run, double rate, double seconds)
+{
+	struct load_options options = {
+		.services = keyed_service,
+		.service_count = G_N_ELEMENTS(keyed_service),
+		.rate = rate,
+		.seconds = seconds,
+		.deadline_ms = 12000,
+		.try_ms = 1500,
+		.repeat = true,
+		.body_bytes = 300,
+	};
+
+	proof_load(run, &options);
+}
+
+void mixed_end(struct proof_run *run)
+{
+	proof_end_load(run);
+	proof_check_load(run);
+}
+
+guint16 proof_upstream(const struct proof_run *run, const char *name)
+{
+	guint16 handle = aub_inventory_upstream(run->fleet->inventory, name);
+
+	g_assert(handle != AUB_NO_HANDLE);
+	return handle;
+}
--- /dev/null
+++ b/tools/proofs/whole.c
@@ -0,0 +1,89 @@
+/*
+ * The whole answer to one's own request: every answer carries its request's
+ * nonce and a checksum, and the load checks them all while answers come
+ * late, out of order, cut, reset, with wrong lengths, or not at all.
+ */
+#include "proofs/common.h"
+
+#define WHOLE_SECONDS 3.0
+
+/* Share of requests that got their whole answer, in per cent. */
+static double whole_percent(const struct proof_run *run)
+{
+	return 100.0 * run->told.told[LOAD_RUN] / MAX(run->told.requests, 1);
+}
+
+static void end_whole(struct proof_run *run, double least_percent)
+{
+	mixed_end(run);
+	proof_figure(run, "whole_percent", whole_percent(run));
+	proof_check(run, whole_percent(run) >= least_percent,
+		    "too few whole answers");
+}
+
+/* Upstreams spoil answers in every way a library would not. */
+static void spoiled(struct proof_run *run)
+{
+	if (!mixed_start(run, false, 0))
+		return;
+	mixed_load(run, MIXED_RATE, WHOLE_SECONDS, true);
+	fleet_run_ms(300);
+	fleet_upstream_fault(run->fleet, "{\"truncate\":5,\"wrong_length\":5,"
+					 "\"reset_middle\":5}");
+	end_whole(run, 80);
+}
+
+/* Hedges and late answers: two answers may come to one request. */
+static void late(struct proof_run *run)
+{
+	if (!mixed_start(run, false, 0))
+		return;
+	mixed_load(run, MIXED_RATE, WHOLE_SECONDS, true);
+	fleet_run_ms(300);
+	fleet_upstream_fault(run->fleet, "{\"late\":10,\"late_ms\":700}");
+	fleet_run_ms(700);
+	fleet_upstream_fault(run->fleet, "{\"port\":0,\"slow_factor\":15,"
+					 "\"slow_ms\":300}");
+	end_whole(run, 80);
+}
+
+/*
+ * Connections between entries and upstreams lose their middle: they stay
+ * open and swallow everything, while new ones work.
+ */
+static void silent_upstreams(struct proof_run *run)
+{
+	if (!mixed_start(run, true, 0))
+		return;
+	mixed_load(run, MIXED_RATE, WHOLE_SECONDS, true);
+	fleet_run_ms(500);
+	fleet_proxy_fault(run->fleet, "{\"silence_open\":1}");
+	fleet_run_ms(1000);
+	fleet_proxy_fault(run->fleet, "{\"silence_open\":1}");
+	end_whole(run, 80);
+}
+
+/* Bytes crawl, then every answer is cut short by the network. */
+static void cut_by_network(struct proof_run *run)
+{
+	if (!mixed_start(run, true, 0))
+		return;
+	mixed_load(run, MIXED_RATE, WHOLE_SECONDS, true);
+	fleet_run_ms(500);
+	fleet_proxy_fault(run->fleet, "{\"throttle\":20000}");
+	fleet_run_ms(500);
+	fleet_proxy_fault(run->fleet, "{\"throttle\":0,\"truncate_down\":600,"
+				      "\"cut\":1}");
+	fleet_run_ms(300);
+	fleet_proxy_fault(run->fleet, "{\"clear\":1,\"cut\":1}");
+	end_whole(run, 50);
+}
+
+const struct proof proofs_whole[] = {
+	{ "whole-answer", "spoiled-answers", true, spoiled },
+	{ "whole-answer", "late-answers-and-hedges", false, late },
+	{ "whole-answer", "silent-upstream-connections", false,
+	  silent_upstreams },
+	{ "whole-answer", "cut-by-network", false, cut_by_network },
+	{ 0 }
+};
