Keep a cold upstream at its share until it is warm

Cause: a new upstream's limit was set before its slots were known, and a cold one that calls itself warm grew while it could not bear it. Change: limit after slots; the share holds for cold_ms or until its word changes from cold to warm; tests of each decision.

--- a/include/auburnstile/internal/dispatch.h
+++ b/include/auburnstile/internal/dispatch.h
@@ -217,8 +217,7 @@
 gint64 wake_after(gint64 now_us, gint64 at_us, gint64 wake_us);
 
 /* dispatch_cold.c */
-guint cold_allowed(const struct aub_dispatcher *dispatcher,
-		   const struct upstream *upstream, gint64 now_us);
+guint cold_allowed(const struct upstream *upstream, gint64 now_us);
 void cold_begin(struct aub_dispatcher *dispatcher, struct upstream *upstream,
 		gint64 now_us);
 void cold_note_signs(struct aub_dispatcher *dispatcher,
--- a/src/state/dispatch_cold.c
+++ b/src/state/dispatch_cold.c
@@ -2,8 +2,9 @@
  * Cold starts: how many requests an upstream may have while it warms up.
  *
  * Unknown counts as cold until the first answer shows otherwise. A cold one
- * begins at `cold_slots` and grows with time and with good answers, never
- * while it says itself that it is cold; the first bad sign starts it anew.
+ * has `cold_slots` until `cold_ms` are over or its own word goes from cold to
+ * warm, then one more with each good answer; the first bad sign starts it
+ * anew. A word of "warm" alone, just after a start, is not believed.
  */
 #include <auburnstile/internal/dispatch.h>
 
@@ -15,19 +16,11 @@
 	return CLAMP(upstream->cold_slots, 1, upstream->slots);
 }
 
-static guint cold_grown(const struct aub_dispatcher *dispatcher,
-			const struct upstream *upstream, gint64 now_us)
+static guint cold_grown(const struct upstream *upstream)
 {
-	guint base = cold_base(upstream);
-	gint64 elapsed = now_us - upstream->cold_since_us;
-	gint64 grown;
+	guint grown = cold_base(upstream) + upstream->cold_successes;
 
-	if (upstream->says_cold || dispatcher->cold_us <= 0)
-		return base;
-	elapsed = MIN(elapsed, dispatcher->cold_us);
-	grown = (gint64)(upstream->slots - base) * elapsed /
-		dispatcher->cold_us;
-	return base + (guint)MIN(grown, (gint64)upstream->cold_successes);
+	return MIN(grown, upstream->slots);
 }
 
 /*
@@ -43,8 +36,7 @@
 }
 
 /* Requests at once that its warmth allows, whoever sends them. */
-guint cold_allowed(const struct aub_dispatcher *dispatcher,
-		   const struct upstream *upstream, gint64 now_us)
+guint cold_allowed(const struct upstream *upstream, gint64 now_us)
 {
 	switch (upstream->state) {
 	case UPSTREAM_WARM:
@@ -52,10 +44,8 @@
 			return cold_base(upstream);
 		return upstream->slots;
 	case UPSTREAM_COLD:
-		return cold_grown(dispatcher, upstream, now_us);
+		return cold_grown(upstream);
 	default:
-		if (upstream->vouched)
-			return MAX(cold_base(upstream), upstream->slots / 2);
 		return cold_base(upstream);
 	}
 }
@@ -67,6 +57,7 @@
 		dispatcher->counts.cold_turns++;
 	upstream->state = UPSTREAM_COLD;
 	upstream->vouched = false;
+	upstream->says_cold = false;
 	upstream->cold_since_us = now_us;
 	upstream->cold_successes = 0;
 }
@@ -110,9 +101,11 @@
 		return; /* a late word of the start before */
 	note_boot(dispatcher, upstream, signs->boot_id, now_us);
 	upstream->draining = signs->draining;
-	upstream->says_cold = signs->cold;
 	if (signs->cold && upstream->state != UPSTREAM_COLD)
 		cold_begin(dispatcher, upstream, now_us);
+	if (upstream->says_cold && !signs->cold)
+		upstream->cold_since_us = now_us - dispatcher->cold_us;
+	upstream->says_cold = signs->cold;
 }
 
 /* A good answer came after `took_us`. */
@@ -134,9 +127,10 @@
 		cold_begin(dispatcher, upstream, now_us);
 		return;
 	}
-	upstream->cold_successes++;
-	if (upstream->says_cold)
+	if (upstream->says_cold ||
+	    now_us - upstream->cold_since_us < dispatcher->cold_us)
 		return;
-	if (now_us - upstream->cold_since_us >= dispatcher->cold_us)
+	upstream->cold_successes++;
+	if (cold_grown(upstream) == upstream->slots)
 		upstream->state = UPSTREAM_WARM;
 }
--- a/src/state/dispatch_upstream.c
+++ b/src/state/dispatch_upstream.c
@@ -76,13 +76,13 @@
 
 	if (u->slots != line->slots)
 		u->limit = line->slots;
+	u->handle = handle;
+	u->slots = line->slots;
 	if (takes_new && !u->takes_new) {
 		upstream_open(u);
 		u->draining = false;
 		cold_doubt(u, now_us);
 	}
-	u->handle = handle;
-	u->slots = line->slots;
 	u->cold_slots = line->cold_slots;
 	u->zone = line->zone;
 	u->probe_cost_us = line->probe_cost_us;
@@ -175,7 +175,7 @@
 
 	if (!upstream_usable(upstream, now_us))
 		return 0;
-	allowed = cold_allowed(dispatcher, upstream, now_us);
+	allowed = cold_allowed(upstream, now_us);
 	allowed = MIN(allowed, upstream->limit);
 	if (upstream->trial)
 		allowed = MIN(allowed, 1);
--- /dev/null
+++ b/tests/dispatch_rig.h
@@ -0,0 +1,188 @@
+/* Drives one dispatcher by hand: an inventory, a clock, actions as a list. */
+#ifndef TESTS_DISPATCH_RIG_H
+#define TESTS_DISPATCH_RIG_H
+
+#include <auburnstile/dispatch.h>
+#include <auburnstile/timer.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+struct rig_options {
+	guint upstreams = 3;
+	guint slots = 2;
+	guint cold_slots = 1;
+	guint queue_limit = 100;
+	guint cold_ms = 1000;
+	guint hedge_percent = 0;
+	guint probe_budget_us = 0;
+	guint probe_cost_us = 1000;
+	guint out = 0; /* bit n: upstream n's zone is out */
+	enum aub_policy policy = AUB_POLICY_AUBURNSTILE;
+};
+
+class DispatchRig
+{
+      public:
+	struct aub_dispatcher *d;
+	gint64 now = 1000 * AUB_SECOND;
+	struct rig_options options;
+
+	explicit DispatchRig(const rig_options &wanted = rig_options(),
+			     bool own = true)
+	    : options(wanted)
+	{
+		struct aub_dispatcher_options made = {};
+
+		made.policy = options.policy;
+		made.seed = 7;
+		d = aub_dispatcher_new(&made);
+		configure();
+		if (own)
+			aub_dispatcher_set_role(d, AUB_DISPATCH_OWNER, 0, now);
+	}
+	~DispatchRig()
+	{
+		aub_dispatcher_free(d);
+	}
+	/* Upstream n is "u<n>" in a zone "z<n>" of its own. */
+	void configure()
+	{
+		std::string text = "version = 1\n";
+
+		for (guint i = 0; i < options.upstreams; i++) {
+			std::string n = std::to_string(i);
+
+			text += "[[zone]]\nname = \"z" + n +
+				"\"\nregion = \"r\"\nvms = [\"v" + n + "\"]\n";
+		}
+		text += service();
+		GError *error = nullptr;
+		struct aub_inventory *inventory =
+			aub_inventory_parse(text.data(), text.size(), "rig",
+					    &error);
+		g_assert_no_error(error);
+		for (guint i = 0; i < options.upstreams; i++)
+			aub_zone_at(inventory, i)->out = options.out >> i & 1;
+		aub_dispatcher_configure(d, inventory, 0, now);
+		aub_inventory_unref(inventory);
+	}
+	void arrive(guint64 id, bool once = false, guint32 budget = 100,
+		    gint64 left_us = 5 * AUB_SECOND, guint64 fingerprint = 0)
+	{
+		struct aub_dispatch_request request = {};
+
+		request.id = id;
+		request.deadline_us = now + left_us;
+		request.once = once;
+		request.retry_budget = budget;
+		request.fingerprint = fingerprint;
+		aub_dispatcher_arrive(d, &request, now);
+	}
+	std::vector<struct aub_action> take()
+	{
+		std::vector<struct aub_action> list;
+		struct aub_action action;
+
+		while (aub_dispatcher_next(d, &action))
+			list.push_back(action);
+		aub_dispatcher_check(d);
+		return list;
+	}
+	/* The one action that is to come. */
+	struct aub_action one()
+	{
+		auto list = take();
+
+		g_assert_cmpuint(list.size(), ==, 1);
+		return list[0];
+	}
+	void done(const struct aub_action &sent,
+		  enum aub_attempt_result result = AUB_ATTEMPT_ANSWERED,
+		  guint64 boot = 1, bool cold = false, bool failed = false,
+		  bool draining = false)
+	{
+		struct aub_upstream_signs signs = { boot, cold, draining,
+						    failed };
+		bool told = result == AUB_ATTEMPT_ANSWERED ||
+			    result == AUB_ATTEMPT_SHED;
+
+		aub_dispatcher_attempt_done(d, sent.request, sent.attempt,
+					    result, told ? &signs : nullptr,
+					    now);
+	}
+	void probed(const struct aub_action &probe, bool answered = true,
+		    guint64 boot = 1, bool cold = false)
+	{
+		struct aub_upstream_signs signs = { boot, cold, false, false };
+
+		aub_dispatcher_probe_done(d, probe.upstream, answered,
+					  answered ? &signs : nullptr, 0, now);
+	}
+	void pass(gint64 us)
+	{
+		now += us;
+		aub_dispatcher_tick(d, now);
+	}
+	/* One answer from each upstream, so that all are known as warm. */
+	void warm(gint64 took_us = 10 * AUB_MS)
+	{
+		std::vector<struct aub_action> sent;
+
+		for (guint i = 0; i < options.upstreams * options.slots; i++)
+			arrive(warm_id++);
+		for (int round = 0; aub_dispatcher_pending(d); round++) {
+			g_assert_cmpint(round, <, 100);
+			sent = take();
+			now += took_us;
+			for (const auto &action : sent)
+				if (action.type == AUB_ACTION_SEND)
+					done(action);
+		}
+		take();
+	}
+	/* Answer all that is sent, until nothing comes; boot ids by upstream.
+	 */
+	void serve(const std::map<guint16, guint64> &boots = {})
+	{
+		for (auto list = take(); !list.empty(); list = take())
+			for (const auto &action : list)
+				if (action.type == AUB_ACTION_SEND)
+					done(action, AUB_ATTEMPT_ANSWERED,
+					     boots.empty() ?
+						     1 :
+						     boots.at(action.upstream));
+	}
+	guint64 warm_id = 1u << 30;
+
+      private:
+	std::string service() const
+	{
+		std::string text =
+			"[[service]]\nname = \"s\"\npath = \"/\"\n"
+			"slots = " +
+			std::to_string(options.slots) + "\nqueue_limit = " +
+			std::to_string(options.queue_limit) +
+			"\ncold_ms = " + std::to_string(options.cold_ms) +
+			"\ncold_slots = " + std::to_string(options.cold_slots) +
+			"\nhedge_percent = " +
+			std::to_string(options.hedge_percent) +
+			"\nprobe_budget_us = " +
+			std::to_string(options.probe_budget_us) +
+			"\nprobe_cost_us = " +
+			std::to_string(options.probe_cost_us) +
+			"\nupstreams = [\n";
+
+		for (guint i = 0; i < options.upstreams; i++) {
+			std::string n = std::to_string(i);
+
+			text += "{ name = \"u" + n + "\", vm = \"v" + n +
+				"\", address = \"127.0.0.1:" +
+				std::to_string(20000 + i) + "\" },\n";
+		}
+		return text + "]\n";
+	}
+};
+
+#endif
--- /dev/null
+++ b/tests/test_dispatch.cc
@@ -0,0 +1,606 @@
+/* The dispatcher's single decisions; mixes are in test_dispatch_state.cc. */
+#include <gtest/gtest.h>
+
+#include "dispatch_rig.h"
+
+#include <map>
+#include <set>
+
+static guint count(const std::vector<struct aub_action> &list,
+		   enum aub_action_type type)
+{
+	guint n = 0;
+
+	for (const auto &action : list)
+		n += action.type == type;
+	return n;
+}
+
+static struct aub_upstream_status status(DispatchRig &rig, guint upstream)
+{
+	struct aub_upstream_status list[64];
+
+	EXPECT_GT(aub_dispatcher_status(rig.d, list, 64), upstream);
+	return list[upstream];
+}
+
+TEST(Dispatch, SendsToFreeSlotsOnlyAndInOrder)
+{
+	DispatchRig rig;
+	rig.warm();
+	for (guint64 id = 1; id <= 8; id++)
+		rig.arrive(id);
+	auto sent = rig.take();
+	ASSERT_EQ(sent.size(), 6u);
+	EXPECT_EQ(aub_dispatcher_queued(rig.d), 2u);
+	rig.done(sent[0]);
+	auto next = rig.take();
+	ASSERT_EQ(next.size(), 2u);
+	EXPECT_EQ(next[0].type, AUB_ACTION_DELIVER);
+	EXPECT_EQ(next[0].request, 1u);
+	EXPECT_EQ(next[1].type, AUB_ACTION_SEND);
+	EXPECT_EQ(next[1].request, 7u);
+	EXPECT_EQ(next[1].upstream, sent[0].upstream);
+}
+
+TEST(Dispatch, SpreadsOverTheLeastBusy)
+{
+	DispatchRig rig;
+	std::set<guint16> used;
+	rig.warm();
+	for (guint64 id = 1; id <= 3; id++)
+		rig.arrive(id);
+	for (const auto &action : rig.take())
+		used.insert(action.upstream);
+	EXPECT_EQ(used.size(), 3u);
+}
+
+TEST(Dispatch, FullQueueRefusesAtOnceWithAReturnTime)
+{
+	rig_options options;
+	options.queue_limit = 2;
+	DispatchRig rig(options);
+	rig.warm();
+	for (guint64 id = 1; id <= 8; id++)
+		rig.arrive(id);
+	rig.take();
+	rig.arrive(9);
+	auto action = rig.one();
+	EXPECT_EQ(action.type, AUB_ACTION_REFUSE);
+	EXPECT_EQ(action.refusal, AUB_REFUSAL_QUEUE_FULL);
+	EXPECT_GE(action.retry_after_ms, 1u);
+}
+
+TEST(Dispatch, DeadlineThatCannotBeMetIsRefusedOnArrival)
+{
+	DispatchRig rig;
+	rig.warm(20 * AUB_MS);
+	for (guint64 id = 1; id <= 20; id++)
+		rig.arrive(id);
+	rig.take();
+	rig.arrive(21, false, 0, 50 * AUB_MS);
+	auto action = rig.one();
+	EXPECT_EQ(action.type, AUB_ACTION_REFUSE);
+	EXPECT_EQ(action.refusal, AUB_REFUSAL_DEADLINE);
+}
+
+TEST(Dispatch, DeadlineThatLapsesWaitingIsRefusedNotRun)
+{
+	DispatchRig rig;
+	rig.warm();
+	for (guint64 id = 1; id <= 7; id++)
+		rig.arrive(id, false, 0, AUB_SECOND);
+	rig.take();
+	EXPECT_LE(aub_dispatcher_wake_us(rig.d), rig.now + AUB_SECOND);
+	rig.pass(AUB_SECOND);
+	auto action = rig.one();
+	EXPECT_EQ(action.type, AUB_ACTION_REFUSE);
+	EXPECT_EQ(action.request, 7u);
+	EXPECT_EQ(action.refusal, AUB_REFUSAL_DEADLINE);
+}
+
+/*
+ * A reservation's connection dies before the answer. It may have run, so it
+ * is neither sent again nor called "not run".
+ */
+TEST(Dispatch, LostOnceIsUnknownAndNeverSentAgain)
+{
+	DispatchRig rig;
+	rig.warm();
+	rig.arrive(1, true, 500);
+	rig.done(rig.one(), AUB_ATTEMPT_LOST);
+	EXPECT_EQ(rig.one().type, AUB_ACTION_UNKNOWN);
+	EXPECT_EQ(aub_dispatcher_pending(rig.d), 0u);
+}
+
+TEST(Dispatch, OnceIsSentAgainWhereItProvablyDidNotRun)
+{
+	DispatchRig rig;
+	rig.warm();
+	rig.arrive(1, true, 100);
+	auto first = rig.one();
+	rig.done(first, AUB_ATTEMPT_NOT_CONNECTED);
+	auto second = rig.one();
+	EXPECT_EQ(second.type, AUB_ACTION_SEND);
+	EXPECT_NE(second.upstream, first.upstream);
+	rig.done(second, AUB_ATTEMPT_SHED);
+	EXPECT_EQ(rig.one().type, AUB_ACTION_SEND);
+}
+
+TEST(Dispatch, RepeatableIsSentAgainWithinItsBudget)
+{
+	DispatchRig rig;
+	rig.warm();
+	rig.arrive(1, false, 100);
+	auto first = rig.one();
+	rig.done(first, AUB_ATTEMPT_LOST);
+	auto second = rig.one();
+	ASSERT_EQ(second.type, AUB_ACTION_SEND);
+	EXPECT_NE(second.upstream, first.upstream);
+	rig.done(second, AUB_ATTEMPT_LOST);
+	EXPECT_EQ(rig.one().type, AUB_ACTION_UNKNOWN);
+}
+
+/*
+ * Everything sheds. Retries are a share of calls, so that a service in
+ * trouble isn't buried under them.
+ */
+TEST(Dispatch, RetriesAreAShareOfCalls)
+{
+	rig_options options;
+	options.upstreams = 10;
+	DispatchRig rig(options);
+	struct aub_dispatch_counts before;
+	struct aub_dispatch_counts counts;
+	rig.warm();
+	aub_dispatcher_counts(rig.d, &before);
+	for (guint64 id = 1; id <= 1000; id++) {
+		rig.arrive(id, false, 500);
+		for (auto list = rig.take(); !list.empty(); list = rig.take())
+			for (const auto &action : list)
+				if (action.type == AUB_ACTION_SEND)
+					rig.done(action, AUB_ATTEMPT_SHED);
+		rig.pass(AUB_SECOND);
+	}
+	aub_dispatcher_counts(rig.d, &counts);
+	EXPECT_LE(counts.sent - before.sent, 1200u);
+	EXPECT_EQ(counts.refused - before.refused, 1000u);
+}
+
+TEST(Dispatch, AbandonedIsCancelledAndItsSlotKeptUntilReported)
+{
+	rig_options options;
+	options.upstreams = 1;
+	DispatchRig rig(options);
+	rig.warm();
+	rig.arrive(1);
+	rig.arrive(2);
+	auto sent = rig.take();
+	aub_dispatcher_abandon(rig.d, 1, rig.now);
+	EXPECT_EQ(rig.one().type, AUB_ACTION_CANCEL);
+	rig.arrive(3);
+	EXPECT_TRUE(rig.take().empty());
+	rig.done(sent[0], AUB_ATTEMPT_CANCELLED);
+	EXPECT_EQ(rig.one().request, 3u);
+}
+
+/*
+ * An upstream comes back under another boot id: it gets its cold share until
+ * cold_ms are over, although it says "warm" at once.
+ */
+TEST(Dispatch, ColdStartGetsItsShareUntilWarmedUp)
+{
+	rig_options options;
+	options.upstreams = 1;
+	options.slots = 6;
+	options.cold_slots = 2;
+	DispatchRig rig(options);
+	rig.warm();
+	for (guint64 id = 1; id <= 12; id++)
+		rig.arrive(id);
+	auto sent = rig.take();
+	ASSERT_EQ(sent.size(), 6u);
+	for (guint i = 0; i < 4; i++) {
+		rig.done(sent[i], AUB_ATTEMPT_ANSWERED, 2);
+		EXPECT_EQ(count(rig.take(), AUB_ACTION_SEND), 0u);
+	}
+	EXPECT_TRUE(status(rig, 0).cold);
+	rig.done(sent[4], AUB_ATTEMPT_ANSWERED, 2);
+	auto next = rig.take();
+	EXPECT_EQ(count(next, AUB_ACTION_SEND), 1u);
+	EXPECT_EQ(status(rig, 0).in_flight, 2u);
+	rig.pass(999 * AUB_MS);
+	EXPECT_EQ(status(rig, 0).allowed, 2u);
+	rig.pass(AUB_MS);
+	for (guint i = 0; i < 4; i++) {
+		for (const auto &action : next)
+			if (action.type == AUB_ACTION_SEND)
+				rig.done(action, AUB_ATTEMPT_ANSWERED, 2);
+		next = rig.take();
+	}
+	rig.arrive(30);
+	EXPECT_GE(status(rig, 0).allowed, 4u);
+}
+
+TEST(Dispatch, ColdByItsOwnWordStaysSmallAndOpensOnItsWord)
+{
+	rig_options options;
+	options.upstreams = 1;
+	options.slots = 4;
+	DispatchRig rig(options);
+	rig.arrive(1);
+	rig.done(rig.one(), AUB_ATTEMPT_ANSWERED, 1, true);
+	rig.take();
+	rig.now += 5 * AUB_SECOND;
+	rig.arrive(2);
+	rig.done(rig.one(), AUB_ATTEMPT_ANSWERED, 1, true);
+	rig.take();
+	EXPECT_EQ(status(rig, 0).allowed, 1u);
+	for (guint64 id = 3; id < 6; id++) {
+		rig.arrive(id);
+		rig.done(rig.one(), AUB_ATTEMPT_ANSWERED, 1, false);
+		rig.take();
+	}
+	EXPECT_EQ(status(rig, 0).allowed, 4u);
+	EXPECT_FALSE(status(rig, 0).cold);
+}
+
+TEST(Dispatch, LostConnectionPutsItsUpstreamInDoubt)
+{
+	rig_options options;
+	options.upstreams = 1;
+	options.slots = 6;
+	DispatchRig rig(options);
+	rig.warm();
+	rig.arrive(1, true);
+	rig.done(rig.one(), AUB_ATTEMPT_LOST);
+	rig.take();
+	EXPECT_EQ(status(rig, 0).allowed, 1u);
+	rig.arrive(2);
+	rig.done(rig.one());
+	rig.take();
+	EXPECT_EQ(status(rig, 0).allowed, 6u);
+}
+
+/*
+ * A new owner doesn't know what its predecessor still has in flight: half of
+ * the warm slots, nothing cold or unknown, until the settling time is over.
+ */
+TEST(Dispatch, NewOwnerWaitsForItsPredecessor)
+{
+	rig_options options;
+	options.slots = 6;
+	options.probe_budget_us = 1000000;
+	DispatchRig rig(options, false);
+	aub_dispatcher_set_role(rig.d, AUB_DISPATCH_OWNER, 500 * AUB_MS,
+				rig.now);
+	for (guint64 id = 1; id <= 30; id++)
+		rig.arrive(id);
+	EXPECT_EQ(count(rig.take(), AUB_ACTION_SEND), 0u);
+	rig.pass(10 * AUB_MS);
+	auto probes = rig.take();
+	ASSERT_EQ(count(probes, AUB_ACTION_PROBE), 3u);
+	rig.probed(probes[0]);
+	EXPECT_EQ(count(rig.take(), AUB_ACTION_SEND), 1u);
+	EXPECT_LE(aub_dispatcher_wake_us(rig.d), rig.now + 500 * AUB_MS);
+	rig.pass(500 * AUB_MS);
+	EXPECT_EQ(count(rig.take(), AUB_ACTION_SEND), 2u);
+}
+
+TEST(Dispatch, StandbySendsHalfAndNothingCold)
+{
+	rig_options options;
+	options.upstreams = 2;
+	options.slots = 4;
+	DispatchRig rig(options);
+	rig.warm();
+	aub_dispatcher_set_role(rig.d, AUB_DISPATCH_STANDBY, 0, rig.now);
+	rig.arrive(100);
+	auto sent = rig.one();
+	rig.done(sent, AUB_ATTEMPT_ANSWERED, 9);
+	rig.take();
+	for (guint64 id = 1; id <= 20; id++)
+		rig.arrive(id);
+	auto list = rig.take();
+	EXPECT_EQ(count(list, AUB_ACTION_SEND), 2u);
+	for (const auto &action : list)
+		EXPECT_NE(action.upstream, sent.upstream);
+}
+
+TEST(Dispatch, LosingTheRoleRefusesWhatWaits)
+{
+	DispatchRig rig;
+	rig.warm();
+	for (guint64 id = 1; id <= 8; id++)
+		rig.arrive(id);
+	rig.take();
+	aub_dispatcher_set_role(rig.d, AUB_DISPATCH_NONE, 0, rig.now);
+	auto list = rig.take();
+	ASSERT_EQ(list.size(), 2u);
+	EXPECT_EQ(list[0].refusal, AUB_REFUSAL_NOT_OWNER);
+	EXPECT_EQ(aub_dispatcher_pending(rig.d), 6u);
+}
+
+TEST(Dispatch, ZoneOutGetsNothingNewAndFinishesWhatItHas)
+{
+	DispatchRig rig;
+	rig.warm();
+	for (guint64 id = 1; id <= 6; id++)
+		rig.arrive(id);
+	auto sent = rig.take();
+	rig.options.out = 7 - 1;
+	rig.configure();
+	for (guint64 id = 7; id <= 12; id++)
+		rig.arrive(id);
+	for (const auto &action : sent)
+		rig.done(action);
+	auto list = rig.take();
+	EXPECT_EQ(count(list, AUB_ACTION_DELIVER), 6u);
+	for (const auto &action : list)
+		if (action.type == AUB_ACTION_SEND) {
+			EXPECT_EQ(action.upstream, 0u);
+		}
+	rig.options.out = 0;
+	rig.configure();
+	EXPECT_EQ(status(rig, 1).allowed, 1u);
+}
+
+TEST(Dispatch, UpstreamTakenFromTheInventoryFinishesWhatItHas)
+{
+	DispatchRig rig;
+	rig.warm();
+	for (guint64 id = 1; id <= 6; id++)
+		rig.arrive(id);
+	auto sent = rig.take();
+	rig.options.upstreams = 1;
+	rig.configure();
+	rig.take();
+	for (const auto &action : sent)
+		rig.done(action);
+	EXPECT_EQ(count(rig.take(), AUB_ACTION_DELIVER), 6u);
+	rig.configure();
+	EXPECT_EQ(status(rig, 0).in_flight, 0u);
+}
+
+TEST(Dispatch, DrainingGetsNothingNewAndIsRetriedElsewhere)
+{
+	DispatchRig rig;
+	rig.warm();
+	rig.arrive(1, true, 0);
+	auto first = rig.one();
+	rig.done(first, AUB_ATTEMPT_SHED, 1, false, false, true);
+	auto second = rig.one();
+	ASSERT_EQ(second.type, AUB_ACTION_SEND);
+	for (guint64 id = 2; id <= 9; id++)
+		rig.arrive(id);
+	for (const auto &action : rig.take())
+		EXPECT_NE(action.upstream, first.upstream);
+}
+
+/*
+ * One upstream answers each request with an error, at once. Being always
+ * idle it would take most of the traffic; after a few it gets none.
+ */
+TEST(Dispatch, FailingFastIsEjected)
+{
+	DispatchRig rig;
+	std::map<guint16, guint> failures;
+	rig.warm();
+	for (guint64 id = 1; id <= 600; id++) {
+		rig.arrive(id);
+		if (id % 6)
+			continue;
+		for (const auto &action : rig.take()) {
+			bool bad = action.upstream == 0;
+
+			if (action.type != AUB_ACTION_SEND)
+				continue;
+			failures[action.upstream]++;
+			rig.now += bad ? 100 : 400;
+			rig.done(action, AUB_ATTEMPT_ANSWERED, 1, false, bad);
+		}
+	}
+	EXPECT_LT(failures[0], 20u);
+	EXPECT_TRUE(status(rig, 0).suspect);
+}
+
+TEST(Dispatch, FailuresOfAllEjectNone)
+{
+	DispatchRig rig;
+	struct aub_dispatch_counts counts;
+	rig.warm();
+	for (guint64 id = 1; id <= 300; id++) {
+		rig.arrive(id);
+		rig.now += 1000;
+		rig.done(rig.one(), AUB_ATTEMPT_ANSWERED, 1, false, true);
+		rig.take();
+	}
+	aub_dispatcher_counts(rig.d, &counts);
+	EXPECT_EQ(counts.ejections, 0u);
+}
+
+TEST(Dispatch, OverrunningUpstreamIsTakenLast)
+{
+	DispatchRig rig;
+	rig.warm(10 * AUB_MS);
+	rig.arrive(1);
+	auto slow = rig.one();
+	rig.now += 100 * AUB_MS;
+	for (guint64 id = 2; id <= 5; id++)
+		rig.arrive(id);
+	for (const auto &action : rig.take())
+		EXPECT_NE(action.upstream, slow.upstream);
+	EXPECT_TRUE(status(rig, slow.upstream).suspect);
+}
+
+TEST(Dispatch, HedgesALateRepeatableAndCancelsTheLoser)
+{
+	rig_options options;
+	options.hedge_percent = 20;
+	DispatchRig rig(options);
+	rig.warm(10 * AUB_MS);
+	rig.arrive(1);
+	auto first = rig.one();
+	ASSERT_LT(aub_dispatcher_wake_us(rig.d), rig.now + 100 * AUB_MS);
+	rig.now = aub_dispatcher_wake_us(rig.d);
+	aub_dispatcher_tick(rig.d, rig.now);
+	auto hedge = rig.one();
+	ASSERT_EQ(hedge.type, AUB_ACTION_SEND);
+	EXPECT_TRUE(hedge.hedge);
+	EXPECT_NE(hedge.upstream, first.upstream);
+	rig.done(hedge);
+	auto list = rig.take();
+	ASSERT_EQ(list.size(), 2u);
+	EXPECT_EQ(list[0].type, AUB_ACTION_DELIVER);
+	EXPECT_EQ(list[0].attempt, hedge.attempt);
+	EXPECT_EQ(list[1].type, AUB_ACTION_CANCEL);
+	rig.done(first, AUB_ATTEMPT_CANCELLED);
+	EXPECT_EQ(aub_dispatcher_pending(rig.d), 0u);
+}
+
+TEST(Dispatch, NeverHedgesWhatMayNotBeRepeated)
+{
+	rig_options options;
+	options.hedge_percent = 20;
+	DispatchRig rig(options);
+	rig.warm(10 * AUB_MS);
+	rig.arrive(1, true);
+	rig.one();
+	rig.pass(AUB_SECOND);
+	EXPECT_TRUE(rig.take().empty());
+}
+
+/*
+ * A request brings down each upstream that runs it, and its caller sends it
+ * again. Two deaths are the most; then it is refused at once, "not run",
+ * while a request that ran beside it both times goes on.
+ */
+TEST(Dispatch, CrashRequestIsStoppedAfterTwoDeaths)
+{
+	DispatchRig rig;
+	rig.warm();
+	guint deaths = 0;
+	rig.arrive(50, false, 0, 5 * AUB_SECOND, 77);
+	rig.done(rig.one());
+	rig.take();
+	for (guint64 id = 1; id <= 10; id++) {
+		rig.arrive(id, false, 100, 5 * AUB_SECOND, 666);
+		for (auto list = rig.take(); !list.empty(); list = rig.take())
+			for (const auto &action : list)
+				if (action.type == AUB_ACTION_SEND) {
+					deaths++;
+					rig.done(action, AUB_ATTEMPT_LOST);
+				}
+	}
+	EXPECT_EQ(deaths, 2u);
+	rig.arrive(20, false, 100, 5 * AUB_SECOND, 666);
+	auto action = rig.one();
+	EXPECT_EQ(action.type, AUB_ACTION_REFUSE);
+	EXPECT_EQ(action.refusal, AUB_REFUSAL_CRASHES);
+	rig.arrive(21, false, 100, 5 * AUB_SECOND, 77);
+	EXPECT_EQ(rig.one().type, AUB_ACTION_SEND);
+}
+
+/* Deaths are confirmed by a new boot id, and other entries can learn them. */
+TEST(Dispatch, CrashMarksAreConfirmedAndLearnt)
+{
+	DispatchRig rig;
+	DispatchRig other;
+	std::map<guint16, guint64> boots = { { 0, 1 }, { 1, 1 }, { 2, 1 } };
+	rig.warm();
+	for (guint64 id = 1; id <= 2; id++) {
+		rig.arrive(id, true, 0, 5 * AUB_SECOND, 666);
+		auto sent = rig.one();
+		rig.done(sent, AUB_ATTEMPT_LOST);
+		rig.take();
+		rig.now += 3 * AUB_SECOND;
+		boots[sent.upstream]++;
+		for (guint64 n = 0; n < 6; n++)
+			rig.arrive(100 * id + n);
+		rig.serve(boots);
+	}
+	struct aub_crash_mark marks[4];
+	ASSERT_EQ(aub_dispatcher_crashes(rig.d, marks, 4, rig.now), 1u);
+	EXPECT_EQ(marks[0].fingerprint, 666u);
+	EXPECT_EQ(marks[0].deaths, 2u);
+	aub_dispatcher_learn_crash(other.d, &marks[0], other.now);
+	other.arrive(1, true, 0, 5 * AUB_SECOND, 666);
+	EXPECT_EQ(other.one().refusal, AUB_REFUSAL_CRASHES);
+}
+
+TEST(Dispatch, LostConnectionsOfALivingUpstreamBlameNobody)
+{
+	DispatchRig rig;
+	rig.warm();
+	for (guint64 id = 1; id <= 6; id++) {
+		rig.arrive(id, true, 0, 5 * AUB_SECOND, 88);
+		rig.done(rig.one(), AUB_ATTEMPT_LOST);
+		rig.take();
+		rig.now += AUB_MS;
+		for (guint64 n = 0; n < 6; n++)
+			rig.arrive(100 * id + n);
+		rig.serve();
+	}
+	struct aub_crash_mark marks[4];
+	EXPECT_EQ(aub_dispatcher_crashes(rig.d, marks, 4, rig.now), 0u);
+}
+
+TEST(Dispatch, ProbesOnlyWhereTrafficSaysNothingAndWithinBudget)
+{
+	rig_options options;
+	options.upstreams = 12;
+	options.probe_budget_us = 60000;
+	options.probe_cost_us = 6000;
+	DispatchRig rig(options);
+	struct aub_dispatch_counts counts;
+	guint64 before = 0;
+	for (int second = 0; second < 20; second++) {
+		for (int tick = 0; tick < 1000; tick++) {
+			rig.pass(AUB_MS);
+			for (const auto &action : rig.take())
+				if (action.type == AUB_ACTION_PROBE)
+					rig.probed(action, second % 3 != 0);
+		}
+		aub_dispatcher_counts(rig.d, &counts);
+		EXPECT_LE(counts.probe_us - before, 30000u);
+		before = counts.probe_us;
+	}
+	EXPECT_GT(counts.probes, 12u);
+	rig.warm();
+	rig.warm();
+	aub_dispatcher_counts(rig.d, &counts);
+	before = counts.probes;
+	for (int round = 0; round < 200; round++)
+		rig.warm();
+	aub_dispatcher_counts(rig.d, &counts);
+	EXPECT_EQ(counts.probes, before);
+}
+
+TEST(Dispatch, StoppingRefusesTheNewAndFinishesTheRest)
+{
+	DispatchRig rig;
+	rig.warm();
+	for (guint64 id = 1; id <= 7; id++)
+		rig.arrive(id);
+	auto sent = rig.take();
+	aub_dispatcher_stop(rig.d, rig.now);
+	rig.arrive(8);
+	EXPECT_EQ(rig.one().refusal, AUB_REFUSAL_STOPPING);
+	rig.done(sent[0]);
+	EXPECT_EQ(count(rig.take(), AUB_ACTION_SEND), 1u);
+}
+
+TEST(Dispatch, BaselinesSendAtOnce)
+{
+	for (int policy = AUB_POLICY_RANDOM; policy <= AUB_POLICY_TWO_CHOICES;
+	     policy++) {
+		rig_options options;
+		options.policy = (enum aub_policy)policy;
+		DispatchRig rig(options, false);
+		for (guint64 id = 1; id <= 50; id++)
+			rig.arrive(id);
+		EXPECT_EQ(count(rig.take(), AUB_ACTION_SEND), 50u);
+		EXPECT_EQ(aub_policy_parse(aub_policy_name(options.policy)),
+			  policy);
+	}
+}
