--- a/src/core/log.c
+++ b/src/core/log.c
@@ -49,7 +49,9 @@
 static bool is_own_field(const char *key)
 {
 	return !strcmp(key, "MESSAGE") || !strcmp(key, "PRIORITY") ||
-	       !strcmp(key, "GLIB_DOMAIN") || g_str_has_prefix(key, "CODE_");
+	       !strcmp(key, "GLIB_DOMAIN") ||
+	       !strcmp(key, "GLIB_OLD_LOG_API") ||
+	       g_str_has_prefix(key, "CODE_");
 }
 
 static char *find_message(const GLogField *fields, gsize count)
