Measure how the control's cost grows

Cause: docs/CAPACITY.md has to rest on measured slopes. Change: make slopes runs real controls with played entries over nodes, upstreams, services and changes, kills zones and thirds of them, counts the store's calls, and fits lines with their residuals.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 #   make format     rewrite sources in the project's format
 #   make lint       formatter and linter, changing nothing
 #   make fuzz       bounded fuzzing of the decoders
+#   make slopes     how the cost grows with nodes, upstreams, changes
 #
 # SAN=1 selects the sanitizer build, which lives in build/san; FUZZ=1 the one
 # for libFuzzer, by clang, in build/fuzz.
@@ -96,6 +97,9 @@
 proofs: all
 	@$(B)/proofs
 
+slopes: all
+	@$(B)/slopes
+
 demo: all
 	@$(B)/demo
 
@@ -111,7 +115,7 @@
 clean:
 	rm -rf build
 
-.PHONY: all tests check demo proofs format fuzz fuzz-build lint clean
+.PHONY: all tests check demo proofs slopes format fuzz fuzz-build lint clean
 .SECONDARY:
 
 -include $(shell find build -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/tools/slopes.c
@@ -0,0 +1,465 @@
+/*
+ * slopes: how the control's processor time, memory and bytes, and the
+ * store's calls, grow with nodes, upstreams, services and changes.
+ *
+ * Real controls on loopback with the stand-in store; their entries are
+ * played here. Writes build/slopes.tsv and prints fitted lines with
+ * their largest residual. docs/CAPACITY.md is worked out from them.
+ */
+#include "slopes/slopes.h"
+
+#include <auburnstile/error.h>
+#include <argp.h>
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FULL_SERVICES 88
+#define FULL_UPSTREAMS 910
+#define SETTLE_MS 9000 /* start, gossip, first assignments */
+#define ROUNDS 5 /* changes timed at each size */
+#define JOIN_S 30
+
+struct row {
+	const char *scenario;
+	guint nodes;
+	guint upstreams;
+	guint services;
+	double changes_per_s;
+	double processor_percent; /* of a core; mean over nodes */
+	double processor_max;
+	double memory_mb;
+	double memory_max;
+	double bytes_per_s;
+	double bytes_max;
+	double messages_per_s;
+	double store_calls_per_s;
+	double in_force_ms; /* median, -1: not measured */
+	double in_force_max;
+};
+
+struct run {
+	struct fleet *fleet;
+	GPtrArray *entries; /* of struct slopes_entry */
+	struct row row;
+	char *inventory;
+	FILE *out;
+	GArray *rows; /* of struct row */
+	guint window_ms;
+	guint64 changes; /* made so far, for which way a zone goes */
+};
+
+static struct fleet_member *member(struct run *run, guint i)
+{
+	return fleet_member(run->fleet, i);
+}
+
+static bool all_have(struct run *run, guint64 version)
+{
+	guint i;
+
+	for (i = 0; i < run->entries->len; i++) {
+		struct slopes_entry *entry = run->entries->pdata[i];
+
+		if (entry->config_version < version || !entry->serve)
+			return false;
+	}
+	return true;
+}
+
+static bool wait_all(struct run *run, guint64 version, guint seconds)
+{
+	gint64 end_us =
+		g_get_monotonic_time() + (gint64)seconds * G_USEC_PER_SEC;
+
+	while (!all_have(run, version)) {
+		if (g_get_monotonic_time() > end_us)
+			return false;
+		fleet_run_ms(10);
+	}
+	return true;
+}
+
+static char *apply_text(const char *inventory, guint64 base)
+{
+	JsonObject *object = json_object_new();
+	JsonNode *node = json_node_init_object(json_node_alloc(), object);
+	char *text;
+
+	json_object_set_int_member(object, "base", (gint64)base);
+	json_object_set_string_member(object, "inventory", inventory);
+	json_object_set_string_member(object, "author", "slopes");
+	text = json_to_string(node, FALSE);
+	json_node_unref(node);
+	json_object_unref(object);
+	return text;
+}
+
+/* One change: a zone out, or back. The time until all entries have it. */
+static double change(struct run *run, guint at)
+{
+	const char *path =
+		run->changes++ % 2 ? "/v1/zones/z8/in" : "/v1/zones/z8/out";
+	gint64 began_us = g_get_monotonic_time();
+	gint64 last_us = began_us;
+	guint64 version = 0;
+	guint i;
+
+	if (!slopes_post(run->fleet, member(run, at), path, "{}", &version) ||
+	    !wait_all(run, version, 20))
+		return -1;
+	for (i = 0; i < run->entries->len; i++) {
+		struct slopes_entry *entry = run->entries->pdata[i];
+
+		last_us = MAX(last_us, entry->config_us);
+	}
+	return (double)(last_us - began_us) / 1000;
+}
+
+static bool open_fleet(struct run *run, guint nodes, guint services,
+		       guint upstreams)
+{
+	char *small = slopes_inventory(1, 1);
+	struct fleet_options options = { .inventory = small, .members = nodes };
+	GError *error = NULL;
+	guint64 version = 0;
+	char *body;
+	guint i;
+
+	run->row = (struct row){ .nodes = nodes,
+				 .services = services,
+				 .upstreams = upstreams,
+				 .in_force_ms = -1,
+				 .in_force_max = -1 };
+	run->changes = 0;
+	run->entries = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)slopes_entry_free);
+	run->fleet = fleet_new(&options, &error);
+	g_free(small);
+	for (i = 0; run->fleet && i < nodes; i++)
+		if (!fleet_start_control(run->fleet, member(run, i), &error))
+			break;
+	if (error) {
+		fprintf(stderr, "slopes: %s\n", error->message);
+		g_clear_error(&error);
+		return false;
+	}
+	fleet_run_ms(1500);
+	for (i = 0; i < nodes; i++)
+		g_ptr_array_add(run->entries,
+				slopes_entry_new(member(run, i), 1000 + i));
+	fleet_run_ms(3000);
+	run->inventory = slopes_inventory(services, upstreams);
+	body = apply_text(run->inventory, 0);
+	if (!slopes_post(run->fleet, member(run, 0), "/v1/config/apply", body,
+			 &version))
+		fprintf(stderr, "slopes: the inventory wasn't accepted\n");
+	g_free(body);
+	return version && wait_all(run, version, JOIN_S);
+}
+
+static void close_fleet(struct run *run)
+{
+	g_ptr_array_unref(run->entries);
+	fleet_free(run->fleet, false);
+	g_clear_pointer(&run->inventory, g_free);
+}
+
+static struct slopes_sample *read_all(struct run *run)
+{
+	guint nodes = run->row.nodes;
+	struct slopes_sample *samples = g_new0(struct slopes_sample, nodes);
+	guint i;
+
+	for (i = 0; i < nodes; i++) {
+		slopes_sample_read(member(run, i), &samples[i]);
+		fleet_run_ms(1);
+	}
+	return samples;
+}
+
+static void add_node(struct row *row, const struct slopes_sample *before,
+		     const struct slopes_sample *after)
+{
+	double seconds = (double)(after->at_us - before->at_us) / 1e6;
+	double processor =
+		(after->processor_us - before->processor_us) / seconds / 1e4;
+	double bytes = (after->network_bytes - before->network_bytes) / seconds;
+	double memory = after->resident_bytes / (1 << 20);
+
+	row->processor_percent += processor / row->nodes;
+	row->processor_max = fmax(row->processor_max, processor);
+	row->bytes_per_s += bytes / row->nodes;
+	row->bytes_max = fmax(row->bytes_max, bytes);
+	row->memory_mb += memory / row->nodes;
+	row->memory_max = fmax(row->memory_max, memory);
+	row->messages_per_s +=
+		(after->messages - before->messages) / seconds / row->nodes;
+}
+
+/* Measure for the window, with `changes_per_s` changes meanwhile. */
+static void measure(struct run *run, double changes_per_s)
+{
+	struct slopes_sample *before = read_all(run);
+	double calls = slopes_store_calls(run->fleet);
+	gint64 began_us = g_get_monotonic_time();
+	gint64 end_us = began_us + run->window_ms * (gint64)1000;
+	struct slopes_sample *after;
+	guint done = 0;
+	guint i;
+
+	run->row.changes_per_s = changes_per_s;
+	while (g_get_monotonic_time() < end_us) {
+		double seconds =
+			(double)(g_get_monotonic_time() - began_us) / 1e6;
+
+		if (done < seconds * changes_per_s) {
+			change(run, done % run->row.nodes);
+			done++;
+		}
+		fleet_run_ms(20);
+	}
+	run->row.store_calls_per_s =
+		(slopes_store_calls(run->fleet) - calls) * 1e6 /
+		(double)(g_get_monotonic_time() - began_us);
+	after = read_all(run);
+	for (i = 0; i < run->row.nodes; i++)
+		add_node(&run->row, &before[i], &after[i]);
+	g_free(before);
+	g_free(after);
+}
+
+static int by_value(const void *a, const void *b)
+{
+	double left = *(const double *)a;
+	double right = *(const double *)b;
+
+	return (left > right) - (left < right);
+}
+
+static void time_changes(struct run *run)
+{
+	double times[ROUNDS];
+	guint i;
+
+	for (i = 0; i < ROUNDS; i++)
+		times[i] = change(run, (i * 7 + 1) % run->row.nodes);
+	qsort(times, ROUNDS, sizeof(times[0]), by_value);
+	run->row.in_force_ms = times[0] < 0 ? -1 : times[ROUNDS / 2];
+	run->row.in_force_max = times[0] < 0 ? -1 : times[ROUNDS - 1];
+}
+
+static void report(struct run *run, const char *scenario)
+{
+	struct row *row = &run->row;
+	char text[512];
+
+	row->scenario = scenario;
+	g_snprintf(text, sizeof(text),
+		   "%s\t%u\t%u\t%u\t%.2f\t%.3f\t%.3f\t%.1f\t%.1f\t%.0f\t%.0f"
+		   "\t%.1f\t%.1f\t%.0f\t%.0f\n",
+		   scenario, row->nodes, row->upstreams, row->services,
+		   row->changes_per_s, row->processor_percent,
+		   row->processor_max, row->memory_mb, row->memory_max,
+		   row->bytes_per_s, row->bytes_max, row->messages_per_s,
+		   row->store_calls_per_s, row->in_force_ms, row->in_force_max);
+	fputs(text, run->out);
+	fflush(run->out);
+	fputs(text, stdout);
+	fflush(stdout);
+	g_array_append_val(run->rows, *row);
+}
+
+static void one(struct run *run, const char *scenario, guint nodes,
+		guint services, guint upstreams, double changes_per_s)
+{
+	if (open_fleet(run, nodes, services, upstreams)) {
+		fleet_run_ms(SETTLE_MS);
+		measure(run, changes_per_s);
+		if (!strcmp(scenario, "nodes"))
+			time_changes(run);
+		report(run, scenario);
+	} else {
+		printf("%s %u %u %u: didn't come up\n", scenario, nodes,
+		       services, upstreams);
+	}
+	close_fleet(run);
+}
+
+/* Kill `count` controls from `first` on, by `step`, and start them again. */
+static void restart(struct run *run, guint first, guint step, guint count)
+{
+	guint i;
+
+	for (i = 0; i < count; i++)
+		fleet_signal(member(run, first + i * step), FLEET_CONTROL,
+			     SIGKILL);
+	fleet_run_ms(200);
+	for (i = 0; i < count; i++)
+		fleet_start_control(run->fleet, member(run, first + i * step),
+				    NULL);
+}
+
+/* What restarts cost: a zone at once, then a third while a change spreads. */
+static void restarts(struct run *run, guint nodes)
+{
+	double calls;
+
+	if (!open_fleet(run, nodes, FULL_SERVICES, FULL_UPSTREAMS))
+		goto out;
+	fleet_run_ms(SETTLE_MS);
+	calls = slopes_store_calls(run->fleet);
+	fleet_run_ms(10000);
+	printf("restart\tnone\t%u nodes\t%.0f store calls in 10 s\n", nodes,
+	       slopes_store_calls(run->fleet) - calls);
+	calls = slopes_store_calls(run->fleet);
+	restart(run, 0, 8, nodes / 8);
+	fleet_run_ms(10000);
+	printf("restart\tzone\t%u nodes\t%.0f store calls in 10 s\n", nodes,
+	       slopes_store_calls(run->fleet) - calls);
+	fleet_run_ms(5000);
+	restart(run, 1, 3, nodes / 3);
+	printf("restart\tthird\t%u nodes\tin force after %.0f ms\n", nodes,
+	       change(run, 0));
+out:
+	close_fleet(run);
+}
+
+static void fit(struct run *run, const char *scenario, const char *what,
+		size_t x_offset, bool x_is_double, size_t y_offset)
+{
+	double x[16];
+	double y[16];
+	struct slopes_line line;
+	guint count = 0;
+	guint i;
+
+	for (i = 0; i < run->rows->len && count < G_N_ELEMENTS(x); i++) {
+		const struct row *row =
+			&g_array_index(run->rows, struct row, i);
+		const char *at = (const char *)row;
+
+		if (strcmp(row->scenario, scenario) != 0)
+			continue;
+		x[count] = x_is_double ? *(const double *)(at + x_offset) :
+					 *(const guint *)(at + x_offset);
+		y[count++] = *(const double *)(at + y_offset);
+	}
+	if (count < 2)
+		return;
+	line = slopes_fit(x, y, count);
+	printf("fit\t%s\t%s\t%.4g + %.4g each, largest residual %.3g\n",
+	       scenario, what, line.base, line.slope, line.residual);
+}
+
+static void fits(struct run *run)
+{
+	static const struct {
+		const char *what;
+		size_t offset;
+	} outcomes[] = {
+		{ "processor %", offsetof(struct row, processor_percent) },
+		{ "memory MB", offsetof(struct row, memory_mb) },
+		{ "bytes/s", offsetof(struct row, bytes_per_s) },
+		{ "store calls/s", offsetof(struct row, store_calls_per_s) },
+	};
+	static const struct {
+		const char *scenario;
+		size_t offset;
+		bool is_double;
+	} inputs[] = {
+		{ "nodes", offsetof(struct row, nodes), false },
+		{ "upstreams", offsetof(struct row, upstreams), false },
+		{ "services", offsetof(struct row, services), false },
+		{ "changes", offsetof(struct row, changes_per_s), true },
+	};
+	guint i;
+	guint j;
+
+	for (i = 0; i < G_N_ELEMENTS(inputs); i++)
+		for (j = 0; j < G_N_ELEMENTS(outcomes); j++)
+			fit(run, inputs[i].scenario, outcomes[j].what,
+			    inputs[i].offset, inputs[i].is_double,
+			    outcomes[j].offset);
+}
+
+static void all(struct run *run)
+{
+	static const guint nodes[] = { 8, 16, 32, 64, 104 };
+	static const guint upstreams[] = { 114, 228, 455, 910 };
+	static const guint services[] = { 11, 22, 44, 88 };
+	static const double changes[] = { 0, 0.1, 0.25, 0.5 };
+	char *text = slopes_inventory(FULL_SERVICES, FULL_UPSTREAMS);
+	guint i;
+
+	printf("full inventory: %zu bytes of TOML\n", strlen(text));
+	g_free(text);
+	for (i = 0; i < G_N_ELEMENTS(nodes); i++)
+		one(run, "nodes", nodes[i], FULL_SERVICES, FULL_UPSTREAMS, 0);
+	for (i = 0; i < G_N_ELEMENTS(upstreams); i++)
+		one(run, "upstreams", 8, FULL_SERVICES, upstreams[i], 0);
+	for (i = 0; i < G_N_ELEMENTS(services); i++)
+		one(run, "services", 8, services[i], FULL_UPSTREAMS, 0);
+	for (i = 0; i < G_N_ELEMENTS(changes); i++)
+		one(run, "changes", 16, FULL_SERVICES, FULL_UPSTREAMS,
+		    changes[i]);
+	restarts(run, 40);
+	fits(run);
+}
+
+static error_t parse_option(int key, char *argument, struct argp_state *state)
+{
+	struct run *run = state->input;
+
+	switch (key) {
+	case 'w':
+		run->window_ms = (guint)atoi(argument);
+		return 0;
+	case 'n':
+		run->row.nodes = (guint)atoi(argument);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp_option options[] = {
+	{ "window-ms", 'w', "MS", 0, "measure each size for so long", 0 },
+	{ "nodes", 'n', "N", 0, "only this many nodes, at full size", 0 },
+	{ NULL }
+};
+
+int main(int argc, char **argv)
+{
+	const struct argp argp = {
+		.options = options,
+		.parser = parse_option,
+		.doc = "Measure how the control's cost grows.",
+	};
+	struct run run = { .window_ms = 10000 };
+	guint nodes;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &run);
+	nodes = run.row.nodes;
+	child_guard();
+	run.out = fopen("build/slopes.tsv", "w");
+	if (!run.out) {
+		perror("build/slopes.tsv");
+		return 1;
+	}
+	run.rows = g_array_new(FALSE, FALSE, sizeof(struct row));
+	fputs("scenario\tnodes\tupstreams\tservices\tchanges_per_s\t"
+	      "processor_percent\tprocessor_max\tmemory_mb\tmemory_max\t"
+	      "bytes_per_s\tbytes_max\tmessages_per_s\tstore_calls_per_s\t"
+	      "in_force_ms\tin_force_max\n",
+	      run.out);
+	if (nodes)
+		one(&run, "nodes", nodes, FULL_SERVICES, FULL_UPSTREAMS, 0);
+	else
+		all(&run);
+	fclose(run.out);
+	g_array_unref(run.rows);
+	return 0;
+}
