Give labelled lanes room in the picture

Cause: sloping labels reached into the next lane, and the legend past the edge. Seen: test_timeline passes; the picture is well-formed XML. No renderer is installed here, so it was checked by its coordinates only.

--- a/src/state/timeline_svg.c
+++ b/src/state/timeline_svg.c
@@ -12,8 +12,10 @@
 #include <string.h>
 
 #define LANE_HEIGHT 46
+#define LANE_LABELLED 84 /* with labels, which slope down from the marks */
 #define LEFT 150 /* room for the processes' names */
 #define RIGHT 40
+#define WIDTH 1180.0 /* at least: the legend in one line */
 #define TOP 96 /* title and legend */
 #define BOTTOM 40
 #define STEP 14.0 /* between two events, at least */
@@ -57,6 +59,7 @@
 	double *x; /* by entry */
 	guint *row; /* by process; G_MAXUINT where it has no event shown */
 	guint rows;
+	int lane; /* height of one */
 	double width;
 	double height;
 	GString *out;
@@ -68,9 +71,14 @@
 	return picture->entries->pdata[index];
 }
 
+static bool is_labelled(const struct picture *picture)
+{
+	return picture->entries->len <= LABELS_UP_TO;
+}
+
 static double lane_y(const struct picture *picture, guint process)
 {
-	return TOP + LANE_HEIGHT * (picture->row[process] + 0.5);
+	return TOP + picture->lane * (picture->row[process] + 0.5);
 }
 
 /* Columns by order and pause; rows by process, entries before controls. */
@@ -99,10 +107,9 @@
 	for (guint p = 0; p < processes; p++)
 		if (picture->row[p] != G_MAXUINT)
 			picture->row[p] = picture->rows++;
-	picture->width = MAX(x + RIGHT, 960);
-	picture->height = TOP + LANE_HEIGHT * (double)picture->rows + BOTTOM;
-	if (picture->entries->len <= LABELS_UP_TO)
-		picture->height += BOTTOM;
+	picture->width = MAX(x + RIGHT, WIDTH);
+	picture->lane = is_labelled(picture) ? LANE_LABELLED : LANE_HEIGHT;
+	picture->height = TOP + picture->lane * (double)picture->rows + BOTTOM;
 }
 
 static void escape(GString *out, const char *text)
@@ -184,8 +191,8 @@
 				picture->out,
 				"<rect x=\"0\" y=\"%.1f\" width=\"%.1f\" "
 				"height=\"%d\" fill=\"#f3f5f8\"/>",
-				y - LANE_HEIGHT / 2.0, picture->width,
-				LANE_HEIGHT);
+				y - picture->lane / 2.0, picture->width,
+				picture->lane);
 		g_string_append_printf(
 			picture->out,
 			"<line x1=\"%d\" y1=\"%.1f\" x2=\"%.1f\" y2=\"%.1f\" "
@@ -294,7 +301,7 @@
 		draw_title(picture, entry);
 		mark(picture->out, &looks[look_of[entry->event.type]],
 		     picture->x[i], lane_y(picture, entry->process));
-		if (picture->entries->len <= LABELS_UP_TO)
+		if (is_labelled(picture))
 			draw_label(picture, i);
 		g_string_append(picture->out, "</g>\n");
 	}
