Send configurations compressed from control to control

Ruled out: sending differences (a node that missed one needs the whole anyway, and a second format of the same object). Change: CONFIG carries the objects in zlib's format, compressed once a version; unpacking stops at 2 MB.

--- a/include/auburnstile/internal/control.h
+++ b/include/auburnstile/internal/control.h
@@ -121,6 +121,8 @@
 const struct aub_config *aubi_book_find(const struct aubi_book *book,
 					guint64 version);
 const char *aubi_book_json(const struct aubi_book *book, gsize *length);
+/* The same, compressed; borrowed until the next is added. */
+GBytes *aubi_book_packed(struct aubi_book *book);
 
 /* control_peers.c */
 struct aubi_peers *aubi_peers_new(struct aubi_control *control, GError **error);
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -155,9 +155,9 @@
 struct aub_config_push {
 	struct aub_message base;
 	guint64 config_version; /* 0: `config` empty, nothing newer */
-	struct aub_bytes config;
+	struct aub_bytes config; /* the object's JSON, in zlib's format */
 	guint64 epoch; /* 0: `assignments` empty, nothing newer */
-	struct aub_bytes assignments; /* assignment object's JSON */
+	struct aub_bytes assignments; /* the same of the assignments */
 };
 
 struct aub_header {
--- a/src/coordination/control_book.c
+++ b/src/coordination/control_book.c
@@ -3,6 +3,7 @@
  * operator's edit began from. The last of them is the one held.
  */
 #include <auburnstile/internal/control.h>
+#include <auburnstile/internal/pack.h>
 
 #define BOOK_PAGES 32 /* a full-size inventory is about 0.1 MB a page */
 
@@ -10,6 +11,7 @@
 	GPtrArray *configs; /* of struct aub_config, versions rising */
 	char *json; /* of the held one, as stored */
 	gsize length;
+	GBytes *packed; /* the same, compressed; NULL until asked for */
 };
 
 struct aubi_book *aubi_book_new(void)
@@ -26,6 +28,7 @@
 	if (!book)
 		return;
 	g_ptr_array_unref(book->configs);
+	g_clear_pointer(&book->packed, g_bytes_unref);
 	g_free(book->json);
 	g_free(book);
 }
@@ -36,6 +39,7 @@
 	g_ptr_array_add(book->configs, config);
 	if (book->configs->len > BOOK_PAGES)
 		g_ptr_array_remove_index(book->configs, 0);
+	g_clear_pointer(&book->packed, g_bytes_unref);
 	g_free(book->json);
 	book->json = g_strndup(json, length);
 	book->length = length;
@@ -67,3 +71,10 @@
 	*length = book->length;
 	return book->json;
 }
+
+GBytes *aubi_book_packed(struct aubi_book *book)
+{
+	if (!book->packed)
+		book->packed = aubi_pack(book->json, book->length);
+	return book->packed;
+}
--- a/src/coordination/control_peers.c
+++ b/src/coordination/control_peers.c
@@ -5,6 +5,7 @@
  */
 #include <auburnstile/error.h>
 #include <auburnstile/internal/control.h>
+#include <auburnstile/internal/pack.h>
 #include <auburnstile/log.h>
 
 #include <string.h>
@@ -13,6 +14,7 @@
 #define SILENT_US ((gint64)1000000) /* no answer for so long: dead link */
 #define IDLE_US ((gint64)60000000) /* unused for so long: closed */
 #define PULL_US ((gint64)1000000) /* wait for one pull before another */
+#define OBJECT_LIMIT ((gsize)2 << 20) /* the store's is a megabyte */
 #define HURRY_PEERS 3
 #define HURRY_PER_S 6 /* extra exchanges a second, for news of members */
 #define URGENT_PER_S 24 /* and of configuration or assignments: rare */
@@ -161,45 +163,74 @@
 		aubi_control_members_changed(control);
 }
 
+static void set_packed(struct aub_bytes *field, GBytes *packed)
+{
+	gsize length;
+	const void *data = g_bytes_get_data(packed, &length);
+
+	aub_bytes_set(field, data, length);
+}
+
 static void on_pull(struct peer *peer, const struct aub_config_pull *wanted)
 {
 	struct aubi_control *control = peer->task->control;
 	struct aub_config_push *push;
-	const char *json;
-	gsize length;
+	GBytes *packed;
 	char *text;
 
 	push = (struct aub_config_push *)aub_message_new(AUB_MESSAGE_CONFIG);
-	json = aubi_book_json(control->book, &length);
 	if (control->agreement.config_version > wanted->config_version) {
 		push->config_version = control->agreement.config_version;
-		aub_bytes_set(&push->config, json, length);
+		set_packed(&push->config, aubi_book_packed(control->book));
 	}
 	if (control->agreement.epoch > wanted->epoch) {
 		push->epoch = control->agreement.epoch;
 		text = aubi_assignments_serialize(control->assignments, "");
-		aub_bytes_set(&push->assignments, text, strlen(text));
+		packed = aubi_pack(text, strlen(text));
+		set_packed(&push->assignments, packed);
+		g_bytes_unref(packed);
 		g_free(text);
 	}
 	peer_send(peer, &push->base);
 	aub_message_free(&push->base);
 }
 
-static void on_push(struct peer *peer, const struct aub_config_push *push)
+/* aubi_control_take_config() or its like of the assignments. */
+typedef bool take_function(struct aubi_control *control, const char *json,
+			   gsize length, guint64 version, const char *source);
+
+/* Unpack one object and hand it to the hub. */
+static void take_packed(struct peer *peer, const struct aub_bytes *packed,
+			guint64 version, take_function *take)
 {
-	struct aubi_control *control = peer->task->control;
 	const char *from = aub_link_hello(peer->link)->name;
+	GError *error = NULL;
+	const char *json;
+	GBytes *bytes;
+	gsize length;
 
+	bytes = aubi_unpack(packed->data, packed->length, OBJECT_LIMIT, from,
+			    &error);
+	if (!bytes) {
+		aub_log_warning("version %" G_GUINT64_FORMAT " refused: %s",
+				version, error->message);
+		g_error_free(error);
+		return;
+	}
+	json = g_bytes_get_data(bytes, &length);
+	take(peer->task->control, json, length, version, from);
+	g_bytes_unref(bytes);
+}
+
+static void on_push(struct peer *peer, const struct aub_config_push *push)
+{
 	peer->task->pulled_us = 0;
 	if (push->config_version)
-		aubi_control_take_config(control,
-					 (const char *)push->config.data,
-					 push->config.length,
-					 push->config_version, from);
+		take_packed(peer, &push->config, push->config_version,
+			    aubi_control_take_config);
 	if (push->epoch)
-		aubi_control_take_assignments(
-			control, (const char *)push->assignments.data,
-			push->assignments.length, push->epoch, from);
+		take_packed(peer, &push->assignments, push->epoch,
+			    aubi_control_take_assignments);
 }
 
 static void on_up(struct aub_link *link, const struct aub_hello *hello,
--- /dev/null
+++ b/src/protocol/pack.c
@@ -0,0 +1,74 @@
+/*
+ * Compressed byte strings.
+ *
+ * Unpacking stops at the limit, so that a small frame can't fill the memory.
+ */
+#include <auburnstile/internal/pack.h>
+
+#include <auburnstile/error.h>
+
+#define STEP "unpack"
+#define CHUNK 16384
+#define LEVEL 6 /* of 9; the library's own default */
+
+/* Run `converter` over all of `data`; false on an error of its own. */
+static bool convert(GConverter *converter, const guint8 *data, gsize length,
+		    gsize limit, GByteArray *out, GError **error)
+{
+	GConverterResult result = G_CONVERTER_CONVERTED;
+	guint8 chunk[CHUNK];
+
+	while (result != G_CONVERTER_FINISHED) {
+		gsize taken = 0;
+		gsize made = 0;
+
+		result = g_converter_convert(converter, data, length, chunk,
+					     sizeof(chunk),
+					     G_CONVERTER_INPUT_AT_END, &taken,
+					     &made, error);
+		if (result == G_CONVERTER_ERROR)
+			return false;
+		data += taken;
+		length -= taken;
+		g_byte_array_append(out, chunk, (guint)made);
+		if (out->len > limit)
+			return true;
+	}
+	return true;
+}
+
+GBytes *aubi_pack(const void *data, gsize length)
+{
+	GZlibCompressor *compressor =
+		g_zlib_compressor_new(G_ZLIB_COMPRESSOR_FORMAT_ZLIB, LEVEL);
+	GByteArray *out = g_byte_array_new();
+
+	convert(G_CONVERTER(compressor), data, length, G_MAXSIZE, out, NULL);
+	g_object_unref(compressor);
+	return g_byte_array_free_to_bytes(out);
+}
+
+GBytes *aubi_unpack(const void *data, gsize length, gsize limit,
+		    const char *peer, GError **error)
+{
+	GZlibDecompressor *decompressor =
+		g_zlib_decompressor_new(G_ZLIB_COMPRESSOR_FORMAT_ZLIB);
+	GByteArray *out = g_byte_array_new();
+	GError *cause = NULL;
+	bool whole;
+
+	whole = convert(G_CONVERTER(decompressor), data, length, limit, out,
+			&cause);
+	g_object_unref(decompressor);
+	if (whole && out->len <= limit)
+		return g_byte_array_free_to_bytes(out);
+	if (whole)
+		aub_error_set(error, AUB_ERROR_TOO_LARGE, STEP, peer,
+			      "more than %zu bytes", limit);
+	else
+		aub_error_set(error, AUB_ERROR_INVALID, STEP, peer, "%s",
+			      cause->message);
+	g_clear_error(&cause);
+	g_byte_array_unref(out);
+	return NULL;
+}
