Send single attempts to upstreams over libsoup

Cause: the dispatcher needs each attempt's fate: answered whole, refused by the upstream, never connected, or unknown.

Ruled out: letting libsoup resend on a stale connection. It resends any idempotent request whose pooled connection ends, so one attempt would run twice and a request that crashes upstreams would be reported as "could not connect". Attempts are aborted at the "restarted" signal instead.

Change: a client an upstream; once requests and retries go over new connections; a session with an empty pool takes over after a silence; an answer is whole only if its length was kept, or it was chunked and its connection outlasts it.

Seen: libsoup 3.2.3 takes the end of a connection between two chunks for the end of the body. The test for broken answers failed on it before the check of the connection, and passes with it. Chunked answers that announce "Connection: close" can't be told from a cut and count as lost.

--- /dev/null
+++ b/src/transport/upstream_client.c
@@ -0,0 +1,577 @@
+/*
+ * Attempts at one upstream over libsoup.
+ *
+ * An answer counts as whole only if its length was announced and kept, or
+ * its last chunk came. What ends with the connection may be cut off and is
+ * reported as lost.
+ */
+#include <auburnstile/error.h>
+#include <auburnstile/internal/headers.h>
+#include <auburnstile/internal/upstream_client.h>
+#include <auburnstile/internal/upstream_signs.h>
+
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/*
+ * Seconds an unused connection is kept. Short, because one that went silent
+ * can't be told from a good one; a new one costs about 1 ms.
+ */
+#define IDLE_SECONDS 2
+
+#define READ_BYTES (16u << 10)
+
+struct aub_upstream_client {
+	guint references; /* its owner's and one for each attempt */
+	char *base; /* "http://ip:port" */
+	char *peer; /* "ip:port", for errors */
+	guint connections;
+	guint32 body_limit;
+	struct aub_timer_service *timers;
+	SoupSession *session;
+	GHashTable *sockets; /* libsoup's connection id -> GSocket */
+};
+
+struct aub_attempt {
+	struct aub_upstream_client *client; /* counted */
+	SoupSession *session; /* owned reference */
+	SoupMessage *message; /* owned reference */
+	GCancellable *cancellable;
+	GSocket *opened; /* owned: of a connection made for this attempt */
+	GInputStream *stream; /* of the answer's body, once it began */
+	GByteArray *body;
+	gsize limit;
+	guint timer;
+	bool started; /* handed to a connection: may have been sent */
+	bool pooled; /* may have used an old connection */
+	bool timed_out;
+	bool cancelled;
+	aub_attempt_callback *callback; /* of a request, or NULL */
+	aub_probe_callback *probe; /* of a probe, or NULL */
+	void *context;
+};
+
+static SoupSession *session_new(const struct aub_upstream_client *client)
+{
+	SoupSession *session;
+
+	session = soup_session_new_with_options(
+		"max-conns", client->connections, "max-conns-per-host",
+		client->connections, "timeout", 0, "idle-timeout", IDLE_SECONDS,
+		"user-agent", NULL, "proxy-resolver", NULL, NULL);
+	soup_session_remove_feature_by_type(session, SOUP_TYPE_CONTENT_DECODER);
+	soup_session_remove_feature_by_type(session, SOUP_TYPE_AUTH_MANAGER);
+	return session;
+}
+
+struct aub_upstream_client *aub_upstream_client_new(
+	const struct aub_upstream_client_options *options)
+{
+	struct aub_upstream_client *client;
+
+	client = g_new0(struct aub_upstream_client, 1);
+	client->references = 1;
+	client->peer = g_strdup_printf("%s:%u", options->host, options->port);
+	client->base = g_strdup_printf("http://%s", client->peer);
+	client->connections = MAX(options->connections, 1);
+	client->body_limit = options->body_limit;
+	client->timers = options->timers;
+	client->session = session_new(client);
+	client->sockets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						g_free, g_object_unref);
+	return client;
+}
+
+static void client_unref(struct aub_upstream_client *client)
+{
+	if (--client->references)
+		return;
+	g_object_unref(client->session);
+	g_hash_table_unref(client->sockets);
+	g_free(client->base);
+	g_free(client->peer);
+	g_free(client);
+}
+
+void aub_upstream_client_free(struct aub_upstream_client *client)
+{
+	if (client)
+		client_unref(client);
+}
+
+/*
+ * Failure: a connection in the pool went silent; the request sent over it is
+ * never answered, and the next one would wait just as long. A session with an
+ * empty pool takes over; what is in flight finishes in the old one.
+ */
+static void renew_session(struct aub_upstream_client *client)
+{
+	g_object_unref(client->session);
+	client->session = session_new(client);
+}
+
+static void attempt_free(struct aub_attempt *attempt)
+{
+	struct aub_upstream_client *client = attempt->client;
+
+	aub_timer_cancel(client->timers, attempt->timer);
+	g_signal_handlers_disconnect_by_data(attempt->message, attempt);
+	g_clear_object(&attempt->stream);
+	g_clear_object(&attempt->opened);
+	g_clear_pointer(&attempt->body, g_byte_array_unref);
+	g_object_unref(attempt->message);
+	g_object_unref(attempt->session);
+	g_object_unref(attempt->cancellable);
+	g_free(attempt);
+	client_unref(client);
+}
+
+static struct aub_answer *make_answer(struct aub_attempt *attempt)
+{
+	SoupMessageHeaders *headers;
+	struct aub_answer *answer;
+	const char *length;
+
+	headers = soup_message_get_response_headers(attempt->message);
+	answer = (struct aub_answer *)aub_message_new(AUB_MESSAGE_ANSWER);
+	answer->outcome = AUB_OUTCOME_RUN;
+	answer->status = soup_message_get_status(attempt->message);
+	aub_headers_collect(headers, answer->headers);
+	length = soup_message_headers_get_one(headers, "Content-Length");
+	if (length &&
+	    soup_message_get_method(attempt->message) == SOUP_METHOD_HEAD)
+		g_ptr_array_add(answer->headers,
+				aub_header_new("Content-Length", length));
+	if (attempt->body && attempt->body->len) {
+		answer->body.length = attempt->body->len;
+		answer->body.data = g_byte_array_free(attempt->body, FALSE);
+		attempt->body = NULL;
+	}
+	return answer;
+}
+
+static void finish_probe(struct aub_attempt *attempt,
+			 enum aub_attempt_result result)
+{
+	struct aub_upstream_signs signs = { 0 };
+	bool answered = false;
+	guint32 busy = 0;
+
+	if (result == AUB_ATTEMPT_ANSWERED &&
+	    soup_message_get_status(attempt->message) == SOUP_STATUS_OK)
+		answered =
+			aub_signs_parse_load(attempt->body->data,
+					     attempt->body->len, &signs, &busy);
+	attempt->probe(answered, &signs, busy, attempt->context);
+}
+
+static void finish(struct aub_attempt *attempt, enum aub_attempt_result result,
+		   const GError *error)
+{
+	struct aub_upstream_signs signs = { 0 };
+	struct aub_answer *answer = NULL;
+
+	if (result == AUB_ATTEMPT_ANSWERED || result == AUB_ATTEMPT_SHED)
+		aub_signs_read(attempt->message, &signs);
+	if (attempt->probe)
+		finish_probe(attempt, result);
+	if (result == AUB_ATTEMPT_ANSWERED && attempt->callback)
+		answer = make_answer(attempt);
+	if (attempt->pooled &&
+	    (result == AUB_ATTEMPT_TIMEOUT || result == AUB_ATTEMPT_LOST))
+		renew_session(attempt->client);
+	if (attempt->callback)
+		attempt->callback(result, &signs, answer, error,
+				  attempt->context);
+	attempt_free(attempt);
+}
+
+/*
+ * Failure: a request that ran is reported as not run, and the caller's
+ * payment is sent again. Only what was never handed to a connection counts
+ * as not run: libsoup emits "starting" before it writes the first byte.
+ */
+static void fail(struct aub_attempt *attempt, const GError *error)
+{
+	enum aub_attempt_result result;
+
+	if (attempt->cancelled)
+		result = AUB_ATTEMPT_CANCELLED;
+	else if (!attempt->started)
+		result = AUB_ATTEMPT_NOT_CONNECTED;
+	else if (attempt->timed_out)
+		result = AUB_ATTEMPT_TIMEOUT;
+	else
+		result = AUB_ATTEMPT_LOST;
+	finish(attempt, result, error);
+}
+
+static void fail_with(struct aub_attempt *attempt, enum aub_error_code code,
+		      const char *text)
+{
+	GError *error = NULL;
+
+	aub_error_set(&error, code, "read answer", attempt->client->peer, "%s",
+		      text);
+	fail(attempt, error);
+	g_error_free(error);
+}
+
+/*
+ * Failure: an upstream dies between two chunks; libsoup takes the end of the
+ * connection for the end of the body, and half a page reaches the caller.
+ * A chunked body counts as whole only if its connection outlasts it; one that
+ * is announced to close can't be told from a cut and counts as lost too.
+ */
+static bool connection_is_open(const struct aub_attempt *attempt)
+{
+	guint64 id = soup_message_get_connection_id(attempt->message);
+	GSocket *socket;
+	ssize_t count;
+	char byte;
+
+	socket = g_hash_table_lookup(attempt->client->sockets, &id);
+	if (!socket || g_socket_is_closed(socket))
+		return false;
+	count = recv(g_socket_get_fd(socket), &byte, 1,
+		     MSG_PEEK | MSG_DONTWAIT);
+	return count > 0 || (count < 0 && errno == EAGAIN);
+}
+
+/* The body ended where its framing said, and that framing is unambiguous. */
+static bool is_whole(const struct aub_attempt *attempt)
+{
+	SoupMessageHeaders *headers;
+	SoupEncoding encoding;
+
+	headers = soup_message_get_response_headers(attempt->message);
+	encoding = soup_message_headers_get_encoding(headers);
+	if (!aub_headers_framing_clear(headers))
+		return false;
+	if (encoding == SOUP_ENCODING_CHUNKED)
+		return connection_is_open(attempt);
+	if (encoding != SOUP_ENCODING_CONTENT_LENGTH)
+		return encoding != SOUP_ENCODING_EOF;
+	return soup_message_headers_get_content_length(headers) ==
+	       (goffset)attempt->body->len;
+}
+
+/* Answers to HEAD, 204 and 304 have none, whatever their length says. */
+static bool has_body(const struct aub_attempt *attempt)
+{
+	guint status = soup_message_get_status(attempt->message);
+
+	return soup_message_get_method(attempt->message) != SOUP_METHOD_HEAD &&
+	       status != SOUP_STATUS_NO_CONTENT &&
+	       status != SOUP_STATUS_NOT_MODIFIED;
+}
+
+static void body_ended(struct aub_attempt *attempt)
+{
+	SoupMessageHeaders *headers;
+	bool whole;
+
+	headers = soup_message_get_response_headers(attempt->message);
+	whole = has_body(attempt) ? is_whole(attempt) :
+				    aub_headers_framing_clear(headers);
+	g_input_stream_close(attempt->stream, NULL, NULL);
+	if (attempt->cancelled || attempt->timed_out)
+		fail_with(attempt, AUB_ERROR_TIMEOUT, "given up");
+	else if (!whole)
+		fail_with(attempt, AUB_ERROR_CLOSED, "answer cut off");
+	else
+		finish(attempt,
+		       aub_signs_shed(attempt->message) ? AUB_ATTEMPT_SHED :
+							  AUB_ATTEMPT_ANSWERED,
+		       NULL);
+}
+
+static void on_read(GObject *source, GAsyncResult *result, void *context);
+
+/* Read what is there without a turn of the main loop, then wait for more. */
+static void read_body(struct aub_attempt *attempt)
+{
+	GPollableInputStream *pollable;
+	GError *error = NULL;
+	gssize count;
+	guint length;
+
+	pollable = G_POLLABLE_INPUT_STREAM(attempt->stream);
+	for (;;) {
+		length = attempt->body->len;
+		if (length > attempt->limit) {
+			g_cancellable_cancel(attempt->cancellable);
+			fail_with(attempt, AUB_ERROR_TOO_LARGE,
+				  "answer past the limit");
+			return;
+		}
+		g_byte_array_set_size(attempt->body, length + READ_BYTES);
+		count = g_pollable_input_stream_read_nonblocking(
+			pollable, attempt->body->data + length, READ_BYTES,
+			attempt->cancellable, &error);
+		g_byte_array_set_size(attempt->body, length + MAX(count, 0));
+		if (count <= 0)
+			break;
+	}
+	if (!count) {
+		body_ended(attempt);
+		return;
+	}
+	if (g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK)) {
+		g_byte_array_set_size(attempt->body, length + READ_BYTES);
+		g_input_stream_read_async(attempt->stream,
+					  attempt->body->data + length,
+					  READ_BYTES, G_PRIORITY_DEFAULT,
+					  attempt->cancellable, on_read,
+					  attempt);
+	} else {
+		fail(attempt, error);
+	}
+	g_error_free(error);
+}
+
+static void on_read(GObject *source, GAsyncResult *result, void *context)
+{
+	struct aub_attempt *attempt = context;
+	GError *error = NULL;
+	gssize count;
+
+	count = g_input_stream_read_finish(attempt->stream, result, &error);
+	g_byte_array_set_size(attempt->body,
+			      attempt->body->len - READ_BYTES + MAX(count, 0));
+	if (count < 0) {
+		fail(attempt, error);
+		g_error_free(error);
+	} else if (!count) {
+		body_ended(attempt);
+	} else {
+		read_body(attempt);
+	}
+}
+
+static void on_sent(GObject *source, GAsyncResult *result, void *context)
+{
+	struct aub_attempt *attempt = context;
+	GError *error = NULL;
+
+	attempt->stream =
+		soup_session_send_finish(attempt->session, result, &error);
+	if (!attempt->stream) {
+		fail(attempt, error);
+		g_error_free(error);
+		return;
+	}
+	attempt->body = g_byte_array_new();
+	read_body(attempt);
+}
+
+static void on_network(SoupMessage *message, GSocketClientEvent event,
+		       GIOStream *connection, void *context)
+{
+	struct aub_attempt *attempt = context;
+
+	if (event != G_SOCKET_CLIENT_CONNECTED)
+		return;
+	g_clear_object(&attempt->opened);
+	attempt->opened = g_object_ref(g_socket_connection_get_socket(
+		G_SOCKET_CONNECTION(connection)));
+}
+
+static gboolean is_closed(void *id, void *socket, void *context)
+{
+	return g_socket_is_closed(socket);
+}
+
+static void on_starting(SoupMessage *message, void *context)
+{
+	struct aub_attempt *attempt = context;
+	GHashTable *sockets = attempt->client->sockets;
+	guint64 id = soup_message_get_connection_id(message);
+
+	attempt->started = true;
+	if (!attempt->opened)
+		return;
+	g_hash_table_foreach_remove(sockets, is_closed, NULL);
+	g_hash_table_replace(sockets, g_memdup2(&id, sizeof(id)),
+			     g_object_ref(attempt->opened));
+}
+
+/*
+ * Failure: a pooled connection ends without a byte and libsoup sends the
+ * request again by itself, perhaps one that has just brought the upstream
+ * down. The dispatcher would count one attempt for two; so it is aborted and
+ * reported as lost.
+ */
+static void on_restarted(SoupMessage *message, void *context)
+{
+	struct aub_attempt *attempt = context;
+
+	g_cancellable_cancel(attempt->cancellable);
+}
+
+static void on_timeout(void *context, gint64 now_us)
+{
+	struct aub_attempt *attempt = context;
+
+	attempt->timer = 0;
+	attempt->timed_out = true;
+	g_cancellable_cancel(attempt->cancellable);
+}
+
+void aub_attempt_cancel(struct aub_attempt *attempt)
+{
+	attempt->cancelled = true;
+	g_cancellable_cancel(attempt->cancellable);
+}
+
+void aub_attempt_forget(struct aub_attempt *attempt)
+{
+	attempt->callback = NULL;
+	attempt->probe = NULL;
+	g_cancellable_cancel(attempt->cancellable);
+}
+
+static struct aub_attempt *attempt_start(struct aub_upstream_client *client,
+					 SoupMessage *message, bool fresh,
+					 gint64 timeout_us,
+					 aub_attempt_callback *callback,
+					 void *context)
+{
+	struct aub_attempt *attempt;
+	SoupMessageFlags flags = SOUP_MESSAGE_NO_REDIRECT;
+
+	attempt = g_new0(struct aub_attempt, 1);
+	attempt->client = client;
+	client->references++;
+	attempt->session = g_object_ref(client->session);
+	attempt->message = message;
+	attempt->cancellable = g_cancellable_new();
+	attempt->limit = client->body_limit;
+	attempt->pooled = !fresh;
+	attempt->callback = callback;
+	attempt->context = context;
+	attempt->timer = aub_timer_at(client->timers, "attempt", timeout_us,
+				      on_timeout, attempt);
+	/* IDEMPOTENT lets any method use the pool; see on_restarted(). */
+	flags |= fresh ? SOUP_MESSAGE_NEW_CONNECTION : SOUP_MESSAGE_IDEMPOTENT;
+	soup_message_set_flags(message, flags);
+	g_signal_connect(message, "starting", G_CALLBACK(on_starting), attempt);
+	g_signal_connect(message, "network-event", G_CALLBACK(on_network),
+			 attempt);
+	g_signal_connect(message, "restarted", G_CALLBACK(on_restarted),
+			 attempt);
+	soup_session_send_async(attempt->session, message, G_PRIORITY_DEFAULT,
+				attempt->cancellable, on_sent, attempt);
+	return attempt;
+}
+
+/* NULL where method or path don't make a request. */
+static SoupMessage *make_message(const struct aub_upstream_client *client,
+				 const char *method, const char *path)
+{
+	SoupMessage *message;
+	char *text;
+	GUri *uri;
+
+	text = g_strconcat(client->base, path, NULL);
+	uri = g_uri_parse(text, SOUP_HTTP_URI_FLAGS, NULL);
+	g_free(text);
+	if (!uri)
+		return NULL;
+	message = soup_message_new_from_uri(method, uri);
+	g_uri_unref(uri);
+	return message;
+}
+
+static void set_number(SoupMessageHeaders *headers, const char *name,
+		       gint64 number)
+{
+	char text[32];
+
+	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, number);
+	soup_message_headers_replace(headers, name, text);
+}
+
+/*
+ * Failure: each level of a call tree retries, and a failing leaf of 25 levels
+ * gets millions of attempts. What the calls made on behalf of this one may
+ * spend is half of its own budget, so that all levels together stay finite.
+ */
+static void write_request(SoupMessage *message, const struct aub_call *call,
+			  gint64 left_ms)
+{
+	SoupMessageHeaders *headers;
+	GBytes *body;
+	char id[20];
+
+	headers = soup_message_get_request_headers(message);
+	if (call->body.length) {
+		body = g_bytes_new(call->body.data, call->body.length);
+		soup_message_set_request_body_from_bytes(message, NULL, body);
+		g_bytes_unref(body);
+	} else if (strcmp(call->method, "GET") != 0 &&
+		   strcmp(call->method, "HEAD") != 0) {
+		soup_message_headers_set_content_length(headers, 0);
+	}
+	aub_headers_emit(call->headers, headers);
+	set_number(headers, "X-Deadline-Ms", left_ms);
+	set_number(headers, "Auburnstile-Retry-Budget", call->retry_budget / 2);
+	g_snprintf(id, sizeof(id), "%016" G_GINT64_MODIFIER "x", call->id);
+	soup_message_headers_replace(headers, "Auburnstile-Request", id);
+}
+
+static gboolean fail_unsendable(void *context)
+{
+	struct aub_attempt *attempt = context;
+
+	fail_with(attempt, AUB_ERROR_INVALID, "not a valid request");
+	return G_SOURCE_REMOVE;
+}
+
+struct aub_attempt *aub_upstream_send(struct aub_upstream_client *client,
+				      const struct aub_call *call, bool fresh,
+				      gint64 timeout_us,
+				      aub_attempt_callback *callback,
+				      void *context)
+{
+	struct aub_attempt *attempt;
+	SoupMessage *message;
+	gint64 left_us;
+
+	message = make_message(client, call->method, call->path);
+	if (!message) {
+		attempt = g_new0(struct aub_attempt, 1);
+		attempt->client = client;
+		client->references++;
+		attempt->session = g_object_ref(client->session);
+		attempt->message = make_message(client, "GET", "/");
+		attempt->cancellable = g_cancellable_new();
+		attempt->callback = callback;
+		attempt->context = context;
+		g_idle_add(fail_unsendable, attempt);
+		return attempt;
+	}
+	left_us = timeout_us - aub_timer_now(client->timers);
+	write_request(message, call, MAX(left_us, 0) / AUB_MS);
+	/*
+	 * Failure: an old connection ends under a payment, and whether it ran
+	 * can't be told. Such a request goes over a new connection, which
+	 * libsoup never sends twice on; until it is up, nothing was run.
+	 */
+	return attempt_start(client, message, fresh || call->once, timeout_us,
+			     callback, context);
+}
+
+struct aub_attempt *aub_upstream_probe(struct aub_upstream_client *client,
+				       gint64 timeout_us,
+				       aub_probe_callback *callback,
+				       void *context)
+{
+	struct aub_attempt *attempt;
+
+	attempt = attempt_start(client, make_message(client, "GET", "/load"),
+				false, timeout_us, NULL, context);
+	attempt->probe = callback;
+	return attempt;
+}
--- /dev/null
+++ b/tests/test_upstream_client.cc
@@ -0,0 +1,319 @@
+/*
+ * The upstream client: what is known of an attempt is never overstated. An
+ * answer is whole or lost; "not connected" is said only of what was never
+ * sent; a request that may not be repeated reaches the upstream once.
+ */
+#include <gtest/gtest.h>
+
+#include <auburnstile/internal/headers.h>
+#include <auburnstile/internal/upstream_client.h>
+
+#include "peer.h"
+
+struct Result {
+	bool done = false;
+	enum aub_attempt_result result = AUB_ATTEMPT_CANCELLED;
+	struct aub_upstream_signs signs = {};
+	int status = 0;
+	std::string body;
+	std::string encoding;
+	std::string error;
+};
+
+static void on_done(enum aub_attempt_result result,
+		    const struct aub_upstream_signs *signs,
+		    struct aub_answer *answer, const GError *error,
+		    void *context)
+{
+	Result *into = static_cast<Result *>(context);
+
+	into->done = true;
+	into->result = result;
+	into->signs = *signs;
+	if (error)
+		into->error = error->message;
+	if (!answer)
+		return;
+	into->status = (int)answer->status;
+	if (answer->body.length)
+		into->body.assign((char *)answer->body.data,
+				  answer->body.length);
+	const char *encoding =
+		aub_headers_find(answer->headers, "Content-Encoding");
+	if (encoding)
+		into->encoding = encoding;
+	aub_message_free(&answer->base);
+}
+
+class UpstreamClient : public testing::Test
+{
+      protected:
+	struct aub_timer_service *timers = aub_timer_service_new(nullptr);
+	Peer peer;
+	struct aub_upstream_client *client = nullptr;
+
+	void open(guint16 port, guint32 limit = 100000)
+	{
+		struct aub_upstream_client_options options = {};
+		options.host = "127.0.0.1";
+		options.port = port;
+		options.connections = 4;
+		options.body_limit = limit;
+		options.timers = timers;
+		client = aub_upstream_client_new(&options);
+	}
+
+	void SetUp() override
+	{
+		open(peer.port);
+	}
+
+	void TearDown() override
+	{
+		aub_upstream_client_free(client);
+		while (g_main_context_iteration(nullptr, FALSE))
+			;
+		aub_timer_service_free(timers);
+	}
+
+	static struct aub_call *call(const char *method, bool once,
+				     const char *body = "")
+	{
+		struct aub_call *made =
+			(struct aub_call *)aub_message_new(AUB_MESSAGE_CALL);
+		aub_string_set(&made->method, method);
+		aub_string_set(&made->path, "/a%20b?q=%2F");
+		aub_bytes_set(&made->body, body, strlen(body));
+		made->once = once;
+		made->id = 0xab;
+		made->retry_budget = 100;
+		return made;
+	}
+
+	Result run(const char *method, bool once, gint64 ms = 2000,
+		   const char *body = "")
+	{
+		Result result;
+		struct aub_call *made = call(method, once, body);
+
+		aub_upstream_send(client, made, false,
+				  g_get_monotonic_time() + ms * 1000, on_done,
+				  &result);
+		aub_message_free(&made->base);
+		while (!result.done)
+			g_main_context_iteration(nullptr, TRUE);
+		return result;
+	}
+
+	void reply(const std::string &bytes, bool close = false)
+	{
+		peer.script = [bytes, close](const std::string &) {
+			return PeerReply{ bytes, close };
+		};
+	}
+};
+
+TEST_F(UpstreamClient, PassesAWholeAnswerAndItsSigns)
+{
+	reply("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-Boot-Id: 7\r\n"
+	      "X-Upstream-State: cold\r\nContent-Encoding: gzip\r\n\r\nabc");
+	Result result = run("POST", false, 2000, "xyz");
+
+	EXPECT_EQ(result.result, AUB_ATTEMPT_ANSWERED);
+	EXPECT_EQ(result.body, "abc");
+	EXPECT_EQ(result.encoding, "gzip");
+	EXPECT_EQ(result.signs.boot_id, 7u);
+	EXPECT_TRUE(result.signs.cold);
+	const std::string &request = peer.requests.at(0);
+	EXPECT_EQ(request.rfind("POST /a%20b?q=%2F HTTP/1.1\r\n", 0), 0u);
+	EXPECT_NE(request.find("X-Deadline-Ms: "), std::string::npos);
+	EXPECT_NE(request.find("Auburnstile-Retry-Budget: 50"),
+		  std::string::npos);
+	EXPECT_NE(request.find("\r\n\r\nxyz"), std::string::npos);
+}
+
+TEST_F(UpstreamClient, PassesAnswersWithoutBody)
+{
+	reply("HTTP/1.1 204 No Content\r\n\r\n");
+	EXPECT_EQ(run("GET", false).result, AUB_ATTEMPT_ANSWERED);
+	reply("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n");
+	EXPECT_EQ(run("HEAD", false).result, AUB_ATTEMPT_ANSWERED);
+	reply("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	      "3\r\nabc\r\n0\r\n\r\n");
+	EXPECT_EQ(run("GET", false).body, "abc");
+	reply("HTTP/1.1 302 Found\r\nLocation: /else\r\nContent-Length: 0\r\n"
+	      "\r\n");
+	EXPECT_EQ(run("GET", false).status, 302);
+	EXPECT_EQ(peer.requests.size(), 4u);
+}
+
+/*
+ * A parent books; the upstream ends in the middle of its answer. The caller
+ * must never see half a page as a whole one. Each broken form is reported as
+ * lost, whatever bytes came before.
+ */
+TEST_F(UpstreamClient, ReportsBrokenAnswersAsLost)
+{
+	const char *broken[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"3\r\nabc\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"HTTP/1.1 200 OK\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+		"Content-Length: 4\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Le",
+		"nonsense\r\n\r\n",
+		"",
+	};
+
+	for (const char *bytes : broken) {
+		reply(bytes, true);
+		Result result = run("POST", true);
+		EXPECT_EQ(result.result, AUB_ATTEMPT_LOST) << bytes;
+		EXPECT_NE(result.error, "") << bytes;
+	}
+	EXPECT_EQ(peer.requests.size(), G_N_ELEMENTS(broken));
+}
+
+TEST_F(UpstreamClient, SaysNotConnectedOnlyOfWhatWasNeverSent)
+{
+	Peer *gone = new Peer;
+	guint16 port = gone->port;
+
+	delete gone;
+	aub_upstream_client_free(client);
+	open(port);
+	EXPECT_EQ(run("POST", true).result, AUB_ATTEMPT_NOT_CONNECTED);
+	EXPECT_EQ(run("GET", false).result, AUB_ATTEMPT_NOT_CONNECTED);
+}
+
+TEST_F(UpstreamClient, TakesTheUpstreamsOwnRefusal)
+{
+	reply("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+	EXPECT_EQ(run("POST", true).result, AUB_ATTEMPT_SHED);
+	reply("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+	Result result = run("POST", true);
+	EXPECT_EQ(result.result, AUB_ATTEMPT_ANSWERED);
+	EXPECT_TRUE(result.signs.failed);
+}
+
+/*
+ * The upstream ends a kept connection on the next request, having run it.
+ * libsoup would send a GET again by itself; the dispatcher would not know.
+ * The attempt is reported lost and the upstream has seen it once.
+ */
+TEST_F(UpstreamClient, NeverResendsOnAStaleConnection)
+{
+	reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	EXPECT_EQ(run("GET", false).result, AUB_ATTEMPT_ANSWERED);
+	reply("", true);
+	EXPECT_EQ(run("GET", false).result, AUB_ATTEMPT_LOST);
+	EXPECT_EQ(peer.requests.size(), 2u);
+	EXPECT_EQ(peer.connections, 1);
+}
+
+TEST_F(UpstreamClient, SendsOnceRequestsOverNewConnections)
+{
+	reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ(run("POST", true).result, AUB_ATTEMPT_ANSWERED);
+	EXPECT_EQ(peer.connections, 3);
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ(run("POST", false).result, AUB_ATTEMPT_ANSWERED);
+	EXPECT_EQ(peer.connections, 3);
+}
+
+/*
+ * A second answer arrives on a connection that was already answered. It must
+ * not be taken for the answer to the next request.
+ */
+TEST_F(UpstreamClient, IgnoresASurplusAnswer)
+{
+	reply("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+	      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale");
+	EXPECT_EQ(run("GET", false).body, "first");
+	reply("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+	EXPECT_EQ(run("GET", false).body, "second");
+}
+
+/*
+ * A pooled connection went silent: the request on it times out, and the next
+ * one must not wait on its neighbours in the pool.
+ */
+TEST_F(UpstreamClient, LeavesThePoolAfterASilentConnection)
+{
+	reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	EXPECT_EQ(run("GET", false).result, AUB_ATTEMPT_ANSWERED);
+	reply("");
+	EXPECT_EQ(run("GET", false, 100).result, AUB_ATTEMPT_TIMEOUT);
+	reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	EXPECT_EQ(run("GET", false).result, AUB_ATTEMPT_ANSWERED);
+	EXPECT_EQ(peer.connections, 2);
+}
+
+TEST_F(UpstreamClient, RefusesAnAnswerPastTheLimit)
+{
+	std::string body(200000, 'x');
+	reply("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + body);
+	EXPECT_EQ(run("GET", false).result, AUB_ATTEMPT_LOST);
+}
+
+TEST_F(UpstreamClient, CancelClosesTheConnection)
+{
+	Result result;
+	struct aub_call *made = call("POST", true);
+	struct aub_attempt *attempt;
+
+	reply("");
+	attempt = aub_upstream_send(client, made, false,
+				    g_get_monotonic_time() + 5000000, on_done,
+				    &result);
+	aub_message_free(&made->base);
+	while (peer.requests.empty())
+		g_main_context_iteration(nullptr, TRUE);
+	aub_attempt_cancel(attempt);
+	while (!result.done || !peer.closed)
+		g_main_context_iteration(nullptr, TRUE);
+	EXPECT_EQ(result.result, AUB_ATTEMPT_CANCELLED);
+}
+
+struct Load {
+	bool done = false;
+	bool answered = false;
+	struct aub_upstream_signs signs = {};
+	guint32 busy = 0;
+};
+
+static void on_load(bool answered, const struct aub_upstream_signs *signs,
+		    guint32 busy, void *context)
+{
+	*static_cast<Load *>(context) = { true, answered, *signs, busy };
+}
+
+TEST_F(UpstreamClient, ProbesReadTheLoadObject)
+{
+	const char *bodies[] = {
+		"{\"boot_id\":5,\"state\":\"draining\",\"busy\":2}", "{}x",
+		"[]", "{\"boot_id\":[],\"state\":{},\"busy\":\"\"}"
+	};
+
+	for (int i = 0; i < 4; i++) {
+		Load load;
+		reply("HTTP/1.1 200 OK\r\nContent-Length: " +
+		      std::to_string(strlen(bodies[i])) + "\r\n\r\n" +
+		      bodies[i]);
+		aub_upstream_probe(client, g_get_monotonic_time() + 2000000,
+				   on_load, &load);
+		while (!load.done)
+			g_main_context_iteration(nullptr, TRUE);
+		EXPECT_EQ(load.answered, i == 0 || i == 3) << bodies[i];
+		if (i)
+			continue;
+		EXPECT_EQ(load.signs.boot_id, 5u);
+		EXPECT_TRUE(load.signs.draining);
+		EXPECT_EQ(load.busy, 2u);
+	}
+}
