--- /dev/null
+++ b/src/coordination/entry_view.c
@@ -0,0 +1,401 @@
+/*
+ * The entry's link to its control, and the view that came over it.
+ *
+ * Versions only rise. While the control is away the old view stands, for as
+ * long as the last permission lasts.
+ */
+#include <auburnstile/config.h>
+#include <auburnstile/internal/entry_view.h>
+#include <auburnstile/link.h>
+#include <auburnstile/log.h>
+
+#define CONNECT_MS 1000
+#define RECONNECT_US (200 * AUB_MS)
+
+/* Views come every 500 ms; a link without any for this long went silent. */
+#define SILENT_US (3 * AUB_SECOND)
+
+struct aub_entry_view {
+	struct aub_entry_view_options options;
+	char *control;
+	struct aub_link *link;
+	guint reconnect;
+	guint lapse;
+	guint watch;
+	gint64 linked_us; /* when the link was opened */
+	struct aub_inventory *inventory;
+	guint64 config_version;
+	guint64 epoch;
+	GHashTable *assignments; /* service -> struct aub_assignment */
+	GHashTable *members; /* name -> struct aub_member */
+	gint64 serve_until_us;
+	guint32 load_permille;
+	bool stopping;
+	guint64 heir;
+};
+
+static void assignment_free(void *data)
+{
+	aub_assignment_free(data);
+}
+
+static void member_free(void *data)
+{
+	aub_member_free(data);
+}
+
+static gint64 now(const struct aub_entry_view *view)
+{
+	return aub_timer_now(view->options.timers);
+}
+
+static void send_ack(struct aub_entry_view *view)
+{
+	struct aub_view_ack *ack;
+
+	if (!view->link || !aub_link_is_up(view->link))
+		return;
+	ack = (struct aub_view_ack *)aub_message_new(AUB_MESSAGE_VIEW_ACK);
+	ack->config_version = view->config_version;
+	ack->epoch = view->epoch;
+	ack->load_permille = view->load_permille;
+	ack->stopping = view->stopping;
+	ack->heir = view->heir;
+	ack->number = (guint64)(now(view) / AUB_MS);
+	aub_link_send(view->link, &ack->base);
+	aub_message_free(&ack->base);
+}
+
+/* Returns false where this configuration can't be put into force. */
+static bool take_config(struct aub_entry_view *view,
+			const struct aub_view *message)
+{
+	struct aub_inventory *inventory = NULL;
+	struct aub_config *config;
+	GError *error = NULL;
+
+	config = aub_config_parse((const char *)message->config.data,
+				  message->config.length,
+				  message->config_version, &error);
+	if (config)
+		inventory = aub_config_inventory(config, &error);
+	aub_config_free(config);
+	if (!inventory) {
+		aub_log_warning("configuration %" G_GUINT64_FORMAT
+				" not taken: %s",
+				message->config_version, error->message);
+		g_error_free(error);
+		return false;
+	}
+	if (view->inventory)
+		aub_inventory_unref(view->inventory);
+	view->inventory = inventory;
+	view->config_version = message->config_version;
+	return true;
+}
+
+static void take_assignments(struct aub_entry_view *view,
+			     const struct aub_view *message)
+{
+	view->epoch = message->epoch;
+	g_hash_table_remove_all(view->assignments);
+	for (guint i = 0; i < message->assignments->len; i++) {
+		struct aub_assignment *copy =
+			aub_assignment_copy(message->assignments->pdata[i]);
+
+		g_hash_table_replace(view->assignments, copy->service, copy);
+	}
+}
+
+/*
+ * Failure: a control that has just started knows few members, and keys kept
+ * by the others would count as lost: their callers would hear "unknown". So
+ * members are only forgotten on the word of a control that is sure enough to
+ * let its entry serve.
+ */
+static void take_members(struct aub_entry_view *view,
+			 const struct aub_view *message)
+{
+	if (message->serve)
+		g_hash_table_remove_all(view->members);
+	for (guint i = 0; i < message->members->len; i++) {
+		struct aub_member *copy =
+			aub_member_copy(message->members->pdata[i]);
+
+		g_hash_table_replace(view->members, copy->name, copy);
+	}
+}
+
+static void on_lapse(void *context, gint64 now_us)
+{
+	struct aub_entry_view *view = context;
+
+	view->lapse = 0;
+	if (aub_entry_view_serving(view))
+		return;
+	aub_event_note(view->options.events, AUB_EVENT_VIEW, 0,
+		       (gint64)view->config_version, NULL, "lapsed");
+	aub_log_warning("permission to serve lapsed");
+	view->options.changed(view->options.context);
+}
+
+/*
+ * Failure: an entry is paused, wakes, reads a view that waited in its buffer,
+ * and sends work into a zone taken out long ago. Permission counts from the
+ * entry's own clock at the acknowledgement that the view follows.
+ */
+static gint64 permitted_until(const struct aub_entry_view *view,
+			      const struct aub_view *message)
+{
+	gint64 asked_us = (gint64)message->echo * AUB_MS;
+
+	if (!message->echo || asked_us > now(view))
+		return 0;
+	return asked_us + message->serve_ms * AUB_MS;
+}
+
+/*
+ * Failure: a control that read a stale copy renews the permission of an entry
+ * that already holds more, and requests go by what was taken out. Permission
+ * counts only with versions at least those held.
+ */
+static void take_permission(struct aub_entry_view *view,
+			    const struct aub_view *message)
+{
+	aub_timer_cancel(view->options.timers, view->lapse);
+	view->lapse = 0;
+	if (!message->serve) {
+		view->serve_until_us = 0;
+		return;
+	}
+	if (message->config_version == view->config_version &&
+	    message->epoch == view->epoch)
+		view->serve_until_us = MAX(view->serve_until_us,
+					   permitted_until(view, message));
+	view->lapse = aub_timer_at(view->options.timers, "permission",
+				   view->serve_until_us + 1, on_lapse, view);
+}
+
+void aub_entry_view_apply(struct aub_entry_view *view,
+			  const struct aub_view *message)
+{
+	guint64 config_version = view->config_version;
+	guint64 epoch = view->epoch;
+
+	if (message->config_version > view->config_version &&
+	    message->config.length)
+		take_config(view, message);
+	if (message->epoch >= view->epoch)
+		take_assignments(view, message);
+	take_members(view, message);
+	take_permission(view, message);
+	if (view->config_version != config_version)
+		aub_event_note(view->options.events, AUB_EVENT_VIEW, 0,
+			       (gint64)view->config_version, NULL, "in force");
+	if (view->epoch != epoch)
+		aub_event_note(view->options.events, AUB_EVENT_ASSIGNMENT, 0,
+			       (gint64)view->epoch, NULL, NULL);
+	view->options.changed(view->options.context);
+	send_ack(view);
+}
+
+static void on_message(struct aub_link *link, struct aub_message *message,
+		       void *context)
+{
+	struct aub_entry_view *view = context;
+
+	if (message->type == AUB_MESSAGE_VIEW)
+		aub_entry_view_apply(view, (struct aub_view *)message);
+	aub_message_free(message);
+}
+
+static void on_up(struct aub_link *link, const struct aub_hello *hello,
+		  void *context)
+{
+	struct aub_entry_view *view = context;
+
+	aub_log_message("linked to control %s", hello->name);
+	send_ack(view);
+}
+
+static void connect_control(struct aub_entry_view *view);
+
+static void on_reconnect(void *context, gint64 now_us)
+{
+	struct aub_entry_view *view = context;
+
+	view->reconnect = 0;
+	connect_control(view);
+}
+
+static void drop_link(struct aub_entry_view *view, const char *reason)
+{
+	aub_log_info("control: %s", reason);
+	aub_link_free(view->link);
+	view->link = NULL;
+	view->reconnect =
+		aub_timer_at(view->options.timers, "reconnect",
+			     now(view) + RECONNECT_US, on_reconnect, view);
+}
+
+static void on_down(struct aub_link *link, const GError *error, void *context)
+{
+	drop_link(context, error ? error->message : "closed");
+}
+
+/*
+ * Failure: something between the two lost track of the connection, and no
+ * view comes over it any more. The entry would stop serving although its
+ * control is well; a new connection gets through.
+ */
+static void on_watch(void *context, gint64 now_us)
+{
+	struct aub_entry_view *view = context;
+
+	if (view->link &&
+	    now_us - MAX(view->linked_us, aub_link_last_heard_us(view->link)) >
+		    SILENT_US)
+		drop_link(view, "silent");
+}
+
+static const struct aub_link_callbacks link_callbacks = {
+	.up = on_up,
+	.message = on_message,
+	.down = on_down,
+};
+
+static void connect_control(struct aub_entry_view *view)
+{
+	view->linked_us = now(view);
+	view->link = aub_link_connect(view->control, view->options.hello,
+				      CONNECT_MS, &link_callbacks, view);
+}
+
+struct aub_entry_view *aub_entry_view_new(
+	const struct aub_entry_view_options *options)
+{
+	struct aub_entry_view *view = g_new0(struct aub_entry_view, 1);
+
+	view->options = *options;
+	view->control = g_strdup(options->control);
+	view->assignments = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						  assignment_free);
+	view->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      member_free);
+	view->watch = aub_timer_every(options->timers, "control", AUB_SECOND,
+				      on_watch, view);
+	if (view->control)
+		connect_control(view);
+	return view;
+}
+
+void aub_entry_view_free(struct aub_entry_view *view)
+{
+	if (!view)
+		return;
+	aub_timer_cancel(view->options.timers, view->watch);
+	aub_timer_cancel(view->options.timers, view->reconnect);
+	aub_timer_cancel(view->options.timers, view->lapse);
+	aub_link_free(view->link);
+	g_hash_table_unref(view->assignments);
+	g_hash_table_unref(view->members);
+	if (view->inventory)
+		aub_inventory_unref(view->inventory);
+	g_free(view->control);
+	g_free(view);
+}
+
+bool aub_entry_view_serving(const struct aub_entry_view *view)
+{
+	return view->inventory && now(view) < view->serve_until_us;
+}
+
+struct aub_inventory *aub_entry_view_inventory(
+	const struct aub_entry_view *view)
+{
+	return view->inventory;
+}
+
+const struct aub_assignment *aub_entry_view_assignment(
+	const struct aub_entry_view *view, const char *service)
+{
+	return g_hash_table_lookup(view->assignments, service);
+}
+
+const struct aub_member *aub_entry_view_member(
+	const struct aub_entry_view *view, guint64 incarnation)
+{
+	GHashTableIter iterator;
+	void *value;
+
+	if (!incarnation)
+		return NULL;
+	g_hash_table_iter_init(&iterator, view->members);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		const struct aub_member *member = value;
+
+		if (member->incarnation == incarnation)
+			return member;
+	}
+	return NULL;
+}
+
+const struct aub_member *aub_entry_view_member_named(
+	const struct aub_entry_view *view, const char *name)
+{
+	return g_hash_table_lookup(view->members, name);
+}
+
+void aub_entry_view_assignments(const struct aub_entry_view *view,
+				aub_assignment_visitor *visit, void *context)
+{
+	GHashTableIter iterator;
+	void *value;
+
+	g_hash_table_iter_init(&iterator, view->assignments);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		visit(value, context);
+}
+
+void aub_entry_view_members(const struct aub_entry_view *view,
+			    aub_member_visitor *visit, void *context)
+{
+	GHashTableIter iterator;
+	void *value;
+
+	g_hash_table_iter_init(&iterator, view->members);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		visit(value, context);
+}
+
+guint64 aub_entry_view_config_version(const struct aub_entry_view *view)
+{
+	return view->config_version;
+}
+
+guint64 aub_entry_view_epoch(const struct aub_entry_view *view)
+{
+	return view->epoch;
+}
+
+void aub_entry_view_set_stopping(struct aub_entry_view *view)
+{
+	view->stopping = true;
+	send_ack(view);
+}
+
+void aub_entry_view_set_heir(struct aub_entry_view *view, guint64 heir)
+{
+	view->heir = heir;
+	send_ack(view);
+}
+
+void aub_entry_view_set_load(struct aub_entry_view *view, guint32 permille)
+{
+	view->load_permille = permille;
+}
+
+bool aub_entry_view_flushed(const struct aub_entry_view *view)
+{
+	return !view->link || !aub_link_queued(view->link);
+}
