Carry out the dispatchers' decisions

Change: a task with a dispatcher a service, clients of its upstreams and one timer each; actions are carried out before anything else happens, so handles always belong to the current inventory. Operators see its state as JSON.

--- /dev/null
+++ b/src/coordination/dispatch_task.c
@@ -0,0 +1,599 @@
+/*
+ * The task around the dispatchers. Each event goes into a dispatcher and its
+ * actions are carried out before anything else happens, so that handles in
+ * actions always belong to the current inventory.
+ */
+#include <auburnstile/internal/answer.h>
+#include <auburnstile/internal/dispatch_status.h>
+#include <auburnstile/internal/dispatch_task.h>
+#include <auburnstile/internal/upstream_set.h>
+
+#include <string.h>
+
+/* A new owner is known to all within about this time. */
+#define NOT_OWNER_RETRY_MS 200
+
+struct service {
+	struct aub_dispatch_task *task;
+	char *name;
+	struct aub_dispatcher *dispatcher;
+	enum aub_dispatch_role role;
+	struct aub_inventory *inventory; /* owned reference */
+	bool removed; /* no longer in the inventory */
+	bool draining; /* in drain(): events nest, actions don't */
+	GHashTable *requests; /* id -> struct request */
+	guint timer;
+	gint64 timer_us; /* when it is due; 0: none */
+	guint queue_gauge;
+	guint probe_counter;
+};
+
+struct request {
+	struct service *service;
+	const struct aub_call *call; /* NULL: nobody waits any more */
+	guint64 id;
+	bool once;
+	GPtrArray *attempts; /* of struct attempt, still open */
+	struct aub_answer *answered[2]; /* whole answers awaiting a verdict */
+	guint32 answered_attempt[2];
+	aub_dispatch_callback *callback;
+	void *context;
+};
+
+struct attempt {
+	struct request *request;
+	guint32 number;
+	struct aub_attempt *handle;
+	char upstream[AUB_EVENT_NAME];
+};
+
+struct probe {
+	struct aub_dispatch_task *task;
+	struct aub_attempt *handle;
+	struct aub_inventory *inventory; /* owned: under which it was sent */
+	char *service;
+	char *upstream;
+};
+
+struct aub_dispatch_task {
+	struct aub_dispatch_task_options options;
+	GHashTable *services; /* name -> struct service */
+	struct aub_upstream_set *upstreams;
+	GHashTable *attempts; /* set of struct attempt, over all requests */
+	GHashTable *probes; /* set of struct probe */
+};
+
+static void drain(struct service *service);
+
+static gint64 now(const struct aub_dispatch_task *task)
+{
+	return aub_timer_now(task->options.timers);
+}
+
+static void request_free(void *data)
+{
+	struct request *request = data;
+
+	for (gsize i = 0; i < G_N_ELEMENTS(request->answered); i++)
+		aub_message_free((struct aub_message *)request->answered[i]);
+	for (guint i = 0; i < request->attempts->len; i++) {
+		struct attempt *attempt = request->attempts->pdata[i];
+
+		attempt->request = NULL;
+	}
+	g_ptr_array_unref(request->attempts);
+	g_free(request);
+}
+
+static void service_free(void *data)
+{
+	struct service *service = data;
+
+	aub_timer_cancel(service->task->options.timers, service->timer);
+	g_hash_table_unref(service->requests);
+	aub_dispatcher_free(service->dispatcher);
+	aub_inventory_unref(service->inventory);
+	g_free(service->name);
+	g_free(service);
+}
+
+struct aub_dispatch_task *aub_dispatch_task_new(
+	const struct aub_dispatch_task_options *options)
+{
+	struct aub_dispatch_task *task;
+
+	task = g_new0(struct aub_dispatch_task, 1);
+	task->options = *options;
+	task->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       service_free);
+	task->upstreams = aub_upstream_set_new(options->timers);
+	task->attempts = g_hash_table_new(NULL, NULL);
+	task->probes = g_hash_table_new(NULL, NULL);
+	return task;
+}
+
+static void probe_free(struct probe *probe)
+{
+	aub_inventory_unref(probe->inventory);
+	g_free(probe->service);
+	g_free(probe->upstream);
+	g_free(probe);
+}
+
+void aub_dispatch_task_free(struct aub_dispatch_task *task)
+{
+	GHashTableIter iterator;
+	void *key;
+
+	if (!task)
+		return;
+	g_hash_table_unref(task->services);
+	aub_upstream_set_free(task->upstreams);
+	g_hash_table_iter_init(&iterator, task->attempts);
+	while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+		struct attempt *attempt = key;
+
+		aub_attempt_forget(attempt->handle);
+		g_free(attempt);
+	}
+	g_hash_table_unref(task->attempts);
+	g_hash_table_iter_init(&iterator, task->probes);
+	while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+		struct probe *probe = key;
+
+		aub_attempt_forget(probe->handle);
+		probe_free(probe);
+	}
+	g_hash_table_unref(task->probes);
+	g_free(task);
+}
+
+static struct service *service_new(struct aub_dispatch_task *task,
+				   const char *name)
+{
+	struct aub_metrics *metrics = task->options.metrics;
+	struct aub_dispatcher_options options = {
+		.policy = task->options.policy,
+		.seed = task->options.seed,
+	};
+	struct service *service;
+	char *labels;
+
+	service = g_new0(struct service, 1);
+	service->task = task;
+	service->name = g_strdup(name);
+	service->dispatcher = aub_dispatcher_new(&options);
+	service->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  NULL, request_free);
+	labels = g_strdup_printf("service=\"%s\"", name);
+	service->queue_gauge =
+		aub_metrics_gauge(metrics, "auburnstile_queue_length", labels,
+				  "Requests waiting for a slot at this entry.");
+	service->probe_counter =
+		aub_metrics_counter(metrics, "auburnstile_probes_total", labels,
+				    "Probes sent to upstreams.");
+	g_free(labels);
+	g_hash_table_insert(task->services, service->name, service);
+	return service;
+}
+
+void aub_dispatch_task_configure(struct aub_dispatch_task *task,
+				 struct aub_inventory *inventory)
+{
+	GHashTableIter iterator;
+	void *value;
+
+	aub_upstream_set_configure(task->upstreams, inventory);
+	for (guint i = 0; i < inventory->services->len; i++) {
+		const char *name = aub_service_at(inventory, i)->name;
+		struct service *service;
+
+		service = g_hash_table_lookup(task->services, name);
+		if (!service)
+			service = service_new(task, name);
+		aub_inventory_ref(inventory);
+		if (service->inventory)
+			aub_inventory_unref(service->inventory);
+		service->inventory = inventory;
+		service->removed = false;
+		aub_dispatcher_configure(service->dispatcher, inventory, i,
+					 now(task));
+		drain(service);
+	}
+	g_hash_table_iter_init(&iterator, task->services);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		struct service *service = value;
+
+		if (service->inventory == inventory || service->removed)
+			continue;
+		service->removed = true;
+		service->role = AUB_DISPATCH_NONE;
+		aub_dispatcher_set_role(service->dispatcher, AUB_DISPATCH_NONE,
+					0, now(task));
+		drain(service);
+	}
+}
+
+void aub_dispatch_task_set_role(struct aub_dispatch_task *task,
+				const char *name, enum aub_dispatch_role role,
+				gint64 settle_us)
+{
+	struct service *service = g_hash_table_lookup(task->services, name);
+
+	if (!service || service->removed || service->role == role)
+		return;
+	service->role = role;
+	aub_dispatcher_set_role(service->dispatcher, role, settle_us,
+				now(task));
+	drain(service);
+}
+
+/* Forget a request that nobody waits for and that has nothing open. */
+static void collect(struct request *request)
+{
+	if (request->call || request->attempts->len)
+		return;
+	g_hash_table_remove(request->service->requests, &request->id);
+}
+
+static void deliver(struct request *request, struct aub_answer *answer)
+{
+	aub_dispatch_callback *callback = request->callback;
+	void *context = request->context;
+
+	answer->id = request->id;
+	request->call = NULL;
+	collect(request);
+	callback(answer, context);
+}
+
+static struct aub_answer *take_answer(struct request *request, guint32 number)
+{
+	struct aub_answer *answer;
+
+	for (gsize i = 0; i < G_N_ELEMENTS(request->answered); i++) {
+		if (request->answered_attempt[i] != number)
+			continue;
+		answer = request->answered[i];
+		request->answered[i] = NULL;
+		return answer;
+	}
+	return NULL;
+}
+
+static void keep_answer(struct request *request, guint32 number,
+			struct aub_answer *answer)
+{
+	gsize place = request->answered[0] ? 1 : 0;
+
+	aub_message_free((struct aub_message *)request->answered[place]);
+	request->answered[place] = answer;
+	request->answered_attempt[place] = number;
+}
+
+static void note(const struct attempt *attempt, enum aub_event_type type,
+		 gint64 number, const char *text)
+{
+	aub_event_note(attempt->request->service->task->options.events, type,
+		       attempt->request->id, number, attempt->upstream, text);
+}
+
+static const char *const result_names[] = {
+	[AUB_ATTEMPT_ANSWERED] = "answered",
+	[AUB_ATTEMPT_SHED] = "shed",
+	[AUB_ATTEMPT_NOT_CONNECTED] = "not-connected",
+	[AUB_ATTEMPT_LOST] = "lost",
+	[AUB_ATTEMPT_TIMEOUT] = "timeout",
+	[AUB_ATTEMPT_CANCELLED] = "cancelled",
+};
+
+static void on_attempt_done(enum aub_attempt_result result,
+			    const struct aub_upstream_signs *signs,
+			    struct aub_answer *answer, const GError *error,
+			    void *context)
+{
+	struct attempt *attempt = context;
+	struct request *request = attempt->request;
+	struct service *service = request->service;
+	struct aub_dispatch_task *task = service->task;
+	guint32 number = attempt->number;
+
+	if (result == AUB_ATTEMPT_ANSWERED)
+		note(attempt, AUB_EVENT_ANSWERED, answer->status, NULL);
+	else
+		note(attempt,
+		     result == AUB_ATTEMPT_CANCELLED ? AUB_EVENT_CANCELLED :
+						       AUB_EVENT_FAILED,
+		     number, result_names[result]);
+	if (answer && request->call)
+		keep_answer(request, number, answer);
+	else
+		aub_message_free((struct aub_message *)answer);
+	g_ptr_array_remove_fast(request->attempts, attempt);
+	g_hash_table_remove(task->attempts, attempt);
+	g_free(attempt);
+	aub_dispatcher_attempt_done(service->dispatcher, request->id, number,
+				    result, signs, now(task));
+	collect(request);
+	drain(service);
+}
+
+static struct request *find_request(const struct service *service, guint64 id)
+{
+	return g_hash_table_lookup(service->requests, &id);
+}
+
+static void send_attempt(struct service *service, struct request *request,
+			 const struct aub_action *action)
+{
+	struct aub_dispatch_task *task = service->task;
+	const char *name =
+		aub_upstream_at(service->inventory, action->upstream)->name;
+	struct aub_upstream_client *client;
+	struct attempt *attempt;
+	bool again = action->attempt > 1;
+
+	client = aub_upstream_set_find(task->upstreams, name);
+	attempt = g_new0(struct attempt, 1);
+	attempt->request = request;
+	attempt->number = action->attempt;
+	g_strlcpy(attempt->upstream, name, sizeof(attempt->upstream));
+	g_ptr_array_add(request->attempts, attempt);
+	g_hash_table_add(task->attempts, attempt);
+	if (action->hedge)
+		note(attempt, AUB_EVENT_HEDGED, action->attempt, NULL);
+	else if (again)
+		note(attempt, AUB_EVENT_RETRIED, action->attempt, NULL);
+	note(attempt, AUB_EVENT_DISPATCHED, action->attempt,
+	     request->once ? "once" : NULL);
+	attempt->handle =
+		aub_upstream_send(client, request->call, again,
+				  action->timeout_us, on_attempt_done, attempt);
+}
+
+static void cancel_attempt(struct request *request, guint32 number)
+{
+	for (guint i = 0; i < request->attempts->len; i++) {
+		struct attempt *attempt = request->attempts->pdata[i];
+
+		if (attempt->number == number)
+			aub_attempt_cancel(attempt->handle);
+	}
+}
+
+static void on_probe_done(bool answered, const struct aub_upstream_signs *signs,
+			  guint32 busy, void *context)
+{
+	struct probe *probe = context;
+	struct aub_dispatch_task *task = probe->task;
+	struct service *service;
+	guint16 upstream;
+
+	g_hash_table_remove(task->probes, probe);
+	service = g_hash_table_lookup(task->services, probe->service);
+	if (service && service->inventory == probe->inventory) {
+		aub_event_note(task->options.events, AUB_EVENT_PROBED, 0, busy,
+			       probe->upstream,
+			       answered ? "answered" : "failed");
+		upstream = aub_inventory_upstream(service->inventory,
+						  probe->upstream);
+		if (upstream != AUB_NO_HANDLE) {
+			aub_dispatcher_probe_done(service->dispatcher, upstream,
+						  answered, signs, busy,
+						  now(task));
+			drain(service);
+		}
+	}
+	probe_free(probe);
+}
+
+static void send_probe(struct service *service, const struct aub_action *action)
+{
+	struct aub_dispatch_task *task = service->task;
+	const char *name =
+		aub_upstream_at(service->inventory, action->upstream)->name;
+	struct probe *probe = g_new(struct probe, 1);
+
+	probe->task = task;
+	probe->inventory = aub_inventory_ref(service->inventory);
+	probe->service = g_strdup(service->name);
+	probe->upstream = g_strdup(name);
+	g_hash_table_add(task->probes, probe);
+	aub_metrics_add(task->options.metrics, service->probe_counter, 1);
+	probe->handle =
+		aub_upstream_probe(aub_upstream_set_find(task->upstreams, name),
+				   action->timeout_us, on_probe_done, probe);
+}
+
+static void carry_out(struct service *service, const struct aub_action *action)
+{
+	struct request *request;
+
+	if (action->type == AUB_ACTION_PROBE) {
+		send_probe(service, action);
+		return;
+	}
+	request = find_request(service, action->request);
+	if (!request)
+		return;
+	if (action->type == AUB_ACTION_CANCEL) {
+		cancel_attempt(request, action->attempt);
+		return;
+	}
+	if (!request->call)
+		return;
+	switch (action->type) {
+	case AUB_ACTION_SEND:
+		send_attempt(service, request, action);
+		break;
+	case AUB_ACTION_REFUSE:
+		aub_event_note(service->task->options.events, AUB_EVENT_REFUSED,
+			       request->id, action->retry_after_ms, NULL,
+			       aub_refusal_name(action->refusal));
+		deliver(request, aub_answer_refusal(action->refusal,
+						    action->retry_after_ms));
+		break;
+	case AUB_ACTION_UNKNOWN:
+		deliver(request, aub_answer_unknown("upstream-lost"));
+		break;
+	case AUB_ACTION_DELIVER: {
+		struct aub_answer *answer;
+
+		answer = take_answer(request, action->attempt);
+		deliver(request,
+			answer ? answer : aub_answer_unknown("upstream-lost"));
+		break;
+	}
+	default:
+		break;
+	}
+}
+
+static void on_wake(void *context, gint64 now_us)
+{
+	struct service *service = context;
+
+	service->timer = 0;
+	service->timer_us = 0;
+	aub_dispatcher_tick(service->dispatcher, now_us);
+	drain(service);
+}
+
+static void set_timer(struct service *service)
+{
+	struct aub_timer_service *timers = service->task->options.timers;
+	gint64 wake_us = aub_dispatcher_wake_us(service->dispatcher);
+
+	if (wake_us == service->timer_us)
+		return;
+	aub_timer_cancel(timers, service->timer);
+	service->timer = 0;
+	service->timer_us = wake_us;
+	if (wake_us > 0 && wake_us < G_MAXINT64)
+		service->timer = aub_timer_at(timers, "dispatcher", wake_us,
+					      on_wake, service);
+}
+
+static void drain(struct service *service)
+{
+	struct aub_action action;
+
+	if (service->draining)
+		return;
+	service->draining = true;
+	while (aub_dispatcher_next(service->dispatcher, &action))
+		carry_out(service, &action);
+	service->draining = false;
+	set_timer(service);
+	aub_metrics_set(service->task->options.metrics, service->queue_gauge,
+			aub_dispatcher_queued(service->dispatcher));
+}
+
+static void refuse_at_once(const struct aub_call *call,
+			   aub_dispatch_callback *callback, void *context)
+{
+	struct aub_answer *answer;
+
+	answer = aub_answer_refusal(AUB_REFUSAL_NOT_OWNER, NOT_OWNER_RETRY_MS);
+	answer->id = call->id;
+	callback(answer, context);
+}
+
+void aub_dispatch_task_submit(struct aub_dispatch_task *task,
+			      const struct aub_call *call, const char *zone,
+			      aub_dispatch_callback *callback, void *context)
+{
+	gint64 now_us = now(task);
+	struct aub_dispatch_request arrival = {
+		.id = call->id,
+		.deadline_us = now_us + call->deadline_ms * AUB_MS,
+		.once = call->once,
+		.retry_budget = call->retry_budget,
+		.fingerprint = aub_call_fingerprint(call),
+		.zone = zone,
+	};
+	struct service *service;
+	struct request *request;
+
+	service = g_hash_table_lookup(task->services, call->service);
+	if (!service || service->removed || find_request(service, call->id)) {
+		refuse_at_once(call, callback, context);
+		return;
+	}
+	request = g_new0(struct request, 1);
+	request->service = service;
+	request->call = call;
+	request->id = call->id;
+	request->once = call->once;
+	request->attempts = g_ptr_array_new();
+	request->callback = callback;
+	request->context = context;
+	g_hash_table_insert(service->requests, &request->id, request);
+	aub_dispatcher_arrive(service->dispatcher, &arrival, now_us);
+	drain(service);
+}
+
+bool aub_dispatch_task_abandon(struct aub_dispatch_task *task, const char *name,
+			       guint64 id)
+{
+	struct service *service = g_hash_table_lookup(task->services, name);
+	struct request *request;
+
+	if (!service)
+		return false;
+	request = find_request(service, id);
+	if (!request || !request->call)
+		return false;
+	request->call = NULL;
+	aub_dispatcher_abandon(service->dispatcher, id, now(task));
+	drain(service);
+	request = find_request(service, id);
+	if (request)
+		collect(request);
+	return true;
+}
+
+void aub_dispatch_task_stop(struct aub_dispatch_task *task)
+{
+	GHashTableIter iterator;
+	void *value;
+
+	g_hash_table_iter_init(&iterator, task->services);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		struct service *service = value;
+
+		aub_dispatcher_stop(service->dispatcher, now(task));
+		drain(service);
+	}
+}
+
+guint aub_dispatch_task_pending(const struct aub_dispatch_task *task)
+{
+	GHashTableIter iterator;
+	guint pending = 0;
+	void *value;
+
+	g_hash_table_iter_init(&iterator, task->services);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		struct service *service = value;
+
+		pending += g_hash_table_size(service->requests);
+	}
+	return pending;
+}
+
+char *aub_dispatch_task_status(const struct aub_dispatch_task *task)
+{
+	JsonBuilder *builder = aub_dispatch_status_begin();
+	GHashTableIter iterator;
+	void *value;
+
+	g_hash_table_iter_init(&iterator, task->services);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		const struct service *service = value;
+
+		aub_dispatch_status_build(builder, service->name, service->role,
+					  service->dispatcher);
+	}
+	return aub_dispatch_status_end(builder);
+}
