--- /dev/null
+++ b/src/coordination/entry.c
@@ -0,0 +1,372 @@
+/*
+ * An entry put together: each part gets what it needs of the others, and
+ * their callbacks meet here.
+ */
+#include <auburnstile/error.h>
+#include <auburnstile/internal/addresses.h>
+#include <auburnstile/internal/entry_parts.h>
+#include <auburnstile/log.h>
+
+#include <sys/resource.h>
+
+#define HEADER_MS 10000
+#define IDLE_MS 60000
+#define BODY_MS 30000
+#define WRITE_MS 30000
+#define KEY_KEEP_MOST_S G_GINT64_CONSTANT(604800) /* a week */
+#define BODY_LIMIT (1u << 20) /* where no service is known for a path */
+
+#define FIELD(name) offsetof(struct aub_entry_settings, name)
+
+const struct aub_setting aub_entry_setting_table[] = {
+	{ "name", AUB_SETTING_STRING, FIELD(name), true, 0, 0, NULL,
+	  "name of the VM" },
+	{ "zone", AUB_SETTING_STRING, FIELD(zone), true, 0, 0, NULL,
+	  "its availability zone" },
+	{ "callers", AUB_SETTING_ADDRESS, FIELD(callers), true, 0, 0, NULL,
+	  "address for callers" },
+	{ "inner", AUB_SETTING_ADDRESS, FIELD(inner), true, 0, 0, NULL,
+	  "address for other entries" },
+	{ "admin", AUB_SETTING_ADDRESS, FIELD(admin), true, 0, 0, NULL,
+	  "address for metrics, health and operators" },
+	{ "control", AUB_SETTING_ADDRESS, FIELD(control), true, 0, 0, NULL,
+	  "inner address of this VM's control" },
+	{ "token_file", AUB_SETTING_STRING, FIELD(token_file), false, 0, 0,
+	  NULL, "file with the operators' token" },
+	{ "log_level", AUB_SETTING_STRING, FIELD(log_level), false, 0, 0,
+	  "info", "error, warning, message, info or debug" },
+	{ "log_json", AUB_SETTING_BOOLEAN, FIELD(log_json), false, 0, 0,
+	  "false", "log as JSON lines" },
+	{ "stop_ms", AUB_SETTING_INTEGER, FIELD(stop_ms), false, 100, 600000,
+	  "10000", "most time a planned stop takes, ms" },
+	{ "policy", AUB_SETTING_STRING, FIELD(policy), false, 0, 0,
+	  "auburnstile", "how upstreams are chosen; others are baselines" },
+	{ "event_capacity", AUB_SETTING_INTEGER, FIELD(event_capacity), false,
+	  16, 1 << 20, "16384", "events kept for the time line" },
+	{ "key_mb", AUB_SETTING_INTEGER, FIELD(key_mb), false, 1, 4096, "64",
+	  "room for keys and kept answers, MB" },
+	{ "key_keep_s", AUB_SETTING_INTEGER, FIELD(key_keep_s), false, 1,
+	  KEY_KEEP_MOST_S, "3600",
+	  "time a key is remembered after its end, s" },
+	{ "connections", AUB_SETTING_INTEGER, FIELD(connections), false, 1,
+	  100000, "4000", "open connections of callers at most" },
+	{ "seed", AUB_SETTING_INTEGER, FIELD(seed), false, 0, G_MAXUINT32, "0",
+	  "of random choices; 0 takes one from the system" },
+	{ NULL, AUB_SETTING_STRING, 0, false, 0, 0, NULL, NULL },
+};
+
+static void on_view_changed(void *context)
+{
+	struct aub_entry *entry = context;
+	struct aub_inventory *inventory;
+
+	inventory = aub_entry_view_inventory(entry->view);
+	if (!inventory || !entry->relay)
+		return;
+	if (inventory != entry->inventory) {
+		entry->inventory = inventory;
+		aub_dispatch_task_configure(entry->dispatch, inventory);
+	}
+	aub_front_update_roles(entry->front);
+}
+
+static void on_links_changed(void *context)
+{
+	struct aub_entry *entry = context;
+
+	aub_front_update_roles(entry->front);
+}
+
+static bool is_known(guint64 incarnation, void *context)
+{
+	struct aub_entry *entry = context;
+
+	return aub_entry_view_member(entry->view, incarnation) != NULL;
+}
+
+static void on_relay_arrived(struct aub_relay_inbound *inbound,
+			     struct aub_call *call, void *context)
+{
+	struct aub_entry *entry = context;
+
+	aub_front_relay_arrived(inbound, call, entry->front);
+}
+
+static void on_relay_gone(struct aub_relay_inbound *inbound, void *context)
+{
+	struct aub_entry *entry = context;
+
+	aub_front_relay_gone(inbound, entry->front);
+}
+
+static void on_keys(const struct aub_keys *keys, void *context)
+{
+	struct aub_entry *entry = context;
+
+	aub_keeper_adopt(entry->keeper, keys);
+}
+
+static void on_keys_ack(const struct aub_keys_ack *ack, void *context)
+{
+	struct aub_entry *entry = context;
+
+	aub_keeper_acknowledged(entry->keeper, ack);
+}
+
+static void on_arrived(struct aub_caller_request *request,
+		       struct aub_call *call, void *context)
+{
+	struct aub_entry *entry = context;
+
+	aub_front_caller_arrived(request, call, entry->front);
+}
+
+static void on_gone(struct aub_caller_request *request, void *context)
+{
+	struct aub_entry *entry = context;
+
+	aub_front_caller_gone(request, entry->front);
+}
+
+static guint32 body_limit(const char *path, void *context)
+{
+	struct aub_entry *entry = context;
+	const struct aub_inventory *inventory;
+	guint16 service;
+
+	inventory = aub_entry_view_inventory(entry->view);
+	if (!inventory)
+		return BODY_LIMIT;
+	service = aub_inventory_route(inventory, path);
+	if (service == AUB_NO_HANDLE)
+		return BODY_LIMIT;
+	return aub_service_at(inventory, service)->body_limit;
+}
+
+static guint64 random_number(void)
+{
+	return (guint64)g_random_int() << 32 | g_random_int();
+}
+
+static char *addresses(const char *service, const char *path, guint *status,
+		       void *context)
+{
+	struct aub_entry *entry = context;
+	struct aub_addresses_options options = {
+		.view = entry->view,
+		.self = entry->hello,
+		.stopping = entry->phase != ENTRY_RUNNING,
+		.local_only = entry->local_only,
+		.random = random_number(),
+	};
+
+	return aub_addresses_json(&options, service, path, status);
+}
+
+static bool is_ready(void *context)
+{
+	struct aub_entry *entry = context;
+
+	return entry->phase == ENTRY_RUNNING &&
+	       aub_entry_view_serving(entry->view);
+}
+
+static void on_dispatch_status(struct aub_admin_request *request, void *context)
+{
+	struct aub_entry *entry = context;
+
+	aub_admin_answer(request, 200,
+			 aub_dispatch_task_status(entry->dispatch));
+}
+
+static gint64 processor_us(void)
+{
+	struct rusage usage;
+
+	getrusage(RUSAGE_SELF, &usage);
+	return usage.ru_utime.tv_sec * AUB_SECOND + usage.ru_utime.tv_usec +
+	       usage.ru_stime.tv_sec * AUB_SECOND + usage.ru_stime.tv_usec;
+}
+
+static void on_load(void *context, gint64 now_us)
+{
+	struct aub_entry *entry = context;
+	gint64 busy_us = processor_us();
+	gint64 permille = (busy_us - entry->busy_us) * 1000 / AUB_SECOND;
+
+	entry->busy_us = busy_us;
+	aub_entry_view_set_load(entry->view, CLAMP(permille, 0, 1000));
+}
+
+static struct aub_hello *make_hello(const struct aub_entry_settings *settings)
+{
+	struct aub_hello *hello;
+
+	hello = (struct aub_hello *)aub_message_new(AUB_MESSAGE_HELLO);
+	hello->role = AUB_ROLE_ENTRY;
+	hello->incarnation = (guint64)g_get_real_time();
+	aub_string_set(&hello->name, settings->name);
+	aub_string_set(&hello->zone, settings->zone);
+	aub_string_set(&hello->address, settings->inner);
+	aub_string_set(&hello->callers_address, settings->callers);
+	aub_string_set(&hello->admin_address, settings->admin);
+	return hello;
+}
+
+static void make_decisions(struct aub_entry *entry, int policy, guint32 seed)
+{
+	const struct aub_entry_settings *settings = entry->settings;
+
+	entry->dispatch =
+		aub_dispatch_task_new(&(struct aub_dispatch_task_options){
+			.policy = policy,
+			.seed = seed,
+			.timers = entry->timers,
+			.events = entry->events,
+			.metrics = entry->metrics,
+		});
+	entry->keeper = aub_keeper_new(&(struct aub_keeper_options){
+		.name = settings->name,
+		.zone = settings->zone,
+		.incarnation = entry->hello->incarnation,
+		.limit_bytes = (gsize)settings->key_mb << 20,
+		.keep_us = settings->key_keep_s * AUB_SECOND,
+		.view = entry->view,
+		.timers = entry->timers,
+		.events = entry->events,
+	});
+	entry->front = aub_front_new(&(struct aub_front_options){
+		.hello = entry->hello,
+		.view = entry->view,
+		.keeper = entry->keeper,
+		.dispatch = entry->dispatch,
+		.timers = entry->timers,
+		.events = entry->events,
+		.metrics = entry->metrics,
+		.first_id = random_number() & G_GUINT64_CONSTANT(~0xffffff),
+		.local_only = entry->local_only,
+	});
+}
+
+static bool listen_inner(struct aub_entry *entry, GError **error)
+{
+	entry->relay = aub_relay_new(
+		&(struct aub_relay_options){
+			.hello = entry->hello,
+			.timers = entry->timers,
+			.events = entry->events,
+			.known = is_known,
+			.arrived = on_relay_arrived,
+			.gone = on_relay_gone,
+			.keys = on_keys,
+			.keys_ack = on_keys_ack,
+			.changed = on_links_changed,
+			.context = entry,
+		},
+		error);
+	if (entry->relay)
+		aub_front_set_relay(entry->front, entry->relay);
+	return entry->relay;
+}
+
+static bool listen_outer(struct aub_entry *entry, GError **error)
+{
+	const struct aub_entry_settings *settings = entry->settings;
+
+	entry->callers = aub_caller_server_new(
+		&(struct aub_caller_server_options){
+			.address = settings->callers,
+			.connections = settings->connections,
+			.header_ms = HEADER_MS,
+			.idle_ms = IDLE_MS,
+			.body_ms = BODY_MS,
+			.write_ms = WRITE_MS,
+			.timers = entry->timers,
+			.arrived = on_arrived,
+			.gone = on_gone,
+			.body_limit = body_limit,
+			.addresses = addresses,
+			.context = entry,
+		},
+		error);
+	if (!entry->callers)
+		return false;
+	entry->admin = aub_admin_new(
+		&(struct aub_admin_options){
+			.address = settings->admin,
+			.token_file = settings->token_file,
+			.process = settings->name,
+			.incarnation = entry->hello->incarnation,
+			.metrics = entry->metrics,
+			.events = entry->events,
+			.ready = is_ready,
+			.context = entry,
+		},
+		error);
+	if (!entry->admin)
+		return false;
+	aub_admin_handle(entry->admin, "GET", "/v1/dispatch",
+			 on_dispatch_status, entry);
+	return true;
+}
+
+struct aub_entry *aub_entry_new(const struct aub_entry_settings *settings,
+				GError **error)
+{
+	int policy = aub_policy_parse(settings->policy);
+	struct aub_entry *entry;
+
+	if (policy < 0) {
+		aub_error_set(error, AUB_ERROR_INVALID, "read settings",
+			      "policy", "\"%s\" is not a policy",
+			      settings->policy);
+		return NULL;
+	}
+	entry = g_new0(struct aub_entry, 1);
+	entry->settings = settings;
+	entry->local_only = policy != AUB_POLICY_AUBURNSTILE;
+	entry->hello = make_hello(settings);
+	entry->timers = aub_timer_service_new(NULL);
+	entry->events = aub_event_ring_new(settings->event_capacity);
+	entry->metrics = aub_metrics_new();
+	entry->view = aub_entry_view_new(&(struct aub_entry_view_options){
+		.control = settings->control,
+		.hello = entry->hello,
+		.timers = entry->timers,
+		.events = entry->events,
+		.changed = on_view_changed,
+		.context = entry,
+	});
+	make_decisions(entry, policy,
+		       settings->seed ? (guint32)settings->seed :
+					g_random_int());
+	if (!listen_inner(entry, error) || !listen_outer(entry, error)) {
+		aub_entry_free(entry);
+		return NULL;
+	}
+	entry->load_timer = aub_timer_every(entry->timers, "load", AUB_SECOND,
+					    on_load, entry);
+	aub_event_note(entry->events, AUB_EVENT_STARTED, 0,
+		       (gint64)entry->hello->incarnation, NULL, NULL);
+	return entry;
+}
+
+void aub_entry_free(struct aub_entry *entry)
+{
+	if (!entry)
+		return;
+	aub_timer_cancel(entry->timers, entry->load_timer);
+	aub_timer_cancel(entry->timers, entry->stop_timer);
+	aub_admin_free(entry->admin);
+	aub_caller_server_free(entry->callers);
+	aub_relay_free(entry->relay);
+	aub_front_free(entry->front);
+	aub_dispatch_task_free(entry->dispatch);
+	aub_keeper_free(entry->keeper);
+	aub_entry_view_free(entry->view);
+	aub_metrics_free(entry->metrics);
+	aub_event_ring_free(entry->events);
+	aub_timer_service_free(entry->timers);
+	aub_message_free(&entry->hello->base);
+	g_free(entry);
+}
