--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 
 WARN = -Wall -Wextra -Wshadow -Wno-unused-parameter
 CPPFLAGS = -Iinclude -Itools -D_GNU_SOURCE -DG_LOG_DOMAIN=\"auburnstile\" \
-	$(shell pkg-config --cflags $(PKGS) | sed 's/-I/-isystem /g')
+	$(shell pkg-config --cflags $(PKGS) 2>/dev/null | sed 's/-I/-isystem /g')
 OPT = $(if $(SAN),-O1 -fsanitize=address$(comma)undefined \
 	-fno-omit-frame-pointer -fno-sanitize-recover=undefined,$(if $(FUZZ),\
 	-O1 -fsanitize=fuzzer-no-link$(comma)address$(comma)undefined \
@@ -27,7 +27,7 @@
 comma = ,
 CFLAGS = -std=gnu11 -g $(WARN) -Wmissing-prototypes $(OPT)
 CXXFLAGS = -std=c++20 -g $(WARN) $(OPT)
-LDLIBS = $(shell pkg-config --libs $(PKGS)) -lm -lstdc++
+LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm -lstdc++
 TESTLIBS = -lrapidcheck -lgtest -lgtest_main -lpthread $(LDLIBS)
 
 LIB_SRC = $(sort $(wildcard src/*/*.c))
@@ -90,7 +90,11 @@
 
 tests: $(TESTS)
 
-check:
+# Packages first, then a new make: this one looked for them when it started.
+packages:
+	@sh tools/packages.sh
+
+check: packages
 	@$(MAKE) --no-print-directory -s SAN=1 -j$$(nproc) all tests
 	@sh tests/run.sh build/san
 
@@ -100,7 +104,8 @@
 slopes: all
 	@$(B)/slopes
 
-demo: all
+demo: packages
+	@$(MAKE) --no-print-directory -s -j$$(nproc) all
 	@$(B)/demo
 
 format:
@@ -115,7 +120,7 @@
 clean:
 	rm -rf build
 
-.PHONY: all tests check demo proofs slopes format fuzz fuzz-build lint clean
+.PHONY: all packages tests check demo proofs slopes format fuzz fuzz-build lint clean
 .SECONDARY:
 
 -include $(shell find build -name '*.d' 2>/dev/null)
