Count only open connections in the stand-in upstream

It counted a connection until its socket was freed, and libsoup 3.2.3 neither closes nor frees a kept connection that the other end closed. Ruled out: a loss in the entry; its events show the connection ended 0.7 ms after it was opened. Change: near the limit the stand-in looks which connections have ended, and closes them.

--- a/tools/upstream/upstream.c
+++ b/tools/upstream/upstream.c
@@ -247,11 +247,26 @@
 	return G_SOURCE_REMOVE;
 }
 
-static void on_socket_gone(gpointer data, GObject *gone)
+static bool has_ended(GSocket *socket)
 {
-	struct upstream *upstream = data;
+	char byte;
+
+	return g_socket_is_closed(socket) ||
+	       !recv(g_socket_get_fd(socket), &byte, 1,
+		     MSG_PEEK | MSG_DONTWAIT);
+}
 
-	upstream->open_connections--;
+/* libsoup 3.2 neither closes nor frees what the other end closed. */
+static void forget_ended(GPtrArray *sockets)
+{
+	for (guint i = sockets->len; i > 0; i--) {
+		GSocket *socket = sockets->pdata[i - 1];
+
+		if (!has_ended(socket))
+			continue;
+		g_socket_close(socket, NULL);
+		g_ptr_array_remove_index_fast(sockets, i - 1);
+	}
 }
 
 static bool count_connection(struct upstream *upstream, GSocket *socket)
@@ -261,8 +276,9 @@
 	if (g_object_get_data(G_OBJECT(socket), mark))
 		return false;
 	g_object_set_data(G_OBJECT(socket), mark, upstream);
-	g_object_weak_ref(G_OBJECT(socket), on_socket_gone, upstream);
-	upstream->open_connections++;
+	if (upstream->sockets->len >= upstream->options.connections / 2)
+		forget_ended(upstream->sockets);
+	g_ptr_array_add(upstream->sockets, g_object_ref(socket));
 	upstream->oracle.connections++;
 	return true;
 }
@@ -299,7 +315,7 @@
 /* True when the request was turned away at the door. */
 static bool turn_away(struct upstream *upstream, SoupServerMessage *message)
 {
-	if (upstream->open_connections > upstream->options.connections) {
+	if (upstream->sockets->len > upstream->options.connections) {
 		upstream->oracle.refused++;
 		tool_drop(message, true);
 		return true;
@@ -494,6 +510,7 @@
 	upstream->options = *options;
 	upstream->world = world;
 	upstream->slow_factor = 1;
+	upstream->sockets = g_ptr_array_new_with_free_func(g_object_unref);
 	upstream->running = g_ptr_array_new_with_free_func(job_free);
 	upstream->late = g_ptr_array_new_with_free_func(job_free);
 	g_queue_init(&upstream->queue);
@@ -512,6 +529,7 @@
 		g_source_remove(upstream->crash_idle);
 	close_server(upstream);
 	g_ptr_array_unref(upstream->running);
+	g_ptr_array_unref(upstream->sockets);
 	g_ptr_array_unref(upstream->late);
 	g_free(upstream);
 }
--- a/tools/upstream/upstream.h
+++ b/tools/upstream/upstream.h
@@ -89,7 +89,7 @@
 	GPtrArray *running; /* of struct upstream_job, owned */
 	GPtrArray *late; /* of struct upstream_job, owned: served, waiting */
 	GQueue queue; /* of struct upstream_job, owned */
-	guint open_connections;
+	GPtrArray *sockets; /* of GSocket: open connections, owned */
 	guint restart_timer;
 	guint crash_idle;
 	guint refuse_ms; /* of the crash that is due */
