Let a replacement with its clock behind take its place

Cause: a VM whose clock is behind that of the one it replaces has the lower number: it took itself for the older process and would have served nobody until the dead one is forgotten, 15 minutes later; its own messages made the dead one look alive. Change: hearing from a peer counts for the start that its hello names; a namesake with a newer start that is silent for 3 s is outnumbered. The time line says when a view is in force.

--- a/include/auburnstile/internal/control.h
+++ b/include/auburnstile/internal/control.h
@@ -105,6 +105,11 @@
 void aubi_control_store_heard(struct aubi_control *control,
 			      const GError *error);
 
+/* Record an event; texts may be NULL. */
+void aubi_control_note(struct aubi_control *control, enum aub_event_type type,
+		       guint64 number, const char *peer, const char *zone,
+		       const char *text);
+
 /* The own region, "" for unknown; borrowed. */
 const char *aubi_control_region(const struct aubi_control *control,
 				const char *zone);
--- a/include/auburnstile/internal/membership.h
+++ b/include/auburnstile/internal/membership.h
@@ -61,10 +61,12 @@
 
 /*
  * Take what a message says. True if a record came, changed or left. `from`
- * is the sender's name. Messages 1 and 4 bring no ages.
+ * is the sender's name, `start` its control's incarnation. Messages 1 and 4
+ * bring no ages.
  */
 bool aubi_membership_hear(struct aubi_membership *membership, const char *from,
-			  const struct aub_gossip *gossip, gint64 now_us);
+			  guint64 start, const struct aub_gossip *gossip,
+			  gint64 now_us);
 
 /*
  * The message to answer with: 2 to 1, 3 to 2, 4 to 3. False where none is
--- a/src/coordination/control.c
+++ b/src/coordination/control.c
@@ -68,9 +68,9 @@
 	aubi_peers_hurry(control->peers, urgent);
 }
 
-static void note(struct aubi_control *control, enum aub_event_type type,
-		 guint64 number, const char *peer, const char *zone,
-		 const char *text)
+void aubi_control_note(struct aubi_control *control, enum aub_event_type type,
+		       guint64 number, const char *peer, const char *zone,
+		       const char *text)
 {
 	struct aub_event event = { .type = type, .number = (gint64)number };
 
@@ -107,7 +107,8 @@
 	control->inventory = inventory;
 	aub_log_message("configuration %" G_GUINT64_FORMAT " from %s", version,
 			source);
-	note(control, AUB_EVENT_CONFIG, version, source, NULL, config->change);
+	aubi_control_note(control, AUB_EVENT_CONFIG, version, source, NULL,
+			  config->change);
 	tell_all(control, true);
 	return true;
 }
@@ -133,7 +134,8 @@
 	control->assignments = assignments;
 	aub_log_info("assignments %" G_GUINT64_FORMAT " from %s", version,
 		     source);
-	note(control, AUB_EVENT_ASSIGNMENT, version, source, NULL, NULL);
+	aubi_control_note(control, AUB_EVENT_ASSIGNMENT, version, source, NULL,
+			  NULL);
 	tell_all(control, true);
 	return true;
 }
@@ -154,8 +156,9 @@
 	}
 	seen->state = member->state;
 	seen->incarnation = member->incarnation;
-	note(control, AUB_EVENT_MEMBER, member->incarnation, member->name,
-	     member->zone, aub_member_state_name(member->state));
+	aubi_control_note(control, AUB_EVENT_MEMBER, member->incarnation,
+			  member->name, member->zone,
+			  aub_member_state_name(member->state));
 	aub_log_info("member %s is %s, entry %" G_GINT64_MODIFIER "x",
 		     member->name, aub_member_state_name(member->state),
 		     member->incarnation);
@@ -198,8 +201,8 @@
 	if (reachable == control->store_reachable)
 		return;
 	control->store_reachable = reachable;
-	note(control, AUB_EVENT_STORE, reachable, NULL, NULL,
-	     reachable ? "back" : "away");
+	aubi_control_note(control, AUB_EVENT_STORE, reachable, NULL, NULL,
+			  reachable ? "back" : "away");
 	if (reachable)
 		aub_log_message("the store answers");
 	else
@@ -231,7 +234,7 @@
 	control->leave_by_us = now_us + control->settings->stop_ms * 1000;
 	aub_log_message("stopping: at most %d ms",
 			(int)control->settings->stop_ms);
-	note(control, AUB_EVENT_STOPPING, 0, NULL, NULL, NULL);
+	aubi_control_note(control, AUB_EVENT_STOPPING, 0, NULL, NULL, NULL);
 	set_state(control, AUB_MEMBER_LEAVING);
 }
 
@@ -357,8 +360,8 @@
 	aub_timer_every(control->timers, "tick", TICK_US, on_tick, control);
 	aub_timer_every(control->timers, "metrics", METRICS_US, on_metrics,
 			control);
-	note(control, AUB_EVENT_STARTED, control->incarnation, NULL,
-	     settings->zone, NULL);
+	aubi_control_note(control, AUB_EVENT_STARTED, control->incarnation,
+			  NULL, settings->zone, NULL);
 	return control;
 }
 
--- a/src/coordination/control_entry.c
+++ b/src/coordination/control_entry.c
@@ -195,6 +195,9 @@
 	task->stopping = ack->stopping;
 	task->heir = ack->heir;
 	self = aubi_membership_self(control->membership);
+	if (ack->config_version != task->acked_version)
+		aubi_control_note(control, AUB_EVENT_VIEW, ack->config_version,
+				  NULL, NULL, "in force at the entry");
 	if (news || !self->incarnation ||
 	    ack->config_version != task->acked_version) {
 		task->acked_version = ack->config_version;
--- a/src/coordination/control_peers.c
+++ b/src/coordination/control_peers.c
@@ -142,15 +142,15 @@
 static void on_gossip(struct peer *peer, const struct aub_gossip *heard)
 {
 	struct aubi_control *control = peer->task->control;
-	const char *from = aub_link_hello(peer->link)->name;
+	const struct aub_hello *hello = aub_link_hello(peer->link);
 	gint64 now_us = now_of(peer->task);
 	struct aub_gossip *answer = gossip_new(control, now_us);
 	bool changed;
 
 	if (heard->echo)
 		peer->asked_us = 0;
-	changed =
-		aubi_membership_hear(control->membership, from, heard, now_us);
+	changed = aubi_membership_hear(control->membership, hello->name,
+				       hello->incarnation, heard, now_us);
 	aubi_agreement_relayed(&control->agreement, heard, now_us);
 	if (aubi_membership_answer(control->membership, heard,
 				   aubi_agreement_is_behind(
@@ -310,7 +310,8 @@
 		      struct aub_hello *hello)
 {
 	hello->role = AUB_ROLE_CONTROL;
-	hello->incarnation = control->incarnation;
+	hello->incarnation =
+		aubi_membership_self(control->membership)->control_incarnation;
 	aub_string_set(&hello->name, control->settings->name);
 	aub_string_set(&hello->zone, control->settings->zone);
 	aub_string_set(&hello->address, control->settings->inner);
--- a/src/coordination/gossip.c
+++ b/src/coordination/gossip.c
@@ -48,6 +48,30 @@
 	return 0;
 }
 
+/*
+ * A record under the own name. Of a newer start: this process was replaced
+ * and serves no longer. But if that one is silent, it is dead, and the own
+ * clock was behind when this one started: it could never be heard. So it
+ * takes a number above the dead one's.
+ */
+static bool hear_namesake(struct aubi_membership *membership,
+			  const struct aub_member *member, gint64 now_us)
+{
+	struct aub_member *self = membership->self->member;
+
+	if (member->control_incarnation > self->control_incarnation) {
+		membership->superseded =
+			(gint64)member->age_ms * 1000 < AUBI_MEMBER_LIVE_US;
+		if (membership->superseded)
+			return false;
+		self->control_incarnation = member->control_incarnation + 1;
+		return true;
+	}
+	if (member->incarnation != self->incarnation)
+		return aubi_membership_keep_past(membership, member, now_us);
+	return false;
+}
+
 /* One full record out of a message. True if the table changed. */
 static bool hear_record(struct aubi_membership *membership,
 			const struct aub_member *member, gint64 now_us)
@@ -59,15 +83,8 @@
 
 	if (strchr(member->name, '#'))
 		return false;
-	if (record == membership->self) {
-		if (member->control_incarnation >
-		    record->member->control_incarnation)
-			membership->superseded = true;
-		else if (member->incarnation != record->member->incarnation)
-			return aubi_membership_keep_past(membership, member,
-							 now_us);
-		return false;
-	}
+	if (record == membership->self)
+		return hear_namesake(membership, member, now_us);
 	if (!record) {
 		if (age_us >= (member->state == AUB_MEMBER_STOPPED ?
 				       AUBI_MEMBER_STOPPED_US :
@@ -169,7 +186,8 @@
 }
 
 bool aubi_membership_hear(struct aubi_membership *membership, const char *from,
-			  const struct aub_gossip *gossip, gint64 now_us)
+			  guint64 start, const struct aub_gossip *gossip,
+			  gint64 now_us)
 {
 	struct aubi_member_record *sender;
 	bool changed = false;
@@ -181,7 +199,8 @@
 	if (changed)
 		aubi_membership_rehash(membership);
 	sender = aubi_membership_find(membership, from);
-	if (sender && sender != membership->self)
+	if (sender && sender != membership->self &&
+	    sender->member->control_incarnation == start)
 		sender->heard_us = now_us;
 	if (gossip->ages.length)
 		hear_ages(membership, gossip, now_us);
--- a/tests/fleet_of_memberships.h
+++ b/tests/fleet_of_memberships.h
@@ -88,7 +88,11 @@
 		if (!reaches(from, to))
 			return false;
 		aubi_membership_hear(nodes[to].membership,
-				     nodes[from].name.c_str(), gossip, now_us);
+				     nodes[from].name.c_str(),
+				     aubi_membership_self(
+					     nodes[from].membership)
+					     ->control_incarnation,
+				     gossip, now_us);
 		aubi_agreement_relayed(&nodes[to].agreement, gossip, now_us);
 		/* A pull brings what the other holds, by the next round. */
 		if (reaches(to, from))
--- a/tests/test_membership.cc
+++ b/tests/test_membership.cc
@@ -146,6 +146,29 @@
 	EXPECT_FALSE(aubi_membership_superseded(fleet.nodes[2].membership));
 }
 
+/*
+ * A VM is replaced by one whose clock is a minute behind. Its number is lower
+ * than the dead one's; taken for the older process it would serve nobody
+ * until the dead one is forgotten, a quarter of an hour later.
+ */
+TEST(Membership, ReplacementWithItsClockBehindTakesItsPlace)
+{
+	Fleet fleet;
+
+	grow(fleet, 4);
+	fleet.run(4);
+	aubi_membership_free(fleet.nodes[3].membership);
+	fleet.nodes[3] = fleet.nodes[fleet.add("n3", "a", 60)];
+	fleet.nodes.pop_back();
+	fleet.run(8);
+	EXPECT_FALSE(aubi_membership_superseded(fleet.nodes[3].membership));
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(fleet.live(i), 4u) << i;
+	EXPECT_GT(aubi_membership_self(fleet.nodes[3].membership)
+			  ->control_incarnation,
+		  103u);
+}
+
 /*
  * A control is paused for ten seconds. When it wakes, its sockets are full of
  * old gossip saying that all is well. It must not believe that it hears a
@@ -165,7 +188,7 @@
 	ASSERT_TRUE(aubi_membership_answer(fleet.nodes[1].membership, ask,
 					   false, answer, fleet.now_us));
 	fleet.now_us += 10 * 1000000LL;
-	aubi_membership_hear(fleet.nodes[0].membership, "n1", answer,
+	aubi_membership_hear(fleet.nodes[0].membership, "n1", 101, answer,
 			     fleet.now_us);
 	EXPECT_GE(aubi_membership_heard_us(fleet.nodes[0].membership, 2,
 					   fleet.now_us),
