--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 #   make check      sanitizer build, all tests, ends with "N passed, N failed"
 #   make format     rewrite sources in the project's format
 #   make lint       formatter and linter, changing nothing
-#   make fuzz       bounded fuzzing of the decoders
+#   make fuzz       bounded fuzzing of the decoders and of the dispatcher
 #   make slopes     how the cost grows with nodes, upstreams, changes
 #
 # SAN=1 selects the sanitizer build, which lives in build/san; FUZZ=1 the one
@@ -39,6 +39,7 @@
 TOOL_LIB_OBJ = $(patsubst %.c,$(B)/obj/%.o,$(sort $(wildcard tools/*/*.c)))
 FUZZERS = $(patsubst fuzz/%.c,%,$(sort $(wildcard fuzz/fuzz_*.c)))
 FUZZ_SECONDS = 20
+FUZZ_SEQUENCES = 10000
 TESTS = $(patsubst tests/%.cc,$(B)/tests/%,$(sort $(wildcard tests/test_*.cc)))
 SOURCES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc')
 
@@ -87,6 +88,10 @@
 fuzz:
 	@$(MAKE) --no-print-directory -s FUZZ=1 -j$$(nproc) fuzz-build
 	@sh fuzz/run.sh build/fuzz $(FUZZ_SECONDS) $(FUZZERS)
+	@$(MAKE) --no-print-directory -s SAN=1 -j$$(nproc) \
+		build/san/tests/test_dispatch_state
+	AUB_FUZZ_SEQUENCES=$(FUZZ_SEQUENCES) \
+		build/san/tests/test_dispatch_state
 
 tests: $(TESTS)
 
