Judge a first answer slow only by a settled mean

Change: 64 answers before the mean judges; it starts as a plain average; an unknown upstream with a slow answer stays unknown. Seen: test_dispatch 30 passed, test_dispatch_state 400 sequences passed.

--- a/include/auburnstile/internal/dispatch.h
+++ b/include/auburnstile/internal/dispatch.h
@@ -136,6 +136,7 @@
 	guint probe_turn;
 
 	gint64 mean_us; /* smoothed time of good answers, all upstreams */
+	guint64 answers; /* good ones, that the mean was made of */
 	gint64 slow_us; /* time that hedge_percent of answers pass */
 	struct bucket retries;
 	struct bucket hedges;
--- a/src/state/dispatch_cold.c
+++ b/src/state/dispatch_cold.c
@@ -9,6 +9,7 @@
 #include <auburnstile/internal/dispatch.h>
 
 #define SLOW_FIRST_ANSWER 4 /* times the service's mean */
+#define MEAN_ANSWERS 64 /* before which the mean says little */
 #define IDLE_DOUBT_US (1 * AUB_SECOND)
 
 static guint cold_base(const struct upstream *upstream)
@@ -112,13 +113,11 @@
 void cold_note_answer(struct aub_dispatcher *dispatcher,
 		      struct upstream *upstream, gint64 took_us, gint64 now_us)
 {
-	bool slow = dispatcher->mean_us &&
+	bool slow = dispatcher->answers >= MEAN_ANSWERS &&
 		    took_us > SLOW_FIRST_ANSWER * dispatcher->mean_us;
 
-	if (upstream->state == UPSTREAM_UNKNOWN && slow) {
-		cold_begin(dispatcher, upstream, now_us);
-		return;
-	}
+	if (upstream->state == UPSTREAM_UNKNOWN && slow)
+		return; /* perhaps cold, and doesn't say so */
 	if (upstream->state == UPSTREAM_UNKNOWN)
 		upstream->state = UPSTREAM_WARM;
 	if (upstream->state != UPSTREAM_COLD)
--- a/src/state/dispatch_upstream.c
+++ b/src/state/dispatch_upstream.c
@@ -5,6 +5,7 @@
 #include <auburnstile/internal/dispatch.h>
 
 #define OVERRUN_FACTOR 4 /* times the mean: a running attempt is suspect */
+#define MEAN_OVER 64 /* answers in the service's smoothed mean */
 #define SLOW_HOLD_US (100 * AUB_MS) /* a slow answer counts that long */
 #define OTHER_ZONE_US 1000 /* what another zone costs, as service time */
 #define EJECT_PERMILLE 500 /* failed answers that eject */
@@ -333,10 +334,11 @@
 		return;
 	if (!upstream->mean_us)
 		upstream->mean_us = MAX(took_us, 1);
-	if (!dispatcher->mean_us)
-		dispatcher->mean_us = MAX(took_us, 1);
+	dispatcher->answers++;
 	upstream->mean_us += (took_us - upstream->mean_us) / 16;
-	dispatcher->mean_us += (took_us - dispatcher->mean_us) / 64;
+	dispatcher->mean_us += (took_us - dispatcher->mean_us) /
+			       (gint64)MIN(dispatcher->answers, MEAN_OVER);
+	dispatcher->mean_us = MAX(dispatcher->mean_us, 1);
 }
 
 /* Everything that kept it from work is lifted. */
