--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -127,7 +127,7 @@
 	std::string inventory;
 	std::vector<std::unique_ptr<FakeEntry>> entries;
 
-	void start(guint members, bool with_entries)
+	void start(guint members, bool with_entries, bool proxies = false)
 	{
 		struct fleet_service services[3] = {};
 		const char *names[] = { "calendar", "fees", "news" };
@@ -146,6 +146,7 @@
 		g_free(text);
 		options.inventory = inventory.c_str();
 		options.members = members;
+		options.proxies = proxies;
 		fleet = fleet_new(&options, &error);
 		ASSERT_TRUE(fleet) << error->message;
 		for (guint i = 0; i < members; i++)
@@ -396,6 +397,42 @@
 	EXPECT_TRUE(soon([&] { return all_hold(2); }, 9));
 }
 
+/*
+ * The links of one control to the store go silent: open, but nothing comes
+ * back. It is one of the two that watch. Its entry goes on, because peers are
+ * heard; a change made elsewhere reaches it; one asked of it is refused.
+ */
+TEST_F(Control, SilentLinkToTheStoreCostsOneControlNothingButWrites)
+{
+	start(4, true, true);
+	ASSERT_EQ(apply(1, 0)->status, 200u);
+	fleet_run_ms(2000);
+	std::string port = strrchr(at(0)->store_url, ':') + 1;
+	std::string silence = "{\"port\":" + port + ",\"silence\":\"both\"}";
+	std::string clear = "{\"port\":" + port + ",\"clear\":1,\"cut\":1}";
+
+	ASSERT_TRUE(fleet_proxy_fault(fleet, silence.c_str()));
+	fleet_run_ms(4000);
+	EXPECT_TRUE(entries[0]->serve);
+	auto out = post(1, "/v1/zones/z1/out", "{}");
+	ASSERT_TRUE(soon([&] { return out->done; }, 12));
+	EXPECT_EQ(out->status, 200u) << out->body;
+	EXPECT_NE(out->body.find("\"everywhere\":true"), std::string::npos)
+		<< out->body;
+	auto refused = post(0, "/v1/zones/z1/in", "{}");
+	ASSERT_TRUE(soon([&] { return refused->done; }, 14));
+	EXPECT_GE(refused->status, 500u) << refused->body;
+	ASSERT_TRUE(fleet_proxy_fault(fleet, clear.c_str()));
+	EXPECT_TRUE(soon(
+		[&] {
+			auto in = post(0, "/v1/zones/z1/in", "{}");
+
+			return soon([&] { return in->done; }, 12) &&
+			       in->status == 200;
+		},
+		25));
+}
+
 /* Both that watch the store are killed, then a change comes. */
 TEST_F(Control, WatchersKilledOthersTakeOver)
 {
