Test the command line and the processes' promises for real

Cause: exit codes, conflicts, lost answers, settings at the door, signals, planned stops and the admin listeners were tested in parts only.

--- /dev/null
+++ b/tests/test_ctl.cc
@@ -0,0 +1,289 @@
+/*
+ * auburnstilectl against real controls, entries and the stand-in store: what
+ * an operator reads and which exit code a script gets.
+ */
+#include <gtest/gtest.h>
+
+#include <auburnstile/error.h>
+
+/* In C a function and a struct may share a name, fleet_member() does. */
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
+#include <fleet/fleet.h>
+#pragma GCC diagnostic pop
+#include <fleet/fleet_inventory.h>
+
+#include <glib/gstdio.h>
+#include <sys/wait.h>
+#include <signal.h>
+
+#include <cstring>
+#include <string>
+#include <vector>
+
+#define READY_MS 30000
+
+struct outcome {
+	int code;
+	std::string out;
+	std::string err;
+};
+
+static bool has(const std::string &text, const std::string &part)
+{
+	return text.find(part) != std::string::npos;
+}
+
+class Ctl : public testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		struct fleet_service service = {};
+		struct fleet_options options = {};
+		GError *error = nullptr;
+
+		service.name = "calendar";
+		service.path = "/calendar";
+		service.upstreams = 3;
+		service.once = true;
+		inventory = fleet_inventory_text(&service, 1, 3);
+		options.inventory = inventory;
+		options.members = 3;
+		options.seed = 1;
+		options.mean_us = 2000;
+		fleet = fleet_new(&options, &error);
+		ASSERT_NE(fleet, nullptr) << error->message;
+		ASSERT_TRUE(fleet_start(fleet, &error)) << error->message;
+		file = std::string(fleet->folder) + "/edit.toml";
+	}
+
+	void TearDown() override
+	{
+		g_unlink(file.c_str());
+		fleet_free(fleet, false);
+		g_free(inventory);
+	}
+
+	/* Run it against these addresses, members' controls if none. */
+	outcome ctl(std::vector<std::string> words,
+		    std::vector<std::string> controls = {})
+	{
+		char *program = child_program_path("auburnstilectl");
+		std::vector<std::string> all = { program,
+						 std::string("--token-file=") +
+							 fleet->token_file };
+		outcome result = { -1, "", "" };
+		char *out = nullptr;
+		char *err = nullptr;
+		int status = 0;
+
+		for (guint i = 0; controls.empty() && i < 3; i++)
+			all.push_back(std::string("--control=") +
+				      fleet_member(fleet, i)->control_admin);
+		for (const std::string &control : controls)
+			all.push_back("--control=" + control);
+		all.insert(all.end(), words.begin(), words.end());
+		std::vector<char *> argv;
+
+		for (std::string &word : all)
+			argv.push_back(word.data());
+		argv.push_back(nullptr);
+		if (g_spawn_sync(nullptr, argv.data(), nullptr, G_SPAWN_DEFAULT,
+				 nullptr, nullptr, &out, &err, &status,
+				 nullptr))
+			result = { WEXITSTATUS(status), out, err };
+		g_free(out);
+		g_free(err);
+		g_free(program);
+		return result;
+	}
+
+	/* Controls take changes once they hear each other. */
+	outcome ctl_accepted(std::vector<std::string> words)
+	{
+		outcome result = { -1, "", "" };
+
+		for (int i = 0; i < 100; i++) {
+			result = ctl(words);
+			if (result.code == 0)
+				break;
+			g_usleep(200000);
+		}
+		return result;
+	}
+
+	void write_file(const std::string &text)
+	{
+		ASSERT_TRUE(g_file_set_contents(file.c_str(), text.c_str(), -1,
+						nullptr));
+	}
+
+	void apply_first()
+	{
+		write_file(inventory);
+		outcome result = ctl_accepted({ "apply", file });
+
+		ASSERT_EQ(result.code, 0) << result.out << result.err;
+		EXPECT_TRUE(has(result.out, "accepted: version "));
+	}
+
+	static std::string edited(const std::string &text,
+				  const std::string &from,
+				  const std::string &to)
+	{
+		std::string result = text;
+		size_t at = result.find(from);
+
+		EXPECT_NE(at, std::string::npos) << text;
+		return result.replace(at, from.size(), to);
+	}
+
+	struct fleet *fleet = nullptr;
+	char *inventory = nullptr;
+	std::string file;
+};
+
+TEST_F(Ctl, AppliesShowsAndRefusesWithLines)
+{
+	apply_first();
+	outcome shown = ctl({ "show" });
+
+	EXPECT_EQ(shown.code, 0);
+	EXPECT_EQ(shown.out.substr(0, 10), "version = ");
+	EXPECT_TRUE(has(shown.out, inventory));
+	write_file(shown.out);
+	EXPECT_EQ(ctl({ "diff", file }).code, 0);
+	write_file(edited(shown.out, "\"/calendar\"", "\"calendar\""));
+	outcome broken = ctl({ "apply", file });
+
+	EXPECT_EQ(broken.code, 1);
+	EXPECT_TRUE(has(broken.err, "(rule path)")) << broken.err;
+	EXPECT_TRUE(has(broken.err, file + ":")) << broken.err;
+	EXPECT_EQ(ctl({ "zone", "out", "nowhere" }).code, 1);
+	EXPECT_EQ(ctl({ "zone", "away", "z1" }).code, 2);
+	EXPECT_EQ(ctl({ "explain", "xyz" }).code, 2);
+	EXPECT_EQ(ctl({ "explain", "1" }).code, 1);
+	EXPECT_EQ(ctl({ "status" }, { "127.0.0.1:1" }).code, 5);
+}
+
+/*
+ * Two operators begin from one version. The first takes a zone out, the
+ * second applies an older file, in which the zone is in. Written over the
+ * first, it would send requests into the zone. It has to see both edits.
+ */
+TEST_F(Ctl, ASecondOperatorsOlderEditIsAConflict)
+{
+	apply_first();
+	std::string old = ctl({ "show" }).out;
+	outcome out = ctl({ "zone", "out", "z1" });
+
+	EXPECT_EQ(out.code, 0) << out.out << out.err;
+	write_file(edited(old, "queue_limit = 200", "queue_limit = 4321"));
+	outcome conflict = ctl({ "apply", file });
+
+	EXPECT_EQ(conflict.code, 3) << conflict.out << conflict.err;
+	EXPECT_TRUE(has(conflict.out, "zone z1: state in -> out"))
+		<< conflict.out;
+	EXPECT_TRUE(has(conflict.out, "-> 4321")) << conflict.out;
+	write_file(edited(ctl({ "show" }).out, "queue_limit = 200",
+			  "queue_limit = 4321"));
+	EXPECT_EQ(ctl({ "diff", file }).code, 7);
+	EXPECT_EQ(ctl({ "apply", file }).code, 0);
+	EXPECT_EQ(ctl({ "zone", "in", "z1" }).code, 0);
+}
+
+/*
+ * The connection to a control is cut when its answer comes. The operator
+ * can't see whether the change happened, repeats it, and is told of a
+ * conflict with the own edit. The command asks the next control under the
+ * same id and learns that the change was accepted.
+ */
+TEST_F(Ctl, ALostAnswerIsFoundOutAtTheNextControl)
+{
+	std::string port = std::to_string(child_free_port());
+	std::string listen = "127.0.0.1:" + port;
+	std::string route = "--route=" + listen + "=" +
+			    fleet_member(fleet, 0)->control_admin;
+	const char *arguments[] = { route.c_str(), nullptr };
+	std::string second = fleet_member(fleet, 1)->control_admin;
+	GError *error = nullptr;
+	guint status = 0;
+
+	apply_first();
+	struct child *proxy =
+		child_start("fault-proxy", arguments, true, nullptr, &error);
+	ASSERT_NE(proxy, nullptr) << error->message;
+	std::string fault = "http://" + std::string(proxy->address) + "/fault";
+
+	g_free(child_http("POST", fault.c_str(), nullptr,
+			  "{\"truncate_down\":0}", 5000, &status, nullptr));
+	ASSERT_EQ(status, 200u);
+	write_file(edited(ctl({ "show" }).out, "queue_limit = 200",
+			  "queue_limit = 4321"));
+	outcome applied = ctl({ "apply", file }, { listen, second });
+
+	EXPECT_EQ(applied.code, 0) << applied.out << applied.err;
+	EXPECT_TRUE(has(ctl({ "show" }).out, "queue_limit = 4321"));
+	outcome unknown = ctl({ "zone", "out", "z2" }, { listen });
+
+	EXPECT_EQ(unknown.code, 6) << unknown.out << unknown.err;
+	EXPECT_TRUE(has(unknown.err, "before you repeat it"));
+	child_free(proxy);
+}
+
+/*
+ * A member's processes are stopped dead; its entry doesn't get the change.
+ * The operator must not read "in force everywhere" while it may still be
+ * serving: it is named, as behind (exit 4) or, once it has not been heard for
+ * so long that its permission to serve has run out, as dead.
+ */
+TEST_F(Ctl, AMemberThatIsBehindIsNamed)
+{
+	apply_first();
+	fleet_signal(fleet_member(fleet, 2), FLEET_BOTH, SIGSTOP);
+	outcome out = ctl({ "zone", "out", "z1" },
+			  { fleet_member(fleet, 0)->control_admin });
+
+	EXPECT_TRUE(out.code == 4 || out.code == 0) << out.out << out.err;
+	EXPECT_TRUE(
+		has(out.out, std::string(fleet_member(fleet, 2)->name) + ": "))
+		<< out.out;
+	fleet_signal(fleet_member(fleet, 2), FLEET_BOTH, SIGCONT);
+}
+
+TEST_F(Ctl, TellsTheStoryOfARequest)
+{
+	const char *address = fleet_member(fleet, 0)->callers;
+	std::string url = std::string("http://") + address + "/calendar/x";
+	GError *error = nullptr;
+	guint status = 0;
+
+	apply_first();
+	ASSERT_TRUE(fleet_wait_ready(fleet, READY_MS, &error))
+		<< error->message;
+	for (int i = 0; i < 50 && status != 200; i++) {
+		g_free(child_http("GET", url.c_str(), nullptr, nullptr, 5000,
+				  &status, nullptr));
+		g_usleep(100000);
+	}
+	ASSERT_EQ(status, 200u);
+	outcome line = ctl({ "timeline" });
+
+	EXPECT_EQ(line.code, 0) << line.err;
+	size_t at = line.out.rfind("finished");
+	ASSERT_NE(at, std::string::npos) << line.out;
+	std::string id = line.out.substr(
+		line.out.find_first_of("0123456789abcdef", at + 12), 16);
+	outcome story = ctl({ "explain", id });
+
+	EXPECT_EQ(story.code, 0) << story.err;
+	EXPECT_TRUE(has(story.out, "goes to upstream calendar-")) << story.out;
+	EXPECT_TRUE(has(story.out, "outcome: run.")) << story.out;
+	outcome picture = ctl({ "timeline", "-f", "svg" });
+
+	EXPECT_TRUE(has(picture.out, "</svg>"));
+	outcome json = ctl({ "timeline", "--json", "--request", id });
+
+	EXPECT_TRUE(has(json.out, "\"type\":\"dispatched\"")) << json.out;
+}
