Give each caller of the load a session of its own

Cause: after a fault a thousand requests wait in one libsoup session, which looks through all of them at every event: 11 s of processor time in a proof of 16 s, and half of its requests went unanswered by the load's own fault.

Change: one session a caller; requests that end unanswered leave a sample of what happened to them.

--- a/tools/load/load.c
+++ b/tools/load/load.c
@@ -6,6 +6,8 @@
 #include <math.h>
 #include <stdlib.h>
 
+#define CONNECTIONS 128 /* of one caller to one entry at most */
+
 static const char *const told_names[LOAD_TOLD_COUNT] = {
 	[LOAD_OPEN] = "open",	    [LOAD_RUN] = "run",
 	[LOAD_NOT_RUN] = "not-run", [LOAD_UNKNOWN] = "unknown",
@@ -22,6 +24,11 @@
 	return load->requests;
 }
 
+const GPtrArray *load_samples(const struct load *load)
+{
+	return load->samples;
+}
+
 static void free_caller(void *data)
 {
 	struct load_caller *caller = data;
@@ -29,6 +36,7 @@
 
 	for (i = 0; i < caller->load->options.service_count; i++)
 		load_lookup_clear(&caller->lookups[i]);
+	g_object_unref(caller->session);
 	g_free(caller->lookups);
 	g_free(caller);
 }
@@ -36,10 +44,15 @@
 static struct load_caller *make_caller(struct load *load, guint number)
 {
 	struct load_caller *caller = g_new0(struct load_caller, 1);
+	guint connections = load->options.connections;
 	guint count = load->options.service_count;
 	guint i;
 
 	caller->load = load;
+	caller->session = soup_session_new_with_options(
+		"max-conns", 4096, "max-conns-per-host",
+		connections ? connections : CONNECTIONS, "idle-timeout", 60,
+		"timeout", 0, NULL);
 	caller->lookups = g_new0(struct load_lookup, count);
 	for (i = 0; i < count; i++)
 		load_lookup_init(&caller->lookups[i], caller,
@@ -50,17 +63,11 @@
 struct load *load_new(const struct load_options *options)
 {
 	struct load *load = g_new0(struct load, 1);
-	guint connections = options->connections ? options->connections : 64;
 	guint i;
 
 	load->options = *options;
 	load->options.callers = MAX(options->callers, 1);
 	load->timers = aub_timer_service_new(NULL);
-	load->session =
-		soup_session_new_with_options("max-conns", 4096,
-					      "max-conns-per-host", connections,
-					      "idle-timeout", 60, "timeout", 0,
-					      NULL);
 	load->random = g_rand_new_with_seed(options->seed);
 	load->requests = g_ptr_array_new_with_free_func(load_request_free);
 	load->callers = g_ptr_array_new_with_free_func(free_caller);
@@ -74,12 +81,18 @@
 	return load;
 }
 
+static void abort_caller(struct load_caller *caller)
+{
+	soup_session_abort(caller->session);
+}
+
 void load_free(struct load *load)
 {
 	guint i;
 
 	aub_timer_cancel(load->timers, load->arrival);
-	soup_session_abort(load->session);
+	for (i = 0; i < load->callers->len; i++)
+		abort_caller(load->callers->pdata[i]);
 	/* Cancelled calls end in the main loop and look at their owners. */
 	for (i = 0; i < 1000 && g_main_context_iteration(NULL, FALSE); i++)
 		;
@@ -87,7 +100,6 @@
 	g_ptr_array_unref(load->callers);
 	g_ptr_array_unref(load->samples);
 	g_hash_table_unref(load->reasons);
-	g_object_unref(load->session);
 	g_rand_free(load->random);
 	aub_timer_service_free(load->timers);
 	g_free(load);
--- a/tools/load/load.h
+++ b/tools/load/load.h
@@ -31,7 +31,7 @@
 	double rate; /* arrivals a second */
 	guint requests; /* how many; 0: as many as `seconds` gives */
 	double seconds;
-	guint connections; /* to one entry at most */
+	guint connections; /* of a caller to one entry at most */
 	guint callers; /* that keep addresses of their own */
 	guint deadline_ms; /* of a request, repeats included */
 	guint try_ms; /* of one try; 0: the deadline */
@@ -122,6 +122,9 @@
 /* "REASON COUNT, ..." of what was not "run", tries included; g_free(). */
 char *load_reasons_text(const struct load *load);
 
+/* What was wrong or unanswered, of char *, the first few; borrowed. */
+const GPtrArray *load_samples(const struct load *load);
+
 /* All requests so far, of struct load_request; borrowed. */
 const GPtrArray *load_requests(const struct load *load);
 
--- a/tools/load/load_internal.h
+++ b/tools/load/load_internal.h
@@ -9,7 +9,6 @@
 struct load {
 	struct load_options options;
 	struct aub_timer_service *timers;
-	SoupSession *session;
 	GRand *random;
 	GPtrArray *requests; /* of struct load_request, owned */
 	GPtrArray *callers; /* of struct load_caller, owned */
@@ -38,8 +37,13 @@
 	GCancellable *cancellable;
 };
 
+/*
+ * Each has a session of its own: a session looks through all its requests at
+ * every event, and one for all callers would spend the machine on that.
+ */
 struct load_caller {
 	struct load *load;
+	SoupSession *session;
 	struct load_lookup *lookups; /* one a service */
 };
 
--- a/tools/load/lookup.c
+++ b/tools/load/lookup.c
@@ -185,7 +185,7 @@
 		aub_timer_at(load->timers, "ask timeout",
 			     g_get_monotonic_time() + ASK_TIMEOUT_US,
 			     on_ask_timeout, lookup);
-	soup_session_send_and_read_async(load->session, ask->message,
+	soup_session_send_and_read_async(lookup->caller->session, ask->message,
 					 G_PRIORITY_DEFAULT, ask->cancellable,
 					 on_answered, ask);
 	g_free(url);
--- a/tools/load/request.c
+++ b/tools/load/request.c
@@ -83,17 +83,32 @@
 	request->load->open--;
 }
 
-static void finish_wrong(struct load_request *request, const char *why)
+static void add_sample(struct load_request *request, const char *why)
 {
 	GPtrArray *samples = request->load->samples;
 
 	if (samples->len < SAMPLE_LIMIT)
-		g_ptr_array_add(samples, g_strdup_printf("%s: %s (status %u)",
-							 request->nonce, why,
-							 request->status));
+		g_ptr_array_add(
+			samples,
+			g_strdup_printf("%s: %s (status %u, %u tries, %u "
+					"lost, last through %s)",
+					request->nonce, why, request->status,
+					request->tries, request->refusals,
+					request->entry ? request->entry : "-"));
+}
+
+static void finish_wrong(struct load_request *request, const char *why)
+{
+	add_sample(request, why);
 	finish(request, LOAD_WRONG);
 }
 
+static void finish_error(struct load_request *request, const char *why)
+{
+	add_sample(request, why);
+	finish(request, LOAD_ERROR);
+}
+
 static void on_again(void *context, gint64 now_us)
 {
 	struct load_request *request = context;
@@ -217,7 +232,7 @@
 		g_clear_pointer(&request->key, g_free);
 	if (again(request, LOST_AGAIN_US))
 		return;
-	finish(request, LOAD_ERROR);
+	finish_error(request, error->message);
 }
 
 static void count_reason(struct load_request *request, const char *outcome)
@@ -363,7 +378,7 @@
 	struct try *try;
 
 	if (left_us < AUB_MS) {
-		finish(request, LOAD_ERROR);
+		finish_error(request, "no time left");
 		return;
 	}
 	if (request->service->keyed && !request->key)
@@ -383,8 +398,8 @@
 	request->timer = aub_timer_at(load->timers, "try timeout",
 				      now_us + try_time_us(request, left_us),
 				      on_try_timeout, request);
-	soup_session_send_and_read_async(load->session, request->message,
-					 G_PRIORITY_DEFAULT,
+	soup_session_send_and_read_async(request->caller->session,
+					 request->message, G_PRIORITY_DEFAULT,
 					 request->cancellable, on_try_done,
 					 try);
 }
@@ -394,7 +409,7 @@
 	struct load_request *request = context;
 
 	request->timer = 0;
-	finish(request, LOAD_ERROR);
+	finish_error(request, "addresses never known");
 }
 
 void load_request_start(struct load_request *request)
--- a/tools/proofs/proof.c
+++ b/tools/proofs/proof.c
@@ -156,6 +156,15 @@
 	return owner;
 }
 
+static void print_samples(const struct proof_run *run)
+{
+	const GPtrArray *samples = load_samples(run->load);
+	guint i;
+
+	for (i = 0; i < samples->len; i++)
+		printf("  %s\n", (const char *)samples->pdata[i]);
+}
+
 static void run_one(const struct proof *proof, guint32 seed, bool keep_logs,
 		    guint *passed, guint *failed)
 {
@@ -176,6 +185,8 @@
 	printf("promise %s fault %s seed %u: %s (%s%s%s)\n", proof->promise,
 	       proof->fault, seed, holds ? "holds" : "broken", run.figures->str,
 	       holds ? "" : ": ", run.broken->str);
+	if (run.load && (!holds || keep_logs))
+		print_samples(&run);
 	if (!holds && run.fleet && keep_logs)
 		printf("  logs: %s\n", run.fleet->folder);
 	fflush(stdout);
