Say why a stand-in did not come up

Cause: with its ports taken, the demonstration said only "no line".

Change: the error carries what the program wrote to its log.

Seen: "Error binding to address 127.0.0.1:20001: Address already in use".

--- a/tools/common/child.c
+++ b/tools/common/child.c
@@ -98,17 +98,30 @@
 	}
 }
 
-static bool wait_listening(struct child *child, int output, GError **error)
+/* What it wrote to its log, for the error's text; owned by the caller. */
+static char *log_text(const char *log)
+{
+	char *text = NULL;
+
+	if (log && g_file_get_contents(log, &text, NULL, NULL))
+		g_strchomp(text);
+	return text;
+}
+
+static bool wait_listening(struct child *child, int output, const char *log,
+			   GError **error)
 {
 	char *line = read_line(output, LISTENING_MS);
 	bool ok = line && g_str_has_prefix(line, "listening ");
+	char *said = ok ? NULL : log_text(log);
 
 	if (ok)
 		child->address = g_strdup(line + strlen("listening "));
 	else
 		aub_error_set(error, AUB_ERROR_UNAVAILABLE, "start program",
 			      child->name, "did not come up: %s",
-			      line ? line : "no line");
+			      said && *said ? said : "it says nothing");
+	g_free(said);
 	g_free(line);
 	return ok;
 }
@@ -136,7 +149,7 @@
 	if (ok)
 		remember(child->pid, 0);
 	if (ok && listening)
-		ok = wait_listening(child, output, error);
+		ok = wait_listening(child, output, log, error);
 	if (output >= 0)
 		close(output);
 	g_ptr_array_unref(command);
