--- a/tools/slopes.c
+++ b/tools/slopes.c
@@ -48,6 +48,7 @@
 	FILE *out;
 	GArray *rows; /* of struct row */
 	guint window_ms;
+	bool entry_only;
 	guint64 changes; /* made so far, for which way a zone goes */
 };
 
@@ -407,6 +408,7 @@
 		    changes[i]);
 	restarts(run, 40);
 	fits(run);
+	slopes_calls(stdout);
 }
 
 static error_t parse_option(int key, char *argument, struct argp_state *state)
@@ -417,6 +419,9 @@
 	case 'w':
 		run->window_ms = (guint)atoi(argument);
 		return 0;
+	case 'e':
+		run->entry_only = true;
+		return 0;
 	case 'n':
 		run->row.nodes = (guint)atoi(argument);
 		return 0;
@@ -427,6 +432,7 @@
 
 static const struct argp_option options[] = {
 	{ "window-ms", 'w', "MS", 0, "measure each size for so long", 0 },
+	{ "entry", 'e', NULL, 0, "only the entry's cost", 0 },
 	{ "nodes", 'n', "N", 0, "only this many nodes, at full size", 0 },
 	{ NULL }
 };
@@ -444,6 +450,8 @@
 	argp_parse(&argp, argc, argv, 0, NULL, &run);
 	nodes = run.row.nodes;
 	child_guard();
+	if (run.entry_only)
+		return slopes_calls(stdout) ? 0 : 1;
 	run.out = fopen("build/slopes.tsv", "w");
 	if (!run.out) {
 		perror("build/slopes.tsv");
--- a/tools/slopes/slopes.h
+++ b/tools/slopes/slopes.h
@@ -8,6 +8,7 @@
 
 #include <auburnstile/link.h>
 #include <stdbool.h>
+#include <stdio.h>
 
 G_BEGIN_DECLS
 
@@ -56,6 +57,9 @@
 	double residual;
 };
 
+/* The entry's cost over calls, keys and connections, as lines of text. */
+bool slopes_calls(FILE *out);
+
 struct slopes_line slopes_fit(const double *x, const double *y, guint count);
 
 G_END_DECLS
