Hand a stopping entry's keys to one heir only

Cause: when the heir's acknowledgement of the last part was lost, the stopping entry chose another heir and sent it the keys too. Both then took the old incarnation's keys for theirs: a request could begin at one and its repeat at the other, and run twice. Found by reading the hand-over.

Ruled out: waiting longer (the acknowledgement may never come), and letting each entry ask the view who the heir is (the view lags).

Change: whoever was sent the last part stays the heir. If it has the keys it is the only one that has them all; if not, it answers "unknown".

Before: the new test saw two entries take the keys (2 parts for 1).

--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -339,7 +339,15 @@
 		return;
 	if (state != AUB_PEER_DOWN && now_us - keeper->since_us < HEIR_WAIT_US)
 		return;
-	if (!choose_heir(keeper))
+	/*
+	 * Failure: the first heir took all keys but its word is lost, a second
+	 * one gets them too, and each runs what the other was first asked.
+	 * Whoever was sent the last part stays the heir: if it has the keys,
+	 * it is the only one, and if not, the answer is "unknown".
+	 */
+	if (keeper->last)
+		end_hand_over(keeper, keeper->heir);
+	else if (!choose_heir(keeper))
 		end_hand_over(keeper, 0);
 }
 
