--- a/src/coordination/entry_view.c
+++ b/src/coordination/entry_view.c
@@ -172,6 +172,8 @@
 	    message->epoch == view->epoch)
 		view->serve_until_us = MAX(view->serve_until_us,
 					   permitted_until(view, message));
+	if (!view->serve_until_us)
+		return;
 	view->lapse = aub_timer_at(view->options.timers, "permission",
 				   view->serve_until_us + 1, on_lapse, view);
 }
--- a/tests/peer.h
+++ b/tests/peer.h
@@ -54,6 +54,16 @@
 			drop(line);
 	}
 
+	/* Write late, on the newest connection. */
+	void write(const std::string &bytes)
+	{
+		GSocket *socket = g_socket_connection_get_socket(
+			lines.back()->connection);
+
+		g_socket_send(socket, bytes.data(), bytes.size(), nullptr,
+			      nullptr);
+	}
+
 	guint16 port;
 
       private:
--- a/tests/test_caller_server.cc
+++ b/tests/test_caller_server.cc
@@ -7,7 +7,7 @@
 #include <auburnstile/internal/caller_server.h>
 #include <auburnstile/internal/headers.h>
 
-#include <gio/gio.h>
+#include "caller.h"
 
 #include <functional>
 #include <string>
@@ -24,66 +24,6 @@
 	return "leak:soup_headers_parse_request";
 }
 
-/* A caller's end of a connection, raw. */
-class Caller
-{
-      public:
-	explicit Caller(guint port)
-	{
-		GSocketClient *client = g_socket_client_new();
-		connection =
-			g_socket_client_connect_to_host(client, "127.0.0.1",
-							port, nullptr, nullptr);
-		g_object_unref(client);
-		socket = g_socket_connection_get_socket(connection);
-		g_socket_set_blocking(socket, FALSE);
-	}
-
-	~Caller()
-	{
-		g_object_unref(connection);
-	}
-
-	void send(const std::string &bytes)
-	{
-		g_socket_send(socket, bytes.data(), bytes.size(), nullptr,
-			      nullptr);
-	}
-
-	/* True once the other end closed; gathers what came before. */
-	bool ended()
-	{
-		char bytes[4096];
-		gssize count;
-
-		while ((count = g_socket_receive(socket, bytes, sizeof(bytes),
-						 nullptr, nullptr)) > 0)
-			input.append(bytes, count);
-		return !count;
-	}
-
-	/* Runs the main loop until a whole answer or the end is there. */
-	std::string answer()
-	{
-		gint64 end = g_get_monotonic_time() + 5000000;
-
-		input.clear();
-		while (g_get_monotonic_time() < end) {
-			if (ended() ||
-			    input.find("\r\n\r\n") != std::string::npos)
-				break;
-			g_main_context_iteration(nullptr, FALSE);
-		}
-		return input;
-	}
-
-	std::string input;
-
-      private:
-	GSocketConnection *connection;
-	GSocket *socket;
-};
-
 class CallerServer : public testing::Test
 {
       protected:
