Take what edits do to a configuration out of their writing

Cause: control_apply.c had grown to 560 lines of two jobs. Change: control_edit.c holds the edits as plain functions; no behaviour changes. Seen: test_control's racing, stale and lost answer cases pass.

--- a/src/coordination/control_apply.c
+++ b/src/coordination/control_apply.c
@@ -7,6 +7,7 @@
  */
 #include <auburnstile/error.h>
 #include <auburnstile/internal/control.h>
+#include <auburnstile/internal/control_edit.h>
 #include <auburnstile/internal/control_json.h>
 #include <auburnstile/internal/json.h>
 
@@ -17,19 +18,10 @@
 #define TRIES 5 /* of a change that is rebased by itself */
 #define STEP "apply change"
 
-/* What /v1/KIND/NAME/WORD does to the configuration. */
-struct edit {
-	const char *kind;
-	const char *word;
-	bool add; /* to the list, else off it */
-	size_t list; /* offset of it in struct aub_config */
-	bool (*exists)(const struct aub_inventory *inventory, const char *name);
-};
-
 struct apply {
 	struct aubi_applies *owner;
 	struct aub_admin_request *request;
-	const struct edit *edit; /* NULL: a whole inventory */
+	const struct aubi_edit *edit; /* NULL: a whole inventory */
 	char *name; /* of what is edited */
 	char *text; /* of the inventory */
 	char *author;
@@ -48,57 +40,6 @@
 	GPtrArray *open; /* of struct apply */
 };
 
-static bool zone_exists(const struct aub_inventory *inventory, const char *name)
-{
-	return aub_inventory_zone(inventory, name) != AUB_NO_HANDLE;
-}
-
-static bool vm_exists(const struct aub_inventory *inventory, const char *name)
-{
-	guint i;
-
-	for (i = 0; i < inventory->vms->len; i++) {
-		if (!strcmp(aub_vm_at(inventory, i)->name, name))
-			return true;
-	}
-	return false;
-}
-
-static bool upstream_exists(const struct aub_inventory *inventory,
-			    const char *name)
-{
-	return aub_inventory_upstream(inventory, name) != AUB_NO_HANDLE;
-}
-
-#define LIST(member) offsetof(struct aub_config, member)
-
-static const struct edit edits[] = {
-	{ "zones", "out", true, LIST(zones_out), zone_exists },
-	{ "zones", "in", false, LIST(zones_out), zone_exists },
-	{ "vms", "leave", true, LIST(vms_leaving), vm_exists },
-	{ "vms", "return", false, LIST(vms_leaving), vm_exists },
-	{ "upstreams", "leave", true, LIST(upstreams_leaving),
-	  upstream_exists },
-	{ "upstreams", "return", false, LIST(upstreams_leaving),
-	  upstream_exists },
-};
-
-static GPtrArray *list_of(const struct aub_config *config, size_t offset)
-{
-	return *(GPtrArray *const *)((const char *)config + offset);
-}
-
-static int list_index(const GPtrArray *list, const char *name)
-{
-	guint i;
-
-	for (i = 0; i < list->len; i++) {
-		if (!strcmp(list->pdata[i], name))
-			return (int)i;
-	}
-	return -1;
-}
-
 static void apply_free(void *data)
 {
 	struct apply *apply = data;
@@ -177,60 +118,6 @@
 	apply_end(apply);
 }
 
-static void prune(GPtrArray *list, const struct aub_inventory *inventory,
-		  bool (*exists)(const struct aub_inventory *inventory,
-				 const char *name))
-{
-	guint i;
-
-	for (i = list->len; i > 0; i--) {
-		if (!exists(inventory, list->pdata[i - 1]))
-			g_ptr_array_remove_index(list, i - 1);
-	}
-}
-
-/* The configuration with a new inventory; what it lacks is off the lists. */
-static bool edit_inventory(struct apply *apply, struct aub_config *config,
-			   GError **error)
-{
-	struct aub_inventory *inventory;
-
-	inventory = aub_inventory_parse(apply->text, strlen(apply->text),
-					"inventory", error);
-	if (!inventory)
-		return false;
-	aub_string_set(&config->text, apply->text);
-	prune(config->zones_out, inventory, zone_exists);
-	prune(config->vms_leaving, inventory, vm_exists);
-	prune(config->upstreams_leaving, inventory, upstream_exists);
-	aub_inventory_unref(inventory);
-	return true;
-}
-
-/* False with no error: it is so already. */
-static bool edit_list(struct apply *apply, struct aub_config *config,
-		      GError **error)
-{
-	const struct aub_inventory *inventory =
-		apply->owner->control->inventory;
-	GPtrArray *list = list_of(config, apply->edit->list);
-	int index = list_index(list, apply->name);
-
-	if (!inventory ||
-	    (index < 0 && !apply->edit->exists(inventory, apply->name))) {
-		aub_error_set(error, AUB_ERROR_NOT_FOUND, STEP, apply->name,
-			      "not in the inventory's %s", apply->edit->kind);
-		return false;
-	}
-	if (apply->edit->add == (index >= 0))
-		return false;
-	if (apply->edit->add)
-		g_ptr_array_add(list, g_strdup(apply->name));
-	else
-		g_ptr_array_remove_index(list, (guint)index);
-	return true;
-}
-
 static void apply_read(struct apply *apply);
 
 /*
@@ -290,10 +177,10 @@
 }
 
 /*
- * Accepted on the side of a partition that is no majority, a change would
- * not reach entries that go on serving. They would send requests to a zone
- * that operators believe empty. Hearing a majority is enough: whoever then
- * hears none of it hears less than half, and has stopped.
+ * Written on the side of a partition that is no majority, a change would not
+ * reach entries that go on serving. They would send requests to a zone that
+ * operators believe empty. So nothing is written unless a majority is heard;
+ * is_accepted() sees to a cut that comes just then.
  */
 static bool may_accept(struct apply *apply)
 {
@@ -313,8 +200,10 @@
 	bool edited;
 
 	config = held ? aub_config_copy(held) : aub_config_new();
-	edited = apply->edit ? edit_list(apply, config, &error) :
-			       edit_inventory(apply, config, &error);
+	edited = apply->edit ?
+			 aubi_edit_list(apply->edit, apply->name,
+					control->inventory, config, &error) :
+			 aubi_edit_inventory(config, apply->text, &error);
 	if (error) {
 		apply_fail(apply, error);
 		g_error_free(error);
@@ -493,27 +382,6 @@
 	json_object_unref(body);
 }
 
-/* "/v1/KIND/NAME/WORD": finds the edit, and the name (owned by caller). */
-static const struct edit *edit_of(const char *path, char **name)
-{
-	char **parts = g_strsplit(path, "/", -1);
-	const struct edit *edit = NULL;
-	gsize i;
-
-	if (g_strv_length(parts) != 5)
-		goto out;
-	for (i = 0; i < G_N_ELEMENTS(edits); i++) {
-		if (!strcmp(edits[i].kind, parts[2]) &&
-		    !strcmp(edits[i].word, parts[4]))
-			edit = &edits[i];
-	}
-	if (edit)
-		*name = g_strdup(parts[3]);
-out:
-	g_strfreev(parts);
-	return edit;
-}
-
 static void on_edit(struct aub_admin_request *request, void *context)
 {
 	JsonObject *body = body_of(request);
@@ -522,7 +390,7 @@
 	if (!body)
 		return;
 	apply = apply_new(context, request, body);
-	apply->edit = edit_of(aub_admin_path(request), &apply->name);
+	apply->edit = aubi_edit_of(aub_admin_path(request), &apply->name);
 	if (!apply->edit)
 		apply_refuse(apply, AUB_ERROR_NOT_FOUND, "no such command");
 	else if (!change_is_good(apply))
