Take no answer that is longer than announced

Cause: an upstream sent more bytes than its Content-Length; the caller got the first part as a whole answer.

Change: bytes behind the announced end, as far as they were read, make the answer lost and end the connection.

Limit: bytes that arrive later, in a packet of their own, are seen only before the connection is used again.

--- a/src/transport/upstream_client.c
+++ b/src/transport/upstream_client.c
@@ -257,6 +257,37 @@
 	       (goffset)attempt->body->len;
 }
 
+/*
+ * Failure: an upstream announces fewer bytes than it sends; half a page
+ * reaches the caller as a whole one, and what is left over is taken for the
+ * next answer. Bytes after the announced end put the framing in doubt, so
+ * the answer is lost and the connection ends. Bytes that come later still
+ * are seen by libsoup before it uses the connection again.
+ */
+static bool has_surplus(struct aub_attempt *attempt)
+{
+	guint64 id = soup_message_get_connection_id(attempt->message);
+	GInputStream *stream = attempt->stream;
+	GInputStream *base = stream;
+	GSocket *socket;
+	char byte;
+
+	/* The lowest stream above the socket holds what was read too far. */
+	while (G_IS_FILTER_INPUT_STREAM(base)) {
+		stream = base;
+		base = g_filter_input_stream_get_base_stream(
+			G_FILTER_INPUT_STREAM(base));
+	}
+	if (!G_IS_POLLABLE_INPUT_STREAM(stream) ||
+	    g_pollable_input_stream_read_nonblocking(
+		    G_POLLABLE_INPUT_STREAM(stream), &byte, 1, NULL, NULL) <= 0)
+		return false;
+	socket = g_hash_table_lookup(attempt->client->sockets, &id);
+	if (socket)
+		g_socket_shutdown(socket, TRUE, TRUE, NULL);
+	return true;
+}
+
 /* Answers to HEAD, 204 and 304 have none, whatever their length says. */
 static bool has_body(const struct aub_attempt *attempt)
 {
@@ -275,11 +306,13 @@
 	headers = soup_message_get_response_headers(attempt->message);
 	whole = has_body(attempt) ? is_whole(attempt) :
 				    aub_headers_framing_clear(headers);
+	whole = whole && !has_surplus(attempt);
 	g_input_stream_close(attempt->stream, NULL, NULL);
 	if (attempt->cancelled || attempt->timed_out)
 		fail_with(attempt, AUB_ERROR_TIMEOUT, "given up");
 	else if (!whole)
-		fail_with(attempt, AUB_ERROR_CLOSED, "answer cut off");
+		fail_with(attempt, AUB_ERROR_CLOSED,
+			  "answer cut off, or more than announced");
 	else
 		finish(attempt,
 		       aub_signs_shed(attempt->message) ? AUB_ATTEMPT_SHED :
--- a/tools/demo.c
+++ b/tools/demo.c
@@ -41,7 +41,7 @@
 	struct load *load;
 	gint64 start_us; /* of the load */
 	gint64 out_us; /* when the command was given */
-	gint64 zone_out_last_new_ms;
+	gint64 last_new_us; /* of the zone, since the command; < 0: before */
 	guint64 zone_before_return; /* requests the zone's upstreams got */
 	guint64 zone_after_return;
 };
@@ -214,7 +214,7 @@
 	ok = zone_command(demo, "out");
 	run_until(demo, ZONE_IN_MS, "one zone out");
 	demo->zone_before_return = zone_requests(demo, &last_us);
-	demo->zone_out_last_new_ms = MAX(last_us - demo->out_us, 0) / 1000;
+	demo->last_new_us = last_us - demo->out_us;
 	ok = ok && zone_command(demo, "in");
 	run_until(demo, END_MS, "zone back");
 	while (!load_done(demo->load))
@@ -262,10 +262,10 @@
 	if (*reasons)
 		printf("  tries told otherwise than run: %s\n", reasons);
 	g_free(reasons);
-	printf("  zone %s: last new request %" G_GINT64_FORMAT
+	printf("  zone %s: last new request %.1f"
 	       " ms after the command to take it out, %" G_GUINT64_FORMAT
 	       " requests after its return\n\n",
-	       demo->zone, demo->zone_out_last_new_ms, demo->zone_after_return);
+	       demo->zone, demo->last_new_us / 1000.0, demo->zone_after_return);
 }
 
 static bool report(struct demo *demo)
@@ -287,10 +287,10 @@
 	       figures.told[LOAD_WRONG], verdict.twice,
 	       figures.told[LOAD_NOT_RUN],
 	       figures.told[LOAD_UNKNOWN] + figures.told[LOAD_ERROR],
-	       demo->zone_out_last_new_ms);
+	       MAX(demo->last_new_us, 0) / 1000);
 	return !figures.told[LOAD_WRONG] && !verdict.twice &&
 	       figures.told[LOAD_RUN] &&
-	       demo->zone_out_last_new_ms <= LAST_NEW_LIMIT_MS &&
+	       demo->last_new_us <= LAST_NEW_LIMIT_MS * AUB_MS &&
 	       demo->zone_after_return > 0;
 }
 
