--- a/programs/auburnstilectl.c
+++ b/programs/auburnstilectl.c
@@ -6,6 +6,7 @@
 #include "ctl/ctl.h"
 
 #include <argp.h>
+#include <stdio.h>
 #include <string.h>
 
 const char *argp_program_version = "auburnstilectl 0.1";
@@ -57,7 +58,9 @@
 	  1 },
 	{ "token-file", 't', "FILE", 0, "File with the operators' token", 1 },
 	{ "timeout", OPTION_TIMEOUT, "MS", 0,
-	  "Longest wait for an answer (5000)", 1 },
+	  "Longest wait for an answer (5000; for a change 20000: a control "
+	  "waits up to 9 s until it is in force)",
+	  1 },
 	{ "json", OPTION_JSON, NULL, 0, "Print JSON", 1 },
 	{ "base", OPTION_BASE, "VERSION", 0,
 	  "apply: the version the file was edited from; without it, the "
@@ -99,6 +102,8 @@
 };
 
 #define SVG_LIMIT 400
+#define QUESTION_MS 5000
+#define CHANGE_MS 20000
 
 struct invocation {
 	struct ctl_options options;
@@ -217,6 +222,7 @@
 	case OPTION_TIMEOUT:
 		options->timeout_ms =
 			(guint)number_of(state, value, 10, 600000);
+		options->change_timeout_ms = options->timeout_ms;
 		return 0;
 	case ARGP_KEY_ARG:
 		g_ptr_array_add(invocation->words, value);
@@ -274,12 +280,15 @@
 			     .token_file = g_getenv("AUBURNSTILE_TOKEN_FILE"),
 			     .author = g_get_user_name(),
 			     .base = -1,
-			     .timeout_ms = 5000 },
+			     .timeout_ms = QUESTION_MS,
+			     .change_timeout_ms = CHANGE_MS },
 		.words = g_ptr_array_new(),
 	};
 	char **controls;
 	int code;
 
+	/* `watch` into a pipe has to be seen as it comes. */
+	setvbuf(stdout, NULL, _IOLBF, 0);
 	argp_err_exit_status = CTL_USAGE;
 	argp_parse(&argp, argc, argv, 0, NULL, &invocation);
 	controls = environment_controls(&invocation.options);
--- a/programs/ctl/change.c
+++ b/programs/ctl/change.c
@@ -7,8 +7,6 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
-/* The control waits up to 9 s until a change is in force everywhere. */
-#define CHANGE_TIMEOUT_MS 20000
 /* A change whose answer was lost is sent again, with the same id. */
 #define CHANGE_TRIES 3
 #define CHANGE_PAUSE_US 200000
@@ -143,7 +141,7 @@
 		g_clear_error(error);
 		ctl_answer_clear(answer);
 		answered = ctl_ask(options, "POST", path, body,
-				   CHANGE_TIMEOUT_MS, answer, error);
+				   options->change_timeout_ms, answer, error);
 		if (!answered && (*error)->code == AUB_ERROR_INVALID)
 			return false;
 		/* The control itself may have lost the store's answer. */
--- a/programs/ctl/ctl.h
+++ b/programs/ctl/ctl.h
@@ -37,6 +37,7 @@
 	gint64 base; /* -1: the file's own `version` */
 	bool override_majority;
 	guint timeout_ms; /* of one question */
+	guint change_timeout_ms; /* of a change, which waits until in force */
 	guint limit; /* of events, 0: all */
 	struct aub_timeline_filter filter;
 	char *token; /* read once needed */
--- a/tests/test_ctl.cc
+++ b/tests/test_ctl.cc
@@ -13,12 +13,14 @@
 #pragma GCC diagnostic pop
 #include <fleet/fleet_inventory.h>
 
+#include <gio/gio.h>
 #include <glib/gstdio.h>
 #include <sys/wait.h>
 #include <signal.h>
 
 #include <cstring>
 #include <string>
+#include <thread>
 #include <vector>
 
 #define READY_MS 30000
@@ -252,6 +254,136 @@
 	fleet_signal(fleet_member(fleet, 2), FLEET_BOTH, SIGCONT);
 }
 
+/*
+ * The store takes the write and its answer is lost, once on the way to the
+ * control. The operator reads "accepted": the control found its own write.
+ */
+TEST_F(Ctl, ALostAnswerOfTheStoreIsFoundOutByTheControl)
+{
+	apply_first();
+	write_file(edited(ctl({ "show" }).out, "queue_limit = 200",
+			  "queue_limit = 4321"));
+	ASSERT_TRUE(fleet_store_fault(fleet, "{\"lose_answers\":1}"));
+	outcome applied = ctl({ "apply", file });
+
+	EXPECT_EQ(applied.code, 0) << applied.out << applied.err;
+	EXPECT_TRUE(has(ctl({ "show" }).out, "queue_limit = 4321"));
+}
+
+/*
+ * Two operators press return at the same moment, each with a file from the
+ * same version, through different controls. One is accepted, the other sees
+ * a conflict; never both, never none.
+ */
+TEST_F(Ctl, OfTwoEditsAtOnceOneIsAccepted)
+{
+	apply_first();
+	for (int round = 0; round < 4; round++) {
+		std::string old = ctl({ "show" }).out;
+		std::string files[2] = { file, file + "2" };
+		outcome results[2];
+		std::vector<std::thread> operators;
+		std::string was = old.substr(old.find("queue_limit = "));
+
+		was = was.substr(0, was.find('\n'));
+		for (int i = 0; i < 2; i++) {
+			std::string text =
+				edited(old, was,
+				       "queue_limit = " +
+					       std::to_string(1000 +
+							      10 * round + i));
+
+			g_file_set_contents(files[i].c_str(), text.c_str(), -1,
+					    nullptr);
+		}
+		for (int i = 0; i < 2; i++)
+			operators.emplace_back([&, i] {
+				results[i] = ctl({ "apply", files[i] },
+						 { fleet_member(fleet, (guint)i)
+							   ->control_admin });
+			});
+		for (std::thread &it : operators)
+			it.join();
+		g_unlink(files[1].c_str());
+		int winner = results[0].code == 0 ? 0 : 1;
+
+		EXPECT_EQ(results[winner].code, 0)
+			<< results[winner].out << results[winner].err;
+		EXPECT_EQ(results[1 - winner].code, 3)
+			<< results[1 - winner].out << results[1 - winner].err;
+		EXPECT_TRUE(has(ctl({ "show" }).out,
+				"queue_limit = " +
+					std::to_string(1000 + 10 * round +
+						       winner)));
+	}
+}
+
+/*
+ * A control is paused while a "zone out" waits at it. The command gives up
+ * on it, and the next control takes the change. Later the zone is brought
+ * back in. Then the first control wakes up and finds the old command: if it
+ * carried that out, the zone would leave again with nobody asking for it.
+ */
+TEST_F(Ctl, ACommandThatWaitedAtAPausedControlUndoesNothing)
+{
+	std::string paused = fleet_member(fleet, 0)->control_admin;
+	std::string awake = fleet_member(fleet, 1)->control_admin;
+
+	apply_first();
+	fleet_signal(fleet_member(fleet, 0), FLEET_CONTROL, SIGSTOP);
+	outcome out = ctl({ "--timeout", "4000", "zone", "out", "z2" },
+			  { paused, awake });
+	EXPECT_TRUE(out.code == 0 || out.code == 4 || out.code == 6)
+		<< out.out << out.err;
+	outcome status = ctl({ "status" }, { awake });
+	EXPECT_TRUE(has(status.out, "out\n")) << status.out;
+	outcome in = ctl({ "zone", "in", "z2" }, { awake });
+	EXPECT_TRUE(in.code == 0 || in.code == 4) << in.out << in.err;
+	std::string before = ctl({ "show" }, { awake }).out;
+	fleet_signal(fleet_member(fleet, 0), FLEET_CONTROL, SIGCONT);
+	g_usleep(3000000);
+	EXPECT_EQ(ctl({ "show" }, { awake }).out, before);
+	EXPECT_EQ(ctl({ "show" }, { paused }).out, before);
+	EXPECT_FALSE(has(ctl({ "status" }, { paused }).out, "out\n"));
+}
+
+TEST_F(Ctl, WatchPrintsChangesAsTheyCome)
+{
+	char *program = child_program_path("auburnstilectl");
+	std::string control = std::string("--control=") +
+			      fleet_member(fleet, 0)->control_admin;
+	std::string token = std::string("--token-file=") + fleet->token_file;
+	GSubprocess *watch = nullptr;
+	std::string seen;
+
+	apply_first();
+	watch = g_subprocess_new(G_SUBPROCESS_FLAGS_STDOUT_PIPE, nullptr,
+				 program, control.c_str(), token.c_str(),
+				 "watch", nullptr);
+	ASSERT_NE(watch, nullptr);
+	GDataInputStream *lines =
+		g_data_input_stream_new(g_subprocess_get_stdout_pipe(watch));
+	bool asked = false;
+
+	while (!has(seen, "zone z3: state in -> out")) {
+		char *line = g_data_input_stream_read_line(lines, nullptr,
+							   nullptr, nullptr);
+
+		ASSERT_NE(line, nullptr) << seen;
+		seen += std::string(line) + "\n";
+		g_free(line);
+		if (!asked && has(seen, "service calendar: owner ")) {
+			asked = true;
+			EXPECT_EQ(ctl({ "zone", "out", "z3" }).code, 0);
+		}
+	}
+	g_subprocess_force_exit(watch);
+	g_subprocess_wait(watch, nullptr, nullptr);
+	g_object_unref(lines);
+	g_object_unref(watch);
+	g_free(program);
+}
+
 TEST_F(Ctl, TellsTheStoryOfARequest)
 {
 	const char *address = fleet_member(fleet, 0)->callers;
