Tell the stand-by which requests crash upstreams; tell incarnations apart

Cause: the owner's knowledge of a request that brought upstreams down ended with the owner: the next one let more go down. And an incarnation was the start time in microseconds alone, so that two entries of a zone that start together could be alike and take each other's keys.

Ruled out: marks in the store (a write a crash, and outages), and gossip through the controls (seconds later, to all, where one entry needs them).

Change: an owner sends its marks to its stand-by each second while it has any. Incarnations carry 20 random bits below the milliseconds.

Not mended here: after the kill the load beside it is refused with queue-full for up to 2.6 s.

--- a/include/auburnstile/internal/entry_parts.h
+++ b/include/auburnstile/internal/entry_parts.h
@@ -34,7 +34,7 @@
 	const struct aub_inventory *inventory; /* borrowed: last configured */
 	bool local_only;
 
-	guint load_timer;
+	guint second_timer;
 	gint64 busy_us; /* processor time at the last look */
 
 	enum entry_phase phase;
--- a/include/auburnstile/internal/front.h
+++ b/include/auburnstile/internal/front.h
@@ -41,6 +41,13 @@
 /* Take the roles that the view gives; call when view or links changed. */
 void aub_front_update_roles(struct aub_front *front);
 
+/*
+ * Tell the stand-bys of owned services which requests are refused for the
+ * upstreams they brought down; and take in what an owner tells.
+ */
+void aub_front_tell_crashes(struct aub_front *front);
+void aub_front_learn_crashes(const struct aub_crashes *crashes, void *context);
+
 /* A planned stop began: callers are turned to other entries. */
 void aub_front_stop(struct aub_front *front);
 
--- a/include/auburnstile/internal/relay.h
+++ b/include/auburnstile/internal/relay.h
@@ -33,6 +33,8 @@
 	/* Keys were handed to this entry; acknowledged on return. */
 	void (*keys)(const struct aub_keys *keys, void *context);
 	void (*keys_ack)(const struct aub_keys_ack *ack, void *context);
+	/* An owner tells of requests that upstreams died under. */
+	void (*crashes)(const struct aub_crashes *crashes, void *context);
 	/* A watched peer's link came up or went down. */
 	void (*changed)(void *context);
 	void *context;
@@ -77,9 +79,9 @@
 /* Name and zone of the entry that sent it; borrowed. */
 const char *aub_relay_inbound_zone(const struct aub_relay_inbound *inbound);
 
-/* Send keys over the link to a member; false if it isn't up. */
-bool aub_relay_send_keys(struct aub_relay *relay, guint64 incarnation,
-			 const struct aub_keys *keys);
+/* Send a message over the link to a member; false if it isn't up. */
+bool aub_relay_send_message(struct aub_relay *relay, guint64 incarnation,
+			    const struct aub_message *message);
 
 /*
  * Keep a link to this member from now on, and look often whether it lives.
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -35,6 +35,7 @@
 	AUB_MESSAGE_CANCEL, /* entry -> entry */
 	AUB_MESSAGE_KEYS, /* stopping entry -> heir: part of the key table */
 	AUB_MESSAGE_KEYS_ACK, /* heir -> stopping entry */
+	AUB_MESSAGE_CRASHES, /* owner -> stand-by: requests not to be run */
 	AUB_MESSAGE_TYPE_COUNT
 };
 
@@ -235,6 +236,19 @@
 	guint32 part;
 };
 
+/* A request that upstreams died under. Lists of these are GPtrArray. */
+struct aub_crash_record {
+	guint64 fingerprint;
+	guint32 deaths;
+	guint32 age_ms; /* since the last death */
+};
+
+struct aub_crashes {
+	struct aub_message base;
+	char *service;
+	GPtrArray *records; /* of struct aub_crash_record */
+};
+
 /*
  * Make an empty message of a type: numbers 0, strings "", lists empty.
  * aub_message_free() takes any message and NULL.
@@ -257,6 +271,7 @@
 void aub_header_free(struct aub_header *header);
 struct aub_key_record *aub_key_record_new(void);
 void aub_key_record_free(struct aub_key_record *record);
+struct aub_crash_record *aub_crash_record_new(void);
 
 /*
  * Frame payload (without the length prefix) of a message. Owned by caller;
--- a/src/coordination/control.c
+++ b/src/coordination/control.c
@@ -2,6 +2,7 @@
  * The hub of a control: what is held, and who is told when it changes.
  */
 #include <auburnstile/error.h>
+#include <auburnstile/incarnation.h>
 #include <auburnstile/internal/control.h>
 #include <auburnstile/log.h>
 
@@ -337,7 +338,7 @@
 
 	control->settings = settings;
 	control->process = g_strdup_printf("control-%s", settings->name);
-	control->incarnation = (guint64)g_get_real_time();
+	control->incarnation = aub_incarnation_new();
 	control->timers = aub_timer_service_new(NULL);
 	now_us = aub_timer_now(control->timers);
 	control->metrics = aub_metrics_new();
--- a/src/coordination/entry.c
+++ b/src/coordination/entry.c
@@ -3,6 +3,7 @@
  * their callbacks meet here.
  */
 #include <auburnstile/error.h>
+#include <auburnstile/incarnation.h>
 #include <auburnstile/internal/addresses.h>
 #include <auburnstile/internal/entry_parts.h>
 #include <auburnstile/log.h>
@@ -113,6 +114,13 @@
 	aub_keeper_acknowledged(entry->keeper, ack);
 }
 
+static void on_crashes(const struct aub_crashes *crashes, void *context)
+{
+	struct aub_entry *entry = context;
+
+	aub_front_learn_crashes(crashes, entry->front);
+}
+
 static void on_arrived(struct aub_caller_request *request,
 		       struct aub_call *call, void *context)
 {
@@ -188,7 +196,7 @@
 	       usage.ru_stime.tv_sec * AUB_SECOND + usage.ru_stime.tv_usec;
 }
 
-static void on_load(void *context, gint64 now_us)
+static void on_second(void *context, gint64 now_us)
 {
 	struct aub_entry *entry = context;
 	gint64 busy_us = processor_us();
@@ -196,6 +204,7 @@
 
 	entry->busy_us = busy_us;
 	aub_entry_view_set_load(entry->view, CLAMP(permille, 0, 1000));
+	aub_front_tell_crashes(entry->front);
 }
 
 static struct aub_hello *make_hello(const struct aub_entry_settings *settings)
@@ -204,7 +213,7 @@
 
 	hello = (struct aub_hello *)aub_message_new(AUB_MESSAGE_HELLO);
 	hello->role = AUB_ROLE_ENTRY;
-	hello->incarnation = (guint64)g_get_real_time();
+	hello->incarnation = aub_incarnation_new();
 	aub_string_set(&hello->name, settings->name);
 	aub_string_set(&hello->zone, settings->zone);
 	aub_string_set(&hello->address, settings->inner);
@@ -260,6 +269,7 @@
 			.gone = on_relay_gone,
 			.keys = on_keys,
 			.keys_ack = on_keys_ack,
+			.crashes = on_crashes,
 			.changed = on_links_changed,
 			.context = entry,
 		},
@@ -344,8 +354,8 @@
 		aub_entry_free(entry);
 		return NULL;
 	}
-	entry->load_timer = aub_timer_every(entry->timers, "load", AUB_SECOND,
-					    on_load, entry);
+	entry->second_timer = aub_timer_every(entry->timers, "second",
+					      AUB_SECOND, on_second, entry);
 	aub_event_note(entry->events, AUB_EVENT_STARTED, 0,
 		       (gint64)entry->hello->incarnation, NULL, NULL);
 	return entry;
@@ -355,7 +365,7 @@
 {
 	if (!entry)
 		return;
-	aub_timer_cancel(entry->timers, entry->load_timer);
+	aub_timer_cancel(entry->timers, entry->second_timer);
 	aub_timer_cancel(entry->timers, entry->stop_timer);
 	aub_admin_free(entry->admin);
 	aub_caller_server_free(entry->callers);
--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -317,7 +317,7 @@
 		g_ptr_array_add(keys->records, record);
 	}
 	keys->last = next == keeper->records->len;
-	sent = aub_relay_send_keys(keeper->relay, keeper->heir, keys);
+	sent = aub_relay_send_message(keeper->relay, keeper->heir, &keys->base);
 	if (sent) {
 		keeper->next = next;
 		keeper->last = keys->last;
--- a/src/coordination/relay.c
+++ b/src/coordination/relay.c
@@ -409,6 +409,10 @@
 	case AUB_MESSAGE_KEYS:
 		take_keys(guest, (struct aub_keys *)message);
 		break;
+	case AUB_MESSAGE_CRASHES:
+		guest->relay->options.crashes((struct aub_crashes *)message,
+					      guest->relay->options.context);
+		break;
 	default:
 		break;
 	}
@@ -475,14 +479,14 @@
 	return inbound->guest->zone;
 }
 
-bool aub_relay_send_keys(struct aub_relay *relay, guint64 incarnation,
-			 const struct aub_keys *keys)
+bool aub_relay_send_message(struct aub_relay *relay, guint64 incarnation,
+			    const struct aub_message *message)
 {
 	struct peer *peer = g_hash_table_lookup(relay->peers, &incarnation);
 
 	if (!peer || !peer->link || !aub_link_is_up(peer->link))
 		return false;
-	return aub_link_send(peer->link, &keys->base);
+	return aub_link_send(peer->link, message);
 }
 
 void aub_relay_watch(struct aub_relay *relay, const struct aub_member *member)
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -158,6 +158,11 @@
 	aubi_struct_free(&aubi_key_record_layout, record);
 }
 
+struct aub_crash_record *aub_crash_record_new(void)
+{
+	return aubi_struct_new(&aubi_crash_record_layout);
+}
+
 const char *aub_message_type_name(enum aub_message_type type)
 {
 	const struct aubi_layout *layout = aubi_message_layout(type);
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -16,6 +16,7 @@
 #define MEMBERS_LIMIT 1024
 #define SERVICES_LIMIT 4096
 #define KEYS_LIMIT 4096 /* keys a part */
+#define CRASHES_LIMIT 1024
 #define OBJECT_LIMIT (1u << 20) /* the store's megabyte */
 #define BODY_LIMIT (8u << 20)
 
@@ -212,6 +213,22 @@
 	END,
 };
 
+static const struct aubi_field crash_record_fields[] = {
+	NUMBER(aub_crash_record, fingerprint),
+	NUMBER32(aub_crash_record, deaths),
+	NUMBER32(aub_crash_record, age_ms),
+	END,
+};
+
+const struct aubi_layout aubi_crash_record_layout =
+	LAYOUT("crash record", aub_crash_record, crash_record_fields);
+
+static const struct aubi_field crashes_fields[] = {
+	STRING(aub_crashes, service, NAME_LIMIT),
+	LIST(aub_crashes, records, CRASHES_LIMIT, &aubi_crash_record_layout),
+	END,
+};
+
 static const struct aubi_layout layouts[AUB_MESSAGE_TYPE_COUNT] = {
 	[AUB_MESSAGE_HELLO] = LAYOUT("hello", aub_hello, hello_fields),
 	[AUB_MESSAGE_PING] = LAYOUT("ping", aub_ping, ping_fields),
@@ -230,6 +247,7 @@
 	[AUB_MESSAGE_KEYS] = LAYOUT("keys", aub_keys, keys_fields),
 	[AUB_MESSAGE_KEYS_ACK] =
 		LAYOUT("keys acknowledgement", aub_keys_ack, keys_ack_fields),
+	[AUB_MESSAGE_CRASHES] = LAYOUT("crashes", aub_crashes, crashes_fields),
 };
 
 const struct aubi_layout *aubi_message_layout(guint64 type)
--- a/tools/common/child.c
+++ b/tools/common/child.c
@@ -303,6 +303,22 @@
 	g_object_unref(cancellable);
 }
 
+bool child_http_send(SoupMessage *message, guint timeout_ms, GError **error)
+{
+	struct http_wait wait = { 0 };
+
+	http_run(message, timeout_ms, &wait);
+	if (wait.body)
+		g_bytes_unref(wait.body);
+	if (!wait.error)
+		return true;
+	aub_error_set(error, AUB_ERROR_CLOSED, "http",
+		      soup_message_get_method(message), "%s",
+		      wait.error->message);
+	g_error_free(wait.error);
+	return false;
+}
+
 char *child_http(const char *method, const char *url, const char *token,
 		 const char *body, guint timeout_ms, guint *status,
 		 GError **error)
--- a/tools/common/child.h
+++ b/tools/common/child.h
@@ -9,6 +9,7 @@
 #define TOOL_CHILD_H
 
 #include <glib.h>
+#include <libsoup/soup.h>
 #include <stdbool.h>
 
 G_BEGIN_DECLS
@@ -68,6 +69,9 @@
 		 const char *body, guint timeout_ms, guint *status,
 		 GError **error);
 
+/* The same for a message of one's own; its answer's headers stay with it. */
+bool child_http_send(SoupMessage *message, guint timeout_ms, GError **error);
+
 G_END_DECLS
 
 #endif
--- a/tools/proofs.c
+++ b/tools/proofs.c
@@ -11,7 +11,7 @@
 
 static const struct proof *const tables[] = {
 	proofs_not_run, proofs_once, proofs_whole,  proofs_cold,
-	proofs_zone,	proofs_stop, proofs_config,
+	proofs_zone,	proofs_stop, proofs_config, proofs_crash,
 };
 
 struct options {
