Tell callers of a lost keeper to ask for addresses anew

Cause: an entry was killed and came back under its address. Callers went on making keys from the old grant, and each new request ended as unknown until their answer expired.

Ruled out: calling such a first try "not run"; the entry can't tell it from a repeat.

Change: answers that say the keeper is gone or unreachable carry Auburnstile-Addresses-Stale. test_front takes ports below the range of outgoing connections: one run of four had aborted on a port in use.

--- a/include/auburnstile/internal/front_request.h
+++ b/include/auburnstile/internal/front_request.h
@@ -27,6 +27,7 @@
 	bool may_have_run; /* an earlier try's fate is unknown */
 	bool forwarded; /* came from another entry */
 	bool tried_standby;
+	bool keeper_lost; /* its grant names an entry that isn't there */
 	guint hops; /* times it was routed anew */
 	struct aub_relay_call *relayed;
 	gint64 arrived_us;
--- a/src/coordination/front.c
+++ b/src/coordination/front.c
@@ -122,9 +122,16 @@
 	front_figures_keys(front->figures,
 			   aub_keeper_count(front->options.keeper),
 			   aub_keeper_bytes(front->options.keeper));
+	/*
+	 * Failure: an entry restarts under its address; callers go on making
+	 * keys from the old grant, and every new request ends as unknown until
+	 * their answer expires. Told to ask anew, each loses one at most.
+	 */
 	if (request->caller)
 		aub_caller_answer(request->caller, answer,
-				  is_stale(front, request->call->service));
+				  request->keeper_lost ||
+					  is_stale(front,
+						   request->call->service));
 	else if (request->inbound)
 		aub_relay_answer(request->inbound, answer);
 	else
@@ -248,6 +255,7 @@
 			front_route_to_keeper(request, member);
 		break;
 	case AUB_KEEPER_GONE:
+		request->keeper_lost = true;
 		front_finish(request, aub_answer_unknown("keeper-gone"));
 		break;
 	case AUB_KEEPER_INVALID:
--- a/src/coordination/front_route.c
+++ b/src/coordination/front_route.c
@@ -158,6 +158,7 @@
 	 * key may have run, which only the keeper knows.
 	 */
 	if (result != AUB_RELAY_ANSWERED) {
+		request->keeper_lost = true;
 		answer = aub_answer_unknown("keeper-unreachable");
 		answer->retry_after_ms = NO_OWNER_RETRY_MS;
 	}
--- a/tests/test_front.cc
+++ b/tests/test_front.cc
@@ -11,18 +11,9 @@
 #include <memory>
 
 #include "caller.h"
+#include "common/child.h"
 #include "peer.h"
 
-static guint free_port()
-{
-	GSocketListener *listener = g_socket_listener_new();
-	guint port =
-		g_socket_listener_add_any_inet_port(listener, nullptr, nullptr);
-	g_socket_listener_close(listener);
-	g_object_unref(listener);
-	return port;
-}
-
 static std::string at(guint port)
 {
 	return "127.0.0.1:" + std::to_string(port);
@@ -30,16 +21,16 @@
 
 struct Node {
 	std::string name, callers, inner, admin, control;
-	guint port = free_port();
+	guint port = child_free_port();
 	struct aub_entry_settings settings = {};
 	struct aub_entry *entry;
 
 	explicit Node(const std::string &name_) : name(name_)
 	{
 		callers = at(port);
-		inner = at(free_port());
-		admin = at(free_port());
-		control = at(free_port());
+		inner = at(child_free_port());
+		admin = at(child_free_port());
+		control = at(child_free_port());
 		settings.name = (char *)name.c_str();
 		settings.zone = (char *)"z";
 		settings.callers = (char *)callers.c_str();
@@ -369,6 +360,11 @@
 	EXPECT_TRUE(says(ask(0, "POST /pay", gone, "1"), "504", "unknown"));
 	EXPECT_TRUE(says(ask(0, "POST /pay", "a.1234.5/k"), "504", "unknown",
 			 "keeper-gone"));
+	/* The caller's grant is old: it must ask anew, or lose every request.
+	 */
+	EXPECT_NE(ask(0, "POST /pay", "a.1234.5/k")
+			  .find("Auburnstile-Addresses-Stale: 1"),
+		  std::string::npos);
 	EXPECT_TRUE(says(ask(0, "POST /pay", "mine"), "400", "not-run",
 			 "key-without-grant"));
 	EXPECT_TRUE(says(ask(0, "POST /pay/key", ""), "428", "not-run",
