Hold requests while ownership and keys move

Cause: a rolling replacement of six entries under load left callers with "unknown" and refusals: a keeper that has stopped is asked by entries that have not heard of its heir yet, a stopped owner is still asked by entries with an older view, and a member's record by name hid that of its last incarnation.

Ruled out: a longer announcement before the exit; it only moves the window.

Change: members are known by incarnation, and heirs once named are remembered; a request that was provably not run, or a keyed one that its keeper may run once at most however often it comes, is held up to 2.5 s and sent where the next view says.

--- a/include/auburnstile/internal/entry_view.h
+++ b/include/auburnstile/internal/entry_view.h
@@ -42,8 +42,10 @@
 	const struct aub_entry_view *view, const char *service);
 const struct aub_member *aub_entry_view_member(
 	const struct aub_entry_view *view, guint64 incarnation);
-const struct aub_member *aub_entry_view_member_named(
-	const struct aub_entry_view *view, const char *name);
+
+/* Who took over the keys of an entry that stopped in order; 0 if unknown. */
+guint64 aub_entry_view_heir(const struct aub_entry_view *view,
+			    guint64 incarnation);
 
 /* Call `visit` for each assignment or member. */
 typedef void aub_assignment_visitor(const struct aub_assignment *assignment,
--- a/include/auburnstile/internal/front_request.h
+++ b/include/auburnstile/internal/front_request.h
@@ -26,6 +26,7 @@
 	bool keeping; /* its key is marked as running here */
 	bool may_have_run; /* an earlier try's fate is unknown */
 	bool forwarded; /* came from another entry */
+	bool as_owner; /* and means this one as its service's owner */
 	bool tried_standby;
 	bool keeper_lost; /* its grant names an entry that isn't there */
 	guint hops; /* times it was routed anew */
@@ -68,6 +69,9 @@
 /* Send it to whoever owns its service's queue, or refuse it. */
 void front_route(struct front_request *request);
 
+/* Find the keeper of its key: begin here, send it there, or say unknown. */
+void front_start_keyed(struct front_request *request);
+
 /* Send it to the keeper of its key. */
 void front_route_to_keeper(struct front_request *request,
 			   const struct aub_member *member);
--- a/src/coordination/entry_view.c
+++ b/src/coordination/entry_view.c
@@ -10,6 +10,7 @@
 #include <auburnstile/log.h>
 
 #define CONNECT_MS 1000
+#define HEIRS_KEPT 4096 /* a fleet's planned stops in some weeks */
 #define RECONNECT_US (200 * AUB_MS)
 
 /* Views come every 500 ms; a link without any for this long went silent. */
@@ -27,7 +28,9 @@
 	guint64 config_version;
 	guint64 epoch;
 	GHashTable *assignments; /* service -> struct aub_assignment */
-	GHashTable *members; /* name -> struct aub_member */
+	GHashTable *members; /* incarnation -> struct aub_member */
+	GHashTable *heirs; /* incarnation -> incarnation of its heir */
+	GQueue heirs_order; /* keys of `heirs`, oldest first */
 	gint64 serve_until_us;
 	guint32 load_permille;
 	bool stopping;
@@ -107,6 +110,28 @@
 	}
 }
 
+/*
+ * Failure: an entry stops in order, another starts in its place, its record
+ * goes, and callers who repeat hear "unknown" although its heir has the key.
+ * Heirs once named are remembered for longer than keys are.
+ */
+static void learn_heir(struct aub_entry_view *view,
+		       const struct aub_member *member)
+{
+	guint64 *key;
+
+	if (!member->heir || !member->incarnation ||
+	    g_hash_table_contains(view->heirs, &member->incarnation))
+		return;
+	key = g_memdup2(&member->incarnation, sizeof(*key));
+	g_hash_table_insert(view->heirs, key,
+			    g_memdup2(&member->heir, sizeof(member->heir)));
+	g_queue_push_tail(&view->heirs_order, key);
+	if (g_queue_get_length(&view->heirs_order) > HEIRS_KEPT)
+		g_hash_table_remove(view->heirs,
+				    g_queue_pop_head(&view->heirs_order));
+}
+
 /*
  * Failure: a control that has just started knows few members, and keys kept
  * by the others would count as lost: their callers would hear "unknown". So
@@ -122,7 +147,8 @@
 		struct aub_member *copy =
 			aub_member_copy(message->members->pdata[i]);
 
-		g_hash_table_replace(view->members, copy->name, copy);
+		learn_heir(view, copy);
+		g_hash_table_replace(view->members, &copy->incarnation, copy);
 	}
 }
 
@@ -282,8 +308,11 @@
 	view->control = g_strdup(options->control);
 	view->assignments = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						  assignment_free);
-	view->members = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+	view->members = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					      member_free);
+	view->heirs = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					    g_free);
+	g_queue_init(&view->heirs_order);
 	view->watch = aub_timer_every(options->timers, "control", AUB_SECOND,
 				      on_watch, view);
 	if (view->control)
@@ -301,6 +330,8 @@
 	aub_link_free(view->link);
 	g_hash_table_unref(view->assignments);
 	g_hash_table_unref(view->members);
+	g_queue_clear(&view->heirs_order);
+	g_hash_table_unref(view->heirs);
 	if (view->inventory)
 		aub_inventory_unref(view->inventory);
 	g_free(view->control);
@@ -327,25 +358,15 @@
 const struct aub_member *aub_entry_view_member(
 	const struct aub_entry_view *view, guint64 incarnation)
 {
-	GHashTableIter iterator;
-	void *value;
-
-	if (!incarnation)
-		return NULL;
-	g_hash_table_iter_init(&iterator, view->members);
-	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-		const struct aub_member *member = value;
-
-		if (member->incarnation == incarnation)
-			return member;
-	}
-	return NULL;
+	return g_hash_table_lookup(view->members, &incarnation);
 }
 
-const struct aub_member *aub_entry_view_member_named(
-	const struct aub_entry_view *view, const char *name)
+guint64 aub_entry_view_heir(const struct aub_entry_view *view,
+			    guint64 incarnation)
 {
-	return g_hash_table_lookup(view->members, name);
+	const guint64 *heir = g_hash_table_lookup(view->heirs, &incarnation);
+
+	return heir ? *heir : 0;
 }
 
 void aub_entry_view_assignments(const struct aub_entry_view *view,
--- a/src/coordination/front.c
+++ b/src/coordination/front.c
@@ -236,7 +236,7 @@
 	}
 }
 
-static void start_keyed(struct front_request *request)
+void front_start_keyed(struct front_request *request)
 {
 	struct aub_front *front = request->front;
 	const struct aub_member *member;
@@ -315,7 +315,7 @@
 	if (front->closed && !*call->key)
 		front_refuse(request, 503, "stopping", RETRY_SOON_MS);
 	else if (*call->key)
-		start_keyed(request);
+		front_start_keyed(request);
 	else if (classify(request))
 		front_route(request);
 }
@@ -335,13 +335,14 @@
 
 	request->inbound = inbound;
 	request->forwarded = true;
+	request->as_owner = call->purpose == AUB_CALL_OWNER;
 	request->zone = g_strdup(aub_relay_inbound_zone(inbound));
 	aub_relay_inbound_set_data(inbound, request);
 	if (!is_receiver(request))
 		front_refuse(request, 503, "another-incarnation",
 			     RETRY_SOON_MS);
 	else if (call->purpose == AUB_CALL_KEEPER)
-		start_keyed(request);
+		front_start_keyed(request);
 	else if (!aub_entry_view_serving(front->options.view))
 		front_refuse(request, 503, "not-serving", RETRY_LATER_MS);
 	else
--- a/src/coordination/front_route.c
+++ b/src/coordination/front_route.c
@@ -10,8 +10,14 @@
 
 #include <string.h>
 
-#define HOPS 3 /* times a request is routed anew */
-#define REROUTE_US (50 * AUB_MS)
+/*
+ * A request that was provably not run waits this long for ownership, or its
+ * key, to arrive somewhere; a planned stop or a death is known to all by then.
+ */
+#define REROUTE_MOST_US (2500 * AUB_MS)
+#define REROUTE_US (50 * AUB_MS) /* first wait; later ones are longer */
+#define REROUTE_STEPS 4
+
 #define NO_OWNER_RETRY_MS 500
 #define RETRY_ATTEMPT 100 /* what one more attempt costs, in 1/100 */
 
@@ -40,6 +46,26 @@
 				 on_dispatched, request);
 }
 
+/* Call `again` a little later; false when it has waited long enough. */
+static bool wait_and(struct front_request *request, aub_timer_callback *again)
+{
+	struct aub_front *front = request->front;
+	gint64 at_us;
+
+	at_us = aub_timer_now(front->options.timers) +
+		REROUTE_US * MIN(request->hops + 1, REROUTE_STEPS);
+	if (at_us >
+	    MIN(request->deadline_us, request->arrived_us + REROUTE_MOST_US))
+		return false;
+	request->hops++;
+	request->tried_standby = false;
+	request->place = FRONT_DELAYED;
+	aub_timer_cancel(front->options.timers, request->timer);
+	request->timer = aub_timer_at(front->options.timers, "reroute", at_us,
+				      again, request);
+	return true;
+}
+
 static void on_reroute(void *context, gint64 now_us)
 {
 	struct front_request *request = context;
@@ -49,29 +75,33 @@
 }
 
 /*
- * The owner refused because ownership moves just now: nothing was run, and
- * the next view names another.
+ * Failure: ownership moves, and for some hundred milliseconds entries
+ * disagree who has it; callers see refusals. Nothing was run, so the request
+ * is held and sent where the next view says.
  */
+static bool route_later(struct front_request *request)
+{
+	if (request->as_owner ||
+	    !aub_entry_view_serving(request->front->options.view))
+		return false;
+	return wait_and(request, on_reroute);
+}
+
 static bool route_again(struct front_request *request,
 			const struct aub_answer *answer)
 {
-	struct aub_front *front = request->front;
-
 	if (answer->outcome != AUB_OUTCOME_NOT_RUN ||
 	    g_strcmp0(answer->reason,
-		      aub_refusal_name(AUB_REFUSAL_NOT_OWNER)) ||
-	    request->forwarded || request->hops >= HOPS ||
-	    !aub_entry_view_serving(front->options.view))
+		      aub_refusal_name(AUB_REFUSAL_NOT_OWNER)) != 0)
 		return false;
-	request->hops++;
-	request->tried_standby = false;
-	request->place = FRONT_DELAYED;
-	aub_timer_cancel(front->options.timers, request->timer);
-	request->timer =
-		aub_timer_at(front->options.timers, "reroute",
-			     aub_timer_now(front->options.timers) + REROUTE_US,
-			     on_reroute, request);
-	return true;
+	return route_later(request);
+}
+
+static void refuse_unreachable(struct front_request *request)
+{
+	if (!route_later(request))
+		front_refuse(request, 503, "owner-unreachable",
+			     NO_OWNER_RETRY_MS);
 }
 
 static void on_dispatched(struct aub_answer *answer, void *context)
@@ -134,8 +164,7 @@
 		break;
 	case AUB_RELAY_NOT_SENT:
 		if (request->tried_standby)
-			front_refuse(request, 503, "owner-unreachable",
-				     NO_OWNER_RETRY_MS);
+			refuse_unreachable(request);
 		else
 			try_standby(request);
 		break;
@@ -145,6 +174,14 @@
 	}
 }
 
+static void on_keeper_again(void *context, gint64 now_us)
+{
+	struct front_request *request = context;
+
+	request->timer = 0;
+	front_start_keyed(request);
+}
+
 static void on_keeper_answer(enum aub_relay_result result,
 			     struct aub_answer *answer, void *context)
 {
@@ -152,6 +189,11 @@
 
 	request->relayed = NULL;
 	request->place = FRONT_NOWHERE;
+	aub_timer_cancel(request->front->options.timers, request->timer);
+	request->timer = 0;
+	/* The keeper, or its heir, runs a key once however often it comes. */
+	if (result != AUB_RELAY_ANSWERED && wait_and(request, on_keeper_again))
+		return;
 	/*
 	 * Failure: the keeper can't be reached, and the caller, told "not
 	 * run", asks for a new key and pays twice. An earlier try under this
@@ -223,8 +265,7 @@
 	if (member)
 		relay_to(request, member, AUB_CALL_OWNER, on_owner_answer);
 	else
-		front_refuse(request, 503, "owner-unreachable",
-			     NO_OWNER_RETRY_MS);
+		refuse_unreachable(request);
 }
 
 /*
@@ -275,7 +316,7 @@
 		dispatch_here(request);
 		return;
 	}
-	if (request->forwarded && request->call->purpose == AUB_CALL_OWNER) {
+	if (request->as_owner) {
 		route_forwarded(request, assignment);
 		return;
 	}
--- a/src/coordination/keeper.c
+++ b/src/coordination/keeper.c
@@ -89,6 +89,7 @@
 	const struct aub_member **member)
 {
 	const struct aub_entry_view *view = keeper->options.view;
+	guint64 heir;
 
 	for (guint i = 0; i < HEIR_CHAIN; i++) {
 		if (incarnation == keeper->options.incarnation) {
@@ -102,11 +103,10 @@
 			continue;
 		}
 		*member = aub_entry_view_member(view, incarnation);
-		if (!*member)
-			return AUB_KEEPER_GONE;
-		if (!(*member)->heir)
+		heir = aub_entry_view_heir(view, incarnation);
+		if (!heir)
 			break;
-		incarnation = (*member)->heir;
+		incarnation = heir;
 		/* Named as heir, but the keys never came. */
 		if (incarnation == keeper->options.incarnation)
 			return AUB_KEEPER_GONE;
--- a/src/transport/admin.c
+++ b/src/transport/admin.c
@@ -17,7 +17,7 @@
  * milliseconds, and a caller's request would wait that long; a reader asks
  * again from the last sequence it got.
  */
-#define EVENTS_PER_ANSWER 250
+#define EVENTS_PER_ANSWER 1000
 
 struct route {
 	char *method;
