--- a/tools/slopes.c
+++ b/tools/slopes.c
@@ -49,6 +49,7 @@
 	GArray *rows; /* of struct row */
 	guint window_ms;
 	bool entry_only;
+	bool restarts_only;
 	guint64 changes; /* made so far, for which way a zone goes */
 };
 
@@ -108,9 +109,17 @@
 	guint64 version = 0;
 	guint i;
 
-	if (!slopes_post(run->fleet, member(run, at), path, "{}", &version) ||
-	    !wait_all(run, version, 20))
+	if (!slopes_post(run->fleet, member(run, at), path, "{}", &version)) {
+		fprintf(stderr, "slopes: %s was refused\n", path);
 		return -1;
+	}
+	if (!wait_all(run, version, 20)) {
+		fprintf(stderr,
+			"slopes: version %" G_GUINT64_FORMAT
+			" isn't in force everywhere after 20 s\n",
+			version);
+		return -1;
+	}
 	for (i = 0; i < run->entries->len; i++) {
 		struct slopes_entry *entry = run->entries->pdata[i];
 
@@ -422,6 +431,9 @@
 	case 'e':
 		run->entry_only = true;
 		return 0;
+	case 'r':
+		run->restarts_only = true;
+		return 0;
 	case 'n':
 		run->row.nodes = (guint)atoi(argument);
 		return 0;
@@ -433,6 +445,7 @@
 static const struct argp_option options[] = {
 	{ "window-ms", 'w', "MS", 0, "measure each size for so long", 0 },
 	{ "entry", 'e', NULL, 0, "only the entry's cost", 0 },
+	{ "restarts", 'r', NULL, 0, "only what restarts cost", 0 },
 	{ "nodes", 'n', "N", 0, "only this many nodes, at full size", 0 },
 	{ NULL }
 };
@@ -463,7 +476,9 @@
 	      "bytes_per_s\tbytes_max\tmessages_per_s\tstore_calls_per_s\t"
 	      "in_force_ms\tin_force_max\n",
 	      run.out);
-	if (nodes)
+	if (run.restarts_only)
+		restarts(&run, 40);
+	else if (nodes)
 		one(&run, "nodes", nodes, FULL_SERVICES, FULL_UPSTREAMS, 0);
 	else
 		all(&run);
--- a/tools/slopes/slopes_read.c
+++ b/tools/slopes/slopes_read.c
@@ -152,6 +152,11 @@
 	good = posted.body && soup_message_get_status(message) == 200;
 	if (good)
 		*version = version_of(posted.body);
+	else if (posted.body)
+		fprintf(stderr, "slopes: %u %.*s\n",
+			soup_message_get_status(message),
+			(int)MIN(g_bytes_get_size(posted.body), 300),
+			(const char *)g_bytes_get_data(posted.body, NULL));
 	if (posted.body)
 		g_bytes_unref(posted.body);
 	g_bytes_unref(bytes);
