Let only who hears a majority forget the dead

Cause: a side cut off from the rest and from the store had stopped after 3 s, forgot the others after 15 minutes, counted itself complete and served again by the old version (cut of 3 of 7 for 20 minutes in tests/test_agreement; found while writing down what regions decide alone). Ruled out: never forgetting (replaced VMs would count for ever). Change: the dead are forgotten only while a majority is heard; one that starts learns of them whatever their age; an operator's override forgets those unheard wherever it is heard, and one that lives outbids it.

--- a/include/auburnstile/internal/membership.h
+++ b/include/auburnstile/internal/membership.h
@@ -82,10 +82,19 @@
 gint64 aubi_gossip_delay_us(const struct aub_gossip *gossip, gint64 now_us);
 
 /*
- * Forget what expired and note who fell silent. True if a state changed.
+ * Forget what expired and note who fell silent. True if a state changed. The
+ * dead are only forgotten while a majority is heard.
  */
 bool aubi_membership_tick(struct aubi_membership *membership, gint64 now_us);
 
+/*
+ * An operator says that those unheard are gone for good: they count no longer
+ * here, nor where that is heard. How many they were. One that lives after all
+ * raises its own revision when it hears of it.
+ */
+guint aubi_membership_forget_dead(struct aubi_membership *membership,
+				  gint64 now_us);
+
 /*
  * Address of the next peer to ask, borrowed until the next call; NULL for
  * none. Mostly a live one; now and then a dead one or a seed, so that halves
--- a/src/coordination/control_apply.c
+++ b/src/coordination/control_apply.c
@@ -10,6 +10,7 @@
 #include <auburnstile/internal/control_edit.h>
 #include <auburnstile/internal/control_json.h>
 #include <auburnstile/internal/json.h>
+#include <auburnstile/log.h>
 
 #include <string.h>
 
@@ -327,6 +328,21 @@
 	return body;
 }
 
+/* The operator knows that those unheard are gone for good. */
+static void forget_dead(struct aubi_control *control)
+{
+	guint count;
+
+	count = aubi_membership_forget_dead(control->membership,
+					    aub_timer_now(control->timers));
+	if (!count)
+		return;
+	aub_log_warning("%u members unheard are forgotten: an operator's "
+			"override",
+			count);
+	aubi_control_members_changed(control);
+}
+
 static struct apply *apply_new(struct aubi_applies *applies,
 			       struct aub_admin_request *request,
 			       JsonObject *body)
@@ -338,6 +354,8 @@
 	apply->request = request;
 	apply->author = g_strdup(author ? author : "");
 	apply->override = aub_json_boolean(body, "override");
+	if (apply->override)
+		forget_dead(applies->control);
 	apply->change = g_strdup(aub_json_string(body, "change"));
 	apply->chosen = apply->change != NULL;
 	g_ptr_array_add(applies->open, apply);
--- a/src/coordination/gossip.c
+++ b/src/coordination/gossip.c
@@ -67,6 +67,11 @@
 		self->control_incarnation = member->control_incarnation + 1;
 		return true;
 	}
+	if (member->control_incarnation == self->control_incarnation &&
+	    member->revision > self->revision) {
+		self->revision = member->revision + 1;
+		return true;
+	}
 	if (member->incarnation != self->incarnation)
 		return aubi_membership_keep_past(membership, member, now_us);
 	return false;
@@ -86,9 +91,8 @@
 	if (record == membership->self)
 		return hear_namesake(membership, member, now_us);
 	if (!record) {
-		if (age_us >= (member->state == AUB_MEMBER_STOPPED ?
-				       AUBI_MEMBER_STOPPED_US :
-				       AUBI_MEMBER_EXPIRE_US))
+		if (member->state == AUB_MEMBER_STOPPED &&
+		    age_us >= AUBI_MEMBER_STOPPED_US)
 			return false;
 		record = aubi_membership_insert(membership,
 						g_strdup(member->name), member);
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -239,8 +239,22 @@
 	aubi_membership_rehash(membership);
 }
 
+/*
+ * Failure: a side that is cut off forgets all the others as dead.
+ * Symptom: it counts itself complete and serves again, by an old version.
+ * Enough: only who hears a majority forgets, and two sides never both do.
+ */
+static bool may_forget(const struct aubi_membership *membership, gint64 now_us)
+{
+	guint majority = aubi_membership_known(membership) / 2 + 1;
+
+	return aubi_membership_heard_us(membership, majority, now_us) <
+	       AUBI_MEMBER_LIVE_US;
+}
+
 static bool expired(const struct aubi_membership *membership,
-		    const struct aubi_member_record *record, gint64 now_us)
+		    const struct aubi_member_record *record, bool forget,
+		    gint64 now_us)
 {
 	gint64 age_us = now_us - last_us(record);
 
@@ -248,12 +262,34 @@
 		return false;
 	if (record->member->state == AUB_MEMBER_STOPPED)
 		return age_us >= AUBI_MEMBER_STOPPED_US;
-	return age_us >= AUBI_MEMBER_EXPIRE_US;
+	return forget && age_us >= AUBI_MEMBER_EXPIRE_US;
+}
+
+guint aubi_membership_forget_dead(struct aubi_membership *membership,
+				  gint64 now_us)
+{
+	guint forgotten = 0;
+	guint i;
+
+	for (i = 0; i < membership->records->len; i++) {
+		struct aubi_member_record *record =
+			membership->records->pdata[i];
+
+		if (!counts(record) || is_live(membership, record, now_us))
+			continue;
+		record->member->state = AUB_MEMBER_STOPPED;
+		record->member->revision++;
+		forgotten++;
+	}
+	if (forgotten)
+		aubi_membership_rehash(membership);
+	return forgotten;
 }
 
 bool aubi_membership_tick(struct aubi_membership *membership, gint64 now_us)
 {
 	guint before = membership->records->len;
+	bool forget = may_forget(membership, now_us);
 	bool changed = false;
 	guint i;
 
@@ -265,7 +301,7 @@
 		if (live != record->shown_live)
 			changed = true;
 		record->shown_live = live;
-		if (expired(membership, record, now_us))
+		if (expired(membership, record, forget, now_us))
 			g_ptr_array_remove_index(membership->records, i - 1);
 	}
 	if (membership->records->len != before)
--- a/tests/test_agreement.cc
+++ b/tests/test_agreement.cc
@@ -173,6 +173,62 @@
 	EXPECT_GT(accepted, 20);
 }
 
+/*
+ * A zone is cut off from the rest and from the store, for twenty minutes. The
+ * rest takes changes meanwhile. If the cut-off side forgot the others, it
+ * would count itself complete, and serve again by the old version.
+ */
+TEST(Agreement, CutOffSideStaysStoppedHoweverLongItLasts)
+{
+	Fleet fleet;
+
+	start(fleet, 7);
+	fleet.reaches = [](int a, int b) { return (a < 3) == (b < 3); };
+	fleet.store = [](int i) { return i >= 3; };
+	fleet.run(1200);
+	for (int i = 0; i < 7; i++) {
+		EXPECT_EQ(fleet.serves(i), i >= 3) << i;
+		EXPECT_EQ(fleet.accepts(i), i >= 3) << i;
+	}
+	EXPECT_EQ(aubi_membership_known(fleet.nodes[6].membership), 4u);
+	/* One that starts there learns from the two whom it doesn't hear. */
+	aubi_membership_free(fleet.nodes[0].membership);
+	fleet.nodes[0] = fleet.nodes[fleet.add("n0", "a", 900)];
+	fleet.nodes.pop_back();
+	fleet.run(10);
+	EXPECT_FALSE(fleet.serves(0));
+	EXPECT_EQ(fleet.nodes[0].agreement.config_version, 5u);
+	fleet.reaches = [](int, int) { return true; };
+	fleet.run(20);
+	for (int i = 0; i < 7; i++)
+		EXPECT_TRUE(fleet.serves(i) && fleet.live(i) == 7) << i;
+}
+
+/*
+ * More than half are gone for good. An operator says so: the rest forget them
+ * and can accept changes and move owners again. One that was alive all along
+ * is a member again as soon as it is heard.
+ */
+TEST(Agreement, OperatorForgetsTheDeadAndTheLivingComeBack)
+{
+	Fleet fleet;
+
+	start(fleet, 7);
+	fleet.reaches = [](int a, int b) { return (a < 3) == (b < 3); };
+	fleet.run(10);
+	EXPECT_FALSE(fleet.accepts(0));
+	EXPECT_EQ(aubi_membership_forget_dead(fleet.nodes[0].membership,
+					      fleet.now_us),
+		  4u);
+	fleet.run(3);
+	for (int i = 0; i < 3; i++)
+		EXPECT_TRUE(fleet.accepts(i)) << i;
+	fleet.reaches = [](int, int) { return true; };
+	fleet.run(20);
+	for (int i = 0; i < 7; i++)
+		EXPECT_EQ(fleet.live(i), 7u) << i;
+}
+
 /* A whole zone restarts: only few may turn to the store at once. */
 TEST(Agreement, RestartedFleetSendsFewToTheStore)
 {
