--- a/tools/slopes.c
+++ b/tools/slopes.c
@@ -6,6 +6,7 @@
  * played here. Writes build/slopes.tsv and prints fitted lines with
  * their largest residual. docs/CAPACITY.md is worked out from them.
  */
+#include "fleet/fleet_inventory.h"
 #include "slopes/slopes.h"
 
 #include <auburnstile/error.h>
@@ -131,7 +132,10 @@
 static bool open_fleet(struct run *run, guint nodes, guint services,
 		       guint upstreams)
 {
-	char *small = slopes_inventory(1, 1);
+	struct fleet_service first = { .name = "first",
+				       .path = "/",
+				       .upstreams = 8 };
+	char *small = fleet_inventory_text(&first, 1, 8);
 	struct fleet_options options = { .inventory = small, .members = nodes };
 	GError *error = NULL;
 	guint64 version = 0;
