--- a/tools/common/child.c
+++ b/tools/common/child.c
@@ -319,13 +319,33 @@
 	return false;
 }
 
+static char *http_text(SoupMessage *message, const char *url, guint timeout_ms,
+		       guint *status, GError **error)
+{
+	struct http_wait wait = { 0 };
+	char *text = NULL;
+
+	http_run(message, timeout_ms, &wait);
+	if (wait.error)
+		aub_error_set(error, AUB_ERROR_CLOSED, "http", url, "%s",
+			      wait.error->message);
+	else
+		text = g_strndup(g_bytes_get_data(wait.body, NULL),
+				 g_bytes_get_size(wait.body));
+	if (status)
+		*status = soup_message_get_status(message);
+	if (wait.body)
+		g_bytes_unref(wait.body);
+	g_clear_error(&wait.error);
+	g_object_unref(message);
+	return text;
+}
+
 char *child_http(const char *method, const char *url, const char *token,
 		 const char *body, guint timeout_ms, guint *status,
 		 GError **error)
 {
 	SoupMessage *message = soup_message_new(method, url);
-	struct http_wait wait = { 0 };
-	char *text = NULL;
 	char *bearer;
 	GBytes *sent;
 
@@ -347,18 +367,5 @@
 							 sent);
 		g_bytes_unref(sent);
 	}
-	http_run(message, timeout_ms, &wait);
-	if (wait.error)
-		aub_error_set(error, AUB_ERROR_CLOSED, "http", url, "%s",
-			      wait.error->message);
-	else
-		text = g_strndup(g_bytes_get_data(wait.body, NULL),
-				 g_bytes_get_size(wait.body));
-	if (status)
-		*status = soup_message_get_status(message);
-	if (wait.body)
-		g_bytes_unref(wait.body);
-	g_clear_error(&wait.error);
-	g_object_unref(message);
-	return text;
+	return http_text(message, url, timeout_ms, status, error);
 }
--- a/tools/proofs.c
+++ b/tools/proofs.c
@@ -10,8 +10,8 @@
 #include <stdlib.h>
 
 static const struct proof *const tables[] = {
-	proofs_not_run, proofs_once, proofs_whole,  proofs_cold,
-	proofs_zone,	proofs_stop, proofs_config, proofs_crash,
+	proofs_not_run, proofs_once,   proofs_whole, proofs_cold,   proofs_zone,
+	proofs_stop,	proofs_config, proofs_crash, proofs_others,
 };
 
 struct options {
--- a/tools/proofs/config.c
+++ b/tools/proofs/config.c
@@ -11,6 +11,7 @@
 
 #define IN_FORCE_MS 9000 /* the design figure */
 #define POLL_MS 100
+#define NO_FAULT "{\"clear\":1}"
 
 /* Highest version seen in force at each member, and what went back. */
 struct witness {
@@ -73,8 +74,12 @@
 	return version;
 }
 
-/* Changes from two members in turn, under a fault of the store. */
-static void changes(struct proof_run *run, const char *fault)
+/*
+ * Changes from two members in turn, under one fault of the store while they
+ * are made and another one (or none) from their acceptance on.
+ */
+static void changes_now(struct proof_run *run, const char *fault,
+			const char *after)
 {
 	struct witness witness = { .run = run };
 	gint64 slowest_us = 0;
@@ -82,15 +87,13 @@
 	gint64 version;
 	guint i;
 
-	if (!mixed_start(run, true, 0))
-		return;
 	mixed_load(run, 100, 8, true);
-	if (fault)
-		fleet_store_fault(run->fleet, fault);
 	for (i = 0; i < 4; i++) {
+		fleet_store_fault(run->fleet, fault);
 		start_us = g_get_monotonic_time();
 		version = zone_change(run, i % 2 ? 5 : 0, i % 2 ? "in" : "out");
 		proof_need(run, version > 0, "an accepted change");
+		fleet_store_fault(run->fleet, after);
 		while (look(&witness) < version &&
 		       g_get_monotonic_time() - start_us <
 			       IN_FORCE_MS * AUB_MS * 2)
@@ -107,19 +110,41 @@
 	proof_check(run, !witness.reverts, "a version went back");
 }
 
+static void changes(struct proof_run *run, const char *fault, const char *after)
+{
+	if (mixed_start(run, true, 0))
+		changes_now(run, fault, after);
+}
+
 static void no_fault(struct proof_run *run)
 {
-	changes(run, NULL);
+	changes(run, NO_FAULT, NO_FAULT);
 }
 
 static void lost_answers(struct proof_run *run)
 {
-	changes(run, "{\"lose_answers\":3,\"delay_ms\":50}");
+	changes(run, "{\"lose_answers\":3,\"delay_ms\":50}", NO_FAULT);
 }
 
 static void stale_reads(struct proof_run *run)
 {
-	changes(run, "{\"stale\":1,\"delay_ms\":20}");
+	changes(run, NO_FAULT, "{\"stale\":1,\"delay_ms\":20}");
+}
+
+/* The store hangs as soon as a change was accepted. */
+static void store_down(struct proof_run *run)
+{
+	changes(run, NO_FAULT, "{\"down\":\"hang\"}");
+}
+
+/* Connections between controls and store go silent; new ones work. */
+static void silent_store(struct proof_run *run)
+{
+	if (!mixed_start(run, true, 0))
+		return;
+	fleet_run_ms(1500);
+	fleet_proxy_fault(run->fleet, "{\"silence_open\":1}");
+	changes_now(run, NO_FAULT, NO_FAULT);
 }
 
 /* All controls are replaced one by one while the store serves old reads. */
@@ -159,6 +184,8 @@
 	{ "config-in-force", "none", true, no_fault },
 	{ "config-in-force", "lost-answers", false, lost_answers },
 	{ "config-in-force", "stale-reads", false, stale_reads },
+	{ "config-in-force", "store-down-after", false, store_down },
+	{ "config-in-force", "silent-store-connections", false, silent_store },
 	{ "config-in-force", "controls-replaced-stale-store", false,
 	  controls_replaced },
 	{ 0 }
--- a/tools/proofs/once.c
+++ b/tools/proofs/once.c
@@ -9,6 +9,7 @@
 
 #define KEYED_RATE 150
 #define KEYED_SECONDS 3.0
+#define FAILOVER_LIMIT_US (15 * AUB_SECOND)
 
 /* The share of requests left with "unknown" or nothing, in per cent. */
 static void end_keyed(struct proof_run *run)
@@ -67,6 +68,23 @@
 	proof_need(run, run->told.repeats > 0, "repeats");
 }
 
+/* Until another member owns the service, as the controls say. */
+static void wait_failover(struct proof_run *run, struct fleet_member *was)
+{
+	gint64 start_us = g_get_monotonic_time();
+	struct fleet_member *owner = was;
+
+	while (owner == was || !owner) {
+		if (g_get_monotonic_time() - start_us > FAILOVER_LIMIT_US)
+			break;
+		fleet_run_ms(20);
+		owner = fleet_owner(run->fleet, "fees");
+	}
+	proof_figure(run, "failover_ms",
+		     (g_get_monotonic_time() - start_us) / 1000.0);
+	proof_check(run, owner && owner != was, "no new owner");
+}
+
 /* The entry that keeps the keys is killed; repeats go to the others. */
 static void keeper_killed(struct proof_run *run)
 {
@@ -75,6 +93,7 @@
 	if (!owner)
 		return;
 	fleet_signal(owner, FLEET_BOTH, SIGKILL);
+	wait_failover(run, owner);
 	end_keyed(run);
 	proof_need(run, run->told.repeats > 0, "repeats");
 }
--- a/tools/proofs/proof.h
+++ b/tools/proofs/proof.h
@@ -32,6 +32,7 @@
 extern const struct proof proofs_zone[];
 extern const struct proof proofs_config[];
 extern const struct proof proofs_stop[];
+extern const struct proof proofs_others[];
 extern const struct proof proofs_crash[];
 
 /* One proof under way. */
