Bound the assignments' JSON; fuzz it and the packed strings

Cause: the assignment object went to json-glib unchecked, which descends by recursion: a peer's or the store's brackets could have ended a control. Change: it is read through json.c like the configuration; two more targets. Seen: test_corpus, test_ownership and test_control pass.

--- a/fuzz/fuzz.h
+++ b/fuzz/fuzz.h
@@ -12,6 +12,8 @@
 #ifdef FUZZ_REPLAY
 int fuzz_toml(const guint8 *data, gsize size);
 int fuzz_message(const guint8 *data, gsize size);
+int fuzz_pack(const guint8 *data, gsize size);
+int fuzz_assignments(const guint8 *data, gsize size);
 int fuzz_config(const guint8 *data, gsize size);
 #else
 int LLVMFuzzerTestOneInput(const guint8 *data, gsize size);
--- a/src/coordination/assignments.c
+++ b/src/coordination/assignments.c
@@ -2,9 +2,9 @@
  * The assignment object: its lines, and its JSON in the store.
  */
 #include <auburnstile/error.h>
+#include <auburnstile/internal/json.h>
 #include <auburnstile/internal/ownership.h>
 
-#include <json-glib/json-glib.h>
 #include <string.h>
 
 #define STEP "read assignments"
@@ -44,20 +44,14 @@
 
 static const char *text_of(JsonObject *object, const char *name)
 {
-	JsonNode *node = json_object_get_member(object, name);
+	const char *text = aub_json_string(object, name);
 
-	if (!node || json_node_get_value_type(node) != G_TYPE_STRING)
-		return "";
-	return json_node_get_string(node);
+	return text ? text : "";
 }
 
 static guint64 number_of(JsonObject *object, const char *name)
 {
-	JsonNode *node = json_object_get_member(object, name);
-
-	if (!node || json_node_get_value_type(node) != G_TYPE_INT64)
-		return 0;
-	return (guint64)json_node_get_int(node);
+	return (guint64)aub_json_integer(object, name);
 }
 
 static struct aub_assignment *parse_line(JsonObject *object)
@@ -73,33 +67,17 @@
 	return line;
 }
 
-static JsonArray *lines_of(JsonParser *parser)
-{
-	JsonNode *root = json_parser_get_root(parser);
-	JsonNode *node;
-
-	if (!root || !JSON_NODE_HOLDS_OBJECT(root))
-		return NULL;
-	node = json_object_get_member(json_node_get_object(root),
-				      "assignments");
-	if (!node || !JSON_NODE_HOLDS_ARRAY(node))
-		return NULL;
-	return json_node_get_array(node);
-}
-
 struct aubi_assignments *aubi_assignments_parse(const char *json, gsize length,
 						guint64 version, GError **error)
 {
 	struct aubi_assignments *assignments = NULL;
-	JsonParser *parser = json_parser_new();
+	JsonObject *root = aub_json_parse(json, length, STEP, NULL, error);
 	JsonArray *lines;
 	guint i;
 
-	if (!json_parser_load_from_data(parser, json, (gssize)length, NULL)) {
-		aub_error_set(error, AUB_ERROR_INVALID, STEP, NULL, "not JSON");
-		goto out;
-	}
-	lines = lines_of(parser);
+	if (!root)
+		return NULL;
+	lines = aub_json_array(root, "assignments");
 	if (!lines) {
 		aub_error_set(error, AUB_ERROR_INVALID, STEP, NULL,
 			      "no list of assignments");
@@ -108,14 +86,13 @@
 	assignments = aubi_assignments_new();
 	assignments->epoch = version;
 	for (i = 0; i < json_array_get_length(lines); i++) {
-		JsonNode *node = json_array_get_element(lines, i);
+		JsonObject *line = aub_json_element(lines, i);
 
-		if (JSON_NODE_HOLDS_OBJECT(node))
-			g_ptr_array_add(assignments->lines,
-					parse_line(json_node_get_object(node)));
+		if (line)
+			g_ptr_array_add(assignments->lines, parse_line(line));
 	}
 out:
-	g_object_unref(parser);
+	json_object_unref(root);
 	return assignments;
 }
 
--- a/tests/test_corpus.cc
+++ b/tests/test_corpus.cc
@@ -41,3 +41,13 @@
 {
 	EXPECT_GT(replay("fuzz_config", fuzz_config), 0);
 }
+
+TEST(Corpus, Pack)
+{
+	EXPECT_GT(replay("fuzz_pack", fuzz_pack), 0);
+}
+
+TEST(Corpus, Assignments)
+{
+	EXPECT_GT(replay("fuzz_assignments", fuzz_assignments), 0);
+}
