Measure a fleet of real processes against the limit

Cause: the policy is to be judged by whole processes, not by a model. Change: tools/bench with rows for each policy and the limit of the same arrivals, zone out and back, owner killed; fleet options name a policy.

--- /dev/null
+++ b/tools/bench.c
@@ -0,0 +1,260 @@
+/*
+ * Measurements with real processes; see bench/bench.h. Writes bench.tsv,
+ * zone.tsv, owner.tsv and report.html into the folder given.
+ */
+#include "bench/bench.h"
+
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* Cedarline's service times are longer, so that one machine bears the load. */
+static const struct bench_shape nidito = {
+	"nidito-calendar", "calendar", 12, 2, 3, 1000, 20000
+};
+static const struct bench_shape cedarline = {
+	"cedarline-portal", "portal", 14, 6, 4, 6000, 80000
+};
+
+static const char *const baselines[] = { "random", "round-robin",
+					 "least-reported", "two-choices" };
+
+struct bench {
+	const char *folder;
+	const char *only; /* a scenario, NULL for all */
+	bool brief;
+	guint runs;
+	guint members;
+	double seconds;
+	GArray *rows; /* of struct bench_row */
+	guint failures;
+};
+
+static const struct argp_option option_table[] = {
+	{ "short", 's', NULL, 0, "one row of each, in under 55 s", 0 },
+	{ "runs", 'r', "N", 0, "runs of each row (default: 5)", 0 },
+	{ "members", 'm', "N", 0, "entry VMs (default: 15)", 0 },
+	{ "seconds", 't', "N", 0, "length of a run (default: 10)", 0 },
+	{ "only", 'o', "SCENARIO", 0, "just this one", 0 },
+	{ 0 }
+};
+
+static error_t parse_option(int key, char *argument, struct argp_state *state)
+{
+	struct bench *bench = state->input;
+
+	switch (key) {
+	case 's':
+		bench->brief = true;
+		bench->runs = 1;
+		bench->members = 6;
+		bench->seconds = 3;
+		return 0;
+	case 'r':
+		bench->runs = (guint)strtoul(argument, NULL, 10);
+		return 0;
+	case 'm':
+		bench->members = (guint)strtoul(argument, NULL, 10);
+		return 0;
+	case 't':
+		bench->seconds = g_ascii_strtod(argument, NULL);
+		return 0;
+	case 'o':
+		bench->only = argument;
+		return 0;
+	case ARGP_KEY_ARG:
+		bench->folder = argument;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp argp = {
+	option_table, parse_option,
+	"FOLDER",     "Measure a fleet under load and faults.",
+	NULL,	      NULL,
+	NULL
+};
+
+static bool wanted(const struct bench *bench, const char *scenario)
+{
+	return !bench->only || g_str_equal(bench->only, scenario);
+}
+
+static char *path_of(const struct bench *bench, const char *name)
+{
+	return g_build_filename(bench->folder, name, NULL);
+}
+
+static void note_error(struct bench *bench, const char *scenario, GError *error)
+{
+	fprintf(stderr, "%s: %s\n", scenario,
+		error ? error->message : "failed");
+	g_clear_error(&error);
+	bench->failures++;
+}
+
+static void write_files(const struct bench *bench)
+{
+	char *tsv = path_of(bench, "bench.tsv");
+	char *page = path_of(bench, "report.html");
+
+	bench_write_tsv(bench->rows, tsv);
+	bench_write_page(bench->rows, page);
+	g_free(tsv);
+	g_free(page);
+}
+
+static void measure(struct bench *bench, struct bench_case what)
+{
+	what.members = bench->members;
+	what.seconds = bench->seconds;
+	for (guint run = 1; run <= bench->runs; run++) {
+		GError *error = NULL;
+		struct bench_row row;
+
+		what.run = run;
+		if (!bench_run(&what, &row, &error)) {
+			note_error(bench, what.scenario, error);
+			continue;
+		}
+		bench_print_row(&row);
+		g_array_append_val(bench->rows, row);
+		write_files(bench);
+	}
+}
+
+/* Goal 1: a slow upstream, all policies and loads, with and without hedges. */
+static void bench_tail(struct bench *bench, const struct bench_shape *shape)
+{
+	static const double loads[] = { 0.7, 0.85, 0.5 };
+	guint count = bench->brief ? 1 : G_N_ELEMENTS(loads);
+
+	for (guint i = 0; i < count; i++) {
+		struct bench_case what = {
+			.scenario = "slow",
+			.shape = shape,
+			.policy = "auburnstile",
+			.load = loads[i],
+			.slow = true,
+		};
+
+		measure(bench, what);
+		what.scenario = "slow-hedged";
+		what.hedge_percent = 3;
+		measure(bench, what);
+		what.scenario = "slow";
+		what.hedge_percent = 0;
+		for (guint b = 0; b < G_N_ELEMENTS(baselines); b++) {
+			what.policy = baselines[b];
+			if (!bench->brief ||
+			    g_str_equal(what.policy, "two-choices"))
+				measure(bench, what);
+		}
+	}
+}
+
+static void bench_overload(struct bench *bench)
+{
+	struct bench_case what = {
+		.scenario = "overload",
+		.shape = &nidito,
+		.policy = "auburnstile",
+		.load = 1.3,
+	};
+
+	measure(bench, what);
+	if (bench->brief)
+		return;
+	what.policy = "two-choices";
+	measure(bench, what);
+}
+
+static void bench_fail_fast(struct bench *bench)
+{
+	struct bench_case what = {
+		.scenario = "fail-fast",
+		.shape = &nidito,
+		.policy = "auburnstile",
+		.load = 0.7,
+		.fail_fast = 1,
+	};
+
+	measure(bench, what);
+	what.policy = "two-choices";
+	measure(bench, what);
+}
+
+/* Goal 3: what measuring costs, and what a larger budget would bring. */
+static void bench_probes(struct bench *bench)
+{
+	static const guint budgets[] = { 1, 10000, 50000, 200000 };
+
+	for (guint i = 0; i < G_N_ELEMENTS(budgets); i++) {
+		char name[32];
+		struct bench_case what = {
+			.scenario = g_intern_string(
+				(g_snprintf(name, sizeof(name),
+					    "probe-budget-%u", budgets[i]),
+				 name)),
+			.shape = &nidito,
+			.policy = "auburnstile",
+			.load = 0.7,
+			.slow = true,
+			.probe_budget_us = budgets[i],
+		};
+
+		measure(bench, what);
+	}
+}
+
+typedef bool timed_scenario(const struct bench_shape *shape, guint members,
+			    double seconds, const char *file, GError **error);
+
+static void bench_timed(struct bench *bench, const char *name,
+			timed_scenario *run, double seconds)
+{
+	char *file_name = g_strdup_printf("%s.tsv", name);
+	char *file = path_of(bench, file_name);
+	GError *error = NULL;
+
+	if (!run(&nidito, bench->members, seconds, file, &error))
+		note_error(bench, name, error);
+	fflush(stdout);
+	g_free(file);
+	g_free(file_name);
+}
+
+int main(int argc, char **argv)
+{
+	struct bench bench = {
+		.folder = ".",
+		.runs = 5,
+		.members = 15,
+		.seconds = 10,
+	};
+
+	if (argp_parse(&argp, argc, argv, 0, NULL, &bench))
+		return EXIT_FAILURE;
+	bench.rows = g_array_new(FALSE, FALSE, sizeof(struct bench_row));
+	g_mkdir_with_parents(bench.folder, 0755);
+	bench_print_header();
+	if (wanted(&bench, "slow"))
+		bench_tail(&bench, &nidito);
+	if (wanted(&bench, "zone"))
+		bench_timed(&bench, "zone", bench_zone, bench.brief ? 9 : 36);
+	if (wanted(&bench, "owner"))
+		bench_timed(&bench, "owner", bench_owner, bench.brief ? 6 : 15);
+	if (wanted(&bench, "overload"))
+		bench_overload(&bench);
+	if (!bench.brief && wanted(&bench, "cedarline"))
+		bench_tail(&bench, &cedarline);
+	if (!bench.brief && wanted(&bench, "fail-fast"))
+		bench_fail_fast(&bench);
+	if (!bench.brief && wanted(&bench, "probes"))
+		bench_probes(&bench);
+	write_files(&bench);
+	g_array_unref(bench.rows);
+	return bench.failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tools/bench/faults.c
@@ -0,0 +1,238 @@
+/* Service while a zone leaves and returns, and while an owner is killed. */
+#include "bench/bench.h"
+
+#include <signal.h>
+#include <stdio.h>
+
+#define SLICE_US (100 * AUB_MS)
+
+/* What happened in one tenth of a second, by the moment of arrival. */
+struct slice {
+	guint arrived;
+	guint good;
+	GArray *times; /* of gint64, us */
+};
+
+static struct slice *make_slices(guint count)
+{
+	struct slice *slices = g_new0(struct slice, count);
+
+	for (guint i = 0; i < count; i++)
+		slices[i].times = g_array_new(FALSE, FALSE, sizeof(gint64));
+	return slices;
+}
+
+static void free_slices(struct slice *slices, guint count)
+{
+	for (guint i = 0; i < count; i++)
+		g_array_unref(slices[i].times);
+	g_free(slices);
+}
+
+static bool write_slices(const struct load *load, gint64 from_us, guint count,
+			 const char *file, GError **error)
+{
+	const GPtrArray *requests = load_requests(load);
+	struct slice *slices = make_slices(count);
+	GString *text = g_string_new("ms\tarrived\tgood\tp99_ms\n");
+	bool good;
+
+	for (guint i = 0; i < requests->len; i++) {
+		const struct load_request *request = requests->pdata[i];
+		gint64 at = (request->arrived_us - from_us) / SLICE_US;
+		struct slice *slice = &slices[CLAMP(at, 0, count - 1)];
+
+		slice->arrived++;
+		if (request->told != LOAD_RUN || request->status >= 500)
+			continue;
+		slice->good++;
+		g_array_append_val(slice->times, request->latency_us);
+	}
+	for (guint i = 0; i < count; i++)
+		g_string_append_printf(text, "%u\t%u\t%u\t%.1f\n", i * 100,
+				       slices[i].arrived, slices[i].good,
+				       bench_quantile_ms(slices[i].times,
+							 0.99));
+	good = g_file_set_contents(file, text->str, -1, error);
+	g_string_free(text, TRUE);
+	free_slices(slices, count);
+	return good;
+}
+
+/* The longest time in which nobody got a good answer, in ms. */
+static double longest_gap_ms(const struct load *load)
+{
+	const GPtrArray *requests = load_requests(load);
+	GArray *ends = g_array_new(FALSE, FALSE, sizeof(gint64));
+	gint64 longest = 0;
+
+	for (guint i = 0; i < requests->len; i++) {
+		const struct load_request *request = requests->pdata[i];
+		gint64 end = request->arrived_us + request->latency_us;
+
+		if (request->told == LOAD_RUN)
+			g_array_append_val(ends, end);
+	}
+	bench_quantile_ms(ends, 0);
+	for (guint i = 1; i < ends->len; i++)
+		longest = MAX(longest,
+			      g_array_index(ends, gint64, i) -
+				      g_array_index(ends, gint64, i - 1));
+	g_array_unref(ends);
+	return (double)longest / 1000.0;
+}
+
+static void print_summary(const char *name, const struct load *load)
+{
+	struct load_figures f;
+
+	load_get_figures(load, &f);
+	printf("%s: requests=%u good=%u not_run=%u unknown=%u errors=%u "
+	       "wrong=%u p99_ms=%.1f longest_gap_ms=%.0f\n",
+	       name, f.requests, f.told[LOAD_RUN] - f.failed,
+	       f.told[LOAD_NOT_RUN], f.told[LOAD_UNKNOWN], f.told[LOAD_ERROR],
+	       f.told[LOAD_WRONG], f.p99_ms, longest_gap_ms(load));
+}
+
+static void run_until(const struct load *load, gint64 at_us)
+{
+	while (!load_done(load) && g_get_monotonic_time() < at_us)
+		fleet_run_ms(10);
+}
+
+static bool zone_set(struct fleet *fleet, const char *what, GError **error)
+{
+	char *path = g_strdup_printf("/v1/zones/z1/%s", what);
+	guint status = 0;
+	JsonNode *answer =
+		fleet_admin(fleet, fleet_member(fleet, 1), "POST", path,
+			    "{\"author\":\"bench\"}", &status, error);
+
+	g_free(path);
+	if (!answer)
+		return false;
+	json_node_unref(answer);
+	if (status == 200)
+		return true;
+	g_set_error(error, G_IO_ERROR, G_IO_ERROR_FAILED, "zone %s: status %u",
+		    what, status);
+	return false;
+}
+
+/* Last new request in zone z1 after the command, in ms; 0 for none. */
+static double last_new_ms(struct fleet *fleet, gint64 command_us)
+{
+	JsonNode *oracle = fleet_oracle(fleet);
+	gint64 last = command_us;
+
+	for (guint i = 0; i < fleet->inventory->upstreams->len; i++) {
+		const struct aub_upstream *u =
+			aub_upstream_at(fleet->inventory, i);
+
+		if (u->zone == 0)
+			last = MAX(last, tool_json_int(fleet_oracle_upstream(
+							       oracle, fleet,
+							       (guint16)i),
+						       "last_new_us", 0));
+	}
+	json_node_unref(oracle);
+	return (double)(last - command_us) / 1000.0;
+}
+
+static gint64 fell_over(struct fleet *fleet)
+{
+	JsonNode *oracle = fleet_oracle(fleet);
+	gint64 sum = 0;
+
+	for (guint i = 0; i < fleet->inventory->upstreams->len; i++)
+		sum += tool_json_int(fleet_oracle_upstream(oracle, fleet,
+							   (guint16)i),
+				     "fell_over", 0);
+	json_node_unref(oracle);
+	return sum;
+}
+
+/* The zone's upstreams start anew while it is out. */
+static void turn_zone_cold(struct fleet *fleet)
+{
+	for (guint i = 0; i < fleet->inventory->upstreams->len; i++)
+		if (aub_upstream_at(fleet->inventory, i)->zone == 0)
+			fleet_one_upstream_fault(fleet, (guint16)i,
+						 "{\"cold\":1}");
+}
+
+bool bench_zone(const struct bench_shape *shape, guint members, double seconds,
+		const char *file, GError **error)
+{
+	struct bench_case what = {
+		.scenario = "zone",
+		.shape = shape,
+		.policy = "auburnstile",
+		.load = 0.5,
+		.members = members,
+		.run = 1,
+	};
+	struct fleet *fleet = bench_fleet(&what, error);
+	gint64 out_us = 0;
+	gint64 from_us;
+	double last_ms;
+	struct load *load;
+	bool good;
+
+	if (!fleet)
+		return false;
+	load = bench_load(&what, fleet, seconds, 1);
+	from_us = g_get_monotonic_time();
+	load_start(load);
+	run_until(load, from_us + (gint64)(seconds * 1e6 / 6));
+	out_us = g_get_monotonic_time();
+	good = zone_set(fleet, "out", error);
+	run_until(load, from_us + (gint64)(seconds * 1e6 / 2));
+	last_ms = last_new_ms(fleet, out_us);
+	turn_zone_cold(fleet);
+	good = good && zone_set(fleet, "in", error);
+	run_until(load, G_MAXINT64);
+	good = good &&
+	       write_slices(load, from_us, (guint)(seconds * 10), file, error);
+	print_summary("zone-out-and-back", load);
+	printf("zone-out-and-back: last_new_in_zone_ms=%.0f fell_over=%" G_GINT64_FORMAT
+	       "\n",
+	       last_ms, fell_over(fleet));
+	load_free(load);
+	fleet_free(fleet, false);
+	return good;
+}
+
+bool bench_owner(const struct bench_shape *shape, guint members, double seconds,
+		 const char *file, GError **error)
+{
+	struct bench_case what = {
+		.scenario = "owner-killed",
+		.shape = shape,
+		.policy = "auburnstile",
+		.load = 0.5,
+		.members = members,
+		.run = 1,
+	};
+	struct fleet *fleet = bench_fleet(&what, error);
+	struct fleet_member *owner;
+	gint64 from_us;
+	struct load *load;
+	bool good;
+
+	if (!fleet)
+		return false;
+	load = bench_load(&what, fleet, seconds, 1);
+	from_us = g_get_monotonic_time();
+	load_start(load);
+	run_until(load, from_us + (gint64)(seconds * 1e6 / 3));
+	owner = fleet_owner(fleet, shape->service);
+	if (owner)
+		fleet_signal(owner, FLEET_BOTH, SIGKILL);
+	run_until(load, G_MAXINT64);
+	good = write_slices(load, from_us, (guint)(seconds * 10), file, error);
+	print_summary("owner-killed", load);
+	load_free(load);
+	fleet_free(fleet, false);
+	return good;
+}
--- /dev/null
+++ b/tools/bench/report.c
@@ -0,0 +1,111 @@
+/* Rows of figures as lines, as TSV, and as a page with plots. */
+#include "bench/bench.h"
+
+#include <stdio.h>
+
+#define PLOT_WIDTH 640
+#define PLOT_HEIGHT 26 /* of one bar's line */
+#define PLOT_LEFT 260
+
+static const char columns[] =
+	"scenario\tshape\tpolicy\tload\trun\tp50_ms\tp99_ms\tp999_ms\t"
+	"goodput_ratio\tlimit_p99_ms\tprobes_per_s\ttotal_work_ratio\t"
+	"requests\trefused\trefused_p99_ms\tfailed\tunknown\twrong\n";
+
+static char *row_text(const struct bench_row *row)
+{
+	const struct bench_case *what = &row->what;
+
+	return g_strdup_printf(
+		"%s\t%s\t%s\t%.2f\t%u\t%.2f\t%.2f\t%.2f\t%.3f\t%.2f\t%.2f\t"
+		"%.3f\t%u\t%u\t%.2f\t%u\t%u\t%u\n",
+		what->scenario, what->shape->name, what->policy, what->load,
+		what->run, row->p50_ms, row->p99_ms, row->p999_ms,
+		row->goodput_ratio, row->limit_p99_ms, row->probes_per_s,
+		row->total_work_ratio, row->requests, row->refused,
+		row->refused_p99_ms, row->failed, row->unknown, row->wrong);
+}
+
+void bench_print_header(void)
+{
+	fputs(columns, stdout);
+}
+
+void bench_print_row(const struct bench_row *row)
+{
+	char *text = row_text(row);
+
+	fputs(text, stdout);
+	fflush(stdout);
+	g_free(text);
+}
+
+static void write_file(const char *file, GString *text)
+{
+	GError *error = NULL;
+
+	if (!g_file_set_contents(file, text->str, -1, &error)) {
+		fprintf(stderr, "%s\n", error->message);
+		g_error_free(error);
+	}
+	g_string_free(text, TRUE);
+}
+
+void bench_write_tsv(const GArray *rows, const char *file)
+{
+	GString *text = g_string_new(columns);
+
+	for (guint i = 0; i < rows->len; i++) {
+		char *line =
+			row_text(&g_array_index(rows, struct bench_row, i));
+
+		g_string_append(text, line);
+		g_free(line);
+	}
+	write_file(file, text);
+}
+
+/* A bar for p99 with a mark at the limit, and its label. */
+static void add_bar(GString *page, const struct bench_row *row, guint line,
+		    double scale)
+{
+	guint y = line * PLOT_HEIGHT;
+	double width = row->p99_ms * scale;
+	double mark = PLOT_LEFT + row->limit_p99_ms * scale;
+
+	g_string_append_printf(
+		page,
+		"<text x=\"4\" y=\"%u\">%s, %s %.2f</text>"
+		"<rect x=\"%d\" y=\"%u\" width=\"%.1f\" height=\"16\" "
+		"fill=\"%s\"/><line x1=\"%.1f\" x2=\"%.1f\" y1=\"%u\" "
+		"y2=\"%u\" stroke=\"#000\" stroke-width=\"2\"/>"
+		"<text x=\"%.1f\" y=\"%u\">%.0f ms</text>\n",
+		y + 15, row->what.policy, row->what.scenario, row->what.load,
+		PLOT_LEFT, y + 3, width,
+		g_str_equal(row->what.policy, "auburnstile") ? "#2a7" : "#99b",
+		mark, mark, y + 1, y + 21, PLOT_LEFT + width + 6, y + 15,
+		row->p99_ms);
+}
+
+void bench_write_page(const GArray *rows, const char *file)
+{
+	GString *page = g_string_new(
+		"<!DOCTYPE html><meta charset=\"utf-8\"><title>auburnstile: "
+		"measurements</title><style>body{font:14px sans-serif}"
+		"text{font:12px sans-serif}</style><h1>p99 of each run</h1>"
+		"<p>The black mark is the limit: one perfect queue without "
+		"hedges, for the same arrivals.</p>");
+	double longest = 1;
+
+	for (guint i = 0; i < rows->len; i++)
+		longest = MAX(longest,
+			      g_array_index(rows, struct bench_row, i).p99_ms);
+	g_string_append_printf(page, "<svg width=\"%d\" height=\"%u\">\n",
+			       PLOT_LEFT + PLOT_WIDTH + 80,
+			       (rows->len + 1) * PLOT_HEIGHT);
+	for (guint i = 0; i < rows->len; i++)
+		add_bar(page, &g_array_index(rows, struct bench_row, i), i,
+			PLOT_WIDTH / longest);
+	g_string_append(page, "</svg>\n");
+	write_file(file, page);
+}
--- a/tools/fleet/fleet.c
+++ b/tools/fleet/fleet.c
@@ -293,10 +293,13 @@
 			       "inner = \"%s\"\n"
 			       "admin = \"%s\"\n"
 			       "control = \"%s\"\n"
-			       "token_file = \"%s\"\n",
+			       "token_file = \"%s\"\n"
+			       "policy = \"%s\"\n",
 			       member->name, member->zone, member->callers,
 			       member->inner, member->admin,
-			       member->control_inner, fleet->token_file);
+			       member->control_inner, fleet->token_file,
+			       fleet->options.policy ? fleet->options.policy :
+						       "auburnstile");
 }
 
 /* Takes `settings` over. */
--- a/tools/fleet/fleet.h
+++ b/tools/fleet/fleet.h
@@ -35,6 +35,7 @@
 	double mean_us; /* of upstreams' service time; 0: 20 ms */
 	bool proxies; /* before the store and before each upstream */
 	const char *const *upstream_options; /* more of them, NULL at end */
+	const char *policy; /* of the entries; NULL: the product's own */
 };
 
 struct fleet {
