--- a/tools/bench/bench.h
+++ b/tools/bench/bench.h
@@ -77,6 +77,9 @@
 struct load *bench_load(const struct bench_case *what, struct fleet *fleet,
 			double seconds, guint seed);
 
+/* A mild load before the measured one, until upstreams are known. */
+void bench_warm_up(const struct bench_case *what, struct fleet *fleet);
+
 /* Run one case from start to end. */
 bool bench_run(const struct bench_case *what, struct bench_row *row,
 	       GError **error);
--- a/tools/bench/run.c
+++ b/tools/bench/run.c
@@ -141,7 +141,7 @@
 	g_array_unref(refused);
 }
 
-static void warm_up(const struct bench_case *what, struct fleet *fleet)
+void bench_warm_up(const struct bench_case *what, struct fleet *fleet)
 {
 	struct bench_case mild = *what;
 	struct load *load;
@@ -190,7 +190,7 @@
 	*row = (struct bench_row){ .what = *what };
 	if (!fleet)
 		return false;
-	warm_up(what, fleet);
+	bench_warm_up(what, fleet);
 	for (guint i = 0; i < what->fail_fast; i++)
 		fleet_one_upstream_fault(fleet, (guint16)i,
 					 "{\"fail_fast\":-1}");
