Tell a store that is down from a lost answer; problems as JSON

Cause: a control's timeout counted as a lost answer, so that a change that certainly did not happen would have ended as unknown (exit 6). Scripts got the problems of a file as text only. Seen: with the store refusing and hanging, zone out ends with exit 1 and nothing changes; after its return it is accepted.

--- a/programs/auburnstilectl.c
+++ b/programs/auburnstilectl.c
@@ -13,7 +13,7 @@
 
 static const char doc[] =
 	"Operate an auburnstile fleet.\v"
-	"Commands:\n"
+	"Commands (FILE may be - for standard input):\n"
 	"  check FILE              check an inventory, naming broken rules\n"
 	"  diff FILE               what applying FILE would change\n"
 	"  diff OLD NEW            compare two files\n"
--- a/programs/ctl/change.c
+++ b/programs/ctl/change.c
@@ -120,6 +120,17 @@
 			       g_random_int(), g_random_int());
 }
 
+/* The control itself lost the store's answer, and can't read back. */
+static bool is_ambiguous(const struct ctl_answer *answer)
+{
+	JsonObject *error =
+		answer->body ? aub_json_object(answer->body, "error") : NULL;
+	const char *code = error ? aub_json_string(error, "code") : NULL;
+
+	return code &&
+	       strcmp(code, aub_error_code_name(AUB_ERROR_AMBIGUOUS)) == 0;
+}
+
 /*
  * Send a change until it is known what became of it.
  *
@@ -144,8 +155,7 @@
 				   options->change_timeout_ms, answer, error);
 		if (!answered && (*error)->code == AUB_ERROR_INVALID)
 			return false;
-		/* The control itself may have lost the store's answer. */
-		if (answered && answer->status != SOUP_STATUS_GATEWAY_TIMEOUT)
+		if (answered && !is_ambiguous(answer))
 			return true;
 		*lost = *lost || answered || answer->lost;
 	}
@@ -227,7 +237,7 @@
 
 	if (count != 1)
 		return CTL_WORDS;
-	text = ctl_file_checked(words[0], &inventory);
+	text = ctl_file_checked(options, words[0], &inventory);
 	if (!text)
 		return CTL_REFUSED;
 	base = options->base >= 0 ? (guint64)options->base :
--- a/programs/ctl/ctl.h
+++ b/programs/ctl/ctl.h
@@ -85,8 +85,12 @@
 /* A configuration in an answer; NULL where it is null or broken. */
 struct aub_config *ctl_config_of(JsonObject *object, const char *name,
 				 guint64 version);
-/* Read and check a file; its text (owned) or NULL with the error printed. */
-char *ctl_file_checked(const char *file, struct aub_inventory **inventory);
+/*
+ * Read ("-": standard input) and check a file; its text (owned) or NULL with
+ * the error printed.
+ */
+char *ctl_file_checked(const struct ctl_options *options, const char *file,
+		       struct aub_inventory **inventory);
 /* What a file would make of a configuration; marks stay as they are. */
 struct aub_config *ctl_config_with(const struct aub_config *config,
 				   const char *text);
--- a/programs/ctl/edit.c
+++ b/programs/ctl/edit.c
@@ -19,7 +19,24 @@
 	return NULL;
 }
 
-char *ctl_file_checked(const char *file, struct aub_inventory **inventory)
+/* The problems of a file for scripts: all but the message's first line. */
+static void print_problems(const GError *error)
+{
+	char **lines = g_strsplit(error->message, "\n", -1);
+	GString *out = g_string_new("{\"valid\":false,\"problems\":[");
+
+	for (guint i = lines[1] ? 1 : 0; lines[i]; i++) {
+		if (out->str[out->len - 1] != '[')
+			g_string_append_c(out, ',');
+		aub_json_append_string(out, lines[i]);
+	}
+	g_print("%s]}\n", out->str);
+	g_string_free(out, TRUE);
+	g_strfreev(lines);
+}
+
+char *ctl_file_checked(const struct ctl_options *options, const char *file,
+		       struct aub_inventory **inventory)
 {
 	GError *error = NULL;
 	gsize length = 0;
@@ -29,6 +46,8 @@
 		*inventory = aub_inventory_parse(text, length, file, &error);
 	if (!error)
 		return text;
+	if (options->format == CTL_JSON)
+		print_problems(error);
 	ctl_print_error(error, 0);
 	g_free(text);
 	return NULL;
@@ -41,7 +60,7 @@
 
 	if (count != 1)
 		return CTL_WORDS;
-	text = ctl_file_checked(words[0], &inventory);
+	text = ctl_file_checked(options, words[0], &inventory);
 	if (!text)
 		return CTL_REFUSED;
 	if (options->format == CTL_JSON)
@@ -129,13 +148,13 @@
 
 	if (count < 1 || count > 2)
 		return CTL_WORDS;
-	text = ctl_file_checked(words[count - 1], &inventory);
+	text = ctl_file_checked(options, words[count - 1], &inventory);
 	aub_inventory_unref(inventory);
 	if (!text)
 		return CTL_REFUSED;
 	if (count == 2) {
 		inventory = NULL;
-		other = ctl_file_checked(words[0], &inventory);
+		other = ctl_file_checked(options, words[0], &inventory);
 		aub_inventory_unref(inventory);
 		if (!other)
 			goto out;
--- a/programs/ctl/events.c
+++ b/programs/ctl/events.c
@@ -113,9 +113,14 @@
 		const char *const fields[] = { "entry_admin", "control_admin" };
 		const char *state = it ? aub_json_string(it, "state") : NULL;
 
-		if (!state || strcmp(state, "dead") == 0 ||
-		    strcmp(state, "stopped") == 0)
+		if (!state || strcmp(state, "stopped") == 0)
 			continue;
+		if (strcmp(state, "dead") == 0) {
+			g_printerr("auburnstilectl: %s is dead: its events "
+				   "are missing\n",
+				   aub_json_string(it, "name"));
+			continue;
+		}
 		for (guint f = 0; f < G_N_ELEMENTS(fields); f++) {
 			const char *address = aub_json_string(it, fields[f]);
 
--- a/tests/test_ctl.cc
+++ b/tests/test_ctl.cc
@@ -162,6 +162,8 @@
 	EXPECT_EQ(broken.code, 1);
 	EXPECT_TRUE(has(broken.err, "(rule path)")) << broken.err;
 	EXPECT_TRUE(has(broken.err, file + ":")) << broken.err;
+	EXPECT_TRUE(has(ctl({ "check", "--json", file }).out,
+			"{\"valid\":false,\"problems\":[\"" + file + ":"));
 	EXPECT_EQ(ctl({ "zone", "out", "nowhere" }).code, 1);
 	EXPECT_EQ(ctl({ "zone", "away", "z1" }).code, 2);
 	EXPECT_EQ(ctl({ "explain", "xyz" }).code, 2);
@@ -270,6 +272,29 @@
 	EXPECT_TRUE(has(ctl({ "show" }).out, "queue_limit = 4321"));
 }
 
+/*
+ * The store is down, once refusing and once silent. Operators must be told
+ * that nothing was changed, not that nobody knows; callers are served on.
+ */
+TEST_F(Ctl, WithTheStoreDownNothingIsChangedAndItSaysSo)
+{
+	const char *first = fleet_member(fleet, 0)->control_admin;
+
+	apply_first();
+	std::string before = ctl({ "show" }).out;
+
+	for (const char *fault :
+	     { "{\"down\":\"refuse\"}", "{\"down\":\"hang\"}" }) {
+		ASSERT_TRUE(fleet_store_fault(fleet, fault));
+		outcome out = ctl({ "zone", "out", "z1" }, { first });
+
+		EXPECT_EQ(out.code, 1) << out.out << out.err;
+		EXPECT_EQ(ctl({ "show" }).out, before);
+	}
+	ASSERT_TRUE(fleet_store_fault(fleet, "{\"clear\":1}"));
+	EXPECT_EQ(ctl_accepted({ "zone", "out", "z1" }).code, 0);
+}
+
 /*
  * Two operators press return at the same moment, each with a file from the
  * same version, through different controls. One is accepted, the other sees
