Prove that retries don't multiply, that measuring keeps its budget, that leaving holds

Cause: three promises had no proof with real processes. Change: stand-in upstreams can call a service each (deadline and retry budget passed on), which gives trees 25 deep; proofs for a leaf that resets, fails fast, sheds or stays silent; for an upstream or VM that leaves, with a slow store, or by its own word alone; for the probes' cost while owners are killed or frozen and upstreams are gone.

Not proved: probes while two entries both own for longer than a pause of 2 s.

--- a/tools/proofs.c
+++ b/tools/proofs.c
@@ -10,8 +10,9 @@
 #include <stdlib.h>
 
 static const struct proof *const tables[] = {
-	proofs_not_run, proofs_once,   proofs_whole, proofs_cold,   proofs_zone,
-	proofs_stop,	proofs_config, proofs_crash, proofs_others,
+	proofs_not_run, proofs_once,  proofs_whole,	proofs_cold,
+	proofs_zone,	proofs_stop,  proofs_config,	proofs_crash,
+	proofs_retries, proofs_leave, proofs_measuring,
 };
 
 struct options {
--- a/tools/proofs/proof.h
+++ b/tools/proofs/proof.h
@@ -32,8 +32,10 @@
 extern const struct proof proofs_zone[];
 extern const struct proof proofs_config[];
 extern const struct proof proofs_stop[];
-extern const struct proof proofs_others[];
 extern const struct proof proofs_crash[];
+extern const struct proof proofs_retries[];
+extern const struct proof proofs_leave[];
+extern const struct proof proofs_measuring[];
 
 /* One proof under way. */
 struct proof_run {
--- a/tools/upstream/upstream.c
+++ b/tools/upstream/upstream.c
@@ -76,6 +76,7 @@
 		g_source_destroy(job->watch);
 		g_source_unref(job->watch);
 	}
+	upstream_call_forget(job);
 	g_object_unref(job->message);
 	g_free(job->nonce);
 	g_free(job);
@@ -193,12 +194,28 @@
 		upstream_crash(upstream, upstream->options.fall_ms);
 		return G_SOURCE_REMOVE;
 	default:
+		if (upstream->calls) {
+			upstream_call(job);
+			return G_SOURCE_REMOVE;
+		}
 		upstream_answer(job);
 		end_job(job);
 		return G_SOURCE_REMOVE;
 	}
 }
 
+void upstream_called(struct upstream_job *job, guint status)
+{
+	if (status == SOUP_STATUS_OK) {
+		upstream_answer(job);
+	} else {
+		upstream_add_state(job->upstream, job->message);
+		tool_answer_text(job->message, status, "call failed\n");
+		soup_server_message_unpause(job->message);
+	}
+	end_job(job);
+}
+
 static void start_job(struct upstream_job *job)
 {
 	struct upstream *upstream = job->upstream;
@@ -531,6 +548,8 @@
 	g_ptr_array_unref(upstream->running);
 	g_ptr_array_unref(upstream->sockets);
 	g_ptr_array_unref(upstream->late);
+	g_clear_object(&upstream->session);
+	g_free(upstream->calls);
 	g_free(upstream);
 }
 
@@ -560,6 +579,11 @@
 			now + tool_json_int(body, "slow_ms", 0) * 1000;
 	if (tool_json_int(body, "cold", 0))
 		upstream_turn_cold(upstream);
+	if (json_object_has_member(body, "calls")) {
+		g_free(upstream->calls);
+		upstream->calls =
+			g_strdup(tool_json_string(body, "calls", NULL));
+	}
 	if (json_object_has_member(body, "crash_ms"))
 		upstream_crash(upstream, tool_json_int(body, "crash_ms", 0));
 }
--- a/tools/upstream/upstream.h
+++ b/tools/upstream/upstream.h
@@ -86,6 +86,8 @@
 	gint64 slow_until_us;
 	guint late_ms;
 	gint64 faults[UPSTREAM_FAULTS];
+	char *calls; /* URL called for each request, or NULL; nonce appended */
+	SoupSession *session; /* for that; made when first needed */
 	GPtrArray *running; /* of struct upstream_job, owned */
 	GPtrArray *late; /* of struct upstream_job, owned: served, waiting */
 	GQueue queue; /* of struct upstream_job, owned */
@@ -96,6 +98,8 @@
 	struct upstream_oracle oracle;
 };
 
+struct upstream_call;
+
 /* One request inside an upstream. */
 struct upstream_job {
 	struct upstream *upstream; /* borrowed */
@@ -103,6 +107,7 @@
 	GSource *watch; /* sees the other end close */
 	struct upstream_run *run; /* borrowed; NULL without a nonce */
 	char *nonce;
+	struct upstream_call *call; /* under way, or NULL */
 	gint64 deadline_us; /* 0: none */
 	guint timer;
 	bool new_connection;
@@ -133,6 +138,11 @@
 /* Its figures as a JSON object, appended to `builder`. */
 void upstream_build(struct upstream *upstream, JsonBuilder *builder);
 
+/* Call another service for a served job; upstream_called() ends it. */
+void upstream_call(struct upstream_job *job);
+void upstream_called(struct upstream_job *job, guint status);
+void upstream_call_forget(struct upstream_job *job);
+
 /* Send the answer of a finished job, spoiled by its fault. */
 void upstream_answer(struct upstream_job *job);
 void upstream_refuse(struct upstream *upstream, SoupServerMessage *message,
