Write a change onto what is held; read the store only on a conflict

Ruled out: taking the stale read (its version is older than what is held). Change: the write's own condition tells whether what is held was the newest; the store is read on a conflict, and where there is nothing to write by what is held.

--- a/src/coordination/control_apply.c
+++ b/src/coordination/control_apply.c
@@ -205,7 +205,11 @@
 			 aubi_edit_list(apply->edit, apply->name,
 					control->inventory, config, &error) :
 			 aubi_edit_inventory(config, apply->text, &error);
-	if (error) {
+	if (apply->edit && !edited && !apply->tries) {
+		/* By what is held there is nothing to do: ask the store. */
+		g_clear_error(&error);
+		apply_read(apply);
+	} else if (error) {
 		apply_fail(apply, error);
 		g_error_free(error);
 	} else if (!edited) {
@@ -309,6 +313,24 @@
 	}
 }
 
+/*
+ * Failure: the store's reads are stale or slow while its writes are good.
+ * Symptom: an operator's change is refused though peers know the newest.
+ * Enough: it is written onto what is held, and the write's condition tells
+ * if that wasn't the newest; only then is the store read.
+ */
+static void apply_start(struct apply *apply)
+{
+	guint64 held = apply->owner->control->agreement.config_version;
+
+	if (is_held_already(apply))
+		return;
+	if (apply->edit ? held > 0 : apply->base == held)
+		apply_write(apply);
+	else
+		apply_read(apply);
+}
+
 /* The request's body as an object; answers and returns NULL if it is none. */
 static JsonObject *body_of(struct aub_admin_request *request)
 {
@@ -396,7 +418,7 @@
 	else if (!change_is_good(apply))
 		apply_refuse(apply, AUB_ERROR_INVALID, CHANGE_RULE);
 	else
-		apply_read(apply);
+		apply_start(apply);
 	json_object_unref(body);
 }
 
@@ -414,7 +436,7 @@
 	else if (!change_is_good(apply))
 		apply_refuse(apply, AUB_ERROR_INVALID, CHANGE_RULE);
 	else
-		apply_read(apply);
+		apply_start(apply);
 	json_object_unref(body);
 }
 
