--- a/src/transport/caller_message.c
+++ b/src/transport/caller_message.c
@@ -122,6 +122,9 @@
 
 	headers = soup_server_message_get_response_headers(message);
 	write_body(message, answer);
+	/* libsoup has put one in already; the upstream's own is passed on. */
+	if (aub_headers_find(answer->headers, "Date"))
+		soup_message_headers_remove(headers, "Date");
 	aub_headers_emit(answer->headers, headers);
 	write_outcome(headers, answer, stale);
 	soup_server_message_set_status(message, answer->status, NULL);
--- a/tests/test_processes.cc
+++ b/tests/test_processes.cc
@@ -263,6 +263,19 @@
 			<< path;
 }
 
+TEST_F(Processes, AnAnswerHasOneDate)
+{
+	std::string answer =
+		receive(send(fleet_member(fleet, 0)->callers,
+			     "GET /calendar/x HTTP/1.1\r\nHost: x\r\n"
+			     "Connection: close\r\n\r\n"));
+	size_t first = answer.find("\r\nDate: ");
+
+	ASSERT_NE(first, std::string::npos) << answer;
+	EXPECT_EQ(answer.find("\r\nDate: ", first + 2), std::string::npos)
+		<< answer;
+}
+
 TEST_F(Processes, HangupSaysThatARestartIsNeeded)
 {
 	struct fleet_member *member = fleet_member(fleet, 1);
