--- a/src/transport/admin.c
+++ b/src/transport/admin.c
@@ -5,6 +5,7 @@
  */
 #include <auburnstile/admin.h>
 #include <auburnstile/error.h>
+#include <auburnstile/internal/events_json.h>
 #include <auburnstile/internal/json.h>
 #include <auburnstile/internal/problems.h>
 #include <auburnstile/internal/token.h>
@@ -12,13 +13,6 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
-/*
- * Events in one answer. All of a full ring would take the thread for tens of
- * milliseconds, and a caller's request would wait that long; a reader asks
- * again from the last sequence it got.
- */
-#define EVENTS_PER_ANSWER 1000
-
 struct route {
 	char *method;
 	char *path;
@@ -193,76 +187,24 @@
 				    aub_error_peer(error), error->message));
 }
 
-struct event_writer {
-	GString *out;
-	guint count;
-};
-
-static void event_write(const struct aub_event *event, void *context)
-{
-	struct event_writer *writer = context;
-	GString *out = writer->out;
-	const char *const texts[] = { "upstream",  event->upstream, "zone",
-				      event->zone, "peer",	    event->peer,
-				      "text",	   event->text };
-
-	if (writer->count >= EVENTS_PER_ANSWER)
-		return;
-	g_string_append_printf(out,
-			       "%s{\"sequence\":%" G_GUINT64_FORMAT
-			       ",\"monotonic_us\":%" G_GINT64_FORMAT
-			       ",\"wall_us\":%" G_GINT64_FORMAT
-			       ",\"type\":\"%s\""
-			       ",\"request\":\"%016" G_GINT64_MODIFIER "x\""
-			       ",\"number\":%" G_GINT64_FORMAT,
-			       writer->count++ ? "," : "", event->sequence,
-			       event->monotonic_us, event->wall_us,
-			       aub_event_type_name(event->type), event->request,
-			       event->number);
-	for (guint i = 0; i < G_N_ELEMENTS(texts); i += 2) {
-		if (!*texts[i + 1])
-			continue;
-		g_string_append_printf(out, ",\"%s\":", texts[i]);
-		aub_json_append_string(out, texts[i + 1]);
-	}
-	g_string_append_c(out, '}');
-}
-
 static void answer_events(struct aub_admin_request *request, void *context)
 {
 	const struct aub_admin *admin = context;
 	const char *text = aub_admin_query(request, "after");
-	struct event_writer writer = { .out = g_string_new("{\"process\":") };
+	GError *error = NULL;
 	guint64 after = 0;
 
 	if (text && !g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64,
 						&after, NULL)) {
-		GError *error = NULL;
-
-		g_string_free(writer.out, TRUE);
 		aub_error_set(&error, AUB_ERROR_INVALID, "read events", NULL,
 			      "after=%s is no sequence number", text);
 		aub_admin_fail(request, error);
 		g_error_free(error);
 		return;
 	}
-	aub_json_append_string(writer.out, admin->process);
-	g_string_append_printf(writer.out,
-			       ",\"incarnation\":%" G_GUINT64_FORMAT
-			       ",\"monotonic_us\":%" G_GINT64_FORMAT
-			       ",\"wall_us\":%" G_GINT64_FORMAT
-			       ",\"lost\":%" G_GUINT64_FORMAT ",\"events\":[",
-			       admin->incarnation, g_get_monotonic_time(),
-			       g_get_real_time(),
-			       admin->events ?
-				       aub_event_ring_lost(admin->events) :
-				       0);
-	if (admin->events)
-		aub_event_ring_visit(admin->events, after, event_write,
-				     &writer);
-	g_string_append(writer.out, "]}");
 	aub_admin_answer(request, SOUP_STATUS_OK,
-			 g_string_free(writer.out, FALSE));
+			 aub_events_json(admin->events, admin->process,
+					 admin->incarnation, after));
 }
 
 static void respond_text(SoupServerMessage *message, guint status,
