--- a/tools/bench.c
+++ b/tools/bench.c
@@ -5,6 +5,7 @@
 #include "bench/bench.h"
 
 #include <argp.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -25,6 +26,8 @@
 struct bench {
 	const char *folder;
 	const char *only; /* a scenario, NULL for all */
+	const char *policy; /* just this one, NULL for all */
+	double load; /* of the slow rows alone, 0 for all */
 	bool brief;
 	guint runs;
 	guint members;
@@ -38,6 +41,8 @@
 	{ "runs", 'r', "N", 0, "runs of each row (default: 5)", 0 },
 	{ "members", 'm', "N", 0, "entry VMs (default: 15)", 0 },
 	{ "seconds", 't', "N", 0, "length of a run (default: 10)", 0 },
+	{ "policy", 'p', "NAME", 0, "just this one", 0 },
+	{ "load", 'l', "SHARE", 0, "slow rows of this load alone", 0 },
 	{ "only", 'o', "SCENARIO", 0, "just this one", 0 },
 	{ 0 }
 };
@@ -62,6 +67,12 @@
 	case 't':
 		bench->seconds = g_ascii_strtod(argument, NULL);
 		return 0;
+	case 'p':
+		bench->policy = argument;
+		return 0;
+	case 'l':
+		bench->load = g_ascii_strtod(argument, NULL);
+		return 0;
 	case 'o':
 		bench->only = argument;
 		return 0;
@@ -111,6 +122,8 @@
 
 static void measure(struct bench *bench, struct bench_case what)
 {
+	if (bench->policy && !g_str_equal(what.policy, bench->policy))
+		return;
 	what.members = bench->members;
 	what.seconds = bench->seconds;
 	for (guint run = 1; run <= bench->runs; run++) {
@@ -143,6 +156,8 @@
 			.slow = true,
 		};
 
+		if (bench->load > 0 && fabs(bench->load - loads[i]) > 0.001)
+			continue;
 		measure(bench, what);
 		what.scenario = "slow-hedged";
 		what.hedge_percent = 3;
