--- a/tools/policy-model.c
+++ b/tools/policy-model.c
@@ -506,7 +506,7 @@
 			.upstreams = i % 2 ? 14 : 12,
 			.entries = 17,
 			.load = loads[i / 2 % 3],
-			.sigma = 1.0,
+			.sigma = 0.5,
 			.length_us = (gint64)(seconds * 1e6),
 			.seed = i / 6 + 1,
 			.slow = true,
