Hedge earlier, and count what work slots really did

Change: the slow mark is the time that 3 x hedge_percent of answers pass, and a token buys three hedges. The stand-in upstreams count the time their slots worked, and the bench reports it as total_work_ratio.

--- a/include/auburnstile/internal/dispatch.h
+++ b/include/auburnstile/internal/dispatch.h
@@ -17,6 +17,7 @@
 #define AUB_RETRY_PERCENT 15 /* retries among calls, service-wide */
 #define AUB_RETRY_BURST 10 /* retries */
 #define AUB_HEDGE_BURST 8 /* hedges */
+#define AUB_HEDGES_A_MEAN 3 /* hedges that cost one mean service time */
 #define AUB_CRASH_DEATHS 2 /* deaths after which a request is refused */
 
 enum upstream_state {
--- a/src/state/dispatch_hedge.c
+++ b/src/state/dispatch_hedge.c
@@ -8,7 +8,7 @@
  */
 #include <auburnstile/internal/dispatch.h>
 
-#define HEDGE_TOKEN 1000
+#define HEDGE_TOKEN (1000 / AUB_HEDGES_A_MEAN)
 #define HEDGE_ATTEMPT 100 /* of the retry budget, 1/100 */
 
 static bool hedgeable(const struct aub_dispatcher *dispatcher,
--- a/src/state/dispatch_upstream.c
+++ b/src/state/dispatch_upstream.c
@@ -6,6 +6,7 @@
 
 #define OVERRUN_FACTOR 4 /* times the mean: a running attempt is suspect */
 #define MEAN_OVER 64 /* answers in the service's smoothed mean */
+#define UNHEDGED_PERCENT 1 /* makes the slow mark, without hedges */
 #define SLOW_HOLD_US (100 * AUB_MS) /* a slow answer counts that long */
 #define OTHER_ZONE_US 1000 /* what another zone costs, as service time */
 #define EJECT_PERMILLE 500 /* failed answers that eject */
@@ -302,9 +303,9 @@
 static void note_slow_mark(struct aub_dispatcher *dispatcher, gint64 took_us,
 			   bool whole)
 {
-	gint64 share = dispatcher->hedge_percent ?
-			       MIN(dispatcher->hedge_percent, 50) :
-			       3;
+	gint64 percent = dispatcher->hedge_percent ? dispatcher->hedge_percent :
+						     UNHEDGED_PERCENT;
+	gint64 share = MIN(AUB_HEDGES_A_MEAN * percent, 50);
 	gint64 step = MAX(dispatcher->slow_us / 32, 20);
 
 	if (!dispatcher->slow_us) {
--- a/tools/bench/bench.h
+++ b/tools/bench/bench.h
@@ -56,7 +56,8 @@
 	double limit_p99_ms;
 	double goodput_ratio; /* good answers to what slots could give */
 	double probes_per_s;
-	double total_work_ratio; /* started at upstreams to answered */
+	double total_work_ratio; /* slots' time to answers of mean length */
+	double started_ratio; /* started at upstreams to answered */
 	guint requests;
 	guint refused;
 	guint failed; /* answered with a server error */
--- a/tools/bench/report.c
+++ b/tools/bench/report.c
@@ -10,7 +10,7 @@
 static const char columns[] =
 	"scenario\tshape\tpolicy\tload\trun\tp50_ms\tp99_ms\tp999_ms\t"
 	"goodput_ratio\tlimit_p99_ms\tprobes_per_s\ttotal_work_ratio\t"
-	"requests\trefused\trefused_p99_ms\tfailed\tunknown\twrong\n";
+	"requests\trefused\trefused_p99_ms\tfailed\tunknown\twrong\tstarted_ratio\n";
 
 static char *row_text(const struct bench_row *row)
 {
@@ -18,12 +18,13 @@
 
 	return g_strdup_printf(
 		"%s\t%s\t%s\t%.2f\t%u\t%.2f\t%.2f\t%.2f\t%.3f\t%.2f\t%.2f\t"
-		"%.3f\t%u\t%u\t%.2f\t%u\t%u\t%u\n",
+		"%.3f\t%u\t%u\t%.2f\t%u\t%u\t%u\t%.3f\n",
 		what->scenario, what->shape->name, what->policy, what->load,
 		what->run, row->p50_ms, row->p99_ms, row->p999_ms,
 		row->goodput_ratio, row->limit_p99_ms, row->probes_per_s,
 		row->total_work_ratio, row->requests, row->refused,
-		row->refused_p99_ms, row->failed, row->unknown, row->wrong);
+		row->refused_p99_ms, row->failed, row->unknown, row->wrong,
+		row->started_ratio);
 }
 
 void bench_print_header(void)
--- a/tools/bench/run.c
+++ b/tools/bench/run.c
@@ -169,9 +169,11 @@
 	struct fault_plan plan = { fleet, what, NULL, what->run };
 	gint64 probes = oracle_sum(fleet, "probes");
 	gint64 started = oracle_sum(fleet, "started");
+	gint64 busy_us = oracle_sum(fleet, "busy_us");
 	gint64 from_us = g_get_monotonic_time();
 	struct load *load = bench_load(what, fleet, what->seconds, what->run);
 	guint timer = 0;
+	double answered;
 	double took;
 
 	plan.slow = g_array_new(FALSE, FALSE, sizeof(struct bench_slow));
@@ -187,9 +189,12 @@
 	row->goodput_ratio = goodput(row, took);
 	row->probes_per_s =
 		(double)(oracle_sum(fleet, "probes") - probes) / took;
+	answered = MAX(row->requests - row->refused, 1);
+	row->started_ratio =
+		(double)(oracle_sum(fleet, "started") - started) / answered;
 	row->total_work_ratio =
-		(double)(oracle_sum(fleet, "started") - started) /
-		MAX(row->requests - row->refused, 1);
+		(double)(oracle_sum(fleet, "busy_us") - busy_us) /
+		(what->shape->mean_us * answered);
 	g_array_unref(plan.slow);
 	load_free(load);
 }
--- a/tools/upstream/upstream.c
+++ b/tools/upstream/upstream.c
@@ -169,6 +169,12 @@
 	return G_SOURCE_REMOVE;
 }
 
+static void note_busy(struct upstream_job *job)
+{
+	job->upstream->oracle.busy_us +=
+		g_get_monotonic_time() - job->started_us;
+}
+
 static gboolean on_served(gpointer data)
 {
 	struct upstream_job *job = data;
@@ -176,6 +182,7 @@
 	guint index;
 
 	job->timer = 0;
+	note_busy(job);
 	upstream->oracle.completed++;
 	if (job->run)
 		job->run->completed++;
@@ -223,6 +230,7 @@
 	double time_us = service_us(upstream, job->new_connection);
 
 	job->started = true;
+	job->started_us = g_get_monotonic_time();
 	job->fault = next_fault(upstream);
 	oracle->started++;
 	oracle->last_started_us = g_get_monotonic_time();
@@ -257,6 +265,7 @@
 	}
 	if (g_ptr_array_remove_fast(upstream->late, job))
 		return G_SOURCE_REMOVE;
+	note_busy(job);
 	upstream->oracle.cancelled++;
 	if (job->run)
 		job->run->cancelled++;
@@ -615,6 +624,7 @@
 	add_int(builder, "connections", oracle->connections);
 	add_int(builder, "probes", oracle->probes);
 	add_int(builder, "probe_us", oracle->probe_us);
+	add_int(builder, "busy_us", oracle->busy_us);
 	add_int(builder, "max_running", oracle->max_running);
 	add_int(builder, "max_inside", oracle->max_inside);
 	add_int(builder, "max_cold", oracle->max_cold);
--- a/tools/upstream/upstream.h
+++ b/tools/upstream/upstream.h
@@ -67,6 +67,7 @@
 	guint64 connections;
 	guint64 probes;
 	guint64 probe_us;
+	guint64 busy_us; /* slots spent on work, cancelled work too */
 	guint max_running;
 	guint max_inside; /* running and queued */
 	guint max_cold; /* inside while cold */
@@ -112,6 +113,7 @@
 	guint timer;
 	bool new_connection;
 	bool started;
+	gint64 started_us;
 	enum upstream_fault fault; /* UPSTREAM_FAULTS: none */
 };
 
