--- a/include/auburnstile/internal/dispatch.h
+++ b/include/auburnstile/internal/dispatch.h
@@ -50,7 +50,6 @@
 
 	gint64 mean_us; /* smoothed time of good answers, 0: none yet */
 	gint64 last_answer_us;
-	gint64 slow_until_us; /* its last answer was slow: taken last */
 	guint32 failed_permille; /* smoothed share of failed answers */
 	guint32 judged; /* answers since the last change of shut_times */
 	gint64 shut_until_us; /* ejected or unreachable until then */
@@ -208,8 +207,7 @@
 				 const struct request *request, bool hedge,
 				 gint64 now_us);
 void upstream_note_time(struct aub_dispatcher *dispatcher,
-			struct upstream *upstream, gint64 took_us, bool whole,
-			gint64 now_us);
+			struct upstream *upstream, gint64 took_us, bool whole);
 void upstream_note_result(struct aub_dispatcher *dispatcher,
 			  struct upstream *upstream, bool failed,
 			  gint64 now_us);
--- a/src/state/dispatch_attempt.c
+++ b/src/state/dispatch_attempt.c
@@ -206,7 +206,7 @@
 	if (failed)
 		return;
 	cold_note_answer(dispatcher, u, took_us, now_us);
-	upstream_note_time(dispatcher, u, took_us, true, now_us);
+	upstream_note_time(dispatcher, u, took_us, true);
 }
 
 static void note_ended(struct aub_dispatcher *dispatcher, struct upstream *u,
@@ -237,12 +237,12 @@
 		break;
 	case AUB_ATTEMPT_TIMEOUT:
 		u->lost_count++;
-		upstream_note_time(dispatcher, u, took_us, false, now_us);
+		upstream_note_time(dispatcher, u, took_us, false);
 		if (took_us > 2 * dispatcher->slow_us)
 			upstream_note_result(dispatcher, u, true, now_us);
 		break;
 	default:
-		upstream_note_time(dispatcher, u, took_us, false, now_us);
+		upstream_note_time(dispatcher, u, took_us, false);
 		break;
 	}
 }
--- a/src/state/dispatch_probe.c
+++ b/src/state/dispatch_probe.c
@@ -184,7 +184,6 @@
 	guint64 boot_id = u->boot_id;
 
 	cold_note_signs(dispatcher, u, signs, now_us);
-	u->slow_until_us = 0;
 	if (!signs || !signs->boot_id || signs->boot_id != boot_id)
 		boot_id = 0;
 	if (boot_id)
--- a/src/state/dispatch_upstream.c
+++ b/src/state/dispatch_upstream.c
@@ -7,7 +7,6 @@
 #define OVERRUN_FACTOR 4 /* times the mean: a running attempt is suspect */
 #define MEAN_OVER 64 /* answers in the service's smoothed mean */
 #define UNHEDGED_PERCENT 1 /* makes the slow mark, without hedges */
-#define SLOW_HOLD_US (100 * AUB_MS) /* a slow answer counts that long */
 #define OTHER_ZONE_US 1000 /* what another zone costs, as service time */
 #define EJECT_PERMILLE 500 /* failed answers that eject */
 #define EJECT_ANSWERS 5 /* answers judged before an ejection */
@@ -224,8 +223,6 @@
 	const struct attempt *oldest = head ? head->data : NULL;
 	gint64 usual = MAX(upstream->mean_us, dispatcher->mean_us);
 
-	if (now_us < upstream->slow_until_us)
-		return true;
 	return oldest && usual &&
 	       now_us - oldest->sent_us > OVERRUN_FACTOR * usual;
 }
@@ -321,15 +318,8 @@
 
 /* A good answer took `took_us`, or (`whole` false) would have taken more. */
 void upstream_note_time(struct aub_dispatcher *dispatcher,
-			struct upstream *upstream, gint64 took_us, bool whole,
-			gint64 now_us)
+			struct upstream *upstream, gint64 took_us, bool whole)
 {
-	gint64 usual = MAX(upstream->mean_us, dispatcher->mean_us);
-
-	if (usual && took_us > OVERRUN_FACTOR * usual)
-		upstream->slow_until_us = now_us + SLOW_HOLD_US;
-	else if (whole && took_us <= usual)
-		upstream->slow_until_us = 0;
 	note_slow_mark(dispatcher, took_us, whole);
 	if (!whole && took_us < upstream->mean_us)
 		return;
@@ -351,7 +341,6 @@
 	upstream->ejected = false;
 	upstream->failed_permille = 0;
 	upstream->judged = 0;
-	upstream->slow_until_us = 0;
 	upstream->limit = upstream->slots;
 }
 
