Prove that an owner's death leaves its callers served

Change: proof whole-answer/owner-dies; each load shows the span over which requests were not told "run".

--- a/tools/proofs/proof.c
+++ b/tools/proofs/proof.c
@@ -78,6 +78,28 @@
 	load_start(run->load);
 }
 
+/* Between the arrivals of the first and last request not told "run". */
+static void proof_unserved(struct proof_run *run)
+{
+	const GPtrArray *requests = load_requests(run->load);
+	const struct load_request *request;
+	const struct load_request *first = NULL;
+	const struct load_request *last = NULL;
+	guint i;
+
+	for (i = 0; i < requests->len; i++) {
+		request = requests->pdata[i];
+		if (request->told == LOAD_RUN)
+			continue;
+		if (!first)
+			first = request;
+		last = request;
+	}
+	if (first)
+		proof_figure(run, "unserved_span_ms",
+			     (last->arrived_us - first->arrived_us) / 1000.0);
+}
+
 static void proof_reasons(struct proof_run *run)
 {
 	char *reasons = load_reasons_text(run->load);
@@ -108,6 +130,7 @@
 	proof_figure(run, "unknown", run->told.told[LOAD_UNKNOWN]);
 	proof_figure(run, "unanswered", run->told.told[LOAD_ERROR]);
 	proof_figure(run, "p99_ms", run->told.p99_ms);
+	proof_unserved(run);
 	proof_reasons(run);
 }
 
--- a/tools/proofs/whole.c
+++ b/tools/proofs/whole.c
@@ -5,6 +5,8 @@
  */
 #include "proofs/common.h"
 
+#include <signal.h>
+
 #define WHOLE_SECONDS 3.0
 
 /* Share of requests that got their whole answer, in per cent. */
@@ -79,11 +81,40 @@
 	end_whole(run, 50);
 }
 
+/*
+ * The owner of the services dies. Its callers find the stand-by, which
+ * serves at a reduced share until there is a new owner.
+ */
+static void owner_dies(struct proof_run *run)
+{
+	struct load_options options = {
+		.services = mixed_services,
+		.service_count = 1,
+		.rate = 60,
+		.seconds = 7,
+		.deadline_ms = 3000,
+		.try_ms = 1000,
+		.repeat = true,
+	};
+	struct fleet_member *owner;
+
+	if (!mixed_start(run, false, 0))
+		return;
+	owner = proof_owner(run, "calendar");
+	if (!owner)
+		return;
+	proof_load(run, &options);
+	fleet_run_ms(1000);
+	fleet_signal(owner, FLEET_BOTH, SIGKILL);
+	end_whole(run, 95);
+}
+
 const struct proof proofs_whole[] = {
 	{ "whole-answer", "spoiled-answers", true, spoiled },
 	{ "whole-answer", "late-answers-and-hedges", false, late },
 	{ "whole-answer", "silent-upstream-connections", false,
 	  silent_upstreams },
 	{ "whole-answer", "cut-by-network", false, cut_by_network },
+	{ "whole-answer", "owner-dies", false, owner_dies },
 	{ 0 }
 };
