Prove silent callers' connections and an owner that is cut off

Cause: the leg between callers and entries, and an owner whose control is frozen, were not proved.

Change: the fleet puts a proxy before each entry's callers' address, which the load connects through. Ports come from a block that one process holds by an abstract socket.

--- a/tools/common/child.c
+++ b/tools/common/child.c
@@ -8,15 +8,19 @@
 #include <libsoup/soup.h>
 #include <poll.h>
 #include <signal.h>
+#include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/un.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #define CHILD_LIMIT 256 /* children at a time; a handler walks the table */
 #define PORT_FIRST 21000
-#define PORT_COUNT 11000
+#define BLOCK_PORTS 500
+#define BLOCKS 22
 #define LISTENING_MS 10000
 #define POLL_US 2000UL
 
@@ -250,15 +254,45 @@
 	return free;
 }
 
+/*
+ * Failure: two test programs run at once, one's killed entry leaves its port
+ * to the other's upstream, and callers of the first reach the second. Each
+ * process takes ports from a block of its own, marked as taken by an abstract
+ * socket that ends with the process.
+ */
+static guint take_block(void)
+{
+	struct sockaddr_un name = { .sun_family = AF_UNIX };
+	guint first = g_random_int_range(0, BLOCKS);
+	guint block;
+	int length;
+	int mark;
+	guint i;
+
+	for (i = 0; i < BLOCKS; i++) {
+		block = (first + i) % BLOCKS;
+		mark = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		length =
+			g_snprintf(name.sun_path + 1, sizeof(name.sun_path) - 1,
+				   "auburnstile-ports-%u", block);
+		if (!bind(mark, (struct sockaddr *)&name,
+			  offsetof(struct sockaddr_un, sun_path) + 1 + length))
+			return block;
+		close(mark);
+	}
+	return first;
+}
+
 guint16 child_free_port(void)
 {
+	static guint block = BLOCKS;
 	static guint next;
 	guint16 port;
 
-	if (!next)
-		next = g_random_int_range(0, PORT_COUNT);
+	if (block == BLOCKS)
+		block = take_block();
 	do {
-		port = PORT_FIRST + next++ % PORT_COUNT;
+		port = PORT_FIRST + block * BLOCK_PORTS + next++ % BLOCK_PORTS;
 	} while (!port_is_free(port));
 	return port;
 }
--- a/tools/fleet/fleet.c
+++ b/tools/fleet/fleet.c
@@ -17,6 +17,7 @@
 	g_free(member->name);
 	g_free(member->zone);
 	g_free(member->callers);
+	g_free(member->callers_via);
 	g_free(member->inner);
 	g_free(member->admin);
 	g_free(member->control_inner);
@@ -113,7 +114,7 @@
 	return fleet->upstreams != NULL;
 }
 
-/* A route before each upstream, then one before the store for each member. */
+/* Routes before each upstream, and before store and callers of each member. */
 static bool start_proxy(struct fleet *fleet, GError **error)
 {
 	GPtrArray *arguments = g_ptr_array_new_with_free_func(g_free);
@@ -139,6 +140,9 @@
 						member->store_url +
 							strlen("http://"),
 						fleet->store->address));
+		g_ptr_array_add(arguments, g_strdup_printf("--route=%s=%s",
+							   member->callers_via,
+							   member->callers));
 	}
 	g_ptr_array_add(arguments, NULL);
 	fleet->proxy = child_start("fault-proxy",
@@ -159,6 +163,9 @@
 	member->zone = g_strdup(zone);
 	member->name = g_strdup_printf("%s-e%u", zone, number / zones->len + 1);
 	member->callers = loopback(child_free_port());
+	member->callers_via = fleet->options.proxies ?
+				      loopback(child_free_port()) :
+				      g_strdup(member->callers);
 	member->inner = loopback(child_free_port());
 	member->admin = loopback(child_free_port());
 	member->control_inner = loopback(child_free_port());
--- a/tools/fleet/fleet.h
+++ b/tools/fleet/fleet.h
@@ -23,6 +23,7 @@
 	char *admin;
 	char *control_inner;
 	char *control_admin;
+	char *callers_via; /* the proxy before `callers`, or the same */
 	char *store_url; /* through the proxy, when there is one */
 	struct child *entry; /* NULL when not running */
 	struct child *control;
@@ -33,7 +34,7 @@
 	guint members; /* spread over the zones in turn */
 	guint32 seed;
 	double mean_us; /* of upstreams' service time; 0: 20 ms */
-	bool proxies; /* before the store and before each upstream */
+	bool proxies; /* before store, upstreams, and entries' callers */
 	const char *const *upstream_options; /* more of them, NULL at end */
 	const char *policy; /* of the entries; NULL: the product's own */
 };
@@ -122,6 +123,13 @@
 bool fleet_one_proxy_fault(struct fleet *fleet, guint16 upstream,
 			   const char *json);
 
+/* The same for the proxy between callers and a member's entry. */
+bool fleet_callers_proxy_fault(struct fleet *fleet,
+			       const struct fleet_member *member,
+			       const char *json);
+/* For the load: the proxy's address for an entry's. `context`: the fleet. */
+const char *fleet_via(const char *address, void *context);
+
 /* What really ran. Owned by the caller; ends the program if unreachable. */
 JsonNode *fleet_oracle(struct fleet *fleet);
 JsonObject *fleet_oracle_upstream(JsonNode *oracle, const struct fleet *fleet,
--- a/tools/fleet/fleet_talk.c
+++ b/tools/fleet/fleet_talk.c
@@ -5,6 +5,7 @@
 
 #include <auburnstile/error.h>
 #include <gio/gio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define ADMIN_TIMEOUT_MS 15000
@@ -302,6 +303,29 @@
 			    json);
 }
 
+bool fleet_callers_proxy_fault(struct fleet *fleet,
+			       const struct fleet_member *member,
+			       const char *json)
+{
+	const char *colon = strrchr(member->callers_via, ':');
+
+	return post_to_port(fleet->proxy, strtoul(colon + 1, NULL, 10), json);
+}
+
+const char *fleet_via(const char *address, void *context)
+{
+	struct fleet *fleet = context;
+	struct fleet_member *member;
+	guint i;
+
+	for (i = 0; i < fleet->members->len; i++) {
+		member = fleet_member(fleet, i);
+		if (!strcmp(member->callers, address))
+			return member->callers_via;
+	}
+	return address;
+}
+
 JsonNode *fleet_oracle(struct fleet *fleet)
 {
 	char *url =
--- a/tools/load/load.c
+++ b/tools/load/load.c
@@ -19,6 +19,14 @@
 	return told_names[told];
 }
 
+const char *load_via(const struct load *load, const char *address)
+{
+	const struct load_options *options = &load->options;
+
+	return options->via ? options->via(address, options->via_context) :
+			      address;
+}
+
 const GPtrArray *load_requests(const struct load *load)
 {
 	return load->requests;
--- a/tools/load/load.h
+++ b/tools/load/load.h
@@ -39,6 +39,12 @@
 	guint body_bytes; /* of a keyed request */
 	guint32 seed;
 	const char *prefix; /* of nonces, "" by default */
+	/*
+	 * Where to connect instead of an entry's address, for a proxy on the
+	 * way; borrowed. NULL: to the address itself.
+	 */
+	const char *(*via)(const char *address, void *context);
+	void *via_context;
 };
 
 /* What a request was told in the end. */
--- a/tools/load/load_internal.h
+++ b/tools/load/load_internal.h
@@ -58,6 +58,9 @@
 			struct load_request *request);
 void load_lookup_stale(struct load_lookup *lookup);
 
+/* Where to connect for an entry's address; borrowed. */
+const char *load_via(const struct load *load, const char *address);
+
 struct load_request *load_request_new(struct load *load, guint number);
 void load_request_start(struct load_request *request);
 void load_request_send(struct load_request *request);
--- a/tools/load/lookup.c
+++ b/tools/load/lookup.c
@@ -174,7 +174,8 @@
 	if (lookup->asking || !lookup->waiting->len)
 		return;
 	url = g_strdup_printf("http://%s/.auburnstile/addresses?service=%s",
-			      next_entry(lookup), lookup->service->name);
+			      load_via(load, next_entry(lookup)),
+			      lookup->service->name);
 	ask = g_new0(struct ask, 1);
 	ask->lookup = lookup;
 	ask->message = soup_message_new("GET", url);
--- a/tools/load/request.c
+++ b/tools/load/request.c
@@ -344,7 +344,8 @@
 
 static void make_message(struct load_request *request)
 {
-	char *url = g_strdup_printf("http://%s%s?n=%s", request->entry,
+	char *url = g_strdup_printf("http://%s%s?n=%s",
+				    load_via(request->load, request->entry),
 				    request->service->path, request->nonce);
 	GBytes *body;
 
--- a/tools/proofs/whole.c
+++ b/tools/proofs/whole.c
@@ -65,6 +65,16 @@
 	end_whole(run, 80);
 }
 
+static void silence_callers(struct proof_run *run)
+{
+	guint i;
+
+	for (i = 0; i < run->fleet->members->len; i++)
+		fleet_callers_proxy_fault(run->fleet,
+					  fleet_member(run->fleet, i),
+					  "{\"silence_open\":1}");
+}
+
 /* Bytes crawl, then every answer is cut short by the network. */
 static void cut_by_network(struct proof_run *run)
 {
@@ -81,6 +91,36 @@
 	end_whole(run, 50);
 }
 
+/*
+ * Connections between callers and entries go silent for good, twice, while
+ * new ones work; keyed requests are among them.
+ */
+static void silent_callers(struct proof_run *run)
+{
+	struct load_options options = {
+		.services = mixed_services,
+		.service_count = G_N_ELEMENTS(mixed_services),
+		.rate = 150,
+		.seconds = WHOLE_SECONDS,
+		.deadline_ms = 4000,
+		.try_ms = 700,
+		.repeat = true,
+		.via = fleet_via,
+	};
+	guint i;
+
+	if (!mixed_start(run, true, 0))
+		return;
+	options.via_context = run->fleet;
+	proof_load(run, &options);
+	for (i = 0; i < 2; i++) {
+		fleet_run_ms(800);
+		silence_callers(run);
+	}
+	end_whole(run, 95);
+	proof_need(run, run->told.repeats > 0, "repeats");
+}
+
 /*
  * The owner of the services dies. Its callers find the stand-by, which
  * serves at a reduced share until there is a new owner.
@@ -114,6 +154,7 @@
 	{ "whole-answer", "late-answers-and-hedges", false, late },
 	{ "whole-answer", "silent-upstream-connections", false,
 	  silent_upstreams },
+	{ "whole-answer", "silent-caller-connections", false, silent_callers },
 	{ "whole-answer", "cut-by-network", false, cut_by_network },
 	{ "whole-answer", "owner-dies", false, owner_dies },
 	{ 0 }
--- a/tools/proofs/zone.c
+++ b/tools/proofs/zone.c
@@ -12,6 +12,9 @@
 
 #define LIMIT_MS 3000
 #define ZONE "z2"
+#define NO_MEMBER G_MAXUINT
+
+static guint frozen_control = NO_MEMBER; /* index of its member */
 
 /* Requests that reached the zone's upstreams; the last one's moment. */
 static guint64 zone_requests(struct proof_run *run, gint64 *last_us)
@@ -37,14 +40,16 @@
 	return requests;
 }
 
+/* Through the first control that isn't frozen. */
 static bool zone_command(struct proof_run *run, const char *way)
 {
+	const struct fleet_member *member =
+		fleet_member(run->fleet, frozen_control == 0 ? 1 : 0);
 	char *path = g_strdup_printf("/v1/zones/%s/%s", ZONE, way);
 	guint status = 0;
 	GError *error = NULL;
-	JsonNode *root =
-		fleet_admin(run->fleet, fleet_member(run->fleet, 0), "POST",
-			    path, "{\"author\":\"proof\"}", &status, &error);
+	JsonNode *root = fleet_admin(run->fleet, member, "POST", path,
+				     "{\"author\":\"proof\"}", &status, &error);
 
 	if (error)
 		g_warning("%s", error->message);
@@ -153,11 +158,43 @@
 	out_and_back(run, freeze);
 }
 
+/*
+ * The control of the services' owner is frozen: its entry hears neither of
+ * the store nor of peers. It must stop serving by itself, for it can't know
+ * that the zone went out.
+ */
+static void cut_owner(struct proof_run *run, bool on)
+{
+	struct fleet_member *owner;
+	guint i;
+
+	if (!on) {
+		fleet_signal(fleet_member(run->fleet, frozen_control),
+			     FLEET_CONTROL, SIGCONT);
+		frozen_control = NO_MEMBER;
+		fleet_run_ms(500);
+		return;
+	}
+	owner = proof_owner(run, "calendar");
+	for (i = 0; i < run->fleet->members->len; i++)
+		if (fleet_member(run->fleet, i) == owner)
+			frozen_control = i;
+	if (owner)
+		fleet_signal(owner, FLEET_CONTROL, SIGSTOP);
+}
+
+static void owner_cut_off(struct proof_run *run)
+{
+	out_and_back(run, cut_owner);
+	frozen_control = NO_MEMBER;
+}
+
 const struct proof proofs_zone[] = {
 	{ "zone-out", "none", true, no_fault },
 	{ "zone-out", "slow-store", false, store_slow },
 	{ "zone-out", "member-cut-from-store", false, one_cut_from_store },
 	{ "zone-out", "restart-reads-stale", false, restart_reads_stale },
 	{ "zone-out", "member-frozen", false, member_frozen },
+	{ "zone-out", "owner-cut-off", false, owner_cut_off },
 	{ 0 }
 };
