Send callers away from an entry that may not serve

Cause: the owner of a service was cut off from its control. It stopped serving, as it must, but went on naming itself to callers and set no mark to ask anew.

Ruled out: refusing the question of addresses; an entry that everyone knows may be the only one that a caller can ask.

Change: an entry without leave to serve leaves itself out of the addresses and marks its answers as stale.

--- a/include/auburnstile/internal/addresses.h
+++ b/include/auburnstile/internal/addresses.h
@@ -11,7 +11,7 @@
 struct aub_addresses_options {
 	const struct aub_entry_view *view; /* borrowed */
 	const struct aub_hello *self; /* borrowed */
-	bool stopping; /* this entry is not among the addresses */
+	bool stopping; /* or not serving: it is not among the addresses */
 	bool local_only; /* a baseline: this entry alone */
 	guint64 random; /* makes the grant unguessable */
 };
--- a/src/coordination/entry.c
+++ b/src/coordination/entry.c
@@ -179,7 +179,9 @@
 	struct aub_addresses_options options = {
 		.view = entry->view,
 		.self = entry->hello,
-		.stopping = entry->phase != ENTRY_RUNNING,
+		.stopping = entry->phase != ENTRY_RUNNING ||
+			    (!entry->local_only &&
+			     !aub_entry_view_serving(entry->view)),
 		.local_only = entry->local_only,
 		.random = random_number(),
 	};
--- a/src/coordination/front.c
+++ b/src/coordination/front.c
@@ -77,6 +77,13 @@
 		return true;
 	if (front->options.local_only)
 		return false;
+	/*
+	 * Failure: an entry is cut off from its control and refuses; callers
+	 * come back to it, since by its old picture it owns the service. They
+	 * are sent to ask others, and addresses() leaves this entry out.
+	 */
+	if (!aub_entry_view_serving(front->options.view))
+		return true;
 	assignment = aub_entry_view_assignment(front->options.view, service);
 	return assignment && assignment->owner_incarnation != self &&
 	       assignment->standby_incarnation != self;
--- a/tests/test_front.cc
+++ b/tests/test_front.cc
@@ -403,6 +403,13 @@
 	view(*nodes[0]);
 	EXPECT_TRUE(says(ask(0, "GET /pay/x", ""), "503", "not-run",
 			 "not-serving"));
+	/* It owns the service by its picture, yet sends callers elsewhere. */
+	std::string where =
+		ask(0, "GET /.auburnstile/addresses?service=pay", "");
+	EXPECT_EQ(where.find(at(nodes[0]->port)), std::string::npos);
+	EXPECT_NE(where.find(at(nodes[1]->port)), std::string::npos);
+	EXPECT_NE(ask(0, "GET /pay/x", "").find("Addresses-Stale: 1"),
+		  std::string::npos);
 	serve = true;
 	view(*nodes[0]);
 	EXPECT_FALSE(aub_entry_view_serving(held));
