--- a/programs/ctl/events.c
+++ b/programs/ctl/events.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 /* A process that answers page after page without end is left. */
-#define PAGES 200
+#define PAGES 8192
 
 static void text_take(JsonObject *object, const char *name, char *field,
 		      gsize size)
--- a/programs/ctl/status.c
+++ b/programs/ctl/status.c
@@ -68,6 +68,32 @@
 	}
 }
 
+static void print_names(const char *kind, const GPtrArray *names)
+{
+	for (guint i = 0; i < names->len; i++)
+		g_print("%s %s is leaving\n", kind, (char *)names->pdata[i]);
+}
+
+/* What operators have told to leave; zones are in their own table. */
+static void print_leaving(struct ctl_options *options)
+{
+	int code = CTL_OK;
+	JsonObject *answer = ctl_get(options, "/v1/config", &code);
+	struct aub_config *config;
+
+	if (!answer)
+		return;
+	config = ctl_config_of(answer, "config", 0);
+	json_object_unref(answer);
+	if (!config)
+		return;
+	if (config->vms_leaving->len || config->upstreams_leaving->len)
+		g_print("\n");
+	print_names("vm", config->vms_leaving);
+	print_names("upstream", config->upstreams_leaving);
+	aub_config_free(config);
+}
+
 int ctl_status(struct ctl_options *options, char **words, guint count)
 {
 	JsonObject *status;
@@ -92,6 +118,7 @@
 			aub_json_boolean(status, "serve") ? "yes" : "no",
 			text_of(status, "member"));
 		print_zones(status);
+		print_leaving(options);
 		print_members(status);
 		print_assignments(status);
 	}
--- a/src/transport/events_json.c
+++ b/src/transport/events_json.c
@@ -12,7 +12,7 @@
  * milliseconds, and a caller's request would wait that long; a reader asks
  * again from the last sequence it got.
  */
-#define EVENTS_PER_ANSWER 1000
+#define EVENTS_PER_ANSWER 250
 
 struct event_writer {
 	GString *out;
