--- a/tools/proofs/measuring.c
+++ b/tools/proofs/measuring.c
@@ -38,7 +38,7 @@
 	JsonNode *oracle = fleet_oracle(run->fleet);
 	gint64 sum = 0;
 
-	for (guint16 i = 0; i < run->fleet->inventory->upstreams->len; i++)
+	for (guint i = 0; i < run->fleet->inventory->upstreams->len; i++)
 		sum += tool_json_int(fleet_oracle_upstream(oracle, run->fleet,
 							   i),
 				     "probe_us", 0);
--- a/tools/proofs/retries.c
+++ b/tools/proofs/retries.c
@@ -40,7 +40,7 @@
 {
 	const struct aub_inventory *inventory = run->fleet->inventory;
 
-	for (guint16 i = 0; i < inventory->upstreams->len; i++) {
+	for (guint i = 0; i < inventory->upstreams->len; i++) {
 		guint16 service = aub_upstream_at(inventory, i)->service;
 		const struct fleet_member *member =
 			fleet_member(run->fleet, i % 3);
@@ -59,7 +59,7 @@
 {
 	const struct aub_inventory *inventory = run->fleet->inventory;
 
-	for (guint16 i = 0; i < inventory->upstreams->len; i++)
+	for (guint i = 0; i < inventory->upstreams->len; i++)
 		if (aub_upstream_at(inventory, i)->service == LEAF)
 			fleet_one_upstream_fault(run->fleet, i, fault);
 }
@@ -69,7 +69,7 @@
 	const struct aub_inventory *inventory = run->fleet->inventory;
 	gint64 sum = 0;
 
-	for (guint16 i = 0; i < inventory->upstreams->len; i++) {
+	for (guint i = 0; i < inventory->upstreams->len; i++) {
 		if (aub_upstream_at(inventory, i)->service != service)
 			continue;
 		sum += tool_json_int(fleet_oracle_upstream(run->oracle,
