Pass a silent entry by at once after its first silence

Cause: while an owner is silent and the view still names it, each request meant for it waits 400 ms for a link that never comes up. Change: once a try failed, calls go elsewhere at once and the link is tried beside them. Seen: a test where the owner's link opens and swallows all: requests go to the stand-by, a key only the silent one keeps is "unknown", and nothing runs twice.

--- a/src/coordination/relay.c
+++ b/src/coordination/relay.c
@@ -289,7 +289,12 @@
 	g_hash_table_insert(peer->calls, &call->id, call);
 	aub_event_note(relay->options.events, AUB_EVENT_RELAYED, message->id,
 		       message->purpose, NULL, member->name);
-	if (!reach(peer))
+	/*
+	 * Failure: an entry went silent, and each request meant for it waits
+	 * for a new link that never comes up: 400 ms for every caller. After
+	 * the first, calls fail at once while the link is tried beside them.
+	 */
+	if (!reach(peer) || peer->state == AUB_PEER_DOWN)
 		call->source = g_idle_add(fail_soon, call);
 	else if (aub_link_is_up(peer->link))
 		write_call(call);
--- a/src/transport/caller_groups.c
+++ b/src/transport/caller_groups.c
@@ -7,7 +7,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
-#define BACKLOG 1024 /* connections not yet accepted */
+#define BACKLOG 4096 /* connections not yet accepted; a term opens */
 
 /*
  * Connections in a group. What ended stays in memory (about 4 KB each) until
--- a/tests/test_front.cc
+++ b/tests/test_front.cc
@@ -70,6 +70,7 @@
 	int owner = 0;
 	int standby = 1;
 	std::vector<guint64> heirs = { 0, 0, 0 };
+	std::string c_inner; /* in place of c's real address, if set */
 
 	void SetUp() override
 	{
@@ -172,7 +173,10 @@
 
 			aub_string_set(&member->name, hello->name);
 			aub_string_set(&member->zone, hello->zone);
-			aub_string_set(&member->inner_address, hello->address);
+			aub_string_set(&member->inner_address,
+				       i == 2 && !c_inner.empty() ?
+					       c_inner.c_str() :
+					       hello->address);
 			aub_string_set(&member->callers_address,
 				       hello->callers_address);
 			member->incarnation = hello->incarnation;
@@ -386,6 +390,31 @@
 	until([&] { return says(ask(1, "GET /pay/x", ""), "200", "run"); });
 }
 
+/*
+ * The link to the owner swallows bytes: it opens, and nothing ever comes
+ * back. What was never taken goes to the stand-by; what only the silent one
+ * may run is unknown, within seconds, and runs nowhere else.
+ */
+TEST_F(Front, ASilentEntryIsPassedBy)
+{
+	Peer silent;
+
+	silent.script = [](const std::string &) { return PeerReply{}; };
+	c_inner = at(silent.port);
+	owner = 2;
+	standby = 1;
+	epoch++;
+	views();
+	until([&] { return says(ask(0, "GET /pay/x", ""), "200", "run"); });
+	EXPECT_TRUE(says(ask(0, "POST /pay", "", "1"), "200", "run"));
+	EXPECT_TRUE(says(ask(0, "POST /pay", key(0), "1"), "200", "run"));
+	EXPECT_EQ(ran(), 2u);
+	EXPECT_TRUE(says(ask(0, "POST /pay", key(2), "1"), "504", "unknown",
+			 "keeper-unreachable"));
+	EXPECT_EQ(ran(), 2u);
+	EXPECT_GT(silent.connections, 0);
+}
+
 /* Views may be late or stale: versions never go back, leave isn't renewed. */
 TEST_F(Front, OnlyCurrentViewsGiveLeaveToServe)
 {
