--- a/tests/test_ctl.cc
+++ b/tests/test_ctl.cc
@@ -6,11 +6,7 @@
 
 #include <auburnstile/error.h>
 
-/* In C a function and a struct may share a name, fleet_member() does. */
-#pragma GCC diagnostic push
-#pragma GCC diagnostic ignored "-Wshadow"
 #include <fleet/fleet.h>
-#pragma GCC diagnostic pop
 #include <fleet/fleet_inventory.h>
 
 #include <gio/gio.h>
--- a/tests/test_processes.cc
+++ b/tests/test_processes.cc
@@ -6,12 +6,8 @@
 
 #include <auburnstile/error.h>
 
-/* In C a function and a struct may share a name, fleet_member() does. */
-#pragma GCC diagnostic push
-#pragma GCC diagnostic ignored "-Wshadow"
 #include <fleet/fleet.h>
 #include <fleet/fleet_inventory.h>
-#pragma GCC diagnostic pop
 
 #include <gio/gio.h>
 #include <glib/gstdio.h>
--- a/tools/fleet/fleet.h
+++ b/tools/fleet/fleet.h
@@ -74,7 +74,11 @@
 			GError **error);
 bool fleet_member_ready(const struct fleet_member *member);
 
+/* In C a function and a struct may share a name; the C++ tests warn of it. */
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
 struct fleet_member *fleet_member(const struct fleet *fleet, guint index);
+#pragma GCC diagnostic pop
 
 /* Which of a member's two processes is meant. */
 enum fleet_part { FLEET_ENTRY = 1, FLEET_CONTROL = 2, FLEET_BOTH = 3 };
