Prove refusals of requests that another entry relayed

Cause: callers of the proofs went straight to the owner, so that the guard which turns "not run" into "unknown" after a lost relay was never met.

Change: proofs through an entry that owns nothing, while the owners are killed, and while one is frozen so that the link to it stays open and silent, then wakes.

--- a/tools/proofs/not_run.c
+++ b/tools/proofs/not_run.c
@@ -85,6 +85,72 @@
 		   "missed deadlines");
 }
 
+static const char *through(const char *address, void *context)
+{
+	const struct fleet_member *member = context;
+
+	return member->callers;
+}
+
+/* Callers use an entry that owns nothing, so that all is relayed. */
+static struct fleet_member *start_relayed(struct proof_run *run)
+{
+	struct load_options options = {
+		.services = mixed_services,
+		.service_count = G_N_ELEMENTS(mixed_services),
+		.rate = MIXED_RATE,
+		.seconds = 2 * MS_LOAD,
+		.deadline_ms = 1500,
+		.body_bytes = 300,
+		.via = through,
+	};
+	struct fleet_member *owner;
+	guint i;
+
+	if (!mixed_start(run, false, 0))
+		return NULL;
+	owner = proof_owner(run, "calendar");
+	for (i = 0; owner && !options.via_context; i++)
+		if (fleet_member(run->fleet, i) != owner &&
+		    fleet_member(run->fleet, i) !=
+			    fleet_owner(run->fleet, "fees"))
+			options.via_context = fleet_member(run->fleet, i);
+	if (!owner)
+		return NULL;
+	proof_load(run, &options);
+	fleet_run_ms(600);
+	return owner;
+}
+
+/* Both owners die under requests that another entry relayed to them. */
+static void relayed_owner_killed(struct proof_run *run)
+{
+	struct fleet_member *owner = start_relayed(run);
+	struct fleet_member *keeper;
+
+	if (!owner)
+		return;
+	keeper = fleet_owner(run->fleet, "fees");
+	fleet_signal(owner, FLEET_BOTH, SIGKILL);
+	if (keeper)
+		fleet_signal(keeper, FLEET_BOTH, SIGKILL);
+	mixed_end(run);
+}
+
+/* It freezes: the links between entries stay open and silent. It wakes. */
+static void relayed_owner_frozen(struct proof_run *run)
+{
+	struct fleet_member *owner = start_relayed(run);
+
+	if (!owner)
+		return;
+	fleet_signal(owner, FLEET_BOTH, SIGSTOP);
+	fleet_run_ms(2500);
+	fleet_signal(owner, FLEET_BOTH, SIGCONT);
+	mixed_end(run);
+	proof_need(run, run->told.told[LOAD_UNKNOWN] > 0, "lost relays");
+}
+
 const struct proof proofs_not_run[] = {
 	{ "not-run-is-true", "overload", true, overload },
 	{ "not-run-is-true", "spoiled-answers", false, spoiled },
@@ -92,5 +158,9 @@
 	  refused_connections },
 	{ "not-run-is-true", "entries-end", false, entries_end },
 	{ "not-run-is-true", "late-answers", false, late },
+	{ "not-run-is-true", "relayed-owner-killed", false,
+	  relayed_owner_killed },
+	{ "not-run-is-true", "relayed-owner-frozen", false,
+	  relayed_owner_frozen },
 	{ 0 }
 };
