--- a/Makefile
+++ b/Makefile
@@ -106,7 +106,7 @@
 	@sh tests/run.sh build/san
 
 proofs: all
-	@$(B)/proofs
+	@$(B)/proofs $(PROOFS)
 
 slopes: all
 	@$(B)/slopes
