Accept many callers a turn of the main loop

Cause: one connection accepted a turn, and a turn looks at every connection: 6000 connections at once took more than 5 s to be served. Change: up to 64 are accepted a turn.

--- a/src/transport/caller_groups.c
+++ b/src/transport/caller_groups.c
@@ -9,6 +9,8 @@
 
 #define BACKLOG 4096 /* connections not yet accepted; a term opens */
 
+#define ACCEPTED_A_TURN 64
+
 /*
  * Connections in a group. What ended stays in memory (about 4 KB each) until
  * its group goes, so small groups; each costs a descriptor, so not too small.
@@ -25,7 +27,8 @@
 
 struct aub_caller_groups {
 	struct aub_caller_groups_options options;
-	GSocketService *listener;
+	GSocket *listener;
+	GSource *readable;
 	guint port;
 	GPtrArray *list; /* of struct aub_caller_group, the last one fills */
 };
@@ -90,17 +93,16 @@
 	return group;
 }
 
-static gboolean on_incoming(GSocketService *listener, GSocketConnection *stream,
-			    GObject *source, void *context)
+static void take(struct aub_caller_groups *groups, GSocket *socket)
 {
-	struct aub_caller_groups *groups = context;
 	struct aub_caller_group *group = open_group(groups);
-	GSocket *socket = g_socket_connection_get_socket(stream);
+	GSocketConnection *stream;
 	GSocketAddress *remote;
 	GSocketAddress *local;
 
-	remote = g_socket_connection_get_remote_address(stream, NULL);
-	local = g_socket_connection_get_local_address(stream, NULL);
+	stream = g_socket_connection_factory_create_connection(socket);
+	remote = g_socket_get_remote_address(socket, NULL);
+	local = g_socket_get_local_address(socket, NULL);
 	if (group && remote && local) {
 		/* Without this, answers wait for acknowledgements: 40 ms. */
 		g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
@@ -113,47 +115,86 @@
 	}
 	g_clear_object(&remote);
 	g_clear_object(&local);
-	return TRUE;
+	g_object_unref(stream);
 }
 
-static bool listen_on(struct aub_caller_groups *groups, const char *text,
-		      GError **error)
+/*
+ * Failure: thousands connect at once, and with one accepted a turn of the
+ * main loop, which looks at every connection, the last waits for seconds.
+ */
+static gboolean on_incoming(GSocket *listener, GIOCondition condition,
+			    void *context)
+{
+	struct aub_caller_groups *groups = context;
+
+	for (guint i = 0; i < ACCEPTED_A_TURN; i++) {
+		GSocket *socket = g_socket_accept(listener, NULL, NULL);
+
+		if (!socket)
+			break;
+		take(groups, socket);
+		g_object_unref(socket);
+	}
+	return G_SOURCE_CONTINUE;
+}
+
+static GSocketAddress *parse_address(const char *text, GError **error)
 {
-	GSocketListener *listener = G_SOCKET_LISTENER(groups->listener);
 	GSocketConnectable *connectable;
 	GNetworkAddress *network;
 	GSocketAddress *address;
-	GSocketAddress *bound = NULL;
-	GError *cause = NULL;
 
 	connectable = g_network_address_parse(text, 0, error);
 	if (!connectable)
-		return false;
+		return NULL;
 	network = G_NETWORK_ADDRESS(connectable);
 	address = g_inet_socket_address_new_from_string(
 		g_network_address_get_hostname(network),
 		g_network_address_get_port(network));
 	g_object_unref(connectable);
-	if (!address) {
+	if (!address)
 		aub_error_set(error, AUB_ERROR_INVALID, "listen for callers",
 			      text, "not an IP number and port");
+	return address;
+}
+
+static bool listen_on(struct aub_caller_groups *groups, const char *text,
+		      GError **error)
+{
+	GSocketAddress *address = parse_address(text, error);
+	GSocketAddress *bound;
+	GSocket *socket;
+	GError *cause = NULL;
+
+	if (!address)
 		return false;
-	}
-	g_socket_listener_set_backlog(listener, BACKLOG);
-	g_socket_listener_add_address(listener, address, G_SOCKET_TYPE_STREAM,
-				      G_SOCKET_PROTOCOL_TCP, NULL, &bound,
-				      &cause);
-	g_object_unref(address);
-	if (cause) {
-		aub_error_set(error, AUB_ERROR_UNAVAILABLE,
-			      "listen for callers", text, "%s", cause->message);
-		g_error_free(cause);
-		return false;
-	}
+	socket = g_socket_new(g_socket_address_get_family(address),
+			      G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
+			      &cause);
+	groups->listener = socket;
+	if (!socket)
+		goto out;
+	g_socket_set_blocking(socket, FALSE);
+	g_socket_set_listen_backlog(socket, BACKLOG);
+	if (!g_socket_bind(socket, address, TRUE, &cause) ||
+	    !g_socket_listen(socket, &cause))
+		goto out;
+	bound = g_socket_get_local_address(socket, NULL);
 	groups->port =
 		g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(bound));
 	g_object_unref(bound);
-	return true;
+	groups->readable = g_socket_create_source(socket, G_IO_IN, NULL);
+	g_source_set_callback(groups->readable, G_SOURCE_FUNC(on_incoming),
+			      groups, NULL);
+	g_source_attach(groups->readable, NULL);
+out:
+	g_object_unref(address);
+	if (!cause)
+		return true;
+	aub_error_set(error, AUB_ERROR_UNAVAILABLE, "listen for callers", text,
+		      "%s", cause->message);
+	g_error_free(cause);
+	return false;
 }
 
 struct aub_caller_groups *aub_caller_groups_new(
@@ -163,9 +204,6 @@
 
 	groups->options = *options;
 	groups->list = g_ptr_array_new_with_free_func(group_free);
-	groups->listener = g_socket_service_new();
-	g_signal_connect(groups->listener, "incoming", G_CALLBACK(on_incoming),
-			 groups);
 	if (!listen_on(groups, options->address, error)) {
 		aub_caller_groups_free(groups);
 		return NULL;
@@ -177,10 +215,11 @@
 {
 	if (!groups)
 		return;
-	g_signal_handlers_disconnect_by_data(groups->listener, groups);
-	g_socket_service_stop(groups->listener);
-	g_socket_listener_close(G_SOCKET_LISTENER(groups->listener));
-	g_object_unref(groups->listener);
+	if (groups->readable) {
+		g_source_destroy(groups->readable);
+		g_source_unref(groups->readable);
+	}
+	g_clear_object(&groups->listener);
 	g_ptr_array_unref(groups->list);
 	g_free(groups);
 }
