Drive the random mixes as an entry does

Cause: a mutation that spends the whole probe budget passed: time went by in leaps, and each leap saw one probe. Change: a tick at each moment the dispatcher asks for, which must lie ahead.

--- a/tests/test_dispatch_state.cc
+++ b/tests/test_dispatch_state.cc
@@ -322,11 +322,23 @@
 		aub_dispatcher_abandon(rig.d, id, rig.now);
 	}
 
+	/* As an entry does it: a tick at each moment asked for on the way. */
 	void pass(gint64 us)
 	{
-		rig.pass(us);
-		settle_actions();
-		RC_ASSERT(aub_dispatcher_wake_us(rig.d) > rig.now);
+		gint64 until = rig.now + us;
+
+		for (;;) {
+			gint64 wake = aub_dispatcher_wake_us(rig.d);
+
+			rig.pass(CLAMP(wake, rig.now, until) - rig.now);
+			settle_actions();
+			RC_ASSERT(aub_dispatcher_wake_us(rig.d) > rig.now);
+			while (rig.now % 3 && !probes.empty())
+				report_probe((guint32)rig.now);
+			settle_actions();
+			if (rig.now >= until)
+				break;
+		}
 	}
 
 	void step(const command &c)
