--- a/tools/bench.c
+++ b/tools/bench.c
@@ -207,7 +207,7 @@
 /* Goal 3: what measuring costs, and what a larger budget would bring. */
 static void bench_probes(struct bench *bench)
 {
-	static const guint budgets[] = { 1, 10000, 50000, 200000 };
+	static const guint budgets[] = { 1000, 10000, 50000, 200000 };
 
 	for (guint i = 0; i < G_N_ELEMENTS(budgets); i++) {
 		char name[32];
