Forget incarnations that are gone; part the relay's two sides

Change: a peer without link, calls or watch is forgotten after a minute; the links that others opened live in relay_guests.c.

--- a/src/coordination/relay.c
+++ b/src/coordination/relay.c
@@ -1,11 +1,12 @@
 /*
- * Links between entries and the calls on them.
+ * Links to other entries and the calls on them.
  *
  * A peer is one incarnation of an entry. Calls wait while its link is being
  * opened; once a call was written, the end of the link leaves it unknown.
  */
 #include <auburnstile/error.h>
 #include <auburnstile/internal/relay.h>
+#include <auburnstile/internal/relay_guests.h>
 #include <auburnstile/link.h>
 #include <auburnstile/log.h>
 
@@ -16,6 +17,9 @@
 
 #define PING_US (200 * AUB_MS)
 
+/* Incarnations come and go, 210 a day; one that is gone is then forgotten. */
+#define FORGET_US (60 * AUB_SECOND)
+
 /*
  * A link silent for this long is given up. Longer than a noisy neighbour's
  * usual pause; short enough that a frozen owner's callers wait under 1 s.
@@ -47,26 +51,10 @@
 	void *context;
 };
 
-/* A link that a peer opened to this entry. */
-struct guest {
-	struct aub_relay *relay;
-	struct aub_link *link;
-	char *zone;
-	guint64 incarnation;
-	GHashTable *inbound; /* id -> struct aub_relay_inbound */
-};
-
-struct aub_relay_inbound {
-	struct guest *guest;
-	guint64 id;
-	void *data;
-};
-
 struct aub_relay {
 	struct aub_relay_options options;
-	struct aub_link_server *server;
 	GHashTable *peers; /* incarnation -> struct peer */
-	GHashTable *guests; /* set of struct guest */
+	struct aub_relay_guests *guests;
 	guint pings;
 };
 
@@ -322,173 +310,6 @@
 	g_free(call);
 }
 
-static void guest_free(struct guest *guest)
-{
-	GHashTableIter iterator;
-	void *value;
-
-	aub_link_free(guest->link);
-	g_hash_table_iter_init(&iterator, guest->inbound);
-	while (g_hash_table_iter_next(&iterator, NULL, &value))
-		g_free(value);
-	g_hash_table_unref(guest->inbound);
-	g_free(guest->zone);
-	g_free(guest);
-}
-
-static void drop_inbound(struct aub_relay_inbound *inbound)
-{
-	struct aub_relay *relay = inbound->guest->relay;
-
-	g_hash_table_remove(inbound->guest->inbound, &inbound->id);
-	relay->options.gone(inbound, relay->options.context);
-	g_free(inbound);
-}
-
-static void on_guest_down(struct aub_link *link, const GError *error,
-			  void *context)
-{
-	struct guest *guest = context;
-	GHashTableIter iterator;
-	void *value;
-
-	for (;;) {
-		g_hash_table_iter_init(&iterator, guest->inbound);
-		if (!g_hash_table_iter_next(&iterator, NULL, &value))
-			break;
-		drop_inbound(value);
-	}
-	g_hash_table_remove(guest->relay->guests, guest);
-	guest_free(guest);
-}
-
-static void take_call(struct guest *guest, struct aub_call *call)
-{
-	struct aub_relay *relay = guest->relay;
-	struct aub_relay_inbound *inbound;
-
-	if (g_hash_table_contains(guest->inbound, &call->id)) {
-		aub_log_warning("call repeated by %s",
-				aub_link_peer(guest->link));
-		aub_message_free(&call->base);
-		return;
-	}
-	inbound = g_new0(struct aub_relay_inbound, 1);
-	inbound->guest = guest;
-	inbound->id = call->id;
-	g_hash_table_insert(guest->inbound, &inbound->id, inbound);
-	relay->options.arrived(inbound, call, relay->options.context);
-}
-
-static void take_keys(struct guest *guest, const struct aub_keys *keys)
-{
-	struct aub_relay *relay = guest->relay;
-	struct aub_keys_ack *ack;
-
-	if (keys->incarnation != guest->incarnation)
-		return;
-	relay->options.keys(keys, relay->options.context);
-	ack = (struct aub_keys_ack *)aub_message_new(AUB_MESSAGE_KEYS_ACK);
-	ack->incarnation = keys->incarnation;
-	ack->part = keys->part;
-	aub_link_send(guest->link, &ack->base);
-	aub_message_free(&ack->base);
-}
-
-static void on_guest_message(struct aub_link *link, struct aub_message *message,
-			     void *context)
-{
-	struct guest *guest = context;
-	struct aub_relay_inbound *inbound;
-
-	switch (message->type) {
-	case AUB_MESSAGE_CALL:
-		take_call(guest, (struct aub_call *)message);
-		return;
-	case AUB_MESSAGE_CANCEL:
-		inbound = g_hash_table_lookup(
-			guest->inbound, &((struct aub_cancel *)message)->id);
-		if (inbound)
-			drop_inbound(inbound);
-		break;
-	case AUB_MESSAGE_STATES:
-		guest->relay->options.states((struct aub_states *)message,
-					     guest->incarnation,
-					     guest->relay->options.context);
-		break;
-	case AUB_MESSAGE_KEYS:
-		take_keys(guest, (struct aub_keys *)message);
-		break;
-	case AUB_MESSAGE_CRASHES:
-		guest->relay->options.crashes((struct aub_crashes *)message,
-					      guest->relay->options.context);
-		break;
-	default:
-		break;
-	}
-	aub_message_free(message);
-}
-
-static void on_guest_up(struct aub_link *link, const struct aub_hello *hello,
-			void *context)
-{
-}
-
-static const struct aub_link_callbacks guest_callbacks = {
-	.up = on_guest_up,
-	.message = on_guest_message,
-	.down = on_guest_down,
-};
-
-static const struct aub_link_callbacks *on_accepted(
-	struct aub_link *link, const struct aub_hello *hello,
-	void *server_context, void **context)
-{
-	struct aub_relay *relay = server_context;
-	struct guest *guest;
-
-	if (hello->role != AUB_ROLE_ENTRY ||
-	    !relay->options.known(hello->incarnation, relay->options.context)) {
-		aub_log_info("refused a link from %s: not a member",
-			     aub_link_peer(link));
-		return NULL;
-	}
-	guest = g_new0(struct guest, 1);
-	guest->relay = relay;
-	guest->link = link;
-	guest->zone = g_strdup(hello->zone);
-	guest->incarnation = hello->incarnation;
-	guest->inbound = g_hash_table_new(g_int64_hash, g_int64_equal);
-	g_hash_table_add(relay->guests, guest);
-	*context = guest;
-	return &guest_callbacks;
-}
-
-void aub_relay_answer(struct aub_relay_inbound *inbound,
-		      struct aub_answer *answer)
-{
-	answer->id = inbound->id;
-	aub_link_send(inbound->guest->link, &answer->base);
-	aub_message_free(&answer->base);
-	g_hash_table_remove(inbound->guest->inbound, &inbound->id);
-	g_free(inbound);
-}
-
-void aub_relay_inbound_set_data(struct aub_relay_inbound *inbound, void *data)
-{
-	inbound->data = data;
-}
-
-void *aub_relay_inbound_data(const struct aub_relay_inbound *inbound)
-{
-	return inbound->data;
-}
-
-const char *aub_relay_inbound_zone(const struct aub_relay_inbound *inbound)
-{
-	return inbound->guest->zone;
-}
-
 bool aub_relay_send_message(struct aub_relay *relay, guint64 incarnation,
 			    const struct aub_message *message)
 {
@@ -544,6 +365,13 @@
 	return false;
 }
 
+static bool is_forgotten(const struct peer *peer, gint64 now_us)
+{
+	return !peer->link && !peer->watched &&
+	       !g_hash_table_size(peer->calls) &&
+	       now_us - peer->down_us > FORGET_US;
+}
+
 static void on_pings(void *context, gint64 now_us)
 {
 	struct aub_relay *relay = context;
@@ -555,6 +383,10 @@
 	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
 		struct peer *peer = value;
 
+		if (is_forgotten(peer, now_us)) {
+			g_hash_table_iter_remove(&iterator);
+			continue;
+		}
 		if (peer->watched && !peer->link)
 			reach(peer);
 		if (check_peer(peer, now_us))
@@ -573,11 +405,8 @@
 	relay->options = *options;
 	relay->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					     peer_free);
-	relay->guests = g_hash_table_new(NULL, NULL);
-	relay->server =
-		aub_link_server_new(options->hello->address, options->hello,
-				    on_accepted, relay, error);
-	if (!relay->server) {
+	relay->guests = aub_relay_guests_new(&relay->options, error);
+	if (!relay->guests) {
 		aub_relay_free(relay);
 		return NULL;
 	}
@@ -588,17 +417,10 @@
 
 void aub_relay_free(struct aub_relay *relay)
 {
-	GHashTableIter iterator;
-	void *key;
-
 	if (!relay)
 		return;
 	aub_timer_cancel(relay->options.timers, relay->pings);
-	aub_link_server_free(relay->server);
+	aub_relay_guests_free(relay->guests);
 	g_hash_table_unref(relay->peers);
-	g_hash_table_iter_init(&iterator, relay->guests);
-	while (g_hash_table_iter_next(&iterator, &key, NULL))
-		guest_free(key);
-	g_hash_table_unref(relay->guests);
 	g_free(relay);
 }
