Say which requests were inside when a cold upstream fell over

Cause: crash-requests/owner-killed counted a third crash; what it was could not be seen.

Change: the stand-in names the requests on standard error, the proof shows falls beside crashes.

--- a/tools/proofs/crash.c
+++ b/tools/proofs/crash.c
@@ -61,6 +61,7 @@
 	mixed_end(run);
 	crashes = proof_oracle_sum(run, "crashes");
 	proof_figure(run, "crashes", (double)crashes);
+	proof_figure(run, "fell_over", proof_oracle_sum(run, "fell_over"));
 	proof_figure(run, "refused_at_once", refused);
 	proof_figure(run, "beside_served_percent",
 		     100.0 * run->told.told[LOAD_RUN] / run->told.requests);
--- a/tools/upstream/upstream.c
+++ b/tools/upstream/upstream.c
@@ -364,6 +364,29 @@
 	return false;
 }
 
+/* On standard error: which requests were inside, and since when cold. */
+static void report_fall(const struct upstream *upstream,
+			const struct upstream_job *newest)
+{
+	gint64 cold_us = upstream->options.cold_ms * (gint64)1000;
+	gint64 since_us =
+		g_get_monotonic_time() - (upstream->cold_until_us - cold_us);
+	GString *text = g_string_new(NULL);
+	guint i;
+
+	for (i = 0; i < upstream->running->len; i++) {
+		const struct upstream_job *job = upstream->running->pdata[i];
+
+		g_string_append_printf(text, " %s",
+				       job->nonce ? job->nonce : "-");
+	}
+	g_printerr("port %u fell over, cold for %" G_GINT64_FORMAT
+		   " us, at %" G_GINT64_FORMAT ": newest %s, running%s\n",
+		   upstream->options.port, since_us, g_get_real_time(),
+		   newest->nonce ? newest->nonce : "-", text->str);
+	g_string_free(text, TRUE);
+}
+
 static void on_request(SoupServer *server, SoupServerMessage *message,
 		       const char *path, GHashTable *query, gpointer data)
 {
@@ -389,6 +412,7 @@
 	oracle->max_cold = MAX(oracle->max_cold, inside(upstream));
 	if (inside(upstream) > upstream->options.cold_slots) {
 		oracle->fell_over++;
+		report_fall(upstream, job);
 		upstream_crash(upstream, upstream->options.fall_ms);
 	}
 }
