Send a cold upstream nothing until it saw a cancel

Cause: an attempt on a cold upstream was cancelled (its hedge won) and the next one sent at once. The upstream had not seen the first end, held two where it bears one, and fell over.

Change: after an attempt was cancelled or timed out, an upstream that is not known to be warm gets nothing new for 100 ms (LINGER_US).

Seen: the new test fails with a linger of 0; test_dispatch 32 passed, test_dispatch_state 400 sequences passed under ASan/UBSan.

--- a/include/auburnstile/internal/dispatch.h
+++ b/include/auburnstile/internal/dispatch.h
@@ -53,6 +53,7 @@
 	guint32 failed_permille; /* smoothed share of failed answers */
 	guint32 judged; /* answers since the last change of shut_times */
 	gint64 shut_until_us; /* ejected or unreachable until then */
+	gint64 linger_until_us; /* may still run what was given up */
 	guint32 shut_times; /* in a row: doubles the back-off */
 	bool trial; /* was shut: one request at a time until a success */
 	bool ejected; /* shut for its failed answers */
@@ -189,6 +190,8 @@
 struct upstream *upstream_new(const char *name);
 void upstream_free(gpointer data);
 guint upstream_in_flight(const struct upstream *upstream);
+void upstream_note_given_up(struct upstream *upstream,
+			    enum aub_attempt_result result, gint64 now_us);
 struct upstream *upstream_at(const struct aub_dispatcher *dispatcher, guint i);
 struct upstream *upstream_by_handle(const struct aub_dispatcher *dispatcher,
 				    guint16 handle);
--- a/src/state/dispatch_attempt.c
+++ b/src/state/dispatch_attempt.c
@@ -326,6 +326,7 @@
 	else if (result == AUB_ATTEMPT_LOST && attempt->cancelled)
 		result = AUB_ATTEMPT_CANCELLED;
 	attempt_free(attempt);
+	upstream_note_given_up(u, result, now_us);
 	note_ended(dispatcher, u, request, result, signs, sent_us, now_us);
 	if (request->final) {
 		dispatch_forget_if_done(dispatcher, request);
--- a/src/state/dispatch_upstream.c
+++ b/src/state/dispatch_upstream.c
@@ -8,6 +8,7 @@
 #define MEAN_OVER 64 /* answers in the service's smoothed mean */
 #define UNHEDGED_PERCENT 1 /* makes the slow mark, without hedges */
 #define OTHER_ZONE_US 1000 /* what another zone costs, as service time */
+#define LINGER_US (100 * AUB_MS) /* until a busy upstream sees a close */
 #define EJECT_PERMILLE 500 /* failed answers that eject */
 #define EJECT_ANSWERS 5 /* answers judged before an ejection */
 #define FORGIVE_ANSWERS 32 /* good ones that reset the back-off */
@@ -168,6 +169,19 @@
 	return 0;
 }
 
+/*
+ * Failure: an attempt on a cold upstream is given up (its hedge won) and the
+ * next one is sent at once; the upstream, which has not seen the first end
+ * yet, holds two where it bears one, and falls over with all it has. One that
+ * is not known to be warm gets nothing new until it must have seen the end.
+ */
+void upstream_note_given_up(struct upstream *upstream,
+			    enum aub_attempt_result result, gint64 now_us)
+{
+	if (result == AUB_ATTEMPT_CANCELLED || result == AUB_ATTEMPT_TIMEOUT)
+		upstream->linger_until_us = now_us + LINGER_US;
+}
+
 /* Attempts that may run on it at once, now. */
 guint upstream_allowed(const struct aub_dispatcher *dispatcher,
 		       const struct upstream *upstream, gint64 now_us)
@@ -176,6 +190,9 @@
 
 	if (!upstream_usable(upstream, now_us))
 		return 0;
+	if (upstream->state != UPSTREAM_WARM &&
+	    now_us < upstream->linger_until_us)
+		return 0;
 	allowed = cold_allowed(upstream, now_us);
 	allowed = MIN(allowed, upstream->limit);
 	if (upstream->trial)
@@ -458,8 +475,10 @@
 	for (guint i = 0; i < dispatcher->upstreams->len; i++) {
 		const struct upstream *u = upstream_at(dispatcher, i);
 
-		if (u->takes_new)
-			wake_us = wake_after(now_us, u->shut_until_us, wake_us);
+		if (!u->takes_new)
+			continue;
+		wake_us = wake_after(now_us, u->shut_until_us, wake_us);
+		wake_us = wake_after(now_us, u->linger_until_us, wake_us);
 	}
 	return wake_us;
 }
--- a/tests/test_dispatch.cc
+++ b/tests/test_dispatch.cc
@@ -245,6 +245,33 @@
 	EXPECT_FALSE(status(rig, 0).cold);
 }
 
+/*
+ * A caller leaves, its attempt on a cold upstream is cancelled, and another
+ * request waits. Sent at once, it would arrive before the upstream has seen
+ * the cancelled one end, and push it over.
+ */
+TEST(Dispatch, ColdGetsNothingNewUntilItMustHaveSeenACancel)
+{
+	rig_options options;
+	options.upstreams = 1;
+	options.slots = 4;
+	DispatchRig rig(options);
+	rig.arrive(1);
+	rig.done(rig.one(), AUB_ATTEMPT_ANSWERED, 1, true);
+	rig.take();
+	rig.arrive(2);
+	auto sent = rig.one();
+	ASSERT_EQ(sent.type, AUB_ACTION_SEND);
+	aub_dispatcher_abandon(rig.d, 2, rig.now);
+	rig.take();
+	rig.done(sent, AUB_ATTEMPT_CANCELLED);
+	rig.arrive(3);
+	EXPECT_EQ(count(rig.take(), AUB_ACTION_SEND), 0u);
+	EXPECT_LE(aub_dispatcher_wake_us(rig.d), rig.now + 100 * AUB_MS);
+	rig.pass(100 * AUB_MS);
+	EXPECT_EQ(count(rig.take(), AUB_ACTION_SEND), 1u);
+}
+
 TEST(Dispatch, LostConnectionPutsItsUpstreamInDoubt)
 {
 	rig_options options;
