Ask again where a key was handed over in between

Cause: a keyed request reaches its keeper just after the hand-over; the keeper says "keeper-moved" and the caller hears "unknown" (1 of 9036 in a rolling replacement; the caller's repeat got its answer). Change: the entry it arrived at looks again who keeps the key. The race itself has no test of its own.

--- a/include/auburnstile/internal/front_request.h
+++ b/include/auburnstile/internal/front_request.h
@@ -9,6 +9,9 @@
 
 G_BEGIN_DECLS
 
+/* Reason of an entry that has handed the key to its heir: ask again. */
+#define FRONT_KEEPER_MOVED "keeper-moved"
+
 enum front_place {
 	FRONT_NOWHERE,
 	FRONT_WAITING, /* for the end of the same key's first run */
--- a/src/coordination/front.c
+++ b/src/coordination/front.c
@@ -264,7 +264,7 @@
 	case AUB_KEEPER_ELSEWHERE:
 		if (request->forwarded)
 			front_finish(request,
-				     aub_answer_unknown("keeper-moved"));
+				     aub_answer_unknown(FRONT_KEEPER_MOVED));
 		else
 			front_route_to_keeper(request, member);
 		break;
--- a/src/coordination/front_route.c
+++ b/src/coordination/front_route.c
@@ -192,8 +192,12 @@
 	aub_timer_cancel(request->front->options.timers, request->timer);
 	request->timer = 0;
 	/* The keeper, or its heir, runs a key once however often it comes. */
-	if (result != AUB_RELAY_ANSWERED && wait_and(request, on_keeper_again))
+	if ((result != AUB_RELAY_ANSWERED ||
+	     !g_strcmp0(answer->reason, FRONT_KEEPER_MOVED)) &&
+	    wait_and(request, on_keeper_again)) {
+		aub_message_free((struct aub_message *)answer);
 		return;
+	}
 	/*
 	 * Failure: the keeper can't be reached, and the caller, told "not
 	 * run", asks for a new key and pays twice. An earlier try under this
