--- a/tests/dispatch_rig.h
+++ b/tests/dispatch_rig.h
@@ -185,4 +185,23 @@
 	}
 };
 
+static inline guint count(const std::vector<struct aub_action> &list,
+			  enum aub_action_type type)
+{
+	guint n = 0;
+
+	for (const auto &action : list)
+		n += action.type == type;
+	return n;
+}
+
+static inline struct aub_upstream_status status(DispatchRig &rig,
+						guint upstream)
+{
+	struct aub_upstream_status list[64];
+
+	g_assert_cmpuint(aub_dispatcher_status(rig.d, list, 64), >, upstream);
+	return list[upstream];
+}
+
 #endif
