Let make check run the short proofs too, and end with one total

Change: tests/run.sh runs the short selection from the release build after the tests, counts both, and takes proofs in KNOWN-RED.txt by PROMISE/FAULT.

--- a/Makefile
+++ b/Makefile
@@ -103,7 +103,8 @@
 
 check: packages
 	@$(MAKE) --no-print-directory -s SAN=1 -j$$(nproc) all tests
-	@sh tests/run.sh build/san
+	@$(MAKE) --no-print-directory -s -j$$(nproc) all
+	@sh tests/run.sh build/san build
 
 proofs: all
 	@$(B)/proofs $(PROOFS)
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,11 +1,13 @@
 #!/bin/sh
-# Run every test program of a build folder and print one closing line.
-# Usage: tests/run.sh BUILD_FOLDER
+# Run every test program of a build folder, then the short selection of proofs
+# from a release build, and print one closing line.
+# Usage: tests/run.sh SANITIZER_BUILD RELEASE_BUILD
 #
-# A test named in KNOWN-RED.txt may fail without failing the run; it is
-# printed. Counts are single test cases, read from GoogleTest's own summary.
+# What KNOWN-RED.txt names ("Suite.Test" or "PROMISE/FAULT") may fail without
+# failing the run; it is printed. Counts are single test cases and proofs.
 set -u
 build=$1
+release=$2
 passed=0
 failed=0
 verdict=0
@@ -41,5 +43,24 @@
 	fi
 	echo "$(basename "$program"): $p passed, $f failed"
 done
+
+log=$build/tests/proofs.log
+"$release/proofs" --sure | tee "$log" | grep '^promise\|^  '
+p=$(grep -c '^promise .*: holds' "$log")
+f=$(grep -c '^promise .*: broken' "$log")
+passed=$((passed + p))
+failed=$((failed + f))
+if test $((p + f)) -eq 0; then
+	echo "FAILED: no proof ran"
+	verdict=1
+fi
+for name in $(sed -n \
+	's/^promise \([^ ]*\) fault \([^ ]*\) .*: broken.*/\1\/\2/p' "$log"); do
+	if printf '%s\n' "$known" | grep -qx "$name"; then
+		echo "known red: $name"
+	else
+		verdict=1
+	fi
+done
 echo "$passed passed, $failed failed"
 exit $verdict
