Tell crash requests and upstreams' states in one message

Change: the states message carries the crash records too; the crashes message and its path are gone.

--- a/include/auburnstile/internal/dispatch_task.h
+++ b/include/auburnstile/internal/dispatch_task.h
@@ -65,15 +65,6 @@
 void aub_dispatch_task_stop(struct aub_dispatch_task *task);
 guint aub_dispatch_task_pending(const struct aub_dispatch_task *task);
 
-/*
- * The requests of a service that upstreams died under, as a message owned by
- * the caller; NULL where there is none. And what another entry tells of them.
- */
-struct aub_crashes *aub_dispatch_task_crashes(
-	const struct aub_dispatch_task *task, const char *service);
-void aub_dispatch_task_learn_crashes(struct aub_dispatch_task *task,
-				     const struct aub_crashes *crashes);
-
 /* {"services":[{"service","role","queued","upstreams":[...]}]}; g_free. */
 char *aub_dispatch_task_status(const struct aub_dispatch_task *task);
 
--- a/include/auburnstile/internal/front.h
+++ b/include/auburnstile/internal/front.h
@@ -41,12 +41,6 @@
 /* Take the roles that the view gives; call when view or links changed. */
 void aub_front_update_roles(struct aub_front *front);
 
-/*
- * Tell the stand-bys of owned services which requests are refused for the
- * upstreams they brought down; and take in what an owner tells.
- */
-void aub_front_tell_crashes(struct aub_front *front);
-void aub_front_learn_crashes(const struct aub_crashes *crashes, void *context);
 /* Tell the stand-bys of owned services what is known of their upstreams. */
 void aub_front_tell_states(struct aub_front *front);
 /* An entry told it; taken only from the service's owner. */
--- a/include/auburnstile/internal/relay.h
+++ b/include/auburnstile/internal/relay.h
@@ -33,8 +33,6 @@
 	/* Keys were handed to this entry; acknowledged on return. */
 	void (*keys)(const struct aub_keys *keys, void *context);
 	void (*keys_ack)(const struct aub_keys_ack *ack, void *context);
-	/* An owner tells of requests that upstreams died under. */
-	void (*crashes)(const struct aub_crashes *crashes, void *context);
 	/* An owner tells what it knows; `incarnation` is the sender's. */
 	void (*states)(const struct aub_states *states, guint64 incarnation,
 		       void *context);
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -35,7 +35,6 @@
 	AUB_MESSAGE_CANCEL, /* entry -> entry */
 	AUB_MESSAGE_KEYS, /* stopping entry -> heir: part of the key table */
 	AUB_MESSAGE_KEYS_ACK, /* heir -> stopping entry */
-	AUB_MESSAGE_CRASHES, /* owner -> stand-by: requests not to be run */
 	AUB_MESSAGE_STATES, /* owner -> its stand-by */
 	AUB_MESSAGE_TYPE_COUNT
 };
@@ -245,12 +244,6 @@
 	guint32 age_ms; /* since the last death */
 };
 
-struct aub_crashes {
-	struct aub_message base;
-	char *service;
-	GPtrArray *records; /* of struct aub_crash_record */
-};
-
 /* What an owner knows of one upstream. Lists of these are GPtrArray. */
 struct aub_upstream_state {
 	char *name;
@@ -266,6 +259,7 @@
 	struct aub_message base;
 	char *service;
 	GPtrArray *upstreams; /* of struct aub_upstream_state */
+	GPtrArray *crashes; /* of struct aub_crash_record */
 };
 
 /*
--- a/src/coordination/dispatch_task.c
+++ b/src/coordination/dispatch_task.c
@@ -13,8 +13,6 @@
 /* A new owner is known to all within about this time. */
 #define NOT_OWNER_RETRY_MS 200
 
-#define CRASHES_TOLD 256 /* marks of a service told to another entry */
-
 struct service {
 	struct aub_dispatch_task *task;
 	char *name;
@@ -592,55 +590,6 @@
 	return pending;
 }
 
-struct aub_crashes *aub_dispatch_task_crashes(
-	const struct aub_dispatch_task *task, const char *name)
-{
-	struct service *service = g_hash_table_lookup(task->services, name);
-	struct aub_crash_mark marks[CRASHES_TOLD];
-	struct aub_crashes *crashes;
-	guint count;
-
-	if (!service)
-		return NULL;
-	count = aub_dispatcher_crashes(service->dispatcher, marks,
-				       G_N_ELEMENTS(marks), now(task));
-	if (!count)
-		return NULL;
-	crashes = (struct aub_crashes *)aub_message_new(AUB_MESSAGE_CRASHES);
-	aub_string_set(&crashes->service, name);
-	for (guint i = 0; i < count; i++) {
-		struct aub_crash_record *record = aub_crash_record_new();
-
-		record->fingerprint = marks[i].fingerprint;
-		record->deaths = marks[i].deaths;
-		record->age_ms = marks[i].age_ms;
-		g_ptr_array_add(crashes->records, record);
-	}
-	return crashes;
-}
-
-void aub_dispatch_task_learn_crashes(struct aub_dispatch_task *task,
-				     const struct aub_crashes *crashes)
-{
-	struct service *service =
-		g_hash_table_lookup(task->services, crashes->service);
-
-	if (!service)
-		return;
-	for (guint i = 0; i < crashes->records->len; i++) {
-		const struct aub_crash_record *record =
-			crashes->records->pdata[i];
-		struct aub_crash_mark mark = {
-			.fingerprint = record->fingerprint,
-			.deaths = record->deaths,
-			.age_ms = record->age_ms,
-		};
-
-		aub_dispatcher_learn_crash(service->dispatcher, &mark,
-					   now(task));
-	}
-}
-
 char *aub_dispatch_task_status(const struct aub_dispatch_task *task)
 {
 	JsonBuilder *builder = aub_dispatch_status_begin();
--- a/src/coordination/entry.c
+++ b/src/coordination/entry.c
@@ -130,13 +130,6 @@
 	aub_keeper_acknowledged(entry->keeper, ack);
 }
 
-static void on_crashes(const struct aub_crashes *crashes, void *context)
-{
-	struct aub_entry *entry = context;
-
-	aub_front_learn_crashes(crashes, entry->front);
-}
-
 static void on_arrived(struct aub_caller_request *request,
 		       struct aub_call *call, void *context)
 {
@@ -223,7 +216,6 @@
 
 	entry->busy_us = busy_us;
 	aub_entry_view_set_load(entry->view, CLAMP(permille, 0, 1000));
-	aub_front_tell_crashes(entry->front);
 }
 
 static struct aub_hello *make_hello(const struct aub_entry_settings *settings)
@@ -288,7 +280,6 @@
 			.gone = on_relay_gone,
 			.keys = on_keys,
 			.keys_ack = on_keys_ack,
-			.crashes = on_crashes,
 			.states = on_states,
 			.changed = on_links_changed,
 			.context = entry,
--- a/src/coordination/front.c
+++ b/src/coordination/front.c
@@ -456,39 +456,6 @@
 	aub_entry_view_assignments(front->options.view, update_role, front);
 }
 
-static void tell_crashes(const struct aub_assignment *assignment, void *context)
-{
-	struct aub_front *front = context;
-	struct aub_crashes *crashes;
-
-	if (assignment->owner_incarnation != front->options.hello->incarnation)
-		return;
-	crashes = aub_dispatch_task_crashes(front->options.dispatch,
-					    assignment->service);
-	if (!crashes)
-		return;
-	aub_relay_send_message(front->relay, assignment->standby_incarnation,
-			       &crashes->base);
-	aub_message_free(&crashes->base);
-}
-
-/*
- * Failure: the owner of a service goes away, and a request that brought two
- * upstreams down brings down two more under the next owner. Enough: the next
- * owner is the stand-by, and it is told within a second.
- */
-void aub_front_tell_crashes(struct aub_front *front)
-{
-	aub_entry_view_assignments(front->options.view, tell_crashes, front);
-}
-
-void aub_front_learn_crashes(const struct aub_crashes *crashes, void *context)
-{
-	struct aub_front *front = context;
-
-	aub_dispatch_task_learn_crashes(front->options.dispatch, crashes);
-}
-
 static void tell_states(const struct aub_assignment *assignment, void *context)
 {
 	struct aub_front *front = context;
--- a/src/coordination/relay_guests.c
+++ b/src/coordination/relay_guests.c
@@ -124,11 +124,6 @@
 	case AUB_MESSAGE_KEYS:
 		take_keys(guest, (struct aub_keys *)message);
 		break;
-	case AUB_MESSAGE_CRASHES:
-		guest->guests->options->crashes(
-			(struct aub_crashes *)message,
-			guest->guests->options->context);
-		break;
 	default:
 		break;
 	}
--- a/src/coordination/states.c
+++ b/src/coordination/states.c
@@ -1,9 +1,11 @@
 /*
- * Knowledge of upstreams between a dispatcher and a message.
+ * Knowledge of upstreams, and of requests that crash them, between a
+ * dispatcher and a message.
  */
 #include <auburnstile/internal/states.h>
 
 #define UPSTREAMS 1024 /* of one service; more are left out */
+#define CRASHES 256 /* likewise */
 
 static void add_upstreams(struct aub_states *states,
 			  const struct aub_dispatcher *dispatcher,
@@ -28,6 +30,43 @@
 	g_free(list);
 }
 
+/*
+ * Failure: the owner of a service goes away, and a request that brought two
+ * upstreams down brings down two more under the next owner. Enough: the next
+ * owner is the stand-by, and it is told within a moment.
+ */
+static void add_crashes(struct aub_states *states,
+			const struct aub_dispatcher *dispatcher, gint64 now_us)
+{
+	struct aub_crash_mark list[CRASHES];
+	guint count = aub_dispatcher_crashes(dispatcher, list, CRASHES, now_us);
+
+	for (guint i = 0; i < count; i++) {
+		struct aub_crash_record *record = aub_crash_record_new();
+
+		record->fingerprint = list[i].fingerprint;
+		record->deaths = list[i].deaths;
+		record->age_ms = list[i].age_ms;
+		g_ptr_array_add(states->crashes, record);
+	}
+}
+
+static void learn_crashes(struct aub_dispatcher *dispatcher,
+			  const struct aub_states *states, gint64 now_us)
+{
+	for (guint i = 0; i < states->crashes->len; i++) {
+		const struct aub_crash_record *record =
+			states->crashes->pdata[i];
+		struct aub_crash_mark mark = {
+			.fingerprint = record->fingerprint,
+			.deaths = record->deaths,
+			.age_ms = record->age_ms,
+		};
+
+		aub_dispatcher_learn_crash(dispatcher, &mark, now_us);
+	}
+}
+
 struct aub_states *aub_states_make(const struct aub_dispatcher *dispatcher,
 				   const char *service, gint64 now_us)
 {
@@ -36,6 +75,7 @@
 
 	aub_string_set(&states->service, service);
 	add_upstreams(states, dispatcher, now_us);
+	add_crashes(states, dispatcher, now_us);
 	return states;
 }
 
@@ -56,4 +96,5 @@
 
 		aub_dispatcher_learn(dispatcher, &known, now_us);
 	}
+	learn_crashes(dispatcher, states, now_us);
 }
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -238,16 +238,11 @@
 const struct aubi_layout aubi_crash_record_layout =
 	LAYOUT("crash record", aub_crash_record, crash_record_fields);
 
-static const struct aubi_field crashes_fields[] = {
-	STRING(aub_crashes, service, NAME_LIMIT),
-	LIST(aub_crashes, records, CRASHES_LIMIT, &aubi_crash_record_layout),
-	END,
-};
-
 static const struct aubi_field states_fields[] = {
 	STRING(aub_states, service, NAME_LIMIT),
 	LIST(aub_states, upstreams, UPSTREAMS_LIMIT,
 	     &aubi_upstream_state_layout),
+	LIST(aub_states, crashes, CRASHES_LIMIT, &aubi_crash_record_layout),
 	END,
 };
 
@@ -269,7 +264,6 @@
 	[AUB_MESSAGE_KEYS] = LAYOUT("keys", aub_keys, keys_fields),
 	[AUB_MESSAGE_KEYS_ACK] =
 		LAYOUT("keys acknowledgement", aub_keys_ack, keys_ack_fields),
-	[AUB_MESSAGE_CRASHES] = LAYOUT("crashes", aub_crashes, crashes_fields),
 	[AUB_MESSAGE_STATES] = LAYOUT("states", aub_states, states_fields),
 };
 
