Part the probes under way from the dispatch task

Change: dispatch_probes.c keeps probes and reports their ends by name. Seen: tests of front and processes, and the probe budget's proof with a dead owner, as before.

--- a/src/coordination/dispatch_task.c
+++ b/src/coordination/dispatch_task.c
@@ -4,6 +4,7 @@
  * actions always belong to the current inventory.
  */
 #include <auburnstile/internal/answer.h>
+#include <auburnstile/internal/dispatch_probes.h>
 #include <auburnstile/internal/dispatch_status.h>
 #include <auburnstile/internal/dispatch_task.h>
 #include <auburnstile/internal/upstream_set.h>
@@ -47,23 +48,16 @@
 	char upstream[AUB_EVENT_NAME];
 };
 
-struct probe {
-	struct aub_dispatch_task *task;
-	struct aub_attempt *handle;
-	struct aub_inventory *inventory; /* owned: under which it was sent */
-	char *service;
-	char *upstream;
-};
-
 struct aub_dispatch_task {
 	struct aub_dispatch_task_options options;
 	GHashTable *services; /* name -> struct service */
 	struct aub_upstream_set *upstreams;
 	GHashTable *attempts; /* set of struct attempt, over all requests */
-	GHashTable *probes; /* set of struct probe */
+	struct aub_probes *probes;
 };
 
 static void drain(struct service *service);
+static void on_probed(const struct aub_probe_report *report, void *context);
 
 static gint64 now(const struct aub_dispatch_task *task)
 {
@@ -108,18 +102,10 @@
 					       service_free);
 	task->upstreams = aub_upstream_set_new(options->timers);
 	task->attempts = g_hash_table_new(NULL, NULL);
-	task->probes = g_hash_table_new(NULL, NULL);
+	task->probes = aub_probes_new(task->upstreams, on_probed, task);
 	return task;
 }
 
-static void probe_free(struct probe *probe)
-{
-	aub_inventory_unref(probe->inventory);
-	g_free(probe->service);
-	g_free(probe->upstream);
-	g_free(probe);
-}
-
 void aub_dispatch_task_free(struct aub_dispatch_task *task)
 {
 	GHashTableIter iterator;
@@ -128,6 +114,7 @@
 	if (!task)
 		return;
 	g_hash_table_unref(task->services);
+	aub_probes_free(task->probes);
 	aub_upstream_set_free(task->upstreams);
 	g_hash_table_iter_init(&iterator, task->attempts);
 	while (g_hash_table_iter_next(&iterator, &key, NULL)) {
@@ -137,14 +124,6 @@
 		g_free(attempt);
 	}
 	g_hash_table_unref(task->attempts);
-	g_hash_table_iter_init(&iterator, task->probes);
-	while (g_hash_table_iter_next(&iterator, &key, NULL)) {
-		struct probe *probe = key;
-
-		aub_attempt_forget(probe->handle);
-		probe_free(probe);
-	}
-	g_hash_table_unref(task->probes);
 	g_free(task);
 }
 
@@ -369,48 +348,34 @@
 	}
 }
 
-static void on_probe_done(bool answered, const struct aub_upstream_signs *signs,
-			  guint32 busy, void *context)
+static void on_probed(const struct aub_probe_report *report, void *context)
 {
-	struct probe *probe = context;
-	struct aub_dispatch_task *task = probe->task;
-	struct service *service;
+	struct aub_dispatch_task *task = context;
+	struct service *service =
+		g_hash_table_lookup(task->services, report->service);
 	guint16 upstream;
 
-	g_hash_table_remove(task->probes, probe);
-	service = g_hash_table_lookup(task->services, probe->service);
-	if (service && service->inventory == probe->inventory) {
-		aub_event_note(task->options.events, AUB_EVENT_PROBED, 0, busy,
-			       probe->upstream,
-			       answered ? "answered" : "failed");
-		upstream = aub_inventory_upstream(service->inventory,
-						  probe->upstream);
-		if (upstream != AUB_NO_HANDLE) {
-			aub_dispatcher_probe_done(service->dispatcher, upstream,
-						  answered, signs, busy,
-						  now(task));
-			drain(service);
-		}
-	}
-	probe_free(probe);
+	if (!service || service->inventory != report->inventory)
+		return;
+	aub_event_note(task->options.events, AUB_EVENT_PROBED, 0, report->busy,
+		       report->upstream,
+		       report->answered ? "answered" : "failed");
+	upstream = aub_inventory_upstream(service->inventory, report->upstream);
+	if (upstream == AUB_NO_HANDLE)
+		return;
+	aub_dispatcher_probe_done(service->dispatcher, upstream,
+				  report->answered, report->signs, report->busy,
+				  now(task));
+	drain(service);
 }
 
 static void send_probe(struct service *service, const struct aub_action *action)
 {
 	struct aub_dispatch_task *task = service->task;
-	const char *name =
-		aub_upstream_at(service->inventory, action->upstream)->name;
-	struct probe *probe = g_new(struct probe, 1);
 
-	probe->task = task;
-	probe->inventory = aub_inventory_ref(service->inventory);
-	probe->service = g_strdup(service->name);
-	probe->upstream = g_strdup(name);
-	g_hash_table_add(task->probes, probe);
 	aub_metrics_add(task->options.metrics, service->probe_counter, 1);
-	probe->handle =
-		aub_upstream_probe(aub_upstream_set_find(task->upstreams, name),
-				   action->timeout_us, on_probe_done, probe);
+	aub_probes_send(task->probes, service->name, service->inventory,
+			action->upstream, action->timeout_us);
 }
 
 static void carry_out(struct service *service, const struct aub_action *action)
