--- a/include/auburnstile/internal/dispatch.h
+++ b/include/auburnstile/internal/dispatch.h
@@ -115,7 +115,7 @@
 
 struct aub_dispatcher {
 	enum aub_policy policy;
-	guint32 random;
+	GRand *random;
 	enum aub_dispatch_role role;
 	gint64 settle_until_us;
 	bool stopping;
@@ -259,7 +259,7 @@
 	       gint64 now_us);
 
 /* dispatch_policy.c */
-guint32 dispatch_random(struct aub_dispatcher *dispatcher, guint32 below);
+guint dispatch_random(struct aub_dispatcher *dispatcher, guint below);
 struct upstream *policy_choose(struct aub_dispatcher *dispatcher,
 			       const struct request *request);
 bool bucket_take(struct bucket *bucket, gint64 tokens);
--- a/src/state/dispatch.c
+++ b/src/state/dispatch.c
@@ -3,8 +3,6 @@
  */
 #include <auburnstile/internal/dispatch.h>
 
-#define RANDOM_SEED 0x2545F491u /* where options give 0 */
-
 static void request_free(gpointer data)
 {
 	struct request *request = data;
@@ -21,7 +19,7 @@
 	struct aub_dispatcher *d = g_new0(struct aub_dispatcher, 1);
 
 	d->policy = options->policy;
-	d->random = options->seed ? options->seed : RANDOM_SEED;
+	d->random = g_rand_new_with_seed(options->seed);
 	d->upstreams = g_ptr_array_new();
 	d->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    request_free);
@@ -45,6 +43,7 @@
 		upstream_free(upstream_at(d, i));
 	g_ptr_array_free(d->upstreams, TRUE);
 	g_queue_clear_full(&d->actions, g_free);
+	g_rand_free(d->random);
 	crash_table_free(d->crashes);
 	if (d->inventory)
 		aub_inventory_unref(d->inventory);
--- a/src/state/dispatch_policy.c
+++ b/src/state/dispatch_policy.c
@@ -48,16 +48,10 @@
 	return -1;
 }
 
-/* xorshift32: enough for ties and the baselines, and equal everywhere. */
-guint32 dispatch_random(struct aub_dispatcher *dispatcher, guint32 below)
+/* From 0 to below - 1; equal for equal seeds, so that runs can be repeated. */
+guint dispatch_random(struct aub_dispatcher *dispatcher, guint below)
 {
-	guint32 x = dispatcher->random;
-
-	x ^= x << 13;
-	x ^= x >> 17;
-	x ^= x << 5;
-	dispatcher->random = x;
-	return (guint32)(((guint64)x * below) >> 32);
+	return (guint)g_rand_int_range(dispatcher->random, 0, (gint32)below);
 }
 
 bool bucket_take(struct bucket *bucket, gint64 tokens)
