Share the start of the two programs

Cause: entry and control each had the same command line, log, signals and eight rows of settings, worded differently.

--- a/programs/ctl/edit.c
+++ b/programs/ctl/edit.c
@@ -69,7 +69,7 @@
 			inventory->zones->len, inventory->vms->len,
 			inventory->services->len, inventory->upstreams->len);
 	else
-		g_print("%s: %u zones, %u VMs, %u services, %u upstreams; "
+		g_print("%s: zones %u, VMs %u, services %u, upstreams %u; "
 			"no rule is broken\n",
 			words[0], inventory->zones->len, inventory->vms->len,
 			inventory->services->len, inventory->upstreams->len);
--- a/src/coordination/entry.c
+++ b/src/coordination/entry.c
@@ -6,6 +6,7 @@
 #include <auburnstile/incarnation.h>
 #include <auburnstile/internal/addresses.h>
 #include <auburnstile/internal/entry_parts.h>
+#include <auburnstile/internal/program.h>
 #include <auburnstile/log.h>
 
 #include <sys/resource.h>
@@ -21,16 +22,7 @@
 #define FIELD(name) offsetof(struct aub_entry_settings, name)
 
 const struct aub_setting aub_entry_setting_table[] = {
-	{ .key = "name",
-	  .type = AUB_SETTING_STRING,
-	  .offset = FIELD(name),
-	  .required = true,
-	  .help = "name of the VM" },
-	{ .key = "zone",
-	  .type = AUB_SETTING_STRING,
-	  .offset = FIELD(zone),
-	  .required = true,
-	  .help = "its availability zone" },
+	AUBI_PROGRAM_SETTINGS(struct aub_entry_settings),
 	{ .key = "callers",
 	  .type = AUB_SETTING_ADDRESS,
 	  .offset = FIELD(callers),
@@ -51,39 +43,11 @@
 	  .offset = FIELD(control),
 	  .required = true,
 	  .help = "inner address of this VM's control" },
-	{ .key = "token_file",
-	  .type = AUB_SETTING_STRING,
-	  .offset = FIELD(token_file),
-	  .help = "file with the operators' token" },
-	{ .key = "log_level",
-	  .type = AUB_SETTING_STRING,
-	  .offset = FIELD(log_level),
-	  .fallback = "info",
-	  .help = "error, warning, message, info or debug" },
-	{ .key = "log_json",
-	  .type = AUB_SETTING_BOOLEAN,
-	  .offset = FIELD(log_json),
-	  .fallback = "false",
-	  .help = "log as JSON lines" },
-	{ .key = "stop_ms",
-	  .type = AUB_SETTING_INTEGER,
-	  .offset = FIELD(stop_ms),
-	  .minimum = 100,
-	  .maximum = 600000,
-	  .fallback = "10000",
-	  .help = "most time a planned stop takes, ms" },
 	{ .key = "policy",
 	  .type = AUB_SETTING_STRING,
 	  .offset = FIELD(policy),
 	  .fallback = "auburnstile",
 	  .help = "how upstreams are chosen; others are baselines" },
-	{ .key = "event_capacity",
-	  .type = AUB_SETTING_INTEGER,
-	  .offset = FIELD(event_capacity),
-	  .minimum = 16,
-	  .maximum = 1 << 20,
-	  .fallback = "16384",
-	  .help = "events kept for the time line" },
 	{ .key = "key_mb",
 	  .type = AUB_SETTING_INTEGER,
 	  .offset = FIELD(key_mb),
@@ -105,12 +69,6 @@
 	  .maximum = 100000,
 	  .fallback = "4000",
 	  .help = "open connections of callers at most" },
-	{ .key = "seed",
-	  .type = AUB_SETTING_INTEGER,
-	  .offset = FIELD(seed),
-	  .maximum = G_MAXUINT32,
-	  .fallback = "0",
-	  .help = "of random choices; 0 takes one from the system" },
 	{ .key = NULL },
 };
 
