--- a/src/transport/upstream_client.c
+++ b/src/transport/upstream_client.c
@@ -8,6 +8,7 @@
 #include <auburnstile/error.h>
 #include <auburnstile/internal/headers.h>
 #include <auburnstile/internal/upstream_client.h>
+#include <auburnstile/internal/upstream_request.h>
 #include <auburnstile/internal/upstream_signs.h>
 
 #include <errno.h>
@@ -22,9 +23,6 @@
 
 #define READ_BYTES (16u << 10)
 
-/* What an answer needs to come back to the entry, on a busy machine. */
-#define ANSWER_WAY_MS 4
-
 struct aub_upstream_client {
 	guint references; /* its owner's and one for each attempt */
 	char *base; /* "http://ip:port" */
@@ -520,56 +518,6 @@
 	return message;
 }
 
-static void set_number(SoupMessageHeaders *headers, const char *name,
-		       gint64 number)
-{
-	char text[32];
-
-	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, number);
-	soup_message_headers_replace(headers, name, text);
-}
-
-/*
- * Failure: an upstream's own calls are given up at the very moment at which
- * its caller gives it up, and a definite "not run" from below arrives too
- * late: the caller reads "unknown". The time told to the upstream is shorter
- * by the way of an answer; 25 levels of it take a quarter of the time.
- */
-static gint64 deadline_told_ms(gint64 left_ms)
-{
-	gint64 margin_ms = ANSWER_WAY_MS + left_ms / 100;
-
-	return MAX(left_ms - margin_ms, 1);
-}
-
-/*
- * Failure: each level of a call tree retries, and a failing leaf of 25 levels
- * gets millions of attempts. What the calls made on behalf of this one may
- * spend is half of its own budget, so that all levels together stay finite.
- */
-static void write_request(SoupMessage *message, const struct aub_call *call,
-			  gint64 left_ms)
-{
-	SoupMessageHeaders *headers;
-	GBytes *body;
-	char id[20];
-
-	headers = soup_message_get_request_headers(message);
-	if (call->body.length) {
-		body = g_bytes_new(call->body.data, call->body.length);
-		soup_message_set_request_body_from_bytes(message, NULL, body);
-		g_bytes_unref(body);
-	} else if (strcmp(call->method, "GET") != 0 &&
-		   strcmp(call->method, "HEAD") != 0) {
-		soup_message_headers_set_content_length(headers, 0);
-	}
-	aub_headers_emit(call->headers, headers);
-	set_number(headers, "X-Deadline-Ms", deadline_told_ms(left_ms));
-	set_number(headers, "Auburnstile-Retry-Budget", call->retry_budget / 2);
-	g_snprintf(id, sizeof(id), "%016" G_GINT64_MODIFIER "x", call->id);
-	soup_message_headers_replace(headers, "Auburnstile-Request", id);
-}
-
 static gboolean fail_unsendable(void *context)
 {
 	struct aub_attempt *attempt = context;
@@ -602,7 +550,7 @@
 		return attempt;
 	}
 	left_us = timeout_us - aub_timer_now(client->timers);
-	write_request(message, call, MAX(left_us, 0) / AUB_MS);
+	aub_upstream_write_request(message, call, MAX(left_us, 0) / AUB_MS);
 	/*
 	 * Failure: an old connection ends under a payment, and whether it ran
 	 * can't be told. Such a request goes over a new connection, which
