Fail the check when the proofs end before their closing line

Cause: tests/run.sh reads the proofs through a pipe, which loses their exit status; if they died after some that held, the run passed. Found by reading. Change: without the proofs' own closing line the run fails and says so. Seen: stand-ins for the proofs that hold, are killed after one, break, or run none: exit 0, 1, 1, 1 (the killed one was 0 before by its counts). The real selection: 11 passed, 0 failed.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -50,8 +50,11 @@
 f=$(grep -c '^promise .*: broken' "$log")
 passed=$((passed + p))
 failed=$((failed + f))
-if test $((p + f)) -eq 0; then
-	echo "FAILED: no proof ran"
+# Its exit status is lost in the pipe: without its closing line it died early.
+if test $((p + f)) -eq 0 ||
+	! grep -q '^[0-9]* passed, [0-9]* failed$' "$log"; then
+	echo "FAILED: the proofs did not run to their end"
+	failed=$((failed + 1))
 	verdict=1
 fi
 for name in $(sed -n \
