--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 B = build$(if $(SAN),/san)$(if $(FUZZ),/fuzz)
 
 WARN = -Wall -Wextra -Wshadow -Wno-unused-parameter
-CPPFLAGS = -Iinclude -Itools -D_GNU_SOURCE -DG_LOG_DOMAIN=\"auburnstile\" \
+CPPFLAGS = -Iinclude -Itools -Iplatform -D_GNU_SOURCE -DG_LOG_DOMAIN=\"auburnstile\" \
 	$(shell pkg-config --cflags $(PKGS) 2>/dev/null | sed 's/-I/-isystem /g')
 OPT = $(if $(SAN),-O1 -fsanitize=address$(comma)undefined \
 	-fno-omit-frame-pointer -fno-sanitize-recover=undefined,$(if $(FUZZ),\
@@ -29,10 +29,11 @@
 comma = ,
 CFLAGS = -std=gnu11 -g $(WARN) -Wmissing-prototypes $(OPT)
 CXXFLAGS = -std=c++20 -g $(WARN) $(OPT)
-LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lm -lstdc++
+LDLIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser -lm \
+	-lstdc++
 TESTLIBS = -lrapidcheck -lgtest -lgtest_main -lpthread $(LDLIBS)
 
-LIB_SRC = $(sort $(wildcard src/*/*.c))
+LIB_SRC = $(sort $(wildcard src/*/*.c) $(wildcard platform/*.c))
 LIB_CXX = $(sort $(wildcard src/*/*.cc))
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/obj/%.o) $(LIB_CXX:%.cc=$(B)/obj/%.o)
 CTL_OBJ = $(patsubst %.c,$(B)/obj/%.o,$(sort $(wildcard programs/ctl/*.c)))
@@ -134,9 +135,9 @@
 		2>/dev/null || { echo "lint: $$0"; exit 1; }'
 
 clean:
-	rm -rf build
+	rm -rf build target
 
 .PHONY: all packages tests check demo proofs slopes format fuzz fuzz-build lint clean
 .SECONDARY:
 
--include $(shell find build -name '*.d' 2>/dev/null)
+-include $(shell find build target -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/include/auburnstile/internal/decision_log.h
@@ -0,0 +1,43 @@
+/*
+ * Decisions as JSON lines on standard output, a line each.
+ *
+ * Bounded and never blocking: lines are collected, written when the pipe
+ * takes them, and dropped past a limit; how many were dropped is said when
+ * there is room again. Lines about failures may use room that lines about
+ * successes may not. One log a process.
+ */
+#ifndef AUBURNSTILE_INTERNAL_DECISION_LOG_H
+#define AUBURNSTILE_INTERNAL_DECISION_LOG_H
+
+#include <auburnstile/timer.h>
+
+G_BEGIN_DECLS
+
+enum aub_log_class {
+	AUB_LOG_CALM, /* a request that went well */
+	AUB_LOG_TROUBLE, /* one that did not */
+	AUB_LOG_STATE, /* what the process believes has changed */
+	AUB_LOG_CLASSES
+};
+
+/* Lines are written by `timers`; NULL: only by aub_decision_log_flush(). */
+void aub_decision_log_start(const char *process,
+			    struct aub_timer_service *timers);
+void aub_decision_log_flush(void);
+void aub_decision_log_stop(void);
+
+/*
+ * One line: begin, fields, end. Fields of a line that is dropped cost
+ * nothing. `event` is a name of docs/LOGGING.md.
+ */
+void aub_log_begin(enum aub_log_class class, const char *event);
+void aub_log_text(const char *field, const char *value);
+void aub_log_number(const char *field, gint64 value);
+void aub_log_end(void);
+
+/* Lines of a class dropped so far. */
+guint64 aub_decision_log_dropped(enum aub_log_class class);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/auburnstile/internal/gateway_parts.h
@@ -0,0 +1,166 @@
+/*
+ * The inside of a gateway's data path, shared by its files.
+ */
+#ifndef AUBURNSTILE_INTERNAL_GATEWAY_PARTS_H
+#define AUBURNSTILE_INTERNAL_GATEWAY_PARTS_H
+
+#include <auburnstile/internal/gateway.h>
+
+G_BEGIN_DECLS
+
+/*
+ * Bytes of a body held here: of a request's, to send it once more; of an
+ * answer's, before its first byte goes to the caller, so that a truncated
+ * one can still be replaced. Beyond it bodies stream with back pressure.
+ */
+#define AUB_BODY_KEPT (64u << 10)
+#define AUB_QUEUE_HIGH (128u << 10) /* bytes to a slow reader before a pause \
+				     */
+
+struct aub_caller; /* one caller's connection */
+struct aub_request;
+
+enum aub_request_counter {
+	AUB_COUNT_ANSWERED, /* an upstream's whole answer */
+	AUB_COUNT_REFUSED, /* own answer: not run */
+	AUB_COUNT_FAILED, /* own answer: may have run */
+	AUB_COUNT_DENIED, /* own answer: not allowed */
+	AUB_COUNT_GONE, /* the caller left */
+	AUB_COUNT_BROKEN, /* ended midway */
+	AUB_REQUEST_COUNTERS
+};
+
+struct aub_gateway {
+	struct aub_gateway_options options;
+	struct aub_routing *routing; /* NULL: none known yet */
+	int listener;
+	struct aub_poll_watch *watch;
+	guint sweep;
+	GQueue callers; /* of struct aub_caller */
+	guint requests;
+	bool stopping;
+	bool closed;
+	guint counters[AUB_REQUEST_COUNTERS];
+	guint latency;
+	guint attempts;
+	guint retries;
+	guint hedges;
+};
+
+struct aub_caller {
+	struct aub_gateway *gateway;
+	GList *link; /* in gateway->callers */
+	struct aub_http_stream *stream;
+	struct aub_request *request; /* NULL: idle, or reading a head */
+	gint64 since_us; /* of being idle, or of its end */
+	bool keep_alive; /* the caller would go on with it */
+	bool finishing; /* nothing more is answered on it */
+};
+
+/* One try at one upstream. */
+struct aub_attempt_state {
+	struct aub_request *request;
+	struct aub_exchange *exchange;
+	guint64 ticket;
+	char *upstream;
+	gint64 sent_us;
+	guint status; /* of its answer; 0: none yet */
+	bool unrun; /* the upstream says that it did not run it */
+	bool broken; /* its answer can't be passed on */
+	gint64 length; /* of the answer's body; -1: not announced */
+	GString *head; /* status line and headers, without framing */
+	GByteArray *body; /* what of it is held back */
+	struct aub_load load;
+	bool streaming; /* the caller gets it as it comes */
+	bool chunked; /* towards the caller */
+};
+
+struct aub_request {
+	struct aub_gateway *gateway;
+	struct aub_caller *caller;
+	struct aub_routing *routing; /* the one it began with */
+	struct aub_route *route; /* borrowed from it */
+	const char *service; /* borrowed from it */
+	char *id;
+	char *line; /* "METHOD target HTTP/1.1" */
+	GString *headers; /* to forward, without framing and deadline */
+	bool is_head;
+	gint64 begun_us;
+	gint64 deadline_us; /* the caller's */
+	gint64 limit_us; /* the earlier of it and the route's timeout */
+	guint timer;
+	guint hedge_timer;
+	gint64 body_length; /* -1: chunked; 0: none */
+	guint64 body_read;
+	bool body_whole;
+	bool body_lost; /* more of it has gone than is kept */
+	GByteArray *body; /* kept to be sent again */
+	GPtrArray *attempts; /* of struct aub_attempt_state, under way */
+	GPtrArray *tried; /* of char *: upstreams it was sent to */
+	guint unreachable; /* tries that never connected */
+	guint64 ask; /* ticket asked for; 0: none */
+	bool asking;
+	bool hedging; /* the ask is for a second try beside the first */
+	bool may_have_run;
+	bool answering; /* bytes of an answer have gone to the caller */
+};
+
+/* aub_request: called by the caller's connection. */
+struct aub_request *aub_request_new(struct aub_caller *caller,
+				    const struct aub_http_head *head);
+void aub_request_body(struct aub_request *request, const char *data,
+		      gsize length);
+void aub_request_body_end(struct aub_request *request);
+void aub_request_drained(struct aub_request *request);
+void aub_request_caller_left(struct aub_request *request);
+/* End it without an answer; its end is logged already. */
+void aub_request_drop(struct aub_request *request);
+
+/* aub_request: called by its attempts. */
+void aub_request_attempt_failed(struct aub_request *request,
+				struct aub_attempt_state *attempt,
+				enum aub_attempt_end end);
+void aub_request_attempt_whole(struct aub_request *request,
+			       struct aub_attempt_state *attempt);
+/* The answer grows past what is held back: begin to pass it on. */
+void aub_request_attempt_streams(struct aub_request *request,
+				 struct aub_attempt_state *attempt);
+void aub_request_attempt_bytes(struct aub_request *request,
+			       struct aub_attempt_state *attempt,
+			       const char *data, gsize length);
+void aub_request_attempt_drained(struct aub_request *request);
+
+/* Attempts. */
+struct aub_attempt_state *aub_attempt_start(struct aub_request *request,
+					    guint64 ticket,
+					    const char *upstream,
+					    const char *address);
+void aub_attempt_write_body(struct aub_attempt_state *attempt, const char *data,
+			    gsize length);
+void aub_attempt_end_body(struct aub_attempt_state *attempt);
+/* Abort and report `end`. Frees the attempt. */
+void aub_attempt_abort(struct aub_attempt_state *attempt,
+		       enum aub_attempt_end end);
+void aub_attempt_free(struct aub_attempt_state *attempt);
+
+/* Callers' connections. */
+void aub_caller_write(struct aub_caller *caller, const void *data,
+		      gsize length);
+/* The answer is written: go on with the next request, or end. */
+void aub_caller_answered(struct aub_caller *caller, bool keep);
+/* Break the connection off: an answer that ends early must not look whole. */
+void aub_caller_break(struct aub_caller *caller);
+
+/* Headers. */
+void aub_headers_forward(GString *out, const struct aub_http_head *head,
+			 const struct aub_platform *platform, bool request);
+bool aub_header_is_number(const char *text, gint64 *value);
+
+/* Count a request's end, and log it. */
+void aub_request_log(const struct aub_request *request,
+		     enum aub_request_counter counter, guint status,
+		     const char *reason, const char *detail);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/auburnstile/internal/node.h
@@ -0,0 +1,50 @@
+/*
+ * A gateway process put together from its parts.
+ */
+#ifndef AUBURNSTILE_INTERNAL_NODE_H
+#define AUBURNSTILE_INTERNAL_NODE_H
+
+#include <auburnstile/internal/platform.h>
+#include <auburnstile/settings.h>
+
+G_BEGIN_DECLS
+
+struct aub_node;
+
+struct aub_node_settings {
+	char *name;
+	char *zone;
+	char *callers; /* "ip:port" where callers connect */
+	char *directory; /* where they ask which addresses to use */
+	char *readiness; /* where the platform asks whether it is ready */
+	char *peers; /* datagrams of other gateways */
+	char *metrics;
+	char *store;
+	char **seeds; /* gateways that may be there; their IPs count */
+	gint64 grace_ms; /* from SIGTERM to SIGKILL */
+	gint64 retry_percent; /* second attempts a hundred first ones */
+	gint64 retry_slack;
+	gint64 retry_window_ms;
+	gint64 address_ms; /* for how long callers may keep an answer */
+	char *log_level;
+};
+
+extern const struct aub_setting aub_node_setting_table[];
+
+/* NULL with an error that names the address or setting. */
+struct aub_node *aub_node_new(const struct aub_node_settings *settings,
+			      const struct aub_platform *platform,
+			      GError **error);
+void aub_node_free(struct aub_node *node);
+
+/* Settings that may change while it runs have been read anew. */
+void aub_node_reload(struct aub_node *node,
+		     const struct aub_node_settings *settings);
+
+/* Begin a planned stop; `stopped` is called when the process may end. */
+void aub_node_stop(struct aub_node *node, void (*stopped)(void *context),
+		   void *context);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/auburnstile/internal/peers.h
@@ -0,0 +1,87 @@
+/*
+ * The other gateways: who they are, who is alive, and datagrams to them.
+ *
+ * Each gateway sends a beacon to every other several times a second. There
+ * is no agreement: each has its own view, and nothing that must hold rests
+ * on two views being alike.
+ */
+#ifndef AUBURNSTILE_INTERNAL_PEERS_H
+#define AUBURNSTILE_INTERNAL_PEERS_H
+
+#include <auburnstile/internal/poller.h>
+#include <auburnstile/message.h>
+#include <auburnstile/timer.h>
+
+#include <netinet/in.h>
+
+G_BEGIN_DECLS
+
+struct aub_peers;
+
+struct aub_peer {
+	char *name; /* "" until it was heard */
+	char *zone;
+	char *address; /* "ip:port" of its datagrams */
+	struct sockaddr_in socket_address; /* the same; port 0: no address */
+	char *callers_address;
+	guint64 incarnation;
+	gint64 heard_us; /* 0: never */
+	gint64 known_us; /* since when it is listed here */
+	gint64 suspect_until_us; /* did not answer: passed by until then */
+	bool ready;
+	bool stopping;
+	bool alive; /* heard lately */
+	bool self;
+};
+
+struct aub_peers_options {
+	const char *name;
+	const char *zone;
+	const char *address;
+	const char *callers_address;
+	guint64 incarnation;
+	struct aub_poller *poller;
+	struct aub_timer_service *timers;
+	/* A message other than a beacon; owned by the callee. */
+	void (*message)(struct aub_message *message, void *context);
+	/* `incarnation` is gone: dead, restarted or silent. */
+	void (*lost)(guint64 incarnation, void *context);
+	void *context;
+};
+
+struct aub_peers *aub_peers_new(const struct aub_peers_options *options,
+				GError **error);
+void aub_peers_free(struct aub_peers *peers);
+
+/* There may be a gateway at `address`; it gets beacons from now on. */
+void aub_peers_add(struct aub_peers *peers, const char *address);
+
+/* What the own beacons say. */
+void aub_peers_set_self(struct aub_peers *peers, bool ready, bool stopping,
+			gint64 config_version);
+
+/* Every peer, this process first; of struct aub_peer, borrowed. */
+const GPtrArray *aub_peers_all(const struct aub_peers *peers);
+struct aub_peer *aub_peers_self(const struct aub_peers *peers);
+
+/* Counts changes of who is alive and ready. */
+guint aub_peers_generation(const struct aub_peers *peers);
+
+/*
+ * The gateways that may place for `service`, most preferred first: alive,
+ * ready, by a hash of both names. Borrowed until the generation changes.
+ */
+const GPtrArray *aub_peers_ranked(struct aub_peers *peers, const char *service);
+
+struct aub_peer *aub_peers_by_incarnation(const struct aub_peers *peers,
+					  guint64 incarnation);
+
+/* Send one datagram; lost ones are not told. */
+void aub_peers_send(struct aub_peers *peers, const struct aub_peer *to,
+		    const struct aub_message *message);
+void aub_peers_send_all(struct aub_peers *peers,
+			const struct aub_message *message);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/auburnstile/internal/placement_parts.h
@@ -0,0 +1,105 @@
+/*
+ * The inside of a placement, shared by its files and its tests.
+ */
+#ifndef AUBURNSTILE_INTERNAL_PLACEMENT_PARTS_H
+#define AUBURNSTILE_INTERNAL_PLACEMENT_PARTS_H
+
+#include <auburnstile/internal/placement.h>
+#include <auburnstile/internal/retry_budget.h>
+
+G_BEGIN_DECLS
+
+#define AUB_PLACE_MS ((gint64)1000) /* microseconds in a millisecond */
+
+enum aub_row_state {
+	AUB_ROW_UNKNOWN, /* not heard of since it was registered */
+	AUB_ROW_UP,
+	AUB_ROW_DOWN /* refused, reset or silent: nothing until a probe */
+};
+
+/* One upstream. */
+struct aub_row {
+	char *id;
+	char *address;
+	char *zone;
+	guint slots;
+	gint64 born_ms;
+	bool registered; /* false: leaving; kept while grants are out */
+	bool draining;
+	bool zone_out;
+	enum aub_row_state state;
+	gint64 cold_until_us;
+	gint64 next_cold_us; /* while cold: nothing before this moment */
+	guint granted; /* requests out there now */
+	struct aub_load load; /* last told */
+	gint64 load_us; /* when; 0: never */
+	gint64 full_until_us; /* it refused: takes nothing before this */
+	double slowness; /* its answers' time over the service's, smoothed */
+	double failures; /* share of its answers that failed, smoothed */
+	gint64 failures_us; /* when `failures` was last brought up to date */
+	gint64 ok_us; /* its last good answer */
+	bool probing;
+	bool ill; /* its last probe said so */
+	guint silent_probes; /* in a row */
+	gint64 probe_us; /* next probe */
+};
+
+struct aub_grant {
+	guint64 ticket;
+	guint64 holder;
+	guint row;
+	guint target_ms;
+	gint64 since_us;
+};
+
+struct aub_waiting {
+	guint64 ticket;
+	guint64 holder;
+	char *zone;
+	guint priority;
+	guint target_ms;
+	gint64 since_us;
+	gint64 until_us; /* its patience ends */
+	GPtrArray *avoid; /* of char * */
+};
+
+struct aub_placement {
+	char *service;
+	struct aub_placement_limits limits;
+	struct aub_retry_budget budget;
+	char *health_path;
+	guint warmup_ms;
+	double warmup_per_s;
+	GPtrArray *rows; /* of struct aub_row; a handle is an index */
+	GHashTable *by_id; /* id -> index + 1 */
+	GHashTable *zones_out; /* set of names */
+	GHashTable *grants; /* &ticket -> struct aub_grant */
+	GPtrArray *waiting; /* of struct aub_waiting, in order of service */
+	double work; /* answers' time over their targets, smoothed */
+	double held_us; /* a grant's time from grant to report, smoothed */
+	guint turn; /* where the search begins, so that ties take turns */
+};
+
+struct aub_row *aub_placement_row(const struct aub_placement *placement,
+				  guint index);
+/* Index of `id`, or -1. */
+gint aub_placement_find(const struct aub_placement *placement, const char *id);
+
+/* What an answer or a probe told. */
+void aub_row_observe(struct aub_row *row, const struct aub_load *load,
+		     gint64 now_us);
+void aub_row_fail(struct aub_row *row, double weight, gint64 now_us);
+void aub_row_down(struct aub_row *row, gint64 now_us);
+bool aub_row_is_cold(const struct aub_row *row, gint64 now_us);
+
+/*
+ * The best row for `ask` with room, or -1. `*usable` becomes the number of
+ * slots of rows that may serve it at all, room or not.
+ */
+gint aub_placement_choose(struct aub_placement *placement,
+			  const struct aub_ask *ask, gint64 now_us,
+			  guint *usable);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/auburnstile/internal/placer_parts.h
@@ -0,0 +1,73 @@
+/*
+ * The inside of a placer, shared by its files.
+ */
+#ifndef AUBURNSTILE_INTERNAL_PLACER_PARTS_H
+#define AUBURNSTILE_INTERNAL_PLACER_PARTS_H
+
+#include <auburnstile/internal/placer.h>
+
+G_BEGIN_DECLS
+
+/* One request of this gateway, from asking to its report. */
+struct aub_ticket {
+	guint64 id;
+	char *service;
+	struct aub_ask ask; /* its pointers are not used */
+	GPtrArray *avoid; /* of char * */
+	aub_placed_callback *placed; /* NULL once it is decided */
+	void *context;
+	gint64 since_us;
+	guint64 placer; /* incarnation of the one that was asked last */
+	guint64 granted_by;
+	char *upstream; /* once granted */
+	guint asked; /* placers so far */
+	guint sends; /* to the one asked last */
+	gint64 sent_us;
+	gint64 next_us; /* when to send again or pass it by */
+	bool queued; /* the one asked says that it has it */
+	bool local; /* placed here */
+};
+
+/* A service that this gateway places for, as long as it is asked to. */
+struct aub_active {
+	gint64 until_us;
+};
+
+struct aub_placer {
+	struct aub_placer_options options;
+	char *zone;
+	GHashTable *placements; /* service -> struct aub_placement */
+	GHashTable *service_of; /* upstream's id -> service */
+	GHashTable *zones_out; /* set */
+	GHashTable *tickets; /* &id -> struct aub_ticket */
+	GHashTable *active; /* service -> struct aub_active */
+	GHashTable *held_told; /* services whose holders were told of grants */
+	GPtrArray *probes; /* of struct probe, under way */
+	guint64 serial;
+	guint tick;
+	guint round;
+	guint probe_timer;
+	struct aub_placer_counts counts;
+};
+
+struct aub_placement *aub_placer_placement(struct aub_placer *placer,
+					   const char *service);
+
+/* Decide on what is queued in `placement`, as far as there is room. */
+void aub_placer_drain(struct aub_placer *placer,
+		      struct aub_placement *placement);
+
+/* This gateway was asked to place for `service`: probe its upstreams. */
+void aub_placer_wake_service(struct aub_placer *placer, const char *service);
+void aub_placer_probes_stop(struct aub_placer *placer);
+
+/* What gateways tell each other now and then. */
+void aub_placer_on_round(void *context, gint64 now_us);
+void aub_placer_take_held(struct aub_placer *placer,
+			  const struct aub_place_held *message);
+void aub_placer_take_beliefs(struct aub_placer *placer,
+			     const struct aub_place_beliefs *message);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/auburnstile/internal/store_sync.h
@@ -0,0 +1,48 @@
+/*
+ * A copy of what the platform's store holds for this process, kept current
+ * by listing once and watching.
+ */
+#ifndef AUBURNSTILE_INTERNAL_STORE_SYNC_H
+#define AUBURNSTILE_INTERNAL_STORE_SYNC_H
+
+#include <auburnstile/internal/http_client.h>
+#include <auburnstile/internal/platform.h>
+
+G_BEGIN_DECLS
+
+struct aub_store_sync;
+
+struct aub_store_sync_options {
+	const struct aub_platform *platform;
+	struct aub_http_client *client;
+	struct aub_timer_service *timers;
+	const char *address; /* of the store */
+	/*
+	 * An object is there, has changed, or is gone; `record` is borrowed.
+	 * Contents may be taken out of it (set to NULL).
+	 */
+	void (*changed)(enum aub_store_kind kind, struct aub_record *record,
+			void *context);
+	/* The first full listing of a kind was read. */
+	void (*listed)(enum aub_store_kind kind, void *context);
+	void *context;
+};
+
+struct aub_store_sync *aub_store_sync_new(
+	const struct aub_store_sync_options *options);
+void aub_store_sync_free(struct aub_store_sync *sync);
+
+/* Record this gateway for the others to find; repeated until it is there. */
+void aub_store_sync_enrol(struct aub_store_sync *sync, const char *name,
+			  const struct aub_member_record *member);
+/* Take the record back: a planned stop. Told once, not repeated. */
+void aub_store_sync_leave(struct aub_store_sync *sync);
+
+/* When the store last answered about `kind`; 0: never. */
+gint64 aub_store_sync_heard_us(const struct aub_store_sync *sync,
+			       enum aub_store_kind kind);
+guint64 aub_store_sync_calls(const struct aub_store_sync *sync);
+
+G_END_DECLS
+
+#endif
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -36,6 +36,12 @@
 	AUB_MESSAGE_KEYS, /* stopping entry -> heir: part of the key table */
 	AUB_MESSAGE_KEYS_ACK, /* heir -> stopping entry */
 	AUB_MESSAGE_STATES, /* owner -> its stand-by */
+	AUB_MESSAGE_BEACON, /* gateway -> gateway, several times a second */
+	AUB_MESSAGE_PLACE_ASK, /* gateway -> a service's placer */
+	AUB_MESSAGE_PLACE_DECISION, /* its answer */
+	AUB_MESSAGE_PLACE_REPORT, /* gateway -> the placer that granted */
+	AUB_MESSAGE_PLACE_HELD, /* gateway -> placer: grants in use */
+	AUB_MESSAGE_PLACE_BELIEFS, /* placer -> all gateways */
 	AUB_MESSAGE_TYPE_COUNT
 };
 
@@ -262,6 +268,89 @@
 	GPtrArray *crashes; /* of struct aub_crash_record */
 };
 
+/* "I am here": membership among gateways. */
+struct aub_beacon {
+	struct aub_message base;
+	guint64 incarnation;
+	char *name;
+	char *zone;
+	char *address; /* "ip:port" for datagrams of its peers */
+	char *callers_address;
+	bool ready;
+	bool stopping;
+	guint64 config_version;
+};
+
+/* See placement.h for what these ask, decide and report. */
+struct aub_place_ask {
+	struct aub_message base;
+	guint64 holder;
+	guint64 ticket;
+	char *service;
+	char *zone;
+	guint32 priority;
+	guint32 target_ms;
+	guint32 patience_ms;
+	bool retry;
+	GPtrArray *avoid; /* of struct aub_name */
+};
+
+struct aub_place_decision {
+	struct aub_message base;
+	guint64 ticket;
+	guint64 placer; /* its incarnation */
+	guint32 verdict;
+	char *upstream;
+	char *address;
+	guint32 retry_after_ms;
+};
+
+/* Loads are told plus one; 0 says nothing. */
+struct aub_place_report {
+	struct aub_message base;
+	guint64 ticket;
+	char *service;
+	guint32 end;
+	guint64 elapsed_us;
+	guint32 running;
+	guint32 waiting;
+	guint32 slots;
+	guint32 slowdown;
+	guint32 warmup_ms;
+};
+
+/* One grant in use. Lists of these are GPtrArray. */
+struct aub_held {
+	guint64 ticket;
+	char *upstream;
+	guint32 target_ms;
+};
+
+struct aub_place_held {
+	struct aub_message base;
+	guint64 holder;
+	char *service;
+	GPtrArray *held; /* of struct aub_held */
+};
+
+/* What a placer believes of one upstream. Lists of these are GPtrArray. */
+struct aub_place_belief {
+	char *upstream;
+	bool down;
+	guint32 cold_ms;
+	guint32 slowdown;
+};
+
+struct aub_place_beliefs {
+	struct aub_message base;
+	char *service;
+	GPtrArray *beliefs; /* of struct aub_place_belief */
+};
+
+struct aub_name {
+	char *name;
+};
+
 /*
  * Make an empty message of a type: numbers 0, strings "", lists empty.
  * aub_message_free() takes any message and NULL.
@@ -286,6 +375,9 @@
 struct aub_key_record *aub_key_record_new(void);
 void aub_key_record_free(struct aub_key_record *record);
 struct aub_crash_record *aub_crash_record_new(void);
+struct aub_name *aub_name_new(const char *name);
+struct aub_held *aub_held_new(void);
+struct aub_place_belief *aub_place_belief_new(void);
 
 /*
  * Frame payload (without the length prefix) of a message. Owned by caller;
--- /dev/null
+++ b/programs/auburnstile-gateway.c
@@ -0,0 +1,129 @@
+/*
+ * auburnstile-gateway: the whole of auburnstile on one VM of a platform that
+ * keeps the configuration: callers' requests, placing, and the directory.
+ *
+ * SIGTERM and SIGINT begin a planned stop. Settings are read again on SIGHUP
+ * and when the file has changed.
+ */
+#include <auburnstile/internal/node.h>
+#include <auburnstile/internal/program.h>
+#include <auburnstile/log.h>
+
+#include <glib-unix.h>
+#include <malloc.h>
+#include <signal.h>
+#include <sys/stat.h>
+
+const char *argp_program_version = "auburnstile-gateway 0.1";
+
+#define SETTINGS_CHECK_S 1 /* how late a change without a signal is seen */
+
+/* Freed memory above this goes back to the system: VMs are small. */
+#define TRIM_BYTES (1 << 20)
+
+struct process {
+	const char *file;
+	struct timespec changed; /* when the file was written */
+	struct aub_node *node;
+	GMainLoop *loop;
+};
+
+static void on_stopped(void *context)
+{
+	struct process *process = context;
+
+	g_main_loop_quit(process->loop);
+}
+
+static gboolean on_terminate(void *context)
+{
+	struct process *process = context;
+
+	aub_node_stop(process->node, on_stopped, process);
+	return G_SOURCE_CONTINUE;
+}
+
+/* A file that is no good changes nothing. */
+static void reload(struct process *process)
+{
+	struct aub_node_settings settings = { 0 };
+	GError *error = NULL;
+
+	if (aub_settings_load(process->file, aub_node_setting_table, &settings,
+			      &error)) {
+		aub_node_reload(process->node, &settings);
+	} else {
+		g_warning("settings kept as they were: %s", error->message);
+		g_error_free(error);
+	}
+	aub_settings_clear(aub_node_setting_table, &settings);
+}
+
+static bool file_changed(struct process *process)
+{
+	struct stat now;
+
+	if (stat(process->file, &now) < 0)
+		return false;
+	if (now.st_mtim.tv_sec == process->changed.tv_sec &&
+	    now.st_mtim.tv_nsec == process->changed.tv_nsec)
+		return false;
+	process->changed = now.st_mtim;
+	return true;
+}
+
+static gboolean on_settings_check(void *context)
+{
+	struct process *process = context;
+
+	if (file_changed(process))
+		reload(process);
+	return G_SOURCE_CONTINUE;
+}
+
+static gboolean on_hangup(void *context)
+{
+	struct process *process = context;
+
+	file_changed(process);
+	reload(process);
+	return G_SOURCE_CONTINUE;
+}
+
+int main(int argc, char **argv)
+{
+	struct aub_node_settings settings = { 0 };
+	struct process process = { 0 };
+	GError *error = NULL;
+	int status = 1;
+
+	mallopt(M_TRIM_THRESHOLD, TRIM_BYTES);
+	process.file = aubi_program_settings_file(
+		argc, argv, "Serves callers on one VM of a platform.");
+	if (!aub_settings_load(process.file, aub_node_setting_table, &settings,
+			       &error))
+		goto out;
+	if (!aubi_program_log(process.file, settings.name, settings.log_level,
+			      true))
+		goto out;
+	file_changed(&process);
+	process.node = aub_node_new(&settings, &aub_platform, &error);
+	if (!process.node)
+		goto out;
+	process.loop = g_main_loop_new(NULL, FALSE);
+	g_unix_signal_add(SIGTERM, on_terminate, &process);
+	g_unix_signal_add(SIGINT, on_terminate, &process);
+	g_unix_signal_add(SIGHUP, on_hangup, &process);
+	g_timeout_add_seconds(SETTINGS_CHECK_S, on_settings_check, &process);
+	g_main_loop_run(process.loop);
+	aub_node_free(process.node);
+	g_main_loop_unref(process.loop);
+	status = 0;
+out:
+	if (error) {
+		g_printerr("%s\n", error->message);
+		g_error_free(error);
+	}
+	aub_settings_clear(aub_node_setting_table, &settings);
+	return status;
+}
--- /dev/null
+++ b/src/coordination/gateway_attempt.c
@@ -0,0 +1,245 @@
+/*
+ * One try at one upstream: what is sent, and what its answer is worth.
+ *
+ * An answer counts only if it is this request's own, and whole: upstreams
+ * may answer twice, late, or with bytes that are no answer.
+ */
+#include <auburnstile/internal/gateway_parts.h>
+
+#include <string.h>
+
+/*
+ * Kept connections save a request 2% of its worth. For requests that may not
+ * be repeated a connection that is reset leaves their fate unknown, so they
+ * use only what was in use a moment ago.
+ */
+#define IDLE_SAFE_US (8 * AUB_SECOND)
+#define IDLE_ONCE_US (1500 * AUB_MS)
+
+#define STATUS_MISDIRECTED 421
+
+void aub_attempt_free(struct aub_attempt_state *attempt)
+{
+	g_ptr_array_remove_fast(attempt->request->attempts, attempt);
+	if (attempt->head)
+		g_string_free(attempt->head, TRUE);
+	g_byte_array_unref(attempt->body);
+	g_free(attempt->upstream);
+	g_free(attempt);
+}
+
+static void report(struct aub_attempt_state *attempt, enum aub_attempt_end end)
+{
+	struct aub_gateway *gateway = attempt->request->gateway;
+	gint64 now = aub_timer_now(gateway->options.timers);
+
+	aub_placer_report(gateway->options.placer, attempt->ticket, end,
+			  now - attempt->sent_us, &attempt->load);
+	attempt->ticket = 0;
+}
+
+void aub_attempt_abort(struct aub_attempt_state *attempt,
+		       enum aub_attempt_end end)
+{
+	aub_exchange_cancel(attempt->exchange);
+	attempt->exchange = NULL;
+	report(attempt, end);
+	aub_attempt_free(attempt);
+}
+
+/* An answer that names another request belongs to another one. */
+static bool is_foreign(const struct aub_attempt_state *attempt,
+		       const struct aub_http_head *head)
+{
+	const char *id = aub_http_head_find(
+		head, attempt->request->gateway->options.platform->request_id);
+
+	return id && strcmp(id, attempt->request->id) != 0;
+}
+
+static bool is_sound(const struct aub_attempt_state *attempt,
+		     const struct aub_http_head *head)
+{
+	const struct aub_platform *platform =
+		attempt->request->gateway->options.platform;
+
+	if (attempt->unrun)
+		return true;
+	if (!aub_http_head_find(head, platform->request_id))
+		return false;
+	return head->status / 100 != 2 ||
+	       aub_http_head_find(head, platform->answer_stamp);
+}
+
+static void on_head(const struct aub_http_head *head, void *context)
+{
+	struct aub_attempt_state *attempt = context;
+	const struct aub_platform *platform =
+		attempt->request->gateway->options.platform;
+
+	if (is_foreign(attempt, head)) {
+		aub_exchange_skip(attempt->exchange);
+		return;
+	}
+	attempt->status = head->status;
+	attempt->unrun = aub_http_head_find(head, platform->not_run) ||
+			 head->status == STATUS_MISDIRECTED;
+	attempt->broken = !is_sound(attempt, head);
+	attempt->length = attempt->request->is_head ? 0 :
+			  head->chunked		    ? -1 :
+						      head->length;
+	platform->decode_load(head, &attempt->load);
+	attempt->head = g_string_new(NULL);
+	g_string_append_printf(attempt->head, "HTTP/1.1 %u %s\r\n",
+			       head->status,
+			       http_status_str((enum http_status)head->status));
+	aub_headers_forward(attempt->head, head, platform, false);
+	if (attempt->request->is_head && head->length >= 0)
+		g_string_append_printf(attempt->head,
+				       "Content-Length: %" G_GINT64_FORMAT
+				       "\r\n",
+				       head->length);
+}
+
+static void on_body(const char *data, gsize length, void *context)
+{
+	struct aub_attempt_state *attempt = context;
+
+	if (attempt->unrun || attempt->broken)
+		return;
+	if (attempt->streaming) {
+		aub_request_attempt_bytes(attempt->request, attempt, data,
+					  length);
+		return;
+	}
+	g_byte_array_append(attempt->body, (const guint8 *)data, (guint)length);
+	if (attempt->body->len > AUB_BODY_KEPT)
+		aub_request_attempt_streams(attempt->request, attempt);
+}
+
+static enum aub_attempt_end end_of(const struct aub_attempt_state *attempt,
+				   enum aub_exchange_end end)
+{
+	if (end == AUB_EXCHANGE_UNREACHABLE)
+		return AUB_END_UNREACHABLE;
+	if (end != AUB_EXCHANGE_WHOLE || attempt->broken || !attempt->status)
+		return AUB_END_LOST;
+	if (attempt->status == STATUS_MISDIRECTED)
+		return AUB_END_MISPLACED;
+	if (attempt->unrun)
+		return AUB_END_REFUSED;
+	return attempt->status >= 500 ? AUB_END_FAILED : AUB_END_OK;
+}
+
+static void on_ended(enum aub_exchange_end exchange_end, void *context)
+{
+	struct aub_attempt_state *attempt = context;
+	struct aub_request *request = attempt->request;
+	enum aub_attempt_end end = end_of(attempt, exchange_end);
+
+	attempt->exchange = NULL;
+	report(attempt, end);
+	if (end == AUB_END_OK || end == AUB_END_FAILED)
+		aub_request_attempt_whole(request, attempt);
+	else
+		aub_request_attempt_failed(request, attempt, end);
+}
+
+static void on_drained(void *context)
+{
+	struct aub_attempt_state *attempt = context;
+
+	aub_request_attempt_drained(attempt->request);
+}
+
+static const struct aub_exchange_callbacks exchange_callbacks = {
+	.head = on_head,
+	.body = on_body,
+	.drained = on_drained,
+	.ended = on_ended,
+};
+
+static void write_head(struct aub_attempt_state *attempt)
+{
+	struct aub_request *request = attempt->request;
+	const struct aub_platform *platform =
+		request->gateway->options.platform;
+	GString *text = g_string_new(request->line);
+	gint64 left_us = request->limit_us - attempt->sent_us;
+
+	g_string_append_len(text, request->headers->str,
+			    (gssize)request->headers->len);
+	g_string_append_printf(text, "%s: %" G_GINT64_FORMAT "\r\n%s: %s\r\n",
+			       platform->deadline_ms, MAX(left_us / AUB_MS, 1),
+			       platform->expect_upstream, attempt->upstream);
+	if (request->body_length < 0)
+		g_string_append(text, "Transfer-Encoding: chunked\r\n");
+	else if (request->body_length > 0)
+		g_string_append_printf(text,
+				       "Content-Length: %" G_GINT64_FORMAT
+				       "\r\n",
+				       request->body_length);
+	g_string_append(text, "\r\n");
+	aub_exchange_write(attempt->exchange, text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
+void aub_attempt_write_body(struct aub_attempt_state *attempt, const char *data,
+			    gsize length)
+{
+	char size[24];
+
+	if (!length)
+		return;
+	if (attempt->request->body_length >= 0) {
+		aub_exchange_write(attempt->exchange, data, length);
+		return;
+	}
+	g_snprintf(size, sizeof(size), "%zx\r\n", length);
+	aub_exchange_write(attempt->exchange, size, strlen(size));
+	aub_exchange_write(attempt->exchange, data, length);
+	aub_exchange_write(attempt->exchange, "\r\n", 2);
+}
+
+void aub_attempt_end_body(struct aub_attempt_state *attempt)
+{
+	if (attempt->request->body_length < 0)
+		aub_exchange_write(attempt->exchange, "0\r\n\r\n", 5);
+	aub_exchange_request_done(attempt->exchange);
+}
+
+struct aub_attempt_state *aub_attempt_start(struct aub_request *request,
+					    guint64 ticket,
+					    const char *upstream,
+					    const char *address)
+{
+	struct aub_gateway *gateway = request->gateway;
+	struct aub_attempt_state *attempt = g_new0(struct aub_attempt_state, 1);
+	bool again = request->tried->len > 1 || request->unreachable;
+	const struct aub_exchange_options options = {
+		.address = address,
+		.peer = upstream,
+		.idle_us = again		      ? 0 :
+			   request->route->idempotent ? IDLE_SAFE_US :
+							IDLE_ONCE_US,
+		.no_body = request->is_head,
+	};
+
+	attempt->request = request;
+	attempt->ticket = ticket;
+	attempt->upstream = g_strdup(upstream);
+	attempt->sent_us = aub_timer_now(gateway->options.timers);
+	attempt->body = g_byte_array_new();
+	attempt->load = (struct aub_load){ -1, -1, -1, -1, -1 };
+	g_ptr_array_add(request->attempts, attempt);
+	aub_metrics_add(gateway->options.metrics, gateway->attempts, 1);
+	attempt->exchange = aub_exchange_new(gateway->options.client, &options,
+					     &exchange_callbacks, attempt);
+	write_head(attempt);
+	aub_attempt_write_body(attempt, (const char *)request->body->data,
+			       request->body->len);
+	if (request->body_whole)
+		aub_attempt_end_body(attempt);
+	aub_exchange_flush(attempt->exchange);
+	return attempt;
+}
--- /dev/null
+++ b/src/coordination/gateway_headers.c
@@ -0,0 +1,80 @@
+/*
+ * Which headers go on to the next connection.
+ */
+#include <auburnstile/internal/gateway_parts.h>
+
+#include <string.h>
+
+/* RFC 9110, 7.6.1: these concern one connection only. */
+static const char *const connection_headers[] = {
+	"connection",
+	"keep-alive",
+	"proxy-connection",
+	"proxy-authenticate",
+	"te",
+	"trailer",
+	"transfer-encoding",
+	"upgrade",
+	"content-length",
+	"expect",
+};
+
+static bool is_connection_header(const char *name)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(connection_headers); i++)
+		if (!g_ascii_strcasecmp(name, connection_headers[i]))
+			return true;
+	return false;
+}
+
+/* "Connection: x-one, x-two" names headers that also stay here. */
+static bool is_named(const char *connection, const char *name)
+{
+	char **parts;
+	bool found = false;
+
+	if (!connection)
+		return false;
+	parts = g_strsplit(connection, ",", -1);
+	for (guint i = 0; parts[i] && !found; i++)
+		found = !g_ascii_strcasecmp(g_strstrip(parts[i]), name);
+	g_strfreev(parts);
+	return found;
+}
+
+/* Set by this system itself on the way to an upstream. */
+static bool is_own(const struct aub_platform *platform, const char *name)
+{
+	return !g_ascii_strcasecmp(name, platform->deadline_ms) ||
+	       !g_ascii_strcasecmp(name, platform->expect_upstream);
+}
+
+void aub_headers_forward(GString *out, const struct aub_http_head *head,
+			 const struct aub_platform *platform, bool request)
+{
+	const char *connection = aub_http_head_find(head, "Connection");
+
+	for (guint i = 0; i < head->headers->len; i++) {
+		const struct aub_http_header *header =
+			&g_array_index(head->headers, struct aub_http_header,
+				       i);
+
+		if (is_connection_header(header->name) ||
+		    is_named(connection, header->name) ||
+		    (request && is_own(platform, header->name)))
+			continue;
+		g_string_append_printf(out, "%s: %s\r\n", header->name,
+				       header->value);
+	}
+}
+
+bool aub_header_is_number(const char *text, gint64 *value)
+{
+	guint64 number;
+
+	if (!text ||
+	    !g_ascii_string_to_unsigned(text, 10, 0, G_MAXINT32, &number, NULL))
+		return false;
+	*value = (gint64)number;
+	return true;
+}
--- /dev/null
+++ b/src/coordination/gateway_request.c
@@ -0,0 +1,617 @@
+/*
+ * A request from its head to its answer: where it goes, when it is tried
+ * again, and what its caller is told.
+ */
+#include <auburnstile/internal/decision_log.h>
+#include <auburnstile/internal/gateway_parts.h>
+
+#include <string.h>
+
+/*
+ * Tries that never reached an upstream cost a connection's time limit each;
+ * after three the fault is on this side.
+ */
+#define UNREACHABLE_MOST 3
+
+/* A second try needs time to be worth its while: half of usual work. */
+#define RETRY_LEFT_SHARE 0.2 /* of the route's target */
+
+/* Of its target, what a request may wait for a slot and still be on time. */
+#define PATIENCE_SHARE 0.5
+/* Once that is past, an answer is late anyway and only the limit counts. */
+#define PATIENCE_LATE_SHARE 0.3 /* of the time that is left */
+
+#define NOT_READY_RETRY_MS 1000 /* a start takes about this long */
+
+static void request_free(struct aub_request *request)
+{
+	struct aub_gateway *gateway = request->gateway;
+
+	aub_timer_cancel(gateway->options.timers, request->timer);
+	aub_timer_cancel(gateway->options.timers, request->hedge_timer);
+	if (request->asking)
+		aub_placer_cancel(gateway->options.placer, request->ask);
+	while (request->attempts->len)
+		aub_attempt_abort(g_ptr_array_index(request->attempts, 0),
+				  AUB_END_ABANDONED);
+	gateway->requests--;
+	request->caller->request = NULL;
+	g_ptr_array_unref(request->attempts);
+	g_ptr_array_unref(request->tried);
+	g_byte_array_unref(request->body);
+	g_string_free(request->headers, TRUE);
+	g_free(request->line);
+	g_free(request->id);
+	aub_routing_unref(request->routing);
+	g_free(request);
+}
+
+/* The connection may carry on if the request was read to its end. */
+static bool keeps_connection(const struct aub_request *request)
+{
+	return request->body_whole && request->caller->keep_alive &&
+	       !request->gateway->stopping;
+}
+
+static void request_end(struct aub_request *request)
+{
+	struct aub_caller *caller = request->caller;
+	bool keep = keeps_connection(request);
+
+	request_free(request);
+	aub_caller_answered(caller, keep);
+}
+
+static const char *connection_line(const struct aub_request *request)
+{
+	return keeps_connection(request) ? "" : "Connection: close\r\n";
+}
+
+struct own_answer {
+	guint status;
+	enum aub_request_counter counter;
+	const char *reason;
+	const char *detail; /* for the log; may be NULL */
+	guint retry_after_ms; /* 0: none */
+};
+
+static void answer_own(struct aub_request *request,
+		       const struct own_answer *own)
+{
+	GString *text = g_string_new(NULL);
+	char *body = g_strdup_printf("{\"error\":\"%s\"}\n", own->reason);
+
+	g_string_append_printf(
+		text,
+		"HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
+		"Content-Length: %zu\r\n%s: %s\r\n%s",
+		own->status, http_status_str((enum http_status)own->status),
+		request->is_head ? 0 : strlen(body),
+		request->gateway->options.platform->request_id, request->id,
+		connection_line(request));
+	if (own->retry_after_ms)
+		g_string_append_printf(text, "Retry-After: %u.%03u\r\n",
+				       own->retry_after_ms / 1000,
+				       own->retry_after_ms % 1000);
+	g_string_append(text, "\r\n");
+	if (!request->is_head)
+		g_string_append(text, body);
+	g_free(body);
+	aub_request_log(request, own->counter, own->status, own->reason,
+			own->detail);
+	aub_caller_write(request->caller, text->str, text->len);
+	g_string_free(text, TRUE);
+	request_end(request);
+}
+
+/* Nothing ran, and nothing will: the caller may come back. */
+static void refuse(struct aub_request *request, const char *reason,
+		   guint retry_after_ms)
+{
+	answer_own(request, &(struct own_answer){
+				    .status = 503,
+				    .counter = AUB_COUNT_REFUSED,
+				    .reason = reason,
+				    .retry_after_ms = retry_after_ms,
+			    });
+}
+
+static void deny(struct aub_request *request, guint status, const char *reason)
+{
+	answer_own(request, &(struct own_answer){
+				    .status = status,
+				    .counter = AUB_COUNT_DENIED,
+				    .reason = reason,
+			    });
+}
+
+/* It may have run: only 502 and 504 say nothing about that. */
+static void fail(struct aub_request *request, guint status, const char *reason,
+		 const char *detail)
+{
+	answer_own(request, &(struct own_answer){
+				    .status = status,
+				    .counter = AUB_COUNT_FAILED,
+				    .reason = reason,
+				    .detail = detail,
+			    });
+}
+
+static gint64 now_of(const struct aub_request *request)
+{
+	return aub_timer_now(request->gateway->options.timers);
+}
+
+/* The last word on a request that no attempt will answer. */
+static void give_up(struct aub_request *request, const char *reason,
+		    const char *detail, guint retry_after_ms)
+{
+	if (request->may_have_run)
+		fail(request, 502, reason, detail);
+	else
+		refuse(request, reason, retry_after_ms);
+}
+
+static void attempt_time_out(struct aub_request *request,
+			     struct aub_attempt_state *attempt)
+{
+	if (aub_exchange_may_have_sent(attempt->exchange))
+		request->may_have_run = true;
+	aub_attempt_abort(attempt, AUB_END_TIMEOUT);
+}
+
+static void on_limit(void *context, gint64 now_us)
+{
+	struct aub_request *request = context;
+
+	request->timer = 0;
+	if (request->answering) {
+		if (now_us < request->deadline_us) {
+			request->timer =
+				aub_timer_at(request->gateway->options.timers,
+					     "deadline", request->deadline_us,
+					     on_limit, request);
+			return;
+		}
+		aub_request_log(request, AUB_COUNT_BROKEN, 0, "deadline", NULL);
+		aub_caller_break(request->caller);
+		return;
+	}
+	while (request->attempts->len)
+		attempt_time_out(request,
+				 g_ptr_array_index(request->attempts, 0));
+	if (request->may_have_run)
+		fail(request, 504, "timeout", NULL);
+	else
+		refuse(request, "timeout", NOT_READY_RETRY_MS);
+}
+
+static void ask_upstream(struct aub_request *request, bool hedge);
+
+static void on_placed(const struct aub_placed *placed, void *context)
+{
+	struct aub_request *request = context;
+	struct aub_gateway *gateway = request->gateway;
+	struct aub_attempt_state *attempt;
+	bool hedge = request->hedging;
+
+	request->asking = false;
+	request->hedging = false;
+	if (placed->verdict != AUB_VERDICT_GRANTED) {
+		/* A hedge that finds no room leaves the first try alone. */
+		if (!request->attempts->len)
+			give_up(request, aub_verdict_name(placed->verdict),
+				placed->placer, placed->retry_after_ms);
+		return;
+	}
+	if (hedge && !request->attempts->len) {
+		/* The first try has ended meanwhile: this is the retry. */
+		hedge = false;
+	}
+	aub_metrics_add(gateway->options.metrics,
+			hedge ? gateway->hedges : gateway->retries,
+			request->tried->len ? 1 : 0);
+	g_ptr_array_add(request->tried, g_strdup(placed->upstream));
+	attempt = aub_attempt_start(request, request->ask, placed->upstream,
+				    placed->address);
+	if (request->body_length && !request->body_whole)
+		aub_http_stream_hold(request->caller->stream,
+				     aub_exchange_queued(attempt->exchange) >
+					     AUB_QUEUE_HIGH);
+}
+
+static guint patience_ms(const struct aub_request *request, gint64 now_us)
+{
+	gint64 on_time_us =
+		request->begun_us +
+		(gint64)(PATIENCE_SHARE * request->route->target_ms) * AUB_MS -
+		now_us;
+	gint64 late_us = (gint64)(PATIENCE_LATE_SHARE *
+				  (double)(request->limit_us - now_us));
+
+	return (guint)(MAX(MAX(on_time_us, late_us), 0) / AUB_MS);
+}
+
+static void ask_upstream(struct aub_request *request, bool hedge)
+{
+	struct aub_gateway *gateway = request->gateway;
+	const struct aub_ask ask = {
+		.priority = request->route->priority,
+		.target_ms = request->route->target_ms,
+		.patience_ms = patience_ms(request, now_of(request)),
+		.retry = request->tried->len > request->unreachable,
+		.avoid = (const char *const *)request->tried->pdata,
+		.avoid_count = request->tried->len,
+	};
+
+	request->asking = true;
+	request->hedging = hedge;
+	request->ask = aub_placer_ticket(gateway->options.placer);
+	aub_placer_ask(gateway->options.placer, request->service, &ask,
+		       request->ask, on_placed, request);
+}
+
+/* May what was sent be sent once more? */
+static bool may_repeat(const struct aub_request *request,
+		       enum aub_attempt_end end)
+{
+	gint64 left_us = request->limit_us - now_of(request);
+
+	if (request->answering || request->body_lost)
+		return false;
+	if ((double)left_us <
+	    RETRY_LEFT_SHARE * (double)(request->route->target_ms * AUB_MS))
+		return false;
+	if (end == AUB_END_UNREACHABLE)
+		return request->unreachable < UNREACHABLE_MOST;
+	if (request->tried->len - request->unreachable >=
+	    request->route->max_attempts)
+		return false;
+	return end == AUB_END_REFUSED || end == AUB_END_MISPLACED ||
+	       request->route->idempotent;
+}
+
+/* When to come back to a service whose upstream refused or was not there. */
+#define UPSTREAM_REFUSED_RETRY_MS 300
+
+void aub_request_attempt_failed(struct aub_request *request,
+				struct aub_attempt_state *attempt,
+				enum aub_attempt_end end)
+{
+	bool streaming = attempt->streaming;
+	char *upstream = g_strdup(attempt->upstream);
+
+	aub_attempt_free(attempt);
+	if (end == AUB_END_UNREACHABLE)
+		request->unreachable++;
+	if (end == AUB_END_LOST || end == AUB_END_TIMEOUT)
+		request->may_have_run = true;
+	if (streaming) {
+		aub_request_log(request, AUB_COUNT_BROKEN, 0, "upstream-broke",
+				upstream);
+		aub_caller_break(request->caller);
+	} else if (request->attempts->len || request->asking) {
+		/* Another try is under way, or about to be. */
+	} else if (may_repeat(request, end)) {
+		ask_upstream(request, false);
+	} else {
+		give_up(request, aub_attempt_end_name(end), upstream,
+			UPSTREAM_REFUSED_RETRY_MS);
+	}
+	g_free(upstream);
+}
+
+static void abandon_others(struct aub_request *request,
+			   const struct aub_attempt_state *winner)
+{
+	guint i = 0;
+
+	if (request->asking) {
+		request->asking = false;
+		aub_placer_cancel(request->gateway->options.placer,
+				  request->ask);
+	}
+	while (i < request->attempts->len) {
+		struct aub_attempt_state *attempt =
+			g_ptr_array_index(request->attempts, i);
+
+		if (attempt == winner)
+			i++;
+		else
+			aub_attempt_abort(attempt, AUB_END_ABANDONED);
+	}
+}
+
+static void write_answer_head(struct aub_request *request,
+			      struct aub_attempt_state *attempt, bool whole)
+{
+	GString *text = attempt->head;
+
+	if (request->is_head)
+		; /* its length is that of the answer to GET */
+	else if (whole)
+		g_string_append_printf(text, "Content-Length: %u\r\n",
+				       attempt->body->len);
+	else if (attempt->length >= 0)
+		g_string_append_printf(text,
+				       "Content-Length: %" G_GINT64_FORMAT
+				       "\r\n",
+				       attempt->length);
+	else
+		g_string_append(text, "Transfer-Encoding: chunked\r\n");
+	attempt->chunked = !whole && attempt->length < 0;
+	g_string_append(text, connection_line(request));
+	g_string_append(text, "\r\n");
+	aub_caller_write(request->caller, text->str, text->len);
+}
+
+void aub_request_attempt_streams(struct aub_request *request,
+				 struct aub_attempt_state *attempt)
+{
+	abandon_others(request, attempt);
+	request->answering = true;
+	attempt->streaming = true;
+	write_answer_head(request, attempt, false);
+	aub_request_attempt_bytes(request, attempt,
+				  (const char *)attempt->body->data,
+				  attempt->body->len);
+	g_byte_array_set_size(attempt->body, 0);
+}
+
+void aub_request_attempt_bytes(struct aub_request *request,
+			       struct aub_attempt_state *attempt,
+			       const char *data, gsize length)
+{
+	struct aub_http_stream *stream = request->caller->stream;
+	char size[24];
+
+	if (attempt->chunked) {
+		g_snprintf(size, sizeof(size), "%zx\r\n", length);
+		aub_http_stream_write(stream, size, strlen(size));
+	}
+	aub_http_stream_write(stream, data, length);
+	if (attempt->chunked)
+		aub_http_stream_write(stream, "\r\n", 2);
+	aub_http_stream_flush(stream);
+	if (aub_http_stream_queued(stream) > AUB_QUEUE_HIGH)
+		aub_exchange_hold(attempt->exchange, true);
+}
+
+void aub_request_attempt_whole(struct aub_request *request,
+			       struct aub_attempt_state *attempt)
+{
+	bool failed = attempt->status >= 500;
+
+	if (failed && !attempt->streaming && request->route->idempotent &&
+	    (request->attempts->len > 1 || request->asking ||
+	     may_repeat(request, AUB_END_FAILED))) {
+		/* A whole failure of one upstream; another may do better. */
+		request->may_have_run = true;
+		aub_request_attempt_failed(request, attempt, AUB_END_FAILED);
+		return;
+	}
+	abandon_others(request, attempt);
+	if (attempt->streaming) {
+		if (attempt->chunked)
+			aub_caller_write(request->caller, "0\r\n\r\n", 5);
+	} else {
+		write_answer_head(request, attempt, true);
+		aub_caller_write(request->caller, attempt->body->data,
+				 request->is_head ? 0 : attempt->body->len);
+	}
+	aub_request_log(request, AUB_COUNT_ANSWERED, attempt->status, "",
+			attempt->upstream);
+	aub_attempt_free(attempt);
+	request_end(request);
+}
+
+void aub_request_attempt_drained(struct aub_request *request)
+{
+	if (!request->body_whole)
+		aub_http_stream_hold(request->caller->stream, false);
+}
+
+void aub_request_drained(struct aub_request *request)
+{
+	for (guint i = 0; i < request->attempts->len; i++) {
+		struct aub_attempt_state *attempt =
+			g_ptr_array_index(request->attempts, i);
+
+		if (attempt->exchange)
+			aub_exchange_hold(attempt->exchange, false);
+	}
+}
+
+void aub_request_drop(struct aub_request *request)
+{
+	request_free(request);
+}
+
+void aub_request_caller_left(struct aub_request *request)
+{
+	aub_request_log(request, AUB_COUNT_GONE, 0, "caller-left", NULL);
+	request_free(request);
+}
+
+void aub_request_body(struct aub_request *request, const char *data,
+		      gsize length)
+{
+	gsize queued = 0;
+
+	request->body_read += length;
+	if (request->body_read > request->routing->limits.body_bytes) {
+		while (request->attempts->len)
+			aub_attempt_abort(g_ptr_array_index(request->attempts,
+							    0),
+					  AUB_END_ABANDONED);
+		deny(request, 413, "body-too-large");
+		return;
+	}
+	for (guint i = 0; i < request->attempts->len; i++) {
+		struct aub_attempt_state *attempt =
+			g_ptr_array_index(request->attempts, i);
+
+		aub_attempt_write_body(attempt, data, length);
+		aub_exchange_flush(attempt->exchange);
+		queued = MAX(queued, aub_exchange_queued(attempt->exchange));
+	}
+	if (request->body->len + length <= AUB_BODY_KEPT ||
+	    !request->attempts->len)
+		g_byte_array_append(request->body, (const guint8 *)data,
+				    (guint)length);
+	else
+		request->body_lost = true;
+	/* Nothing more is read while there is no place to put it. */
+	if (queued > AUB_QUEUE_HIGH ||
+	    (!request->attempts->len && request->body->len > AUB_BODY_KEPT))
+		aub_http_stream_hold(request->caller->stream, true);
+}
+
+void aub_request_body_end(struct aub_request *request)
+{
+	request->body_whole = true;
+	for (guint i = 0; i < request->attempts->len; i++) {
+		struct aub_attempt_state *attempt =
+			g_ptr_array_index(request->attempts, i);
+
+		aub_attempt_end_body(attempt);
+		aub_exchange_flush(attempt->exchange);
+	}
+}
+
+/* NULL, or why the head makes no request that can be served. */
+static const char *head_problem(const struct aub_http_head *head,
+				const struct aub_platform *platform)
+{
+	if (aub_http_head_count(head, "Host") != 1)
+		return "one-host-expected";
+	if (head->target[0] != '/')
+		return "target-must-be-a-path";
+	if (aub_http_head_count(head, platform->request_id) > 1)
+		return "one-request-id-expected";
+	return NULL;
+}
+
+static void read_times(struct aub_request *request,
+		       const struct aub_http_head *head)
+{
+	const char *text = aub_http_head_find(
+		head, request->gateway->options.platform->deadline_ms);
+	gint64 timeout_us = request->route->timeout_ms * AUB_MS;
+	gint64 left_ms;
+
+	request->limit_us = request->begun_us + timeout_us;
+	request->deadline_us = request->limit_us;
+	if (aub_header_is_number(text, &left_ms))
+		request->deadline_us = request->begun_us + left_ms * AUB_MS;
+	request->limit_us = MIN(request->limit_us, request->deadline_us);
+}
+
+/* Route it; false if it has been answered instead. */
+static bool request_route(struct aub_request *request,
+			  const struct aub_http_head *head)
+{
+	struct aub_gateway *gateway = request->gateway;
+	const char *problem = head_problem(head, gateway->options.platform);
+
+	if (!request->routing) {
+		refuse(request, "no-configuration", NOT_READY_RETRY_MS);
+		return false;
+	}
+	if (problem) {
+		deny(request, 400, problem);
+		return false;
+	}
+	request->route = aub_routing_find(request->routing,
+					  aub_http_head_find(head, "Host"),
+					  head->target);
+	if (!request->route) {
+		deny(request, 404, "no-route");
+		return false;
+	}
+	if (head->length > 0 &&
+	    (guint64)head->length > request->routing->limits.body_bytes) {
+		deny(request, 413, "body-too-large");
+		return false;
+	}
+	return true;
+}
+
+static void copy_head(struct aub_request *request,
+		      const struct aub_http_head *head)
+{
+	const struct aub_platform *platform =
+		request->gateway->options.platform;
+	const char *id = aub_http_head_find(head, platform->request_id);
+
+	request->id = g_strdup(id ? id : "");
+	request->line =
+		g_strdup_printf("%s %s HTTP/1.1\r\n",
+				http_method_str((enum http_method)head->method),
+				head->target);
+	request->headers = g_string_new(NULL);
+	aub_headers_forward(request->headers, head, platform, true);
+	request->is_head = head->method == HTTP_HEAD;
+	request->body_length = head->chunked	? -1 :
+			       head->length > 0 ? head->length :
+						  0;
+	request->body_whole = request->body_length == 0;
+}
+
+struct aub_request *aub_request_new(struct aub_caller *caller,
+				    const struct aub_http_head *head)
+{
+	struct aub_gateway *gateway = caller->gateway;
+	struct aub_request *request = g_new0(struct aub_request, 1);
+
+	request->gateway = gateway;
+	request->caller = caller;
+	caller->request = request;
+	gateway->requests++;
+	request->begun_us = aub_timer_now(gateway->options.timers);
+	request->body = g_byte_array_new();
+	request->attempts = g_ptr_array_new();
+	request->tried = g_ptr_array_new_with_free_func(g_free);
+	if (gateway->routing)
+		request->routing = aub_routing_ref(gateway->routing);
+	copy_head(request, head);
+	if (!request_route(request, head))
+		return NULL;
+	request->service = aub_route_pick(request->route);
+	read_times(request, head);
+	request->timer = aub_timer_at(gateway->options.timers, "request",
+				      request->limit_us, on_limit, request);
+	if (!request->body_whole && aub_http_head_find(head, "Expect"))
+		aub_caller_write(caller, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+	ask_upstream(request, false);
+	return request;
+}
+
+void aub_request_log(const struct aub_request *request,
+		     enum aub_request_counter counter, guint status,
+		     const char *reason, const char *detail)
+{
+	struct aub_gateway *gateway = request->gateway;
+	gint64 now = now_of(request);
+
+	aub_metrics_add(gateway->options.metrics, gateway->counters[counter],
+			1);
+	aub_metrics_observe(gateway->options.metrics, gateway->latency,
+			    now - request->begun_us);
+	aub_log_begin(counter == AUB_COUNT_ANSWERED && status < 500 ?
+			      AUB_LOG_CALM :
+			      AUB_LOG_TROUBLE,
+		      "request");
+	aub_log_text("id", request->id);
+	aub_log_number("status", status);
+	aub_log_text("reason", reason);
+	aub_log_text("route", request->route ? request->route->name : "");
+	aub_log_text("service", request->service);
+	aub_log_text("upstream", detail);
+	aub_log_number("tries", request->tried->len);
+	aub_log_number("config",
+		       request->routing ? request->routing->version : 0);
+	aub_log_number("ms", (now - request->begun_us) / AUB_MS);
+	aub_log_number("left_ms", (request->deadline_us - now) / AUB_MS);
+	aub_log_end();
+}
--- /dev/null
+++ b/src/coordination/peers.c
@@ -0,0 +1,415 @@
+/*
+ * Membership by beacons over UDP.
+ */
+#include <auburnstile/error.h>
+#include <auburnstile/internal/decision_log.h>
+#include <auburnstile/internal/peers.h>
+#include <auburnstile/internal/tcp.h>
+
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * Four beacons a second to each of 18 peers cost about 0.1% of a core. Three
+ * lost in a row are rarer than a dead peer even where 3% of packets go.
+ */
+#define BEACON_US (250 * AUB_MS)
+#define ALIVE_US (1000 * AUB_MS)
+#define SILENT_US (15 * AUB_SECOND) /* then it gets one beacon in ten */
+#define SILENT_EACH 10
+#define FORGET_US (300 * AUB_SECOND) /* long after callers forgot it */
+
+#define DATAGRAM_LIMIT \
+	60000 /* bytes; a list of upstreams takes some 100 each */
+#define DATAGRAMS_A_TURN 64
+
+struct aub_peers {
+	struct aub_peers_options options;
+	int fd;
+	struct aub_poll_watch *watch;
+	guint timer;
+	GPtrArray *all; /* of struct aub_peer; the first is this process */
+	struct aub_beacon *beacon;
+	guint generation;
+	guint round;
+	GHashTable *ranked; /* service -> GPtrArray; empty after a change */
+};
+
+static void peer_free(void *data)
+{
+	struct aub_peer *peer = data;
+
+	g_free(peer->name);
+	g_free(peer->zone);
+	g_free(peer->address);
+	g_free(peer->callers_address);
+	g_free(peer);
+}
+
+static struct aub_peer *peer_new(const char *address, gint64 now_us)
+{
+	struct aub_peer *peer = g_new0(struct aub_peer, 1);
+
+	peer->name = g_strdup("");
+	peer->zone = g_strdup("");
+	peer->callers_address = g_strdup("");
+	peer->address = g_strdup(address);
+	aub_socket_address(address, &peer->socket_address);
+	peer->known_us = now_us;
+	return peer;
+}
+
+static void changed(struct aub_peers *peers)
+{
+	peers->generation++;
+	g_hash_table_remove_all(peers->ranked);
+}
+
+static struct aub_peer *by_address(const struct aub_peers *peers,
+				   const char *address)
+{
+	for (guint i = 0; i < peers->all->len; i++) {
+		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
+
+		if (!strcmp(peer->address, address))
+			return peer;
+	}
+	return NULL;
+}
+
+struct aub_peer *aub_peers_by_incarnation(const struct aub_peers *peers,
+					  guint64 incarnation)
+{
+	for (guint i = 0; i < peers->all->len; i++) {
+		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
+
+		if (peer->incarnation == incarnation)
+			return peer;
+	}
+	return NULL;
+}
+
+static void log_peer(const char *event, const struct aub_peer *peer,
+		     gint64 age_us)
+{
+	aub_log_begin(AUB_LOG_STATE, event);
+	aub_log_text("peer", peer->name);
+	aub_log_text("zone", peer->zone);
+	aub_log_number("heard_ms", age_us / AUB_MS);
+	aub_log_end();
+}
+
+static void lose(struct aub_peers *peers, struct aub_peer *peer, gint64 now_us)
+{
+	peer->alive = false;
+	changed(peers);
+	log_peer("peer-lost", peer, now_us - peer->heard_us);
+	peers->options.lost(peer->incarnation, peers->options.context);
+}
+
+static void take_beacon(struct aub_peers *peers,
+			const struct aub_beacon *beacon)
+{
+	gint64 now = aub_timer_now(peers->options.timers);
+	struct aub_peer *peer = by_address(peers, beacon->address);
+	bool differs;
+
+	if (!peer) {
+		peer = peer_new(beacon->address, now);
+		g_ptr_array_add(peers->all, peer);
+	}
+	if (peer->self)
+		return;
+	/* A datagram of an earlier start may come late. */
+	if (beacon->incarnation < peer->incarnation)
+		return;
+	if (peer->alive && peer->incarnation != beacon->incarnation)
+		lose(peers, peer, now);
+	differs = !peer->alive || peer->ready != beacon->ready ||
+		  peer->stopping != beacon->stopping;
+	aub_string_set(&peer->name, beacon->name);
+	aub_string_set(&peer->zone, beacon->zone);
+	aub_string_set(&peer->callers_address, beacon->callers_address);
+	peer->incarnation = beacon->incarnation;
+	peer->ready = beacon->ready;
+	peer->stopping = beacon->stopping;
+	peer->heard_us = now;
+	if (differs) {
+		if (!peer->alive)
+			log_peer("peer-heard", peer, 0);
+		peer->alive = true;
+		changed(peers);
+	}
+}
+
+static void take(struct aub_peers *peers, const void *data, gsize length)
+{
+	GError *error = NULL;
+	struct aub_message *message =
+		aub_message_decode(data, length, "datagram", &error);
+
+	if (!message) {
+		aub_log_begin(AUB_LOG_STATE, "datagram-refused");
+		aub_log_text("error", error->message);
+		aub_log_end();
+		g_error_free(error);
+		return;
+	}
+	if (message->type == AUB_MESSAGE_BEACON) {
+		take_beacon(peers, (struct aub_beacon *)message);
+		aub_message_free(message);
+		return;
+	}
+	peers->options.message(message, peers->options.context);
+}
+
+static void on_readable(void *context, guint events)
+{
+	struct aub_peers *peers = context;
+	char data[DATAGRAM_LIMIT];
+
+	for (guint i = 0; i < DATAGRAMS_A_TURN; i++) {
+		ssize_t got = recv(peers->fd, data, sizeof(data), 0);
+
+		if (got < 0)
+			return;
+		take(peers, data, (gsize)got);
+	}
+}
+
+static void send_to(struct aub_peers *peers, const struct aub_peer *to,
+		    GBytes *bytes)
+{
+	gsize length;
+	const void *data = g_bytes_get_data(bytes, &length);
+
+	if (!to->socket_address.sin_port)
+		return;
+	/* A datagram that can't leave is a lost one. */
+	(void)sendto(peers->fd, data, length, MSG_NOSIGNAL,
+		     (const struct sockaddr *)&to->socket_address,
+		     sizeof(to->socket_address));
+}
+
+void aub_peers_send(struct aub_peers *peers, const struct aub_peer *to,
+		    const struct aub_message *message)
+{
+	GBytes *bytes = aub_message_encode(message, NULL);
+
+	if (!bytes)
+		return;
+	send_to(peers, to, bytes);
+	g_bytes_unref(bytes);
+}
+
+void aub_peers_send_all(struct aub_peers *peers,
+			const struct aub_message *message)
+{
+	GBytes *bytes = aub_message_encode(message, NULL);
+
+	for (guint i = 1; bytes && i < peers->all->len; i++) {
+		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
+
+		if (peer->alive)
+			send_to(peers, peer, bytes);
+	}
+	if (bytes)
+		g_bytes_unref(bytes);
+}
+
+static void send_beacons(struct aub_peers *peers, gint64 now_us)
+{
+	GBytes *bytes = aub_message_encode(&peers->beacon->base, NULL);
+
+	for (guint i = 1; bytes && i < peers->all->len; i++) {
+		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
+		gint64 last = MAX(peer->heard_us, peer->known_us);
+
+		if (now_us - last < SILENT_US ||
+		    peers->round % SILENT_EACH == 0)
+			send_to(peers, peer, bytes);
+	}
+	if (bytes)
+		g_bytes_unref(bytes);
+}
+
+static void on_round(void *context, gint64 now_us)
+{
+	struct aub_peers *peers = context;
+	guint i = 1;
+
+	peers->round++;
+	while (i < peers->all->len) {
+		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
+
+		if (peer->alive && now_us - peer->heard_us > ALIVE_US)
+			lose(peers, peer, now_us);
+		if (now_us - MAX(peer->heard_us, peer->known_us) > FORGET_US)
+			g_ptr_array_remove_index(peers->all, i);
+		else
+			i++;
+	}
+	send_beacons(peers, now_us);
+}
+
+static void self_add(struct aub_peers *peers)
+{
+	const struct aub_peers_options *options = &peers->options;
+	struct aub_peer *self =
+		peer_new(options->address, aub_timer_now(options->timers));
+
+	aub_string_set(&self->name, options->name);
+	aub_string_set(&self->zone, options->zone);
+	aub_string_set(&self->callers_address, options->callers_address);
+	self->incarnation = options->incarnation;
+	self->alive = true;
+	self->self = true;
+	g_ptr_array_add(peers->all, self);
+	peers->beacon =
+		(struct aub_beacon *)aub_message_new(AUB_MESSAGE_BEACON);
+	aub_string_set(&peers->beacon->name, options->name);
+	aub_string_set(&peers->beacon->zone, options->zone);
+	aub_string_set(&peers->beacon->address, options->address);
+	aub_string_set(&peers->beacon->callers_address,
+		       options->callers_address);
+	peers->beacon->incarnation = options->incarnation;
+}
+
+struct aub_peers *aub_peers_new(const struct aub_peers_options *options,
+				GError **error)
+{
+	int fd = aub_udp_bind(options->address, error);
+	struct aub_peers *peers;
+
+	if (fd < 0)
+		return NULL;
+	peers = g_new0(struct aub_peers, 1);
+	peers->options = *options;
+	peers->fd = fd;
+	peers->all = g_ptr_array_new_with_free_func(peer_free);
+	peers->ranked =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
+	self_add(peers);
+	peers->watch = aub_poller_add(options->poller, fd, EPOLLIN, on_readable,
+				      peers);
+	peers->timer = aub_timer_every(options->timers, "beacons", BEACON_US,
+				       on_round, peers);
+	return peers;
+}
+
+void aub_peers_free(struct aub_peers *peers)
+{
+	if (!peers)
+		return;
+	aub_timer_cancel(peers->options.timers, peers->timer);
+	aub_poll_watch_remove(peers->watch);
+	close(peers->fd);
+	aub_message_free(&peers->beacon->base);
+	g_hash_table_unref(peers->ranked);
+	g_ptr_array_unref(peers->all);
+	g_free(peers);
+}
+
+void aub_peers_add(struct aub_peers *peers, const char *address)
+{
+	GBytes *bytes;
+	struct aub_peer *peer;
+
+	if (by_address(peers, address))
+		return;
+	peer = peer_new(address, aub_timer_now(peers->options.timers));
+	g_ptr_array_add(peers->all, peer);
+	bytes = aub_message_encode(&peers->beacon->base, NULL);
+	if (bytes) {
+		send_to(peers, peer, bytes);
+		g_bytes_unref(bytes);
+	}
+}
+
+void aub_peers_set_self(struct aub_peers *peers, bool ready, bool stopping,
+			gint64 config_version)
+{
+	struct aub_peer *self = aub_peers_self(peers);
+	bool differs = self->ready != ready || self->stopping != stopping;
+
+	self->ready = ready;
+	self->stopping = stopping;
+	peers->beacon->ready = ready;
+	peers->beacon->stopping = stopping;
+	peers->beacon->config_version = (guint64)config_version;
+	if (!differs)
+		return;
+	changed(peers);
+	send_beacons(peers, aub_timer_now(peers->options.timers));
+}
+
+const GPtrArray *aub_peers_all(const struct aub_peers *peers)
+{
+	return peers->all;
+}
+
+struct aub_peer *aub_peers_self(const struct aub_peers *peers)
+{
+	return g_ptr_array_index(peers->all, 0);
+}
+
+guint aub_peers_generation(const struct aub_peers *peers)
+{
+	return peers->generation;
+}
+
+struct ranked_peer {
+	char *key; /* hash of service and name */
+	struct aub_peer *peer;
+};
+
+static gint by_key(gconstpointer a, gconstpointer b)
+{
+	return strcmp(((const struct ranked_peer *)a)->key,
+		      ((const struct ranked_peer *)b)->key);
+}
+
+static GPtrArray *rank(const struct aub_peers *peers, const char *service)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct ranked_peer));
+	GPtrArray *result = g_ptr_array_new();
+
+	for (guint i = 0; i < peers->all->len; i++) {
+		struct ranked_peer ranked = {
+			.peer = g_ptr_array_index(peers->all, i),
+		};
+		char *text;
+
+		if (!ranked.peer->alive || !ranked.peer->ready ||
+		    ranked.peer->stopping)
+			continue;
+		text = g_strdup_printf("%s %s", service, ranked.peer->name);
+		ranked.key =
+			g_compute_checksum_for_string(G_CHECKSUM_MD5, text, -1);
+		g_free(text);
+		g_array_append_val(list, ranked);
+	}
+	g_array_sort(list, by_key);
+	for (guint i = 0; i < list->len; i++) {
+		struct ranked_peer *ranked =
+			&g_array_index(list, struct ranked_peer, i);
+
+		g_ptr_array_add(result, ranked->peer);
+		g_free(ranked->key);
+	}
+	g_array_unref(list);
+	return result;
+}
+
+const GPtrArray *aub_peers_ranked(struct aub_peers *peers, const char *service)
+{
+	GPtrArray *list = g_hash_table_lookup(peers->ranked, service);
+
+	if (list)
+		return list;
+	list = rank(peers, service);
+	g_hash_table_insert(peers->ranked, g_strdup(service), list);
+	return list;
+}
--- /dev/null
+++ b/src/coordination/placer_round.c
@@ -0,0 +1,171 @@
+/*
+ * What gateways tell each other four times a second: the grants they hold,
+ * so that lost reports are made good, and what a placer believes, so that
+ * another one can take over or do without it.
+ */
+#include <auburnstile/internal/placer_parts.h>
+
+#include <string.h>
+
+#define BELIEFS_MOST 512 /* upstreams of a service in one datagram */
+
+/* The placer of `service` as seen from here; NULL if it is this process. */
+static struct aub_peer *placer_of(struct aub_placer *placer,
+				  const char *service, gint64 now_us)
+{
+	const GPtrArray *ranked =
+		aub_peers_ranked(placer->options.peers, service);
+
+	for (guint i = 0; i < ranked->len; i++) {
+		struct aub_peer *peer = g_ptr_array_index(ranked, i);
+
+		if (peer->self)
+			return NULL;
+		if (peer->suspect_until_us <= now_us)
+			return peer;
+	}
+	return NULL;
+}
+
+static struct aub_place_held *held_of(struct aub_placer *placer,
+				      const char *service)
+{
+	struct aub_place_held *message =
+		(struct aub_place_held *)aub_message_new(
+			AUB_MESSAGE_PLACE_HELD);
+	GHashTableIter iter;
+	void *value;
+
+	message->holder = placer->options.incarnation;
+	aub_string_set(&message->service, service);
+	g_hash_table_iter_init(&iter, placer->tickets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct aub_ticket *ticket = value;
+		struct aub_held *held;
+
+		if (!ticket->upstream || strcmp(ticket->service, service) != 0)
+			continue;
+		held = aub_held_new();
+		held->ticket = ticket->id;
+		held->target_ms = ticket->ask.target_ms;
+		aub_string_set(&held->upstream, ticket->upstream);
+		g_ptr_array_add(message->held, held);
+	}
+	return message;
+}
+
+/* An empty list is told once, so that the last grant is released too. */
+static void tell_held(struct aub_placer *placer, const char *service,
+		      gint64 now_us)
+{
+	struct aub_peer *peer = placer_of(placer, service, now_us);
+	struct aub_place_held *message;
+	bool told = g_hash_table_contains(placer->held_told, service);
+
+	if (!peer)
+		return;
+	message = held_of(placer, service);
+	if (message->held->len)
+		g_hash_table_add(placer->held_told, g_strdup(service));
+	else
+		g_hash_table_remove(placer->held_told, service);
+	if (message->held->len || told)
+		aub_peers_send(placer->options.peers, peer, &message->base);
+	aub_message_free(&message->base);
+}
+
+static void tell_beliefs(struct aub_placer *placer, const char *service,
+			 gint64 now_us)
+{
+	struct aub_belief list[BELIEFS_MOST];
+	struct aub_placement *placement = aub_placer_placement(placer, service);
+	guint count =
+		aub_placement_beliefs(placement, list, BELIEFS_MOST, now_us);
+	struct aub_place_beliefs *message;
+
+	if (!count)
+		return;
+	message = (struct aub_place_beliefs *)aub_message_new(
+		AUB_MESSAGE_PLACE_BELIEFS);
+	aub_string_set(&message->service, service);
+	for (guint i = 0; i < count; i++) {
+		struct aub_place_belief *belief = aub_place_belief_new();
+
+		aub_string_set(&belief->upstream, list[i].upstream);
+		belief->down = list[i].down;
+		belief->cold_ms = list[i].cold_ms;
+		belief->slowdown = list[i].slowdown;
+		g_ptr_array_add(message->beliefs, belief);
+	}
+	aub_peers_send_all(placer->options.peers, &message->base);
+	aub_message_free(&message->base);
+}
+
+void aub_placer_on_round(void *context, gint64 now_us)
+{
+	struct aub_placer *placer = context;
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, placer->placements);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const char *service = key;
+
+		if (placer_of(placer, service, now_us)) {
+			tell_held(placer, service, now_us);
+			continue;
+		}
+		if (!aub_peers_self(placer->options.peers)->ready)
+			continue;
+		aub_placer_wake_service(placer, service);
+		tell_beliefs(placer, service, now_us);
+	}
+}
+
+void aub_placer_take_held(struct aub_placer *placer,
+			  const struct aub_place_held *message)
+{
+	gint64 now = aub_timer_now(placer->options.timers);
+	struct aub_placement *placement =
+		aub_placer_placement(placer, message->service);
+	guint64 *tickets = g_new(guint64, message->held->len + 1);
+
+	for (guint i = 0; i < message->held->len; i++) {
+		const struct aub_held *held =
+			g_ptr_array_index(message->held, i);
+
+		tickets[i] = held->ticket;
+		aub_placement_adopt(placement, message->holder, held->ticket,
+				    held->upstream, held->target_ms, now);
+	}
+	aub_placement_held(placement, message->holder, tickets,
+			   message->held->len, now);
+	g_free(tickets);
+	aub_placer_drain(placer, placement);
+}
+
+/* Whoever places for a service itself goes by its own probes. */
+void aub_placer_take_beliefs(struct aub_placer *placer,
+			     const struct aub_place_beliefs *message)
+{
+	gint64 now = aub_timer_now(placer->options.timers);
+	struct aub_placement *placement =
+		aub_placer_placement(placer, message->service);
+	const struct aub_active *active =
+		g_hash_table_lookup(placer->active, message->service);
+
+	if (active && active->until_us > now)
+		return;
+	for (guint i = 0; i < message->beliefs->len; i++) {
+		const struct aub_place_belief *told =
+			g_ptr_array_index(message->beliefs, i);
+		const struct aub_belief belief = {
+			.upstream = told->upstream,
+			.down = told->down,
+			.cold_ms = told->cold_ms,
+			.slowdown = told->slowdown,
+		};
+
+		aub_placement_believe(placement, &belief, now);
+	}
+}
--- /dev/null
+++ b/src/coordination/store_sync.c
@@ -0,0 +1,462 @@
+/*
+ * One task a kind: list, watch, and list anew when the watch has a gap.
+ *
+ * A watch is one call for as long as nothing happens, and each event ends
+ * it: events that come together are collected by a short pause.
+ */
+#include <auburnstile/internal/decision_log.h>
+#include <auburnstile/internal/store_sync.h>
+
+#include <string.h>
+
+/*
+ * A watch whose connection went silent is found out by its time limit only:
+ * together they stay below the three seconds after trouble in which this
+ * process must be current again.
+ */
+#define WATCH_MS 2000
+#define WATCH_SLACK_MS 500
+#define CALL_MS 1200 /* a slow store takes some 300 ms a call */
+#define RETRY_US (250 * AUB_MS)
+#define RETRY_MOST_US (1000 * AUB_MS)
+#define PAUSE_US (100 * AUB_MS) /* collects events that come together */
+#define IDLE_US (20 * AUB_SECOND)
+
+/*
+ * Failure: the store was away, entries of upstreams that live have lapsed,
+ * and its first answers miss them. Symptom: no upstream is left. Enough: they
+ * are back within two seconds of its return; until then the old ones hold.
+ */
+#define LAPSE_US (2200 * AUB_MS)
+#define AWAY_US (1500 * AUB_MS) /* silence that makes an absence */
+
+enum step { STEP_LIST, STEP_WATCH };
+
+struct task {
+	struct aub_store_sync *sync;
+	enum aub_store_kind kind;
+	enum step step;
+	struct aub_http_call *call;
+	guint timer;
+	gint64 revision;
+	char *after; /* page to go on with */
+	GHashTable *known; /* names present */
+	GHashTable *seen; /* names of the listing under way */
+	GHashTable *gone; /* names said to be gone, held back */
+	guint gone_timer;
+	gint64 heard_us;
+	gint64 back_us; /* when the store was heard again after an absence */
+	gint64 retry_us;
+	bool listed;
+	bool failing;
+};
+
+struct aub_store_sync {
+	struct aub_store_sync_options options;
+	char *address;
+	struct task tasks[AUB_STORE_KINDS];
+	char *name; /* of the own record; NULL: none */
+	char *record;
+	struct aub_http_call *enrol_call;
+	guint enrol_timer;
+	guint64 calls;
+};
+
+static const char *const kind_names[AUB_STORE_KINDS] = {
+	[AUB_STORE_ROUTING] = "configuration",
+	[AUB_STORE_UPSTREAMS] = "upstreams",
+	[AUB_STORE_ZONES_OUT] = "zones-out",
+	[AUB_STORE_MEMBERS] = "members",
+};
+
+static void task_run(struct task *task);
+
+static void on_task_timer(void *context, gint64 now_us)
+{
+	struct task *task = context;
+
+	task->timer = 0;
+	task_run(task);
+}
+
+static void task_later(struct task *task, gint64 in_us)
+{
+	struct aub_timer_service *timers = task->sync->options.timers;
+
+	aub_timer_cancel(timers, task->timer);
+	task->timer =
+		aub_timer_at(timers, "store", aub_timer_now(timers) + in_us,
+			     on_task_timer, task);
+}
+
+static void tell_removed(struct task *task, const char *name)
+{
+	const struct aub_store_sync_options *options = &task->sync->options;
+	struct aub_record *record = aub_record_new(name);
+
+	record->removed = true;
+	g_hash_table_remove(task->known, name);
+	options->changed(task->kind, record, options->context);
+	aub_record_free(record);
+}
+
+static void on_gone(void *context, gint64 now_us)
+{
+	struct task *task = context;
+	GList *names = g_hash_table_get_keys(task->gone);
+
+	task->gone_timer = 0;
+	for (GList *link = names; link; link = link->next) {
+		char *name = g_strdup(link->data);
+
+		g_hash_table_remove(task->gone, name);
+		tell_removed(task, name);
+		g_free(name);
+	}
+	g_list_free(names);
+}
+
+static void take_removal(struct task *task, const char *name, gint64 now_us)
+{
+	struct aub_timer_service *timers = task->sync->options.timers;
+	gint64 until = task->back_us + LAPSE_US;
+
+	if (!g_hash_table_contains(task->known, name))
+		return;
+	if (task->kind != AUB_STORE_UPSTREAMS || !task->back_us ||
+	    now_us >= until) {
+		tell_removed(task, name);
+		return;
+	}
+	g_hash_table_add(task->gone, g_strdup(name));
+	if (!task->gone_timer)
+		task->gone_timer =
+			aub_timer_at(timers, "lapsed", until, on_gone, task);
+}
+
+static void take_record(struct task *task, struct aub_record *record,
+			gint64 now_us)
+{
+	const struct aub_store_sync_options *options = &task->sync->options;
+
+	if (record->removed) {
+		take_removal(task, record->name, now_us);
+		return;
+	}
+	g_hash_table_remove(task->gone, record->name);
+	g_hash_table_add(task->known, g_strdup(record->name));
+	options->changed(task->kind, record, options->context);
+}
+
+static void list_ended(struct task *task, gint64 now_us)
+{
+	const struct aub_store_sync_options *options = &task->sync->options;
+	GList *names = g_hash_table_get_keys(task->known);
+	GPtrArray *lost = g_ptr_array_new_with_free_func(g_free);
+
+	for (GList *link = names; link; link = link->next)
+		if (!g_hash_table_contains(task->seen, link->data))
+			g_ptr_array_add(lost, g_strdup(link->data));
+	g_list_free(names);
+	for (guint i = 0; i < lost->len; i++)
+		take_removal(task, g_ptr_array_index(lost, i), now_us);
+	g_ptr_array_unref(lost);
+	g_hash_table_remove_all(task->seen);
+	task->step = STEP_WATCH;
+	if (task->listed)
+		return;
+	task->listed = true;
+	options->listed(task->kind, options->context);
+}
+
+/* A listing's revision is that of its first page: later changes are watched. */
+static void take_listing(struct task *task, const struct aub_store_page *page,
+			 gint64 now_us)
+{
+	if (!task->after)
+		task->revision = page->revision;
+	for (guint i = 0; i < page->records->len; i++) {
+		struct aub_record *record = g_ptr_array_index(page->records, i);
+
+		g_hash_table_add(task->seen, g_strdup(record->name));
+		take_record(task, record, now_us);
+	}
+	g_free(task->after);
+	task->after = page->more ? g_strdup(page->last) : NULL;
+	if (!task->after)
+		list_ended(task, now_us);
+}
+
+static void log_store(const struct task *task, const char *event,
+		      const char *why, gint64 age_us)
+{
+	aub_log_begin(AUB_LOG_STATE, event);
+	aub_log_text("kind", kind_names[task->kind]);
+	aub_log_text("why", why);
+	aub_log_number("age_ms", age_us / AUB_MS);
+	aub_log_number("revision", task->revision);
+	aub_log_end();
+}
+
+static void heard(struct task *task, gint64 now_us)
+{
+	if (task->heard_us &&
+	    now_us - task->heard_us > WATCH_MS * AUB_MS + AWAY_US)
+		task->back_us = now_us;
+	if (task->failing) {
+		task->back_us = now_us;
+		log_store(task, "store-regained", "", now_us - task->heard_us);
+	}
+	task->failing = false;
+	task->heard_us = now_us;
+	task->retry_us = RETRY_US;
+}
+
+static void failed(struct task *task, const char *why)
+{
+	gint64 now = aub_timer_now(task->sync->options.timers);
+
+	if (!task->failing)
+		log_store(task, "store-lost", why, now - task->heard_us);
+	task->failing = true;
+	task_later(task, task->retry_us + g_random_int_range(0, RETRY_US));
+	task->retry_us = MIN(task->retry_us * 2, RETRY_MOST_US);
+}
+
+static void relist(struct task *task)
+{
+	task->step = STEP_LIST;
+	g_clear_pointer(&task->after, g_free);
+	g_hash_table_remove_all(task->seen);
+}
+
+static void take_page(struct task *task, const char *body, gsize length)
+{
+	const struct aub_store_sync_options *options = &task->sync->options;
+	gint64 now = aub_timer_now(options->timers);
+	GError *error = NULL;
+	struct aub_store_page *page =
+		options->platform->decode_page(task->kind, body, length,
+					       &error);
+
+	if (!page) {
+		failed(task, error->message);
+		g_error_free(error);
+		return;
+	}
+	heard(task, now);
+	if (task->step == STEP_LIST) {
+		take_listing(task, page, now);
+		task_run(task);
+	} else {
+		for (guint i = 0; i < page->records->len; i++)
+			take_record(task, g_ptr_array_index(page->records, i),
+				    now);
+		task->revision = MAX(task->revision, page->revision);
+		task_later(task, page->records->len ? PAUSE_US : 0);
+	}
+	aub_store_page_free(page);
+}
+
+static void on_answer(enum aub_exchange_end end,
+		      const struct aub_http_head *head, const char *body,
+		      gsize length, void *context)
+{
+	struct task *task = context;
+
+	task->call = NULL;
+	if (end != AUB_EXCHANGE_WHOLE) {
+		failed(task,
+		       end == AUB_EXCHANGE_TIMEOUT ? "timeout" : "connection");
+		return;
+	}
+	if (head->status == 410) {
+		log_store(task, "store-history-gone", "", 0);
+		relist(task);
+		task_run(task);
+		return;
+	}
+	if (head->status != 200) {
+		char *why = g_strdup_printf("status %u", head->status);
+
+		failed(task, why);
+		g_free(why);
+		return;
+	}
+	take_page(task, body, length);
+}
+
+static void task_run(struct task *task)
+{
+	struct aub_store_sync *sync = task->sync;
+	const struct aub_platform *platform = sync->options.platform;
+	bool watch = task->step == STEP_WATCH;
+	char *path = watch ? platform->watch_path(task->kind, task->revision,
+						  WATCH_MS) :
+			     platform->list_path(task->kind, task->after);
+	const struct aub_http_call_options options = {
+		.method = "GET",
+		.address = sync->address,
+		.peer = kind_names[task->kind],
+		.path = path,
+		.timeout_ms = watch ? WATCH_MS + WATCH_SLACK_MS : CALL_MS,
+		/* After a failure a kept connection may be a silent one. */
+		.idle_us = task->failing ? 0 : IDLE_US,
+	};
+
+	/* Members are read once; from then on beacons tell. */
+	if (watch && task->kind == AUB_STORE_MEMBERS) {
+		g_free(path);
+		return;
+	}
+	sync->calls++;
+	task->call = aub_http_call_new(sync->options.client, &options,
+				       on_answer, task);
+	g_free(path);
+}
+
+struct aub_store_sync *aub_store_sync_new(
+	const struct aub_store_sync_options *options)
+{
+	struct aub_store_sync *sync = g_new0(struct aub_store_sync, 1);
+
+	sync->options = *options;
+	sync->address = g_strdup(options->address);
+	for (guint i = 0; i < AUB_STORE_KINDS; i++) {
+		struct task *task = &sync->tasks[i];
+
+		task->sync = sync;
+		task->kind = (enum aub_store_kind)i;
+		task->retry_us = RETRY_US;
+		task->known = g_hash_table_new_full(g_str_hash, g_str_equal,
+						    g_free, NULL);
+		task->seen = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   g_free, NULL);
+		task->gone = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   g_free, NULL);
+		if (task->kind != AUB_STORE_MEMBERS)
+			task_run(task);
+	}
+	return sync;
+}
+
+void aub_store_sync_free(struct aub_store_sync *sync)
+{
+	if (!sync)
+		return;
+	for (guint i = 0; i < AUB_STORE_KINDS; i++) {
+		struct task *task = &sync->tasks[i];
+
+		aub_http_call_cancel(task->call);
+		aub_timer_cancel(sync->options.timers, task->timer);
+		aub_timer_cancel(sync->options.timers, task->gone_timer);
+		g_hash_table_unref(task->known);
+		g_hash_table_unref(task->seen);
+		g_hash_table_unref(task->gone);
+		g_free(task->after);
+	}
+	aub_http_call_cancel(sync->enrol_call);
+	aub_timer_cancel(sync->options.timers, sync->enrol_timer);
+	g_free(sync->name);
+	g_free(sync->record);
+	g_free(sync->address);
+	g_free(sync);
+}
+
+static void enrol_send(struct aub_store_sync *sync);
+
+static void on_enrol_timer(void *context, gint64 now_us)
+{
+	struct aub_store_sync *sync = context;
+
+	sync->enrol_timer = 0;
+	enrol_send(sync);
+}
+
+/*
+ * Each enrols before it lists: of two that start together, at least one
+ * finds the other, and its beacon tells the other in turn.
+ */
+static void on_enrolled(enum aub_exchange_end end,
+			const struct aub_http_head *head, const char *body,
+			gsize length, void *context)
+{
+	struct aub_store_sync *sync = context;
+	struct aub_timer_service *timers = sync->options.timers;
+
+	sync->enrol_call = NULL;
+	if (end == AUB_EXCHANGE_WHOLE &&
+	    (head->status / 100 == 2 || head->status == 409)) {
+		task_run(&sync->tasks[AUB_STORE_MEMBERS]);
+		return;
+	}
+	sync->enrol_timer =
+		aub_timer_at(timers, "enrol",
+			     aub_timer_now(timers) + RETRY_MOST_US +
+				     g_random_int_range(0, RETRY_MOST_US),
+			     on_enrol_timer, sync);
+}
+
+static void enrol_send(struct aub_store_sync *sync)
+{
+	char *path = sync->options.platform->create_path(AUB_STORE_MEMBERS);
+	const struct aub_http_call_options options = {
+		.method = "POST",
+		.address = sync->address,
+		.peer = "enrol",
+		.path = path,
+		.body = sync->record,
+		.timeout_ms = CALL_MS,
+	};
+
+	sync->calls++;
+	sync->enrol_call = aub_http_call_new(sync->options.client, &options,
+					     on_enrolled, sync);
+	g_free(path);
+}
+
+void aub_store_sync_enrol(struct aub_store_sync *sync, const char *name,
+			  const struct aub_member_record *member)
+{
+	sync->name = g_strdup(name);
+	sync->record = sync->options.platform->member_body(name, member);
+	enrol_send(sync);
+}
+
+static void on_left(enum aub_exchange_end end, const struct aub_http_head *head,
+		    const char *body, gsize length, void *context)
+{
+	struct aub_store_sync *sync = context;
+
+	sync->enrol_call = NULL;
+}
+
+void aub_store_sync_leave(struct aub_store_sync *sync)
+{
+	char *path = sync->options.platform->object_path(AUB_STORE_MEMBERS,
+							 sync->name);
+	const struct aub_http_call_options options = {
+		.method = "DELETE",
+		.address = sync->address,
+		.peer = "enrol",
+		.path = path,
+		.timeout_ms = CALL_MS,
+	};
+
+	aub_http_call_cancel(sync->enrol_call);
+	sync->calls++;
+	sync->enrol_call = aub_http_call_new(sync->options.client, &options,
+					     on_left, sync);
+	g_free(path);
+}
+
+gint64 aub_store_sync_heard_us(const struct aub_store_sync *sync,
+			       enum aub_store_kind kind)
+{
+	return sync->tasks[kind].heard_us;
+}
+
+guint64 aub_store_sync_calls(const struct aub_store_sync *sync)
+{
+	return sync->calls;
+}
--- /dev/null
+++ b/src/core/decision_log.c
@@ -0,0 +1,166 @@
+/*
+ * The decision log: one buffer, emptied when standard output is writable.
+ */
+#include <auburnstile/internal/decision_log.h>
+
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+#define FLUSH_US (100 * AUB_MS) /* ten writes a second at most */
+#define CALM_BYTES (64u << 10) /* room that lines about successes may fill */
+#define ALL_BYTES (256u << 10) /* room for the others */
+
+static const char *const class_names[AUB_LOG_CLASSES] = {
+	[AUB_LOG_CALM] = "calm",
+	[AUB_LOG_TROUBLE] = "trouble",
+	[AUB_LOG_STATE] = "state",
+};
+
+static struct {
+	char *process;
+	struct aub_timer_service *timers;
+	guint timer;
+	GString *lines;
+	bool open; /* a line is being written */
+	bool skip; /* and is dropped */
+	guint64 dropped[AUB_LOG_CLASSES];
+	guint64 told[AUB_LOG_CLASSES]; /* of the dropped ones, logged */
+} decisions;
+
+static void tell_dropped(void)
+{
+	for (guint i = 0; i < AUB_LOG_CLASSES; i++) {
+		guint64 count = decisions.dropped[i] - decisions.told[i];
+
+		if (!count)
+			continue;
+		decisions.told[i] = decisions.dropped[i];
+		aub_log_begin(AUB_LOG_STATE, "log-dropped");
+		aub_log_text("class", class_names[i]);
+		aub_log_number("lines", (gint64)count);
+		aub_log_end();
+	}
+}
+
+void aub_decision_log_flush(void)
+{
+	ssize_t put;
+
+	if (!decisions.lines || !decisions.lines->len)
+		return;
+	put = write(STDOUT_FILENO, decisions.lines->str, decisions.lines->len);
+	if (put > 0) {
+		g_string_erase(decisions.lines, 0, put);
+	} else if (put < 0 && errno != EAGAIN && errno != EINTR) {
+		/* Nobody reads any more: the lines have no other place. */
+		g_string_truncate(decisions.lines, 0);
+	}
+	if (decisions.lines->len < CALM_BYTES)
+		tell_dropped();
+}
+
+static void on_flush(void *context, gint64 now_us)
+{
+	decisions.timer = 0;
+	aub_decision_log_flush();
+	if (decisions.lines->len)
+		decisions.timer =
+			aub_timer_at(decisions.timers, "log", now_us + FLUSH_US,
+				     on_flush, NULL);
+}
+
+void aub_decision_log_start(const char *process,
+			    struct aub_timer_service *timers)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	decisions.process = g_strdup(process);
+	decisions.timers = timers;
+	decisions.lines = g_string_new(NULL);
+}
+
+void aub_decision_log_stop(void)
+{
+	if (!decisions.lines)
+		return;
+	aub_decision_log_flush();
+	if (decisions.timers)
+		aub_timer_cancel(decisions.timers, decisions.timer);
+	g_string_free(decisions.lines, TRUE);
+	g_free(decisions.process);
+	memset(&decisions, 0, sizeof(decisions));
+}
+
+/* Quoted; control characters and what is no ASCII become escapes. */
+static void append_quoted(const char *text)
+{
+	GString *out = decisions.lines;
+
+	g_string_append_c(out, '"');
+	for (; *text; text++) {
+		guchar c = (guchar)*text;
+
+		if (c == '"' || c == '\\')
+			g_string_append_c(out, '\\');
+		if (c < 0x20 || c >= 0x7f)
+			g_string_append_printf(out, "\\u%04x", c);
+		else
+			g_string_append_c(out, (char)c);
+	}
+	g_string_append_c(out, '"');
+}
+
+void aub_log_begin(enum aub_log_class class, const char *event)
+{
+	gsize limit = class == AUB_LOG_CALM ? CALM_BYTES : ALL_BYTES;
+
+	g_assert(!decisions.open);
+	decisions.open = true;
+	decisions.skip = !decisions.lines || decisions.lines->len >= limit;
+	if (decisions.skip) {
+		decisions.dropped[class]++;
+		return;
+	}
+	g_string_append_printf(decisions.lines,
+			       "{\"t\":%" G_GINT64_FORMAT ",\"node\":\"%s\"",
+			       g_get_real_time() / 1000, decisions.process);
+	aub_log_text("event", event);
+}
+
+void aub_log_text(const char *field, const char *value)
+{
+	if (decisions.skip)
+		return;
+	g_string_append_printf(decisions.lines, ",\"%s\":", field);
+	append_quoted(value ? value : "");
+}
+
+void aub_log_number(const char *field, gint64 value)
+{
+	if (decisions.skip)
+		return;
+	g_string_append_printf(decisions.lines, ",\"%s\":%" G_GINT64_FORMAT,
+			       field, value);
+}
+
+void aub_log_end(void)
+{
+	decisions.open = false;
+	if (decisions.skip)
+		return;
+	g_string_append(decisions.lines, "}\n");
+	if (decisions.timers && !decisions.timer)
+		decisions.timer =
+			aub_timer_at(decisions.timers, "log",
+				     aub_timer_now(decisions.timers) + FLUSH_US,
+				     on_flush, NULL);
+}
+
+guint64 aub_decision_log_dropped(enum aub_log_class class)
+{
+	return decisions.dropped[class];
+}
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -168,6 +168,24 @@
 	return aubi_struct_new(&aubi_crash_record_layout);
 }
 
+struct aub_name *aub_name_new(const char *name)
+{
+	struct aub_name *made = aubi_struct_new(&aubi_name_layout);
+
+	aub_string_set(&made->name, name);
+	return made;
+}
+
+struct aub_held *aub_held_new(void)
+{
+	return aubi_struct_new(&aubi_held_layout);
+}
+
+struct aub_place_belief *aub_place_belief_new(void)
+{
+	return aubi_struct_new(&aubi_place_belief_layout);
+}
+
 const char *aub_message_type_name(enum aub_message_type type)
 {
 	const struct aubi_layout *layout = aubi_message_layout(type);
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -18,6 +18,8 @@
 #define UPSTREAMS_LIMIT 4096 /* of one service */
 #define KEYS_LIMIT 4096 /* keys a part */
 #define CRASHES_LIMIT 1024
+#define ATTEMPTS_LIMIT 64 /* upstreams one request was sent to */
+#define HELD_LIMIT 4096 /* requests of one service at one gateway */
 #define OBJECT_LIMIT (1u << 20) /* the store's megabyte */
 #define BODY_LIMIT (8u << 20)
 
@@ -246,6 +248,97 @@
 	END,
 };
 
+static const struct aubi_field name_fields[] = {
+	STRING(aub_name, name, NAME_LIMIT),
+	END,
+};
+
+const struct aubi_layout aubi_name_layout =
+	LAYOUT("name", aub_name, name_fields);
+
+static const struct aubi_field held_fields[] = {
+	NUMBER(aub_held, ticket),
+	STRING(aub_held, upstream, NAME_LIMIT),
+	NUMBER32(aub_held, target_ms),
+	END,
+};
+
+const struct aubi_layout aubi_held_layout =
+	LAYOUT("held grant", aub_held, held_fields);
+
+static const struct aubi_field place_belief_fields[] = {
+	STRING(aub_place_belief, upstream, NAME_LIMIT),
+	FLAG(aub_place_belief, down),
+	NUMBER32(aub_place_belief, cold_ms),
+	NUMBER32(aub_place_belief, slowdown),
+	END,
+};
+
+const struct aubi_layout aubi_place_belief_layout =
+	LAYOUT("belief", aub_place_belief, place_belief_fields);
+
+static const struct aubi_field beacon_fields[] = {
+	NUMBER(aub_beacon, incarnation),
+	STRING(aub_beacon, name, NAME_LIMIT),
+	STRING(aub_beacon, zone, NAME_LIMIT),
+	STRING(aub_beacon, address, ADDRESS_LIMIT),
+	STRING(aub_beacon, callers_address, ADDRESS_LIMIT),
+	FLAG(aub_beacon, ready),
+	FLAG(aub_beacon, stopping),
+	NUMBER(aub_beacon, config_version),
+	END,
+};
+
+static const struct aubi_field place_ask_fields[] = {
+	NUMBER(aub_place_ask, holder),
+	NUMBER(aub_place_ask, ticket),
+	STRING(aub_place_ask, service, NAME_LIMIT),
+	STRING(aub_place_ask, zone, NAME_LIMIT),
+	NUMBER32(aub_place_ask, priority),
+	NUMBER32(aub_place_ask, target_ms),
+	NUMBER32(aub_place_ask, patience_ms),
+	FLAG(aub_place_ask, retry),
+	LIST(aub_place_ask, avoid, ATTEMPTS_LIMIT, &aubi_name_layout),
+	END,
+};
+
+static const struct aubi_field place_decision_fields[] = {
+	NUMBER(aub_place_decision, ticket),
+	NUMBER(aub_place_decision, placer),
+	NUMBER32(aub_place_decision, verdict),
+	STRING(aub_place_decision, upstream, NAME_LIMIT),
+	STRING(aub_place_decision, address, ADDRESS_LIMIT),
+	NUMBER32(aub_place_decision, retry_after_ms),
+	END,
+};
+
+static const struct aubi_field place_report_fields[] = {
+	NUMBER(aub_place_report, ticket),
+	STRING(aub_place_report, service, NAME_LIMIT),
+	NUMBER32(aub_place_report, end),
+	NUMBER(aub_place_report, elapsed_us),
+	NUMBER32(aub_place_report, running),
+	NUMBER32(aub_place_report, waiting),
+	NUMBER32(aub_place_report, slots),
+	NUMBER32(aub_place_report, slowdown),
+	NUMBER32(aub_place_report, warmup_ms),
+	END,
+};
+
+static const struct aubi_field place_held_fields[] = {
+	NUMBER(aub_place_held, holder),
+	STRING(aub_place_held, service, NAME_LIMIT),
+	LIST(aub_place_held, held, HELD_LIMIT, &aubi_held_layout),
+	END,
+};
+
+static const struct aubi_field place_beliefs_fields[] = {
+	STRING(aub_place_beliefs, service, NAME_LIMIT),
+	LIST(aub_place_beliefs, beliefs, UPSTREAMS_LIMIT,
+	     &aubi_place_belief_layout),
+	END,
+};
+
 static const struct aubi_layout layouts[AUB_MESSAGE_TYPE_COUNT] = {
 	[AUB_MESSAGE_HELLO] = LAYOUT("hello", aub_hello, hello_fields),
 	[AUB_MESSAGE_PING] = LAYOUT("ping", aub_ping, ping_fields),
@@ -265,6 +358,18 @@
 	[AUB_MESSAGE_KEYS_ACK] =
 		LAYOUT("keys acknowledgement", aub_keys_ack, keys_ack_fields),
 	[AUB_MESSAGE_STATES] = LAYOUT("states", aub_states, states_fields),
+	[AUB_MESSAGE_BEACON] = LAYOUT("beacon", aub_beacon, beacon_fields),
+	[AUB_MESSAGE_PLACE_ASK] =
+		LAYOUT("place ask", aub_place_ask, place_ask_fields),
+	[AUB_MESSAGE_PLACE_DECISION] =
+		LAYOUT("place decision", aub_place_decision,
+		       place_decision_fields),
+	[AUB_MESSAGE_PLACE_REPORT] =
+		LAYOUT("place report", aub_place_report, place_report_fields),
+	[AUB_MESSAGE_PLACE_HELD] =
+		LAYOUT("place held", aub_place_held, place_held_fields),
+	[AUB_MESSAGE_PLACE_BELIEFS] = LAYOUT("place beliefs", aub_place_beliefs,
+					     place_beliefs_fields),
 };
 
 const struct aubi_layout *aubi_message_layout(guint64 type)
--- /dev/null
+++ b/src/state/placement.c
@@ -0,0 +1,337 @@
+/*
+ * A service's upstreams as a placement knows them: registered, observed,
+ * believed.
+ */
+#include <auburnstile/internal/placement_parts.h>
+
+#include <string.h>
+
+/*
+ * Share of a new figure in a smoothed one. Upstreams share their hosts and
+ * change many times a second: three answers make half of the figure.
+ */
+#define SMOOTHING 0.2
+
+#define FAILURE_HALF_LIFE_US (2000 * AUB_PLACE_MS) /* then it is tried again \
+						    */
+
+struct aub_row *aub_placement_row(const struct aub_placement *placement,
+				  guint index)
+{
+	return g_ptr_array_index(placement->rows, index);
+}
+
+gint aub_placement_find(const struct aub_placement *placement, const char *id)
+{
+	return GPOINTER_TO_INT(g_hash_table_lookup(placement->by_id, id)) - 1;
+}
+
+static void row_free(void *data)
+{
+	struct aub_row *row = data;
+
+	g_free(row->id);
+	g_free(row->address);
+	g_free(row->zone);
+	g_free(row);
+}
+
+static void waiting_free(void *data)
+{
+	struct aub_waiting *waiting = data;
+
+	g_ptr_array_unref(waiting->avoid);
+	g_free(waiting->zone);
+	g_free(waiting);
+}
+
+struct aub_placement *aub_placement_new(
+	const char *service, const struct aub_placement_limits *limits)
+{
+	struct aub_placement *placement = g_new0(struct aub_placement, 1);
+
+	placement->service = g_strdup(service);
+	placement->limits = *limits;
+	aub_retry_budget_init(&placement->budget, limits->window_us);
+	placement->rows = g_ptr_array_new_with_free_func(row_free);
+	placement->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	placement->zones_out =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	placement->grants = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  NULL, g_free);
+	placement->waiting = g_ptr_array_new_with_free_func(waiting_free);
+	placement->health_path = g_strdup("/");
+	return placement;
+}
+
+void aub_placement_free(struct aub_placement *placement)
+{
+	if (!placement)
+		return;
+	g_ptr_array_unref(placement->waiting);
+	g_hash_table_unref(placement->grants);
+	g_hash_table_unref(placement->zones_out);
+	g_hash_table_unref(placement->by_id);
+	g_ptr_array_unref(placement->rows);
+	g_free(placement->health_path);
+	g_free(placement->service);
+	g_free(placement);
+}
+
+const char *aub_placement_service(const struct aub_placement *placement)
+{
+	return placement->service;
+}
+
+void aub_placement_configure(struct aub_placement *placement,
+			     const struct aub_service_spec *spec)
+{
+	g_free(placement->health_path);
+	placement->health_path = g_strdup(spec->health_path);
+	placement->warmup_ms = spec->warmup_ms;
+	placement->warmup_per_s = spec->warmup_per_s;
+}
+
+void aub_placement_set_limits(struct aub_placement *placement,
+			      const struct aub_placement_limits *limits)
+{
+	if (limits->window_us != placement->limits.window_us)
+		aub_retry_budget_init(&placement->budget, limits->window_us);
+	placement->limits = *limits;
+}
+
+bool aub_row_is_cold(const struct aub_row *row, gint64 now_us)
+{
+	return row->cold_until_us > now_us;
+}
+
+void aub_row_observe(struct aub_row *row, const struct aub_load *load,
+		     gint64 now_us)
+{
+	if (load->slots >= 0) {
+		row->load = *load;
+		row->load_us = now_us;
+	}
+	if (load->warmup_ms >= 0)
+		row->cold_until_us = now_us + load->warmup_ms * AUB_PLACE_MS;
+}
+
+static void failures_decay(struct aub_row *row, gint64 now_us)
+{
+	gint64 age = now_us - row->failures_us;
+
+	while (age >= FAILURE_HALF_LIFE_US && row->failures > 0.01) {
+		row->failures /= 2;
+		age -= FAILURE_HALF_LIFE_US;
+		row->failures_us += FAILURE_HALF_LIFE_US;
+	}
+}
+
+void aub_row_fail(struct aub_row *row, double weight, gint64 now_us)
+{
+	failures_decay(row, now_us);
+	row->failures += (weight - row->failures) * SMOOTHING;
+	row->failures_us = now_us;
+}
+
+/*
+ * Failure: an upstream dies and is back within a second, cold; nobody saw it
+ * go but whoever was refused or reset. Symptom: a full load runs it down
+ * again. Enough: after such a sign it gets nothing before a probe has said
+ * how cold it is.
+ */
+void aub_row_down(struct aub_row *row, gint64 now_us)
+{
+	row->state = AUB_ROW_DOWN;
+	row->probe_us = MIN(row->probe_us, now_us);
+}
+
+static struct aub_row *row_add(struct aub_placement *placement, const char *id)
+{
+	struct aub_row *row = g_new0(struct aub_row, 1);
+
+	row->id = g_strdup(id);
+	row->slowness = 1.0;
+	g_ptr_array_add(placement->rows, row);
+	g_hash_table_insert(placement->by_id, row->id,
+			    GINT_TO_POINTER((gint)placement->rows->len));
+	return row;
+}
+
+static void text_set(char **to, const char *value)
+{
+	if (!g_strcmp0(*to, value))
+		return;
+	g_free(*to);
+	*to = g_strdup(value);
+}
+
+void aub_placement_register(struct aub_placement *placement, const char *id,
+			    const struct aub_upstream_record *record,
+			    gint64 now_us)
+{
+	gint index = aub_placement_find(placement, id);
+	struct aub_row *row;
+
+	if (!record) {
+		if (index >= 0)
+			aub_placement_row(placement, (guint)index)->registered =
+				false;
+		return;
+	}
+	row = index >= 0 ? aub_placement_row(placement, (guint)index) :
+			   row_add(placement, id);
+	if (row->born_ms != record->born_ms ||
+	    g_strcmp0(row->address, record->address) != 0) {
+		row->state = AUB_ROW_UNKNOWN;
+		row->probe_us = now_us;
+		row->failures = 0;
+		row->slowness = 1.0;
+		row->load_us = 0;
+	}
+	text_set(&row->address, record->address);
+	text_set(&row->zone, record->zone);
+	row->slots = record->slots;
+	row->born_ms = record->born_ms;
+	row->draining = record->draining;
+	row->registered = true;
+	row->zone_out =
+		g_hash_table_contains(placement->zones_out, record->zone);
+	if (record->warmup_left_ms)
+		row->cold_until_us =
+			MAX(row->cold_until_us,
+			    now_us + record->warmup_left_ms * AUB_PLACE_MS);
+}
+
+/*
+ * Failure: a zone that was out comes back and its upstreams are cold.
+ * Symptom: its share of the load runs them down. Enough: each is unknown,
+ * and so gets nothing, until a probe has told how cold it is.
+ */
+void aub_placement_zone_out(struct aub_placement *placement, const char *zone,
+			    bool out, gint64 now_us)
+{
+	if (out)
+		g_hash_table_add(placement->zones_out, g_strdup(zone));
+	else
+		g_hash_table_remove(placement->zones_out, zone);
+	for (guint i = 0; i < placement->rows->len; i++) {
+		struct aub_row *row = aub_placement_row(placement, i);
+
+		if (g_strcmp0(row->zone, zone) != 0 || row->zone_out == out)
+			continue;
+		row->zone_out = out;
+		row->state = AUB_ROW_UNKNOWN;
+		row->probe_us = now_us;
+		row->cold_until_us =
+			MAX(row->cold_until_us,
+			    now_us + placement->warmup_ms * AUB_PLACE_MS);
+	}
+}
+
+bool aub_placement_may_send(const struct aub_placement *placement,
+			    const char *id)
+{
+	gint index = aub_placement_find(placement, id);
+	const struct aub_row *row;
+
+	if (index < 0)
+		return true; /* newer than what is known here */
+	row = aub_placement_row(placement, (guint)index);
+	return row->registered && !row->draining && !row->zone_out;
+}
+
+guint aub_placement_beliefs(const struct aub_placement *placement,
+			    struct aub_belief *list, guint limit, gint64 now_us)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < placement->rows->len && count < limit; i++) {
+		const struct aub_row *row = aub_placement_row(placement, i);
+
+		if (!row->registered || row->state == AUB_ROW_UNKNOWN)
+			continue;
+		list[count++] = (struct aub_belief){
+			.upstream = row->id,
+			.down = row->state == AUB_ROW_DOWN,
+			.cold_ms =
+				aub_row_is_cold(row, now_us) ?
+					(guint)((row->cold_until_us - now_us) /
+						AUB_PLACE_MS) :
+					0,
+			.slowdown = (guint)(100 * row->slowness),
+		};
+	}
+	return count;
+}
+
+void aub_placement_believe(struct aub_placement *placement,
+			   const struct aub_belief *belief, gint64 now_us)
+{
+	gint index = aub_placement_find(placement, belief->upstream);
+	struct aub_row *row;
+
+	if (index < 0)
+		return;
+	row = aub_placement_row(placement, (guint)index);
+	row->state = belief->down ? AUB_ROW_DOWN : AUB_ROW_UP;
+	row->cold_until_us = MAX(row->cold_until_us,
+				 now_us + belief->cold_ms * AUB_PLACE_MS);
+	row->slowness = belief->slowdown / 100.0;
+}
+
+void aub_placement_check(const struct aub_placement *placement)
+{
+	GHashTableIter iter;
+	void *value;
+	guint *counts = g_new0(guint, placement->rows->len + 1);
+
+	g_hash_table_iter_init(&iter, placement->grants);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		counts[((struct aub_grant *)value)->row]++;
+	for (guint i = 0; i < placement->rows->len; i++) {
+		struct aub_row *row = aub_placement_row(placement, i);
+
+		g_assert(row->granted == counts[i]);
+		g_assert(aub_placement_find(placement, row->id) == (gint)i);
+	}
+	for (guint i = 1; i < placement->waiting->len; i++) {
+		const struct aub_waiting *left =
+			g_ptr_array_index(placement->waiting, i - 1);
+		const struct aub_waiting *right =
+			g_ptr_array_index(placement->waiting, i);
+
+		g_assert(left->priority <= right->priority);
+	}
+	g_free(counts);
+}
+
+const char *aub_verdict_name(enum aub_verdict verdict)
+{
+	static const char *const names[] = {
+		[AUB_VERDICT_GRANTED] = "granted",
+		[AUB_VERDICT_QUEUED] = "queued",
+		[AUB_VERDICT_NO_UPSTREAM] = "no-upstream",
+		[AUB_VERDICT_OVERLOAD] = "overload",
+		[AUB_VERDICT_NO_BUDGET] = "no-budget",
+	};
+
+	return names[verdict];
+}
+
+const char *aub_attempt_end_name(enum aub_attempt_end end)
+{
+	static const char *const names[] = {
+		[AUB_END_OK] = "ok",
+		[AUB_END_FAILED] = "failed",
+		[AUB_END_REFUSED] = "refused",
+		[AUB_END_MISPLACED] = "misplaced",
+		[AUB_END_UNREACHABLE] = "unreachable",
+		[AUB_END_LOST] = "lost",
+		[AUB_END_TIMEOUT] = "timeout",
+		[AUB_END_ABANDONED] = "abandoned",
+		[AUB_END_UNUSED] = "unused",
+	};
+
+	return names[end];
+}
--- /dev/null
+++ b/src/state/placement_choose.c
@@ -0,0 +1,177 @@
+/*
+ * The cost of each upstream for one request, and the cheapest with room.
+ *
+ * Costs are in units of the request's target latency: what is expected to be
+ * late, or to fail, is compared on one scale.
+ */
+#include <auburnstile/internal/placement_parts.h>
+
+#include <math.h>
+#include <string.h>
+
+/* A report is worth something for about as long as a neighbour's burst. */
+#define LOAD_FRESH_US (400 * AUB_PLACE_MS)
+
+#define WORK_SHARE 0.35 /* of the target that usual work takes */
+
+/*
+ * Upstreams slow down when nearly full (about 1.7 times above four fifths of
+ * their slots, measured on two kinds of them).
+ */
+#define KNEE_AT 0.8
+#define KNEE_FACTOR 1.7
+
+/* Crossing a zone costs about a twentieth of what an answer is worth. */
+#define CROSS_ZONE_COST 0.05
+
+#define FAILURE_COST 2.0 /* a failed attempt costs its time and a retry */
+#define ILL_COST 1.0 /* said to be unwell by itself: a last resort */
+#define COLD_FACTOR 2.0 /* work at a cold upstream takes twice as long */
+#define STUCK_COST 3.0 /* nothing came back for too long */
+#define STUCK_TARGETS 1.5 /* an answer that is out for longer is stuck */
+
+/*
+ * Share of its limit that a cold upstream is given: two placers that do not
+ * know of each other then stay below one and a half times it.
+ */
+#define COLD_SHARE 0.75
+
+static bool avoided(const struct aub_ask *ask, const char *id)
+{
+	for (guint i = 0; i < ask->avoid_count; i++)
+		if (!strcmp(ask->avoid[i], id))
+			return true;
+	return false;
+}
+
+/* May this request ever go there, room or not? */
+static bool is_usable(const struct aub_row *row, const struct aub_ask *ask,
+		      gint64 now_us)
+{
+	if (!row->registered || row->draining || row->zone_out)
+		return false;
+	if (row->state == AUB_ROW_DOWN)
+		return false;
+	if (ask->alone)
+		return !aub_row_is_cold(row, now_us) && !avoided(ask, row->id);
+	return row->state == AUB_ROW_UP && !avoided(ask, row->id);
+}
+
+static guint row_busy(const struct aub_row *row, gint64 now_us)
+{
+	guint told;
+
+	if (row->full_until_us > now_us)
+		return row->slots;
+	if (!row->load_us || now_us - row->load_us > LOAD_FRESH_US / 2)
+		return row->granted;
+	told = (guint)MAX(row->load.running, 0) +
+	       (guint)MAX(row->load.waiting, 0);
+	return MAX(row->granted, told);
+}
+
+static bool has_room(const struct aub_row *row, gint64 now_us)
+{
+	if (aub_row_is_cold(row, now_us))
+		return row->next_cold_us <= now_us &&
+		       row->granted < MAX(1, row->slots / 2);
+	return row_busy(row, now_us) < row->slots;
+}
+
+/* How many times as long as usual work takes there now. */
+static double slowdown(const struct aub_row *row, gint64 now_us)
+{
+	double factor = row->slowness;
+
+	if (row->load_us && row->load.slowdown > 0 &&
+	    now_us - row->load_us < LOAD_FRESH_US)
+		factor *= row->load.slowdown / 100.0;
+	if (row->granted + 1 > KNEE_AT * row->slots)
+		factor *= KNEE_FACTOR;
+	if (aub_row_is_cold(row, now_us))
+		factor *= COLD_FACTOR;
+	return factor;
+}
+
+static double row_failures(const struct aub_row *row, gint64 now_us)
+{
+	double age_s = (double)(now_us - row->failures_us) / 1e6;
+
+	return row->failures * exp2(-age_s / 2.0);
+}
+
+static double cost(const struct aub_row *row, const struct aub_ask *ask,
+		   bool stuck, gint64 now_us)
+{
+	double value = WORK_SHARE * slowdown(row, now_us);
+
+	value += FAILURE_COST * row_failures(row, now_us);
+	if (g_strcmp0(row->zone, ask->zone) != 0)
+		value += CROSS_ZONE_COST;
+	if (row->ill)
+		value += ILL_COST;
+	if (stuck)
+		value += STUCK_COST;
+	return value;
+}
+
+/* Rows with a request out for longer than good answers take. */
+static void find_stuck(const struct aub_placement *placement, bool *stuck,
+		       gint64 now_us)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, placement->grants);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct aub_grant *grant = value;
+		const struct aub_row *row =
+			aub_placement_row(placement, grant->row);
+
+		if (row->ok_us < grant->since_us &&
+		    now_us - grant->since_us >
+			    STUCK_TARGETS * grant->target_ms * AUB_PLACE_MS)
+			stuck[grant->row] = true;
+	}
+}
+
+gint aub_placement_choose(struct aub_placement *placement,
+			  const struct aub_ask *ask, gint64 now_us,
+			  guint *usable)
+{
+	guint count = placement->rows->len;
+	bool *stuck = g_newa0(bool, count + 1);
+	double best_cost = INFINITY;
+	gint best = -1;
+
+	*usable = 0;
+	placement->turn++;
+	find_stuck(placement, stuck, now_us);
+	for (guint n = 0; n < count; n++) {
+		guint i = (n + placement->turn) % count;
+		struct aub_row *row = aub_placement_row(placement, i);
+		double value;
+
+		if (!is_usable(row, ask, now_us))
+			continue;
+		*usable += row->slots;
+		if (!has_room(row, now_us))
+			continue;
+		value = cost(row, ask, stuck[i], now_us);
+		if (value < best_cost) {
+			best_cost = value;
+			best = (gint)i;
+		}
+	}
+	if (best >= 0) {
+		struct aub_row *row = aub_placement_row(placement, (guint)best);
+
+		if (aub_row_is_cold(row, now_us))
+			row->next_cold_us =
+				now_us +
+				(gint64)(1e6 / MAX(placement->warmup_per_s *
+							   COLD_SHARE,
+						   0.1));
+	}
+	return best;
+}
--- /dev/null
+++ b/src/state/placement_probe.c
@@ -0,0 +1,69 @@
+/*
+ * When each upstream is probed, and what a probe's end says.
+ */
+#include <auburnstile/internal/placement_parts.h>
+
+/*
+ * Neighbours' bursts last some hundred milliseconds: five probes a second
+ * catch most of them, at 0.15% of what the requests are worth.
+ */
+#define PROBE_US (200 * AUB_PLACE_MS)
+#define PROBE_COLD_US (500 * AUB_PLACE_MS) /* it bears little */
+#define PROBE_DOWN_US (250 * AUB_PLACE_MS)
+#define SILENT_LIMIT 2 /* one lost packet is no death */
+
+static gint64 interval(const struct aub_row *row, gint64 now_us)
+{
+	if (row->state == AUB_ROW_DOWN)
+		return PROBE_DOWN_US;
+	return aub_row_is_cold(row, now_us) ? PROBE_COLD_US : PROBE_US;
+}
+
+bool aub_placement_probe_next(struct aub_placement *placement, gint64 now_us,
+			      struct aub_probe *probe)
+{
+	for (guint i = 0; i < placement->rows->len; i++) {
+		struct aub_row *row = aub_placement_row(placement, i);
+
+		if (!row->registered || row->draining || row->probing ||
+		    row->probe_us > now_us)
+			continue;
+		row->probing = true;
+		row->probe_us = now_us + interval(row, now_us);
+		*probe = (struct aub_probe){
+			.upstream = row->id,
+			.address = row->address,
+			.path = placement->health_path,
+		};
+		return true;
+	}
+	return false;
+}
+
+void aub_placement_probe_ended(struct aub_placement *placement,
+			       const char *upstream, enum aub_probe_end end,
+			       const struct aub_load *load, gint64 now_us)
+{
+	gint index = aub_placement_find(placement, upstream);
+	struct aub_row *row;
+
+	if (index < 0)
+		return;
+	row = aub_placement_row(placement, (guint)index);
+	row->probing = false;
+	if (end == AUB_PROBE_SILENT) {
+		if (++row->silent_probes >= SILENT_LIMIT)
+			row->state = AUB_ROW_DOWN;
+		return;
+	}
+	row->silent_probes = 0;
+	if (end == AUB_PROBE_OTHER) {
+		row->state = AUB_ROW_DOWN;
+		return;
+	}
+	row->ill = end == AUB_PROBE_ILL;
+	row->state = AUB_ROW_UP;
+	if (load->warmup_ms < 0)
+		row->cold_until_us = MIN(row->cold_until_us, now_us);
+	aub_row_observe(row, load, now_us);
+}
--- /dev/null
+++ b/src/state/placement_queue.c
@@ -0,0 +1,371 @@
+/*
+ * Grants, the queue of those that found no slot, and refusals.
+ */
+#include <auburnstile/internal/placement_parts.h>
+
+#include <string.h>
+
+/* Before a report has come: a usual time of work at these upstreams. */
+#define HELD_DEFAULT_US (250 * AUB_PLACE_MS)
+#define SMOOTHING 0.05 /* a mean over some twenty requests */
+
+#define RETRY_AFTER_LEAST_MS 100 /* a slot or two is free by then */
+#define RETRY_AFTER_MOST_MS 5000
+#define NO_UPSTREAM_MS 500 /* probes go out five times a second */
+
+/* An upstream that says it is full is believed for about a slot's time. */
+#define FULL_US (50 * AUB_PLACE_MS)
+
+/* A grant younger than this may not yet be in its holder's list. */
+#define HELD_GRACE_US (400 * AUB_PLACE_MS)
+
+#define SLOWNESS_SMOOTHING 0.2
+#define SLOWNESS_MOST 8.0
+
+static double held_us(const struct aub_placement *placement)
+{
+	return placement->held_us > 0 ? placement->held_us : HELD_DEFAULT_US;
+}
+
+/* How long whoever stands behind `ahead` others waits for a slot, ms. */
+static guint wait_ms(const struct aub_placement *placement, guint ahead,
+		     guint slots)
+{
+	double us = held_us(placement) * (ahead + 1) / MAX(slots, 1);
+
+	return (guint)(us / AUB_PLACE_MS);
+}
+
+static void refuse(struct aub_decision *decision, enum aub_verdict verdict,
+		   guint after_ms)
+{
+	decision->verdict = verdict;
+	decision->retry_after_ms =
+		CLAMP(after_ms, RETRY_AFTER_LEAST_MS, RETRY_AFTER_MOST_MS);
+}
+
+static void grant(struct aub_placement *placement, guint index,
+		  const struct aub_ask *ask, gint64 now_us,
+		  struct aub_decision *decision)
+{
+	struct aub_row *row = aub_placement_row(placement, index);
+	struct aub_grant *made = g_new0(struct aub_grant, 1);
+
+	made->ticket = ask->ticket;
+	made->holder = ask->holder;
+	made->row = index;
+	made->target_ms = ask->target_ms;
+	made->since_us = now_us;
+	g_hash_table_replace(placement->grants, &made->ticket, made);
+	row->granted++;
+	decision->verdict = AUB_VERDICT_GRANTED;
+	decision->upstream = row->id;
+	decision->address = row->address;
+}
+
+static void queue(struct aub_placement *placement, const struct aub_ask *ask,
+		  gint64 now_us)
+{
+	struct aub_waiting *waiting = g_new0(struct aub_waiting, 1);
+	guint at = placement->waiting->len;
+
+	waiting->ticket = ask->ticket;
+	waiting->holder = ask->holder;
+	waiting->zone = g_strdup(ask->zone);
+	waiting->priority = ask->priority;
+	waiting->target_ms = ask->target_ms;
+	waiting->since_us = now_us;
+	waiting->until_us = now_us + ask->patience_ms * AUB_PLACE_MS;
+	waiting->avoid = g_ptr_array_new_with_free_func(g_free);
+	for (guint i = 0; i < ask->avoid_count; i++)
+		g_ptr_array_add(waiting->avoid, g_strdup(ask->avoid[i]));
+	while (at > 0) {
+		const struct aub_waiting *before =
+			g_ptr_array_index(placement->waiting, at - 1);
+
+		if (before->priority <= ask->priority)
+			break;
+		at--;
+	}
+	g_ptr_array_insert(placement->waiting, (gint)at, waiting);
+}
+
+/* Those at least as urgent stand before it. */
+static guint ahead_of(const struct aub_placement *placement, guint priority)
+{
+	guint ahead = 0;
+
+	for (guint i = 0; i < placement->waiting->len; i++) {
+		const struct aub_waiting *waiting =
+			g_ptr_array_index(placement->waiting, i);
+
+		if (waiting->priority <= priority)
+			ahead++;
+	}
+	return ahead;
+}
+
+static bool is_known(const struct aub_placement *placement,
+		     const struct aub_ask *ask, struct aub_decision *decision)
+{
+	struct aub_grant *made =
+		g_hash_table_lookup(placement->grants, &ask->ticket);
+
+	if (made) {
+		struct aub_row *row = aub_placement_row(placement, made->row);
+
+		decision->verdict = AUB_VERDICT_GRANTED;
+		decision->upstream = row->id;
+		decision->address = row->address;
+		return true;
+	}
+	for (guint i = 0; i < placement->waiting->len; i++) {
+		const struct aub_waiting *waiting =
+			g_ptr_array_index(placement->waiting, i);
+
+		if (waiting->ticket == ask->ticket) {
+			decision->verdict = AUB_VERDICT_QUEUED;
+			return true;
+		}
+	}
+	return false;
+}
+
+void aub_placement_ask(struct aub_placement *placement,
+		       const struct aub_ask *ask, gint64 now_us,
+		       struct aub_decision *decision)
+{
+	guint ahead;
+	guint slots;
+	gint index;
+
+	*decision = (struct aub_decision){
+		.ticket = ask->ticket,
+		.holder = ask->holder,
+	};
+	if (is_known(placement, ask, decision))
+		return;
+	if (!ask->retry) {
+		aub_retry_budget_first(&placement->budget, now_us);
+	} else if (!aub_retry_budget_take(&placement->budget,
+					  placement->limits.retry_ratio,
+					  placement->limits.retry_slack,
+					  now_us)) {
+		refuse(decision, AUB_VERDICT_NO_BUDGET, NO_UPSTREAM_MS);
+		return;
+	}
+	ahead = ahead_of(placement, ask->priority);
+	index = aub_placement_choose(placement, ask, now_us, &slots);
+	if (index >= 0 && !ahead) {
+		grant(placement, (guint)index, ask, now_us, decision);
+		return;
+	}
+	if (!slots && (ask->retry || ask->alone)) {
+		refuse(decision, AUB_VERDICT_NO_UPSTREAM, NO_UPSTREAM_MS);
+		return;
+	}
+	/* Refused on arrival, not after a wait that would have been in vain. */
+	if (slots && wait_ms(placement, ahead, slots) > ask->patience_ms) {
+		refuse(decision, AUB_VERDICT_OVERLOAD,
+		       wait_ms(placement, ahead, slots));
+		return;
+	}
+	queue(placement, ask, now_us);
+	decision->verdict = AUB_VERDICT_QUEUED;
+}
+
+static void ask_of(const struct aub_waiting *waiting, struct aub_ask *ask)
+{
+	*ask = (struct aub_ask){
+		.ticket = waiting->ticket,
+		.holder = waiting->holder,
+		.zone = waiting->zone,
+		.priority = waiting->priority,
+		.target_ms = waiting->target_ms,
+		.avoid = (const char *const *)waiting->avoid->pdata,
+		.avoid_count = waiting->avoid->len,
+	};
+}
+
+bool aub_placement_next(struct aub_placement *placement, gint64 now_us,
+			struct aub_decision *decision)
+{
+	for (guint i = 0; i < placement->waiting->len; i++) {
+		struct aub_waiting *waiting =
+			g_ptr_array_index(placement->waiting, i);
+		struct aub_ask ask;
+		guint slots;
+		gint index;
+
+		ask_of(waiting, &ask);
+		*decision = (struct aub_decision){
+			.ticket = ask.ticket,
+			.holder = ask.holder,
+		};
+		index = aub_placement_choose(placement, &ask, now_us, &slots);
+		if (index >= 0)
+			grant(placement, (guint)index, &ask, now_us, decision);
+		else if (waiting->until_us <= now_us)
+			refuse(decision,
+			       slots ? AUB_VERDICT_OVERLOAD :
+				       AUB_VERDICT_NO_UPSTREAM,
+			       slots ? wait_ms(placement, i, slots) :
+				       NO_UPSTREAM_MS);
+		else
+			continue;
+		g_ptr_array_remove_index(placement->waiting, i);
+		return true;
+	}
+	return false;
+}
+
+guint aub_placement_queued(const struct aub_placement *placement)
+{
+	return placement->waiting->len;
+}
+
+static bool waiting_remove(struct aub_placement *placement, guint64 ticket)
+{
+	for (guint i = 0; i < placement->waiting->len; i++) {
+		const struct aub_waiting *waiting =
+			g_ptr_array_index(placement->waiting, i);
+
+		if (waiting->ticket != ticket)
+			continue;
+		g_ptr_array_remove_index(placement->waiting, i);
+		return true;
+	}
+	return false;
+}
+
+static void learn_time(struct aub_placement *placement, struct aub_row *row,
+		       const struct aub_grant *made, gint64 elapsed_us,
+		       gint64 now_us)
+{
+	double share = (double)elapsed_us /
+		       (double)(MAX(made->target_ms, 1) * AUB_PLACE_MS);
+	double held = (double)(now_us - made->since_us);
+
+	if (placement->work <= 0)
+		placement->work = share;
+	placement->work += (share - placement->work) * SMOOTHING;
+	if (placement->held_us <= 0)
+		placement->held_us = held;
+	placement->held_us += (held - placement->held_us) * SMOOTHING;
+	row->slowness +=
+		(share / placement->work - row->slowness) * SLOWNESS_SMOOTHING;
+	row->slowness = CLAMP(row->slowness, 0.5, SLOWNESS_MOST);
+}
+
+/* What an attempt's end says of the upstream. */
+static void learn_end(struct aub_placement *placement, struct aub_row *row,
+		      const struct aub_grant *made,
+		      const struct aub_attempt_report *report, gint64 now_us)
+{
+	switch (report->end) {
+	case AUB_END_OK:
+		row->ok_us = now_us;
+		aub_row_fail(row, 0.0, now_us);
+		learn_time(placement, row, made, report->elapsed_us, now_us);
+		break;
+	case AUB_END_FAILED:
+		aub_row_fail(row, 1.0, now_us);
+		break;
+	case AUB_END_REFUSED:
+		aub_row_fail(row, 0.5, now_us);
+		row->full_until_us = now_us + FULL_US;
+		break;
+	case AUB_END_TIMEOUT:
+		aub_row_fail(row, 1.0, now_us);
+		break;
+	case AUB_END_MISPLACED:
+	case AUB_END_UNREACHABLE:
+	case AUB_END_LOST:
+		aub_row_fail(row, 1.0, now_us);
+		aub_row_down(row, now_us);
+		break;
+	case AUB_END_ABANDONED:
+	case AUB_END_UNUSED:
+		break;
+	}
+	aub_row_observe(row, &report->load, now_us);
+}
+
+void aub_placement_report(struct aub_placement *placement,
+			  const struct aub_attempt_report *report,
+			  gint64 now_us)
+{
+	struct aub_grant *made =
+		g_hash_table_lookup(placement->grants, &report->ticket);
+	struct aub_row *row;
+
+	if (!made) {
+		waiting_remove(placement, report->ticket);
+		return;
+	}
+	row = aub_placement_row(placement, made->row);
+	row->granted--;
+	learn_end(placement, row, made, report, now_us);
+	g_hash_table_remove(placement->grants, &report->ticket);
+}
+
+static bool is_listed(const guint64 *tickets, guint count, guint64 ticket)
+{
+	for (guint i = 0; i < count; i++)
+		if (tickets[i] == ticket)
+			return true;
+	return false;
+}
+
+void aub_placement_held(struct aub_placement *placement, guint64 holder,
+			const guint64 *tickets, guint count, gint64 now_us)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, placement->grants);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct aub_grant *made = value;
+
+		if (made->holder != holder ||
+		    now_us - made->since_us < HELD_GRACE_US ||
+		    is_listed(tickets, count, made->ticket))
+			continue;
+		aub_placement_row(placement, made->row)->granted--;
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+void aub_placement_adopt(struct aub_placement *placement, guint64 holder,
+			 guint64 ticket, const char *upstream, guint target_ms,
+			 gint64 now_us)
+{
+	gint index = aub_placement_find(placement, upstream);
+	struct aub_ask ask = {
+		.ticket = ticket,
+		.holder = holder,
+		.target_ms = target_ms,
+	};
+	struct aub_decision decision;
+
+	if (index < 0 || g_hash_table_contains(placement->grants, &ticket))
+		return;
+	grant(placement, (guint)index, &ask, now_us, &decision);
+}
+
+void aub_placement_forget(struct aub_placement *placement, guint64 holder,
+			  gint64 now_us)
+{
+	guint i = 0;
+
+	while (i < placement->waiting->len) {
+		const struct aub_waiting *waiting =
+			g_ptr_array_index(placement->waiting, i);
+
+		if (waiting->holder == holder)
+			g_ptr_array_remove_index(placement->waiting, i);
+		else
+			i++;
+	}
+	aub_placement_held(placement, holder, NULL, 0, now_us + HELD_GRACE_US);
+}
--- /dev/null
+++ b/src/transport/http_stream.c
@@ -0,0 +1,497 @@
+/*
+ * HTTP streams over http-parser.
+ *
+ * Callbacks may free the stream: `depth` counts the calls under way and the
+ * memory goes when the outermost returns.
+ */
+#include <auburnstile/internal/http_stream.h>
+
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_BYTES (64u << 10) /* a read; bounds what one turn hands on */
+#define EARLY_LIMIT (64u << 10) /* bytes kept of messages not yet due */
+
+struct header_at {
+	guint name; /* offsets into `text` */
+	guint value;
+};
+
+struct aub_http_stream {
+	struct aub_poller *poller;
+	struct aub_poll_watch *watch;
+	int fd;
+	http_parser parser;
+	struct aub_http_callbacks callbacks;
+	void *context;
+	struct aub_http_head head;
+	GString *text; /* target, names and values, each NUL-terminated */
+	GArray *at; /* of struct header_at */
+	guint head_bytes;
+	guint head_limit;
+	bool in_value; /* the parser's last piece was of a value */
+	bool head_done; /* header pieces that follow are trailers: dropped */
+	GByteArray *early; /* read, not parsed */
+	GByteArray *out;
+	gsize out_at; /* bytes of `out` already sent */
+	guint64 sent;
+	guint depth;
+	bool connecting;
+	bool held;
+	bool paused; /* a message is complete and not yet answered */
+	bool midway;
+	bool no_body;
+	bool finishing;
+	bool shut;
+	bool freed;
+	bool over; /* `ended` was called */
+};
+
+const char *aub_http_head_find(const struct aub_http_head *head,
+			       const char *name)
+{
+	for (guint i = 0; i < head->headers->len; i++) {
+		const struct aub_http_header *header =
+			&g_array_index(head->headers, struct aub_http_header,
+				       i);
+
+		if (!g_ascii_strcasecmp(header->name, name))
+			return header->value;
+	}
+	return NULL;
+}
+
+guint aub_http_head_count(const struct aub_http_head *head, const char *name)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < head->headers->len; i++)
+		if (!g_ascii_strcasecmp(g_array_index(head->headers,
+						      struct aub_http_header, i)
+						.name,
+					name))
+			count++;
+	return count;
+}
+
+static int on_begin(http_parser *parser)
+{
+	struct aub_http_stream *stream = parser->data;
+
+	g_string_truncate(stream->text, 0);
+	g_string_append_c(stream->text, '\0'); /* offset 0: no text */
+	g_array_set_size(stream->at, 0);
+	g_array_set_size(stream->head.headers, 0);
+	stream->head_bytes = 0;
+	stream->in_value = true;
+	stream->head_done = false;
+	stream->midway = true;
+	return 0;
+}
+
+static int grow(struct aub_http_stream *stream, gsize length)
+{
+	stream->head_bytes += length;
+	return stream->head_bytes > stream->head_limit ? -1 : 0;
+}
+
+static int on_target(http_parser *parser, const char *data, size_t length)
+{
+	struct aub_http_stream *stream = parser->data;
+
+	g_string_append_len(stream->text, data, (gssize)length);
+	return grow(stream, length);
+}
+
+static int on_name(http_parser *parser, const char *data, size_t length)
+{
+	struct aub_http_stream *stream = parser->data;
+
+	if (stream->head_done)
+		return grow(stream, length);
+	if (stream->in_value) {
+		struct header_at at = { 0 };
+
+		g_string_append_c(stream->text, '\0');
+		at.name = stream->text->len;
+		g_array_append_val(stream->at, at);
+		stream->in_value = false;
+	}
+	g_string_append_len(stream->text, data, (gssize)length);
+	return grow(stream, length + 2);
+}
+
+static int on_value(http_parser *parser, const char *data, size_t length)
+{
+	struct aub_http_stream *stream = parser->data;
+
+	if (stream->head_done)
+		return grow(stream, length);
+	if (!stream->in_value) {
+		g_string_append_c(stream->text, '\0');
+		g_array_index(stream->at, struct header_at, stream->at->len - 1)
+			.value = stream->text->len;
+		stream->in_value = true;
+	}
+	g_string_append_len(stream->text, data, (gssize)length);
+	return grow(stream, length + 2);
+}
+
+static int on_head(http_parser *parser)
+{
+	struct aub_http_stream *stream = parser->data;
+	struct aub_http_head *head = &stream->head;
+
+	stream->head_done = true;
+	g_string_append_c(stream->text, '\0');
+	for (guint i = 0; i < stream->at->len; i++) {
+		struct header_at at =
+			g_array_index(stream->at, struct header_at, i);
+		struct aub_http_header header = {
+			.name = stream->text->str + at.name,
+			.value = stream->text->str + at.value,
+		};
+
+		g_array_append_val(head->headers, header);
+	}
+	head->target = stream->text->str + 1;
+	head->method = parser->method;
+	head->status = parser->status_code;
+	head->chunked = (parser->flags & F_CHUNKED) != 0;
+	head->length = parser->content_length == G_MAXUINT64 ?
+			       -1 :
+			       (gint64)parser->content_length;
+	head->keep_alive = http_should_keep_alive(parser);
+	if (parser->type == HTTP_RESPONSE && head->status < 200)
+		return 0;
+	stream->callbacks.head(head, stream->context);
+	if (stream->freed)
+		return 2;
+	return stream->no_body ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *data, size_t length)
+{
+	struct aub_http_stream *stream = parser->data;
+
+	stream->callbacks.body(data, length, stream->context);
+	return stream->freed ? -1 : 0;
+}
+
+static int on_complete(http_parser *parser)
+{
+	struct aub_http_stream *stream = parser->data;
+
+	if (parser->type == HTTP_RESPONSE && stream->head.status < 200)
+		return 0; /* 100 Continue: the answer proper follows */
+	stream->midway = false;
+	stream->paused = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_begin,
+	.on_url = on_target,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+static void stream_release(struct aub_http_stream *stream)
+{
+	if (stream->depth || !stream->freed)
+		return;
+	g_string_free(stream->text, TRUE);
+	g_array_unref(stream->at);
+	g_array_unref(stream->head.headers);
+	g_byte_array_unref(stream->early);
+	g_byte_array_unref(stream->out);
+	g_free(stream);
+}
+
+static void watch_update(struct aub_http_stream *stream)
+{
+	guint events = 0;
+
+	if (stream->freed || !stream->watch)
+		return;
+	if (!stream->held && !stream->connecting)
+		events |= EPOLLIN;
+	if (stream->connecting || stream->out->len > stream->out_at)
+		events |= EPOLLOUT;
+	aub_poll_watch_set(stream->watch, events);
+}
+
+static void stream_end(struct aub_http_stream *stream, enum aub_stream_end end)
+{
+	if (stream->over || stream->freed)
+		return;
+	stream->over = true;
+	aub_poll_watch_remove(stream->watch);
+	stream->watch = NULL;
+	stream->callbacks.ended(end, stream->midway, stream->context);
+}
+
+/* Parse `length` bytes; returns how many were taken. */
+static gsize stream_parse(struct aub_http_stream *stream, const char *data,
+			  gsize length)
+{
+	gsize taken = http_parser_execute(&stream->parser, &parser_settings,
+					  data, length);
+	enum http_errno error = HTTP_PARSER_ERRNO(&stream->parser);
+
+	if (stream->freed || stream->over)
+		return length;
+	if (stream->paused) {
+		http_parser_pause(&stream->parser, 0);
+		if (taken < length) {
+			g_byte_array_set_size(stream->early, 0);
+			g_byte_array_append(stream->early,
+					    (const guint8 *)data + taken,
+					    (guint)(length - taken));
+		}
+		stream->callbacks.complete(stream->context);
+		return length;
+	}
+	if (error != HPE_OK) {
+		bool large = stream->head_bytes > stream->head_limit ||
+			     error == HPE_HEADER_OVERFLOW;
+
+		stream_end(stream,
+			   large ? AUB_STREAM_TOO_LARGE : AUB_STREAM_GARBAGE);
+	}
+	return length;
+}
+
+static void stream_take(struct aub_http_stream *stream, const char *data,
+			gsize length)
+{
+	if (stream->finishing)
+		return;
+	if (stream->paused) {
+		if (stream->early->len + length > EARLY_LIMIT) {
+			stream_end(stream, AUB_STREAM_GARBAGE);
+			return;
+		}
+		g_byte_array_append(stream->early, (const guint8 *)data,
+				    (guint)length);
+		/* Whoever keeps an idle connection learns of stray bytes. */
+		if (stream->parser.type == HTTP_RESPONSE)
+			stream_end(stream, AUB_STREAM_GARBAGE);
+		return;
+	}
+	stream_parse(stream, data, length);
+}
+
+static void stream_read(struct aub_http_stream *stream)
+{
+	char data[READ_BYTES];
+	ssize_t got = recv(stream->fd, data, sizeof(data), 0);
+
+	if (got > 0) {
+		stream_take(stream, data, (gsize)got);
+		return;
+	}
+	if (got < 0) {
+		if (errno != EAGAIN && errno != EINTR)
+			stream_end(stream, AUB_STREAM_RESET);
+		return;
+	}
+	/* A body without a length ends here; `complete` comes first. */
+	if (stream->midway && !stream->paused && !stream->finishing)
+		stream_parse(stream, NULL, 0);
+	if (!stream->freed)
+		stream_end(stream, AUB_STREAM_EOF);
+}
+
+static void on_connected(struct aub_http_stream *stream)
+{
+	int error = 0;
+	socklen_t length = sizeof(error);
+
+	getsockopt(stream->fd, SOL_SOCKET, SO_ERROR, &error, &length);
+	if (error) {
+		stream_end(stream, AUB_STREAM_REFUSED);
+		return;
+	}
+	stream->connecting = false;
+	if (stream->callbacks.connected)
+		stream->callbacks.connected(stream->context);
+	if (!stream->freed)
+		aub_http_stream_flush(stream);
+}
+
+static void on_ready(void *context, guint events)
+{
+	struct aub_http_stream *stream = context;
+
+	stream->depth++;
+	if (stream->connecting) {
+		on_connected(stream);
+	} else {
+		if (events & EPOLLOUT)
+			aub_http_stream_flush(stream);
+		if (!stream->freed && !stream->over &&
+		    (events & (EPOLLIN | EPOLLERR | EPOLLHUP)))
+			stream_read(stream);
+	}
+	watch_update(stream);
+	stream->depth--;
+	stream_release(stream);
+}
+
+struct aub_http_stream *aub_http_stream_new(
+	struct aub_poller *poller, int fd, enum http_parser_type type,
+	bool connecting, guint head_limit,
+	const struct aub_http_callbacks *callbacks, void *context)
+{
+	struct aub_http_stream *stream = g_new0(struct aub_http_stream, 1);
+
+	stream->poller = poller;
+	stream->fd = fd;
+	stream->connecting = connecting;
+	stream->head_limit = head_limit;
+	stream->callbacks = *callbacks;
+	stream->context = context;
+	stream->text = g_string_new(NULL);
+	stream->at = g_array_new(FALSE, FALSE, sizeof(struct header_at));
+	stream->head.headers =
+		g_array_new(FALSE, FALSE, sizeof(struct aub_http_header));
+	stream->early = g_byte_array_new();
+	stream->out = g_byte_array_new();
+	http_parser_init(&stream->parser, type);
+	stream->parser.data = stream;
+	stream->watch =
+		aub_poller_add(poller, fd, connecting ? EPOLLOUT : EPOLLIN,
+			       on_ready, stream);
+	return stream;
+}
+
+void aub_http_stream_free(struct aub_http_stream *stream)
+{
+	if (!stream || stream->freed)
+		return;
+	stream->freed = true;
+	aub_poll_watch_remove(stream->watch);
+	stream->watch = NULL;
+	close(stream->fd);
+	stream_release(stream);
+}
+
+void aub_http_stream_set_callbacks(struct aub_http_stream *stream,
+				   const struct aub_http_callbacks *callbacks,
+				   void *context)
+{
+	stream->callbacks = *callbacks;
+	stream->context = context;
+}
+
+void aub_http_stream_write(struct aub_http_stream *stream, const void *data,
+			   gsize length)
+{
+	g_byte_array_append(stream->out, data, (guint)length);
+}
+
+gsize aub_http_stream_queued(const struct aub_http_stream *stream)
+{
+	return stream->out->len - stream->out_at;
+}
+
+guint64 aub_http_stream_sent(const struct aub_http_stream *stream)
+{
+	return stream->sent;
+}
+
+static void on_emptied(struct aub_http_stream *stream)
+{
+	g_byte_array_set_size(stream->out, 0);
+	stream->out_at = 0;
+	if (stream->finishing && !stream->shut) {
+		stream->shut = true;
+		shutdown(stream->fd, SHUT_WR);
+	}
+	if (stream->callbacks.drained && !stream->over)
+		stream->callbacks.drained(stream->context);
+}
+
+void aub_http_stream_flush(struct aub_http_stream *stream)
+{
+	gsize length = aub_http_stream_queued(stream);
+	ssize_t put;
+
+	if (stream->freed || stream->connecting || stream->over || !length)
+		return;
+	stream->depth++;
+	put = send(stream->fd, stream->out->data + stream->out_at, length,
+		   MSG_NOSIGNAL);
+	if (put > 0) {
+		stream->sent += (guint64)put;
+		stream->out_at += (gsize)put;
+		if (stream->out_at == stream->out->len)
+			on_emptied(stream);
+	}
+	/* A failed send shows as a reset when the socket is read next. */
+	watch_update(stream);
+	stream->depth--;
+	stream_release(stream);
+}
+
+void aub_http_stream_resume(struct aub_http_stream *stream)
+{
+	GByteArray *early;
+
+	if (!stream->paused || stream->freed)
+		return;
+	stream->paused = false;
+	if (!stream->early->len)
+		return;
+	early = stream->early;
+	stream->early = g_byte_array_new();
+	stream->depth++;
+	stream_parse(stream, (const char *)early->data, early->len);
+	stream->depth--;
+	g_byte_array_unref(early);
+	stream_release(stream);
+}
+
+void aub_http_stream_expect_no_body(struct aub_http_stream *stream, bool none)
+{
+	stream->no_body = none;
+}
+
+void aub_http_stream_hold(struct aub_http_stream *stream, bool hold)
+{
+	if (stream->held == hold)
+		return;
+	stream->held = hold;
+	watch_update(stream);
+}
+
+bool aub_http_stream_has_surplus(const struct aub_http_stream *stream)
+{
+	return stream->early->len > 0;
+}
+
+bool aub_http_stream_midway(const struct aub_http_stream *stream)
+{
+	return stream->midway;
+}
+
+void aub_http_stream_finish(struct aub_http_stream *stream)
+{
+	stream->finishing = true;
+	aub_http_stream_hold(stream, false);
+	if (aub_http_stream_queued(stream)) {
+		aub_http_stream_flush(stream);
+		return;
+	}
+	if (!stream->shut) {
+		stream->shut = true;
+		shutdown(stream->fd, SHUT_WR);
+	}
+}
--- /dev/null
+++ b/src/transport/tcp.c
@@ -0,0 +1,122 @@
+/*
+ * Sockets with the options that all of the project's connections have.
+ */
+#include <auburnstile/error.h>
+#include <auburnstile/internal/problems.h>
+#include <auburnstile/internal/tcp.h>
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BACKLOG 512 /* a full queue costs callers seconds: opening is resent \
+		     */
+
+/*
+ * Failure: a path or a peer's power goes, and a kept connection hangs.
+ * Symptom: requests wait for their whole deadline. Enough: bytes not
+ * acknowledged for this long end the connection; round trips take 20 ms.
+ */
+#define USER_TIMEOUT_MS 2000u
+
+bool aub_socket_address(const char *address, struct sockaddr_in *to)
+{
+	char *host = NULL;
+	guint16 port;
+	bool good;
+
+	if (!aub_address_parse(address, &host, &port))
+		return false;
+	memset(to, 0, sizeof(*to));
+	to->sin_family = AF_INET;
+	to->sin_port = htons(port);
+	good = inet_pton(AF_INET, host, &to->sin_addr) == 1;
+	g_free(host);
+	return good;
+}
+
+static void set_options(int fd)
+{
+	const int on = 1;
+	const unsigned int user_timeout = USER_TIMEOUT_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout,
+		   sizeof(user_timeout));
+}
+
+static int fail(int fd, const char *step, const char *address, GError **error)
+{
+	aub_error_set(error, AUB_ERROR_CLOSED, step, address, "%s",
+		      g_strerror(errno));
+	if (fd >= 0)
+		close(fd);
+	return -1;
+}
+
+static int bound(const char *address, int type, const char *step,
+		 GError **error)
+{
+	const int on = 1;
+	struct sockaddr_in to;
+	int fd;
+
+	if (!aub_socket_address(address, &to)) {
+		aub_error_set(error, AUB_ERROR_INVALID, step, address,
+			      "is no ip:port");
+		return -1;
+	}
+	fd = socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return fail(fd, step, address, error);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&to, sizeof(to)) < 0)
+		return fail(fd, step, address, error);
+	return fd;
+}
+
+int aub_tcp_listen(const char *address, GError **error)
+{
+	int fd = bound(address, SOCK_STREAM, "listen", error);
+
+	if (fd >= 0 && listen(fd, BACKLOG) < 0)
+		return fail(fd, "listen", address, error);
+	return fd;
+}
+
+int aub_udp_bind(const char *address, GError **error)
+{
+	return bound(address, SOCK_DGRAM, "bind", error);
+}
+
+int aub_tcp_connect(const char *address, GError **error)
+{
+	struct sockaddr_in to;
+	int fd;
+
+	if (!aub_socket_address(address, &to)) {
+		aub_error_set(error, AUB_ERROR_INVALID, "connect", address,
+			      "is no ip:port");
+		return -1;
+	}
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return fail(fd, "connect", address, error);
+	set_options(fd);
+	if (connect(fd, (struct sockaddr *)&to, sizeof(to)) < 0 &&
+	    errno != EINPROGRESS)
+		return fail(fd, "connect", address, error);
+	return fd;
+}
+
+int aub_tcp_accept(int listener)
+{
+	int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd >= 0)
+		set_options(fd);
+	return fd;
+}
--- a/tools/packages.sh
+++ b/tools/packages.sh
@@ -5,7 +5,7 @@
 
 packages="gcc g++ clang libclang-rt-14-dev clang-format clang-tidy make git
 pkg-config libglib2.0-dev libsoup-3.0-dev libmsgpack-dev libjson-glib-dev
-libtomlplusplus-dev libgtest-dev librapidcheck-dev"
+libtomlplusplus-dev libhttp-parser-dev libgtest-dev librapidcheck-dev"
 
 missing=
 for package in $packages; do
