Send back a grant that is known here to be void

The placer was cut off from the store and granted an upstream that had left; the asking gateway knew it (its log has the record 40 ms after the store's answer) and sent there all the same. Ruled out: a late watch.

Change: a gateway checks a grant against its own copy of the store, and gateways that hear from the store rank before those that do not.

--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -30,6 +30,7 @@
 	gint64 suspect_until_us; /* did not answer: passed by until then */
 	bool ready;
 	bool stopping;
+	bool current; /* hears from the store */
 	bool alive; /* heard lately */
 	bool self;
 };
@@ -57,8 +58,14 @@
 void aub_peers_add(struct aub_peers *peers, const char *address);
 
 /* What the own beacons say. */
-void aub_peers_set_self(struct aub_peers *peers, bool ready, bool stopping,
-			gint64 config_version);
+struct aub_peer_state {
+	bool ready;
+	bool stopping;
+	bool current; /* this process hears from the store */
+	gint64 config_version;
+};
+void aub_peers_set_self(struct aub_peers *peers,
+			const struct aub_peer_state *state);
 
 /* Every peer, this process first; of struct aub_peer, borrowed. */
 const GPtrArray *aub_peers_all(const struct aub_peers *peers);
@@ -69,7 +76,8 @@
 
 /*
  * The gateways that may place for `service`, most preferred first: alive,
- * ready, by a hash of both names. Borrowed until the generation changes.
+ * ready, those that hear from the store first, by a hash of both names.
+ * Borrowed until the generation changes.
  */
 const GPtrArray *aub_peers_ranked(struct aub_peers *peers, const char *service);
 
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -279,6 +279,7 @@
 	bool ready;
 	bool stopping;
 	guint64 config_version;
+	bool current; /* it hears from the store */
 };
 
 /* See placement.h for what these ask, decide and report. */
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -118,6 +118,10 @@
 #define STOP_RESERVE_MS 500 /* of the grace time, to end connections */
 #define STOP_CHECK_US (50 * AUB_MS)
 
+/* Longer than a watch lasts: a store that is heard of is not older. */
+#define CURRENT_US (3500 * AUB_MS)
+#define CURRENT_CHECK_US (500 * AUB_MS)
+
 /* Callers in a zone that is down to one VM get the others', too. */
 #define OWN_ZONE_LEAST 2
 #define ADDRESSES_MOST 64
@@ -153,10 +157,30 @@
 	return node->version && node->upstreams_known && !node->stopping;
 }
 
+static bool is_current(const struct aub_node *node)
+{
+	gint64 heard = node->store ? aub_store_sync_heard_us(
+					     node->store, AUB_STORE_UPSTREAMS) :
+				     0;
+
+	return heard && aub_timer_now(node->timers) - heard < CURRENT_US;
+}
+
 static void update_self(struct aub_node *node)
 {
-	aub_peers_set_self(node->peers, is_ready(node), node->stopping,
-			   node->version);
+	const struct aub_peer_state state = {
+		.ready = is_ready(node),
+		.stopping = node->stopping,
+		.current = is_current(node),
+		.config_version = node->version,
+	};
+
+	aub_peers_set_self(node->peers, &state);
+}
+
+static void on_current_check(void *context, gint64 now_us)
+{
+	update_self(context);
 }
 
 static void take_routing(struct aub_node *node, struct aub_record *record)
@@ -517,6 +541,8 @@
 	}
 	add_seeds(node, settings);
 	start_store(node, settings);
+	aub_timer_every(node->timers, "current", CURRENT_CHECK_US,
+			on_current_check, node);
 	aub_log_begin(AUB_LOG_STATE, "start");
 	aub_log_text("zone", node->zone);
 	aub_log_number("incarnation",
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -127,13 +127,15 @@
 	if (peer->alive && peer->incarnation != beacon->incarnation)
 		lose(peers, peer, now);
 	differs = !peer->alive || peer->ready != beacon->ready ||
-		  peer->stopping != beacon->stopping;
+		  peer->stopping != beacon->stopping ||
+		  peer->current != beacon->current;
 	aub_string_set(&peer->name, beacon->name);
 	aub_string_set(&peer->zone, beacon->zone);
 	aub_string_set(&peer->callers_address, beacon->callers_address);
 	peer->incarnation = beacon->incarnation;
 	peer->ready = beacon->ready;
 	peer->stopping = beacon->stopping;
+	peer->current = beacon->current;
 	peer->heard_us = now;
 	if (differs) {
 		if (!peer->alive)
@@ -328,17 +330,21 @@
 	}
 }
 
-void aub_peers_set_self(struct aub_peers *peers, bool ready, bool stopping,
-			gint64 config_version)
+void aub_peers_set_self(struct aub_peers *peers,
+			const struct aub_peer_state *state)
 {
 	struct aub_peer *self = aub_peers_self(peers);
-	bool differs = self->ready != ready || self->stopping != stopping;
-
-	self->ready = ready;
-	self->stopping = stopping;
-	peers->beacon->ready = ready;
-	peers->beacon->stopping = stopping;
-	peers->beacon->config_version = (guint64)config_version;
+	bool differs = self->ready != state->ready ||
+		       self->stopping != state->stopping ||
+		       self->current != state->current;
+
+	self->ready = state->ready;
+	self->stopping = state->stopping;
+	self->current = state->current;
+	peers->beacon->ready = state->ready;
+	peers->beacon->stopping = state->stopping;
+	peers->beacon->current = state->current;
+	peers->beacon->config_version = (guint64)state->config_version;
 	if (!differs)
 		return;
 	changed(peers);
@@ -365,10 +371,19 @@
 	struct aub_peer *peer;
 };
 
+/*
+ * Failure: a placer is cut off from the store and grants upstreams that have
+ * left. Symptom: each such grant has to be asked for again. Enough: those
+ * that hear from the store place for the others.
+ */
 static gint by_key(gconstpointer a, gconstpointer b)
 {
-	return strcmp(((const struct ranked_peer *)a)->key,
-		      ((const struct ranked_peer *)b)->key);
+	const struct ranked_peer *left = a;
+	const struct ranked_peer *right = b;
+
+	if (left->peer->current != right->peer->current)
+		return left->peer->current ? -1 : 1;
+	return strcmp(left->key, right->key);
 }
 
 static GPtrArray *rank(const struct aub_peers *peers, const char *service)
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -71,6 +71,9 @@
 }
 
 static void arm(struct aub_placer *placer);
+static void ticket_ask(struct aub_placer *placer, struct aub_ticket *ticket);
+static void send_report(struct aub_placer *placer, struct aub_ticket *ticket,
+			const struct aub_attempt_report *report);
 
 static const char *peer_name(const struct aub_placer *placer,
 			     guint64 incarnation)
@@ -81,6 +84,34 @@
 	return peer ? peer->name : "";
 }
 
+/*
+ * Failure: the placer has not yet heard that an upstream or a zone leaves,
+ * and this process has. Symptom: it gets new requests long after it should.
+ * Enough: a grant that is known here to be void goes back, and the request
+ * asks anew without that upstream.
+ */
+static bool is_void(struct aub_placer *placer, struct aub_ticket *ticket,
+		    const struct aub_decision *decision, guint64 from)
+{
+	const struct aub_attempt_report unused = {
+		.ticket = ticket->id,
+		.end = AUB_END_UNUSED,
+		.load = { -1, -1, -1, -1, -1 },
+	};
+
+	if (decision->verdict != AUB_VERDICT_GRANTED ||
+	    aub_placement_may_send(
+		    aub_placer_placement(placer, ticket->service),
+		    decision->upstream))
+		return false;
+	g_ptr_array_add(ticket->avoid, g_strdup(decision->upstream));
+	ticket->granted_by = from;
+	send_report(placer, ticket, &unused);
+	ticket->granted_by = 0;
+	ticket_ask(placer, ticket);
+	return true;
+}
+
 /* Pass a decision on to the request; the ticket ends unless it was granted. */
 static void settle(struct aub_placer *placer, struct aub_ticket *ticket,
 		   const struct aub_decision *decision, guint64 from)
@@ -97,6 +128,8 @@
 		.waited_us = now - ticket->since_us,
 	};
 
+	if (is_void(placer, ticket, decision, from))
+		return;
 	ticket->placed = NULL;
 	ticket->granted_by = from;
 	if (decision->verdict == AUB_VERDICT_GRANTED)
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -286,6 +286,7 @@
 	FLAG(aub_beacon, ready),
 	FLAG(aub_beacon, stopping),
 	NUMBER(aub_beacon, config_version),
+	FLAG(aub_beacon, current),
 	END,
 };
 
