--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -37,7 +37,8 @@
 	const char *zone;
 	guint priority; /* 0 is the most urgent */
 	guint target_ms; /* within this an answer is on time */
-	guint patience_ms; /* longest wait for a slot that still helps */
+	guint on_time_ms; /* granted within this, it can still be on time */
+	guint patience_ms; /* longest wait for a slot that helps at all */
 	bool retry; /* sent to an upstream before */
 	bool alone; /* asked here for want of a placer */
 	const char *const *avoid; /* upstreams it was sent to */
--- a/include/auburnstile/internal/placement_parts.h
+++ b/include/auburnstile/internal/placement_parts.h
@@ -59,6 +59,7 @@
 	guint priority;
 	guint target_ms;
 	gint64 since_us;
+	gint64 on_time_us; /* granted later it is late for sure */
 	gint64 until_us; /* its patience ends */
 	GPtrArray *avoid; /* of char * */
 };
@@ -90,6 +91,7 @@
 		     gint64 now_us);
 void aub_row_fail(struct aub_row *row, double weight, gint64 now_us);
 void aub_row_down(struct aub_row *row, gint64 now_us);
+guint aub_row_limit(const struct aub_row *row);
 bool aub_row_is_cold(const struct aub_row *row, gint64 now_us);
 
 /*
--- a/include/auburnstile/internal/routing.h
+++ b/include/auburnstile/internal/routing.h
@@ -40,6 +40,7 @@
 	GArray *splits; /* of struct aub_split; one where there is no split */
 	double total_weight;
 	double phase; /* of the split's rotation, 0..1 */
+	gint64 longest_ms; /* most time that a caller was seen to give */
 };
 
 struct aub_limits {
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -291,6 +291,7 @@
 	char *zone;
 	guint32 priority;
 	guint32 target_ms;
+	guint32 on_time_ms;
 	guint32 patience_ms;
 	bool retry;
 	GPtrArray *avoid; /* of struct aub_name */
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -220,25 +220,45 @@
 					     AUB_QUEUE_HIGH);
 }
 
+/*
+ * Callers that come back after a refusal have used up a part of their time:
+ * the most that was ever given on this route tells how much.
+ */
+static gint64 age_us(const struct aub_request *request, gint64 now_us)
+{
+	gint64 left_us = request->deadline_us - now_us;
+
+	return MAX(request->route->longest_ms * AUB_MS - left_us, 0);
+}
+
+static guint on_time_ms(const struct aub_request *request, gint64 now_us)
+{
+	gint64 left_us = (gint64)(PATIENCE_SHARE *
+				  (double)request->route->target_ms) *
+				 AUB_MS -
+			 age_us(request, now_us);
+
+	return (guint)(MAX(left_us, 0) / AUB_MS);
+}
+
 static guint patience_ms(const struct aub_request *request, gint64 now_us)
 {
-	gint64 on_time_us =
-		request->begun_us +
-		(gint64)(PATIENCE_SHARE * request->route->target_ms) * AUB_MS -
-		now_us;
-	gint64 late_us = (gint64)(PATIENCE_LATE_SHARE *
-				  (double)(request->limit_us - now_us));
+	gint64 late_ms = (gint64)(PATIENCE_LATE_SHARE *
+				  (double)(request->limit_us - now_us)) /
+			 AUB_MS;
 
-	return (guint)(MAX(MAX(on_time_us, late_us), 0) / AUB_MS);
+	return MAX(on_time_ms(request, now_us), (guint)MAX(late_ms, 0));
 }
 
 static void ask_upstream(struct aub_request *request, bool hedge)
 {
 	struct aub_gateway *gateway = request->gateway;
+	gint64 now = now_of(request);
 	const struct aub_ask ask = {
 		.priority = request->route->priority,
 		.target_ms = request->route->target_ms,
-		.patience_ms = patience_ms(request, now_of(request)),
+		.on_time_ms = on_time_ms(request, now),
+		.patience_ms = patience_ms(request, now),
 		.retry = request->tried->len > request->unreachable,
 		.avoid = (const char *const *)request->tried->pdata,
 		.avoid_count = request->tried->len,
@@ -504,6 +524,10 @@
 	request->deadline_us = request->limit_us;
 	if (aub_header_is_number(text, &left_ms))
 		request->deadline_us = request->begun_us + left_ms * AUB_MS;
+	request->route->longest_ms = MAX(request->route->longest_ms,
+					 (request->deadline_us -
+					  request->begun_us) /
+						 AUB_MS);
 	request->limit_us = MIN(request->limit_us, request->deadline_us);
 }
 
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -187,6 +187,7 @@
 	aub_string_set(&message->zone, placer->zone);
 	message->priority = ticket->ask.priority;
 	message->target_ms = ticket->ask.target_ms;
+	message->on_time_ms = ticket->ask.on_time_ms;
 	message->patience_ms = ticket->ask.patience_ms;
 	message->retry = ticket->ask.retry;
 	for (guint i = 0; i < ticket->avoid->len; i++)
@@ -468,6 +469,7 @@
 		.zone = message->zone,
 		.priority = message->priority,
 		.target_ms = message->target_ms,
+		.on_time_ms = message->on_time_ms,
 		.patience_ms = message->patience_ms,
 		.retry = message->retry,
 	};
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -297,6 +297,7 @@
 	STRING(aub_place_ask, zone, NAME_LIMIT),
 	NUMBER32(aub_place_ask, priority),
 	NUMBER32(aub_place_ask, target_ms),
+	NUMBER32(aub_place_ask, on_time_ms),
 	NUMBER32(aub_place_ask, patience_ms),
 	FLAG(aub_place_ask, retry),
 	LIST(aub_place_ask, avoid, ATTEMPTS_LIMIT, &aubi_name_layout),
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -15,8 +15,8 @@
 #define WORK_SHARE 0.35 /* of the target that usual work takes */
 
 /*
- * Upstreams slow down when nearly full (about 1.7 times above four fifths of
- * their slots, measured on two kinds of them).
+ * Upstreams slow down when nearly full: not at four fifths of their slots,
+ * 1.7 times when all are taken.
  */
 #define KNEE_AT 0.8
 #define KNEE_FACTOR 1.7
@@ -70,12 +70,38 @@
 	return MAX(row->granted, told);
 }
 
+static double knee(const struct aub_row *row, guint running)
+{
+	double share = (double)running / MAX(row->slots, 1);
+	double past = (share - KNEE_AT) / (1 - KNEE_AT);
+
+	return past <= 0 ? 1.0 : 1.0 + (KNEE_FACTOR - 1) * MIN(past, 1.0);
+}
+
+/*
+ * How many requests at once get the most work done.
+ *
+ * Failure: a burst fills every slot, each upstream slows down, and less is
+ * done than arrives even after the burst. Symptom: every answer is late for
+ * the rest of the day. Enough: the number with the most answers a second is
+ * never passed, so that a backlog drains as fast as it can.
+ */
+guint aub_row_limit(const struct aub_row *row)
+{
+	guint best = 1;
+
+	for (guint n = 2; n <= row->slots; n++)
+		if (n / knee(row, n) > best / knee(row, best))
+			best = n;
+	return best;
+}
+
 static bool has_room(const struct aub_row *row, gint64 now_us)
 {
 	if (aub_row_is_cold(row, now_us))
 		return row->next_cold_us <= now_us &&
 		       row->granted < MAX(1, row->slots / 2);
-	return row_busy(row, now_us) < row->slots;
+	return row_busy(row, now_us) < aub_row_limit(row);
 }
 
 /* How many times as long as usual work takes there now. */
@@ -86,8 +112,7 @@
 	if (row->load_us && row->load.slowdown > 0 &&
 	    now_us - row->load_us < LOAD_FRESH_US)
 		factor *= row->load.slowdown / 100.0;
-	if (row->granted + 1 > KNEE_AT * row->slots)
-		factor *= KNEE_FACTOR;
+	factor *= knee(row, row->granted + 1);
 	if (aub_row_is_cold(row, now_us))
 		factor *= COLD_FACTOR;
 	return factor;
@@ -154,7 +179,7 @@
 
 		if (!is_usable(row, ask, now_us))
 			continue;
-		*usable += row->slots;
+		*usable += aub_row_limit(row);
 		if (!has_room(row, now_us))
 			continue;
 		value = cost(row, ask, stuck[i], now_us);
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -19,6 +19,9 @@
 /* A grant younger than this may not yet be in its holder's list. */
 #define HELD_GRACE_US (400 * AUB_PLACE_MS)
 
+/* Of the time in which it can still be on time: then the newest goes first. */
+#define NEWEST_FIRST_SHARE 0.3
+
 #define SLOWNESS_SMOOTHING 0.2
 #define SLOWNESS_MOST 8.0
 
@@ -75,6 +78,7 @@
 	waiting->priority = ask->priority;
 	waiting->target_ms = ask->target_ms;
 	waiting->since_us = now_us;
+	waiting->on_time_us = now_us + ask->on_time_ms * AUB_PLACE_MS;
 	waiting->until_us = now_us + ask->patience_ms * AUB_PLACE_MS;
 	waiting->avoid = g_ptr_array_new_with_free_func(g_free);
 	for (guint i = 0; i < ask->avoid_count; i++)
@@ -90,16 +94,18 @@
 	g_ptr_array_insert(placement->waiting, (gint)at, waiting);
 }
 
-/* Those at least as urgent stand before it. */
-static guint ahead_of(const struct aub_placement *placement, guint priority)
+/* Those that would be served before it, were it in the queue. */
+static guint ahead_of(const struct aub_placement *placement, guint priority,
+		      bool late, gint64 now_us)
 {
 	guint ahead = 0;
 
 	for (guint i = 0; i < placement->waiting->len; i++) {
 		const struct aub_waiting *waiting =
 			g_ptr_array_index(placement->waiting, i);
+		bool other_late = waiting->on_time_us <= now_us;
 
-		if (waiting->priority <= priority)
+		if (other_late == late ? waiting->priority <= priority : late)
 			ahead++;
 	}
 	return ahead;
@@ -154,7 +160,7 @@
 		refuse(decision, AUB_VERDICT_NO_BUDGET, NO_UPSTREAM_MS);
 		return;
 	}
-	ahead = ahead_of(placement, ask->priority);
+	ahead = ahead_of(placement, ask->priority, !ask->on_time_ms, now_us);
 	index = aub_placement_choose(placement, ask, now_us, &slots);
 	if (index >= 0 && !ahead) {
 		grant(placement, (guint)index, ask, now_us, decision);
@@ -187,38 +193,113 @@
 	};
 }
 
-bool aub_placement_next(struct aub_placement *placement, gint64 now_us,
-			struct aub_decision *decision)
+/*
+ * The order of service. Whoever can still be on time goes first; the most
+ * urgent of these, and of equals the oldest, or the newest once the oldest
+ * has used up a good part of its time.
+ *
+ * Failure: in an overload everybody waits equally long. Symptom: all answers
+ * are late, though most could have been on time. Enough: those served have
+ * hardly waited; the others take what is left over.
+ */
+static gint next_in_line(const struct aub_placement *placement, bool late,
+			 gint64 now_us)
+{
+	const struct aub_waiting *first = NULL;
+	gint oldest = -1;
+	gint newest = -1;
+
+	for (guint i = 0; i < placement->waiting->len; i++) {
+		const struct aub_waiting *waiting =
+			g_ptr_array_index(placement->waiting, i);
+
+		if ((waiting->on_time_us <= now_us) != late)
+			continue;
+		if (first && waiting->priority != first->priority)
+			break;
+		if (!first) {
+			first = waiting;
+			oldest = (gint)i;
+		}
+		newest = (gint)i;
+	}
+	if (!first || late)
+		return oldest;
+	if ((double)(now_us - first->since_us) <
+	    NEWEST_FIRST_SHARE *
+		    (double)(first->on_time_us - first->since_us))
+		return oldest;
+	return newest;
+}
+
+static bool waiting_grant(struct aub_placement *placement, guint i,
+			  gint64 now_us, struct aub_decision *decision)
+{
+	struct aub_waiting *waiting = g_ptr_array_index(placement->waiting, i);
+	struct aub_ask ask;
+	guint slots;
+	gint index;
+
+	ask_of(waiting, &ask);
+	index = aub_placement_choose(placement, &ask, now_us, &slots);
+	if (index < 0)
+		return false;
+	*decision = (struct aub_decision){
+		.ticket = ask.ticket,
+		.holder = ask.holder,
+	};
+	grant(placement, (guint)index, &ask, now_us, decision);
+	g_ptr_array_remove_index(placement->waiting, i);
+	return true;
+}
+
+/* The first whose patience has ended is told to come back. */
+static bool waiting_expire(struct aub_placement *placement, gint64 now_us,
+			   struct aub_decision *decision)
 {
 	for (guint i = 0; i < placement->waiting->len; i++) {
 		struct aub_waiting *waiting =
 			g_ptr_array_index(placement->waiting, i);
 		struct aub_ask ask;
 		guint slots;
-		gint index;
 
+		if (waiting->until_us > now_us)
+			continue;
 		ask_of(waiting, &ask);
 		*decision = (struct aub_decision){
 			.ticket = ask.ticket,
 			.holder = ask.holder,
 		};
-		index = aub_placement_choose(placement, &ask, now_us, &slots);
-		if (index >= 0)
-			grant(placement, (guint)index, &ask, now_us, decision);
-		else if (waiting->until_us <= now_us)
-			refuse(decision,
-			       slots ? AUB_VERDICT_OVERLOAD :
-				       AUB_VERDICT_NO_UPSTREAM,
-			       slots ? wait_ms(placement, i, slots) :
-				       NO_UPSTREAM_MS);
+		(void)aub_placement_choose(placement, &ask, now_us, &slots);
+		if (slots)
+			refuse(decision, AUB_VERDICT_OVERLOAD,
+			       wait_ms(placement, placement->waiting->len,
+				       slots));
 		else
-			continue;
+			refuse(decision, AUB_VERDICT_NO_UPSTREAM,
+			       NO_UPSTREAM_MS);
 		g_ptr_array_remove_index(placement->waiting, i);
 		return true;
 	}
 	return false;
 }
 
+bool aub_placement_next(struct aub_placement *placement, gint64 now_us,
+			struct aub_decision *decision)
+{
+	gint i = next_in_line(placement, false, now_us);
+
+	if (i >= 0 && waiting_grant(placement, (guint)i, now_us, decision))
+		return true;
+	if (i < 0) {
+		i = next_in_line(placement, true, now_us);
+		if (i >= 0 &&
+		    waiting_grant(placement, (guint)i, now_us, decision))
+			return true;
+	}
+	return waiting_expire(placement, now_us, decision);
+}
+
 guint aub_placement_queued(const struct aub_placement *placement)
 {
 	return placement->waiting->len;
