Let one gateway a zone watch the store, and tell the others

Ruled out: fewer watches without a second teller, since one connection may be silent.

Change: beacons carry the store's revision at the last change known; who is behind asks once for what it missed.

--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -8,6 +8,7 @@
 #ifndef AUBURNSTILE_INTERNAL_PEERS_H
 #define AUBURNSTILE_INTERNAL_PEERS_H
 
+#include <auburnstile/internal/platform.h>
 #include <auburnstile/internal/poller.h>
 #include <auburnstile/message.h>
 #include <auburnstile/timer.h>
@@ -45,6 +46,8 @@
 	struct aub_timer_service *timers;
 	/* A message other than a beacon; owned by the callee. */
 	void (*message)(struct aub_message *message, void *context);
+	/* A peer knows of a change of `kind` at `revision`. */
+	void (*news)(enum aub_store_kind kind, gint64 revision, void *context);
 	/* `incarnation` is gone: dead, restarted or silent. */
 	void (*lost)(guint64 incarnation, void *context);
 	void *context;
@@ -63,6 +66,8 @@
 	bool stopping;
 	bool current; /* this process hears from the store */
 	gint64 config_version;
+	/* Revision of the store at the last change known, by kind. */
+	gint64 news[AUB_STORE_KINDS];
 };
 void aub_peers_set_self(struct aub_peers *peers,
 			const struct aub_peer_state *state);
@@ -81,6 +86,12 @@
  */
 const GPtrArray *aub_peers_ranked(struct aub_peers *peers, const char *service);
 
+/*
+ * Is this process the one of its zone that watches the store? The others
+ * learn from its beacons that something has changed.
+ */
+bool aub_peers_self_watches(struct aub_peers *peers);
+
 struct aub_peer *aub_peers_by_incarnation(const struct aub_peers *peers,
 					  guint64 incarnation);
 
--- a/include/auburnstile/internal/store_sync.h
+++ b/include/auburnstile/internal/store_sync.h
@@ -23,6 +23,10 @@
 	 */
 	void (*changed)(enum aub_store_kind kind, struct aub_record *record,
 			void *context);
+	/* All changes of an answer have been told. */
+	void (*told)(void *context);
+	/* Does this process watch, or wait to be told of changes? */
+	bool (*watches)(void *context);
 	/* The first full listing of a kind was read. */
 	void (*listed)(enum aub_store_kind kind, void *context);
 	void *context;
@@ -38,6 +42,17 @@
 /* Take the record back: a planned stop. Told once, not repeated. */
 void aub_store_sync_leave(struct aub_store_sync *sync);
 
+/* Another gateway knows of a change of `kind` at `revision`. */
+void aub_store_sync_news(struct aub_store_sync *sync, enum aub_store_kind kind,
+			 gint64 revision);
+/* Who watches may have changed: begin, if it is this process now. */
+void aub_store_sync_check(struct aub_store_sync *sync);
+/* Revision of the store at the last change that is known here. */
+gint64 aub_store_sync_known(const struct aub_store_sync *sync,
+			    enum aub_store_kind kind);
+/* The last calls of each kind were answered. */
+bool aub_store_sync_is_well(const struct aub_store_sync *sync);
+
 /* When the store last answered about `kind`; 0: never. */
 gint64 aub_store_sync_heard_us(const struct aub_store_sync *sync,
 			       enum aub_store_kind kind);
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -280,6 +280,9 @@
 	bool stopping;
 	guint64 config_version;
 	bool current; /* it hears from the store */
+	guint64 routing_news; /* the store's revision of what it knows */
+	guint64 upstreams_news;
+	guint64 zones_out_news;
 };
 
 /* See placement.h for what these ask, decide and report. */
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -233,10 +233,10 @@
 
 static guint on_time_ms(const struct aub_request *request, gint64 now_us)
 {
-	gint64 left_us = (gint64)(PATIENCE_SHARE *
-				  (double)request->route->target_ms) *
-				 AUB_MS -
-			 age_us(request, now_us);
+	gint64 left_us =
+		(gint64)(PATIENCE_SHARE * (double)request->route->target_ms) *
+			AUB_MS -
+		age_us(request, now_us);
 
 	return (guint)(MAX(left_us, 0) / AUB_MS);
 }
@@ -524,10 +524,9 @@
 	request->deadline_us = request->limit_us;
 	if (aub_header_is_number(text, &left_ms))
 		request->deadline_us = request->begun_us + left_ms * AUB_MS;
-	request->route->longest_ms = MAX(request->route->longest_ms,
-					 (request->deadline_us -
-					  request->begun_us) /
-						 AUB_MS);
+	request->route->longest_ms =
+		MAX(request->route->longest_ms,
+		    (request->deadline_us - request->begun_us) / AUB_MS);
 	request->limit_us = MIN(request->limit_us, request->deadline_us);
 }
 
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -118,8 +118,7 @@
 #define STOP_RESERVE_MS 500 /* of the grace time, to end connections */
 #define STOP_CHECK_US (50 * AUB_MS)
 
-/* Longer than a watch lasts: a store that is heard of is not older. */
-#define CURRENT_US (3500 * AUB_MS)
+/* How late it is noticed that another gateway has to watch the store. */
 #define CURRENT_CHECK_US (500 * AUB_MS)
 
 /* Callers in a zone that is down to one VM get the others', too. */
@@ -159,28 +158,30 @@
 
 static bool is_current(const struct aub_node *node)
 {
-	gint64 heard = node->store ? aub_store_sync_heard_us(
-					     node->store, AUB_STORE_UPSTREAMS) :
-				     0;
-
-	return heard && aub_timer_now(node->timers) - heard < CURRENT_US;
+	return node->store && aub_store_sync_is_well(node->store);
 }
 
 static void update_self(struct aub_node *node)
 {
-	const struct aub_peer_state state = {
+	struct aub_peer_state state = {
 		.ready = is_ready(node),
 		.stopping = node->stopping,
 		.current = is_current(node),
 		.config_version = node->version,
 	};
 
+	for (guint i = 0; node->store && i < AUB_STORE_KINDS; i++)
+		state.news[i] = aub_store_sync_known(node->store,
+						     (enum aub_store_kind)i);
 	aub_peers_set_self(node->peers, &state);
 }
 
 static void on_current_check(void *context, gint64 now_us)
 {
-	update_self(context);
+	struct aub_node *node = context;
+
+	update_self(node);
+	aub_store_sync_check(node->store);
 }
 
 static void take_routing(struct aub_node *node, struct aub_record *record)
@@ -271,6 +272,27 @@
 	}
 }
 
+static bool on_watches(void *context)
+{
+	struct aub_node *node = context;
+
+	return aub_peers_self_watches(node->peers);
+}
+
+static void on_news(enum aub_store_kind kind, gint64 revision, void *context)
+{
+	struct aub_node *node = context;
+
+	if (node->store)
+		aub_store_sync_news(node->store, kind, revision);
+}
+
+/* Beacons go out at once, so that the others learn of the change. */
+static void on_told(void *context)
+{
+	update_self(context);
+}
+
 static void on_listed(enum aub_store_kind kind, void *context)
 {
 	struct aub_node *node = context;
@@ -478,6 +500,7 @@
 		.poller = node->poller,
 		.timers = node->timers,
 		.message = on_peer_message,
+		.news = on_news,
 		.lost = on_peer_lost,
 		.context = node,
 	};
@@ -507,6 +530,8 @@
 		.timers = node->timers,
 		.address = settings->store,
 		.changed = on_changed,
+		.told = on_told,
+		.watches = on_watches,
 		.listed = on_listed,
 		.context = node,
 	};
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -20,6 +20,9 @@
 #define SILENT_EACH 10
 #define FORGET_US (300 * AUB_SECOND) /* long after callers forgot it */
 
+/* Ranked like a service; no service's name holds a space. */
+#define WATCH_ROLE "store watch"
+
 #define DATAGRAM_LIMIT \
 	60000 /* bytes; a list of upstreams takes some 100 each */
 #define DATAGRAMS_A_TURN 64
@@ -108,6 +111,18 @@
 	peers->options.lost(peer->incarnation, peers->options.context);
 }
 
+static void tell_news(struct aub_peers *peers, const struct aub_beacon *beacon)
+{
+	const struct aub_peers_options *options = &peers->options;
+
+	options->news(AUB_STORE_ROUTING, (gint64)beacon->routing_news,
+		      options->context);
+	options->news(AUB_STORE_UPSTREAMS, (gint64)beacon->upstreams_news,
+		      options->context);
+	options->news(AUB_STORE_ZONES_OUT, (gint64)beacon->zones_out_news,
+		      options->context);
+}
+
 static void take_beacon(struct aub_peers *peers,
 			const struct aub_beacon *beacon)
 {
@@ -137,6 +152,7 @@
 	peer->stopping = beacon->stopping;
 	peer->current = beacon->current;
 	peer->heard_us = now;
+	tell_news(peers, beacon);
 	if (differs) {
 		if (!peer->alive)
 			log_peer("peer-heard", peer, 0);
@@ -330,13 +346,25 @@
 	}
 }
 
+static bool news_differ(const struct aub_beacon *beacon,
+			const struct aub_peer_state *state)
+{
+	return beacon->routing_news !=
+		       (guint64)state->news[AUB_STORE_ROUTING] ||
+	       beacon->upstreams_news !=
+		       (guint64)state->news[AUB_STORE_UPSTREAMS] ||
+	       beacon->zones_out_news !=
+		       (guint64)state->news[AUB_STORE_ZONES_OUT];
+}
+
 void aub_peers_set_self(struct aub_peers *peers,
 			const struct aub_peer_state *state)
 {
 	struct aub_peer *self = aub_peers_self(peers);
 	bool differs = self->ready != state->ready ||
 		       self->stopping != state->stopping ||
-		       self->current != state->current;
+		       self->current != state->current ||
+		       news_differ(peers->beacon, state);
 
 	self->ready = state->ready;
 	self->stopping = state->stopping;
@@ -345,6 +373,11 @@
 	peers->beacon->stopping = state->stopping;
 	peers->beacon->current = state->current;
 	peers->beacon->config_version = (guint64)state->config_version;
+	peers->beacon->routing_news = (guint64)state->news[AUB_STORE_ROUTING];
+	peers->beacon->upstreams_news =
+		(guint64)state->news[AUB_STORE_UPSTREAMS];
+	peers->beacon->zones_out_news =
+		(guint64)state->news[AUB_STORE_ZONES_OUT];
 	if (!differs)
 		return;
 	changed(peers);
@@ -428,3 +461,17 @@
 	g_hash_table_insert(peers->ranked, g_strdup(service), list);
 	return list;
 }
+
+bool aub_peers_self_watches(struct aub_peers *peers)
+{
+	const GPtrArray *ranked = aub_peers_ranked(peers, WATCH_ROLE);
+	const struct aub_peer *self = aub_peers_self(peers);
+
+	for (guint i = 0; i < ranked->len; i++) {
+		const struct aub_peer *peer = g_ptr_array_index(ranked, i);
+
+		if (!strcmp(peer->zone, self->zone))
+			return peer->self;
+	}
+	return true; /* nobody of this zone is ready yet */
+}
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -14,8 +14,9 @@
 #define ASK_AGAIN_US (15 * AUB_MS)
 #define ASK_NEXT_US (50 * AUB_MS)
 #define ASK_MOST 2 /* placers asked before placing alone */
-#define SUSPECT_US (1000 * AUB_MS) /* passed by for as long as a death takes \
-				    */
+#define SUSPECT_US                                                \
+	(1000 * AUB_MS) /* passed by for as long as a death takes \
+			 */
 #define QUEUED_SLACK_US (150 * AUB_MS)
 
 #define TICK_US (10 * AUB_MS) /* how late a queue's head may be looked at */
@@ -100,9 +101,9 @@
 	};
 
 	if (decision->verdict != AUB_VERDICT_GRANTED ||
-	    aub_placement_may_send(
-		    aub_placer_placement(placer, ticket->service),
-		    decision->upstream))
+	    aub_placement_may_send(aub_placer_placement(placer,
+							ticket->service),
+				   decision->upstream))
 		return false;
 	g_ptr_array_add(ticket->avoid, g_strdup(decision->upstream));
 	ticket->granted_by = from;
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -14,8 +14,9 @@
  * together they stay below the three seconds after trouble in which this
  * process must be current again.
  */
-#define WATCH_MS 2000
+#define WATCH_MS 3000
 #define WATCH_SLACK_MS 500
+#define FETCH_MS 1 /* what there is, at once */
 #define CALL_MS 1200 /* a slow store takes some 300 ms a call */
 #define RETRY_US (250 * AUB_MS)
 #define RETRY_MOST_US (1000 * AUB_MS)
@@ -28,7 +29,6 @@
  * are back within two seconds of its return; until then the old ones hold.
  */
 #define LAPSE_US (2200 * AUB_MS)
-#define AWAY_US (1500 * AUB_MS) /* silence that makes an absence */
 
 enum step { STEP_LIST, STEP_WATCH };
 
@@ -40,13 +40,15 @@
 	guint timer;
 	gint64 revision;
 	char *after; /* page to go on with */
-	GHashTable *known; /* names present */
+	GHashTable *present; /* names that are there */
 	GHashTable *seen; /* names of the listing under way */
 	GHashTable *gone; /* names said to be gone, held back */
 	guint gone_timer;
 	gint64 heard_us;
 	gint64 back_us; /* when the store was heard again after an absence */
 	gint64 retry_us;
+	gint64 known; /* the store's revision at the last change known here */
+	gint64 news; /* the highest that others told of */
 	bool listed;
 	bool failing;
 };
@@ -95,7 +97,7 @@
 	struct aub_record *record = aub_record_new(name);
 
 	record->removed = true;
-	g_hash_table_remove(task->known, name);
+	g_hash_table_remove(task->present, name);
 	options->changed(task->kind, record, options->context);
 	aub_record_free(record);
 }
@@ -121,7 +123,7 @@
 	struct aub_timer_service *timers = task->sync->options.timers;
 	gint64 until = task->back_us + LAPSE_US;
 
-	if (!g_hash_table_contains(task->known, name))
+	if (!g_hash_table_contains(task->present, name))
 		return;
 	if (task->kind != AUB_STORE_UPSTREAMS || !task->back_us ||
 	    now_us >= until) {
@@ -144,14 +146,14 @@
 		return;
 	}
 	g_hash_table_remove(task->gone, record->name);
-	g_hash_table_add(task->known, g_strdup(record->name));
+	g_hash_table_add(task->present, g_strdup(record->name));
 	options->changed(task->kind, record, options->context);
 }
 
 static void list_ended(struct task *task, gint64 now_us)
 {
 	const struct aub_store_sync_options *options = &task->sync->options;
-	GList *names = g_hash_table_get_keys(task->known);
+	GList *names = g_hash_table_get_keys(task->present);
 	GPtrArray *lost = g_ptr_array_new_with_free_func(g_free);
 
 	for (GList *link = names; link; link = link->next)
@@ -173,8 +175,10 @@
 static void take_listing(struct task *task, const struct aub_store_page *page,
 			 gint64 now_us)
 {
-	if (!task->after)
+	if (!task->after) {
 		task->revision = page->revision;
+		task->known = MAX(task->known, page->revision);
+	}
 	for (guint i = 0; i < page->records->len; i++) {
 		struct aub_record *record = g_ptr_array_index(page->records, i);
 
@@ -200,9 +204,6 @@
 
 static void heard(struct task *task, gint64 now_us)
 {
-	if (task->heard_us &&
-	    now_us - task->heard_us > WATCH_MS * AUB_MS + AWAY_US)
-		task->back_us = now_us;
 	if (task->failing) {
 		task->back_us = now_us;
 		log_store(task, "store-regained", "", now_us - task->heard_us);
@@ -253,8 +254,14 @@
 			take_record(task, g_ptr_array_index(page->records, i),
 				    now);
 		task->revision = MAX(task->revision, page->revision);
-		task_later(task, page->records->len ? PAUSE_US : 0);
+		if (page->records->len || task->news > task->known)
+			task->known = MAX(task->known, page->revision);
+		task_later(task,
+			   page->records->len || task->news > task->known ?
+				   PAUSE_US :
+				   0);
 	}
+	options->told(options->context);
 	aub_store_page_free(page);
 }
 
@@ -286,29 +293,39 @@
 	take_page(task, body, length);
 }
 
+/* Members are read once; from then on beacons tell. */
+static bool may_watch(const struct task *task)
+{
+	const struct aub_store_sync_options *options = &task->sync->options;
+
+	return task->kind != AUB_STORE_MEMBERS &&
+	       options->watches(options->context);
+}
+
 static void task_run(struct task *task)
 {
 	struct aub_store_sync *sync = task->sync;
 	const struct aub_platform *platform = sync->options.platform;
 	bool watch = task->step == STEP_WATCH;
-	char *path = watch ? platform->watch_path(task->kind, task->revision,
-						  WATCH_MS) :
-			     platform->list_path(task->kind, task->after);
-	const struct aub_http_call_options options = {
+	bool fetch = watch && task->news > task->known;
+	guint wait_ms = fetch ? FETCH_MS : WATCH_MS;
+	char *path;
+	struct aub_http_call_options options = {
 		.method = "GET",
 		.address = sync->address,
 		.peer = kind_names[task->kind],
-		.path = path,
-		.timeout_ms = watch ? WATCH_MS + WATCH_SLACK_MS : CALL_MS,
+		.timeout_ms =
+			watch && !fetch ? WATCH_MS + WATCH_SLACK_MS : CALL_MS,
 		/* After a failure a kept connection may be a silent one. */
 		.idle_us = task->failing ? 0 : IDLE_US,
 	};
 
-	/* Members are read once; from then on beacons tell. */
-	if (watch && task->kind == AUB_STORE_MEMBERS) {
-		g_free(path);
+	if (task->call || (watch && !fetch && !may_watch(task)))
 		return;
-	}
+	path = watch ? platform->watch_path(task->kind, task->revision,
+					    wait_ms) :
+		       platform->list_path(task->kind, task->after);
+	options.path = path;
 	sync->calls++;
 	task->call = aub_http_call_new(sync->options.client, &options,
 				       on_answer, task);
@@ -328,8 +345,8 @@
 		task->sync = sync;
 		task->kind = (enum aub_store_kind)i;
 		task->retry_us = RETRY_US;
-		task->known = g_hash_table_new_full(g_str_hash, g_str_equal,
-						    g_free, NULL);
+		task->present = g_hash_table_new_full(g_str_hash, g_str_equal,
+						      g_free, NULL);
 		task->seen = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   g_free, NULL);
 		task->gone = g_hash_table_new_full(g_str_hash, g_str_equal,
@@ -350,7 +367,7 @@
 		aub_http_call_cancel(task->call);
 		aub_timer_cancel(sync->options.timers, task->timer);
 		aub_timer_cancel(sync->options.timers, task->gone_timer);
-		g_hash_table_unref(task->known);
+		g_hash_table_unref(task->present);
 		g_hash_table_unref(task->seen);
 		g_hash_table_unref(task->gone);
 		g_free(task->after);
@@ -450,6 +467,43 @@
 	g_free(path);
 }
 
+void aub_store_sync_news(struct aub_store_sync *sync, enum aub_store_kind kind,
+			 gint64 revision)
+{
+	struct task *task = &sync->tasks[kind];
+
+	if (revision <= task->news)
+		return;
+	task->news = revision;
+	if (revision > task->known && !task->call && !task->timer)
+		task_run(task);
+}
+
+void aub_store_sync_check(struct aub_store_sync *sync)
+{
+	for (guint i = 0; i < AUB_STORE_KINDS; i++) {
+		struct task *task = &sync->tasks[i];
+
+		if (task->kind != AUB_STORE_MEMBERS && !task->call &&
+		    !task->timer)
+			task_run(task);
+	}
+}
+
+gint64 aub_store_sync_known(const struct aub_store_sync *sync,
+			    enum aub_store_kind kind)
+{
+	return sync->tasks[kind].known;
+}
+
+bool aub_store_sync_is_well(const struct aub_store_sync *sync)
+{
+	for (guint i = 0; i < AUB_STORE_KINDS; i++)
+		if (i != AUB_STORE_MEMBERS && sync->tasks[i].failing)
+			return false;
+	return true;
+}
+
 gint64 aub_store_sync_heard_us(const struct aub_store_sync *sync,
 			       enum aub_store_kind kind)
 {
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -12,8 +12,9 @@
  */
 #define SMOOTHING 0.2
 
-#define FAILURE_HALF_LIFE_US (2000 * AUB_PLACE_MS) /* then it is tried again \
-						    */
+#define FAILURE_HALF_LIFE_US                            \
+	(2000 * AUB_PLACE_MS) /* then it is tried again \
+			       */
 
 struct aub_row *aub_placement_row(const struct aub_placement *placement,
 				  guint index)
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -226,8 +226,7 @@
 	if (!first || late)
 		return oldest;
 	if ((double)(now_us - first->since_us) <
-	    NEWEST_FIRST_SHARE *
-		    (double)(first->on_time_us - first->since_us))
+	    NEWEST_FIRST_SHARE * (double)(first->on_time_us - first->since_us))
 		return oldest;
 	return newest;
 }
--- a/src/state/routing.c
+++ b/src/state/routing.c
@@ -6,8 +6,9 @@
 
 #include <string.h>
 
-#define GOLDEN_STEP 0.6180339887498949 /* spreads any number of picks evenly \
-					*/
+#define GOLDEN_STEP                                              \
+	0.6180339887498949 /* spreads any number of picks evenly \
+			    */
 
 struct aub_routing *aub_routing_new(void)
 {
--- a/src/transport/tcp.c
+++ b/src/transport/tcp.c
@@ -12,8 +12,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define BACKLOG 512 /* a full queue costs callers seconds: opening is resent \
-		     */
+#define BACKLOG                                                      \
+	512 /* a full queue costs callers seconds: opening is resent \
+	     */
 
 /*
  * Failure: a path or a peer's power goes, and a kept connection hangs.
