--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -98,6 +98,9 @@
 /* Send one datagram; lost ones are not told. */
 void aub_peers_send(struct aub_peers *peers, const struct aub_peer *to,
 		    const struct aub_message *message);
+/* To all that are alive, or to those of this process's zone. */
+void aub_peers_send_zone(struct aub_peers *peers,
+			 const struct aub_message *message);
 void aub_peers_send_all(struct aub_peers *peers,
 			const struct aub_message *message);
 
--- a/include/auburnstile/internal/store_sync.h
+++ b/include/auburnstile/internal/store_sync.h
@@ -25,6 +25,9 @@
 			void *context);
 	/* All changes of an answer have been told. */
 	void (*told)(void *context);
+	/* The store's answer to a watch, for others who do not watch. */
+	void (*share)(enum aub_store_kind kind, gint64 after, gint64 until,
+		      const char *body, gsize length, void *context);
 	/* Does this process watch, or wait to be told of changes? */
 	bool (*watches)(void *context);
 	/* The first full listing of a kind was read. */
@@ -45,6 +48,13 @@
 /* Another gateway knows of a change of `kind` at `revision`. */
 void aub_store_sync_news(struct aub_store_sync *sync, enum aub_store_kind kind,
 			 gint64 revision);
+/*
+ * What a watching gateway was told: the changes after `after` up to `until`.
+ * Taken if nothing before them is missing here; else the store is asked.
+ */
+void aub_store_sync_take(struct aub_store_sync *sync, enum aub_store_kind kind,
+			 gint64 after, gint64 until, const char *body,
+			 gsize length);
 /* Who watches may have changed: begin, if it is this process now. */
 void aub_store_sync_check(struct aub_store_sync *sync);
 /* Revision of the store at the last change that is known here. */
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -37,6 +37,7 @@
 	AUB_MESSAGE_KEYS_ACK, /* heir -> stopping entry */
 	AUB_MESSAGE_STATES, /* owner -> its stand-by */
 	AUB_MESSAGE_BEACON, /* gateway -> gateway, several times a second */
+	AUB_MESSAGE_STORE_CHANGES, /* gateway that watches -> its zone */
 	AUB_MESSAGE_PLACE_ASK, /* gateway -> a service's placer */
 	AUB_MESSAGE_PLACE_DECISION, /* its answer */
 	AUB_MESSAGE_PLACE_REPORT, /* gateway -> the placer that granted */
@@ -285,6 +286,15 @@
 	guint64 zones_out_news;
 };
 
+/* What the store told of one kind, as it was told; see store_sync.h. */
+struct aub_store_changes {
+	struct aub_message base;
+	guint32 kind;
+	guint64 after; /* the sender knew all changes up to this revision */
+	guint64 until; /* and with these all up to this one */
+	struct aub_bytes body;
+};
+
 /* See placement.h for what these ask, decide and report. */
 struct aub_place_ask {
 	struct aub_message base;
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -302,14 +302,50 @@
 	update_self(node);
 }
 
+#define SHARE_BYTES (48u << 10) /* a datagram's worth; the others ask */
+
+/* To the gateways of the same zone: their copy costs no call of the store. */
+static void on_share(enum aub_store_kind kind, gint64 after, gint64 until,
+		     const char *body, gsize length, void *context)
+{
+	struct aub_node *node = context;
+	struct aub_store_changes *message;
+
+	if (length > SHARE_BYTES || !aub_peers_self_watches(node->peers))
+		return;
+	message = (struct aub_store_changes *)aub_message_new(
+		AUB_MESSAGE_STORE_CHANGES);
+	message->kind = kind;
+	message->after = (guint64)after;
+	message->until = (guint64)until;
+	aub_bytes_set(&message->body, body, length);
+	aub_peers_send_zone(node->peers, &message->base);
+	aub_message_free(&message->base);
+}
+
+static void take_shared(struct aub_node *node,
+			const struct aub_store_changes *message)
+{
+	if (!node->store || message->kind >= AUB_STORE_KINDS)
+		return;
+	aub_store_sync_take(node->store, (enum aub_store_kind)message->kind,
+			    (gint64)message->after, (gint64)message->until,
+			    (const char *)message->body.data,
+			    message->body.length);
+}
+
 static void on_peer_message(struct aub_message *message, void *context)
 {
 	struct aub_node *node = context;
 
-	if (node->placer)
+	if (message->type == AUB_MESSAGE_STORE_CHANGES) {
+		take_shared(node, (struct aub_store_changes *)message);
+		aub_message_free(message);
+	} else if (node->placer) {
 		aub_placer_message(node->placer, message);
-	else
+	} else {
 		aub_message_free(message);
+	}
 }
 
 static void on_peer_lost(guint64 incarnation, void *context)
@@ -531,6 +567,7 @@
 		.address = settings->store,
 		.changed = on_changed,
 		.told = on_told,
+		.share = on_share,
 		.watches = on_watches,
 		.listed = on_listed,
 		.context = node,
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -221,21 +221,33 @@
 	g_bytes_unref(bytes);
 }
 
-void aub_peers_send_all(struct aub_peers *peers,
-			const struct aub_message *message)
+static void send_alive(struct aub_peers *peers, const char *zone,
+		       const struct aub_message *message)
 {
 	GBytes *bytes = aub_message_encode(message, NULL);
 
 	for (guint i = 1; bytes && i < peers->all->len; i++) {
 		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
 
-		if (peer->alive)
+		if (peer->alive && (!zone || !strcmp(zone, peer->zone)))
 			send_to(peers, peer, bytes);
 	}
 	if (bytes)
 		g_bytes_unref(bytes);
 }
 
+void aub_peers_send_zone(struct aub_peers *peers,
+			 const struct aub_message *message)
+{
+	send_alive(peers, aub_peers_self(peers)->zone, message);
+}
+
+void aub_peers_send_all(struct aub_peers *peers,
+			const struct aub_message *message)
+{
+	send_alive(peers, NULL, message);
+}
+
 static void send_beacons(struct aub_peers *peers, gint64 now_us)
 {
 	GBytes *bytes = aub_message_encode(&peers->beacon->base, NULL);
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -20,7 +20,9 @@
 #define CALL_MS 1200 /* a slow store takes some 300 ms a call */
 #define RETRY_US (250 * AUB_MS)
 #define RETRY_MOST_US (1000 * AUB_MS)
-#define PAUSE_US (100 * AUB_MS) /* collects events that come together */
+#define PAUSE_US (250 * AUB_MS) /* collects events that come together */
+/* Who is told of news waits for the changes themselves to come this long. */
+#define SHARE_US (200 * AUB_MS)
 #define IDLE_US (20 * AUB_SECOND)
 
 /*
@@ -231,6 +233,16 @@
 	g_hash_table_remove_all(task->seen);
 }
 
+static void take_changes(struct task *task, const struct aub_store_page *page,
+			 gint64 now_us)
+{
+	for (guint i = 0; i < page->records->len; i++)
+		take_record(task, g_ptr_array_index(page->records, i), now_us);
+	task->revision = MAX(task->revision, page->revision);
+	if (page->records->len || task->news > task->known)
+		task->known = MAX(task->known, page->revision);
+}
+
 static void take_page(struct task *task, const char *body, gsize length)
 {
 	const struct aub_store_sync_options *options = &task->sync->options;
@@ -250,12 +262,10 @@
 		take_listing(task, page, now);
 		task_run(task);
 	} else {
-		for (guint i = 0; i < page->records->len; i++)
-			take_record(task, g_ptr_array_index(page->records, i),
-				    now);
-		task->revision = MAX(task->revision, page->revision);
-		if (page->records->len || task->news > task->known)
-			task->known = MAX(task->known, page->revision);
+		if (page->records->len)
+			options->share(task->kind, task->known, page->revision,
+				       body, length, options->context);
+		take_changes(task, page, now);
 		task_later(task,
 			   page->records->len || task->news > task->known ?
 				   PAUSE_US :
@@ -476,7 +486,26 @@
 		return;
 	task->news = revision;
 	if (revision > task->known && !task->call && !task->timer)
-		task_run(task);
+		task_later(task, SHARE_US);
+}
+
+void aub_store_sync_take(struct aub_store_sync *sync, enum aub_store_kind kind,
+			 gint64 after, gint64 until, const char *body,
+			 gsize length)
+{
+	struct task *task = &sync->tasks[kind];
+	struct aub_store_page *page;
+
+	if (!task->listed || task->step != STEP_WATCH || task->known < after ||
+	    task->known >= until)
+		return;
+	page = sync->options.platform->decode_page(kind, body, length, NULL);
+	if (!page)
+		return;
+	task->news = MAX(task->news, until);
+	take_changes(task, page, aub_timer_now(sync->options.timers));
+	aub_store_page_free(page);
+	sync->options.told(sync->options.context);
 }
 
 void aub_store_sync_check(struct aub_store_sync *sync)
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -293,6 +293,14 @@
 	END,
 };
 
+static const struct aubi_field store_changes_fields[] = {
+	NUMBER32(aub_store_changes, kind),
+	NUMBER(aub_store_changes, after),
+	NUMBER(aub_store_changes, until),
+	BYTES(aub_store_changes, body, OBJECT_LIMIT),
+	END,
+};
+
 static const struct aubi_field place_ask_fields[] = {
 	NUMBER(aub_place_ask, holder),
 	NUMBER(aub_place_ask, ticket),
@@ -364,6 +372,8 @@
 		LAYOUT("keys acknowledgement", aub_keys_ack, keys_ack_fields),
 	[AUB_MESSAGE_STATES] = LAYOUT("states", aub_states, states_fields),
 	[AUB_MESSAGE_BEACON] = LAYOUT("beacon", aub_beacon, beacon_fields),
+	[AUB_MESSAGE_STORE_CHANGES] = LAYOUT("store changes", aub_store_changes,
+					     store_changes_fields),
 	[AUB_MESSAGE_PLACE_ASK] =
 		LAYOUT("place ask", aub_place_ask, place_ask_fields),
 	[AUB_MESSAGE_PLACE_DECISION] =
