--- a/src/state/placement_probe.c
+++ b/src/state/placement_probe.c
@@ -7,7 +7,7 @@
  * Neighbours' bursts last some hundred milliseconds: five probes a second
  * catch most of them, at 0.15% of what the requests are worth.
  */
-#define PROBE_US (200 * AUB_PLACE_MS)
+#define PROBE_US (100 * AUB_PLACE_MS)
 #define PROBE_COLD_US (500 * AUB_PLACE_MS) /* it bears little */
 #define PROBE_DOWN_US (250 * AUB_PLACE_MS)
 #define SILENT_LIMIT 2 /* one lost packet is no death */
