--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -26,6 +26,9 @@
 
 #define FAILURE_COST 2.0 /* a failed attempt costs its time and a retry */
 #define ILL_COST 1.0 /* said to be unwell by itself: a last resort */
+#define PICKY_COST 0.9 /* likely to be late there */
+#define PICKY_SHARE 0.1 /* of the target: so long for a better one */
+
 #define COLD_FACTOR 2.0 /* work at a cold upstream takes twice as long */
 #define STUCK_COST 3.0 /* nothing came back for too long */
 #define STUCK_TARGETS 1.5 /* an answer that is out for longer is stuck */
@@ -96,12 +99,28 @@
 	return best;
 }
 
-static bool has_room(const struct aub_row *row, gint64 now_us)
+/*
+ * Slots of each upstream that only requests that can be on time may take.
+ *
+ * Failure: after a burst the late ones keep every slot busy, and new ones
+ * become late behind them. Symptom: the load is back to usual and answers
+ * are late for minutes. Enough: with a third of the slots kept free of late
+ * ones, new requests are on time, and the late ones drain beside them.
+ */
+static guint reserve(const struct aub_row *row, const struct aub_ask *ask)
+{
+	if (ask->on_time_ms)
+		return 0;
+	return (aub_row_limit(row) + 1) / 3;
+}
+
+static bool has_room(const struct aub_row *row, const struct aub_ask *ask,
+		     gint64 now_us)
 {
 	if (aub_row_is_cold(row, now_us))
 		return row->next_cold_us <= now_us &&
 		       row->granted < MAX(1, row->slots / 2);
-	return row_busy(row, now_us) < aub_row_limit(row);
+	return row_busy(row, now_us) + reserve(row, ask) < aub_row_limit(row);
 }
 
 /* How many times as long as usual work takes there now. */
@@ -160,6 +179,20 @@
 	}
 }
 
+/*
+ * What a request accepts that could still be on time: an upstream in a
+ * neighbour's burst only after a short wait, since one without frees a slot
+ * within some ms. A late one takes what there is.
+ */
+static double cost_limit(const struct aub_ask *ask)
+{
+	double waited = (double)ask->waited_ms / MAX(ask->target_ms, 1);
+
+	if (!ask->on_time_ms || waited > PICKY_SHARE)
+		return INFINITY;
+	return PICKY_COST;
+}
+
 gint aub_placement_choose(struct aub_placement *placement,
 			  const struct aub_ask *ask, gint64 now_us,
 			  guint *usable)
@@ -167,6 +200,7 @@
 	guint count = placement->rows->len;
 	bool *stuck = g_newa0(bool, count + 1);
 	double best_cost = INFINITY;
+	double most = cost_limit(ask);
 	gint best = -1;
 
 	*usable = 0;
@@ -180,10 +214,10 @@
 		if (!is_usable(row, ask, now_us))
 			continue;
 		*usable += aub_row_limit(row);
-		if (!has_room(row, now_us))
+		if (!has_room(row, ask, now_us))
 			continue;
 		value = cost(row, ask, stuck[i], now_us);
-		if (value < best_cost) {
+		if (value < best_cost && value <= most) {
 			best_cost = value;
 			best = (gint)i;
 		}
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -180,14 +180,21 @@
 	decision->verdict = AUB_VERDICT_QUEUED;
 }
 
-static void ask_of(const struct aub_waiting *waiting, struct aub_ask *ask)
+static void ask_of(const struct aub_waiting *waiting, gint64 now_us,
+		   struct aub_ask *ask)
 {
+	gint64 on_time_us = MAX(waiting->on_time_us - now_us, 0);
+
 	*ask = (struct aub_ask){
 		.ticket = waiting->ticket,
 		.holder = waiting->holder,
 		.zone = waiting->zone,
 		.priority = waiting->priority,
 		.target_ms = waiting->target_ms,
+		.on_time_ms =
+			(guint)((on_time_us + AUB_PLACE_MS - 1) / AUB_PLACE_MS),
+		.waited_ms =
+			(guint)((now_us - waiting->since_us) / AUB_PLACE_MS),
 		.avoid = (const char *const *)waiting->avoid->pdata,
 		.avoid_count = waiting->avoid->len,
 	};
@@ -202,13 +209,18 @@
  * are late, though most could have been on time. Enough: those served have
  * hardly waited; the others take what is left over.
  */
-static gint next_in_line(const struct aub_placement *placement, bool late,
-			 gint64 now_us)
+struct line {
+	gint oldest; /* index of the most urgent ones' oldest, or -1 */
+	gint newest;
+	bool stale; /* the oldest has used up a good part of its time */
+};
+
+static void line_find(const struct aub_placement *placement, bool late,
+		      gint64 now_us, struct line *line)
 {
 	const struct aub_waiting *first = NULL;
-	gint oldest = -1;
-	gint newest = -1;
 
+	*line = (struct line){ .oldest = -1, .newest = -1 };
 	for (guint i = 0; i < placement->waiting->len; i++) {
 		const struct aub_waiting *waiting =
 			g_ptr_array_index(placement->waiting, i);
@@ -219,27 +231,28 @@
 			break;
 		if (!first) {
 			first = waiting;
-			oldest = (gint)i;
+			line->oldest = (gint)i;
 		}
-		newest = (gint)i;
+		line->newest = (gint)i;
 	}
-	if (!first || late)
-		return oldest;
-	if ((double)(now_us - first->since_us) <
-	    NEWEST_FIRST_SHARE * (double)(first->on_time_us - first->since_us))
-		return oldest;
-	return newest;
+	if (first)
+		line->stale = (double)(now_us - first->since_us) >
+			      NEWEST_FIRST_SHARE * (double)(first->on_time_us -
+							    first->since_us);
 }
 
-static bool waiting_grant(struct aub_placement *placement, guint i,
+static bool waiting_grant(struct aub_placement *placement, gint i,
 			  gint64 now_us, struct aub_decision *decision)
 {
-	struct aub_waiting *waiting = g_ptr_array_index(placement->waiting, i);
+	struct aub_waiting *waiting;
 	struct aub_ask ask;
 	guint slots;
 	gint index;
 
-	ask_of(waiting, &ask);
+	if (i < 0)
+		return false;
+	waiting = g_ptr_array_index(placement->waiting, (guint)i);
+	ask_of(waiting, now_us, &ask);
 	index = aub_placement_choose(placement, &ask, now_us, &slots);
 	if (index < 0)
 		return false;
@@ -248,7 +261,7 @@
 		.holder = ask.holder,
 	};
 	grant(placement, (guint)index, &ask, now_us, decision);
-	g_ptr_array_remove_index(placement->waiting, i);
+	g_ptr_array_remove_index(placement->waiting, (guint)i);
 	return true;
 }
 
@@ -264,7 +277,7 @@
 
 		if (waiting->until_us > now_us)
 			continue;
-		ask_of(waiting, &ask);
+		ask_of(waiting, now_us, &ask);
 		*decision = (struct aub_decision){
 			.ticket = ask.ticket,
 			.holder = ask.holder,
@@ -286,16 +299,17 @@
 bool aub_placement_next(struct aub_placement *placement, gint64 now_us,
 			struct aub_decision *decision)
 {
-	gint i = next_in_line(placement, false, now_us);
+	struct line line;
 
-	if (i >= 0 && waiting_grant(placement, (guint)i, now_us, decision))
+	line_find(placement, false, now_us, &line);
+	if (line.stale &&
+	    waiting_grant(placement, line.newest, now_us, decision))
+		return true;
+	if (waiting_grant(placement, line.oldest, now_us, decision))
+		return true;
+	line_find(placement, true, now_us, &line);
+	if (waiting_grant(placement, line.oldest, now_us, decision))
 		return true;
-	if (i < 0) {
-		i = next_in_line(placement, true, now_us);
-		if (i >= 0 &&
-		    waiting_grant(placement, (guint)i, now_us, decision))
-			return true;
-	}
 	return waiting_expire(placement, now_us, decision);
 }
 
