--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -27,7 +27,7 @@
 #define FAILURE_COST 2.0 /* a failed attempt costs its time and a retry */
 #define ILL_COST 1.0 /* said to be unwell by itself: a last resort */
 #define PICKY_COST 0.9 /* likely to be late there */
-#define PICKY_SHARE 0.1 /* of the target: so long for a better one */
+#define PICKY_SHARE 0.05 /* of the target: so long for a better one */
 
 #define COLD_FACTOR 2.0 /* work at a cold upstream takes twice as long */
 #define STUCK_COST 3.0 /* nothing came back for too long */
