--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -145,7 +145,7 @@
 			       const char *upstream, enum aub_probe_end end,
 			       const struct aub_load *load, gint64 now_us);
 
-/* What is believed of one upstream, for other entries and for logs. */
+/* What is believed of an upstream that is not just well, for others. */
 struct aub_belief {
 	const char *upstream; /* borrowed */
 	bool down;
@@ -155,6 +155,8 @@
 guint aub_placement_beliefs(const struct aub_placement *placement,
 			    struct aub_belief *list, guint limit,
 			    gint64 now_us);
+/* All are up, but for those that aub_placement_believe() then names. */
+void aub_placement_believe_well(struct aub_placement *placement);
 void aub_placement_believe(struct aub_placement *placement,
 			   const struct aub_belief *belief, gint64 now_us);
 
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -11,11 +11,16 @@
 #include <unistd.h>
 
 /*
- * Four beacons a second to each of 18 peers cost about 0.1% of a core. Three
- * lost in a row are rarer than a dead peer even where 3% of packets go.
+ * Four beacons a second within a zone, one to the others: bytes between zones
+ * are dear, and four a second to all were 6% of a quiet day's worth. Three
+ * lost in a row are rarer than a dead peer even where 3% of packets go. A
+ * placer of another zone that is dead is passed by long before its beacons
+ * are missed.
  */
 #define BEACON_US (250 * AUB_MS)
 #define ALIVE_US (1000 * AUB_MS)
+#define FAR_ROUNDS 4 /* beacons to other zones go out each so many rounds */
+#define FAR_ALIVE_US (3200 * AUB_MS)
 #define SILENT_US (15 * AUB_SECOND) /* then it gets one beacon in ten */
 #define SILENT_EACH 10
 #define FORGET_US (300 * AUB_SECOND) /* long after callers forgot it */
@@ -248,16 +253,31 @@
 	send_alive(peers, NULL, message);
 }
 
-static void send_beacons(struct aub_peers *peers, gint64 now_us)
+static bool is_near(const struct aub_peers *peers, const struct aub_peer *peer)
+{
+	return !strcmp(peer->zone, aub_peers_self(peers)->zone);
+}
+
+static bool is_due(const struct aub_peers *peers, const struct aub_peer *peer,
+		   bool all, gint64 now_us)
+{
+	gint64 last = MAX(peer->heard_us, peer->known_us);
+
+	if (now_us - last >= SILENT_US)
+		return peers->round % SILENT_EACH == 0;
+	return all || !peer->heard_us || is_near(peers, peer) ||
+	       peers->round % FAR_ROUNDS == 0;
+}
+
+/* To those whose turn it is, or to `all` where something has changed. */
+static void send_beacons(struct aub_peers *peers, bool all, gint64 now_us)
 {
 	GBytes *bytes = aub_message_encode(&peers->beacon->base, NULL);
 
 	for (guint i = 1; bytes && i < peers->all->len; i++) {
 		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
-		gint64 last = MAX(peer->heard_us, peer->known_us);
 
-		if (now_us - last < SILENT_US ||
-		    peers->round % SILENT_EACH == 0)
+		if (is_due(peers, peer, all, now_us))
 			send_to(peers, peer, bytes);
 	}
 	if (bytes)
@@ -273,14 +293,16 @@
 	while (i < peers->all->len) {
 		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
 
-		if (peer->alive && now_us - peer->heard_us > ALIVE_US)
+		if (peer->alive &&
+		    now_us - peer->heard_us >
+			    (is_near(peers, peer) ? ALIVE_US : FAR_ALIVE_US))
 			lose(peers, peer, now_us);
 		if (now_us - MAX(peer->heard_us, peer->known_us) > FORGET_US)
 			g_ptr_array_remove_index(peers->all, i);
 		else
 			i++;
 	}
-	send_beacons(peers, now_us);
+	send_beacons(peers, false, now_us);
 }
 
 static void self_add(struct aub_peers *peers)
@@ -393,7 +415,7 @@
 	if (!differs)
 		return;
 	changed(peers);
-	send_beacons(peers, aub_timer_now(peers->options.timers));
+	send_beacons(peers, true, aub_timer_now(peers->options.timers));
 }
 
 const GPtrArray *aub_peers_all(const struct aub_peers *peers)
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -20,7 +20,7 @@
 #define QUEUED_SLACK_US (150 * AUB_MS)
 
 #define TICK_US (10 * AUB_MS) /* how late a queue's head may be looked at */
-#define HELD_US (250 * AUB_MS)
+#define ROUND_US (1000 * AUB_MS) /* what a lost report costs at most */
 
 /* Odd, so that tickets of one incarnation differ for 2^64 requests. */
 #define TICKET_STEP G_GUINT64_CONSTANT(0x9E3779B97F4A7C15)
@@ -686,7 +686,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	placer->probes = g_ptr_array_new();
 	placer->round = aub_timer_every(options->timers, "placer round",
-					HELD_US, aub_placer_on_round, placer);
+					ROUND_US, aub_placer_on_round, placer);
 	return placer;
 }
 
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -6,7 +6,7 @@
 
 #include <string.h>
 
-#define ACTIVE_US (1000 * AUB_MS) /* after the last word that it places */
+#define ACTIVE_US (1500 * AUB_MS) /* after the last word that it places */
 #define PROBE_TICK_US (25 * AUB_MS)
 #define PROBE_MS 400 /* an upstream answers a probe at once */
 #define PROBE_IDLE_US (8 * AUB_SECOND)
--- a/src/coordination/placer_round.c
+++ b/src/coordination/placer_round.c
@@ -1,5 +1,5 @@
 /*
- * What gateways tell each other four times a second: the grants they hold,
+ * What gateways tell each other once a second: the grants they hold,
  * so that lost reports are made good, and what a placer believes, so that
  * another one can take over or do without it.
  */
@@ -83,8 +83,6 @@
 		aub_placement_beliefs(placement, list, BELIEFS_MOST, now_us);
 	struct aub_place_beliefs *message;
 
-	if (!count)
-		return;
 	message = (struct aub_place_beliefs *)aub_message_new(
 		AUB_MESSAGE_PLACE_BELIEFS);
 	aub_string_set(&message->service, service);
@@ -156,6 +154,7 @@
 
 	if (active && active->until_us > now)
 		return;
+	aub_placement_believe_well(placement);
 	for (guint i = 0; i < message->beliefs->len; i++) {
 		const struct aub_place_belief *told =
 			g_ptr_array_index(message->beliefs, i);
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -12,6 +12,8 @@
  */
 #define SMOOTHING 0.2
 
+#define NOTEWORTHY_SLOWNESS 1.5 /* others should avoid it, too */
+
 #define FAILURE_HALF_LIFE_US                            \
 	(2000 * AUB_PLACE_MS) /* then it is tried again \
 			       */
@@ -242,6 +244,13 @@
 	return row->registered && !row->draining && !row->zone_out;
 }
 
+/* Whatever is not told of is up, warm and as fast as the others. */
+static bool is_noteworthy(const struct aub_row *row, gint64 now_us)
+{
+	return row->state != AUB_ROW_UP || aub_row_is_cold(row, now_us) ||
+	       row->slowness > NOTEWORTHY_SLOWNESS;
+}
+
 guint aub_placement_beliefs(const struct aub_placement *placement,
 			    struct aub_belief *list, guint limit, gint64 now_us)
 {
@@ -250,11 +259,11 @@
 	for (guint i = 0; i < placement->rows->len && count < limit; i++) {
 		const struct aub_row *row = aub_placement_row(placement, i);
 
-		if (!row->registered || row->state == AUB_ROW_UNKNOWN)
+		if (!row->registered || !is_noteworthy(row, now_us))
 			continue;
 		list[count++] = (struct aub_belief){
 			.upstream = row->id,
-			.down = row->state == AUB_ROW_DOWN,
+			.down = row->state != AUB_ROW_UP,
 			.cold_ms =
 				aub_row_is_cold(row, now_us) ?
 					(guint)((row->cold_until_us - now_us) /
@@ -266,6 +275,16 @@
 	return count;
 }
 
+void aub_placement_believe_well(struct aub_placement *placement)
+{
+	for (guint i = 0; i < placement->rows->len; i++) {
+		struct aub_row *row = aub_placement_row(placement, i);
+
+		row->state = AUB_ROW_UP;
+		row->slowness = 1.0;
+	}
+}
+
 void aub_placement_believe(struct aub_placement *placement,
 			   const struct aub_belief *belief, gint64 now_us)
 {
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -17,7 +17,7 @@
 #define FULL_US (50 * AUB_PLACE_MS)
 
 /* A grant younger than this may not yet be in its holder's list. */
-#define HELD_GRACE_US (400 * AUB_PLACE_MS)
+#define HELD_GRACE_US (1200 * AUB_PLACE_MS)
 
 /* Of the time in which it can still be on time: then the newest goes first. */
 #define NEWEST_FIRST_SHARE 0.3
