--- a/include/auburnstile/internal/store_sync.h
+++ b/include/auburnstile/internal/store_sync.h
@@ -60,8 +60,8 @@
 /* Revision of the store at the last change that is known here. */
 gint64 aub_store_sync_known(const struct aub_store_sync *sync,
 			    enum aub_store_kind kind);
-/* The last calls of each kind were answered. */
-bool aub_store_sync_is_well(const struct aub_store_sync *sync);
+/* For how long the store has failed to answer about some kind; 0: it does. */
+gint64 aub_store_sync_lost_us(const struct aub_store_sync *sync);
 
 /* When the store last answered about `kind`; 0: never. */
 gint64 aub_store_sync_heard_us(const struct aub_store_sync *sync,
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -118,6 +118,12 @@
 #define STOP_RESERVE_MS 500 /* of the grace time, to end connections */
 #define STOP_CHECK_US (50 * AUB_MS)
 
+/*
+ * A store that is slow or drops its watches is back within seconds. Each
+ * change of a service's placer loses its counts: it waits for that.
+ */
+#define CURRENT_US (4000 * AUB_MS)
+
 /* How late it is noticed that another gateway has to watch the store. */
 #define CURRENT_CHECK_US (500 * AUB_MS)
 
@@ -158,7 +164,7 @@
 
 static bool is_current(const struct aub_node *node)
 {
-	return node->store && aub_store_sync_is_well(node->store);
+	return node->store && aub_store_sync_lost_us(node->store) < CURRENT_US;
 }
 
 static void update_self(struct aub_node *node)
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -53,6 +53,7 @@
 	gint64 news; /* the highest that others told of */
 	bool listed;
 	bool failing;
+	gint64 failing_us; /* since when */
 };
 
 struct aub_store_sync {
@@ -219,8 +220,10 @@
 {
 	gint64 now = aub_timer_now(task->sync->options.timers);
 
-	if (!task->failing)
+	if (!task->failing) {
 		log_store(task, "store-lost", why, now - task->heard_us);
+		task->failing_us = now;
+	}
 	task->failing = true;
 	task_later(task, task->retry_us + g_random_int_range(0, RETRY_US));
 	task->retry_us = MIN(task->retry_us * 2, RETRY_MOST_US);
@@ -525,12 +528,18 @@
 	return sync->tasks[kind].known;
 }
 
-bool aub_store_sync_is_well(const struct aub_store_sync *sync)
+gint64 aub_store_sync_lost_us(const struct aub_store_sync *sync)
 {
-	for (guint i = 0; i < AUB_STORE_KINDS; i++)
-		if (i != AUB_STORE_MEMBERS && sync->tasks[i].failing)
-			return false;
-	return true;
+	gint64 now = aub_timer_now(sync->options.timers);
+	gint64 longest = 0;
+
+	for (guint i = 0; i < AUB_STORE_KINDS; i++) {
+		const struct task *task = &sync->tasks[i];
+
+		if (i != AUB_STORE_MEMBERS && task->failing)
+			longest = MAX(longest, now - task->failing_us);
+	}
+	return longest;
 }
 
 gint64 aub_store_sync_heard_us(const struct aub_store_sync *sync,
