Take nothing new in the second half of a planned stop's grace time

Ruled out: the process ending early by itself.

Also: 60% of the target to find a slot, late ones wait for 15% of what is left, and refused ones come back after 700 ms at least.

--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -17,9 +17,9 @@
 #define RETRY_LEFT_SHARE 0.2 /* of the route's target */
 
 /* Of its target, what a request may wait for a slot and still be on time. */
-#define PATIENCE_SHARE 0.5
+#define PATIENCE_SHARE 0.6
 /* Once that is past, an answer is late anyway and only the limit counts. */
-#define PATIENCE_LATE_SHARE 0.3 /* of the time that is left */
+#define PATIENCE_LATE_SHARE 0.15 /* of the time that is left */
 
 #define NOT_READY_RETRY_MS 1000 /* a start takes about this long */
 
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -115,7 +115,15 @@
  * stops goes on serving until they have asked anew.
  */
 #define KEPT_FACTOR 3
-#define STOP_RESERVE_MS 500 /* of the grace time, to end connections */
+#define STOP_RESERVE_MS 200 /* of the grace time, to end the process */
+
+/*
+ * Failure: a request is taken late in a planned stop, and its upstream needs
+ * longer than the process has left. Symptom: its connection ends without an
+ * answer. Enough: from half of the grace time on nothing new is taken, and
+ * the other half is longer than nearly all work.
+ */
+#define STOP_TAKES_SHARE 0.5
 #define STOP_CHECK_US (50 * AUB_MS)
 
 /*
@@ -659,8 +667,9 @@
 	struct aub_node *node = context;
 	gint64 age_us = now_us - node->stop_us;
 	gint64 last_us = (node->grace_ms - STOP_RESERVE_MS) * AUB_MS;
-	gint64 close_us = MIN(KEPT_FACTOR * node->address_ms * AUB_MS,
-			      last_us - STOP_RESERVE_MS * AUB_MS);
+	gint64 takes_us = (gint64)(STOP_TAKES_SHARE * node->grace_ms) * AUB_MS;
+	gint64 close_us =
+		MIN(KEPT_FACTOR * node->address_ms * AUB_MS, takes_us);
 
 	if (age_us >= close_us)
 		aub_gateway_close(node->gateway);
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -9,7 +9,7 @@
 #define HELD_DEFAULT_US (250 * AUB_PLACE_MS)
 #define SMOOTHING 0.05 /* a mean over some twenty requests */
 
-#define RETRY_AFTER_LEAST_MS 100 /* a slot or two is free by then */
+#define RETRY_AFTER_LEAST_MS 700
 #define RETRY_AFTER_MOST_MS 5000
 #define NO_UPSTREAM_MS 500 /* probes go out five times a second */
 
