Answer a new peer's first beacon at once

Cause: after all processes were killed, a third of the gateways knew each other a second later than the rest, and placers changed meanwhile.

--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -116,6 +116,12 @@
 	peers->options.lost(peer->incarnation, peers->options.context);
 }
 
+/* At once, to one that has just appeared: it would wait a second for it. */
+static void send_beacon(struct aub_peers *peers, const struct aub_peer *to)
+{
+	aub_peers_send(peers, to, &peers->beacon->base);
+}
+
 static void tell_news(struct aub_peers *peers, const struct aub_beacon *beacon)
 {
 	const struct aub_peers_options *options = &peers->options;
@@ -159,8 +165,10 @@
 	peer->heard_us = now;
 	tell_news(peers, beacon);
 	if (differs) {
-		if (!peer->alive)
+		if (!peer->alive) {
 			log_peer("peer-heard", peer, 0);
+			send_beacon(peers, peer);
+		}
 		peer->alive = true;
 		changed(peers);
 	}
@@ -366,18 +374,13 @@
 
 void aub_peers_add(struct aub_peers *peers, const char *address)
 {
-	GBytes *bytes;
 	struct aub_peer *peer;
 
 	if (by_address(peers, address))
 		return;
 	peer = peer_new(address, aub_timer_now(peers->options.timers));
 	g_ptr_array_add(peers->all, peer);
-	bytes = aub_message_encode(&peers->beacon->base, NULL);
-	if (bytes) {
-		send_to(peers, peer, bytes);
-		g_bytes_unref(bytes);
-	}
+	send_beacon(peers, peer);
 }
 
 static bool news_differ(const struct aub_beacon *beacon,
