--- a/include/auburnstile/internal/decision_log.h
+++ b/include/auburnstile/internal/decision_log.h
@@ -30,13 +30,13 @@
  * One line: begin, fields, end. Fields of a line that is dropped cost
  * nothing. `event` is a name of docs/LOGGING.md.
  */
-void aub_log_begin(enum aub_log_class class, const char *event);
+void aub_log_begin(enum aub_log_class kind, const char *event);
 void aub_log_text(const char *field, const char *value);
 void aub_log_number(const char *field, gint64 value);
 void aub_log_end(void);
 
 /* Lines of a class dropped so far. */
-guint64 aub_decision_log_dropped(enum aub_log_class class);
+guint64 aub_decision_log_dropped(enum aub_log_class kind);
 
 G_END_DECLS
 
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -345,7 +345,12 @@
 	struct aub_store_sync *sync = task->sync;
 	const struct aub_platform *platform = sync->options.platform;
 	bool watch = task->step == STEP_WATCH;
-	bool fetch = watch && task->news > task->known;
+	/*
+	 * Failure: a call that waits is read by a store that then falls silent.
+	 * Symptom: it hangs for seconds after the store is back. Enough: while
+	 * the store fails, calls ask for what there is and wait for nothing.
+	 */
+	bool fetch = watch && (task->failing || task->news > task->known);
 	guint wait_ms = fetch ? FETCH_MS : WATCH_MS;
 	char *path;
 	struct aub_http_call_options options = {
--- a/src/core/decision_log.c
+++ b/src/core/decision_log.c
@@ -114,15 +114,15 @@
 	g_string_append_c(out, '"');
 }
 
-void aub_log_begin(enum aub_log_class class, const char *event)
+void aub_log_begin(enum aub_log_class kind, const char *event)
 {
-	gsize limit = class == AUB_LOG_CALM ? CALM_BYTES : ALL_BYTES;
+	gsize limit = kind == AUB_LOG_CALM ? CALM_BYTES : ALL_BYTES;
 
 	g_assert(!decisions.open);
 	decisions.open = true;
 	decisions.skip = !decisions.lines || decisions.lines->len >= limit;
 	if (decisions.skip) {
-		decisions.dropped[class]++;
+		decisions.dropped[kind]++;
 		return;
 	}
 	g_string_append_printf(decisions.lines,
@@ -160,7 +160,7 @@
 				     on_flush, NULL);
 }
 
-guint64 aub_decision_log_dropped(enum aub_log_class class)
+guint64 aub_decision_log_dropped(enum aub_log_class kind)
 {
-	return decisions.dropped[class];
+	return decisions.dropped[kind];
 }
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -137,6 +137,19 @@
 	return false;
 }
 
+/* A probe is under way that may find an upstream for those who wait. */
+static bool is_any_unknown(const struct aub_placement *placement)
+{
+	for (guint i = 0; i < placement->rows->len; i++) {
+		const struct aub_row *row = aub_placement_row(placement, i);
+
+		if (row->registered && !row->draining && !row->zone_out &&
+		    row->state == AUB_ROW_UNKNOWN)
+			return true;
+	}
+	return false;
+}
+
 void aub_placement_ask(struct aub_placement *placement,
 		       const struct aub_ask *ask, gint64 now_us,
 		       struct aub_decision *decision)
@@ -166,7 +179,8 @@
 		grant(placement, (guint)index, ask, now_us, decision);
 		return;
 	}
-	if (!slots && (ask->retry || ask->alone)) {
+	if (!slots &&
+	    (ask->retry || ask->alone || !is_any_unknown(placement))) {
 		refuse(decision, AUB_VERDICT_NO_UPSTREAM, NO_UPSTREAM_MS);
 		return;
 	}
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -269,7 +269,8 @@
 		stream->callbacks.complete(stream->context);
 		return length;
 	}
-	if (error != HPE_OK) {
+	/* An end inside a message is told as such, by `midway`. */
+	if (error != HPE_OK && data) {
 		bool large = stream->head_bytes > stream->head_limit ||
 			     error == HPE_HEADER_OVERFLOW;
 
--- /dev/null
+++ b/tests/test_decision_log.cc
@@ -0,0 +1,117 @@
+/* The decision log: bounded, never blocking, valid JSON. */
+#include <gtest/gtest.h>
+
+#include <auburnstile/internal/decision_log.h>
+#include <auburnstile/internal/json.h>
+
+#include <fcntl.h>
+#include <string>
+#include <unistd.h>
+
+class DecisionLogTest : public ::testing::Test
+{
+      protected:
+	int saved;
+	int pipe_[2];
+
+	void SetUp() override
+	{
+		fflush(stdout);
+		ASSERT_EQ(pipe(pipe_), 0);
+		saved = dup(STDOUT_FILENO);
+		dup2(pipe_[1], STDOUT_FILENO);
+		fcntl(pipe_[0], F_SETFL, O_NONBLOCK);
+		aub_decision_log_start("g1", NULL);
+	}
+	void TearDown() override
+	{
+		aub_decision_log_stop();
+		dup2(saved, STDOUT_FILENO);
+		close(saved);
+		close(pipe_[0]);
+		close(pipe_[1]);
+	}
+	std::string drain()
+	{
+		std::string text;
+		char data[65536];
+		ssize_t got;
+
+		while ((got = read(pipe_[0], data, sizeof(data))) > 0)
+			text.append(data, (size_t)got);
+		return text;
+	}
+	static void line(enum aub_log_class kind, const char *text)
+	{
+		aub_log_begin(kind, "request");
+		aub_log_text("id", text);
+		aub_log_number("ms", 7);
+		aub_log_end();
+	}
+};
+
+TEST_F(DecisionLogTest, WritesOneObjectALine)
+{
+	line(AUB_LOG_CALM, "a\"b\\c\n\xc3\xa9");
+	aub_decision_log_flush();
+	std::string text = drain();
+	ASSERT_FALSE(text.empty());
+	EXPECT_EQ(text.find('\n'), text.size() - 1);
+	JsonObject *object =
+		aub_json_parse(text.data(), text.size(), "t", "t", NULL);
+	ASSERT_NE(object, nullptr) << text;
+	EXPECT_STREQ(aub_json_string(object, "node"), "g1");
+	EXPECT_STREQ(aub_json_string(object, "event"), "request");
+	EXPECT_EQ(aub_json_integer(object, "ms"), 7);
+	json_object_unref(object);
+}
+
+TEST_F(DecisionLogTest, DropsCalmLinesFirstWhenNobodyReads)
+{
+	/*
+	 * Callers never wait for a reader of logs. Standard output is a full
+	 * pipe: lines about successes are dropped first, those about failures
+	 * later, and once there is room again the log says how many.
+	 */
+	std::string long_id(200, 'x');
+
+	for (int i = 0; i < 5000; i++) {
+		line(AUB_LOG_CALM, long_id.c_str());
+		aub_decision_log_flush();
+	}
+	guint64 calm = aub_decision_log_dropped(AUB_LOG_CALM);
+	EXPECT_GT(calm, 3000u);
+	line(AUB_LOG_TROUBLE, "the-failure");
+	EXPECT_EQ(aub_decision_log_dropped(AUB_LOG_TROUBLE), 0u);
+	std::string text;
+	for (int i = 0; i < 20; i++) {
+		text += drain();
+		aub_decision_log_flush();
+	}
+	text += drain();
+	EXPECT_NE(text.find("the-failure"), std::string::npos);
+	EXPECT_NE(text.find("\"event\":\"log-dropped\",\"class\":\"calm\","
+			    "\"lines\":" +
+			    std::to_string(calm)),
+		  std::string::npos);
+}
+
+TEST_F(DecisionLogTest, StaysBoundedWhateverIsLogged)
+{
+	std::string long_id(1000, 'x');
+
+	for (int i = 0; i < 2000; i++)
+		line(AUB_LOG_STATE, long_id.c_str());
+	EXPECT_GT(aub_decision_log_dropped(AUB_LOG_STATE), 1500u);
+}
+
+TEST_F(DecisionLogTest, GoesOnWhenTheReaderIsGone)
+{
+	signal(SIGPIPE, SIG_IGN);
+	close(pipe_[0]);
+	pipe_[0] = open("/dev/null", O_RDONLY);
+	line(AUB_LOG_CALM, "a");
+	aub_decision_log_flush();
+	line(AUB_LOG_CALM, "b");
+	aub_decision_log_flush();
+}
--- /dev/null
+++ b/tests/test_http_stream.cc
@@ -0,0 +1,190 @@
+/* Streams of messages: pieces, framing, ends, back pressure. */
+#include "gateway_rig.h"
+
+#include <auburnstile/internal/http_client.h>
+
+#include <sys/socket.h>
+
+class StreamTest : public ::testing::Test
+{
+      protected:
+	struct aub_poller *poller;
+	struct aub_http_stream *stream = NULL;
+	int peer = -1;
+	std::string log; /* what the callbacks told */
+	std::string body;
+
+	void SetUp() override
+	{
+		poller = aub_poller_new();
+	}
+	void TearDown() override
+	{
+		aub_http_stream_free(stream);
+		if (peer >= 0)
+			close(peer);
+		aub_poller_free(poller);
+	}
+	static void on_head(const struct aub_http_head *head, void *context)
+	{
+		StreamTest *self = (StreamTest *)context;
+		const char *value = aub_http_head_find(head, "x-a");
+
+		self->log += std::string("head ") +
+			     (head->target ? head->target : "") + " " +
+			     std::to_string(head->length) +
+			     (value ? std::string(" ") + value : "") + ";";
+	}
+	static void on_body(const char *data, gsize length, void *context)
+	{
+		((StreamTest *)context)->body.append(data, length);
+	}
+	static void on_complete(void *context)
+	{
+		((StreamTest *)context)->log += "complete;";
+	}
+	static void on_refused(enum aub_stream_end end, void *context)
+	{
+		((StreamTest *)context)->log +=
+			end == AUB_STREAM_TOO_LARGE ? "large;" : "refused;";
+	}
+	static void on_ended(enum aub_stream_end end, bool midway,
+			     void *context)
+	{
+		((StreamTest *)context)->log +=
+			std::string(end == AUB_STREAM_EOF   ? "eof" :
+				    end == AUB_STREAM_RESET ? "reset" :
+							      "other") +
+			(midway ? " midway;" : ";");
+	}
+	void open(enum http_parser_type type)
+	{
+		static const struct aub_http_callbacks callbacks = {
+			.connected = NULL,
+			.head = on_head,
+			.body = on_body,
+			.complete = on_complete,
+			.drained = NULL,
+			.refused = on_refused,
+			.ended = on_ended,
+		};
+		int fds[2];
+
+		ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0,
+				     fds),
+			  0);
+		peer = fds[1];
+		stream = aub_http_stream_new(poller, fds[0], type, false, 200,
+					     &callbacks, this);
+	}
+	void feed(const std::string &text)
+	{
+		ASSERT_EQ(::send(peer, text.data(), text.size(), 0),
+			  (ssize_t)text.size());
+		run_for(3);
+	}
+};
+
+TEST_F(StreamTest, ReadsARequestInAnyPieces)
+{
+	const std::string text = "POST /p?q HTTP/1.1\r\nX-A: one\r\n"
+				 "Content-Length: 5\r\n\r\nhello";
+
+	for (size_t size : { (size_t)1, (size_t)7, text.size() }) {
+		open(HTTP_REQUEST);
+		for (size_t at = 0; at < text.size(); at += size)
+			feed(text.substr(at, size));
+		EXPECT_EQ(log, "head /p?q 5 one;complete;");
+		EXPECT_EQ(body, "hello");
+		log.clear();
+		body.clear();
+		TearDown();
+		peer = -1;
+		stream = NULL;
+		SetUp();
+	}
+}
+
+TEST_F(StreamTest, ParsesTheNextOnlyWhenItIsAskedFor)
+{
+	open(HTTP_REQUEST);
+	feed("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+	EXPECT_EQ(log, "head /1 -1;complete;");
+	aub_http_stream_resume(stream);
+	EXPECT_EQ(log, "head /1 -1;complete;head /2 -1;complete;");
+}
+
+TEST_F(StreamTest, LeavesTrailersOut)
+{
+	open(HTTP_REQUEST);
+	feed("POST /1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\nX-A: one\r\n"
+	     "\r\n3\r\nabc\r\n0\r\nX-A: two\r\n\r\n");
+	EXPECT_EQ(log, "head /1 -1 one;complete;");
+	EXPECT_EQ(body, "abc");
+}
+
+TEST_F(StreamTest, EndsAnAnswerWithoutLengthWithItsConnection)
+{
+	open(HTTP_RESPONSE);
+	feed("HTTP/1.1 200 OK\r\n\r\nabc");
+	EXPECT_EQ(log, "head  -1;");
+	shutdown(peer, SHUT_WR);
+	run_for(5);
+	EXPECT_EQ(log, "head  -1;complete;eof;");
+}
+
+TEST_F(StreamTest, TellsThatAnAnswerEndedEarly)
+{
+	open(HTTP_RESPONSE);
+	feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+	shutdown(peer, SHUT_WR);
+	run_for(5);
+	EXPECT_EQ(log, "head  9;eof midway;");
+}
+
+TEST_F(StreamTest, TakesNoBytesThatNobodyAskedFor)
+{
+	open(HTTP_RESPONSE);
+	feed("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+	feed("HTTP/1.1 200 OK\r\n");
+	EXPECT_EQ(log, "head  1;complete;other;");
+}
+
+TEST_F(StreamTest, RefusesALargeHead)
+{
+	open(HTTP_REQUEST);
+	feed("GET / HTTP/1.1\r\nX-A: " + std::string(300, 'a') + "\r\n\r\n");
+	EXPECT_EQ(log, "large;");
+}
+
+TEST_F(StreamTest, SurvivesAnyBytes)
+{
+	/*
+	 * No input ends the process: random changes to messages are parsed,
+	 * refused or wait for more, under the sanitizers.
+	 */
+	const std::string messages[] = {
+		"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello",
+		"POST /p HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"5\r\nhello\r\n0\r\nA: b\r\n\r\n",
+		"GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+	};
+	GRand *random = g_rand_new_with_seed(11);
+
+	for (int i = 0; i < 300; i++) {
+		std::string text = messages[i % 3] + messages[(i + 1) % 3];
+
+		for (int k = 0; k < 3; k++)
+			text[(size_t)g_rand_int_range(random, 0,
+						      (gint)text.size())] =
+				(char)g_rand_int_range(random, 0, 256);
+		open(HTTP_REQUEST);
+		::send(peer, text.data(), text.size(), 0);
+		run_for(1);
+		TearDown();
+		peer = -1;
+		stream = NULL;
+		SetUp();
+	}
+	g_rand_free(random);
+}
--- /dev/null
+++ b/tests/test_platform_codec.cc
@@ -0,0 +1,252 @@
+/* The platform's objects and headers as the project's types. */
+#include <gtest/gtest.h>
+
+#include <auburnstile/internal/platform.h>
+
+#include <string>
+
+static struct aub_store_page *decode(enum aub_store_kind kind,
+				     const std::string &text)
+{
+	return aub_platform.decode_page(kind, text.data(), text.size(), NULL);
+}
+
+static std::string item(const std::string &name, const std::string &spec)
+{
+	return "{\"metadata\":{\"name\":\"" + name +
+	       "\",\"revision\":5,\"created\":1,\"finalizers\":[],"
+	       "\"deleting\":false},\"spec\":" +
+	       spec + ",\"status\":null}";
+}
+
+static std::string list(const std::string &items)
+{
+	return "{\"items\":[" + items + "],\"more\":true,\"store_revision\":9}";
+}
+
+static const struct aub_record *record_at(const struct aub_store_page *page,
+					  guint i)
+{
+	return (const struct aub_record *)g_ptr_array_index(page->records, i);
+}
+
+static const char good_entry[] =
+	"{\"address\":\"10.0.0.9:80\",\"details\":{\"service\":\"s\",\"version\""
+	":\"v1\",\"zone\":\"z\",\"slots\":2},\"status\":{\"state\":\"ready\","
+	"\"sequence\":4,\"warmup_left_ms\":1200},\"born\":99}";
+
+TEST(Codec, ReadsAnUpstreamsEntry)
+{
+	struct aub_store_page *page =
+		decode(AUB_STORE_UPSTREAMS, list(item("u1", good_entry)));
+
+	ASSERT_NE(page, nullptr);
+	EXPECT_EQ(page->revision, 9);
+	EXPECT_TRUE(page->more);
+	EXPECT_STREQ(page->last, "u1");
+	ASSERT_EQ(page->records->len, 1u);
+	const struct aub_upstream_record *upstream =
+		record_at(page, 0)->upstream;
+	ASSERT_NE(upstream, nullptr);
+	EXPECT_STREQ(upstream->service, "s");
+	EXPECT_STREQ(upstream->address, "10.0.0.9:80");
+	EXPECT_STREQ(upstream->zone, "z");
+	EXPECT_EQ(upstream->slots, 2u);
+	EXPECT_EQ(upstream->warmup_left_ms, 1200u);
+	EXPECT_EQ(upstream->born_ms, 99);
+	EXPECT_FALSE(upstream->draining);
+	aub_store_page_free(page);
+}
+
+TEST(Codec, NamesWhatIsWrongWithAnEntryAndKeepsTheOthers)
+{
+	const char *const bad[] = {
+		"7",
+		"[]",
+		"{}",
+		"{\"address\":\"nowhere\"}",
+		"{\"address\":\"10.0.0.9:80\",\"details\":[],\"status\":{}}",
+		"{\"address\":\"10.0.0.9:80\",\"details\":{\"service\":5},"
+		"\"status\":{}}",
+		"{\"address\":\"10.0.0.9:80\",\"details\":{\"service\":\"s\","
+		"\"zone\":\"z\",\"slots\":2.5},\"status\":{\"state\":"
+		"\"ready\"}}",
+		"{\"address\":\"10.0.0.9:80\",\"details\":{\"service\":\"s\","
+		"\"zone\":\"z\",\"slots\":-1},\"status\":{\"state\":\"ready\"}"
+		"}",
+		"{\"address\":\"10.0.0.9:80\",\"details\":{\"service\":\"s\","
+		"\"zone\":\"z\",\"slots\":2},\"status\":{\"state\":\"odd\"}}",
+	};
+
+	for (const char *spec : bad) {
+		struct aub_store_page *page =
+			decode(AUB_STORE_UPSTREAMS,
+			       list(item("bad", spec) + "," +
+				    item("u1", good_entry)));
+
+		ASSERT_NE(page, nullptr) << spec;
+		ASSERT_EQ(page->records->len, 2u);
+		EXPECT_EQ(record_at(page, 0)->upstream, nullptr) << spec;
+		EXPECT_NE(record_at(page, 0)->problem, nullptr) << spec;
+		EXPECT_NE(record_at(page, 1)->upstream, nullptr);
+		aub_store_page_free(page);
+	}
+}
+
+TEST(Codec, ReadsEvents)
+{
+	struct aub_store_page *page =
+		decode(AUB_STORE_UPSTREAMS,
+		       "{\"events\":[{\"removed\":true,\"object\":" +
+			       item("u1", "null") +
+			       "},{\"removed\":false,\"object\":" +
+			       item("u2", good_entry) +
+			       "}],\"store_revision\":12}");
+
+	ASSERT_NE(page, nullptr);
+	EXPECT_TRUE(record_at(page, 0)->removed);
+	EXPECT_FALSE(record_at(page, 1)->removed);
+	EXPECT_EQ(page->revision, 12);
+	aub_store_page_free(page);
+}
+
+TEST(Codec, RefusesWhatIsNoAnswerOfTheStore)
+{
+	for (const char *text :
+	     { "", "[]", "{}", "{\"items\":[]}", "{\"items\":7}",
+	       "{\"items\":[],\"store_revision\":\"x\"}", "{\"items\":[" }) {
+		GError *error = NULL;
+
+		EXPECT_EQ(aub_platform.decode_page(AUB_STORE_UPSTREAMS, text,
+						   strlen(text), &error),
+			  nullptr)
+			<< text;
+		EXPECT_NE(error, nullptr);
+		g_clear_error(&error);
+	}
+}
+
+static std::string config(const std::string &route,
+			  const std::string &limits = "16384")
+{
+	return "{\"version\":7,\"routes\":{\"columns\":[\"name\",\"host\","
+	       "\"path_prefix\",\"kind\",\"timeout_ms\",\"target_latency_ms\","
+	       "\"priority\",\"traffic_split\",\"max_attempts\",\"service\"],"
+	       "\"rows\":[" +
+	       route +
+	       "]},\"services\":{\"columns\":[\"name\",\"health_path\","
+	       "\"max_conns\",\"protocol\",\"tls\",\"warmup_s\","
+	       "\"warmup_per_s\"],\"rows\":[[\"a\",\"/h\",220,\"h1\",false,3.0,"
+	       "2.1],[\"b\",\"/h\",220,\"h1\",false,3.0,2.1]]},\"limits\":{"
+	       "\"max_header_bytes\":" +
+	       limits +
+	       ",\"max_body_bytes\":67108864,\"header_timeout_ms\":3000,"
+	       "\"idle_timeout_ms\":15000}}";
+}
+
+TEST(Codec, ReadsAConfiguration)
+{
+	struct aub_store_page *page = decode(
+		AUB_STORE_ROUTING,
+		list(item("main",
+			  config("[\"r\",\"H.example\",\"/x/\",\"safe\",2000,"
+				 "600,2,[{\"service\":\"a\",\"weight\":90},{"
+				 "\"service\":\"b\",\"weight\":10}],2,null],"
+				 "[\"q\",\"h.example\",\"/y/\",\"unsafe\","
+				 "2500.0,800,1,null,3,\"b\"]"))));
+
+	ASSERT_NE(page, nullptr);
+	const struct aub_routing *routing = record_at(page, 0)->routing;
+	ASSERT_NE(routing, nullptr) << record_at(page, 0)->problem;
+	EXPECT_EQ(routing->version, 7);
+	EXPECT_EQ(routing->limits.body_bytes, 67108864u);
+	const struct aub_route *route =
+		aub_routing_find(routing, "h.example", "/x/1");
+	ASSERT_NE(route, nullptr);
+	EXPECT_TRUE(route->idempotent);
+	EXPECT_EQ(route->timeout_ms, 2000u);
+	EXPECT_EQ(route->splits->len, 2u);
+	route = aub_routing_find(routing, "h.example", "/y/1");
+	EXPECT_FALSE(route->idempotent);
+	EXPECT_EQ(route->timeout_ms, 2500u);
+	EXPECT_EQ(route->max_attempts, 3u);
+	aub_store_page_free(page);
+}
+
+TEST(Codec, NamesTheFieldOfAConfigurationThatIsWrong)
+{
+	const struct {
+		const char *route;
+		const char *limits;
+		const char *named;
+	} bad[] = {
+		{ "[\"r\",\"h\",\"/x/\",\"safe\",-1,600,2,null,2,\"a\"]",
+		  "16384", "routes[0].timeout_ms" },
+		{ "[\"r\",\"h\",\"/x/\",\"safe\",\"1\",600,2,null,2,\"a\"]",
+		  "16384", "routes[0].timeout_ms" },
+		{ "[\"r\",\"h\",\"/x/\",7,10,600,2,null,2,\"a\"]", "16384",
+		  "routes[0].kind" },
+		{ "[\"r\",\"h\",\"/x/\",\"safe\",10,600,2,null,2,null]",
+		  "16384", "routes[0].service" },
+		{ "[\"r\",\"h\",\"/x/\",\"safe\",10,600,2,[{\"weight\":1}],2,"
+		  "null]",
+		  "16384", "routes[0].traffic_split" },
+		{ "[\"r\",\"h\",\"/x/\",\"safe\",10,600,2,null,2,\"none\"]",
+		  "16384", "none" },
+		{ "[\"r\",\"h\",\"x\",\"safe\",10,600,2,null,2,\"a\"]", "16384",
+		  "slash" },
+		{ "[\"r\"]", "16384", "routes[0]" },
+		{ "7", "16384", "routes[0]" },
+		{ "[\"r\",\"h\",\"/x/\",\"safe\",10,600,2,null,2,\"a\"]", "0",
+		  "max_header_bytes" },
+	};
+
+	for (const auto &one : bad) {
+		struct aub_store_page *page =
+			decode(AUB_STORE_ROUTING,
+			       list(item("main",
+					 config(one.route, one.limits))));
+
+		ASSERT_NE(page, nullptr);
+		EXPECT_EQ(record_at(page, 0)->routing, nullptr) << one.route;
+		ASSERT_NE(record_at(page, 0)->problem, nullptr);
+		EXPECT_NE(strstr(record_at(page, 0)->problem, one.named),
+			  nullptr)
+			<< record_at(page, 0)->problem;
+		aub_store_page_free(page);
+	}
+}
+
+static struct aub_load load_of(const char *value, const char *warmup = NULL)
+{
+	struct aub_http_head head = {};
+	struct aub_http_header header = { "instance-load", value };
+	struct aub_load load;
+
+	head.headers =
+		g_array_new(FALSE, FALSE, sizeof(struct aub_http_header));
+	g_array_append_val(head.headers, header);
+	if (warmup) {
+		header = { "Warmup-Remaining-Ms", warmup };
+		g_array_append_val(head.headers, header);
+	}
+	aub_platform.decode_load(&head, &load);
+	g_array_unref(head.headers);
+	return load;
+}
+
+TEST(Codec, ReadsTheLoadThatAnAnswerTells)
+{
+	struct aub_load load = load_of("3, 0,8,250", "1500");
+
+	EXPECT_EQ(load.running, 3);
+	EXPECT_EQ(load.waiting, 0);
+	EXPECT_EQ(load.slots, 8);
+	EXPECT_EQ(load.slowdown, 250);
+	EXPECT_EQ(load.warmup_ms, 1500);
+	EXPECT_EQ(load_of("3,0,8").slowdown, -1);
+	EXPECT_EQ(load_of("3,0,8").slots, 8);
+	for (const char *bad : { "", "3,0", "a,b,c", "-1,0,8", "3,,8" })
+		EXPECT_EQ(load_of(bad).slots, -1) << bad;
+	EXPECT_EQ(load_of("1,1,1", "soon").warmup_ms, -1);
+}
