--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -675,7 +675,7 @@
 	gint64 last_us = (node->grace_ms - STOP_RESERVE_MS) * AUB_MS;
 	gint64 takes_us = (gint64)(STOP_TAKES_SHARE * node->grace_ms) * AUB_MS;
 	gint64 close_us =
-		MIN(KEPT_FACTOR * node->address_ms * AUB_MS, takes_us);
+		MIN(node->address_ms * AUB_MS * KEPT_FACTOR, takes_us);
 
 	if (age_us >= close_us)
 		aub_gateway_close(node->gateway);
--- a/tools/platform/store.c
+++ b/tools/platform/store.c
@@ -561,8 +561,7 @@
 {
 	if (!store)
 		return;
-	while (store->connections->len)
-		connection_free(g_ptr_array_index(store->connections, 0));
+	cut_connections(store, false);
 	aub_poll_watch_remove(store->watch);
 	close(store->listener);
 	g_ptr_array_unref(store->connections);
@@ -577,16 +576,24 @@
 	return store->address;
 }
 
+/* Freeing one moves the last into its place, so the list is walked back. */
+static void cut_connections(struct platform_store *store, bool only_watches)
+{
+	for (guint i = store->connections->len; i > 0; i--) {
+		struct connection *connection =
+			g_ptr_array_index(store->connections, i - 1);
+
+		if (connection->watching || !only_watches)
+			connection_free(connection);
+	}
+}
+
 void platform_store_set_fault(struct platform_store *store,
 			      enum platform_store_fault fault)
 {
-	guint i = 0;
-
 	store->fault = fault;
-	if (fault != PLATFORM_STORE_RESET)
-		return;
-	while (i < store->connections->len)
-		connection_free(g_ptr_array_index(store->connections, i));
+	if (fault == PLATFORM_STORE_RESET)
+		cut_connections(store, false);
 }
 
 void platform_store_set_delay(struct platform_store *store, guint ms)
@@ -596,20 +603,10 @@
 
 void platform_store_forget_history(struct platform_store *store)
 {
-	guint i = 0;
-
 	g_ptr_array_set_size(store->changes, 0);
 	store->forgotten = store->revision + 1;
 	store->revision++;
-	while (i < store->connections->len) {
-		struct connection *connection =
-			g_ptr_array_index(store->connections, i);
-
-		if (connection->watching)
-			connection_free(connection);
-		else
-			i++;
-	}
+	cut_connections(store, true);
 }
 
 void platform_store_set_page(struct platform_store *store, guint objects)
--- a/tools/platform/upstream.c
+++ b/tools/platform/upstream.c
@@ -348,8 +348,10 @@
 
 static void close_all(struct platform_upstream *upstream)
 {
-	while (upstream->connections->len)
-		connection_free(g_ptr_array_index(upstream->connections, 0));
+	/* Freeing one moves the last into its place: walk back. */
+	for (guint i = upstream->connections->len; i > 0; i--)
+		connection_free(
+			g_ptr_array_index(upstream->connections, i - 1));
 	if (upstream->listener < 0)
 		return;
 	aub_poll_watch_remove(upstream->watch);
