Let many gateways start without a storm; let old listings do

Ruled out: the steady state, which has few calls.

Change: a fresh gateway waits 250 ms for first beacons; a seed introduces; listings may be old and are checked by one call; far beacons are rarer the more gateways there are.

--- a/include/auburnstile/internal/placer.h
+++ b/include/auburnstile/internal/placer.h
@@ -48,9 +48,6 @@
 			 const struct aub_upstream_record *record);
 void aub_placer_zone_out(struct aub_placer *placer, const char *zone, bool out);
 
-/* Begin at once to probe what this gateway places for. */
-void aub_placer_round(struct aub_placer *placer);
-
 void aub_placer_set_limits(struct aub_placer *placer,
 			   const struct aub_placement_limits *limits);
 
--- a/include/auburnstile/internal/placer_parts.h
+++ b/include/auburnstile/internal/placer_parts.h
@@ -44,7 +44,9 @@
 	GHashTable *held_told; /* services whose holders were told of grants */
 	GPtrArray *probes; /* of struct probe, under way */
 	guint64 serial;
+	gint64 settled_us; /* from then on it has heard the others */
 	guint tick;
+	guint first_round;
 	guint round;
 	guint probe_timer;
 	struct aub_placer_counts counts;
@@ -53,6 +55,9 @@
 struct aub_placement *aub_placer_placement(struct aub_placer *placer,
 					   const char *service);
 
+/* Has this process had the time to hear the other gateways? */
+bool aub_placer_is_settled(const struct aub_placer *placer);
+
 /* Decide on what is queued in `placement`, as far as there is room. */
 void aub_placer_drain(struct aub_placer *placer,
 		      struct aub_placement *placement);
--- a/include/auburnstile/internal/platform.h
+++ b/include/auburnstile/internal/platform.h
@@ -71,7 +71,8 @@
 	const char *upstream_id;
 
 	/* Paths of calls to the store; g_free. `after` may be NULL. */
-	char *(*list_path)(enum aub_store_kind kind, const char *after);
+	char *(*list_path)(enum aub_store_kind kind, const char *after,
+			   bool may_be_old);
 	char *(*watch_path)(enum aub_store_kind kind, gint64 revision,
 			    guint wait_ms);
 	char *(*create_path)(enum aub_store_kind kind);
--- a/include/auburnstile/internal/store_sync.h
+++ b/include/auburnstile/internal/store_sync.h
@@ -42,6 +42,8 @@
 /* Record this gateway for the others to find; repeated until it is there. */
 void aub_store_sync_enrol(struct aub_store_sync *sync, const char *name,
 			  const struct aub_member_record *member);
+/* Ask the store where other gateways are, now. */
+void aub_store_sync_list_members(struct aub_store_sync *sync);
 /* Take the record back: a planned stop. Told once, not repeated. */
 void aub_store_sync_leave(struct aub_store_sync *sync);
 
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -37,6 +37,7 @@
 	AUB_MESSAGE_KEYS_ACK, /* heir -> stopping entry */
 	AUB_MESSAGE_STATES, /* owner -> its stand-by */
 	AUB_MESSAGE_BEACON, /* gateway -> gateway, several times a second */
+	AUB_MESSAGE_INTRODUCTION, /* gateway -> gateway that has appeared */
 	AUB_MESSAGE_STORE_CHANGES, /* gateway that watches -> its zone */
 	AUB_MESSAGE_PLACE_ASK, /* gateway -> a service's placer */
 	AUB_MESSAGE_PLACE_DECISION, /* its answer */
@@ -280,6 +281,7 @@
 	bool ready;
 	bool stopping;
 	guint64 config_version;
+	guint32 peers; /* others that it hears */
 	bool current; /* it has not been without the store for long */
 	bool hears; /* the store answers it at this moment */
 	guint64 routing_news; /* the store's revision of what it knows */
@@ -287,6 +289,12 @@
 	guint64 zones_out_news;
 };
 
+/* Where the other gateways are. */
+struct aub_introduction {
+	struct aub_message base;
+	GPtrArray *addresses; /* of struct aub_name */
+};
+
 /* What the store told of one kind, as it was told; see store_sync.h. */
 struct aub_store_changes {
 	struct aub_message base;
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -137,8 +137,15 @@
 
 /* Callers in a zone that is down to one VM get the others', too. */
 #define OWN_ZONE_LEAST 2
+#define LONELY_US (300 * AUB_MS) /* a seed answers within some ms */
+#define ENROL_US (1000 * AUB_MS) /* by then the others are known */
+#define RECORDS 24 /* gateways that stand in the store, about */
+
 #define ADDRESSES_MOST 64
 
+/* Callers are sent to nobody who has been silent for longer. */
+#define DIRECTORY_US (4000 * AUB_MS)
+
 struct aub_node {
 	const struct aub_platform *platform;
 	struct aub_timer_service *timers;
@@ -158,10 +165,12 @@
 	guint grace_ms;
 	gint64 version; /* of the configuration in force */
 	bool upstreams_known;
-	bool was_ready;
 	bool stopping;
 	gint64 stop_us; /* when the stop began */
 	guint current_timer;
+	guint lonely_timer;
+	guint enrol_timer;
+	char *ip; /* of the peers' address */
 	guint stop_timer;
 	void (*stopped)(void *context);
 	void *stopped_context;
@@ -191,9 +200,6 @@
 		state.news[i] = aub_store_sync_known(node->store,
 						     (enum aub_store_kind)i);
 	aub_peers_set_self(node->peers, &state);
-	if (state.ready && !node->was_ready)
-		aub_placer_round(node->placer);
-	node->was_ready = state.ready;
 }
 
 static void on_current_check(void *context, gint64 now_us)
@@ -381,11 +387,13 @@
 {
 	const GPtrArray *all = aub_peers_all(node->peers);
 	GPtrArray *list = g_ptr_array_new();
+	gint64 now = aub_timer_now(node->timers);
 
 	for (guint i = 0; i < all->len && list->len < ADDRESSES_MOST; i++) {
 		const struct aub_peer *peer = g_ptr_array_index(all, i);
 
 		if (peer->alive && peer->ready && !peer->stopping &&
+		    (peer->self || now - peer->heard_us < DIRECTORY_US) &&
 		    (!zone || !strcmp(zone, peer->zone)))
 			g_ptr_array_add(list, peer->callers_address);
 	}
@@ -577,6 +585,47 @@
 	return true;
 }
 
+static guint count_alive(const struct aub_node *node)
+{
+	const GPtrArray *all = aub_peers_all(node->peers);
+	guint count = 0;
+
+	for (guint i = 0; i < all->len; i++)
+		count += ((struct aub_peer *)g_ptr_array_index(all, i))->alive;
+	return count;
+}
+
+/* No seed has answered: somebody may stand in the store. */
+static void on_lonely_check(void *context, gint64 now_us)
+{
+	struct aub_node *node = context;
+
+	node->lonely_timer = 0;
+	if (count_alive(node) <= 1)
+		aub_store_sync_list_members(node->store);
+}
+
+/*
+ * Gateways find each other by their seeds. Some stand in the store for those
+ * whose seeds are all gone: a record each costs a call, and any one of them
+ * introduces to all.
+ */
+static void on_enrol(void *context, gint64 now_us)
+{
+	struct aub_node *node = context;
+	const struct aub_member_record member = {
+		.ip = node->ip,
+		.zone = node->zone,
+	};
+	guint every = MAX(count_alive(node) / RECORDS, 1);
+
+	node->enrol_timer = 0;
+	if (g_str_hash(node->ip) % every == 0)
+		aub_store_sync_enrol(node->store, node->ip, &member);
+	else
+		aub_store_sync_list_members(node->store);
+}
+
 static void start_store(struct aub_node *node,
 			const struct aub_node_settings *settings)
 {
@@ -592,12 +641,14 @@
 		.listed = on_listed,
 		.context = node,
 	};
-	struct aub_member_record member = { .zone = settings->zone };
-
 	node->store = aub_store_sync_new(&options);
-	if (aub_address_parse(settings->peers, &member.ip, NULL))
-		aub_store_sync_enrol(node->store, member.ip, &member);
-	g_free(member.ip);
+	node->lonely_timer =
+		aub_timer_at(node->timers, "lonely",
+			     aub_timer_now(node->timers) + LONELY_US,
+			     on_lonely_check, node);
+	node->enrol_timer = aub_timer_at(node->timers, "enrol",
+					 aub_timer_now(node->timers) + ENROL_US,
+					 on_enrol, node);
 }
 
 struct aub_node *aub_node_new(const struct aub_node_settings *settings,
@@ -613,6 +664,7 @@
 	node->metrics = aub_metrics_new();
 	node->zone = g_strdup(settings->zone);
 	node->peers_port = g_strdup(strrchr(settings->peers, ':'));
+	aub_address_parse(settings->peers, &node->ip, NULL);
 	node->address_ms = (guint)settings->address_ms;
 	node->grace_ms = (guint)settings->grace_ms;
 	if (!start_peers(node, settings, error) ||
@@ -638,6 +690,8 @@
 	if (!node)
 		return;
 	aub_timer_cancel(node->timers, node->current_timer);
+	aub_timer_cancel(node->timers, node->lonely_timer);
+	aub_timer_cancel(node->timers, node->enrol_timer);
 	aub_timer_cancel(node->timers, node->stop_timer);
 	aub_store_sync_free(node->store);
 	aub_gateway_free(node->gateway);
@@ -651,6 +705,7 @@
 	aub_poller_free(node->poller);
 	g_free(node->zone);
 	g_free(node->peers_port);
+	g_free(node->ip);
 	g_free(node);
 }
 
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -19,8 +19,16 @@
  */
 #define BEACON_US (250 * AUB_MS)
 #define ALIVE_US (1000 * AUB_MS)
-#define FAR_ROUNDS 4 /* beacons to other zones go out each so many rounds */
-#define FAR_ALIVE_US (3200 * AUB_MS)
+
+/*
+ * Beacons to other zones go out each so many rounds, and less often the more
+ * gateways there are: their bytes grow with the square of these. At 95 peers
+ * in other zones one each 6 s is left. Nothing waits for them: a dead placer
+ * is found out by those who ask it.
+ */
+#define FAR_ROUNDS 4
+#define FAR_PEERS_A_ROUND 4
+#define FAR_ALIVE_ROUNDS 3.2 /* periods without a beacon that make a death */
 #define SILENT_US (15 * AUB_SECOND) /* then it gets one beacon in ten */
 #define SILENT_EACH 10
 #define FORGET_US (300 * AUB_SECOND) /* long after callers forgot it */
@@ -49,6 +57,7 @@
 	struct aub_beacon *beacon;
 	guint generation;
 	guint round;
+	guint far_rounds; /* as of this round */
 	GHashTable *ranked; /* service -> GPtrArray; empty after a change */
 };
 
@@ -124,6 +133,41 @@
 	peers->options.lost(peer->incarnation, peers->options.context);
 }
 
+/*
+ * To one that knows this process as a seed, and nobody else: where the others
+ * are. Its beacons then reach all of them.
+ */
+static void introduce(struct aub_peers *peers, const struct aub_peer *to)
+{
+	struct aub_introduction *message =
+		(struct aub_introduction *)aub_message_new(
+			AUB_MESSAGE_INTRODUCTION);
+
+	for (guint i = 1; i < peers->all->len; i++) {
+		const struct aub_peer *peer = g_ptr_array_index(peers->all, i);
+
+		if (peer->alive && peer != to)
+			g_ptr_array_add(message->addresses,
+					aub_name_new(peer->address));
+	}
+	if (message->addresses->len)
+		aub_peers_send(peers, to, &message->base);
+	aub_message_free(&message->base);
+}
+
+static void take_introduction(struct aub_peers *peers,
+			      const struct aub_introduction *message)
+{
+	for (guint i = 0; i < message->addresses->len; i++) {
+		const struct aub_name *address =
+			g_ptr_array_index(message->addresses, i);
+		struct sockaddr_in parsed;
+
+		if (aub_socket_address(address->name, &parsed))
+			aub_peers_add(peers, address->name);
+	}
+}
+
 /* At once, to one that has just appeared: it would wait a second for it. */
 static void send_beacon(struct aub_peers *peers, const struct aub_peer *to)
 {
@@ -178,6 +222,8 @@
 		if (!peer->alive) {
 			log_peer("peer-heard", peer, 0);
 			send_beacon(peers, peer);
+			if (!beacon->peers)
+				introduce(peers, peer);
 		}
 		peer->alive = true;
 		changed(peers);
@@ -202,6 +248,11 @@
 		aub_message_free(message);
 		return;
 	}
+	if (message->type == AUB_MESSAGE_INTRODUCTION) {
+		take_introduction(peers, (struct aub_introduction *)message);
+		aub_message_free(message);
+		return;
+	}
 	peers->options.message(message, peers->options.context);
 }
 
@@ -271,11 +322,39 @@
 	send_alive(peers, NULL, message);
 }
 
+static guint32 count_alive(const struct aub_peers *peers)
+{
+	guint32 count = 0;
+
+	for (guint i = 1; i < peers->all->len; i++)
+		count += ((struct aub_peer *)g_ptr_array_index(peers->all, i))
+				 ->alive;
+	return count;
+}
+
 static bool is_near(const struct aub_peers *peers, const struct aub_peer *peer)
 {
 	return !strcmp(peer->zone, aub_peers_self(peers)->zone);
 }
 
+static guint far_rounds(const struct aub_peers *peers)
+{
+	guint far = 0;
+
+	for (guint i = 1; i < peers->all->len; i++)
+		far += !is_near(peers, g_ptr_array_index(peers->all, i));
+	return MAX(FAR_ROUNDS, far / FAR_PEERS_A_ROUND);
+}
+
+/* Silence of a peer that makes it dead. */
+static gint64 alive_us(const struct aub_peers *peers,
+		       const struct aub_peer *peer)
+{
+	if (is_near(peers, peer))
+		return ALIVE_US;
+	return (gint64)(FAR_ALIVE_ROUNDS * peers->far_rounds) * BEACON_US;
+}
+
 static bool is_due(const struct aub_peers *peers, const struct aub_peer *peer,
 		   bool all, gint64 now_us)
 {
@@ -284,12 +363,14 @@
 	if (now_us - last >= SILENT_US)
 		return peers->round % SILENT_EACH == 0;
 	return all || !peer->heard_us || is_near(peers, peer) ||
-	       peers->round % FAR_ROUNDS == 0;
+	       peers->round % peers->far_rounds == 0;
 }
 
 /* To those whose turn it is, or to `all` where something has changed. */
 static void send_beacons(struct aub_peers *peers, bool all, gint64 now_us)
 {
+	peers->beacon->peers = count_alive(peers);
+
 	GBytes *bytes = aub_message_encode(&peers->beacon->base, NULL);
 
 	for (guint i = 1; bytes && i < peers->all->len; i++) {
@@ -308,12 +389,12 @@
 	guint i = 1;
 
 	peers->round++;
+	peers->far_rounds = far_rounds(peers);
 	while (i < peers->all->len) {
 		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
 
 		if (peer->alive &&
-		    now_us - peer->heard_us >
-			    (is_near(peers, peer) ? ALIVE_US : FAR_ALIVE_US))
+		    now_us - peer->heard_us > alive_us(peers, peer))
 			lose(peers, peer, now_us);
 		if (now_us - MAX(peer->heard_us, peer->known_us) > FORGET_US)
 			g_ptr_array_remove_index(peers->all, i);
@@ -357,6 +438,7 @@
 	peers = g_new0(struct aub_peers, 1);
 	peers->options = *options;
 	peers->fd = fd;
+	peers->far_rounds = FAR_ROUNDS;
 	peers->all = g_ptr_array_new_with_free_func(peer_free);
 	peers->ranked =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -25,6 +25,19 @@
 /* Odd, so that tickets of one incarnation differ for 2^64 requests. */
 #define TICKET_STEP G_GUINT64_CONSTANT(0x9E3779B97F4A7C15)
 
+/*
+ * Failure: many gateways start at once, and each places for itself until it
+ * has heard the others. Symptom: each probes every upstream, 30,000
+ * connections at 142 gateways, and slots are promised many times. Enough: a
+ * fresh gateway waits for as long as first beacons take to come back.
+ */
+#define SETTLE_US (250 * AUB_MS)
+
+bool aub_placer_is_settled(const struct aub_placer *placer)
+{
+	return aub_timer_now(placer->options.timers) >= placer->settled_us;
+}
+
 static struct aub_peer *target_of(struct aub_placer *placer,
 				  const struct aub_ticket *ticket)
 {
@@ -206,6 +219,10 @@
 	struct aub_peer *peer = target_of(placer, ticket);
 
 	ticket->queued = false;
+	if (!aub_placer_is_settled(placer)) {
+		ticket->next_us = placer->settled_us;
+		return;
+	}
 	if (!peer || peer->self) {
 		place_here(placer, ticket, !peer);
 		return;
@@ -239,6 +256,10 @@
 	struct aub_peer *peer =
 		aub_peers_by_incarnation(placer->options.peers, ticket->placer);
 
+	if (!ticket->sends) {
+		ticket_ask(placer, ticket);
+		return;
+	}
 	if (!ticket->queued && ticket->sends == 1 && peer && peer->alive) {
 		ticket->sends++;
 		ticket->next_us = ticket->sent_us + ASK_NEXT_US;
@@ -671,6 +692,7 @@
 
 	placer->options = *options;
 	placer->zone = g_strdup(options->zone);
+	placer->settled_us = aub_timer_now(options->timers) + SETTLE_US;
 	placer->placements =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)aub_placement_free);
@@ -685,6 +707,9 @@
 	placer->held_told =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	placer->probes = g_ptr_array_new();
+	placer->first_round =
+		aub_timer_at(options->timers, "first round", placer->settled_us,
+			     aub_placer_on_round, placer);
 	placer->round = aub_timer_every(options->timers, "placer round",
 					ROUND_US, aub_placer_on_round, placer);
 	return placer;
@@ -695,6 +720,7 @@
 	if (!placer)
 		return;
 	aub_timer_cancel(placer->options.timers, placer->tick);
+	aub_timer_cancel(placer->options.timers, placer->first_round);
 	aub_timer_cancel(placer->options.timers, placer->round);
 	aub_timer_cancel(placer->options.timers, placer->probe_timer);
 	aub_placer_probes_stop(placer);
--- a/src/coordination/placer_round.c
+++ b/src/coordination/placer_round.c
@@ -105,6 +105,8 @@
 	GHashTableIter iter;
 	void *key;
 
+	if (!aub_placer_is_settled(placer))
+		return;
 	g_hash_table_iter_init(&iter, placer->placements);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		const char *service = key;
@@ -142,11 +144,6 @@
 	aub_placer_drain(placer, placement);
 }
 
-void aub_placer_round(struct aub_placer *placer)
-{
-	aub_placer_on_round(placer, aub_timer_now(placer->options.timers));
-}
-
 /* Whoever places for a service itself goes by its own probes. */
 void aub_placer_take_beliefs(struct aub_placer *placer,
 			     const struct aub_place_beliefs *message)
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -54,6 +54,8 @@
 	gint64 known; /* the store's revision at the last change known here */
 	gint64 news; /* the highest that others told of */
 	bool listed;
+	bool strict; /* an old listing had no history left: list anew */
+	bool verify; /* what was listed may be old: ask what came after it */
 	bool failing;
 	gint64 failing_us; /* since when */
 };
@@ -66,6 +68,7 @@
 	char *record;
 	struct aub_http_call *enrol_call;
 	guint enrol_timer;
+	bool enrolled;
 	guint64 calls;
 };
 
@@ -163,9 +166,23 @@
 	options->changed(task->kind, record, options->context);
 }
 
-static void list_ended(struct task *task, gint64 now_us)
+static void tell_listed(struct task *task)
 {
 	const struct aub_store_sync_options *options = &task->sync->options;
+
+	task->verify = false;
+	if (task->listed)
+		return;
+	task->listed = true;
+	options->listed(task->kind, options->context);
+}
+
+/*
+ * Old listings cost a tenth of a call. What has changed since is asked for
+ * by the revision that they tell, before anybody goes by them.
+ */
+static void list_ended(struct task *task, gint64 now_us)
+{
 	GList *names = g_hash_table_get_keys(task->present);
 	GPtrArray *lost = g_ptr_array_new_with_free_func(g_free);
 
@@ -179,10 +196,10 @@
 	g_ptr_array_unref(lost);
 	g_hash_table_remove_all(task->seen);
 	task->step = STEP_WATCH;
-	if (task->listed)
-		return;
-	task->listed = true;
-	options->listed(task->kind, options->context);
+	task->verify = !task->strict && task->kind != AUB_STORE_MEMBERS;
+	task->strict = false;
+	if (!task->verify)
+		tell_listed(task);
 }
 
 /* A listing's revision is that of its first page: later changes are watched. */
@@ -243,6 +260,8 @@
 static void relist(struct task *task)
 {
 	task->step = STEP_LIST;
+	task->strict = task->verify;
+	task->verify = false;
 	g_clear_pointer(&task->after, g_free);
 	g_hash_table_remove_all(task->seen);
 }
@@ -294,6 +313,7 @@
 			options->share(task->kind, task->known, page->revision,
 				       body, length, options->context);
 		take_changes(task, page, now);
+		tell_listed(task);
 		task_later(task,
 			   page->records->len || task->news > task->known ?
 				   PAUSE_US :
@@ -350,7 +370,8 @@
 	 * Symptom: it hangs for seconds after the store is back. Enough: while
 	 * the store fails, calls ask for what there is and wait for nothing.
 	 */
-	bool fetch = watch && (task->failing || task->news > task->known);
+	bool fetch = watch && (task->failing || task->verify ||
+			       task->news > task->known);
 	guint wait_ms = fetch ? FETCH_MS : WATCH_MS;
 	char *path;
 	struct aub_http_call_options options = {
@@ -367,7 +388,8 @@
 		return;
 	path = watch ? platform->watch_path(task->kind, task->revision,
 					    wait_ms) :
-		       platform->list_path(task->kind, task->after);
+		       platform->list_path(task->kind, task->after,
+					   !task->strict);
 	options.path = path;
 	sync->calls++;
 	task->call = aub_http_call_new(sync->options.client, &options,
@@ -447,7 +469,8 @@
 	sync->enrol_call = NULL;
 	if (end == AUB_EXCHANGE_WHOLE &&
 	    (head->status / 100 == 2 || head->status == 409)) {
-		task_run(&sync->tasks[AUB_STORE_MEMBERS]);
+		sync->enrolled = true;
+		aub_store_sync_list_members(sync);
 		return;
 	}
 	sync->enrol_timer =
@@ -475,6 +498,16 @@
 	g_free(path);
 }
 
+void aub_store_sync_list_members(struct aub_store_sync *sync)
+{
+	struct task *task = &sync->tasks[AUB_STORE_MEMBERS];
+
+	if (task->call || task->timer)
+		return;
+	relist(task);
+	task_run(task);
+}
+
 void aub_store_sync_enrol(struct aub_store_sync *sync, const char *name,
 			  const struct aub_member_record *member)
 {
@@ -493,17 +526,22 @@
 
 void aub_store_sync_leave(struct aub_store_sync *sync)
 {
-	char *path = sync->options.platform->object_path(AUB_STORE_MEMBERS,
-							 sync->name);
-	const struct aub_http_call_options options = {
+	struct aub_http_call_options options = {
 		.method = "DELETE",
 		.address = sync->address,
 		.peer = "enrol",
-		.path = path,
 		.timeout_ms = CALL_MS,
 	};
 
+	char *path;
+
 	aub_http_call_cancel(sync->enrol_call);
+	sync->enrol_call = NULL;
+	if (!sync->enrolled)
+		return;
+	path = sync->options.platform->object_path(AUB_STORE_MEMBERS,
+						   sync->name);
+	options.path = path;
 	sync->calls++;
 	sync->enrol_call = aub_http_call_new(sync->options.client, &options,
 					     on_left, sync);
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -286,6 +286,7 @@
 	FLAG(aub_beacon, ready),
 	FLAG(aub_beacon, stopping),
 	NUMBER(aub_beacon, config_version),
+	NUMBER32(aub_beacon, peers),
 	FLAG(aub_beacon, current),
 	FLAG(aub_beacon, hears),
 	NUMBER(aub_beacon, routing_news),
@@ -294,6 +295,11 @@
 	END,
 };
 
+static const struct aubi_field introduction_fields[] = {
+	LIST(aub_introduction, addresses, MEMBERS_LIMIT, &aubi_name_layout),
+	END,
+};
+
 static const struct aubi_field store_changes_fields[] = {
 	NUMBER32(aub_store_changes, kind),
 	NUMBER(aub_store_changes, after),
@@ -373,6 +379,8 @@
 		LAYOUT("keys acknowledgement", aub_keys_ack, keys_ack_fields),
 	[AUB_MESSAGE_STATES] = LAYOUT("states", aub_states, states_fields),
 	[AUB_MESSAGE_BEACON] = LAYOUT("beacon", aub_beacon, beacon_fields),
+	[AUB_MESSAGE_INTRODUCTION] =
+		LAYOUT("introduction", aub_introduction, introduction_fields),
 	[AUB_MESSAGE_STORE_CHANGES] = LAYOUT("store changes", aub_store_changes,
 					     store_changes_fields),
 	[AUB_MESSAGE_PLACE_ASK] =
