--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -8,6 +8,7 @@
 #include <auburnstile/internal/gateway.h>
 #include <auburnstile/internal/http_service.h>
 #include <auburnstile/internal/node.h>
+#include <auburnstile/internal/pack.h>
 #include <auburnstile/internal/store_sync.h>
 #include <auburnstile/internal/problems.h>
 
@@ -328,7 +329,8 @@
 	update_self(node);
 }
 
-#define SHARE_BYTES (48u << 10) /* a datagram's worth; the others ask */
+#define SHARE_BYTES (48u << 10) /* a datagram's worth, packed */
+#define SHARED_LIMIT (4u << 20) /* unpacked; a page of the store is smaller */
 
 /* To the gateways of the same zone: their copy costs no call of the store. */
 static void on_share(enum aub_store_kind kind, gint64 after, gint64 until,
@@ -336,28 +338,45 @@
 {
 	struct aub_node *node = context;
 	struct aub_store_changes *message;
+	GBytes *packed;
+	gsize size;
+	const void *data;
 
-	if (length > SHARE_BYTES || !aub_peers_self_watches(node->peers))
+	if (!aub_peers_self_watches(node->peers))
 		return;
-	message = (struct aub_store_changes *)aub_message_new(
-		AUB_MESSAGE_STORE_CHANGES);
-	message->kind = kind;
-	message->after = (guint64)after;
-	message->until = (guint64)until;
-	aub_bytes_set(&message->body, body, length);
-	aub_peers_send_zone(node->peers, &message->base);
-	aub_message_free(&message->base);
+	packed = aubi_pack(body, length);
+	data = g_bytes_get_data(packed, &size);
+	if (size <= SHARE_BYTES) {
+		message = (struct aub_store_changes *)aub_message_new(
+			AUB_MESSAGE_STORE_CHANGES);
+		message->kind = kind;
+		message->after = (guint64)after;
+		message->until = (guint64)until;
+		aub_bytes_set(&message->body, data, size);
+		aub_peers_send_zone(node->peers, &message->base);
+		aub_message_free(&message->base);
+	}
+	g_bytes_unref(packed);
 }
 
 static void take_shared(struct aub_node *node,
 			const struct aub_store_changes *message)
 {
+	GBytes *body;
+	gsize length;
+	const char *text;
+
 	if (!node->store || message->kind >= AUB_STORE_KINDS)
 		return;
+	body = aubi_unpack(message->body.data, message->body.length,
+			   SHARED_LIMIT, "peer", NULL);
+	if (!body)
+		return;
+	text = g_bytes_get_data(body, &length);
 	aub_store_sync_take(node->store, (enum aub_store_kind)message->kind,
 			    (gint64)message->after, (gint64)message->until,
-			    (const char *)message->body.data,
-			    message->body.length);
+			    text, length);
+	g_bytes_unref(body);
 }
 
 static void on_peer_message(struct aub_message *message, void *context)
