--- a/programs/auburnstilectl.c
+++ b/programs/auburnstilectl.c
@@ -26,6 +26,8 @@
 	"  watch                   print changes of these as they come\n"
 	"  timeline                events of all processes in one order\n"
 	"  explain REQUEST         what became of a request (its hex id)\n"
+	"  explain REQUEST FILE... the same from log files (- for standard\n"
+	"                          input) of auburnstile-gateway\n"
 	"\n"
 	"Exit codes:\n"
 	"  0 done; 1 invalid or refused; 2 wrong usage; 3 conflict with a\n"
--- a/programs/ctl/ctl.h
+++ b/programs/ctl/ctl.h
@@ -82,6 +82,10 @@
 ctl_command ctl_status, ctl_watch;
 ctl_command ctl_timeline, ctl_explain;
 
+/* The story of request `id` (as the caller sent it) from log files. */
+int ctl_explain_logs(const struct ctl_options *options, const char *id,
+		     char **files, guint count);
+
 /* A configuration in an answer; NULL where it is null or broken. */
 struct aub_config *ctl_config_of(JsonObject *object, const char *name,
 				 guint64 version);
--- a/programs/ctl/events.c
+++ b/programs/ctl/events.c
@@ -198,6 +198,9 @@
 	int code = CTL_OK;
 	char *text;
 
+	if (count > 1)
+		return ctl_explain_logs(options, words[0], words + 1,
+					count - 1);
 	if (count != 1 ||
 	    !g_ascii_string_to_unsigned(words[0], 16, 1, G_MAXUINT64, &request,
 					NULL))
--- /dev/null
+++ b/tests/test_log_story.cc
@@ -0,0 +1,70 @@
+/* A request's story from log lines that are out of order, torn or foreign. */
+#include <gtest/gtest.h>
+
+#include <auburnstile/internal/log_story.h>
+
+#include <string>
+#include <vector>
+
+static const std::vector<std::string> lines = {
+	R"({"t":1900,"node":"g1","event":"request","id":"r1","status":200,)"
+	R"("reason":"","service":"s","upstream":"u2","tries":2,"ms":900})",
+	R"(  3.2 g1 {"t":1400,"node":"g1","event":"attempt","id":"r1",)"
+	R"("upstream":"u1","end":"lost","ms":300})",
+	R"({"t":1350,"node":"g2","event":"belief","upstream":"u1",)"
+	R"("service":"s","was":"up","probe":"silent"})",
+	R"({"t":1360,"node":"g2","event":"belief","upstream":"u9",)"
+	R"("service":"s","was":"up","probe":"silent"})",
+	R"({"t":1500,"node":"g1","event":"request","id":"other","ms":5})",
+	R"({"t":900,"node":"g1","event":"store-lost","kind":"upstreams"})",
+	R"({"t":-9000,"node":"g1","event":"store-lost","kind":"too-old"})",
+	"some other program's line",
+	R"({"t":1901,"node":"g1","event":"requ)",
+};
+
+TEST(LogStory, TellsTheRequestAndWhatHappenedAroundIt)
+{
+	struct aub_log_story *story = aub_log_story_new("r1");
+	int unreadable = 0;
+
+	for (const std::string &line : lines)
+		unreadable += !aub_log_story_take(story, line.c_str());
+	EXPECT_EQ(unreadable, 2);
+	EXPECT_EQ(aub_log_story_size(story), 2u);
+	for (const std::string &line : lines)
+		aub_log_story_take_context(story, line.c_str());
+	char *text = aub_log_story_text(story);
+	EXPECT_STREQ(text,
+		     "request r1\n"
+		     "    +400 ms  g1  attempt upstream=u1 end=lost ms=300\n"
+		     "    +900 ms  g1  request status=200 service=s "
+		     "upstream=u2 tries=2 ms=900\n"
+		     "around it\n"
+		     "    -100 ms  g1  store-lost kind=upstreams\n"
+		     "    +350 ms  g2  belief upstream=u1 service=s was=up "
+		     "probe=silent\n");
+	g_free(text);
+	aub_log_story_free(story);
+}
+
+TEST(LogStory, HasNothingToTellOfAnUnknownRequest)
+{
+	struct aub_log_story *story = aub_log_story_new("r7");
+
+	for (const std::string &line : lines)
+		aub_log_story_take(story, line.c_str());
+	char *text = aub_log_story_text(story);
+	EXPECT_STREQ(text, "");
+	g_free(text);
+	aub_log_story_free(story);
+}
+
+TEST(LogStory, StaysBounded)
+{
+	struct aub_log_story *story = aub_log_story_new("r1");
+
+	for (int i = 0; i < 100000; i++)
+		aub_log_story_take(story, lines[0].c_str());
+	EXPECT_EQ(aub_log_story_size(story), 1000u);
+	aub_log_story_free(story);
+}
