--- a/include/auburnstile/internal/gateway.h
+++ b/include/auburnstile/internal/gateway.h
@@ -21,6 +21,9 @@
 	struct aub_http_client *client;
 	struct aub_placer *placer;
 	struct aub_metrics *metrics;
+	/* Upstreams have died under a request, for the other gateways. */
+	void (*crashed)(guint64 fingerprint, guint deaths, void *context);
+	void *context;
 };
 
 struct aub_gateway *aub_gateway_new(const struct aub_gateway_options *options,
@@ -31,6 +34,10 @@
 void aub_gateway_configure(struct aub_gateway *gateway,
 			   struct aub_routing *routing);
 
+/* Another gateway counts so many deaths under a request. */
+void aub_gateway_learn_crash(struct aub_gateway *gateway, guint64 fingerprint,
+			     guint deaths);
+
 /* A planned stop: answers end their connections, new ones are still taken. */
 void aub_gateway_stop(struct aub_gateway *gateway);
 /* Take no more connections, and end the idle ones in order. */
--- a/include/auburnstile/internal/gateway_parts.h
+++ b/include/auburnstile/internal/gateway_parts.h
@@ -4,6 +4,7 @@
 #ifndef AUBURNSTILE_INTERNAL_GATEWAY_PARTS_H
 #define AUBURNSTILE_INTERNAL_GATEWAY_PARTS_H
 
+#include <auburnstile/internal/crash_marks.h>
 #include <auburnstile/internal/gateway.h>
 
 G_BEGIN_DECLS
@@ -36,6 +37,7 @@
 	struct aub_routing *routing; /* NULL: none known yet */
 	int listener;
 	struct aub_poll_watch *watch;
+	struct aub_crash_marks *crashes;
 	guint sweep;
 	GQueue callers; /* of struct aub_caller */
 	guint requests;
@@ -83,6 +85,7 @@
 	struct aub_route *route; /* borrowed from it */
 	const char *service; /* borrowed from it */
 	char *id;
+	char *host;
 	char *line; /* "METHOD target HTTP/1.1" */
 	GString *headers; /* to forward, without framing and deadline */
 	bool is_head;
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -38,6 +38,8 @@
 	AUB_MESSAGE_STATES, /* owner -> its stand-by */
 	AUB_MESSAGE_BEACON, /* gateway -> gateway, several times a second */
 	AUB_MESSAGE_INTRODUCTION, /* gateway -> gateway that has appeared */
+	AUB_MESSAGE_CRASHES, /* gateway -> all: requests that upstreams died
+				under */
 	AUB_MESSAGE_STORE_CHANGES, /* gateway that watches -> its zone */
 	AUB_MESSAGE_PLACE_ASK, /* gateway -> a service's placer */
 	AUB_MESSAGE_PLACE_DECISION, /* its answer */
@@ -295,6 +297,11 @@
 	GPtrArray *addresses; /* of struct aub_name */
 };
 
+struct aub_crashes {
+	struct aub_message base;
+	GPtrArray *crashes; /* of struct aub_crash_record */
+};
+
 /* What the store told of one kind, as it was told; see store_sync.h. */
 struct aub_store_changes {
 	struct aub_message base;
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -248,6 +248,7 @@
 	gateway->options = *options;
 	gateway->listener = listener;
 	g_queue_init(&gateway->callers);
+	gateway->crashes = aub_crash_marks_new();
 	register_metrics(gateway);
 	gateway->watch = aub_poller_add(options->poller, listener, EPOLLIN,
 					on_acceptable, gateway);
@@ -267,6 +268,7 @@
 		aub_poll_watch_remove(gateway->watch);
 		close(gateway->listener);
 	}
+	aub_crash_marks_free(gateway->crashes);
 	aub_routing_unref(gateway->routing);
 	g_free(gateway);
 }
@@ -278,6 +280,13 @@
 	gateway->routing = aub_routing_ref(routing);
 }
 
+void aub_gateway_learn_crash(struct aub_gateway *gateway, guint64 fingerprint,
+			     guint deaths)
+{
+	aub_crash_marks_learn(gateway->crashes, fingerprint, deaths,
+			      aub_timer_now(gateway->options.timers));
+}
+
 void aub_gateway_stop(struct aub_gateway *gateway)
 {
 	gateway->stopping = true;
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -21,6 +21,9 @@
 /* Once that is past, an answer is late anyway and only the limit counts. */
 #define PATIENCE_LATE_SHARE 0.15 /* of the time that is left */
 
+#define BODY_FIRST_BYTES (16u << 10) /* nearly all bodies of the users */
+
+#define CRASH_RETRY_MS 60000 /* for as long as its mark lasts */
 #define NOT_READY_RETRY_MS 1000 /* a start takes about this long */
 
 static void request_free(struct aub_request *request)
@@ -41,6 +44,7 @@
 	g_byte_array_unref(request->body);
 	g_string_free(request->headers, TRUE);
 	g_free(request->line);
+	g_free(request->host);
 	g_free(request->id);
 	aub_routing_unref(request->routing);
 	g_free(request);
@@ -307,6 +311,36 @@
 	       request->route->idempotent;
 }
 
+/*
+ * Failure: a request crashes each upstream that runs it, and its caller sends
+ * it again. Symptom: the service loses one upstream after the other. Enough:
+ * after three deaths in a row, at any gateways, it is refused everywhere.
+ */
+static guint64 fingerprint(const struct aub_request *request)
+{
+	return aub_crash_fingerprint(request->line, request->host,
+				     request->body->data, request->body->len);
+}
+
+static void mark_lost(struct aub_request *request)
+{
+	struct aub_gateway *gateway = request->gateway;
+	guint64 mark = fingerprint(request);
+	guint deaths =
+		aub_crash_marks_lost(gateway->crashes, mark, now_of(request));
+
+	if (gateway->options.crashed && deaths > 1)
+		gateway->options.crashed(mark, deaths,
+					 gateway->options.context);
+}
+
+static bool is_crashing(const struct aub_request *request)
+{
+	return request->body_whole &&
+	       aub_crash_marks_refuse(request->gateway->crashes,
+				      fingerprint(request), now_of(request));
+}
+
 /* When to come back to a service whose upstream refused or was not there. */
 #define UPSTREAM_REFUSED_RETRY_MS 300
 
@@ -322,13 +356,15 @@
 		request->unreachable++;
 	if (end == AUB_END_LOST || end == AUB_END_TIMEOUT)
 		request->may_have_run = true;
+	if (end == AUB_END_LOST && request->body_whole)
+		mark_lost(request);
 	if (streaming) {
 		aub_request_log(request, AUB_COUNT_BROKEN, 0, "upstream-broke",
 				upstream);
 		aub_caller_break(request->caller);
 	} else if (request->attempts->len || request->asking) {
 		/* Another try is under way, or about to be. */
-	} else if (may_repeat(request, end)) {
+	} else if (may_repeat(request, end) && !is_crashing(request)) {
 		ask_upstream(request, false);
 	} else {
 		give_up(request, aub_attempt_end_name(end), upstream,
@@ -435,6 +471,9 @@
 		aub_caller_write(request->caller, attempt->body->data,
 				 request->is_head ? 0 : attempt->body->len);
 	}
+	if (request->body_whole && !request->body_lost)
+		aub_crash_marks_answered(request->gateway->crashes,
+					 fingerprint(request));
 	aub_request_log(request, AUB_COUNT_ANSWERED, attempt->status, "",
 			attempt->upstream);
 	aub_attempt_free(attempt);
@@ -503,9 +542,32 @@
 		aub_http_stream_hold(request->caller->stream, true);
 }
 
+/*
+ * A small body is read before an upstream's slot is taken for it: a slow
+ * caller would hold the slot while it sends, and a request that crashes
+ * upstreams is known by its body.
+ */
+static bool waits_for_body(const struct aub_request *request)
+{
+	return request->body_length > 0 &&
+	       request->body_length <= BODY_FIRST_BYTES;
+}
+
+static void begin_placing(struct aub_request *request)
+{
+	if (is_crashing(request))
+		refuse(request, "crashes-upstreams", CRASH_RETRY_MS);
+	else
+		ask_upstream(request, false);
+}
+
 void aub_request_body_end(struct aub_request *request)
 {
 	request->body_whole = true;
+	if (waits_for_body(request)) {
+		begin_placing(request);
+		return;
+	}
 	for (guint i = 0; i < request->attempts->len; i++) {
 		struct aub_attempt_state *attempt =
 			g_ptr_array_index(request->attempts, i);
@@ -584,6 +646,7 @@
 	const char *id = aub_http_head_find(head, platform->request_id);
 
 	request->id = g_strdup(id ? id : "");
+	request->host = g_strdup(aub_http_head_find(head, "Host"));
 	request->line =
 		g_strdup_printf("%s %s HTTP/1.1\r\n",
 				http_method_str((enum http_method)head->method),
@@ -622,7 +685,8 @@
 				      request->limit_us, on_limit, request);
 	if (!request->body_whole && aub_http_head_find(head, "Expect"))
 		aub_caller_write(caller, "HTTP/1.1 100 Continue\r\n\r\n", 25);
-	ask_upstream(request, false);
+	if (!waits_for_body(request))
+		begin_placing(request);
 	return request;
 }
 
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -379,11 +379,40 @@
 	g_bytes_unref(body);
 }
 
+static void take_crashes(struct aub_node *node,
+			 const struct aub_crashes *message)
+{
+	for (guint i = 0; node->gateway && i < message->crashes->len; i++) {
+		const struct aub_crash_record *record =
+			g_ptr_array_index(message->crashes, i);
+
+		aub_gateway_learn_crash(node->gateway, record->fingerprint,
+					record->deaths);
+	}
+}
+
+static void on_crashed(guint64 fingerprint, guint deaths, void *context)
+{
+	struct aub_node *node = context;
+	struct aub_crashes *message =
+		(struct aub_crashes *)aub_message_new(AUB_MESSAGE_CRASHES);
+	struct aub_crash_record *record = aub_crash_record_new();
+
+	record->fingerprint = fingerprint;
+	record->deaths = deaths;
+	g_ptr_array_add(message->crashes, record);
+	aub_peers_send_all(node->peers, &message->base);
+	aub_message_free(&message->base);
+}
+
 static void on_peer_message(struct aub_message *message, void *context)
 {
 	struct aub_node *node = context;
 
-	if (message->type == AUB_MESSAGE_STORE_CHANGES) {
+	if (message->type == AUB_MESSAGE_CRASHES) {
+		take_crashes(node, (struct aub_crashes *)message);
+		aub_message_free(message);
+	} else if (message->type == AUB_MESSAGE_STORE_CHANGES) {
 		take_shared(node, (struct aub_store_changes *)message);
 		aub_message_free(message);
 	} else if (node->placer) {
@@ -548,6 +577,8 @@
 		.client = node->client,
 		.placer = node->placer,
 		.metrics = node->metrics,
+		.crashed = on_crashed,
+		.context = node,
 	};
 
 	node->gateway = aub_gateway_new(&gateway, error);
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -295,6 +295,11 @@
 	END,
 };
 
+static const struct aubi_field crashes_fields[] = {
+	LIST(aub_crashes, crashes, CRASHES_LIMIT, &aubi_crash_record_layout),
+	END,
+};
+
 static const struct aubi_field introduction_fields[] = {
 	LIST(aub_introduction, addresses, MEMBERS_LIMIT, &aubi_name_layout),
 	END,
@@ -381,6 +386,7 @@
 	[AUB_MESSAGE_BEACON] = LAYOUT("beacon", aub_beacon, beacon_fields),
 	[AUB_MESSAGE_INTRODUCTION] =
 		LAYOUT("introduction", aub_introduction, introduction_fields),
+	[AUB_MESSAGE_CRASHES] = LAYOUT("crashes", aub_crashes, crashes_fields),
 	[AUB_MESSAGE_STORE_CHANGES] = LAYOUT("store changes", aub_store_changes,
 					     store_changes_fields),
 	[AUB_MESSAGE_PLACE_ASK] =
