--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -55,7 +55,7 @@
 	gint64 news; /* the highest that others told of */
 	bool listed;
 	bool strict; /* an old listing had no history left: list anew */
-	bool verify; /* what was listed may be old: ask what came after it */
+	bool unproved; /* nothing was heard since an old listing */
 	guint news_timer;
 	bool fetching; /* the call under way waits for nothing */
 	bool failing;
@@ -171,7 +171,6 @@
 {
 	const struct aub_store_sync_options *options = &task->sync->options;
 
-	task->verify = false;
 	if (task->listed)
 		return;
 	task->listed = true;
@@ -179,8 +178,9 @@
 }
 
 /*
- * Old listings cost a tenth of a call. What has changed since is asked for
- * by the revision that they tell, before anybody goes by them.
+ * Old listings cost a tenth of a call. They tell the revision they are from:
+ * who watches gets what came after it, and the others hear by beacons that
+ * they are behind.
  */
 static void list_ended(struct task *task, gint64 now_us)
 {
@@ -197,10 +197,9 @@
 	g_ptr_array_unref(lost);
 	g_hash_table_remove_all(task->seen);
 	task->step = STEP_WATCH;
-	task->verify = !task->strict && task->kind != AUB_STORE_MEMBERS;
+	task->unproved = !task->strict;
 	task->strict = false;
-	if (!task->verify)
-		tell_listed(task);
+	tell_listed(task);
 }
 
 /* A listing's revision is that of its first page: later changes are watched. */
@@ -263,8 +262,8 @@
 static void relist(struct task *task)
 {
 	task->step = STEP_LIST;
-	task->strict = task->verify;
-	task->verify = false;
+	task->strict = task->unproved;
+	task->unproved = false;
 	g_clear_pointer(&task->after, g_free);
 	g_hash_table_remove_all(task->seen);
 }
@@ -316,7 +315,7 @@
 			options->share(task->kind, task->known, page->revision,
 				       body, length, options->context);
 		take_changes(task, page, now);
-		tell_listed(task);
+		task->unproved = false;
 		task_later(task,
 			   page->records->len || task->news > task->known ?
 				   PAUSE_US :
@@ -374,8 +373,7 @@
 	 * Symptom: it hangs for seconds after the store is back. Enough: while
 	 * the store fails, calls ask for what there is and wait for nothing.
 	 */
-	bool fetch = watch && (task->failing || task->verify ||
-			       task->news > task->known);
+	bool fetch = watch && (task->failing || task->news > task->known);
 	guint wait_ms = fetch ? FETCH_MS : WATCH_MS;
 	char *path;
 	struct aub_http_call_options options = {
