--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 #   make fuzz       bounded fuzzing of the decoders and of the dispatcher
 #   make bench      measure policies, faults and the limit (long)
 #   make bench-short  one row of each, under 55 s
+#   make soak       gateways under random faults, SOAK_RUNS seeds from SOAK_SEED
 #   make slopes     how the cost grows with nodes, upstreams, changes
 #
 # SAN=1 selects the sanitizer build, which lives in build/san; FUZZ=1 the one
@@ -110,6 +111,11 @@
 proofs: all
 	@$(B)/proofs $(PROOFS)
 
+SOAK_SEED = 1
+SOAK_RUNS = 10
+soak: all
+	@$(B)/soak --seed $(SOAK_SEED) --runs $(SOAK_RUNS)
+
 slopes: all
 	@$(B)/slopes
 
@@ -137,7 +143,7 @@
 clean:
 	rm -rf build target
 
-.PHONY: all packages tests check demo proofs slopes format fuzz fuzz-build lint clean
+.PHONY: all packages tests check demo proofs soak slopes format fuzz fuzz-build lint clean
 .SECONDARY:
 
 -include $(shell find build target -name '*.d' 2>/dev/null)
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -65,5 +65,23 @@
 		verdict=1
 	fi
 done
+# A short soak with fixed seeds; those that ever failed are added here.
+for seed in 1 2; do
+	log=$build/tests/soak-$seed.log
+	if BUILD=$release "$release/soak" --seed $seed --seconds 8 >"$log" 2>&1
+	then
+		passed=$((passed + 1))
+	else
+		failed=$((failed + 1))
+		if printf '%s\n' "$known" | grep -qx "soak/$seed"; then
+			echo "known red: soak/$seed"
+		else
+			verdict=1
+			echo "FAILED: soak, seed $seed"
+			tail -n 30 "$log"
+		fi
+	fi
+	grep '^seed ' "$log"
+done
 echo "$passed passed, $failed failed"
 exit $verdict
--- a/tools/platform/upstream.c
+++ b/tools/platform/upstream.c
@@ -30,6 +30,8 @@
 	guint probes;
 	guint accepted;
 	guint64 body_read;
+	platform_upstream_run *on_run;
+	void *on_run_context;
 	GHashTable *headers; /* of the last request, names in lower case */
 };
 
@@ -232,8 +234,12 @@
 {
 	struct platform_upstream *upstream = connection->upstream;
 
-	if (is_run(upstream))
+	if (is_run(upstream)) {
 		upstream->runs++;
+		if (upstream->on_run)
+			upstream->on_run(connection->request_id,
+					 upstream->on_run_context);
+	}
 	connection->running = true;
 	connection->timer = aub_timer_at(upstream->timers, "work",
 					 aub_timer_now(upstream->timers) +
@@ -420,6 +426,13 @@
 	listen_on(upstream);
 }
 
+void platform_upstream_on_run(struct platform_upstream *upstream,
+			      platform_upstream_run *callback, void *context)
+{
+	upstream->on_run = callback;
+	upstream->on_run_context = context;
+}
+
 guint platform_upstream_runs(const struct platform_upstream *upstream)
 {
 	return upstream->runs;
--- a/tools/platform/upstream.h
+++ b/tools/platform/upstream.h
@@ -50,6 +50,11 @@
 /* Refuse connections, as after a crash; or take them again. */
 void platform_upstream_set_down(struct platform_upstream *upstream, bool down);
 
+/* Called for each request that it begins to run. */
+typedef void platform_upstream_run(const char *id, void *context);
+void platform_upstream_on_run(struct platform_upstream *upstream,
+			      platform_upstream_run *callback, void *context);
+
 /* Requests that it began to run, and those whose connection closed on it. */
 guint platform_upstream_runs(const struct platform_upstream *upstream);
 guint platform_upstream_cancelled(const struct platform_upstream *upstream);
