--- a/include/auburnstile/internal/gateway_parts.h
+++ b/include/auburnstile/internal/gateway_parts.h
@@ -118,8 +118,23 @@
 void aub_request_body_end(struct aub_request *request);
 void aub_request_drained(struct aub_request *request);
 void aub_request_caller_left(struct aub_request *request);
-/* End it without an answer; its end is logged already. */
-void aub_request_drop(struct aub_request *request);
+
+/*
+ * aub_request: how it ends; each frees it. Refused: nothing ran, and nothing
+ * will. Denied: the configuration does not allow it. Failed: it may have run;
+ * only 502 and 504 say nothing about that. `detail`, for the log, may be NULL.
+ */
+void aub_request_refuse(struct aub_request *request, const char *reason,
+			guint retry_after_ms);
+void aub_request_deny(struct aub_request *request, guint status,
+		      const char *reason);
+void aub_request_fail(struct aub_request *request, guint status,
+		      const char *reason, const char *detail);
+/* Its answer is written: go on with the caller's connection, or end it. */
+void aub_request_end(struct aub_request *request);
+void aub_request_free(struct aub_request *request);
+/* "Connection: close" as a header line where the connection will end. */
+const char *aub_request_connection_line(const struct aub_request *request);
 
 /* aub_request: called by its attempts. */
 void aub_request_attempt_failed(struct aub_request *request,
--- /dev/null
+++ b/include/auburnstile/internal/node_parts.h
@@ -0,0 +1,54 @@
+/*
+ * The inside of a gateway process, shared by its files.
+ */
+#ifndef AUBURNSTILE_INTERNAL_NODE_PARTS_H
+#define AUBURNSTILE_INTERNAL_NODE_PARTS_H
+
+#include <auburnstile/internal/gateway.h>
+#include <auburnstile/internal/http_service.h>
+#include <auburnstile/internal/node.h>
+#include <auburnstile/internal/store_sync.h>
+
+G_BEGIN_DECLS
+
+struct aub_node {
+	const struct aub_platform *platform;
+	struct aub_timer_service *timers;
+	struct aub_poller *poller;
+	struct aub_http_client *client;
+	struct aub_metrics *metrics;
+	struct aub_peers *peers;
+	struct aub_placer *placer;
+	struct aub_store_sync *store;
+	struct aub_gateway *gateway;
+	struct aub_http_service *directory;
+	struct aub_http_service *readiness;
+	struct aub_http_service *exporter;
+	char *zone;
+	char *peers_port; /* ":port" */
+	guint address_ms;
+	guint grace_ms;
+	gint64 version; /* of the configuration in force */
+	bool upstreams_known;
+	bool stopping;
+	gint64 stop_us; /* when the stop began */
+	guint current_timer;
+	guint lonely_timer;
+	guint enrol_timer;
+	char *ip; /* of the peers' address */
+	guint stop_timer;
+	void (*stopped)(void *context);
+	void *stopped_context;
+};
+
+/* Callers may be sent here: configuration and upstreams are known. */
+bool aub_node_is_ready(const struct aub_node *node);
+
+/* Handlers of the small listeners; `context` is the node. */
+aub_http_service_handler aub_node_on_directory;
+aub_http_service_handler aub_node_on_readiness;
+aub_http_service_handler aub_node_on_export;
+
+G_END_DECLS
+
+#endif
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -54,7 +54,7 @@
 void aub_caller_break(struct aub_caller *caller)
 {
 	if (caller->request)
-		aub_request_drop(caller->request);
+		aub_request_free(caller->request);
 	caller_free(caller);
 }
 
--- /dev/null
+++ b/src/coordination/gateway_answer.c
@@ -0,0 +1,152 @@
+/*
+ * How a request ends: own answers, the log line, and its memory.
+ */
+#include <auburnstile/internal/decision_log.h>
+#include <auburnstile/internal/gateway_parts.h>
+
+#include <string.h>
+
+void aub_request_free(struct aub_request *request)
+{
+	struct aub_gateway *gateway = request->gateway;
+
+	aub_timer_cancel(gateway->options.timers, request->timer);
+	aub_timer_cancel(gateway->options.timers, request->hedge_timer);
+	if (request->asking)
+		aub_placer_cancel(gateway->options.placer, request->ask);
+	while (request->attempts->len)
+		aub_attempt_abort(g_ptr_array_index(request->attempts, 0),
+				  AUB_END_ABANDONED);
+	gateway->requests--;
+	request->caller->request = NULL;
+	g_ptr_array_unref(request->attempts);
+	g_ptr_array_unref(request->tried);
+	g_byte_array_unref(request->body);
+	g_string_free(request->headers, TRUE);
+	g_free(request->line);
+	g_free(request->host);
+	g_free(request->id);
+	aub_routing_unref(request->routing);
+	g_free(request);
+}
+
+/* The connection may carry on if the request was read to its end. */
+static bool keeps_connection(const struct aub_request *request)
+{
+	return request->body_whole && request->caller->keep_alive &&
+	       !request->gateway->stopping;
+}
+
+void aub_request_end(struct aub_request *request)
+{
+	struct aub_caller *caller = request->caller;
+	bool keep = keeps_connection(request);
+
+	aub_request_free(request);
+	aub_caller_answered(caller, keep);
+}
+
+const char *aub_request_connection_line(const struct aub_request *request)
+{
+	return keeps_connection(request) ? "" : "Connection: close\r\n";
+}
+
+struct own_answer {
+	guint status;
+	enum aub_request_counter counter;
+	const char *reason;
+	const char *detail; /* for the log; may be NULL */
+	guint retry_after_ms; /* 0: none */
+};
+
+static void answer_own(struct aub_request *request,
+		       const struct own_answer *own)
+{
+	GString *text = g_string_new(NULL);
+	char *body = g_strdup_printf("{\"error\":\"%s\"}\n", own->reason);
+
+	g_string_append_printf(
+		text,
+		"HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
+		"Content-Length: %zu\r\n%s: %s\r\n%s",
+		own->status, http_status_str((enum http_status)own->status),
+		request->is_head ? 0 : strlen(body),
+		request->gateway->options.platform->request_id, request->id,
+		aub_request_connection_line(request));
+	if (own->retry_after_ms)
+		g_string_append_printf(text, "Retry-After: %u.%03u\r\n",
+				       own->retry_after_ms / 1000,
+				       own->retry_after_ms % 1000);
+	g_string_append(text, "\r\n");
+	if (!request->is_head)
+		g_string_append(text, body);
+	g_free(body);
+	aub_request_log(request, own->counter, own->status, own->reason,
+			own->detail);
+	aub_caller_write(request->caller, text->str, text->len);
+	g_string_free(text, TRUE);
+	aub_request_end(request);
+}
+
+/* Nothing ran, and nothing will: the caller may come back. */
+void aub_request_refuse(struct aub_request *request, const char *reason,
+			guint retry_after_ms)
+{
+	answer_own(request, &(struct own_answer){
+				    .status = 503,
+				    .counter = AUB_COUNT_REFUSED,
+				    .reason = reason,
+				    .retry_after_ms = retry_after_ms,
+			    });
+}
+
+void aub_request_deny(struct aub_request *request, guint status,
+		      const char *reason)
+{
+	answer_own(request, &(struct own_answer){
+				    .status = status,
+				    .counter = AUB_COUNT_DENIED,
+				    .reason = reason,
+			    });
+}
+
+/* It may have run: only 502 and 504 say nothing about that. */
+void aub_request_fail(struct aub_request *request, guint status,
+		      const char *reason, const char *detail)
+{
+	answer_own(request, &(struct own_answer){
+				    .status = status,
+				    .counter = AUB_COUNT_FAILED,
+				    .reason = reason,
+				    .detail = detail,
+			    });
+}
+
+void aub_request_log(const struct aub_request *request,
+		     enum aub_request_counter counter, guint status,
+		     const char *reason, const char *detail)
+{
+	struct aub_gateway *gateway = request->gateway;
+	gint64 now = aub_timer_now(gateway->options.timers);
+
+	aub_metrics_add(gateway->options.metrics, gateway->counters[counter],
+			1);
+	aub_metrics_observe(gateway->options.metrics, gateway->latency,
+			    now - request->begun_us);
+	aub_log_begin(counter == AUB_COUNT_ANSWERED && status < 500 ?
+			      AUB_EVENT_REQUEST :
+			      AUB_EVENT_REQUEST_TROUBLE);
+	aub_log_text("id", request->id);
+	aub_log_number("status", status);
+	aub_log_text("reason", reason);
+	aub_log_text("route", request->route ? request->route->name : "");
+	aub_log_text("service", request->service);
+	aub_log_text("upstream", detail);
+	aub_log_number("tries", request->tried->len);
+	aub_log_number("waited_ms", request->waited_us / AUB_MS);
+	aub_log_number("config",
+		       request->routing ? request->routing->version : 0);
+	aub_log_number("ms", (now - request->begun_us) / AUB_MS);
+	aub_log_number("left_ms", (request->deadline_us - now) / AUB_MS);
+	aub_log_end();
+}
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -26,121 +26,6 @@
 #define CRASH_RETRY_MS 60000 /* for as long as its mark lasts */
 #define NOT_READY_RETRY_MS 1000 /* a start takes about this long */
 
-static void request_free(struct aub_request *request)
-{
-	struct aub_gateway *gateway = request->gateway;
-
-	aub_timer_cancel(gateway->options.timers, request->timer);
-	aub_timer_cancel(gateway->options.timers, request->hedge_timer);
-	if (request->asking)
-		aub_placer_cancel(gateway->options.placer, request->ask);
-	while (request->attempts->len)
-		aub_attempt_abort(g_ptr_array_index(request->attempts, 0),
-				  AUB_END_ABANDONED);
-	gateway->requests--;
-	request->caller->request = NULL;
-	g_ptr_array_unref(request->attempts);
-	g_ptr_array_unref(request->tried);
-	g_byte_array_unref(request->body);
-	g_string_free(request->headers, TRUE);
-	g_free(request->line);
-	g_free(request->host);
-	g_free(request->id);
-	aub_routing_unref(request->routing);
-	g_free(request);
-}
-
-/* The connection may carry on if the request was read to its end. */
-static bool keeps_connection(const struct aub_request *request)
-{
-	return request->body_whole && request->caller->keep_alive &&
-	       !request->gateway->stopping;
-}
-
-static void request_end(struct aub_request *request)
-{
-	struct aub_caller *caller = request->caller;
-	bool keep = keeps_connection(request);
-
-	request_free(request);
-	aub_caller_answered(caller, keep);
-}
-
-static const char *connection_line(const struct aub_request *request)
-{
-	return keeps_connection(request) ? "" : "Connection: close\r\n";
-}
-
-struct own_answer {
-	guint status;
-	enum aub_request_counter counter;
-	const char *reason;
-	const char *detail; /* for the log; may be NULL */
-	guint retry_after_ms; /* 0: none */
-};
-
-static void answer_own(struct aub_request *request,
-		       const struct own_answer *own)
-{
-	GString *text = g_string_new(NULL);
-	char *body = g_strdup_printf("{\"error\":\"%s\"}\n", own->reason);
-
-	g_string_append_printf(
-		text,
-		"HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n"
-		"Content-Length: %zu\r\n%s: %s\r\n%s",
-		own->status, http_status_str((enum http_status)own->status),
-		request->is_head ? 0 : strlen(body),
-		request->gateway->options.platform->request_id, request->id,
-		connection_line(request));
-	if (own->retry_after_ms)
-		g_string_append_printf(text, "Retry-After: %u.%03u\r\n",
-				       own->retry_after_ms / 1000,
-				       own->retry_after_ms % 1000);
-	g_string_append(text, "\r\n");
-	if (!request->is_head)
-		g_string_append(text, body);
-	g_free(body);
-	aub_request_log(request, own->counter, own->status, own->reason,
-			own->detail);
-	aub_caller_write(request->caller, text->str, text->len);
-	g_string_free(text, TRUE);
-	request_end(request);
-}
-
-/* Nothing ran, and nothing will: the caller may come back. */
-static void refuse(struct aub_request *request, const char *reason,
-		   guint retry_after_ms)
-{
-	answer_own(request, &(struct own_answer){
-				    .status = 503,
-				    .counter = AUB_COUNT_REFUSED,
-				    .reason = reason,
-				    .retry_after_ms = retry_after_ms,
-			    });
-}
-
-static void deny(struct aub_request *request, guint status, const char *reason)
-{
-	answer_own(request, &(struct own_answer){
-				    .status = status,
-				    .counter = AUB_COUNT_DENIED,
-				    .reason = reason,
-			    });
-}
-
-/* It may have run: only 502 and 504 say nothing about that. */
-static void fail(struct aub_request *request, guint status, const char *reason,
-		 const char *detail)
-{
-	answer_own(request, &(struct own_answer){
-				    .status = status,
-				    .counter = AUB_COUNT_FAILED,
-				    .reason = reason,
-				    .detail = detail,
-			    });
-}
-
 static gint64 now_of(const struct aub_request *request)
 {
 	return aub_timer_now(request->gateway->options.timers);
@@ -151,9 +36,9 @@
 		    const char *detail, guint retry_after_ms)
 {
 	if (request->may_have_run)
-		fail(request, 502, reason, detail);
+		aub_request_fail(request, 502, reason, detail);
 	else
-		refuse(request, reason, retry_after_ms);
+		aub_request_refuse(request, reason, retry_after_ms);
 }
 
 static void attempt_time_out(struct aub_request *request,
@@ -185,9 +70,9 @@
 		attempt_time_out(request,
 				 g_ptr_array_index(request->attempts, 0));
 	if (request->may_have_run)
-		fail(request, 504, "timeout", NULL);
+		aub_request_fail(request, 504, "timeout", NULL);
 	else
-		refuse(request, "timeout", NOT_READY_RETRY_MS);
+		aub_request_refuse(request, "timeout", NOT_READY_RETRY_MS);
 }
 
 static void ask_upstream(struct aub_request *request, bool hedge);
@@ -412,7 +297,7 @@
 	else
 		g_string_append(text, "Transfer-Encoding: chunked\r\n");
 	attempt->chunked = !whole && attempt->length < 0;
-	g_string_append(text, connection_line(request));
+	g_string_append(text, aub_request_connection_line(request));
 	g_string_append(text, "\r\n");
 	aub_caller_write(request->caller, text->str, text->len);
 }
@@ -477,7 +362,7 @@
 	aub_request_log(request, AUB_COUNT_ANSWERED, attempt->status, "",
 			attempt->upstream);
 	aub_attempt_free(attempt);
-	request_end(request);
+	aub_request_end(request);
 }
 
 void aub_request_attempt_drained(struct aub_request *request)
@@ -497,15 +382,10 @@
 	}
 }
 
-void aub_request_drop(struct aub_request *request)
-{
-	request_free(request);
-}
-
 void aub_request_caller_left(struct aub_request *request)
 {
 	aub_request_log(request, AUB_COUNT_GONE, 0, "caller-left", NULL);
-	request_free(request);
+	aub_request_free(request);
 }
 
 void aub_request_body(struct aub_request *request, const char *data,
@@ -519,7 +399,7 @@
 			aub_attempt_abort(g_ptr_array_index(request->attempts,
 							    0),
 					  AUB_END_ABANDONED);
-		deny(request, 413, "body-too-large");
+		aub_request_deny(request, 413, "body-too-large");
 		return;
 	}
 	for (guint i = 0; i < request->attempts->len; i++) {
@@ -556,7 +436,8 @@
 static void begin_placing(struct aub_request *request)
 {
 	if (is_crashing(request))
-		refuse(request, "crashes-upstreams", CRASH_RETRY_MS);
+		aub_request_refuse(request, "crashes-upstreams",
+				   CRASH_RETRY_MS);
 	else
 		ask_upstream(request, false);
 }
@@ -616,23 +497,24 @@
 	const char *problem = head_problem(head, gateway->options.platform);
 
 	if (!request->routing) {
-		refuse(request, "no-configuration", NOT_READY_RETRY_MS);
+		aub_request_refuse(request, "no-configuration",
+				   NOT_READY_RETRY_MS);
 		return false;
 	}
 	if (problem) {
-		deny(request, 400, problem);
+		aub_request_deny(request, 400, problem);
 		return false;
 	}
 	request->route = aub_routing_find(request->routing,
 					  aub_http_head_find(head, "Host"),
 					  head->target);
 	if (!request->route) {
-		deny(request, 404, "no-route");
+		aub_request_deny(request, 404, "no-route");
 		return false;
 	}
 	if (head->length > 0 &&
 	    (guint64)head->length > request->routing->limits.body_bytes) {
-		deny(request, 413, "body-too-large");
+		aub_request_deny(request, 413, "body-too-large");
 		return false;
 	}
 	return true;
@@ -689,32 +571,3 @@
 		begin_placing(request);
 	return request;
 }
-
-void aub_request_log(const struct aub_request *request,
-		     enum aub_request_counter counter, guint status,
-		     const char *reason, const char *detail)
-{
-	struct aub_gateway *gateway = request->gateway;
-	gint64 now = now_of(request);
-
-	aub_metrics_add(gateway->options.metrics, gateway->counters[counter],
-			1);
-	aub_metrics_observe(gateway->options.metrics, gateway->latency,
-			    now - request->begun_us);
-	aub_log_begin(counter == AUB_COUNT_ANSWERED && status < 500 ?
-			      AUB_EVENT_REQUEST :
-			      AUB_EVENT_REQUEST_TROUBLE);
-	aub_log_text("id", request->id);
-	aub_log_number("status", status);
-	aub_log_text("reason", reason);
-	aub_log_text("route", request->route ? request->route->name : "");
-	aub_log_text("service", request->service);
-	aub_log_text("upstream", detail);
-	aub_log_number("tries", request->tried->len);
-	aub_log_number("waited_ms", request->waited_us / AUB_MS);
-	aub_log_number("config",
-		       request->routing ? request->routing->version : 0);
-	aub_log_number("ms", (now - request->begun_us) / AUB_MS);
-	aub_log_number("left_ms", (request->deadline_us - now) / AUB_MS);
-	aub_log_end();
-}
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -5,105 +5,12 @@
 #include <auburnstile/error.h>
 #include <auburnstile/incarnation.h>
 #include <auburnstile/internal/decision_log.h>
-#include <auburnstile/internal/gateway.h>
-#include <auburnstile/internal/http_service.h>
-#include <auburnstile/internal/node.h>
+#include <auburnstile/internal/node_parts.h>
 #include <auburnstile/internal/pack.h>
-#include <auburnstile/internal/store_sync.h>
 #include <auburnstile/internal/problems.h>
 
 #include <string.h>
 
-#define FIELD(name) offsetof(struct aub_node_settings, name)
-
-const struct aub_setting aub_node_setting_table[] = {
-	{ .key = "name",
-	  .type = AUB_SETTING_STRING,
-	  .offset = FIELD(name),
-	  .required = true,
-	  .help = "name of the VM" },
-	{ .key = "zone",
-	  .type = AUB_SETTING_STRING,
-	  .offset = FIELD(zone),
-	  .required = true,
-	  .help = "its availability zone" },
-	{ .key = "callers",
-	  .type = AUB_SETTING_ADDRESS,
-	  .offset = FIELD(callers),
-	  .required = true,
-	  .help = "address for callers" },
-	{ .key = "directory",
-	  .type = AUB_SETTING_ADDRESS,
-	  .offset = FIELD(directory),
-	  .required = true,
-	  .help = "address where callers ask which addresses to use" },
-	{ .key = "readiness",
-	  .type = AUB_SETTING_ADDRESS,
-	  .offset = FIELD(readiness),
-	  .required = true,
-	  .help = "address that tells whether this VM is ready" },
-	{ .key = "peers",
-	  .type = AUB_SETTING_ADDRESS,
-	  .offset = FIELD(peers),
-	  .required = true,
-	  .help = "address for datagrams of other gateways" },
-	{ .key = "metrics",
-	  .type = AUB_SETTING_ADDRESS,
-	  .offset = FIELD(metrics),
-	  .required = true,
-	  .help = "address for counters, as text" },
-	{ .key = "store",
-	  .type = AUB_SETTING_ADDRESS,
-	  .offset = FIELD(store),
-	  .required = true,
-	  .help = "address of the platform's store" },
-	{ .key = "seeds",
-	  .type = AUB_SETTING_STRINGS,
-	  .offset = FIELD(seeds),
-	  .help = "addresses of other gateways; their IP numbers count" },
-	{ .key = "grace_ms",
-	  .type = AUB_SETTING_INTEGER,
-	  .offset = FIELD(grace_ms),
-	  .minimum = 500,
-	  .maximum = 600000,
-	  .fallback = "6000",
-	  .help = "most time a planned stop takes, ms" },
-	{ .key = "retry_percent",
-	  .type = AUB_SETTING_INTEGER,
-	  .offset = FIELD(retry_percent),
-	  .minimum = 0,
-	  .maximum = 100,
-	  .fallback = "10",
-	  .help = "second attempts a hundred first ones, fleet-wide" },
-	{ .key = "retry_slack",
-	  .type = AUB_SETTING_INTEGER,
-	  .offset = FIELD(retry_slack),
-	  .minimum = 0,
-	  .maximum = 100000,
-	  .fallback = "10",
-	  .help = "second attempts beyond that in a window" },
-	{ .key = "retry_window_ms",
-	  .type = AUB_SETTING_INTEGER,
-	  .offset = FIELD(retry_window_ms),
-	  .minimum = 100,
-	  .maximum = 600000,
-	  .fallback = "10000",
-	  .help = "window of the budget of second attempts, ms" },
-	{ .key = "address_ms",
-	  .type = AUB_SETTING_INTEGER,
-	  .offset = FIELD(address_ms),
-	  .minimum = 100,
-	  .maximum = 60000,
-	  .fallback = "1500",
-	  .help = "how long callers may keep addresses, ms" },
-	{ .key = "log_level",
-	  .type = AUB_SETTING_STRING,
-	  .offset = FIELD(log_level),
-	  .fallback = "warning",
-	  .help = "error, warning, message, info or debug" },
-	{ 0 },
-};
-
 /*
  * Shares of the fleet's budget that one placer gives out. Two of them may
  * place for a service at once for a while, so neither takes all of it.
@@ -136,52 +43,10 @@
 /* How late it is noticed that another gateway has to watch the store. */
 #define CURRENT_CHECK_US (500 * AUB_MS)
 
-/* Callers in a zone that is down to one VM get the others', too. */
-#define OWN_ZONE_LEAST 2
 #define LONELY_US (300 * AUB_MS) /* a seed answers within some ms */
 #define ENROL_US (1000 * AUB_MS) /* by then the others are known */
 #define RECORDS 24 /* gateways that stand in the store, about */
 
-#define ADDRESSES_MOST 64
-
-/* Callers are sent to nobody who has been silent for longer. */
-#define DIRECTORY_US (4000 * AUB_MS)
-
-struct aub_node {
-	const struct aub_platform *platform;
-	struct aub_timer_service *timers;
-	struct aub_poller *poller;
-	struct aub_http_client *client;
-	struct aub_metrics *metrics;
-	struct aub_peers *peers;
-	struct aub_placer *placer;
-	struct aub_store_sync *store;
-	struct aub_gateway *gateway;
-	struct aub_http_service *directory;
-	struct aub_http_service *readiness;
-	struct aub_http_service *exporter;
-	char *zone;
-	char *peers_port; /* ":port" */
-	guint address_ms;
-	guint grace_ms;
-	gint64 version; /* of the configuration in force */
-	bool upstreams_known;
-	bool stopping;
-	gint64 stop_us; /* when the stop began */
-	guint current_timer;
-	guint lonely_timer;
-	guint enrol_timer;
-	char *ip; /* of the peers' address */
-	guint stop_timer;
-	void (*stopped)(void *context);
-	void *stopped_context;
-};
-
-static bool is_ready(const struct aub_node *node)
-{
-	return node->version && node->upstreams_known && !node->stopping;
-}
-
 static bool is_current(const struct aub_node *node)
 {
 	return node->store && aub_store_sync_lost_us(node->store) < CURRENT_US;
@@ -190,7 +55,7 @@
 static void update_self(struct aub_node *node)
 {
 	struct aub_peer_state state = {
-		.ready = is_ready(node),
+		.ready = aub_node_is_ready(node),
 		.stopping = node->stopping,
 		.current = is_current(node),
 		.hears = node->store && !aub_store_sync_lost_us(node->store),
@@ -430,113 +295,6 @@
 		aub_placer_peer_lost(node->placer, incarnation);
 }
 
-/* Addresses of gateways that take callers; of one zone, or of all. */
-static GPtrArray *addresses_in(const struct aub_node *node, const char *zone)
-{
-	const GPtrArray *all = aub_peers_all(node->peers);
-	GPtrArray *list = g_ptr_array_new();
-	gint64 now = aub_timer_now(node->timers);
-
-	for (guint i = 0; i < all->len && list->len < ADDRESSES_MOST; i++) {
-		const struct aub_peer *peer = g_ptr_array_index(all, i);
-
-		if (peer->alive && peer->ready && !peer->stopping &&
-		    (peer->self || now - peer->heard_us < DIRECTORY_US) &&
-		    (!zone || !strcmp(zone, peer->zone)))
-			g_ptr_array_add(list, peer->callers_address);
-	}
-	return list;
-}
-
-/*
- * Callers get gateways of their own zone: an answer that crosses a zone
- * costs 4 to 6% of what it is worth.
- */
-static void on_directory(const struct aub_http_head *head,
-			 struct aub_http_reply *reply, void *context)
-{
-	struct aub_node *node = context;
-	GPtrArray *list;
-	char *zone;
-
-	if (!aub_http_path_is(head->target, node->platform->addresses_path))
-		return;
-	zone = aub_http_query(head->target, node->platform->zone_parameter);
-	list = addresses_in(node, zone);
-	if (list->len < OWN_ZONE_LEAST) {
-		g_ptr_array_unref(list);
-		list = addresses_in(node, NULL);
-	}
-	reply->status = list->len ? 200 : 503;
-	reply->type = "application/json";
-	reply->body = node->platform->addresses_body(list, node->address_ms);
-	g_ptr_array_unref(list);
-	g_free(zone);
-}
-
-static void on_readiness(const struct aub_http_head *head,
-			 struct aub_http_reply *reply, void *context)
-{
-	struct aub_node *node = context;
-
-	if (aub_http_path_is(head->target, node->platform->ready_path))
-		reply->status = is_ready(node) ? 200 : 503;
-}
-
-static void export_gauge(struct aub_node *node, const char *name,
-			 const char *help, gint64 value)
-{
-	aub_metrics_set(node->metrics,
-			aub_metrics_gauge(node->metrics, name, NULL, help),
-			value);
-}
-
-static void on_export(const struct aub_http_head *head,
-		      struct aub_http_reply *reply, void *context)
-{
-	struct aub_node *node = context;
-	const struct aub_placer_counts *counts =
-		aub_placer_counts(node->placer);
-	gint64 now = aub_timer_now(node->timers);
-
-	if (!aub_http_path_is(head->target, "/metrics"))
-		return;
-	export_gauge(node, "auburnstile_config_version",
-		     "configuration in force", node->version);
-	export_gauge(node, "auburnstile_requests_under_way", "now",
-		     aub_gateway_requests(node->gateway));
-	export_gauge(node, "auburnstile_caller_connections", "open now",
-		     aub_gateway_connections(node->gateway));
-	export_gauge(node, "auburnstile_upstream_connections", "opened so far",
-		     (gint64)aub_http_client_opened(node->client));
-	export_gauge(node, "auburnstile_store_calls", "so far",
-		     (gint64)aub_store_sync_calls(node->store));
-	export_gauge(node, "auburnstile_store_age_ms",
-		     "since the store last told of upstreams",
-		     (now - aub_store_sync_heard_us(node->store,
-						    AUB_STORE_UPSTREAMS)) /
-			     AUB_MS);
-	export_gauge(node, "auburnstile_placer_asked",
-		     "requests that asked for an upstream",
-		     (gint64)counts->asked);
-	export_gauge(node, "auburnstile_placer_decided",
-		     "asked here, by any gateway", (gint64)counts->placed_here);
-	export_gauge(node, "auburnstile_placer_alone",
-		     "placed for want of a placer",
-		     (gint64)counts->placed_alone);
-	export_gauge(node, "auburnstile_placer_passed_by",
-		     "placers that did not answer in time",
-		     (gint64)counts->passed_by);
-	export_gauge(node, "auburnstile_probes", "sent so far",
-		     (gint64)counts->probes);
-	export_gauge(node, "auburnstile_log_dropped",
-		     "lines about successes that found no room",
-		     (gint64)aub_decision_log_dropped(AUB_LOG_CALM));
-	reply->status = 200;
-	reply->type = "text/plain; version=0.0.4";
-	reply->body = aub_metrics_text(node->metrics);
-}
-
 static void limits_of(const struct aub_node_settings *settings,
 		      struct aub_placement_limits *limits)
 {
@@ -584,19 +342,21 @@
 	node->gateway = aub_gateway_new(&gateway, error);
 	if (!node->gateway)
 		return false;
-	node->directory = aub_http_service_new(node->poller, node->timers,
-					       settings->directory,
-					       on_directory, node, error);
+	node->directory =
+		aub_http_service_new(node->poller, node->timers,
+				     settings->directory, aub_node_on_directory,
+				     node, error);
 	if (!node->directory)
 		return false;
-	node->readiness = aub_http_service_new(node->poller, node->timers,
-					       settings->readiness,
-					       on_readiness, node, error);
+	node->readiness =
+		aub_http_service_new(node->poller, node->timers,
+				     settings->readiness, aub_node_on_readiness,
+				     node, error);
 	if (!node->readiness)
 		return false;
-	node->exporter =
-		aub_http_service_new(node->poller, node->timers,
-				     settings->metrics, on_export, node, error);
+	node->exporter = aub_http_service_new(node->poller, node->timers,
+					      settings->metrics,
+					      aub_node_on_export, node, error);
 	return node->exporter != NULL;
 }
 
