--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -262,8 +262,12 @@
 	if (!gateway)
 		return;
 	aub_timer_cancel(gateway->options.timers, gateway->sweep);
-	while (gateway->callers.head)
-		caller_free(gateway->callers.head->data);
+	for (GList *link = gateway->callers.head; link;) {
+		struct aub_caller *caller = link->data;
+
+		link = link->next;
+		caller_free(caller);
+	}
 	if (!gateway->closed) {
 		aub_poll_watch_remove(gateway->watch);
 		close(gateway->listener);
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -427,7 +427,7 @@
 		.ip = node->ip,
 		.zone = node->zone,
 	};
-	guint every = MAX(count_alive(node) / RECORDS, 1);
+	guint every = count_alive(node) / RECORDS + 1;
 
 	node->enrol_timer = 0;
 	if (g_str_hash(node->ip) % every == 0)
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -269,8 +269,9 @@
 
 void aub_placer_probes_stop(struct aub_placer *placer)
 {
-	while (placer->probes->len) {
-		struct probe *probe = g_ptr_array_index(placer->probes, 0);
+	/* Freeing one moves the last into its place: walk back. */
+	for (guint i = placer->probes->len; i > 0; i--) {
+		struct probe *probe = g_ptr_array_index(placer->probes, i - 1);
 
 		aub_http_call_cancel(probe->call);
 		probe_free(probe);
--- a/src/transport/http_service.c
+++ b/src/transport/http_service.c
@@ -156,8 +156,12 @@
 {
 	if (!service)
 		return;
-	while (service->connections.head)
-		connection_free(service->connections.head->data);
+	for (GList *link = service->connections.head; link;) {
+		struct connection *connection = link->data;
+
+		link = link->next;
+		connection_free(connection);
+	}
 	aub_timer_cancel(service->timers, service->sweep);
 	aub_poll_watch_remove(service->watch);
 	close(service->listener);
--- a/src/transport/tcp.c
+++ b/src/transport/tcp.c
@@ -139,7 +139,7 @@
 
 int aub_tcp_listen_any(char **address)
 {
-	struct sockaddr_in bound_to;
+	struct sockaddr_in bound_to = { 0 };
 	socklen_t length = sizeof(bound_to);
 	int fd = aub_tcp_listen("127.0.0.1:0", NULL);
 
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -65,8 +65,9 @@
 		verdict=1
 	fi
 done
-# A short soak with fixed seeds; those that ever failed are added here.
-for seed in 1 2; do
+# A short soak with fixed seeds. 15 once said DRAIN while no gateway could know,
+# 117 TWICE of an upstream that took its word back: both were the soak's faults.
+for seed in 1 15 117; do
 	log=$build/tests/soak-$seed.log
 	if BUILD=$release "$release/soak" --seed $seed --seconds 8 >"$log" 2>&1
 	then
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -463,3 +463,27 @@
 	ASSERT_TRUE(answered(other));
 	EXPECT_EQ(other->status, 200u);
 }
+
+TEST_F(GatewayTest, StandInKeepsItsWordOnWhatItBeganToRun)
+{
+	/*
+	 * The stand-in upstream begins to run a request and is told, while it
+	 * works, to refuse. It must not say then that it did not run it: the
+	 * gateway would rightly send it elsewhere.
+	 */
+	struct platform_upstream *one = add_upstream("u1");
+	struct platform_upstream *two = add_upstream("u2");
+
+	platform_upstream_set_work(one, 100);
+	platform_upstream_set_work(two, 100);
+	configure();
+	start_ready();
+	auto caller = call("POST", "/once/pay", "id1", "Content-Length: 0\r\n");
+	run_for(50);
+	platform_upstream_set_answer(one, PLATFORM_ANSWER_FULL);
+	platform_upstream_set_answer(two, PLATFORM_ANSWER_FULL);
+	ASSERT_TRUE(answered(caller));
+	EXPECT_EQ(caller->status, 200u);
+	EXPECT_EQ(platform_upstream_runs(one) + platform_upstream_runs(two),
+		  1u);
+}
--- a/tools/platform/upstream.c
+++ b/tools/platform/upstream.c
@@ -40,6 +40,7 @@
 	struct aub_http_stream *stream;
 	char *request_id;
 	char *expected;
+	enum platform_answer answer; /* to the request that it runs */
 	bool probe;
 	bool running;
 	bool answered; /* early */
@@ -199,7 +200,7 @@
 
 	connection->timer = 0;
 	connection->running = false;
-	if (!answer_write(connection, next_answer(connection->upstream)))
+	if (!answer_write(connection, connection->answer))
 		return;
 	aub_http_stream_flush(connection->stream);
 	aub_http_stream_resume(connection->stream);
@@ -240,6 +241,8 @@
 			upstream->on_run(connection->request_id,
 					 upstream->on_run_context);
 	}
+	/* What it said of a run that has begun would not be true later. */
+	connection->answer = next_answer(upstream);
 	connection->running = true;
 	connection->timer = aub_timer_at(upstream->timers, "work",
 					 aub_timer_now(upstream->timers) +
