--- a/include/auburnstile/internal/gateway_parts.h
+++ b/include/auburnstile/internal/gateway_parts.h
@@ -47,7 +47,6 @@
 	guint latency;
 	guint attempts;
 	guint retries;
-	guint hedges;
 };
 
 struct aub_caller {
@@ -94,18 +93,16 @@
 	gint64 deadline_us; /* the caller's */
 	gint64 limit_us; /* the earlier of it and the route's timeout */
 	guint timer;
-	guint hedge_timer;
 	gint64 body_length; /* -1: chunked; 0: none */
 	guint64 body_read;
 	bool body_whole;
 	bool body_lost; /* more of it has gone than is kept */
 	GByteArray *body; /* kept to be sent again */
-	GPtrArray *attempts; /* of struct aub_attempt_state, under way */
+	struct aub_attempt_state *attempt; /* under way; or NULL */
 	GPtrArray *tried; /* of char *: upstreams it was sent to */
 	guint unreachable; /* tries that never connected */
 	guint64 ask; /* ticket asked for; 0: none */
 	bool asking;
-	bool hedging; /* the ask is for a second try beside the first */
 	bool may_have_run;
 	bool answering; /* bytes of an answer have gone to the caller */
 };
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -231,9 +231,6 @@
 	gateway->retries =
 		aub_metrics_counter(metrics, "auburnstile_retries_total", NULL,
 				    "tries after a failed one");
-	gateway->hedges =
-		aub_metrics_counter(metrics, "auburnstile_hedges_total", NULL,
-				    "tries beside a slow one");
 }
 
 struct aub_gateway *aub_gateway_new(const struct aub_gateway_options *options,
--- a/src/coordination/gateway_answer.c
+++ b/src/coordination/gateway_answer.c
@@ -11,15 +11,12 @@
 	struct aub_gateway *gateway = request->gateway;
 
 	aub_timer_cancel(gateway->options.timers, request->timer);
-	aub_timer_cancel(gateway->options.timers, request->hedge_timer);
 	if (request->asking)
 		aub_placer_cancel(gateway->options.placer, request->ask);
-	while (request->attempts->len)
-		aub_attempt_abort(g_ptr_array_index(request->attempts, 0),
-				  AUB_END_ABANDONED);
+	if (request->attempt)
+		aub_attempt_abort(request->attempt, AUB_END_ABANDONED);
 	gateway->requests--;
 	request->caller->request = NULL;
-	g_ptr_array_unref(request->attempts);
 	g_ptr_array_unref(request->tried);
 	g_byte_array_unref(request->body);
 	g_string_free(request->headers, TRUE);
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -21,7 +21,7 @@
 
 void aub_attempt_free(struct aub_attempt_state *attempt)
 {
-	g_ptr_array_remove_fast(attempt->request->attempts, attempt);
+	attempt->request->attempt = NULL;
 	if (attempt->head)
 		g_string_free(attempt->head, TRUE);
 	g_byte_array_unref(attempt->body);
@@ -248,7 +248,7 @@
 	attempt->sent_us = aub_timer_now(gateway->options.timers);
 	attempt->body = g_byte_array_new();
 	attempt->load = (struct aub_load){ -1, -1, -1, -1, -1 };
-	g_ptr_array_add(request->attempts, attempt);
+	request->attempt = attempt;
 	aub_metrics_add(gateway->options.metrics, gateway->attempts, 1);
 	attempt->exchange = aub_exchange_new(gateway->options.client, &options,
 					     &exchange_callbacks, attempt);
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -66,16 +66,15 @@
 		aub_caller_break(request->caller);
 		return;
 	}
-	while (request->attempts->len)
-		attempt_time_out(request,
-				 g_ptr_array_index(request->attempts, 0));
+	if (request->attempt)
+		attempt_time_out(request, request->attempt);
 	if (request->may_have_run)
 		aub_request_fail(request, 504, "timeout", NULL);
 	else
 		aub_request_refuse(request, "timeout", NOT_READY_RETRY_MS);
 }
 
-static void ask_upstream(struct aub_request *request, bool hedge);
+static void ask_upstream(struct aub_request *request);
 
 static void log_not_placed(const struct aub_request *request,
 			   const struct aub_placed *placed)
@@ -96,25 +95,16 @@
 	struct aub_request *request = context;
 	struct aub_gateway *gateway = request->gateway;
 	struct aub_attempt_state *attempt;
-	bool hedge = request->hedging;
 
 	request->asking = false;
-	request->hedging = false;
 	request->waited_us += placed->waited_us;
 	if (placed->verdict != AUB_VERDICT_GRANTED) {
 		log_not_placed(request, placed);
-		/* A hedge that finds no room leaves the first try alone. */
-		if (!request->attempts->len)
-			give_up(request, aub_verdict_name(placed->verdict),
-				placed->placer, placed->retry_after_ms);
+		give_up(request, aub_verdict_name(placed->verdict),
+			placed->placer, placed->retry_after_ms);
 		return;
 	}
-	if (hedge && !request->attempts->len) {
-		/* The first try has ended meanwhile: this is the retry. */
-		hedge = false;
-	}
-	aub_metrics_add(gateway->options.metrics,
-			hedge ? gateway->hedges : gateway->retries,
+	aub_metrics_add(gateway->options.metrics, gateway->retries,
 			request->tried->len ? 1 : 0);
 	g_ptr_array_add(request->tried, g_strdup(placed->upstream));
 	attempt = aub_attempt_start(request, request->ask, placed->upstream,
@@ -155,7 +145,7 @@
 	return MAX(on_time_ms(request, now_us), (guint)MAX(late_ms, 0));
 }
 
-static void ask_upstream(struct aub_request *request, bool hedge)
+static void ask_upstream(struct aub_request *request)
 {
 	struct aub_gateway *gateway = request->gateway;
 	gint64 now = now_of(request);
@@ -170,7 +160,6 @@
 	};
 
 	request->asking = true;
-	request->hedging = hedge;
 	request->ask = aub_placer_ticket(gateway->options.placer);
 	aub_placer_ask(gateway->options.placer, request->service, &ask,
 		       request->ask, on_placed, request);
@@ -247,10 +236,8 @@
 		aub_request_log(request, AUB_COUNT_BROKEN, 0, "upstream-broke",
 				upstream);
 		aub_caller_break(request->caller);
-	} else if (request->attempts->len || request->asking) {
-		/* Another try is under way, or about to be. */
 	} else if (may_repeat(request, end) && !is_crashing(request)) {
-		ask_upstream(request, false);
+		ask_upstream(request);
 	} else {
 		give_up(request, aub_attempt_end_name(end), upstream,
 			UPSTREAM_REFUSED_RETRY_MS);
@@ -258,27 +245,6 @@
 	g_free(upstream);
 }
 
-static void abandon_others(struct aub_request *request,
-			   const struct aub_attempt_state *winner)
-{
-	guint i = 0;
-
-	if (request->asking) {
-		request->asking = false;
-		aub_placer_cancel(request->gateway->options.placer,
-				  request->ask);
-	}
-	while (i < request->attempts->len) {
-		struct aub_attempt_state *attempt =
-			g_ptr_array_index(request->attempts, i);
-
-		if (attempt == winner)
-			i++;
-		else
-			aub_attempt_abort(attempt, AUB_END_ABANDONED);
-	}
-}
-
 static void write_answer_head(struct aub_request *request,
 			      struct aub_attempt_state *attempt, bool whole)
 {
@@ -305,7 +271,6 @@
 void aub_request_attempt_streams(struct aub_request *request,
 				 struct aub_attempt_state *attempt)
 {
-	abandon_others(request, attempt);
 	request->answering = true;
 	attempt->streaming = true;
 	write_answer_head(request, attempt, false);
@@ -340,14 +305,12 @@
 	bool failed = attempt->status >= 500;
 
 	if (failed && !attempt->streaming && request->route->idempotent &&
-	    (request->attempts->len > 1 || request->asking ||
-	     may_repeat(request, AUB_END_FAILED))) {
+	    may_repeat(request, AUB_END_FAILED)) {
 		/* A whole failure of one upstream; another may do better. */
 		request->may_have_run = true;
 		aub_request_attempt_failed(request, attempt, AUB_END_FAILED);
 		return;
 	}
-	abandon_others(request, attempt);
 	if (attempt->streaming) {
 		if (attempt->chunked)
 			aub_caller_write(request->caller, "0\r\n\r\n", 5);
@@ -373,13 +336,8 @@
 
 void aub_request_drained(struct aub_request *request)
 {
-	for (guint i = 0; i < request->attempts->len; i++) {
-		struct aub_attempt_state *attempt =
-			g_ptr_array_index(request->attempts, i);
-
-		if (attempt->exchange)
-			aub_exchange_hold(attempt->exchange, false);
-	}
+	if (request->attempt && request->attempt->exchange)
+		aub_exchange_hold(request->attempt->exchange, false);
 }
 
 void aub_request_caller_left(struct aub_request *request)
@@ -395,30 +353,24 @@
 
 	request->body_read += length;
 	if (request->body_read > request->routing->limits.body_bytes) {
-		while (request->attempts->len)
-			aub_attempt_abort(g_ptr_array_index(request->attempts,
-							    0),
-					  AUB_END_ABANDONED);
+		if (request->attempt)
+			aub_attempt_abort(request->attempt, AUB_END_ABANDONED);
 		aub_request_deny(request, 413, "body-too-large");
 		return;
 	}
-	for (guint i = 0; i < request->attempts->len; i++) {
-		struct aub_attempt_state *attempt =
-			g_ptr_array_index(request->attempts, i);
-
-		aub_attempt_write_body(attempt, data, length);
-		aub_exchange_flush(attempt->exchange);
-		queued = MAX(queued, aub_exchange_queued(attempt->exchange));
+	if (request->attempt) {
+		aub_attempt_write_body(request->attempt, data, length);
+		aub_exchange_flush(request->attempt->exchange);
+		queued = aub_exchange_queued(request->attempt->exchange);
 	}
-	if (request->body->len + length <= AUB_BODY_KEPT ||
-	    !request->attempts->len)
+	if (request->body->len + length <= AUB_BODY_KEPT || !request->attempt)
 		g_byte_array_append(request->body, (const guint8 *)data,
 				    (guint)length);
 	else
 		request->body_lost = true;
 	/* Nothing more is read while there is no place to put it. */
 	if (queued > AUB_QUEUE_HIGH ||
-	    (!request->attempts->len && request->body->len > AUB_BODY_KEPT))
+	    (!request->attempt && request->body->len > AUB_BODY_KEPT))
 		aub_http_stream_hold(request->caller->stream, true);
 }
 
@@ -439,7 +391,7 @@
 		aub_request_refuse(request, "crashes-upstreams",
 				   CRASH_RETRY_MS);
 	else
-		ask_upstream(request, false);
+		ask_upstream(request);
 }
 
 void aub_request_body_end(struct aub_request *request)
@@ -449,13 +401,10 @@
 		begin_placing(request);
 		return;
 	}
-	for (guint i = 0; i < request->attempts->len; i++) {
-		struct aub_attempt_state *attempt =
-			g_ptr_array_index(request->attempts, i);
-
-		aub_attempt_end_body(attempt);
-		aub_exchange_flush(attempt->exchange);
-	}
+	if (!request->attempt)
+		return;
+	aub_attempt_end_body(request->attempt);
+	aub_exchange_flush(request->attempt->exchange);
 }
 
 /* NULL, or why the head makes no request that can be served. */
@@ -554,7 +503,6 @@
 	gateway->requests++;
 	request->begun_us = aub_timer_now(gateway->options.timers);
 	request->body = g_byte_array_new();
-	request->attempts = g_ptr_array_new();
 	request->tried = g_ptr_array_new_with_free_func(g_free);
 	if (gateway->routing)
 		request->routing = aub_routing_ref(gateway->routing);
