--- a/include/auburnstile/internal/gateway_parts.h
+++ b/include/auburnstile/internal/gateway_parts.h
@@ -43,8 +43,6 @@
 	guint requests;
 	bool stopping;
 	bool closed;
-	guint counters[AUB_REQUEST_COUNTERS];
-	guint latency;
 	guint attempts;
 	guint retries;
 };
@@ -173,6 +171,11 @@
 			 const struct aub_platform *platform, bool request);
 bool aub_header_is_number(const char *text, gint64 *value);
 
+/* Count a request's end in the metrics. */
+void aub_gateway_count(struct aub_gateway *gateway, const char *service,
+		       enum aub_request_counter counter, const char *reason,
+		       gint64 elapsed_us);
+
 /* Count a request's end, and log it. */
 void aub_request_log(const struct aub_request *request,
 		     enum aub_request_counter counter, guint status,
--- a/include/auburnstile/internal/placer.h
+++ b/include/auburnstile/internal/placer.h
@@ -72,6 +72,13 @@
 		       enum aub_attempt_end end, gint64 elapsed_us,
 		       const struct aub_load *load);
 
+/* Visit the placements that this gateway keeps, for metrics. */
+typedef void aub_placement_visitor(const char *service,
+				   const struct aub_placement_state *state,
+				   void *context);
+void aub_placer_visit(struct aub_placer *placer, aub_placement_visitor *visit,
+		      void *context);
+
 struct aub_placer_counts {
 	guint64 asked;
 	guint64 placed_here; /* for this and other gateways, as placer */
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -201,6 +201,21 @@
 }
 
 static void register_metrics(struct aub_gateway *gateway)
+{
+	struct aub_metrics *metrics = gateway->options.metrics;
+
+	gateway->attempts =
+		aub_metrics_counter(metrics, "auburnstile_attempts_total", NULL,
+				    "tries at upstreams");
+	gateway->retries =
+		aub_metrics_counter(metrics, "auburnstile_retries_total", NULL,
+				    "tries after a failed one");
+}
+
+/* Services and reasons are few, however many routes there are. */
+void aub_gateway_count(struct aub_gateway *gateway, const char *service,
+		       enum aub_request_counter counter, const char *reason,
+		       gint64 elapsed_us)
 {
 	static const char *const outcomes[AUB_REQUEST_COUNTERS] = {
 		[AUB_COUNT_ANSWERED] = "answered",
@@ -211,26 +226,26 @@
 		[AUB_COUNT_BROKEN] = "broken",
 	};
 	struct aub_metrics *metrics = gateway->options.metrics;
-
-	for (guint i = 0; i < AUB_REQUEST_COUNTERS; i++) {
-		char *label = g_strdup_printf("outcome=\"%s\"", outcomes[i]);
-
-		gateway->counters[i] =
+	char *label =
+		g_strdup_printf("service=\"%s\",outcome=\"%s\",reason=\"%s\"",
+				service ? service : "", outcomes[counter],
+				reason);
+	char *of_service =
+		g_strdup_printf("service=\"%s\"", service ? service : "");
+
+	aub_metrics_add(metrics,
 			aub_metrics_counter(metrics,
 					    "auburnstile_requests_total", label,
-					    "requests by what became of them");
-		g_free(label);
-	}
-	gateway->latency =
+					    "requests by what became of them"),
+			1);
+	aub_metrics_observe(
+		metrics,
 		aub_metrics_histogram(metrics, "auburnstile_request_seconds",
-				      NULL,
-				      "from a request's head to its answer");
-	gateway->attempts =
-		aub_metrics_counter(metrics, "auburnstile_attempts_total", NULL,
-				    "tries at upstreams");
-	gateway->retries =
-		aub_metrics_counter(metrics, "auburnstile_retries_total", NULL,
-				    "tries after a failed one");
+				      of_service,
+				      "from a request's head to its answer"),
+		elapsed_us);
+	g_free(label);
+	g_free(of_service);
 }
 
 struct aub_gateway *aub_gateway_new(const struct aub_gateway_options *options,
--- a/src/coordination/gateway_answer.c
+++ b/src/coordination/gateway_answer.c
@@ -126,10 +126,8 @@
 	struct aub_gateway *gateway = request->gateway;
 	gint64 now = aub_timer_now(gateway->options.timers);
 
-	aub_metrics_add(gateway->options.metrics, gateway->counters[counter],
-			1);
-	aub_metrics_observe(gateway->options.metrics, gateway->latency,
-			    now - request->begun_us);
+	aub_gateway_count(gateway, request->service, counter, reason,
+			  now - request->begun_us);
 	aub_log_begin(counter == AUB_COUNT_ANSWERED && status < 500 ?
 			      AUB_EVENT_REQUEST :
 			      AUB_EVENT_REQUEST_TROUBLE);
--- a/src/coordination/node_answers.c
+++ b/src/coordination/node_answers.c
@@ -81,6 +81,33 @@
 			value);
 }
 
+static void export_of(struct aub_node *node, const char *service,
+		      const char *state, gint64 value)
+{
+	char *label =
+		g_strdup_printf("service=\"%s\",state=\"%s\"", service, state);
+
+	aub_metrics_set(node->metrics,
+			aub_metrics_gauge(node->metrics,
+					  "auburnstile_upstreams", label,
+					  "by what this gateway believes"),
+			value);
+	g_free(label);
+}
+
+static void export_placement(const char *service,
+			     const struct aub_placement_state *state,
+			     void *context)
+{
+	struct aub_node *node = context;
+
+	export_of(node, service, "up", state->up);
+	export_of(node, service, "down", state->down);
+	export_of(node, service, "unknown", state->unknown);
+	export_of(node, service, "cold", state->cold);
+	export_of(node, service, "leaving", state->leaving);
+}
+
 void aub_node_on_export(const struct aub_http_head *head,
 			struct aub_http_reply *reply, void *context)
 {
@@ -122,6 +149,10 @@
 	export_gauge(node, "auburnstile_log_dropped",
 		     "lines about successes that found no room",
 		     (gint64)aub_decision_log_dropped(AUB_LOG_CALM));
+	export_gauge(node, "auburnstile_store_lost_ms",
+		     "since the store stopped answering; 0: it answers",
+		     aub_store_sync_lost_us(node->store) / AUB_MS);
+	aub_placer_visit(node->placer, export_placement, node);
 	reply->status = 200;
 	reply->type = "text/plain; version=0.0.4";
 	reply->body = aub_metrics_text(node->metrics);
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -755,3 +755,19 @@
 	while (g_hash_table_iter_next(&iter, NULL, &placement))
 		aub_placement_set_limits(placement, limits);
 }
+
+void aub_placer_visit(struct aub_placer *placer, aub_placement_visitor *visit,
+		      void *context)
+{
+	gint64 now = aub_timer_now(placer->options.timers);
+	GHashTableIter iter;
+	void *placement;
+
+	g_hash_table_iter_init(&iter, placer->placements);
+	while (g_hash_table_iter_next(&iter, NULL, &placement)) {
+		struct aub_placement_state state;
+
+		aub_placement_state(placement, now, &state);
+		visit(aub_placement_service(placement), &state, context);
+	}
+}
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -185,8 +185,12 @@
 	start_ready();
 	ASSERT_TRUE(answered(call("GET", "/safe/a", "id1")));
 	EXPECT_EQ(get(addresses[4], "/metrics", &body), 200u);
-	EXPECT_NE(body.find("auburnstile_requests_total{outcome=\"answered\"} "
-			    "1"),
+	EXPECT_NE(body.find(
+			  "auburnstile_requests_total{service=\"svc\",outcome="
+			  "\"answered\",reason=\"\"} 1"),
+		  std::string::npos);
+	EXPECT_NE(body.find("auburnstile_upstreams{service=\"svc\",state=\"up\""
+			    "} 1"),
 		  std::string::npos);
 	EXPECT_NE(body.find("auburnstile_store_calls"), std::string::npos);
 }
