--- a/include/auburnstile/internal/gateway_parts.h
+++ b/include/auburnstile/internal/gateway_parts.h
@@ -159,8 +159,7 @@
 void aub_attempt_free(struct aub_attempt_state *attempt);
 
 /* Callers' connections. */
-void aub_caller_write(struct aub_caller *caller, const void *data,
-		      gsize length);
+void aub_caller_put(struct aub_caller *caller, const void *data, gsize length);
 /* The answer is written: go on with the next request, or end. */
 void aub_caller_answered(struct aub_caller *caller, bool keep);
 /* Break the connection off: an answer that ends early must not look whole. */
--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -186,8 +186,8 @@
 	guint queued;
 	guint64 refused; /* since the start */
 };
-void aub_placement_state(const struct aub_placement *placement, gint64 now_us,
-			 struct aub_placement_state *state);
+void aub_placement_get_state(const struct aub_placement *placement,
+			     gint64 now_us, struct aub_placement_state *state);
 
 /* Walks all invariants; aborts where one is broken. For tests. */
 void aub_placement_check(const struct aub_placement *placement);
--- a/include/auburnstile/internal/placer.h
+++ b/include/auburnstile/internal/placer.h
@@ -86,7 +86,7 @@
 	guint64 passed_by; /* a placer that did not answer in time */
 	guint64 probes;
 };
-const struct aub_placer_counts *aub_placer_counts(
+const struct aub_placer_counts *aub_placer_get_counts(
 	const struct aub_placer *placer);
 
 G_END_DECLS
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -28,7 +28,7 @@
 	g_free(caller);
 }
 
-void aub_caller_write(struct aub_caller *caller, const void *data, gsize length)
+void aub_caller_put(struct aub_caller *caller, const void *data, gsize length)
 {
 	aub_http_stream_write(caller->stream, data, length);
 	aub_http_stream_flush(caller->stream);
@@ -100,7 +100,7 @@
 				     "Connection: close\r\n\r\n",
 				     status);
 
-	aub_caller_write(caller, text, strlen(text));
+	aub_caller_put(caller, text, strlen(text));
 	g_free(text);
 }
 
--- a/src/coordination/gateway_answer.c
+++ b/src/coordination/gateway_answer.c
@@ -80,7 +80,7 @@
 	g_free(body);
 	aub_request_log(request, own->counter, own->status, own->reason,
 			own->detail);
-	aub_caller_write(request->caller, text->str, text->len);
+	aub_caller_put(request->caller, text->str, text->len);
 	g_string_free(text, TRUE);
 	aub_request_end(request);
 }
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -265,7 +265,7 @@
 	attempt->chunked = !whole && attempt->length < 0;
 	g_string_append(text, aub_request_connection_line(request));
 	g_string_append(text, "\r\n");
-	aub_caller_write(request->caller, text->str, text->len);
+	aub_caller_put(request->caller, text->str, text->len);
 }
 
 void aub_request_attempt_streams(struct aub_request *request,
@@ -313,11 +313,11 @@
 	}
 	if (attempt->streaming) {
 		if (attempt->chunked)
-			aub_caller_write(request->caller, "0\r\n\r\n", 5);
+			aub_caller_put(request->caller, "0\r\n\r\n", 5);
 	} else {
 		write_answer_head(request, attempt, true);
-		aub_caller_write(request->caller, attempt->body->data,
-				 request->is_head ? 0 : attempt->body->len);
+		aub_caller_put(request->caller, attempt->body->data,
+			       request->is_head ? 0 : attempt->body->len);
 	}
 	if (request->body_whole && !request->body_lost)
 		aub_crash_marks_answered(request->gateway->crashes,
@@ -514,7 +514,7 @@
 	request->timer = aub_timer_at(gateway->options.timers, "request",
 				      request->limit_us, on_limit, request);
 	if (!request->body_whole && aub_http_head_find(head, "Expect"))
-		aub_caller_write(caller, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+		aub_caller_put(caller, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 	if (!waits_for_body(request))
 		begin_placing(request);
 	return request;
--- a/src/coordination/node_answers.c
+++ b/src/coordination/node_answers.c
@@ -113,7 +113,7 @@
 {
 	struct aub_node *node = context;
 	const struct aub_placer_counts *counts =
-		aub_placer_counts(node->placer);
+		aub_placer_get_counts(node->placer);
 	gint64 now = aub_timer_now(node->timers);
 
 	if (!aub_http_path_is(head->target, "/metrics"))
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -738,7 +738,7 @@
 	g_free(placer);
 }
 
-const struct aub_placer_counts *aub_placer_counts(
+const struct aub_placer_counts *aub_placer_get_counts(
 	const struct aub_placer *placer)
 {
 	return &placer->counts;
@@ -767,7 +767,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &placement)) {
 		struct aub_placement_state state;
 
-		aub_placement_state(placement, now, &state);
+		aub_placement_get_state(placement, now, &state);
 		visit(aub_placement_service(placement), &state, context);
 	}
 }
--- a/src/coordination/placer_round.c
+++ b/src/coordination/placer_round.c
@@ -108,8 +108,8 @@
 	struct aub_active *active =
 		g_hash_table_lookup(placer->active, service);
 
-	aub_placement_state(aub_placer_placement(placer, service), now_us,
-			    &state);
+	aub_placement_get_state(aub_placer_placement(placer, service), now_us,
+				&state);
 	if (!active || state.refused == active->refused)
 		return;
 	aub_log_begin(AUB_EVENT_PLACEMENT);
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -311,8 +311,8 @@
 	row->slowness = belief->slowdown / 100.0;
 }
 
-void aub_placement_state(const struct aub_placement *placement, gint64 now_us,
-			 struct aub_placement_state *state)
+void aub_placement_get_state(const struct aub_placement *placement,
+			     gint64 now_us, struct aub_placement_state *state)
 {
 	*state = (struct aub_placement_state){
 		.granted = g_hash_table_size(placement->grants),
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -214,12 +214,13 @@
 	run_for(1500);
 	guint64 counts[2];
 	for (int i = 0; i < 2; i++)
-		counts[i] = aub_placer_counts(gates[(size_t)i]->placer)->probes;
+		counts[i] =
+			aub_placer_get_counts(gates[(size_t)i]->placer)->probes;
 	run_for(1000);
 	for (int i = 0; i < 2; i++)
-		counts[i] =
-			aub_placer_counts(gates[(size_t)i]->placer)->probes -
-			counts[i];
+		counts[i] = aub_placer_get_counts(gates[(size_t)i]->placer)
+				    ->probes -
+			    counts[i];
 	EXPECT_GE(counts[0], 7u);
 	EXPECT_LE(counts[1], 2u);
 	EXPECT_TRUE(aub_placement_is_up(
