state: keep a queued ask's refusal of the cold

A request that finds no placer is placed by its own gateway, which must give it nothing cold or down: each such gateway would else send a cold upstream something. The queue dropped that flag, so that a request that first waited for a slot could be granted the cold upstream after all.

The new test failed before (the cold upstream was granted one). The flag now stays with the request for as long as it waits.

--- a/include/auburnstile/internal/placement_parts.h
+++ b/include/auburnstile/internal/placement_parts.h
@@ -58,6 +58,7 @@
 	char *zone;
 	guint priority;
 	guint target_ms;
+	bool alone; /* no placer answered: nothing cold or down */
 	gint64 since_us;
 	gint64 on_time_us; /* granted later it is late for sure */
 	gint64 until_us; /* its patience ends */
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -79,6 +79,7 @@
 	waiting->zone = g_strdup(ask->zone);
 	waiting->priority = ask->priority;
 	waiting->target_ms = ask->target_ms;
+	waiting->alone = ask->alone;
 	waiting->since_us = now_us;
 	waiting->on_time_us = now_us + ask->on_time_ms * AUB_PLACE_MS;
 	waiting->until_us = now_us + ask->patience_ms * AUB_PLACE_MS;
@@ -209,6 +210,7 @@
 		.zone = waiting->zone,
 		.priority = waiting->priority,
 		.target_ms = waiting->target_ms,
+		.alone = waiting->alone,
 		.on_time_ms =
 			(guint)((on_time_us + AUB_PLACE_MS - 1) / AUB_PLACE_MS),
 		.waited_ms =
--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -611,3 +611,27 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, PlacementSequences,
 			 ::testing::Range<guint32>(1, 21));
+
+TEST(Placement, APlacerOfNecessityGivesTheQueueNothingCold)
+{
+	/*
+	 * A cold upstream falls over when each gateway that finds no placer
+	 * sends it something. The request waits here for a slot of a warm
+	 * upstream; the cold one is free all the while.
+	 */
+	Placement p;
+	struct aub_decision decision;
+
+	p.add("warm");
+	p.enter("cold", 2, "z1", false, 1, 60000);
+	p.probed("cold", 60000);
+	for (int i = 0; i < 3; i++) {
+		struct aub_ask ask = p.ask_of();
+
+		ask.alone = true;
+		p.ask(ask);
+	}
+	p.now += 50 * MS;
+	EXPECT_FALSE(p.next(&decision));
+	EXPECT_EQ(p.row("cold")->granted, 0u);
+}
