Remove state nothing reads, and count peers in one place

The peers' generation, a call's client, an exchange's connected flag and a stream's poller were set and never read. Peers alive were counted by the node and by the peers; the peers now count for both. No behaviour changes.

--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -76,15 +76,14 @@
 
 /* Every peer, this process first; of struct aub_peer, borrowed. */
 const GPtrArray *aub_peers_all(const struct aub_peers *peers);
+/* Peers alive, this process not counted. */
+guint aub_peers_count_alive(const struct aub_peers *peers);
 struct aub_peer *aub_peers_self(const struct aub_peers *peers);
 
-/* Counts changes of who is alive and ready. */
-guint aub_peers_generation(const struct aub_peers *peers);
-
 /*
  * The gateways that may place for `service`, most preferred first: alive,
  * ready, those that hear from the store first, by a hash of both names.
- * Borrowed until the generation changes.
+ * Borrowed until who is alive or ready changes.
  */
 const GPtrArray *aub_peers_ranked(struct aub_peers *peers, const char *service);
 
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -395,23 +395,13 @@
 	return true;
 }
 
-static guint count_alive(const struct aub_node *node)
-{
-	const GPtrArray *all = aub_peers_all(node->peers);
-	guint count = 0;
-
-	for (guint i = 0; i < all->len; i++)
-		count += ((struct aub_peer *)g_ptr_array_index(all, i))->alive;
-	return count;
-}
-
 /* No seed has answered: somebody may stand in the store. */
 static void on_lonely_check(void *context, gint64 now_us)
 {
 	struct aub_node *node = context;
 
 	node->lonely_timer = 0;
-	if (count_alive(node) <= 1)
+	if (aub_peers_count_alive(node->peers) == 0)
 		aub_store_sync_list_members(node->store);
 }
 
@@ -427,7 +417,7 @@
 		.ip = node->ip,
 		.zone = node->zone,
 	};
-	guint every = count_alive(node) / RECORDS + 1;
+	guint every = (aub_peers_count_alive(node->peers) + 1) / RECORDS + 1;
 
 	node->enrol_timer = 0;
 	if (g_str_hash(node->ip) % every == 0)
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -55,7 +55,6 @@
 	guint timer;
 	GPtrArray *all; /* of struct aub_peer; the first is this process */
 	struct aub_beacon *beacon;
-	guint generation;
 	guint round;
 	guint far_rounds; /* as of this round */
 	GHashTable *ranked; /* service -> GPtrArray; empty after a change */
@@ -87,7 +86,6 @@
 
 static void changed(struct aub_peers *peers)
 {
-	peers->generation++;
 	g_hash_table_remove_all(peers->ranked);
 }
 
@@ -322,9 +320,9 @@
 	send_alive(peers, NULL, message);
 }
 
-static guint32 count_alive(const struct aub_peers *peers)
+guint aub_peers_count_alive(const struct aub_peers *peers)
 {
-	guint32 count = 0;
+	guint count = 0;
 
 	for (guint i = 1; i < peers->all->len; i++)
 		count += ((struct aub_peer *)g_ptr_array_index(peers->all, i))
@@ -369,7 +367,7 @@
 /* To those whose turn it is, or to `all` where something has changed. */
 static void send_beacons(struct aub_peers *peers, bool all, gint64 now_us)
 {
-	peers->beacon->peers = count_alive(peers);
+	peers->beacon->peers = aub_peers_count_alive(peers);
 
 	GBytes *bytes = aub_message_encode(&peers->beacon->base, NULL);
 
@@ -526,11 +524,6 @@
 	return g_ptr_array_index(peers->all, 0);
 }
 
-guint aub_peers_generation(const struct aub_peers *peers)
-{
-	return peers->generation;
-}
-
 struct ranked_peer {
 	char *key; /* hash of service and name */
 	struct aub_peer *peer;
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -14,9 +14,8 @@
 #define ASK_AGAIN_US (15 * AUB_MS)
 #define ASK_NEXT_US (50 * AUB_MS)
 #define ASK_MOST 2 /* placers asked before placing alone */
-#define SUSPECT_US                                                \
-	(1000 * AUB_MS) /* passed by for as long as a death takes \
-			 */
+/* Passed by for as long as a death takes to be seen. */
+#define SUSPECT_US (1000 * AUB_MS)
 #define QUEUED_SLACK_US (150 * AUB_MS)
 
 #define TICK_US (10 * AUB_MS) /* how late a queue's head may be looked at */
--- a/src/transport/http_call.c
+++ b/src/transport/http_call.c
@@ -8,7 +8,6 @@
 #define BODY_LIMIT (8u << 20) /* a page of the store holds a megabyte or so */
 
 struct aub_http_call {
-	struct aub_http_client *client;
 	struct aub_timer_service *timers;
 	struct aub_exchange *exchange;
 	aub_http_call_ended *ended;
@@ -105,7 +104,6 @@
 		.idle_us = options->idle_us,
 	};
 
-	call->client = client;
 	call->timers = aub_http_client_timers(client);
 	call->ended = ended;
 	call->context = context;
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -42,7 +42,6 @@
 	guint timer; /* of the connect, or of a failure to tell */
 	guint64 sent_before; /* by the connection's earlier exchanges */
 	gint64 keep_us;
-	bool connected;
 	bool request_done;
 	bool keep_alive;
 	bool skipping; /* the answer that comes in is another request's */
@@ -215,7 +214,6 @@
 {
 	struct aub_exchange *exchange = context;
 
-	exchange->connected = true;
 	aub_timer_cancel(exchange->client->timers, exchange->timer);
 	exchange->timer = 0;
 }
@@ -355,7 +353,6 @@
 		g_strdup_printf("%s %s", options->address, options->peer);
 	exchange->stream = kept_take(client, exchange->key, options->idle_us);
 	if (exchange->stream) {
-		exchange->connected = true;
 		exchange->sent_before = aub_http_stream_sent(exchange->stream);
 		aub_http_stream_set_callbacks(exchange->stream,
 					      &stream_callbacks, exchange);
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -20,7 +20,6 @@
 };
 
 struct aub_http_stream {
-	struct aub_poller *poller;
 	struct aub_poll_watch *watch;
 	int fd;
 	http_parser parser;
@@ -364,7 +363,6 @@
 {
 	struct aub_http_stream *stream = g_new0(struct aub_http_stream, 1);
 
-	stream->poller = poller;
 	stream->fd = fd;
 	stream->connecting = connecting;
 	stream->head_limit = head_limit;
--- a/tests/placer_rig.h
+++ b/tests/placer_rig.h
@@ -219,6 +219,22 @@
 		aub_placer_ask(gate.placer, "svc", &ask, result->ticket,
 			       on_placed, result);
 	}
+
+	/* Of four requests one after the other, each gets `upstream`. */
+	void expect_only(Gate &asking, const std::string &upstream)
+	{
+		Placed result;
+
+		for (int i = 0; i < 4; i++) {
+			ask(asking, &result);
+			ASSERT_TRUE(
+				run_until([&] { return result.done; }, 2000));
+			EXPECT_EQ(result.verdict, AUB_VERDICT_GRANTED);
+			EXPECT_EQ(result.upstream, upstream);
+			aub_placer_report(asking.placer, result.ticket,
+					  AUB_END_OK, 1000, NULL);
+		}
+	}
 };
 
 #endif
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -83,8 +83,6 @@
 	 * The caller is answered by another upstream. The placer has not heard
 	 * that the first one drains; the gateway that asks has.
 	 */
-	Placed result;
-
 	start("a");
 	start("b");
 	auto one = add_upstream("u1");
@@ -96,13 +94,7 @@
 	join();
 	Gate *asking = other_than(placer_of_all());
 	enter(*asking, one, true);
-	for (int i = 0; i < 4; i++) {
-		ask(*asking, &result);
-		ASSERT_TRUE(run_until([&] { return result.done; }, 2000));
-		EXPECT_EQ(result.upstream, "u2");
-		aub_placer_report(asking->placer, result.ticket, AUB_END_OK,
-				  1000, NULL);
-	}
+	expect_only(*asking, "u2");
 }
 
 TEST_F(PlacerTest, SendsBackAGrantOfWhatIsNotRegisteredHere)
@@ -112,8 +104,6 @@
 	 * while the first one left; the gateway that asks was restarted since
 	 * and has never heard of it.
 	 */
-	Placed result;
-
 	start("a");
 	start("b");
 	auto one = add_upstream("u1");
@@ -124,13 +114,7 @@
 	Gate *placer = placer_of_all();
 	Gate *asking = other_than(placer);
 	enter(*placer, one);
-	for (int i = 0; i < 4; i++) {
-		ask(*asking, &result);
-		ASSERT_TRUE(run_until([&] { return result.done; }, 2000));
-		EXPECT_EQ(result.upstream, "u2");
-		aub_placer_report(asking->placer, result.ticket, AUB_END_OK,
-				  1000, NULL);
-	}
+	expect_only(*asking, "u2");
 }
 
 TEST_F(PlacerTest, ReleasesTheGrantsOfAGatewayThatDied)
@@ -173,8 +157,6 @@
 	 * The caller is not sent to a dead upstream while no placer answers:
 	 * what the placer believed is known to the others.
 	 */
-	Placed result;
-
 	start("a");
 	start("b");
 	auto one = add_upstream("u1");
@@ -189,14 +171,7 @@
 	platform_upstream_set_down(one, true);
 	run_for(2500);
 	placer->deaf = true;
-	for (int i = 0; i < 4; i++) {
-		ask(*asking, &result);
-		ASSERT_TRUE(run_until([&] { return result.done; }, 2000));
-		EXPECT_EQ(result.verdict, AUB_VERDICT_GRANTED);
-		EXPECT_EQ(result.upstream, "u2");
-		aub_placer_report(asking->placer, result.ticket, AUB_END_OK,
-				  1000, NULL);
-	}
+	expect_only(*asking, "u2");
 }
 
 TEST_F(PlacerTest, AZonesOwnGatewayProbesForThePlacer)
