store_sync: let each piece of news have its time to come by itself

The timer that waits for a change to be passed on was started by one piece of news, and at its end any news that was open was asked for; with a change each 250 ms there always is one. After such a fetch the next one followed after a pause.

Ruled out: lost or refused shared changes (both watchers' bytes came, and the revisions fit together in the log).

Change: the timer remembers the news it waits for; what is newer gets a time of its own, and only what is overdue is fetched.

--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -58,6 +58,8 @@
 	gint64 changed; /* revision of the last change known here */
 	gint64 known; /* the same, or later where others' news had no change */
 	gint64 news; /* the highest that others told of */
+	gint64 awaited; /* news that has until `news_timer` to come by itself */
+	gint64 overdue; /* news that did not: to be asked for */
 	bool listed;
 	bool strict; /* an old listing had no history left: list anew */
 	bool unproved; /* nothing was heard since an old listing */
@@ -344,6 +346,17 @@
 		task->known = task->news; /* it was no change of this kind */
 }
 
+static void wait_for_news(struct task *task);
+
+/* Changes that come together are collected before the next call. */
+static void run_after_changes(struct task *task, guint changes)
+{
+	bool behind = task->overdue > task->known;
+
+	wait_for_news(task);
+	task_later(task, changes || behind ? PAUSE_US : 0);
+}
+
 static void take_page(struct task *task, const char *body, gsize length)
 {
 	const struct aub_store_sync_options *options = &task->sync->options;
@@ -370,10 +383,7 @@
 			options->share(task->kind, before, task->changed, body,
 				       length, options->context);
 		task->unproved = false;
-		task_later(task,
-			   page->records->len || task->news > task->known ?
-				   PAUSE_US :
-				   0);
+		run_after_changes(task, page->records->len);
 	}
 	options->told(options->context);
 	aub_store_page_free(page);
@@ -427,7 +437,7 @@
 	 * Symptom: it hangs for seconds after the store is back. Enough: while
 	 * the store fails, calls ask for what there is and wait for nothing.
 	 */
-	bool fetch = watch && (task->failing || task->news > task->known);
+	bool fetch = watch && (task->failing || task->overdue > task->known);
 	guint wait_ms = fetch ? FETCH_MS : WATCH_MS;
 	char *path;
 	struct aub_http_call_options options = {
@@ -610,20 +620,41 @@
  * its history), and others have heard of a change. Symptom: this process goes
  * by the old configuration for as long as the watch waits. Enough: news that
  * has not come by itself is asked for, and the watch is given up.
+ *
+ * Each piece of news has its own time to come. Where any news that was open
+ * at the end of it was asked for, 142 gateways made 3,100 of 5,600 calls in
+ * 60 s for changes that their zone's watchers were about to pass on.
  */
 static void on_news(void *context, gint64 now_us)
 {
 	struct task *task = context;
 
 	task->news_timer = 0;
-	if (task->news <= task->known || !task->listed ||
-	    task->step != STEP_WATCH || task->timer || task->fetching)
+	if (task->awaited <= task->known) {
+		wait_for_news(task);
+		return;
+	}
+	task->overdue = task->awaited;
+	if (!task->listed || task->step != STEP_WATCH || task->timer ||
+	    task->fetching)
 		return;
 	aub_http_call_cancel(task->call);
 	task->call = NULL;
 	task_run(task);
 }
 
+static void wait_for_news(struct task *task)
+{
+	struct aub_timer_service *timers = task->sync->options.timers;
+
+	if (task->news <= task->known || task->news_timer)
+		return;
+	task->awaited = task->news;
+	task->news_timer =
+		aub_timer_at(timers, "store news",
+			     aub_timer_now(timers) + SHARE_US, on_news, task);
+}
+
 void aub_store_sync_news(struct aub_store_sync *sync, enum aub_store_kind kind,
 			 gint64 revision)
 {
@@ -632,12 +663,7 @@
 	if (revision <= task->news)
 		return;
 	task->news = revision;
-	if (revision > task->known && !task->news_timer)
-		task->news_timer =
-			aub_timer_at(sync->options.timers, "store news",
-				     aub_timer_now(sync->options.timers) +
-					     SHARE_US,
-				     on_news, task);
+	wait_for_news(task);
 }
 
 void aub_store_sync_take(struct aub_store_sync *sync, enum aub_store_kind kind,
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -199,6 +199,36 @@
 	EXPECT_EQ(platform_store_calls(store) - before, 1u);
 }
 
+TEST_F(StoreSyncTest, DoesNotAskForWhatOthersPassOn)
+{
+	/*
+	 * Callers notice nothing; the store is asked hundreds of times. During
+	 * a release something changes several times a second, and each change
+	 * is told of before the zone's watcher passes it on: there is always
+	 * news of something, but never of anything old.
+	 */
+	put("u1");
+	start();
+	ASSERT_TRUE(holds(1));
+	put("u2");
+	ASSERT_TRUE(holds(2));
+	aub_store_sync_free(sync);
+	watching = false;
+	start();
+	run_for(200);
+	gint64 known = aub_store_sync_known(sync, AUB_STORE_UPSTREAMS);
+	guint64 before = platform_store_calls(store);
+
+	for (int i = 1; i <= 20; i++) {
+		aub_store_sync_news(sync, AUB_STORE_UPSTREAMS, known + i + 1);
+		aub_store_sync_take(sync, AUB_STORE_UPSTREAMS, known + i - 1,
+				    known + i, shared[0].data(),
+				    shared[0].size());
+		run_for(100);
+	}
+	EXPECT_EQ(platform_store_calls(store) - before, 0u);
+}
+
 TEST_F(StoreSyncTest, AsksForWhatChangedWhileItListed)
 {
 	/*
