peers: tell news of the store to the zone and to those that watch

Ruled out: regular beacons (11 MB), beliefs (5 MB), asks and reports (2 MB).

Change: news goes at once from those that watch to their zone and to the watchers of the others; a change of who may place still goes to all. Whoever was introduced says so. The ranks moved to a file of their own, peers_rank.c, and are no longer worked out anew at each piece of news.

--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -88,11 +88,21 @@
 const GPtrArray *aub_peers_ranked(struct aub_peers *peers, const char *service);
 
 /*
- * Is this process the one of its zone that watches the store? The others
+ * Is this process one of those of its zone that watch the store? The others
  * learn from its beacons that something has changed.
  */
 bool aub_peers_self_watches(struct aub_peers *peers);
 
+/* Datagrams sent since the start; those between zones are dear. */
+struct aub_peers_counts {
+	guint64 near_datagrams;
+	guint64 near_bytes;
+	guint64 far_datagrams; /* to other zones */
+	guint64 far_bytes;
+};
+const struct aub_peers_counts *aub_peers_get_counts(
+	const struct aub_peers *peers);
+
 struct aub_peer *aub_peers_by_incarnation(const struct aub_peers *peers,
 					  guint64 incarnation);
 
--- /dev/null
+++ b/include/auburnstile/internal/peers_parts.h
@@ -0,0 +1,37 @@
+/*
+ * The inside of the membership, shared by its files.
+ */
+#ifndef AUBURNSTILE_INTERNAL_PEERS_PARTS_H
+#define AUBURNSTILE_INTERNAL_PEERS_PARTS_H
+
+#include <auburnstile/internal/peers.h>
+
+G_BEGIN_DECLS
+
+struct aub_peers {
+	struct aub_peers_options options;
+	int fd;
+	struct aub_poll_watch *watch;
+	guint timer;
+	GPtrArray *all; /* of struct aub_peer; the first is this process */
+	struct aub_beacon *beacon;
+	guint round;
+	guint far_rounds; /* as of this round */
+	gint64 introduced_us; /* when it was last told where others are */
+	GHashTable *ranked; /* service -> GPtrArray; empty after a change */
+	GPtrArray *watchers; /* as seen from here; NULL after a change */
+	struct aub_peers_counts counts;
+};
+
+bool aub_peer_is_near(const struct aub_peers *peers,
+		      const struct aub_peer *peer);
+
+/* Who is alive, ready or hears the store has changed: rank anew. */
+void aub_peers_rank_again(struct aub_peers *peers);
+
+/* Those that watch the store, of all zones; borrowed until a change. */
+const GPtrArray *aub_peers_watchers(struct aub_peers *peers);
+
+G_END_DECLS
+
+#endif
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -3,7 +3,7 @@
  */
 #include <auburnstile/error.h>
 #include <auburnstile/internal/decision_log.h>
-#include <auburnstile/internal/peers.h>
+#include <auburnstile/internal/peers_parts.h>
 #include <auburnstile/internal/tcp.h>
 
 #include <string.h>
@@ -29,37 +29,15 @@
 #define FAR_ROUNDS 4
 #define FAR_PEERS_A_ROUND 4
 #define FAR_ALIVE_ROUNDS 3.2 /* periods without a beacon that make a death */
+#define INTRODUCED_US (1 * AUB_SECOND) /* the others have answered by then */
 #define SILENT_US (15 * AUB_SECOND) /* then it gets one beacon in ten */
 #define SILENT_EACH 10
 #define FORGET_US (300 * AUB_SECOND) /* long after callers forgot it */
 
-/* Ranked like a service; no service's name holds a space. */
-#define WATCH_ROLE "store watch"
-
-/*
- * Failure: the store turns a part of the machines away, or falls silent for
- * them. Symptom: with one watcher a zone, all of them were among 7 of 19
- * once in 120 days, and a change was in force 4 s late. Enough: two a zone,
- * and another begins as soon as one says that it does not hear.
- */
-#define WATCHERS 2
-
 #define DATAGRAM_LIMIT \
 	60000 /* bytes; a list of upstreams takes some 100 each */
 #define DATAGRAMS_A_TURN 64
 
-struct aub_peers {
-	struct aub_peers_options options;
-	int fd;
-	struct aub_poll_watch *watch;
-	guint timer;
-	GPtrArray *all; /* of struct aub_peer; the first is this process */
-	struct aub_beacon *beacon;
-	guint round;
-	guint far_rounds; /* as of this round */
-	GHashTable *ranked; /* service -> GPtrArray; empty after a change */
-};
-
 static void peer_free(void *data)
 {
 	struct aub_peer *peer = data;
@@ -84,11 +62,6 @@
 	return peer;
 }
 
-static void changed(struct aub_peers *peers)
-{
-	g_hash_table_remove_all(peers->ranked);
-}
-
 static struct aub_peer *by_address(const struct aub_peers *peers,
 				   const char *address)
 {
@@ -126,7 +99,7 @@
 static void lose(struct aub_peers *peers, struct aub_peer *peer, gint64 now_us)
 {
 	peer->alive = false;
-	changed(peers);
+	aub_peers_rank_again(peers);
 	log_peer(AUB_EVENT_PEER_LOST, peer, now_us - peer->heard_us);
 	peers->options.lost(peer->incarnation, peers->options.context);
 }
@@ -156,6 +129,8 @@
 static void take_introduction(struct aub_peers *peers,
 			      const struct aub_introduction *message)
 {
+	peers->introduced_us = aub_timer_now(peers->options.timers);
+	peers->beacon->peers = MAX(peers->beacon->peers, 1);
 	for (guint i = 0; i < message->addresses->len; i++) {
 		const struct aub_name *address =
 			g_ptr_array_index(message->addresses, i);
@@ -224,7 +199,7 @@
 				introduce(peers, peer);
 		}
 		peer->alive = true;
-		changed(peers);
+		aub_peers_rank_again(peers);
 	}
 }
 
@@ -271,11 +246,19 @@
 static void send_to(struct aub_peers *peers, const struct aub_peer *to,
 		    GBytes *bytes)
 {
+	struct aub_peers_counts *counts = &peers->counts;
 	gsize length;
 	const void *data = g_bytes_get_data(bytes, &length);
 
 	if (!to->socket_address.sin_port)
 		return;
+	if (aub_peer_is_near(peers, to)) {
+		counts->near_datagrams++;
+		counts->near_bytes += length;
+	} else {
+		counts->far_datagrams++;
+		counts->far_bytes += length;
+	}
 	/* A datagram that can't leave is a lost one. */
 	(void)sendto(peers->fd, data, length, MSG_NOSIGNAL,
 		     (const struct sockaddr *)&to->socket_address,
@@ -330,17 +313,13 @@
 	return count;
 }
 
-static bool is_near(const struct aub_peers *peers, const struct aub_peer *peer)
-{
-	return !strcmp(peer->zone, aub_peers_self(peers)->zone);
-}
-
 static guint far_rounds(const struct aub_peers *peers)
 {
 	guint far = 0;
 
 	for (guint i = 1; i < peers->all->len; i++)
-		far += !is_near(peers, g_ptr_array_index(peers->all, i));
+		far += !aub_peer_is_near(peers,
+					 g_ptr_array_index(peers->all, i));
 	return MAX(FAR_ROUNDS, far / FAR_PEERS_A_ROUND);
 }
 
@@ -348,11 +327,24 @@
 static gint64 alive_us(const struct aub_peers *peers,
 		       const struct aub_peer *peer)
 {
-	if (is_near(peers, peer))
+	if (aub_peer_is_near(peers, peer))
 		return ALIVE_US;
 	return (gint64)(FAR_ALIVE_ROUNDS * peers->far_rounds) * BEACON_US;
 }
 
+/*
+ * Failure: one that starts is introduced by its seed, and tells all those that
+ * it knows nobody yet. Symptom: all of them introduce it, 14 MB at 142
+ * gateways. Enough: whoever was just introduced says that it has found them.
+ */
+static guint count_found(const struct aub_peers *peers, gint64 now_us)
+{
+	if (peers->introduced_us &&
+	    now_us - peers->introduced_us < INTRODUCED_US)
+		return peers->all->len - 1;
+	return aub_peers_count_alive(peers);
+}
+
 static bool is_due(const struct aub_peers *peers, const struct aub_peer *peer,
 		   bool all, gint64 now_us)
 {
@@ -360,14 +352,14 @@
 
 	if (now_us - last >= SILENT_US)
 		return peers->round % SILENT_EACH == 0;
-	return all || !peer->heard_us || is_near(peers, peer) ||
+	return all || !peer->heard_us || aub_peer_is_near(peers, peer) ||
 	       peers->round % peers->far_rounds == 0;
 }
 
 /* To those whose turn it is, or to `all` where something has changed. */
 static void send_beacons(struct aub_peers *peers, bool all, gint64 now_us)
 {
-	peers->beacon->peers = aub_peers_count_alive(peers);
+	peers->beacon->peers = count_found(peers, now_us);
 
 	GBytes *bytes = aub_message_encode(&peers->beacon->base, NULL);
 
@@ -473,6 +465,26 @@
 	send_beacon(peers, peer);
 }
 
+/*
+ * Failure: each gateway tells every other at once of each change that it
+ * learns of. Symptom: at 142 gateways that is 13,000 datagrams between zones
+ * a change, six tenths of all bytes there on a day without trouble. Enough:
+ * those that watch tell their own zone and those that watch for another; the
+ * rest hear it from these, or by the next beacon of their zone.
+ */
+static void tell_zone_and_watchers(struct aub_peers *peers)
+{
+	const GPtrArray *watchers = aub_peers_watchers(peers);
+
+	aub_peers_send_zone(peers, &peers->beacon->base);
+	for (guint i = 0; i < watchers->len; i++) {
+		const struct aub_peer *peer = g_ptr_array_index(watchers, i);
+
+		if (!aub_peer_is_near(peers, peer))
+			send_beacon(peers, peer);
+	}
+}
+
 static bool news_differ(const struct aub_beacon *beacon,
 			const struct aub_peer_state *state)
 {
@@ -488,11 +500,11 @@
 			const struct aub_peer_state *state)
 {
 	struct aub_peer *self = aub_peers_self(peers);
-	bool differs = self->ready != state->ready ||
-		       self->stopping != state->stopping ||
-		       self->current != state->current ||
-		       self->hears != state->hears ||
-		       news_differ(peers->beacon, state);
+	bool role_differs = self->ready != state->ready ||
+			    self->stopping != state->stopping ||
+			    self->current != state->current;
+	bool hears_differs = self->hears != state->hears;
+	bool news = news_differ(peers->beacon, state);
 
 	self->ready = state->ready;
 	self->stopping = state->stopping;
@@ -508,10 +520,18 @@
 		(guint64)state->news[AUB_STORE_UPSTREAMS];
 	peers->beacon->zones_out_news =
 		(guint64)state->news[AUB_STORE_ZONES_OUT];
-	if (!differs)
-		return;
-	changed(peers);
-	send_beacons(peers, true, aub_timer_now(peers->options.timers));
+	if (role_differs || hears_differs)
+		aub_peers_rank_again(peers);
+	if (role_differs)
+		send_beacons(peers, true, aub_timer_now(peers->options.timers));
+	else if (hears_differs || (news && aub_peers_self_watches(peers)))
+		tell_zone_and_watchers(peers);
+}
+
+const struct aub_peers_counts *aub_peers_get_counts(
+	const struct aub_peers *peers)
+{
+	return &peers->counts;
 }
 
 const GPtrArray *aub_peers_all(const struct aub_peers *peers)
@@ -523,84 +543,3 @@
 {
 	return g_ptr_array_index(peers->all, 0);
 }
-
-struct ranked_peer {
-	char *key; /* hash of service and name */
-	struct aub_peer *peer;
-};
-
-/*
- * Failure: a placer is cut off from the store and grants upstreams that have
- * left. Symptom: each such grant has to be asked for again. Enough: those
- * that hear from the store place for the others.
- */
-static gint by_key(gconstpointer a, gconstpointer b)
-{
-	const struct ranked_peer *left = a;
-	const struct ranked_peer *right = b;
-
-	if (left->peer->current != right->peer->current)
-		return left->peer->current ? -1 : 1;
-	return strcmp(left->key, right->key);
-}
-
-static GPtrArray *rank(const struct aub_peers *peers, const char *service)
-{
-	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct ranked_peer));
-	GPtrArray *result = g_ptr_array_new();
-
-	for (guint i = 0; i < peers->all->len; i++) {
-		struct ranked_peer ranked = {
-			.peer = g_ptr_array_index(peers->all, i),
-		};
-		char *text;
-
-		if (!ranked.peer->alive || !ranked.peer->ready ||
-		    ranked.peer->stopping)
-			continue;
-		text = g_strdup_printf("%s %s", service, ranked.peer->name);
-		ranked.key =
-			g_compute_checksum_for_string(G_CHECKSUM_MD5, text, -1);
-		g_free(text);
-		g_array_append_val(list, ranked);
-	}
-	g_array_sort(list, by_key);
-	for (guint i = 0; i < list->len; i++) {
-		struct ranked_peer *ranked =
-			&g_array_index(list, struct ranked_peer, i);
-
-		g_ptr_array_add(result, ranked->peer);
-		g_free(ranked->key);
-	}
-	g_array_unref(list);
-	return result;
-}
-
-const GPtrArray *aub_peers_ranked(struct aub_peers *peers, const char *service)
-{
-	GPtrArray *list = g_hash_table_lookup(peers->ranked, service);
-
-	if (list)
-		return list;
-	list = rank(peers, service);
-	g_hash_table_insert(peers->ranked, g_strdup(service), list);
-	return list;
-}
-
-bool aub_peers_self_watches(struct aub_peers *peers)
-{
-	const GPtrArray *ranked = aub_peers_ranked(peers, WATCH_ROLE);
-	guint before = 0;
-
-	if (!aub_peers_self(peers)->hears)
-		return true; /* it has to find out when the store is back */
-	for (guint i = 0; i < ranked->len && before < WATCHERS; i++) {
-		const struct aub_peer *peer = g_ptr_array_index(ranked, i);
-
-		if (peer->self)
-			return true;
-		if (peer->hears && is_near(peers, peer))
-			before++;
-	}
-	return before < WATCHERS;
-}
--- /dev/null
+++ b/src/coordination/peers_rank.c
@@ -0,0 +1,139 @@
+/*
+ * Who does what, as one gateway sees it: the order of those that may place
+ * for a service, and those of each zone that watch the store.
+ */
+#include <auburnstile/internal/peers_parts.h>
+
+#include <string.h>
+
+/* Ranked like a service; no service's name holds a space. */
+#define WATCH_ROLE "store watch"
+
+/*
+ * Failure: the store turns a part of the machines away, or falls silent for
+ * them. Symptom: with one watcher a zone, all of them were among 7 of 19
+ * once in 120 days, and a change was in force 4 s late. Enough: two a zone,
+ * and another begins as soon as one says that it does not hear.
+ */
+#define WATCHERS 2
+
+bool aub_peer_is_near(const struct aub_peers *peers,
+		      const struct aub_peer *peer)
+{
+	return !strcmp(peer->zone, aub_peers_self(peers)->zone);
+}
+
+void aub_peers_rank_again(struct aub_peers *peers)
+{
+	g_hash_table_remove_all(peers->ranked);
+	g_clear_pointer(&peers->watchers, g_ptr_array_unref);
+}
+
+struct ranked_peer {
+	char *key; /* hash of service and name */
+	struct aub_peer *peer;
+};
+
+/*
+ * Failure: a placer is cut off from the store and grants upstreams that have
+ * left. Symptom: each such grant has to be asked for again. Enough: those
+ * that hear from the store place for the others.
+ */
+static gint by_key(gconstpointer a, gconstpointer b)
+{
+	const struct ranked_peer *left = a;
+	const struct ranked_peer *right = b;
+
+	if (left->peer->current != right->peer->current)
+		return left->peer->current ? -1 : 1;
+	return strcmp(left->key, right->key);
+}
+
+static GPtrArray *rank(const struct aub_peers *peers, const char *service)
+{
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct ranked_peer));
+	GPtrArray *result = g_ptr_array_new();
+
+	for (guint i = 0; i < peers->all->len; i++) {
+		struct ranked_peer ranked = {
+			.peer = g_ptr_array_index(peers->all, i),
+		};
+		char *text;
+
+		if (!ranked.peer->alive || !ranked.peer->ready ||
+		    ranked.peer->stopping)
+			continue;
+		text = g_strdup_printf("%s %s", service, ranked.peer->name);
+		ranked.key =
+			g_compute_checksum_for_string(G_CHECKSUM_MD5, text, -1);
+		g_free(text);
+		g_array_append_val(list, ranked);
+	}
+	g_array_sort(list, by_key);
+	for (guint i = 0; i < list->len; i++) {
+		struct ranked_peer *ranked =
+			&g_array_index(list, struct ranked_peer, i);
+
+		g_ptr_array_add(result, ranked->peer);
+		g_free(ranked->key);
+	}
+	g_array_unref(list);
+	return result;
+}
+
+const GPtrArray *aub_peers_ranked(struct aub_peers *peers, const char *service)
+{
+	GPtrArray *list = g_hash_table_lookup(peers->ranked, service);
+
+	if (list)
+		return list;
+	list = rank(peers, service);
+	g_hash_table_insert(peers->ranked, g_strdup(service), list);
+	return list;
+}
+
+/* The first of each zone that hear the store; of this process's, also it. */
+static GPtrArray *find_watchers(struct aub_peers *peers)
+{
+	const GPtrArray *ranked = aub_peers_ranked(peers, WATCH_ROLE);
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *watchers = g_ptr_array_new();
+
+	for (guint i = 0; i < ranked->len; i++) {
+		struct aub_peer *peer = g_ptr_array_index(ranked, i);
+		guint before = GPOINTER_TO_UINT(
+			g_hash_table_lookup(counts, peer->zone));
+
+		if (!peer->hears || before >= WATCHERS)
+			continue;
+		g_hash_table_insert(counts, peer->zone,
+				    GUINT_TO_POINTER(before + 1));
+		g_ptr_array_add(watchers, peer);
+	}
+	g_hash_table_unref(counts);
+	return watchers;
+}
+
+const GPtrArray *aub_peers_watchers(struct aub_peers *peers)
+{
+	if (!peers->watchers)
+		peers->watchers = find_watchers(peers);
+	return peers->watchers;
+}
+
+bool aub_peers_self_watches(struct aub_peers *peers)
+{
+	const GPtrArray *watchers = aub_peers_watchers(peers);
+	guint near = 0;
+
+	if (!aub_peers_self(peers)->hears)
+		return true; /* it has to find out when the store is back */
+	for (guint i = 0; i < watchers->len; i++) {
+		const struct aub_peer *peer = g_ptr_array_index(watchers, i);
+
+		if (peer->self)
+			return true;
+		near += aub_peer_is_near(peers, peer);
+	}
+	return near < WATCHERS;
+}
--- a/tests/test_peers.cc
+++ b/tests/test_peers.cc
@@ -124,3 +124,61 @@
 		},
 		500));
 }
+
+TEST_F(PeersTest, TellOtherZonesOfNewsOnlyOnceAZone)
+{
+	/*
+	 * Callers notice nothing; bytes between zones are dear. A change of the
+	 * store reaches all gateways of a zone, and those that watch tell the
+	 * ones that watch for the other zone. All know of it within a second.
+	 */
+	for (int i = 0; i < 16; i++)
+		start("g" + std::to_string(i), i % 2 ? "z1" : "z2");
+	join();
+	run_for(300);
+	guint64 before = 0;
+	guint64 after = 0;
+	for (auto &gate : gates)
+		before += aub_peers_get_counts(gate->peers)->far_datagrams;
+	for (int change = 1; change <= 20; change++)
+		for (auto &gate : gates)
+			say(*gate, true, change);
+	for (auto &gate : gates)
+		after += aub_peers_get_counts(gate->peers)->far_datagrams;
+	/* Two that watch in each zone tell two of the other. */
+	EXPECT_EQ(after - before, 20u * 8u);
+	EXPECT_TRUE(run_until(
+		[&] {
+			for (auto &gate : gates)
+				if (gate->news[AUB_STORE_UPSTREAMS] < 20)
+					return false;
+			return true;
+		},
+		1000));
+}
+
+TEST_F(PeersTest, IntroduceANewOneOnce)
+{
+	/*
+	 * Callers notice nothing; a start of the whole fleet costs the square
+	 * of its size in introductions. One that starts knows a single seed.
+	 */
+	for (int i = 0; i < 12; i++)
+		start("g" + std::to_string(i));
+	join();
+	guint64 before = 0;
+	guint64 after = 0;
+	for (auto &gate : gates)
+		before += aub_peers_get_counts(gate->peers)->near_bytes;
+	Gate *fresh = start("fresh");
+	aub_peers_add(fresh->peers, gates[0]->address.c_str());
+	say(*fresh, true);
+	EXPECT_TRUE(run_until(
+		[&] { return aub_peers_count_alive(fresh->peers) == 12; },
+		1000));
+	run_for(20);
+	for (auto &gate : gates)
+		after += aub_peers_get_counts(gate->peers)->near_bytes;
+	/* A dozen beacons of 110 bytes, one introduction of 220. */
+	EXPECT_LT(after - before, 2000u);
+}
