tcp: don't let two processes share an address for datagrams

Cause: IntroduceANewOneOnce failed once in some 40 runs: two gates of the rig had been given the same port, and both could bind it, since SO_REUSEADDR was set on datagram sockets too; one of them then heard nothing. In production the same settings twice on one VM would do it, without an error.

Ruled out: lost datagrams (the rig's dump showed one port under two names).

Change: only listeners take an address again; the rig looks for one that is free for datagrams. Test: RefuseAnAddressThatIsInUse.

--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -121,8 +121,10 @@
 			g_ptr_array_add(message->addresses,
 					aub_name_new(peer->address));
 	}
-	if (message->addresses->len)
+	if (message->addresses->len) {
+		peers->counts.introductions++;
 		aub_peers_send(peers, to, &message->base);
+	}
 	aub_message_free(&message->base);
 }
 
--- a/src/transport/tcp.c
+++ b/src/transport/tcp.c
@@ -88,7 +88,13 @@
 	fd = socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return fail(fd, step, address, error);
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	/*
+	 * Failure: two processes are given one address for datagrams. Symptom:
+	 * one of them never hears anything, without an error. Enough: only
+	 * listeners, whose old connections linger, may take an address again.
+	 */
+	if (type == SOCK_STREAM)
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (bind(fd, (struct sockaddr *)&to, sizeof(to)) < 0)
 		return fail(fd, step, address, error);
 	return fd;
--- a/tests/placer_rig.h
+++ b/tests/placer_rig.h
@@ -71,18 +71,29 @@
 		if (gate->placer)
 			aub_placer_peer_lost(gate->placer, incarnation);
 	}
+	/* Free for datagrams: another gate may have just been given it. */
+	static std::string free_address()
+	{
+		for (;;) {
+			char *found = NULL;
+
+			close(aub_tcp_listen_any(&found));
+			std::string address = found;
+			g_free(found);
+			int fd = aub_udp_bind(address.c_str(), NULL);
+			if (fd < 0)
+				continue;
+			close(fd);
+			return address;
+		}
+	}
 	Gate *start(const std::string &name, const std::string &zone = "z1")
 	{
-		char *address = NULL;
-		GError *error = NULL;
-
-		close(aub_tcp_listen_any(&address));
 		gates.emplace_back(new Gate);
 		Gate *gate = gates.back().get();
 		gate->name = name;
 		gate->zone = zone;
-		gate->address = address;
-		g_free(address);
+		gate->address = free_address();
 		gate->incarnation = aub_incarnation_new();
 		const struct aub_peers_options peers = {
 			.name = gate->name.c_str(),
@@ -97,7 +108,7 @@
 			.lost = on_lost,
 			.context = gate,
 		};
-		gate->peers = aub_peers_new(&peers, &error);
+		gate->peers = aub_peers_new(&peers, NULL);
 		EXPECT_NE(gate->peers, nullptr);
 		const struct aub_placer_options placer = {
 			.platform = &aub_platform,
--- a/tests/test_peers.cc
+++ b/tests/test_peers.cc
@@ -20,6 +20,29 @@
 		2000));
 }
 
+TEST_F(PeersTest, RefuseAnAddressThatIsInUse)
+{
+	/*
+	 * Callers of one of two gateways would wait for placers that it never
+	 * hears. Both are given the same address for datagrams by mistake.
+	 */
+	GError *error = NULL;
+	Gate *gate = start("a");
+	struct aub_peers_options options = {};
+
+	options.name = "b";
+	options.zone = "z1";
+	options.address = gate->address.c_str();
+	options.callers_address = "127.0.0.1:1";
+	options.poller = poller;
+	options.timers = timers;
+	EXPECT_EQ(aub_peers_new(&options, &error), nullptr);
+	ASSERT_NE(error, nullptr);
+	EXPECT_NE(strstr(error->message, gate->address.c_str()), nullptr)
+		<< error->message;
+	g_error_free(error);
+}
+
 TEST_F(PeersTest, AgreeOnTheOrder)
 {
 	for (auto name : { "a", "b", "c", "d" })
@@ -169,7 +192,7 @@
 	guint64 before = 0;
 	guint64 after = 0;
 	for (auto &gate : gates)
-		before += aub_peers_get_counts(gate->peers)->near_bytes;
+		before += aub_peers_get_counts(gate->peers)->introductions;
 	Gate *fresh = start("fresh");
 	aub_peers_add(fresh->peers, gates[0]->address.c_str());
 	say(*fresh, true);
@@ -178,7 +201,6 @@
 		1000));
 	run_for(20);
 	for (auto &gate : gates)
-		after += aub_peers_get_counts(gate->peers)->near_bytes;
-	/* A dozen beacons of 110 bytes, one introduction of 220. */
-	EXPECT_LT(after - before, 2000u);
+		after += aub_peers_get_counts(gate->peers)->introductions;
+	EXPECT_EQ(after - before, 1u);
 }
