placer: settle once no more gateways appear

Change: a gateway that starts settles 100 ms after the last other appeared or became ready, not before 250 ms and not after a second.

Test: WaitsWhileOthersStillAppear.

--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -76,6 +76,8 @@
 
 /* Every peer, this process first; of struct aub_peer, borrowed. */
 const GPtrArray *aub_peers_all(const struct aub_peers *peers);
+/* When a peer last appeared or became ready. */
+gint64 aub_peers_joined_us(const struct aub_peers *peers);
 /* Peers alive, this process not counted. */
 guint aub_peers_count_alive(const struct aub_peers *peers);
 struct aub_peer *aub_peers_self(const struct aub_peers *peers);
--- a/include/auburnstile/internal/peers_parts.h
+++ b/include/auburnstile/internal/peers_parts.h
@@ -17,6 +17,7 @@
 	struct aub_beacon *beacon;
 	guint round;
 	guint far_rounds; /* as of this round */
+	gint64 joined_us; /* when a peer last appeared or became ready */
 	gint64 introduced_us; /* when it was last told where others are */
 	GHashTable *ranked; /* service -> GPtrArray; empty after a change */
 	GPtrArray *watchers; /* as seen from here; NULL after a change */
--- a/include/auburnstile/internal/placer_parts.h
+++ b/include/auburnstile/internal/placer_parts.h
@@ -49,9 +49,10 @@
 	GHashTable *held_told; /* services whose holders were told of grants */
 	GPtrArray *probes; /* of struct probe, under way */
 	guint64 serial;
-	gint64 settled_us; /* from then on it has heard the others */
+	gint64 since_us; /* its start */
+	bool settled; /* it has heard the others */
 	guint tick;
-	guint first_round;
+	guint settle_timer;
 	guint round;
 	guint probe_timer;
 	guint tell_timer;
@@ -63,6 +64,8 @@
 
 /* Has this process had the time to hear the other gateways? */
 bool aub_placer_is_settled(const struct aub_placer *placer);
+/* ... so: begin to place. */
+void aub_placer_on_settle_check(void *context, gint64 now_us);
 
 /* Decide on what is queued in `placement`, as far as there is room. */
 void aub_placer_drain(struct aub_placer *placer,
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -183,6 +183,8 @@
 		  peer->stopping != beacon->stopping ||
 		  peer->current != beacon->current ||
 		  peer->hears != beacon->hears;
+	if (!peer->alive || (beacon->ready && !peer->ready))
+		peers->joined_us = now;
 	aub_string_set(&peer->name, beacon->name);
 	aub_string_set(&peer->zone, beacon->zone);
 	aub_string_set(&peer->callers_address, beacon->callers_address);
@@ -305,6 +307,11 @@
 	send_alive(peers, NULL, message);
 }
 
+gint64 aub_peers_joined_us(const struct aub_peers *peers)
+{
+	return peers->joined_us;
+}
+
 guint aub_peers_count_alive(const struct aub_peers *peers)
 {
 	guint count = 0;
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -26,15 +26,40 @@
 
 /*
  * Failure: many gateways start at once, and each places for itself until it
- * has heard the others. Symptom: each probes every upstream, 30,000
+ * has heard the others. Symptom: each probes every upstream, 22,000
  * connections at 142 gateways, and slots are promised many times. Enough: a
- * fresh gateway waits for as long as first beacons take to come back.
+ * fresh gateway waits for as long as first beacons take to come back, and then
+ * until no more of them come; small VMs need half a second for 140.
  */
 #define SETTLE_US (250 * AUB_MS)
+#define SETTLE_QUIET_US (100 * AUB_MS)
+#define SETTLE_MOST_US (1000 * AUB_MS)
+#define SETTLE_CHECK_US (25 * AUB_MS)
 
 bool aub_placer_is_settled(const struct aub_placer *placer)
 {
-	return aub_timer_now(placer->options.timers) >= placer->settled_us;
+	return placer->settled;
+}
+
+static bool has_heard_all(const struct aub_placer *placer, gint64 now_us)
+{
+	gint64 joined_us = aub_peers_joined_us(placer->options.peers);
+	gint64 age_us = now_us - placer->since_us;
+
+	return age_us >= SETTLE_MOST_US ||
+	       (age_us >= SETTLE_US && now_us - joined_us >= SETTLE_QUIET_US);
+}
+
+void aub_placer_on_settle_check(void *context, gint64 now_us)
+{
+	struct aub_placer *placer = context;
+
+	if (!has_heard_all(placer, now_us))
+		return;
+	aub_timer_cancel(placer->options.timers, placer->settle_timer);
+	placer->settle_timer = 0;
+	placer->settled = true;
+	aub_placer_on_round(placer, now_us);
 }
 
 static struct aub_peer *target_of(struct aub_placer *placer,
@@ -219,7 +244,7 @@
 
 	ticket->queued = false;
 	if (!aub_placer_is_settled(placer)) {
-		ticket->next_us = placer->settled_us;
+		ticket->next_us = now + SETTLE_CHECK_US;
 		return;
 	}
 	if (!peer || peer->self) {
@@ -695,7 +720,7 @@
 
 	placer->options = *options;
 	placer->zone = g_strdup(options->zone);
-	placer->settled_us = aub_timer_now(options->timers) + SETTLE_US;
+	placer->since_us = aub_timer_now(options->timers);
 	placer->placements =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)aub_placement_free);
@@ -710,9 +735,9 @@
 	placer->held_told =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	placer->probes = g_ptr_array_new();
-	placer->first_round =
-		aub_timer_at(options->timers, "first round", placer->settled_us,
-			     aub_placer_on_round, placer);
+	placer->settle_timer =
+		aub_timer_every(options->timers, "settle", SETTLE_CHECK_US,
+				aub_placer_on_settle_check, placer);
 	placer->round = aub_timer_every(options->timers, "placer round",
 					ROUND_US, aub_placer_on_round, placer);
 	return placer;
@@ -723,7 +748,7 @@
 	if (!placer)
 		return;
 	aub_timer_cancel(placer->options.timers, placer->tick);
-	aub_timer_cancel(placer->options.timers, placer->first_round);
+	aub_timer_cancel(placer->options.timers, placer->settle_timer);
 	aub_timer_cancel(placer->options.timers, placer->round);
 	aub_timer_cancel(placer->options.timers, placer->probe_timer);
 	aub_timer_cancel(placer->options.timers, placer->tell_timer);
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -35,6 +35,34 @@
 	EXPECT_EQ(results[2].verdict, AUB_VERDICT_GRANTED);
 }
 
+TEST_F(PlacerTest, WaitsWhileOthersStillAppear)
+{
+	/*
+	 * Callers wait a quarter of a second more after the whole fleet was
+	 * without power. VMs start over half a second; one that placed for
+	 * itself meanwhile would probe every upstream, as would the others.
+	 */
+	Placed result;
+
+	start("a");
+	auto upstream = add_upstream("u1");
+	enter(*gates[0], upstream);
+	say(*gates[0], true);
+	ask(*gates[0], &result, 2000);
+	for (int i = 0; i < 8; i++) {
+		run_for(60);
+		Gate *late = start("g" + std::to_string(i));
+		enter(*late, upstream);
+		say(*late, true);
+		aub_peers_add(late->peers, gates[0]->address.c_str());
+	}
+	EXPECT_FALSE(aub_placer_is_settled(gates[0]->placer));
+	EXPECT_FALSE(result.done);
+	EXPECT_EQ(platform_upstream_probes(upstream), 0u);
+	EXPECT_TRUE(run_until([&] { return result.done; }, 1000));
+	EXPECT_EQ(result.verdict, AUB_VERDICT_GRANTED);
+}
+
 TEST_F(PlacerTest, GoesToTheNextWhenAPlacerDoesNotAnswer)
 {
 	/*
