placer: wait for the last gateway only before placing oneself

Change: a gateway that has heard of a placer asks it after 250 ms; only one that would place itself waits on.

--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -236,6 +236,18 @@
 	aub_message_free(&message->base);
 }
 
+/*
+ * Another placer can be asked as soon as first beacons are back, though it may
+ * turn out to be the wrong one; only who would place itself has to be sure.
+ */
+static bool waits_to_settle(const struct aub_placer *placer,
+			    const struct aub_peer *peer, gint64 now_us)
+{
+	if (placer->settled)
+		return false;
+	return !peer || peer->self || now_us - placer->since_us < SETTLE_US;
+}
+
 /* Ask whoever is next; here, when nobody is left. */
 static void ticket_ask(struct aub_placer *placer, struct aub_ticket *ticket)
 {
@@ -243,7 +255,7 @@
 	struct aub_peer *peer = target_of(placer, ticket);
 
 	ticket->queued = false;
-	if (!aub_placer_is_settled(placer)) {
+	if (waits_to_settle(placer, peer, now)) {
 		ticket->next_us = now + SETTLE_CHECK_US;
 		return;
 	}
