auburnstilectl: the time line from log files

Log lines become events of the time line by one table (log_events.c), so that its order, filters and pictures serve for them too; what makes a line a log line stands once (log_line.c) for this and for explain. Both commands read by one loop.

The names of log lines in the code begin with AUB_LOG_ now: those of two registries had clashed, so that no file could use both. An event's detail is kept to 96 bytes (48 cut off the fields that matter).

--- a/include/auburnstile/event.h
+++ b/include/auburnstile/event.h
@@ -14,7 +14,7 @@
 
 G_BEGIN_DECLS
 
-#define AUB_EVENT_TEXT 48 /* bytes of a detail kept, with its NUL */
+#define AUB_EVENT_TEXT 96 /* bytes of a detail kept, with its NUL */
 #define AUB_EVENT_NAME 24 /* bytes of an upstream or zone name kept */
 
 enum aub_event_type {
--- a/programs/ctl/ctl.h
+++ b/programs/ctl/ctl.h
@@ -86,6 +86,13 @@
 int ctl_explain_logs(const struct ctl_options *options, const char *id,
 		     char **files, guint count);
 
+/*
+ * The time line from log files, merged; NULL with the error printed where one
+ * can't be read. Owned by the caller.
+ */
+struct aub_timeline *ctl_timeline_of_logs(const struct ctl_options *options,
+					  char **files, guint count);
+
 /* A configuration in an answer; NULL where it is null or broken. */
 struct aub_config *ctl_config_of(JsonObject *object, const char *name,
 				 guint64 version);
--- a/programs/ctl/events.c
+++ b/programs/ctl/events.c
@@ -154,9 +154,12 @@
 	int code = CTL_OK;
 	char *text;
 
-	if (count != 0)
-		return CTL_WORDS;
-	timeline = gather(options, &code);
+	if (count) {
+		timeline = ctl_timeline_of_logs(options, words, count);
+		code = timeline ? CTL_OK : CTL_REFUSED;
+	} else {
+		timeline = gather(options, &code);
+	}
 	if (!timeline)
 		return code;
 	entries = aub_timeline_select(timeline, &options->filter);
--- a/programs/ctl/logs.c
+++ b/programs/ctl/logs.c
@@ -1,12 +1,13 @@
 /*
- * auburnstilectl explain REQUEST FILE...: a request's story from log files.
+ * Commands on log files: a request's story, and the time line.
  *
- * Files are read line by line, twice; a gigabyte takes no more memory than a
- * page. Standard input ("-") can be read once only, so that the story then
- * lacks what happened around the request.
+ * Files are read line by line; a gigabyte takes no more memory than a page and
+ * what is shown. A story reads them twice; standard input ("-") can be read
+ * once only, so that it then lacks what happened around the request.
  */
 #include "ctl.h"
 
+#include <auburnstile/internal/log_events.h>
 #include <auburnstile/internal/log_story.h>
 
 #include <errno.h>
@@ -16,9 +17,12 @@
 
 #define PROGRESS_BYTES (256u << 20) /* read between two words of progress */
 
+/* One pass over all files. */
 struct reading {
-	struct aub_log_story *story;
-	bool again; /* the second time */
+	/* False where the line is no line of a log. */
+	bool (*take)(const char *line, void *context);
+	void *context;
+	bool again; /* the second pass: not over standard input */
 	guint64 lines;
 	guint64 skipped;
 	guint64 bytes;
@@ -28,12 +32,8 @@
 static void take_line(struct reading *reading, const char *file, guint64 number,
 		      const char *line)
 {
-	if (reading->again) {
-		aub_log_story_take_context(reading->story, line);
-		return;
-	}
 	reading->lines++;
-	if (aub_log_story_take(reading->story, line))
+	if (reading->take(line, reading->context))
 		return;
 	reading->skipped++;
 	if (!reading->first_skipped)
@@ -80,34 +80,84 @@
 	return true;
 }
 
+/* Say what was skipped, and let go of the reading. */
+static void reading_end(struct reading *reading)
+{
+	if (reading->skipped && !reading->again)
+		g_printerr("auburnstilectl: %" G_GUINT64_FORMAT
+			   " of %" G_GUINT64_FORMAT
+			   " lines are no log lines, the first at %s\n",
+			   reading->skipped, reading->lines,
+			   reading->first_skipped);
+	g_free(reading->first_skipped);
+}
+
+static bool take_own(const char *line, void *context)
+{
+	return aub_log_story_take(context, line);
+}
+
+static bool take_context(const char *line, void *context)
+{
+	aub_log_story_take_context(context, line);
+	return true;
+}
+
 int ctl_explain_logs(const struct ctl_options *options, const char *id,
 		     char **files, guint count)
 {
-	struct reading reading = { .story = aub_log_story_new(id) };
+	struct aub_log_story *story = aub_log_story_new(id);
+	struct reading own = { .take = take_own, .context = story };
+	struct reading around = { .take = take_context,
+				  .context = story,
+				  .again = true };
 	int code = CTL_REFUSED;
 	char *text;
 
-	if (!read_all(&reading, files, count))
+	if (!read_all(&own, files, count))
 		goto out;
-	if (reading.skipped)
-		g_printerr("auburnstilectl: %" G_GUINT64_FORMAT
-			   " of %" G_GUINT64_FORMAT
-			   " lines are no log lines, the first at %s\n",
-			   reading.skipped, reading.lines,
-			   reading.first_skipped);
-	if (!aub_log_story_size(reading.story)) {
+	if (!aub_log_story_size(story)) {
 		g_printerr("auburnstilectl: no line of request %s\n", id);
 		goto out;
 	}
-	reading.again = true;
-	if (!read_all(&reading, files, count))
+	if (!read_all(&around, files, count))
 		goto out;
-	text = aub_log_story_text(reading.story);
+	text = aub_log_story_text(story);
 	g_print("%s", text);
 	g_free(text);
 	code = CTL_OK;
 out:
-	g_free(reading.first_skipped);
-	aub_log_story_free(reading.story);
+	reading_end(&own);
+	reading_end(&around);
+	aub_log_story_free(story);
 	return code;
 }
+
+static bool take_event(const char *line, void *context)
+{
+	return aub_log_events_take(context, line);
+}
+
+struct aub_timeline *ctl_timeline_of_logs(const struct ctl_options *options,
+					  char **files, guint count)
+{
+	struct aub_timeline *timeline = aub_timeline_new();
+	struct aub_log_events *events =
+		aub_log_events_new(timeline, &options->filter);
+	struct reading reading = { .take = take_event, .context = events };
+
+	if (read_all(&reading, files, count)) {
+		aub_timeline_merge(timeline);
+		if (aub_log_events_left_out(events))
+			g_printerr("auburnstilectl: %" G_GUINT64_FORMAT
+				   " further events left out; narrow by "
+				   "--since, --until or --process\n",
+				   aub_log_events_left_out(events));
+	} else {
+		aub_timeline_free(timeline);
+		timeline = NULL;
+	}
+	reading_end(&reading);
+	aub_log_events_free(events);
+	return timeline;
+}
--- a/src/coordination/gateway_answer.c
+++ b/src/coordination/gateway_answer.c
@@ -129,8 +129,8 @@
 	aub_gateway_count(gateway, request->service, counter, reason,
 			  now - request->begun_us);
 	aub_log_begin(counter == AUB_COUNT_ANSWERED && status < 500 ?
-			      AUB_EVENT_REQUEST :
-			      AUB_EVENT_REQUEST_TROUBLE);
+			      AUB_LOG_REQUEST :
+			      AUB_LOG_REQUEST_TROUBLE);
 	aub_log_text("id", request->id);
 	aub_log_number("status", status);
 	aub_log_text("reason", reason);
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -32,7 +32,7 @@
 static void log_attempt(const struct aub_attempt_state *attempt,
 			enum aub_attempt_end end, gint64 elapsed_us)
 {
-	aub_log_begin(AUB_EVENT_ATTEMPT);
+	aub_log_begin(AUB_LOG_ATTEMPT);
 	aub_log_text("id", attempt->request->id);
 	aub_log_text("upstream", attempt->upstream);
 	aub_log_text("end", aub_attempt_end_name(end));
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -79,7 +79,7 @@
 static void log_not_placed(const struct aub_request *request,
 			   const struct aub_placed *placed)
 {
-	aub_log_begin(AUB_EVENT_NOT_PLACED);
+	aub_log_begin(AUB_LOG_NOT_PLACED);
 	aub_log_text("id", request->id);
 	aub_log_text("service", request->service);
 	aub_log_text("verdict", aub_verdict_name(placed->verdict));
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -98,7 +98,7 @@
 	node->version = routing->version;
 	aub_gateway_configure(node->gateway, routing);
 	aub_placer_configure(node->placer, routing);
-	aub_log_begin(AUB_EVENT_CONFIGURATION);
+	aub_log_begin(AUB_LOG_CONFIGURATION);
 	aub_log_number("version", routing->version);
 	aub_log_number("revision", record->revision);
 	aub_log_number("routes", routing->routes->len);
@@ -110,7 +110,7 @@
 {
 	const struct aub_upstream_record *upstream = record->upstream;
 
-	aub_log_begin(AUB_EVENT_UPSTREAM);
+	aub_log_begin(AUB_LOG_UPSTREAM);
 	aub_log_text("id", record->name);
 	aub_log_number("revision", record->revision);
 	aub_log_text("state", record->removed	 ? "gone" :
@@ -131,7 +131,7 @@
 	struct aub_node *node = context;
 
 	if (record->problem) {
-		aub_log_begin(AUB_EVENT_RECORD_REFUSED);
+		aub_log_begin(AUB_LOG_RECORD_REFUSED);
 		aub_log_text("name", record->name);
 		aub_log_text("problem", record->problem);
 		aub_log_number("revision", record->revision);
@@ -148,7 +148,7 @@
 				    record->upstream);
 		break;
 	case AUB_STORE_ZONES_OUT:
-		aub_log_begin(AUB_EVENT_ZONE);
+		aub_log_begin(AUB_LOG_ZONE);
 		aub_log_text("zone", record->name);
 		aub_log_text("state", record->removed ? "in" : "out");
 		aub_log_number("revision", record->revision);
@@ -489,7 +489,7 @@
 	node->current_timer =
 		aub_timer_every(node->timers, "current", CURRENT_CHECK_US,
 				on_current_check, node);
-	aub_log_begin(AUB_EVENT_START);
+	aub_log_begin(AUB_LOG_START);
 	aub_log_text("zone", node->zone);
 	aub_log_number("incarnation",
 		       (gint64)aub_peers_self(node->peers)->incarnation);
@@ -531,7 +531,7 @@
 	node->address_ms = (guint)settings->address_ms;
 	node->grace_ms = (guint)settings->grace_ms;
 	add_seeds(node, settings);
-	aub_log_begin(AUB_EVENT_RELOAD);
+	aub_log_begin(AUB_LOG_RELOAD);
 	aub_log_end();
 }
 
@@ -549,7 +549,7 @@
 	if ((age_us >= close_us && !aub_gateway_requests(node->gateway) &&
 	     !aub_gateway_connections(node->gateway)) ||
 	    age_us >= last_us) {
-		aub_log_begin(AUB_EVENT_STOP);
+		aub_log_begin(AUB_LOG_STOP);
 		aub_log_number("ms", age_us / AUB_MS);
 		aub_log_number("requests", aub_gateway_requests(node->gateway));
 		aub_log_end();
@@ -567,7 +567,7 @@
 	node->stopped = stopped;
 	node->stopped_context = context;
 	node->stop_us = aub_timer_now(node->timers);
-	aub_log_begin(AUB_EVENT_STOPPING);
+	aub_log_begin(AUB_LOG_STOPPING);
 	aub_log_end();
 	update_self(node);
 	aub_gateway_stop(node->gateway);
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -100,7 +100,7 @@
 {
 	peer->alive = false;
 	aub_peers_rank_again(peers);
-	log_peer(AUB_EVENT_PEER_LOST, peer, now_us - peer->heard_us);
+	log_peer(AUB_LOG_PEER_LOST, peer, now_us - peer->heard_us);
 	peers->options.lost(peer->incarnation, peers->options.context);
 }
 
@@ -197,7 +197,7 @@
 	tell_news(peers, beacon);
 	if (differs) {
 		if (!peer->alive) {
-			log_peer(AUB_EVENT_PEER_HEARD, peer, 0);
+			log_peer(AUB_LOG_PEER_HEARD, peer, 0);
 			send_beacon(peers, peer);
 			if (!beacon->peers)
 				introduce(peers, peer);
@@ -214,7 +214,7 @@
 		aub_message_decode(data, length, "datagram", &error);
 
 	if (!message) {
-		aub_log_begin(AUB_EVENT_DATAGRAM_REFUSED);
+		aub_log_begin(AUB_LOG_DATAGRAM_REFUSED);
 		aub_log_text("error", error->message);
 		aub_log_end();
 		g_error_free(error);
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -277,7 +277,7 @@
 	placer->counts.passed_by++;
 	if (peer) {
 		peer->suspect_until_us = now_us + SUSPECT_US;
-		aub_log_begin(AUB_EVENT_PLACER_PASSED_BY);
+		aub_log_begin(AUB_LOG_PLACER_PASSED_BY);
 		aub_log_text("peer", peer->name);
 		aub_log_text("service", ticket->service);
 		aub_log_number("heard_ms", (now_us - peer->heard_us) / AUB_MS);
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -57,7 +57,7 @@
 
 	if (up == (end == AUB_PROBE_WELL))
 		return;
-	aub_log_begin(AUB_EVENT_BELIEF);
+	aub_log_begin(AUB_LOG_BELIEF);
 	aub_log_text("upstream", probe->upstream);
 	aub_log_text("service", probe->service);
 	aub_log_text("was", up ? "up" : "not-up");
@@ -245,7 +245,7 @@
 	struct aub_active *active = wake(placer, service);
 
 	if (active->until_us < now) {
-		aub_log_begin(AUB_EVENT_PLACING);
+		aub_log_begin(AUB_LOG_PLACING);
 		aub_log_text("service", service);
 		aub_log_end();
 	}
--- a/src/coordination/placer_round.c
+++ b/src/coordination/placer_round.c
@@ -112,7 +112,7 @@
 				&state);
 	if (!active || state.refused == active->refused)
 		return;
-	aub_log_begin(AUB_EVENT_PLACEMENT);
+	aub_log_begin(AUB_LOG_PLACEMENT);
 	aub_log_text("service", service);
 	aub_log_number("refused", (gint64)(state.refused - active->refused));
 	aub_log_number("queued", state.queued);
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -324,7 +324,7 @@
 {
 	if (task->failing) {
 		task->back_us = now_us;
-		log_store(task, AUB_EVENT_STORE_REGAINED, "",
+		log_store(task, AUB_LOG_STORE_REGAINED, "",
 			  now_us - task->heard_us);
 		task->failing = false;
 		wake_failed(task->sync);
@@ -338,8 +338,7 @@
 	gint64 now = aub_timer_now(task->sync->options.timers);
 
 	if (!task->failing) {
-		log_store(task, AUB_EVENT_STORE_LOST, why,
-			  now - task->heard_us);
+		log_store(task, AUB_LOG_STORE_LOST, why, now - task->heard_us);
 		task->failing_us = now;
 	}
 	task->failing = true;
@@ -445,7 +444,7 @@
 		return;
 	}
 	if (head->status == STATUS_GONE) {
-		log_store(task, AUB_EVENT_STORE_HISTORY_GONE, "", 0);
+		log_store(task, AUB_LOG_STORE_HISTORY_GONE, "", 0);
 		relist(task);
 		task_run(task);
 		return;
--- /dev/null
+++ b/src/state/log_events.c
@@ -0,0 +1,211 @@
+/*
+ * Log lines as events of the time line: one table says what becomes what.
+ */
+#include <auburnstile/internal/json.h>
+#include <auburnstile/internal/log_events.h>
+#include <auburnstile/internal/log_line.h>
+
+#include <string.h>
+
+/* Which fields of a line are shown as which of an event; NULL: none. */
+struct mapping {
+	const char *event;
+	enum aub_event_type type;
+	const char *upstream;
+	const char *zone;
+	const char *peer;
+	const char *number;
+	bool calm; /* shown only where a request is asked for */
+};
+
+static const struct mapping mappings[] = {
+	{ "start", AUB_EVENT_STARTED, NULL, "zone", NULL, NULL, false },
+	{ "stopping", AUB_EVENT_STOPPING, NULL, NULL, NULL, NULL, false },
+	{ "stop", AUB_EVENT_STOPPED, NULL, NULL, NULL, "requests", false },
+	{ "reload", AUB_EVENT_CONFIG, NULL, NULL, NULL, NULL, false },
+	{ "configuration", AUB_EVENT_CONFIG, NULL, NULL, NULL, "version",
+	  false },
+	{ "upstream", AUB_EVENT_UPSTREAM, "id", "zone", NULL, "revision",
+	  false },
+	{ "zone", AUB_EVENT_CONFIG, NULL, "zone", NULL, "revision", false },
+	{ "record-refused", AUB_EVENT_FAILED, NULL, NULL, NULL, "revision",
+	  false },
+	{ "store-lost", AUB_EVENT_STORE, NULL, NULL, NULL, "revision", false },
+	{ "store-regained", AUB_EVENT_STORE, NULL, NULL, NULL, "revision",
+	  false },
+	{ "store-history-gone", AUB_EVENT_STORE, NULL, NULL, NULL, "revision",
+	  false },
+	{ "peer-heard", AUB_EVENT_MEMBER, NULL, "zone", "peer", NULL, false },
+	{ "peer-lost", AUB_EVENT_MEMBER, NULL, "zone", "peer", NULL, false },
+	{ "datagram-refused", AUB_EVENT_FAILED, NULL, NULL, NULL, NULL, false },
+	{ "placing", AUB_EVENT_ASSIGNMENT, NULL, NULL, NULL, NULL, false },
+	{ "placer-passed-by", AUB_EVENT_ASSIGNMENT, NULL, NULL, "peer", NULL,
+	  false },
+	{ "placement", AUB_EVENT_REFUSED, NULL, NULL, NULL, "refused", false },
+	{ "belief", AUB_EVENT_UPSTREAM, "upstream", NULL, NULL, NULL, false },
+	{ "request", AUB_EVENT_FINISHED, "upstream", NULL, NULL, "status",
+	  true },
+	{ "not-placed", AUB_EVENT_REFUSED, NULL, NULL, "placer", NULL, true },
+	{ "attempt", AUB_EVENT_ANSWERED, "upstream", NULL, NULL, "status",
+	  true },
+	{ "log-dropped", AUB_EVENT_FAILED, NULL, NULL, NULL, "lines", false },
+};
+
+struct aub_log_events {
+	struct aub_timeline *timeline;
+	const struct aub_timeline_filter *filter;
+	GHashTable *processes; /* node -> handle of its newest start + 1 */
+	guint64 serial;
+	guint64 taken;
+	guint64 left_out;
+};
+
+struct aub_log_events *aub_log_events_new(
+	struct aub_timeline *timeline, const struct aub_timeline_filter *filter)
+{
+	struct aub_log_events *events = g_new0(struct aub_log_events, 1);
+
+	events->timeline = timeline;
+	events->filter = filter;
+	events->processes =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return events;
+}
+
+void aub_log_events_free(struct aub_log_events *events)
+{
+	if (!events)
+		return;
+	g_hash_table_unref(events->processes);
+	g_free(events);
+}
+
+static const struct mapping *mapping_of(const char *event)
+{
+	for (guint i = 0; i < G_N_ELEMENTS(mappings); i++)
+		if (!strcmp(mappings[i].event, event))
+			return &mappings[i];
+	return NULL;
+}
+
+int aub_log_events_type(const char *event)
+{
+	const struct mapping *mapping = mapping_of(event);
+
+	return mapping ? (int)mapping->type : -1;
+}
+
+static void copy_field(JsonObject *object, const char *name, char *field,
+		       gsize size)
+{
+	const char *text = name ? aub_json_string(object, name) : NULL;
+
+	if (text)
+		g_strlcpy(field, text, size);
+}
+
+/* A request's id is the caller's own; only one in hex can be asked for. */
+static guint64 request_of(JsonObject *object, const struct mapping *mapping)
+{
+	const char *id = mapping->calm ? aub_json_string(object, "id") : NULL;
+	guint64 request = 0;
+
+	if (id)
+		g_ascii_string_to_unsigned(id, 16, 0, G_MAXUINT64, &request,
+					   NULL);
+	return request;
+}
+
+static void event_fill(struct aub_log_events *events, JsonObject *object,
+		       const struct mapping *mapping, struct aub_event *event)
+{
+	char *fields = aub_log_line_fields(object);
+	char *text = g_strconcat(mapping->event, fields, NULL);
+
+	event->type = mapping->type;
+	event->sequence = ++events->serial;
+	event->wall_us = aub_json_integer(object, "t") * 1000;
+	event->monotonic_us = event->wall_us;
+	event->request = request_of(object, mapping);
+	if (mapping->number)
+		event->number = aub_json_integer(object, mapping->number);
+	copy_field(object, mapping->upstream, event->upstream,
+		   sizeof(event->upstream));
+	copy_field(object, mapping->zone, event->zone, sizeof(event->zone));
+	copy_field(object, mapping->peer, event->peer, sizeof(event->peer));
+	g_strlcpy(event->text, text, sizeof(event->text));
+	g_free(text);
+	g_free(fields);
+}
+
+/* A process that starts again is another one. */
+static guint process_of(struct aub_log_events *events, JsonObject *object)
+{
+	const char *node = aub_json_string(object, "node");
+	guint known =
+		GPOINTER_TO_UINT(g_hash_table_lookup(events->processes, node));
+	const char *zone = "";
+	guint handle;
+
+	if (!strcmp(aub_json_string(object, "event"), "start"))
+		zone = aub_json_string(object, "zone");
+	else if (known)
+		return known - 1;
+	handle = aub_timeline_process(events->timeline, node, zone ? zone : "",
+				      (guint64)aub_json_integer(object,
+								"incarnation"));
+	g_hash_table_insert(events->processes, g_strdup(node),
+			    GUINT_TO_POINTER(handle + 1));
+	return handle;
+}
+
+static bool is_wanted(const struct aub_log_events *events,
+		      const struct mapping *mapping, JsonObject *object,
+		      const struct aub_event *event)
+{
+	const struct aub_timeline_filter *filter = events->filter;
+
+	if (filter->request)
+		return event->request == filter->request;
+	if (mapping->calm)
+		return false;
+	return (!filter->process ||
+		!strcmp(filter->process, aub_json_string(object, "node"))) &&
+	       (!filter->upstream ||
+		!strcmp(filter->upstream, event->upstream)) &&
+	       (!filter->since_us || event->wall_us >= filter->since_us) &&
+	       (!filter->until_us || event->wall_us <= filter->until_us);
+}
+
+bool aub_log_events_take(struct aub_log_events *events, const char *line)
+{
+	JsonObject *object = aub_log_line_parse(line);
+	const struct mapping *mapping;
+	struct aub_event event = { 0 };
+
+	if (!object)
+		return false;
+	mapping = mapping_of(aub_json_string(object, "event"));
+	if (!mapping) {
+		json_object_unref(object);
+		return false;
+	}
+	event_fill(events, object, mapping, &event);
+	if (is_wanted(events, mapping, object, &event)) {
+		guint process = process_of(events, object);
+
+		if (events->taken < AUB_LOG_EVENTS_MOST) {
+			events->taken++;
+			aub_timeline_add(events->timeline, process, &event);
+		} else {
+			events->left_out++;
+		}
+	}
+	json_object_unref(object);
+	return true;
+}
+
+guint64 aub_log_events_left_out(const struct aub_log_events *events)
+{
+	return events->left_out;
+}
--- a/src/state/log_story.c
+++ b/src/state/log_story.c
@@ -3,6 +3,7 @@
  * processes, and causes before what they brought about.
  */
 #include <auburnstile/internal/json.h>
+#include <auburnstile/internal/log_line.h>
 #include <auburnstile/internal/log_story.h>
 
 #include <string.h>
@@ -65,23 +66,6 @@
 	g_free(story);
 }
 
-/* NULL where it is no line of a log. */
-static JsonObject *line_parse(const char *text)
-{
-	const char *brace = strchr(text, '{');
-	JsonObject *object;
-
-	if (!brace)
-		return NULL;
-	object = aub_json_parse(brace, strlen(brace), "read log", "line", NULL);
-	if (!object)
-		return NULL;
-	if (aub_json_string(object, "event") && aub_json_string(object, "node"))
-		return object;
-	json_object_unref(object);
-	return NULL;
-}
-
 static guint cause_of(const char *event)
 {
 	for (guint i = 0; i < G_N_ELEMENTS(causal); i++)
@@ -90,39 +74,19 @@
 	return 0;
 }
 
-static void append_field(GString *text, JsonObject *object, const char *name)
-{
-	JsonNode *node = json_object_get_member(object, name);
-	char *value;
-
-	if (!strcmp(name, "t") || !strcmp(name, "node") ||
-	    !strcmp(name, "event") || !strcmp(name, "id"))
-		return;
-	if (JSON_NODE_HOLDS_VALUE(node) &&
-	    json_node_get_value_type(node) == G_TYPE_STRING)
-		value = json_node_dup_string(node);
-	else
-		value = json_to_string(node, FALSE);
-	if (*value)
-		g_string_append_printf(text, " %s=%s", name, value);
-	g_free(value);
-}
-
 static struct story_line *line_new(struct aub_log_story *story,
 				   JsonObject *object)
 {
 	struct story_line *line = g_new0(struct story_line, 1);
-	GString *text = g_string_new(aub_json_string(object, "event"));
-	GList *names = json_object_get_members(object);
+	char *fields = aub_log_line_fields(object);
 
 	line->t = aub_json_integer(object, "t");
 	line->serial = story->serial++;
 	line->cause = cause_of(aub_json_string(object, "event"));
 	line->node = g_strdup(aub_json_string(object, "node"));
-	for (GList *link = names; link; link = link->next)
-		append_field(text, object, link->data);
-	g_list_free(names);
-	line->text = g_string_free(text, FALSE);
+	line->text =
+		g_strconcat(aub_json_string(object, "event"), fields, NULL);
+	g_free(fields);
 	return line;
 }
 
@@ -137,7 +101,7 @@
 
 bool aub_log_story_take(struct aub_log_story *story, const char *text)
 {
-	JsonObject *object = line_parse(text);
+	JsonObject *object = aub_log_line_parse(text);
 	const char *id;
 
 	if (!object)
@@ -196,7 +160,7 @@
 
 	if (story->context->len >= CONTEXT_MOST)
 		return;
-	object = line_parse(text);
+	object = aub_log_line_parse(text);
 	if (!object)
 		return;
 	if (is_context(story, object))
--- a/tests/test_decision_log.cc
+++ b/tests/test_decision_log.cc
@@ -52,7 +52,7 @@
 
 TEST_F(DecisionLogTest, WritesOneObjectALine)
 {
-	line(AUB_EVENT_REQUEST, "a\"b\\c\n\xc3\xa9");
+	line(AUB_LOG_REQUEST, "a\"b\\c\n\xc3\xa9");
 	aub_decision_log_flush();
 	std::string text = drain();
 	ASSERT_FALSE(text.empty());
@@ -76,12 +76,12 @@
 	std::string long_id(200, 'x');
 
 	for (int i = 0; i < 5000; i++) {
-		line(AUB_EVENT_REQUEST, long_id.c_str());
+		line(AUB_LOG_REQUEST, long_id.c_str());
 		aub_decision_log_flush();
 	}
 	guint64 calm = aub_decision_log_dropped(AUB_LOG_CALM);
 	EXPECT_GT(calm, 3000u);
-	line(AUB_EVENT_REQUEST_TROUBLE, "the-failure");
+	line(AUB_LOG_REQUEST_TROUBLE, "the-failure");
 	EXPECT_EQ(aub_decision_log_dropped(AUB_LOG_TROUBLE), 0u);
 	std::string text;
 	for (int i = 0; i < 20; i++) {
@@ -101,7 +101,7 @@
 	std::string long_id(1000, 'x');
 
 	for (int i = 0; i < 2000; i++)
-		line(AUB_EVENT_UPSTREAM, long_id.c_str());
+		line(AUB_LOG_UPSTREAM, long_id.c_str());
 	EXPECT_GT(aub_decision_log_dropped(AUB_LOG_STATE), 1500u);
 }
 
@@ -110,9 +110,9 @@
 	signal(SIGPIPE, SIG_IGN);
 	close(pipe_[0]);
 	pipe_[0] = open("/dev/null", O_RDONLY);
-	line(AUB_EVENT_REQUEST, "a");
+	line(AUB_LOG_REQUEST, "a");
 	aub_decision_log_flush();
-	line(AUB_EVENT_REQUEST, "b");
+	line(AUB_LOG_REQUEST, "b");
 	aub_decision_log_flush();
 }
 
