--- a/include/auburnstile/internal/placer_parts.h
+++ b/include/auburnstile/internal/placer_parts.h
@@ -62,6 +62,33 @@
 struct aub_placement *aub_placer_placement(struct aub_placer *placer,
 					   const char *service);
 
+#define AUB_SETTLE_CHECK_US (25 * AUB_MS)
+
+/* On top of an ask's patience, for its decision to arrive. */
+#define AUB_QUEUED_SLACK_US (150 * AUB_MS)
+
+/* Tickets. */
+void aub_ticket_free(void *data);
+/* Pass a decision on to the request; the ticket ends unless it was granted. */
+void aub_ticket_settle(struct aub_placer *placer, struct aub_ticket *ticket,
+		       const struct aub_decision *decision, guint64 from);
+void aub_ticket_send_report(struct aub_placer *placer,
+			    struct aub_ticket *ticket,
+			    const struct aub_attempt_report *report);
+/* Ask again, or the next placer, where one did not answer in time. */
+void aub_tickets_due(struct aub_placer *placer, gint64 now_us);
+
+/* A report for a placement here: a slot may be free. */
+void aub_placer_take_report(struct aub_placer *placer, const char *service,
+			    const struct aub_attempt_report *report);
+/* A decision of a placement here, for whoever asked. */
+void aub_placer_deliver(struct aub_placer *placer,
+			const struct aub_decision *decision);
+/* There are tickets or queues that time alone moves on. */
+void aub_placer_arm(struct aub_placer *placer);
+
+/* Has it run for as long as first beacons take to come back? */
+bool aub_placer_hears(const struct aub_placer *placer, gint64 now_us);
 /* Has this process had the time to hear the other gateways? */
 bool aub_placer_is_settled(const struct aub_placer *placer);
 /* ... so: begin to place. */
--- /dev/null
+++ b/include/auburnstile/internal/store_sync_parts.h
@@ -0,0 +1,74 @@
+/*
+ * The inside of the copy of the store, shared by its files.
+ */
+#ifndef AUBURNSTILE_INTERNAL_STORE_SYNC_PARTS_H
+#define AUBURNSTILE_INTERNAL_STORE_SYNC_PARTS_H
+
+#include <auburnstile/internal/store_sync.h>
+
+G_BEGIN_DECLS
+
+#define AUB_STORE_CALL_MS 1200 /* a slow store takes some 300 ms a call */
+#define AUB_STORE_RETRY_US (250 * AUB_MS) /* then twice that, and so on */
+#define AUB_STORE_RETRY_MOST_US (1000 * AUB_MS)
+
+enum aub_store_step { AUB_STORE_LIST, AUB_STORE_WATCH };
+
+struct aub_store_task {
+	struct aub_store_sync *sync;
+	enum aub_store_kind kind;
+	enum aub_store_step step;
+	struct aub_http_call *call;
+	guint timer;
+	gint64 revision;
+	char *after; /* page to go on with */
+	GHashTable *present; /* names that are there */
+	GHashTable *seen; /* names of the listing under way */
+	GHashTable *gone; /* names said to be gone, held back */
+	guint gone_timer;
+	gint64 heard_us;
+	gint64 back_us; /* when the store was heard again after an absence */
+	gint64 retry_us;
+	gint64 changed; /* revision of the last change known here */
+	gint64 known; /* the same, or later where others' news had no change */
+	gint64 news; /* the highest that others told of */
+	gint64 awaited; /* news that has until `news_timer` to come by itself */
+	gint64 overdue; /* news that did not: to be asked for */
+	bool listed;
+	bool strict; /* an old listing had no history left: list anew */
+	bool unproved; /* nothing was heard since an old listing */
+	guint news_timer;
+	bool fetching; /* the call under way waits for nothing */
+	bool failing;
+	gint64 failing_us; /* since when */
+};
+
+struct aub_store_sync {
+	struct aub_store_sync_options options;
+	char *address;
+	struct aub_store_task tasks[AUB_STORE_KINDS];
+	char *name; /* of the own record; NULL: none */
+	char *record;
+	struct aub_http_call *enrol_call;
+	guint enrol_timer;
+	guint64 results[AUB_STORE_KINDS][AUB_STORE_RESULTS];
+};
+
+/* What an answer tells: a page of a listing, or changes. */
+void aub_store_take_listing(struct aub_store_task *task,
+			    const struct aub_store_page *page, gint64 now_us);
+void aub_store_take_changes(struct aub_store_task *task,
+			    const struct aub_store_page *page, gint64 now_us);
+
+/* Begin the listing anew; the caller runs the task. */
+void aub_store_relist(struct aub_store_task *task);
+
+/* How a call ended, as far as its head tells. */
+enum aub_store_result aub_store_result_of(enum aub_exchange_end end,
+					  const struct aub_http_head *head);
+void aub_store_count(struct aub_store_sync *sync, enum aub_store_kind kind,
+		     enum aub_store_result result);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/src/coordination/placer_messages.c
@@ -0,0 +1,206 @@
+/*
+ * Messages between gateways about placing: asks and reports that come in,
+ * decisions that go out.
+ */
+#include <auburnstile/internal/placer_parts.h>
+
+static void send_decision(struct aub_placer *placer,
+			  const struct aub_decision *decision)
+{
+	struct aub_peer *peer = aub_peers_by_incarnation(placer->options.peers,
+							 decision->holder);
+	struct aub_place_decision *message;
+
+	if (!peer)
+		return;
+	message = (struct aub_place_decision *)aub_message_new(
+		AUB_MESSAGE_PLACE_DECISION);
+	message->ticket = decision->ticket;
+	message->placer = placer->options.incarnation;
+	message->verdict = decision->verdict;
+	message->retry_after_ms = decision->retry_after_ms;
+	if (decision->verdict == AUB_VERDICT_GRANTED) {
+		aub_string_set(&message->upstream, decision->upstream);
+		aub_string_set(&message->address, decision->address);
+	}
+	aub_peers_send(placer->options.peers, peer, &message->base);
+	aub_message_free(&message->base);
+}
+
+/* A decision of a placement here, for whoever asked. */
+void aub_placer_deliver(struct aub_placer *placer,
+			const struct aub_decision *decision)
+{
+	struct aub_ticket *ticket;
+
+	if (decision->holder != placer->options.incarnation) {
+		send_decision(placer, decision);
+		return;
+	}
+	ticket = g_hash_table_lookup(placer->tickets, &decision->ticket);
+	if (ticket && ticket->placed)
+		aub_ticket_settle(placer, ticket, decision,
+				  placer->options.incarnation);
+}
+
+static void take_ask(struct aub_placer *placer,
+		     const struct aub_place_ask *message)
+{
+	struct aub_placement *placement =
+		aub_placer_placement(placer, message->service);
+	GPtrArray *avoid = g_ptr_array_new();
+	struct aub_ask ask = {
+		.ticket = message->ticket,
+		.holder = message->holder,
+		.zone = message->zone,
+		.priority = message->priority,
+		.target_ms = message->target_ms,
+		.on_time_ms = message->on_time_ms,
+		.patience_ms = message->patience_ms,
+		.retry = message->retry,
+	};
+	struct aub_decision decision;
+
+	for (guint i = 0; i < message->avoid->len; i++)
+		g_ptr_array_add(avoid, ((struct aub_name *)g_ptr_array_index(
+						message->avoid, i))
+					       ->name);
+	ask.avoid = (const char *const *)avoid->pdata;
+	ask.avoid_count = avoid->len;
+	aub_placer_wake_service(placer, message->service);
+	aub_placement_ask(placement, &ask,
+			  aub_timer_now(placer->options.timers), &decision);
+	placer->counts.placed_here++;
+	send_decision(placer, &decision);
+	if (decision.verdict == AUB_VERDICT_QUEUED)
+		aub_placer_arm(placer);
+	g_ptr_array_unref(avoid);
+}
+
+/* A grant that came too late for its ticket goes back at once. */
+static void return_grant(struct aub_placer *placer,
+			 const struct aub_place_decision *message)
+{
+	const struct aub_attempt_report report = {
+		.ticket = message->ticket,
+		.end = AUB_END_UNUSED,
+		.load = { -1, -1, -1, -1, -1 },
+	};
+	struct aub_ticket ticket = {
+		.id = message->ticket,
+		.service = (char *)"",
+		.granted_by = message->placer,
+	};
+
+	aub_ticket_send_report(placer, &ticket, &report);
+}
+
+static void take_decision(struct aub_placer *placer,
+			  const struct aub_place_decision *message)
+{
+	struct aub_ticket *ticket =
+		g_hash_table_lookup(placer->tickets, &message->ticket);
+	const struct aub_decision decision = {
+		.ticket = message->ticket,
+		.verdict = (enum aub_verdict)message->verdict,
+		.upstream = message->upstream,
+		.address = message->address,
+		.retry_after_ms = message->retry_after_ms,
+	};
+
+	if (message->verdict > AUB_VERDICT_NO_BUDGET)
+		return;
+	if (!ticket || !ticket->placed || ticket->local ||
+	    ticket->placer != message->placer) {
+		bool same = ticket && ticket->granted_by == message->placer;
+
+		if (decision.verdict == AUB_VERDICT_GRANTED && !same)
+			return_grant(placer, message);
+		return;
+	}
+	if (decision.verdict == AUB_VERDICT_QUEUED) {
+		ticket->queued = true;
+		ticket->next_us = ticket->sent_us +
+				  ticket->ask.patience_ms * AUB_MS +
+				  AUB_QUEUED_SLACK_US;
+		return;
+	}
+	aub_ticket_settle(placer, ticket, &decision, message->placer);
+}
+
+static void take_remote_report(struct aub_placer *placer,
+			       const struct aub_place_report *message)
+{
+	const struct aub_attempt_report report = {
+		.ticket = message->ticket,
+		.end = (enum aub_attempt_end)message->end,
+		.elapsed_us = (gint64)message->elapsed_us,
+		.load = {
+			.running = (gint)message->running - 1,
+			.waiting = (gint)message->waiting - 1,
+			.slots = (gint)message->slots - 1,
+			.slowdown = (gint)message->slowdown - 1,
+			.warmup_ms = (gint)message->warmup_ms - 1,
+		},
+	};
+	GHashTableIter iter;
+	void *placement;
+
+	if (message->end > AUB_END_UNUSED)
+		return;
+	if (message->service[0]) {
+		aub_placer_take_report(placer, message->service, &report);
+		return;
+	}
+	g_hash_table_iter_init(&iter, placer->placements);
+	while (g_hash_table_iter_next(&iter, NULL, &placement))
+		aub_placement_report(placement, &report,
+				     aub_timer_now(placer->options.timers));
+}
+
+void aub_placer_message(struct aub_placer *placer, struct aub_message *message)
+{
+	switch (message->type) {
+	case AUB_MESSAGE_PLACE_ASK:
+		take_ask(placer, (struct aub_place_ask *)message);
+		break;
+	case AUB_MESSAGE_PLACE_DECISION:
+		take_decision(placer, (struct aub_place_decision *)message);
+		break;
+	case AUB_MESSAGE_PLACE_REPORT:
+		take_remote_report(placer, (struct aub_place_report *)message);
+		break;
+	case AUB_MESSAGE_PLACE_HELD:
+		aub_placer_take_held(placer, (struct aub_place_held *)message);
+		break;
+	case AUB_MESSAGE_PLACE_PROBED:
+		aub_placer_take_probed(placer,
+				       (struct aub_place_probed *)message);
+		break;
+	case AUB_MESSAGE_PLACE_BELIEFS:
+		aub_placer_take_beliefs(placer,
+					(struct aub_place_beliefs *)message);
+		break;
+	default:
+		break;
+	}
+	aub_message_free(message);
+}
+
+void aub_placer_peer_lost(struct aub_placer *placer, guint64 incarnation)
+{
+	gint64 now = aub_timer_now(placer->options.timers);
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, placer->placements);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		aub_placement_forget(value, incarnation, now);
+	g_hash_table_iter_init(&iter, placer->tickets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct aub_ticket *ticket = value;
+
+		if (ticket->placed && ticket->placer == incarnation)
+			ticket->next_us = now;
+	}
+}
