gateway: keep an upstream's own failure while another is tried

Cause: a request that may be repeated and got a whole 500 is tried elsewhere; where no other upstream was to be had, or the fleet's budget refused it, its caller got our 502, and at the end of the route's time our 504.

Change: the whole answer is kept, and passed on as it came where nothing better follows. A 503 is not kept: it would promise that nothing ran.

Tests: PassesOnAFailureWhereNoOtherUpstreamCanBeTried (502 before), PassesOnAFailureWhereTheNextUpstreamIsSilent (504 before).

--- a/include/auburnstile/internal/gateway_parts.h
+++ b/include/auburnstile/internal/gateway_parts.h
@@ -75,6 +75,14 @@
 	bool chunked; /* towards the caller */
 };
 
+/* An upstream's whole answer that says failure, kept while another is tried. */
+struct aub_kept_answer {
+	guint status;
+	GString *head; /* status line and headers, without framing */
+	GByteArray *body;
+	char *upstream;
+};
+
 struct aub_request {
 	struct aub_gateway *gateway;
 	struct aub_caller *caller;
@@ -98,6 +106,7 @@
 	GByteArray *body; /* kept to be sent again */
 	struct aub_attempt_state *attempt; /* under way; or NULL */
 	GPtrArray *tried; /* of char *: upstreams it was sent to */
+	struct aub_kept_answer kept; /* `head` NULL: none */
 	guint unreachable; /* tries that never connected */
 	guint64 ask; /* ticket asked for; 0: none */
 	bool asking;
@@ -125,6 +134,8 @@
 		      const char *reason);
 void aub_request_fail(struct aub_request *request, guint status,
 		      const char *reason, const char *detail);
+/* Pass on the failure that an upstream answered with earlier. */
+void aub_request_answer_kept(struct aub_request *request);
 /* Its answer is written: go on with the caller's connection, or end it. */
 void aub_request_end(struct aub_request *request);
 void aub_request_free(struct aub_request *request);
--- a/src/coordination/gateway_answer.c
+++ b/src/coordination/gateway_answer.c
@@ -6,6 +6,13 @@
 
 #include <string.h>
 
+static void kept_clear(struct aub_kept_answer *kept)
+{
+	g_string_free(kept->head, TRUE);
+	g_byte_array_unref(kept->body);
+	g_free(kept->upstream);
+}
+
 void aub_request_free(struct aub_request *request)
 {
 	struct aub_gateway *gateway = request->gateway;
@@ -17,6 +24,8 @@
 		aub_attempt_abort(request->attempt, AUB_END_ABANDONED);
 	gateway->requests--;
 	request->caller->request = NULL;
+	if (request->kept.head)
+		kept_clear(&request->kept);
 	g_ptr_array_unref(request->tried);
 	g_byte_array_unref(request->body);
 	g_string_free(request->headers, TRUE);
@@ -119,6 +128,23 @@
 			    });
 }
 
+void aub_request_answer_kept(struct aub_request *request)
+{
+	const struct aub_kept_answer *kept = &request->kept;
+
+	if (!request->is_head)
+		g_string_append_printf(kept->head, "Content-Length: %u\r\n",
+				       kept->body->len);
+	g_string_append_printf(kept->head, "%s\r\n",
+			       aub_request_connection_line(request));
+	aub_request_log(request, AUB_COUNT_ANSWERED, kept->status,
+			"no-better-answer", kept->upstream);
+	aub_caller_put(request->caller, kept->head->str, kept->head->len);
+	aub_caller_put(request->caller, kept->body->data,
+		       request->is_head ? 0 : kept->body->len);
+	aub_request_end(request);
+}
+
 void aub_request_log(const struct aub_request *request,
 		     enum aub_request_counter counter, guint status,
 		     const char *reason, const char *detail)
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -35,7 +35,9 @@
 static void give_up(struct aub_request *request, const char *reason,
 		    const char *detail, guint retry_after_ms)
 {
-	if (request->may_have_run)
+	if (request->kept.head)
+		aub_request_answer_kept(request);
+	else if (request->may_have_run)
 		aub_request_fail(request, 502, reason, detail);
 	else
 		aub_request_refuse(request, reason, retry_after_ms);
@@ -68,7 +70,9 @@
 	}
 	if (request->attempt)
 		attempt_time_out(request, request->attempt);
-	if (request->may_have_run)
+	if (request->kept.head)
+		aub_request_answer_kept(request);
+	else if (request->may_have_run)
 		aub_request_fail(request, 504, "timeout", NULL);
 	else
 		aub_request_refuse(request, "timeout", NOT_READY_RETRY_MS);
@@ -299,6 +303,28 @@
 		aub_exchange_hold(attempt->exchange, true);
 }
 
+/*
+ * Failure: an upstream answers that it failed, and no other can be tried in
+ * the end: none has room, or the fleet's budget of retries is used up.
+ * Symptom: the caller gets a 502 in place of the upstream's own words. Enough:
+ * the whole answer is kept until another takes its place.
+ */
+static void keep_answer(struct aub_request *request,
+			struct aub_attempt_state *attempt)
+{
+	struct aub_kept_answer *kept = &request->kept;
+
+	/* A 503 would promise that nothing ran, and the next one may run it. */
+	if (kept->head || attempt->status == HTTP_STATUS_SERVICE_UNAVAILABLE)
+		return;
+	*kept = (struct aub_kept_answer){
+		.status = attempt->status,
+		.head = g_steal_pointer(&attempt->head),
+		.body = g_byte_array_ref(attempt->body),
+		.upstream = g_strdup(attempt->upstream),
+	};
+}
+
 void aub_request_attempt_whole(struct aub_request *request,
 			       struct aub_attempt_state *attempt)
 {
@@ -308,6 +334,7 @@
 	    may_repeat(request, AUB_END_FAILED)) {
 		/* A whole failure of one upstream; another may do better. */
 		request->may_have_run = true;
+		keep_answer(request, attempt);
 		aub_request_attempt_failed(request, attempt, AUB_END_FAILED);
 		return;
 	}
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -209,6 +209,63 @@
 	EXPECT_EQ(runs, 3u);
 }
 
+TEST_F(GatewayTest, PassesOnAFailureWhereNoOtherUpstreamCanBeTried)
+{
+	/*
+	 * The caller sees the upstream's own failure, not a 502 that says
+	 * nothing. The request may be repeated, but there is no other upstream.
+	 */
+	platform_upstream_set_answer(add_upstream("u1"),
+				     PLATFORM_ANSWER_FAILED);
+	configure();
+	start_ready();
+	auto caller = call("GET", "/safe/a", "id1");
+	ASSERT_TRUE(answered(caller));
+	EXPECT_EQ(caller->status, 500u);
+	EXPECT_EQ(caller->last_id, "id1");
+	EXPECT_FALSE(caller->body.empty());
+	EXPECT_EQ(caller->answers, 1);
+}
+
+TEST_F(GatewayTest, PassesOnAFailureWhereTheNextUpstreamIsSilent)
+{
+	/*
+	 * The caller sees the first upstream's own failure when the route's
+	 * time is up. The second one never answers.
+	 */
+	struct platform_upstream *one = add_upstream("u1");
+	struct platform_upstream *two = add_upstream("u2");
+
+	configure();
+	start_ready();
+	platform_upstream_set_answer(one, PLATFORM_ANSWER_NEVER);
+	platform_upstream_set_answer(two, PLATFORM_ANSWER_NEVER);
+	platform_upstream_answer_once(one, PLATFORM_ANSWER_FAILED);
+	platform_upstream_answer_once(two, PLATFORM_ANSWER_FAILED);
+	/* Whichever is tried first fails; the other falls silent. */
+	platform_upstream_on_run(
+		one,
+		[](const char *, void *other) {
+			platform_upstream_answer_once(
+				(struct platform_upstream *)other,
+				PLATFORM_ANSWER_NEVER);
+		},
+		two);
+	platform_upstream_on_run(
+		two,
+		[](const char *, void *other) {
+			platform_upstream_answer_once(
+				(struct platform_upstream *)other,
+				PLATFORM_ANSWER_NEVER);
+		},
+		one);
+	auto caller = call("GET", "/safe/a", "id1");
+	ASSERT_TRUE(answered(caller));
+	EXPECT_EQ(caller->status, 500u);
+	EXPECT_EQ(platform_upstream_runs(one) + platform_upstream_runs(two),
+		  2u);
+}
+
 TEST_F(GatewayTest, AnswersWhenItsRoutesTimeIsUp)
 {
 	/*
