--- /dev/null
+++ b/tests/test_gateway_process.cc
@@ -0,0 +1,148 @@
+/*
+ * The gateway as a real process: its settings file changes, with a signal and
+ * without one, and what it is asked to take may be no good.
+ */
+#include "gateway_rig.h"
+
+#include <common/child.h>
+
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <sys/wait.h>
+
+#define STARTS_MS 10000
+#define RELOADS_MS 3000 /* the file is looked at once a second */
+
+class GatewayProcessTest : public GatewayTest
+{
+      protected:
+	char *folder = NULL;
+	std::string file;
+	std::string log;
+	std::string ports[5];
+	struct child *child = NULL;
+
+	void SetUp() override
+	{
+		GatewayTest::SetUp();
+		folder = g_dir_make_tmp("gateway-XXXXXX", NULL);
+		file = std::string(folder) + "/gateway.toml";
+		log = std::string(folder) + "/log";
+		for (auto &port : ports)
+			port = "127.0.0.1:" + std::to_string(child_free_port());
+	}
+	void TearDown() override
+	{
+		child_free(child);
+		g_unlink(file.c_str());
+		g_unlink(log.c_str());
+		g_rmdir(folder);
+		g_free(folder);
+		GatewayTest::TearDown();
+	}
+	void write_settings(int address_ms)
+	{
+		std::string text =
+			"name = \"g1\"\nzone = \"z1\"\ncallers = \"" +
+			ports[0] + "\"\ndirectory = \"" + ports[1] +
+			"\"\nreadiness = \"" + ports[2] + "\"\npeers = \"" +
+			ports[3] + "\"\nmetrics = \"" + ports[4] +
+			"\"\nstore = \"" + platform_store_address(store) +
+			"\"\nseeds = []\ngrace_ms = 3000\n"
+			"retry_slack = 50\nretry_window_ms = 10000\n"
+			"retry_percent = 20\naddress_ms = " +
+			std::to_string(address_ms) + "\n";
+
+		ASSERT_TRUE(g_file_set_contents(file.c_str(), text.c_str(), -1,
+						NULL));
+	}
+	void start_process()
+	{
+		const char *arguments[] = { "--settings", file.c_str(), NULL };
+
+		add_upstream("u1");
+		configure();
+		write_settings(300);
+		child = child_start("auburnstile-gateway", arguments, false,
+				    log.c_str(), NULL);
+		ASSERT_NE(child, nullptr);
+		ASSERT_TRUE(run_until(
+			[&] {
+				std::string body;
+
+				return get(ports[2], "/ready", &body) == 200;
+			},
+			STARTS_MS));
+	}
+	/* How long callers are told to keep its addresses. */
+	bool tells(const std::string &ttl, int ms)
+	{
+		return run_until(
+			[&] {
+				std::string body;
+
+				get(ports[1],
+				    "/resolve?name=site&region=r&zone=z1",
+				    &body);
+				return body.find("\"ttl_s\":" + ttl) !=
+				       std::string::npos;
+			},
+			ms);
+	}
+};
+
+TEST_F(GatewayProcessTest, TakesNewSettingsWithASignalAndWithoutOne)
+{
+	start_process();
+	EXPECT_TRUE(tells("0.300", 1000));
+	write_settings(700);
+	EXPECT_TRUE(tells("0.700", RELOADS_MS));
+	write_settings(900);
+	EXPECT_TRUE(child_signal(child, SIGHUP));
+	EXPECT_TRUE(tells("0.900", RELOADS_MS));
+}
+
+TEST_F(GatewayProcessTest, CutsNothingOffWhenSettingsChange)
+{
+	/*
+	 * The caller gets its whole answer. Its request is at the upstream
+	 * when the settings file changes, and again when SIGHUP comes.
+	 */
+	timeout_ms = 5000;
+	start_process();
+	platform_upstream_set_work(upstreams[0], 1800);
+	addresses = { ports[0] };
+	auto caller = call("GET", "/safe/a", "id1");
+	run_for(200);
+	write_settings(700);
+	run_for(1200);
+	EXPECT_TRUE(child_signal(child, SIGHUP));
+	ASSERT_TRUE(answered(caller));
+	EXPECT_EQ(caller->status, 200u);
+	EXPECT_TRUE(tells("0.700", RELOADS_MS));
+}
+
+TEST_F(GatewayProcessTest, KeepsItsSettingsWhereTheNewOnesAreNoGood)
+{
+	/* Callers are served on; the log names place and field. */
+	char *text = NULL;
+
+	start_process();
+	ASSERT_TRUE(g_file_set_contents(file.c_str(), "zoen = 7\n", -1, NULL));
+	EXPECT_TRUE(child_signal(child, SIGHUP));
+	run_for(1500);
+	EXPECT_FALSE(child_ended(child));
+	EXPECT_TRUE(tells("0.300", 1000));
+	ASSERT_TRUE(g_file_get_contents(log.c_str(), &text, NULL, NULL));
+	EXPECT_NE(strstr(text, ":1: zoen: unknown key"), nullptr) << text;
+	g_free(text);
+}
+
+TEST_F(GatewayProcessTest, EndsInOrderOnSigterm)
+{
+	start_process();
+	EXPECT_TRUE(child_signal(child, SIGTERM));
+	EXPECT_TRUE(run_until([&] { return child_ended(child); }, 5000));
+	EXPECT_TRUE(WIFEXITED(child->status));
+	EXPECT_EQ(WEXITSTATUS(child->status), 0);
+}
