placement: use the rows of upstreams that left

A row serves again a minute after its upstream has gone, once no request is out there. Test UsesTheRowsOfThoseThatLeft: 301 rows before, at most 63 after.

--- a/include/auburnstile/internal/placement_parts.h
+++ b/include/auburnstile/internal/placement_parts.h
@@ -24,7 +24,8 @@
 	char *zone;
 	guint slots;
 	gint64 born_ms;
-	bool registered; /* false: leaving; kept while grants are out */
+	bool registered; /* false: gone; kept while grants are out */
+	gint64 gone_us; /* since when */
 	bool draining;
 	bool zone_out;
 	enum aub_row_state state;
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -12,6 +12,9 @@
  */
 #define SMOOTHING 0.2
 
+/* Late reports and probes of one that left have come in by then. */
+#define GONE_KEPT_US (60000 * AUB_PLACE_MS)
+
 #define NOTEWORTHY_SLOWNESS 1.5 /* others should avoid it, too */
 
 #define FAILURE_HALF_LIFE_US                            \
@@ -149,15 +152,45 @@
 	row->probe_us = MIN(row->probe_us, now_us);
 }
 
-static struct aub_row *row_add(struct aub_placement *placement, const char *id)
+/* Index of a row whose upstream is gone for good, or -1. */
+static gint find_free(const struct aub_placement *placement, gint64 now_us)
+{
+	for (guint i = 0; i < placement->rows->len; i++) {
+		const struct aub_row *row = aub_placement_row(placement, i);
+
+		if (!row->registered && !row->granted &&
+		    now_us - row->gone_us > GONE_KEPT_US)
+			return (gint)i;
+	}
+	return -1;
+}
+
+/*
+ * Failure: upstreams are replaced all day, each under a new id. Symptom: every
+ * decision walks the rows of all that ever were. Enough: a row serves again
+ * once its upstream has been gone for a while and nothing is out there.
+ */
+static struct aub_row *row_add(struct aub_placement *placement, const char *id,
+			       gint64 now_us)
 {
 	struct aub_row *row = g_new0(struct aub_row, 1);
+	gint index = find_free(placement, now_us);
 
 	row->id = g_strdup(id);
 	row->slowness = 1.0;
-	g_ptr_array_add(placement->rows, row);
+	if (index < 0) {
+		index = (gint)placement->rows->len;
+		g_ptr_array_add(placement->rows, row);
+	} else {
+		struct aub_row *old =
+			aub_placement_row(placement, (guint)index);
+
+		g_hash_table_remove(placement->by_id, old->id);
+		row_free(old);
+		placement->rows->pdata[index] = row;
+	}
 	g_hash_table_insert(placement->by_id, row->id,
-			    GINT_TO_POINTER((gint)placement->rows->len));
+			    GINT_TO_POINTER(index + 1));
 	return row;
 }
 
@@ -177,13 +210,15 @@
 	struct aub_row *row;
 
 	if (!record) {
-		if (index >= 0)
-			aub_placement_row(placement, (guint)index)->registered =
-				false;
+		if (index < 0)
+			return;
+		row = aub_placement_row(placement, (guint)index);
+		row->registered = false;
+		row->gone_us = now_us;
 		return;
 	}
 	row = index >= 0 ? aub_placement_row(placement, (guint)index) :
-			   row_add(placement, id);
+			   row_add(placement, id, now_us);
 	if (row->born_ms != record->born_ms ||
 	    g_strcmp0(row->address, record->address) != 0) {
 		row->state = AUB_ROW_UNKNOWN;
--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -635,3 +635,34 @@
 	EXPECT_FALSE(p.next(&decision));
 	EXPECT_EQ(p.row("cold")->granted, 0u);
 }
+
+TEST(Placement, UsesTheRowsOfThoseThatLeft)
+{
+	/*
+	 * Callers notice nothing. A service's upstreams are replaced one after
+	 * the other, each with a new id; one that left keeps its row for as
+	 * long as a request is out there.
+	 */
+	Placement place;
+
+	place.add("held");
+	struct aub_decision decision = place.ask();
+	ASSERT_EQ(decision.verdict, AUB_VERDICT_GRANTED);
+	place.leave("held");
+	for (int i = 0; i < 300; i++) {
+		std::string id = "u" + std::to_string(i);
+
+		place.add(id);
+		place.leave(id);
+		place.now += 1000 * MS;
+	}
+	aub_placement_check(place.it);
+	/* A minute's worth, and the one that is held. */
+	EXPECT_LE(place.it->rows->len, 63u);
+	EXPECT_EQ(aub_placement_find(place.it, "u0"), -1);
+	EXPECT_EQ(aub_placement_find(place.it, "held"), 0);
+	place.report(decision.ticket, AUB_END_OK);
+	place.add("last");
+	aub_placement_check(place.it);
+	EXPECT_EQ(aub_placement_find(place.it, "held"), -1);
+}
