--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -115,31 +115,25 @@
 	  read_memory },
 };
 
-/* `labels` is freed. */
-static void set_gauge(struct aub_node *node, const char *name, char *labels,
-		      const char *help, gint64 value)
+/* `total`: it only rises. `labels` is freed. */
+static void set_series(struct aub_node *node, bool total, const char *name,
+		       char *labels, const char *help, gint64 value)
 {
-	aub_metrics_set(node->metrics,
-			aub_metrics_gauge(node->metrics, name, labels, help),
-			value);
-	g_free(labels);
-}
+	struct aub_metrics *metrics = node->metrics;
+	guint handle =
+		total ? aub_metrics_counter(metrics, name, labels, help) :
+			aub_metrics_gauge(metrics, name, labels, help);
 
-static void set_total(struct aub_node *node, const char *name, char *labels,
-		      const char *help, gint64 value)
-{
-	aub_metrics_set(node->metrics,
-			aub_metrics_counter(node->metrics, name, labels, help),
-			value);
+	aub_metrics_set(metrics, handle, value);
 	g_free(labels);
 }
 
 static void export_upstreams(struct aub_node *node, const char *service,
 			     const char *state, guint count)
 {
-	set_gauge(node, "auburnstile_upstreams",
-		  aub_metrics_labels("service", service, "state", state, NULL),
-		  "by what this gateway believes", count);
+	set_series(node, false, "auburnstile_upstreams",
+		   aub_metrics_labels("service", service, "state", state, NULL),
+		   "by what this gateway believes", count);
 }
 
 static void export_placement(const char *service,
@@ -153,23 +147,23 @@
 	export_upstreams(node, service, "unknown", state->unknown);
 	export_upstreams(node, service, "cold", state->cold);
 	export_upstreams(node, service, "leaving", state->leaving);
-	set_gauge(node, "auburnstile_queued",
-		  aub_metrics_labels("service", service, NULL),
-		  "requests that wait here for a slot", state->queued);
-	set_gauge(node, "auburnstile_granted",
-		  aub_metrics_labels("service", service, NULL),
-		  "slots in use by what was granted here", state->granted);
-	set_total(node, "auburnstile_asks_refused_total",
-		  aub_metrics_labels("service", service, NULL),
-		  "asks that got no upstream here", (gint64)state->refused);
-	set_total(node, "auburnstile_cold_grants_total",
-		  aub_metrics_labels("service", service, NULL),
-		  "requests given to cold upstreams",
-		  (gint64)state->cold_grants);
-	set_gauge(node, "auburnstile_cold_limit_per_1000_s",
-		  aub_metrics_labels("service", service, NULL),
-		  "requests that one cold upstream is given",
-		  (gint64)(1000 * state->cold_per_s));
+	set_series(node, false, "auburnstile_queued",
+		   aub_metrics_labels("service", service, NULL),
+		   "requests that wait here for a slot", state->queued);
+	set_series(node, false, "auburnstile_granted",
+		   aub_metrics_labels("service", service, NULL),
+		   "slots in use by what was granted here", state->granted);
+	set_series(node, true, "auburnstile_asks_refused_total",
+		   aub_metrics_labels("service", service, NULL),
+		   "asks that got no upstream here", (gint64)state->refused);
+	set_series(node, true, "auburnstile_cold_grants_total",
+		   aub_metrics_labels("service", service, NULL),
+		   "requests given to cold upstreams",
+		   (gint64)state->cold_grants);
+	set_series(node, false, "auburnstile_cold_limit_per_1000_s",
+		   aub_metrics_labels("service", service, NULL),
+		   "requests that one cold upstream is given",
+		   (gint64)(1000 * state->cold_per_s));
 }
 
 static void export_store_kind(struct aub_node *node, enum aub_store_kind kind)
@@ -181,18 +175,18 @@
 	for (guint i = 0; i < AUB_STORE_RESULTS; i++) {
 		enum aub_store_result result = (enum aub_store_result)i;
 
-		set_total(node, "auburnstile_store_calls_total",
-			  aub_metrics_labels("kind", name, "result",
-					     aub_store_result_name(result),
-					     NULL),
-			  "by what they were about and how they ended",
-			  (gint64)aub_store_sync_calls(node->store, kind,
-						       result));
+		set_series(node, true, "auburnstile_store_calls_total",
+			   aub_metrics_labels("kind", name, "result",
+					      aub_store_result_name(result),
+					      NULL),
+			   "by what they were about and how they ended",
+			   (gint64)aub_store_sync_calls(node->store, kind,
+							result));
 	}
-	set_gauge(node, "auburnstile_store_age_ms",
-		  aub_metrics_labels("kind", name, NULL),
-		  "since the store itself told of it; -1: never",
-		  heard_us ? (now - heard_us) / AUB_MS : -1);
+	set_series(node, false, "auburnstile_store_age_ms",
+		   aub_metrics_labels("kind", name, NULL),
+		   "since the store itself told of it; -1: never",
+		   heard_us ? (now - heard_us) / AUB_MS : -1);
 }
 
 static void export_links(struct aub_node *node)
@@ -202,14 +196,16 @@
 	const char *datagrams = "auburnstile_peer_datagrams_total";
 	const char *bytes = "auburnstile_peer_bytes_total";
 
-	set_total(node, datagrams, aub_metrics_labels("to", "zone", NULL),
-		  "sent to other gateways", (gint64)counts->near_datagrams);
-	set_total(node, datagrams, aub_metrics_labels("to", "others", NULL),
-		  "sent to other gateways", (gint64)counts->far_datagrams);
-	set_total(node, bytes, aub_metrics_labels("to", "zone", NULL),
-		  "of these datagrams", (gint64)counts->near_bytes);
-	set_total(node, bytes, aub_metrics_labels("to", "others", NULL),
-		  "of these datagrams", (gint64)counts->far_bytes);
+	set_series(node, true, datagrams,
+		   aub_metrics_labels("to", "zone", NULL),
+		   "sent to other gateways", (gint64)counts->near_datagrams);
+	set_series(node, true, datagrams,
+		   aub_metrics_labels("to", "others", NULL),
+		   "sent to other gateways", (gint64)counts->far_datagrams);
+	set_series(node, true, bytes, aub_metrics_labels("to", "zone", NULL),
+		   "of these datagrams", (gint64)counts->near_bytes);
+	set_series(node, true, bytes, aub_metrics_labels("to", "others", NULL),
+		   "of these datagrams", (gint64)counts->far_bytes);
 }
 
 static void export_log(struct aub_node *node)
@@ -221,11 +217,11 @@
 	};
 
 	for (guint i = 0; i < AUB_LOG_CLASSES; i++)
-		set_total(node, "auburnstile_log_dropped_total",
-			  aub_metrics_labels("class", names[i], NULL),
-			  "lines that found no room",
-			  (gint64)aub_decision_log_dropped(
-				  (enum aub_log_class)i));
+		set_series(node, true, "auburnstile_log_dropped_total",
+			   aub_metrics_labels("class", names[i], NULL),
+			   "lines that found no room",
+			   (gint64)aub_decision_log_dropped(
+				   (enum aub_log_class)i));
 }
 
 void aub_node_on_export(const struct aub_http_head *head,
@@ -238,9 +234,8 @@
 	for (guint i = 0; i < G_N_ELEMENTS(figures); i++) {
 		const struct figure *figure = &figures[i];
 
-		(figure->total ? set_total : set_gauge)(node, figure->name,
-							NULL, figure->help,
-							figure->read(node));
+		set_series(node, figure->total, figure->name, NULL,
+			   figure->help, figure->read(node));
 	}
 	for (guint i = 0; i < AUB_STORE_KINDS; i++)
 		export_store_kind(node, (enum aub_store_kind)i);
