--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -156,8 +156,9 @@
 			      const char *upstream, enum aub_probe_end end,
 			      const struct aub_load *load, gint64 now_us);
 
-/* Is `id` believed to be up, whether it may be sent to or not? */
-bool aub_placement_is_up(const struct aub_placement *placement, const char *id);
+/* "up", "ill" (up, and said so), "down", "unknown" or "gone", for logs. */
+const char *aub_placement_believed(const struct aub_placement *placement,
+				   const char *id);
 
 /* What is believed of an upstream that is not just well, for others. */
 struct aub_belief {
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -43,9 +43,11 @@
 	return head->status == 200 ? AUB_PROBE_WELL : AUB_PROBE_ILL;
 }
 
-static void log_belief(const struct probe *probe,
-		       const struct aub_placement *placement,
-		       enum aub_probe_end end, const struct aub_load *load)
+/* An upstream that stays ill is probed ten times a second: one line is enough.
+ */
+static void log_belief(const struct probe *probe, const char *was,
+		       const char *now, enum aub_probe_end end,
+		       const struct aub_load *load)
 {
 	static const char *const names[] = {
 		[AUB_PROBE_WELL] = "well",
@@ -53,14 +55,14 @@
 		[AUB_PROBE_OTHER] = "other",
 		[AUB_PROBE_SILENT] = "silent",
 	};
-	bool up = aub_placement_is_up(placement, probe->upstream);
 
-	if (up == (end == AUB_PROBE_WELL))
+	if (!strcmp(was, now))
 		return;
 	aub_log_begin(AUB_LOG_BELIEF);
 	aub_log_text("upstream", probe->upstream);
 	aub_log_text("service", probe->service);
-	aub_log_text("was", up ? "up" : "not-up");
+	aub_log_text("was", was);
+	aub_log_text("now", now);
 	aub_log_text("probe", names[end]);
 	aub_log_number("warmup_ms", load->warmup_ms);
 	aub_log_number("running", load->running);
@@ -155,15 +157,19 @@
 	struct aub_placer *placer = probe->placer;
 	struct aub_placement *placement =
 		aub_placer_placement(placer, probe->service);
+	enum aub_probe_end ended = probe_end(probe, head);
 	struct aub_load load = { -1, -1, -1, -1, -1 };
+	const char *was;
 
 	if (head)
 		placer->options.platform->decode_load(head, &load);
-	log_belief(probe, placement, probe_end(probe, head), &load);
-	aub_placement_probe_ended(placement, probe->upstream,
-				  probe_end(probe, head), &load,
+	was = aub_placement_believed(placement, probe->upstream);
+	aub_placement_probe_ended(placement, probe->upstream, ended, &load,
 				  aub_timer_now(placer->options.timers));
-	tell_later(placer, probe, probe_end(probe, head), &load);
+	log_belief(probe, was,
+		   aub_placement_believed(placement, probe->upstream), ended,
+		   &load);
+	tell_later(placer, probe, ended, &load);
 	probe_free(probe);
 	aub_placer_drain(placer, placement);
 }
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -279,12 +279,18 @@
 	return row->registered && !row->draining && !row->zone_out;
 }
 
-bool aub_placement_is_up(const struct aub_placement *placement, const char *id)
+const char *aub_placement_believed(const struct aub_placement *placement,
+				   const char *id)
 {
 	gint index = aub_placement_find(placement, id);
+	const struct aub_row *row;
 
-	return index >= 0 &&
-	       aub_placement_row(placement, (guint)index)->state == AUB_ROW_UP;
+	if (index < 0)
+		return "gone";
+	row = aub_placement_row(placement, (guint)index);
+	if (row->state == AUB_ROW_UP)
+		return row->ill ? "ill" : "up";
+	return row->state == AUB_ROW_DOWN ? "down" : "unknown";
 }
 
 /* Whatever is not told of is up, warm and as fast as the others. */
--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -666,3 +666,20 @@
 	aub_placement_check(place.it);
 	EXPECT_EQ(aub_placement_find(place.it, "held"), -1);
 }
+
+TEST(Placement, TellsWhatIsBelievedByName)
+{
+	Placement place;
+
+	EXPECT_STREQ(aub_placement_believed(place.it, "u1"), "gone");
+	place.enter("u1");
+	EXPECT_STREQ(aub_placement_believed(place.it, "u1"), "unknown");
+	place.probed("u1");
+	EXPECT_STREQ(aub_placement_believed(place.it, "u1"), "up");
+	place.probed("u1", -1, 100, AUB_PROBE_ILL);
+	EXPECT_STREQ(aub_placement_believed(place.it, "u1"), "ill");
+	place.probed("u1", -1, 100, AUB_PROBE_SILENT);
+	EXPECT_STREQ(aub_placement_believed(place.it, "u1"), "ill");
+	place.probed("u1", -1, 100, AUB_PROBE_SILENT);
+	EXPECT_STREQ(aub_placement_believed(place.it, "u1"), "down");
+}
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -258,6 +258,9 @@
 			    counts[i];
 	EXPECT_GE(counts[0], 7u);
 	EXPECT_LE(counts[1], 2u);
-	EXPECT_TRUE(aub_placement_is_up(
-		aub_placer_placement(placer_of_all()->placer, "svc"), "u1"));
+	EXPECT_STREQ(aub_placement_believed(
+			     aub_placer_placement(placer_of_all()->placer,
+						  "svc"),
+			     "u1"),
+		     "up");
 }
