placement: probe in turn, and 64 at once for a service

The limit of probes under way was one for all services, filled in the rows' order: where many upstreams are silent for the whole time of a probe, the same ones would come first each time, and others would not be probed at all. The limit is now each service's, and the search goes on where it ended.

Test: ProbesTheOthersWhereManyAreSilent.

--- a/include/auburnstile/internal/placement_parts.h
+++ b/include/auburnstile/internal/placement_parts.h
@@ -82,6 +82,8 @@
 	double held_us; /* a grant's time from grant to report, smoothed */
 	guint64 refused; /* asks that got no upstream, since the start */
 	guint64 cold_grants; /* to cold upstreams, since the start */
+	guint probing; /* rows with a probe under way */
+	guint probe_turn; /* where the search for the next probe begins */
 	guint turn; /* where the search begins, so that ties take turns */
 };
 
@@ -94,6 +96,8 @@
 void aub_row_observe(struct aub_row *row, const struct aub_load *load,
 		     gint64 now_us);
 void aub_row_fail(struct aub_row *row, double weight, gint64 now_us);
+void aub_row_set_probing(struct aub_placement *placement, struct aub_row *row,
+			 bool probing);
 void aub_row_down(struct aub_row *row, gint64 now_us);
 guint aub_row_limit(const struct aub_row *row);
 /* Requests a second that this placement gives to one cold upstream. */
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -12,11 +12,6 @@
 #define TELL_US                                                      \
 	(4 * AUB_MS) /* collects the answers to probes sent together \
 		      */
-/*
- * Under way at once. After a start all upstreams are due; a thousand
- * connections in one turn keep a small VM from anything else for seconds.
- */
-#define PROBES_MOST 128
 #define PROBE_IDLE_US (8 * AUB_SECOND)
 
 struct probe {
@@ -221,8 +216,7 @@
 			g_hash_table_iter_remove(&iter);
 			continue;
 		}
-		while (placer->probes->len < PROBES_MOST &&
-		       aub_placement_probe_next(placement,
+		while (aub_placement_probe_next(placement,
 						places ? NULL : placer->zone,
 						now_us, &due))
 			probe_start(placer, key, &due);
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -185,6 +185,7 @@
 		struct aub_row *old =
 			aub_placement_row(placement, (guint)index);
 
+		aub_row_set_probing(placement, old, false);
 		g_hash_table_remove(placement->by_id, old->id);
 		row_free(old);
 		placement->rows->pdata[index] = row;
@@ -385,6 +386,7 @@
 	GHashTableIter iter;
 	void *value;
 	guint *counts = g_new0(guint, placement->rows->len + 1);
+	guint probing = 0;
 
 	g_hash_table_iter_init(&iter, placement->grants);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
@@ -393,8 +395,10 @@
 		struct aub_row *row = aub_placement_row(placement, i);
 
 		g_assert(row->granted == counts[i]);
+		probing += row->probing;
 		g_assert(aub_placement_find(placement, row->id) == (gint)i);
 	}
+	g_assert(placement->probing == probing);
 	for (guint i = 1; i < placement->waiting->len; i++) {
 		const struct aub_waiting *left =
 			g_ptr_array_index(placement->waiting, i - 1);
--- a/src/state/placement_probe.c
+++ b/src/state/placement_probe.c
@@ -21,6 +21,11 @@
 #define TOLD_INTERVALS                                        \
 	3 /* without word from a zone's prober: probe it here \
 	   */
+/*
+ * Under way at once, for a service. After a start all upstreams are due; a
+ * thousand connections in one turn keep a small VM from anything else.
+ */
+#define PROBES_MOST 64
 #define SILENT_LIMIT 2 /* one lost packet is no death */
 
 static gint64 interval(const struct aub_placement *placement,
@@ -36,18 +41,42 @@
 	return MAX(usual_us, least_us);
 }
 
+void aub_row_set_probing(struct aub_placement *placement, struct aub_row *row,
+			 bool probing)
+{
+	if (row->probing == probing)
+		return;
+	row->probing = probing;
+	if (probing)
+		placement->probing++;
+	else
+		placement->probing--;
+}
+
+static bool is_due(const struct aub_row *row, const char *zone, gint64 now_us)
+{
+	return row->registered && !row->draining && !row->probing &&
+	       row->probe_us <= now_us &&
+	       (!zone || !g_strcmp0(row->zone, zone));
+}
+
+/* In turn: those that are silent must not keep the others from a probe. */
 bool aub_placement_probe_next(struct aub_placement *placement, const char *zone,
 			      gint64 now_us, struct aub_probe *probe)
 {
-	for (guint i = 0; i < placement->rows->len; i++) {
+	guint count = placement->rows->len;
+
+	if (placement->probing >= PROBES_MOST)
+		return false;
+	for (guint n = 0; n < count; n++) {
+		guint i = (placement->probe_turn + n) % count;
 		struct aub_row *row = aub_placement_row(placement, i);
 
-		if (!row->registered || row->draining || row->probing ||
-		    row->probe_us > now_us ||
-		    (zone && g_strcmp0(row->zone, zone) != 0))
+		if (!is_due(row, zone, now_us))
 			continue;
-		row->probing = true;
+		aub_row_set_probing(placement, row, true);
 		row->probe_us = now_us + interval(placement, row, now_us);
+		placement->probe_turn = i + 1;
 		*probe = (struct aub_probe){
 			.upstream = row->id,
 			.address = row->address,
@@ -68,7 +97,7 @@
 	if (index < 0)
 		return;
 	row = aub_placement_row(placement, (guint)index);
-	row->probing = false;
+	aub_row_set_probing(placement, row, false);
 	if (end == AUB_PROBE_SILENT) {
 		if (++row->silent_probes >= SILENT_LIMIT)
 			row->state = AUB_ROW_DOWN;
@@ -99,7 +128,8 @@
 	row = aub_placement_row(placement, (guint)index);
 	probing = row->probing;
 	aub_placement_probe_ended(placement, upstream, end, load, now_us);
-	row->probing = probing; /* an own one under way goes on */
+	/* An own one under way goes on. */
+	aub_row_set_probing(placement, row, probing);
 	row->probe_us =
 		now_us + TOLD_INTERVALS * interval(placement, row, now_us);
 }
--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -710,3 +710,39 @@
 		EXPECT_GE(probes, count == 100 ? 5900u : 9000u);
 	}
 }
+
+TEST(Placement, ProbesTheOthersWhereManyAreSilent)
+{
+	/*
+	 * Callers wait for upstreams that are back and that nobody has probed.
+	 * Two thirds of a service are silent: each probe there takes its whole
+	 * time limit, and another one is due as soon as it is over.
+	 */
+	Placement place;
+	struct aub_probe due;
+	std::vector<std::string> silent;
+	guint well = 0;
+
+	for (guint i = 0; i < 300; i++)
+		place.enter("u" + std::to_string(i));
+	for (int round = 0; round < 12; round++) {
+		while (aub_placement_probe_next(place.it, NULL, place.now,
+						&due)) {
+			std::string id = due.upstream;
+
+			if (std::stoi(id.substr(1)) < 200) {
+				silent.push_back(id);
+				continue;
+			}
+			well++;
+			place.probed(id);
+		}
+		EXPECT_LE(silent.size(), 64u);
+		place.now += 400 * MS;
+		for (auto &id : silent)
+			place.probed(id, -1, 100, AUB_PROBE_SILENT);
+		silent.clear();
+		aub_placement_check(place.it);
+	}
+	EXPECT_GE(well, 200u);
+}
