--- a/src/core/decision_log.c
+++ b/src/core/decision_log.c
@@ -51,7 +51,7 @@
 	[AUB_LOG_PLACEMENT] = { "placement", AUB_LOG_STATE,
 				"a service's placer refused requests in the last second" },
 	[AUB_LOG_BELIEF] = { "belief", AUB_LOG_STATE,
-			     "an upstream is believed up or down from now on" },
+			     "a probe changed what is believed of an upstream" },
 	[AUB_LOG_REQUEST] = { "request", AUB_LOG_CALM,
 			      "an upstream's whole answer reached the caller" },
 	[AUB_LOG_REQUEST_TROUBLE] = { "request", AUB_LOG_TROUBLE,
