One piece of code where two did the same

An upstream's whole answer is written in one place, whether it is passed on at once or was kept; how a request without one ends is told in one place, too, with 502 or 504 as an argument. Loads between gateways are packed and unpacked by one function each, in place of four blocks; "nothing told" has a name. A log line's mapping says of_request, not calm.

--- a/include/auburnstile/internal/gateway_parts.h
+++ b/include/auburnstile/internal/gateway_parts.h
@@ -134,6 +134,12 @@
 		      const char *reason);
 void aub_request_fail(struct aub_request *request, guint status,
 		      const char *reason, const char *detail);
+/*
+ * Write an upstream's whole answer. `head` is its status line and headers
+ * without framing, which is added to it.
+ */
+void aub_request_put_whole(struct aub_request *request, GString *head,
+			   const GByteArray *body);
 /* Pass on the failure that an upstream answered with earlier. */
 void aub_request_answer_kept(struct aub_request *request);
 /* Its answer is written: go on with the caller's connection, or end it. */
--- a/include/auburnstile/internal/placer_parts.h
+++ b/include/auburnstile/internal/placer_parts.h
@@ -109,6 +109,10 @@
 			       gint64 now_us);
 void aub_placer_probes_stop(struct aub_placer *placer);
 
+/* Loads on their way between gateways: no figure there is negative. */
+struct aub_load_told aub_load_tell(const struct aub_load *load);
+struct aub_load aub_load_of(const struct aub_load_told *told);
+
 /* What gateways tell each other now and then. */
 void aub_placer_on_round(void *context, gint64 now_us);
 void aub_placer_take_held(struct aub_placer *placer,
--- a/include/auburnstile/internal/platform.h
+++ b/include/auburnstile/internal/platform.h
@@ -61,6 +61,13 @@
 	gint warmup_ms;
 };
 
+/* Nothing was told. */
+#define AUB_LOAD_UNKNOWN                                                   \
+	{                                                                  \
+		.running = -1, .waiting = -1, .slots = -1, .slowdown = -1, \
+		.warmup_ms = -1                                            \
+	}
+
 struct aub_platform {
 	/* Names of headers. */
 	const char *request_id;
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -337,18 +337,22 @@
 	guint32 retry_after_ms;
 };
 
-/* Loads are told plus one; 0 says nothing. */
+/* What an upstream told of its load, each figure plus one; 0: not told. */
+struct aub_load_told {
+	guint32 running;
+	guint32 waiting;
+	guint32 slots;
+	guint32 slowdown;
+	guint32 warmup_ms;
+};
+
 struct aub_place_report {
 	struct aub_message base;
 	guint64 ticket;
 	char *service;
 	guint32 end;
 	guint64 elapsed_us;
-	guint32 running;
-	guint32 waiting;
-	guint32 slots;
-	guint32 slowdown;
-	guint32 warmup_ms;
+	struct aub_load_told load;
 };
 
 /* One grant in use. Lists of these are GPtrArray. */
@@ -380,15 +384,11 @@
 	GPtrArray *beliefs; /* of struct aub_place_belief */
 };
 
-/* How one probe ended; loads plus one. Lists of these are GPtrArray. */
+/* How one probe ended. Lists of these are GPtrArray. */
 struct aub_probed {
 	char *upstream;
 	guint32 end;
-	guint32 running;
-	guint32 waiting;
-	guint32 slots;
-	guint32 slowdown;
-	guint32 warmup_ms;
+	struct aub_load_told load;
 };
 
 struct aub_place_probed {
--- a/src/coordination/gateway_answer.c
+++ b/src/coordination/gateway_answer.c
@@ -128,20 +128,27 @@
 			    });
 }
 
+void aub_request_put_whole(struct aub_request *request, GString *head,
+			   const GByteArray *body)
+{
+	/* The length that goes with an answer to HEAD is that of GET's. */
+	if (!request->is_head)
+		g_string_append_printf(head, "Content-Length: %u\r\n",
+				       body->len);
+	g_string_append(head, aub_request_connection_line(request));
+	g_string_append(head, "\r\n");
+	aub_caller_put(request->caller, head->str, head->len);
+	aub_caller_put(request->caller, body->data,
+		       request->is_head ? 0 : body->len);
+}
+
 void aub_request_answer_kept(struct aub_request *request)
 {
 	const struct aub_kept_answer *kept = &request->kept;
 
-	if (!request->is_head)
-		g_string_append_printf(kept->head, "Content-Length: %u\r\n",
-				       kept->body->len);
-	g_string_append_printf(kept->head, "%s\r\n",
-			       aub_request_connection_line(request));
 	aub_request_log(request, AUB_COUNT_ANSWERED, kept->status,
 			"no-better-answer", kept->upstream);
-	aub_caller_put(request->caller, kept->head->str, kept->head->len);
-	aub_caller_put(request->caller, kept->body->data,
-		       request->is_head ? 0 : kept->body->len);
+	aub_request_put_whole(request, kept->head, kept->body);
 	aub_request_end(request);
 }
 
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -247,7 +247,7 @@
 	attempt->upstream = g_strdup(upstream);
 	attempt->sent_us = aub_timer_now(gateway->options.timers);
 	attempt->body = g_byte_array_new();
-	attempt->load = (struct aub_load){ -1, -1, -1, -1, -1 };
+	attempt->load = (struct aub_load)AUB_LOAD_UNKNOWN;
 	request->attempt = attempt;
 	aub_metrics_add(gateway->options.metrics, gateway->attempts, 1);
 	attempt->exchange = aub_exchange_new(gateway->options.client, &options,
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -31,14 +31,18 @@
 	return aub_timer_now(request->gateway->options.timers);
 }
 
-/* The last word on a request that no attempt will answer. */
-static void give_up(struct aub_request *request, const char *reason,
-		    const char *detail, guint retry_after_ms)
+/*
+ * The last word on a request that no attempt will answer. `status` is what its
+ * caller gets where it may have run: 502 or 504.
+ */
+static void give_up(struct aub_request *request, guint status,
+		    const char *reason, const char *detail,
+		    guint retry_after_ms)
 {
 	if (request->kept.head)
 		aub_request_answer_kept(request);
 	else if (request->may_have_run)
-		aub_request_fail(request, 502, reason, detail);
+		aub_request_fail(request, status, reason, detail);
 	else
 		aub_request_refuse(request, reason, retry_after_ms);
 }
@@ -70,12 +74,8 @@
 	}
 	if (request->attempt)
 		attempt_time_out(request, request->attempt);
-	if (request->kept.head)
-		aub_request_answer_kept(request);
-	else if (request->may_have_run)
-		aub_request_fail(request, 504, "timeout", NULL);
-	else
-		aub_request_refuse(request, "timeout", NOT_READY_RETRY_MS);
+	give_up(request, HTTP_STATUS_GATEWAY_TIMEOUT, "timeout", NULL,
+		NOT_READY_RETRY_MS);
 }
 
 static void ask_upstream(struct aub_request *request);
@@ -104,8 +104,9 @@
 	request->waited_us += placed->waited_us;
 	if (placed->verdict != AUB_VERDICT_GRANTED) {
 		log_not_placed(request, placed);
-		give_up(request, aub_verdict_name(placed->verdict),
-			placed->placer, placed->retry_after_ms);
+		give_up(request, HTTP_STATUS_BAD_GATEWAY,
+			aub_verdict_name(placed->verdict), placed->placer,
+			placed->retry_after_ms);
 		return;
 	}
 	aub_metrics_add(gateway->options.metrics, gateway->retries,
@@ -243,22 +244,21 @@
 	} else if (may_repeat(request, end) && !is_crashing(request)) {
 		ask_upstream(request);
 	} else {
-		give_up(request, aub_attempt_end_name(end), upstream,
+		give_up(request, HTTP_STATUS_BAD_GATEWAY,
+			aub_attempt_end_name(end), upstream,
 			UPSTREAM_REFUSED_RETRY_MS);
 	}
 	g_free(upstream);
 }
 
-static void write_answer_head(struct aub_request *request,
-			      struct aub_attempt_state *attempt, bool whole)
+/* The head of an answer whose end is not in sight. */
+static void write_stream_head(struct aub_request *request,
+			      struct aub_attempt_state *attempt)
 {
 	GString *text = attempt->head;
 
 	if (request->is_head)
 		; /* its length is that of the answer to GET */
-	else if (whole)
-		g_string_append_printf(text, "Content-Length: %u\r\n",
-				       attempt->body->len);
 	else if (attempt->length >= 0)
 		g_string_append_printf(text,
 				       "Content-Length: %" G_GINT64_FORMAT
@@ -266,7 +266,7 @@
 				       attempt->length);
 	else
 		g_string_append(text, "Transfer-Encoding: chunked\r\n");
-	attempt->chunked = !whole && attempt->length < 0;
+	attempt->chunked = attempt->length < 0;
 	g_string_append(text, aub_request_connection_line(request));
 	g_string_append(text, "\r\n");
 	aub_caller_put(request->caller, text->str, text->len);
@@ -277,7 +277,7 @@
 {
 	request->answering = true;
 	attempt->streaming = true;
-	write_answer_head(request, attempt, false);
+	write_stream_head(request, attempt);
 	aub_request_attempt_bytes(request, attempt,
 				  (const char *)attempt->body->data,
 				  attempt->body->len);
@@ -342,9 +342,7 @@
 		if (attempt->chunked)
 			aub_caller_put(request->caller, "0\r\n\r\n", 5);
 	} else {
-		write_answer_head(request, attempt, true);
-		aub_caller_put(request->caller, attempt->body->data,
-			       request->is_head ? 0 : attempt->body->len);
+		aub_request_put_whole(request, attempt->head, attempt->body);
 	}
 	if (request->body_whole && !request->body_lost)
 		aub_crash_marks_answered(request->gateway->crashes,
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -4,6 +4,28 @@
  */
 #include <auburnstile/internal/placer_parts.h>
 
+struct aub_load_told aub_load_tell(const struct aub_load *load)
+{
+	return (struct aub_load_told){
+		.running = (guint32)(load->running + 1),
+		.waiting = (guint32)(load->waiting + 1),
+		.slots = (guint32)(load->slots + 1),
+		.slowdown = (guint32)(load->slowdown + 1),
+		.warmup_ms = (guint32)(load->warmup_ms + 1),
+	};
+}
+
+struct aub_load aub_load_of(const struct aub_load_told *told)
+{
+	return (struct aub_load){
+		.running = (gint)told->running - 1,
+		.waiting = (gint)told->waiting - 1,
+		.slots = (gint)told->slots - 1,
+		.slowdown = (gint)told->slowdown - 1,
+		.warmup_ms = (gint)told->warmup_ms - 1,
+	};
+}
+
 static void send_decision(struct aub_placer *placer,
 			  const struct aub_decision *decision)
 {
@@ -84,7 +106,7 @@
 	const struct aub_attempt_report report = {
 		.ticket = message->ticket,
 		.end = AUB_END_UNUSED,
-		.load = { -1, -1, -1, -1, -1 },
+		.load = AUB_LOAD_UNKNOWN,
 	};
 	struct aub_ticket ticket = {
 		.id = message->ticket,
@@ -135,13 +157,7 @@
 		.ticket = message->ticket,
 		.end = (enum aub_attempt_end)message->end,
 		.elapsed_us = (gint64)message->elapsed_us,
-		.load = {
-			.running = (gint)message->running - 1,
-			.waiting = (gint)message->waiting - 1,
-			.slots = (gint)message->slots - 1,
-			.slowdown = (gint)message->slowdown - 1,
-			.warmup_ms = (gint)message->warmup_ms - 1,
-		},
+		.load = aub_load_of(&message->load),
 	};
 	GHashTableIter iter;
 	void *placement;
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -43,8 +43,7 @@
 	return head->status == 200 ? AUB_PROBE_WELL : AUB_PROBE_ILL;
 }
 
-/* An upstream that stays ill is probed ten times a second: one line is enough.
- */
+/* Only changes: one that stays ill is probed ten times a second. */
 static void log_belief(const struct probe *probe, const char *was,
 		       const char *now, enum aub_probe_end end,
 		       const struct aub_load *load)
@@ -111,11 +110,7 @@
 	probed = aub_probed_new();
 	aub_string_set(&probed->upstream, probe->upstream);
 	probed->end = end;
-	probed->running = (guint32)(load->running + 1);
-	probed->waiting = (guint32)(load->waiting + 1);
-	probed->slots = (guint32)(load->slots + 1);
-	probed->slowdown = (guint32)(load->slowdown + 1);
-	probed->warmup_ms = (guint32)(load->warmup_ms + 1);
+	probed->load = aub_load_tell(load);
 	g_ptr_array_add(active->probed->probed, probed);
 	if (!placer->tell_timer)
 		placer->tell_timer =
@@ -133,13 +128,7 @@
 	for (guint i = 0; i < message->probed->len; i++) {
 		const struct aub_probed *probed =
 			g_ptr_array_index(message->probed, i);
-		const struct aub_load load = {
-			.running = (gint)probed->running - 1,
-			.waiting = (gint)probed->waiting - 1,
-			.slots = (gint)probed->slots - 1,
-			.slowdown = (gint)probed->slowdown - 1,
-			.warmup_ms = (gint)probed->warmup_ms - 1,
-		};
+		const struct aub_load load = aub_load_of(&probed->load);
 
 		if (probed->end <= AUB_PROBE_SILENT)
 			aub_placement_probe_told(
@@ -158,7 +147,7 @@
 	struct aub_placement *placement =
 		aub_placer_placement(placer, probe->service);
 	enum aub_probe_end ended = probe_end(probe, head);
-	struct aub_load load = { -1, -1, -1, -1, -1 };
+	struct aub_load load = AUB_LOAD_UNKNOWN;
 	const char *was;
 
 	if (head)
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -71,7 +71,7 @@
 	const struct aub_attempt_report unused = {
 		.ticket = ticket->id,
 		.end = AUB_END_UNUSED,
-		.load = { -1, -1, -1, -1, -1 },
+		.load = AUB_LOAD_UNKNOWN,
 	};
 
 	if (decision->verdict != AUB_VERDICT_GRANTED ||
@@ -311,11 +311,7 @@
 	aub_string_set(&message->service, ticket->service);
 	message->end = report->end;
 	message->elapsed_us = (guint64)report->elapsed_us;
-	message->running = (guint32)(report->load.running + 1);
-	message->waiting = (guint32)(report->load.waiting + 1);
-	message->slots = (guint32)(report->load.slots + 1);
-	message->slowdown = (guint32)(report->load.slowdown + 1);
-	message->warmup_ms = (guint32)(report->load.warmup_ms + 1);
+	message->load = aub_load_tell(&report->load);
 	aub_peers_send(placer->options.peers, peer, &message->base);
 	aub_message_free(&message->base);
 }
@@ -334,7 +330,7 @@
 		       enum aub_attempt_end end, gint64 elapsed_us,
 		       const struct aub_load *load)
 {
-	const struct aub_load nothing = { -1, -1, -1, -1, -1 };
+	const struct aub_load nothing = AUB_LOAD_UNKNOWN;
 	struct aub_ticket *ticket = g_hash_table_lookup(placer->tickets, &id);
 	const struct aub_attempt_report report = {
 		.ticket = id,
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -269,11 +269,11 @@
 static const struct aubi_field probed_fields[] = {
 	STRING(aub_probed, upstream, NAME_LIMIT),
 	NUMBER32(aub_probed, end),
-	NUMBER32(aub_probed, running),
-	NUMBER32(aub_probed, waiting),
-	NUMBER32(aub_probed, slots),
-	NUMBER32(aub_probed, slowdown),
-	NUMBER32(aub_probed, warmup_ms),
+	NUMBER32(aub_probed, load.running),
+	NUMBER32(aub_probed, load.waiting),
+	NUMBER32(aub_probed, load.slots),
+	NUMBER32(aub_probed, load.slowdown),
+	NUMBER32(aub_probed, load.warmup_ms),
 	END,
 };
 
@@ -363,11 +363,11 @@
 	STRING(aub_place_report, service, NAME_LIMIT),
 	NUMBER32(aub_place_report, end),
 	NUMBER(aub_place_report, elapsed_us),
-	NUMBER32(aub_place_report, running),
-	NUMBER32(aub_place_report, waiting),
-	NUMBER32(aub_place_report, slots),
-	NUMBER32(aub_place_report, slowdown),
-	NUMBER32(aub_place_report, warmup_ms),
+	NUMBER32(aub_place_report, load.running),
+	NUMBER32(aub_place_report, load.waiting),
+	NUMBER32(aub_place_report, load.slots),
+	NUMBER32(aub_place_report, load.slowdown),
+	NUMBER32(aub_place_report, load.warmup_ms),
 	END,
 };
 
--- a/src/state/log_events.c
+++ b/src/state/log_events.c
@@ -15,7 +15,7 @@
 	const char *zone;
 	const char *peer;
 	const char *number;
-	bool calm; /* shown only where a request is asked for */
+	bool of_request; /* shown only where that request is asked for */
 };
 
 static const struct mapping mappings[] = {
@@ -107,7 +107,8 @@
 /* A request's id is the caller's own; only one in hex can be asked for. */
 static guint64 request_of(JsonObject *object, const struct mapping *mapping)
 {
-	const char *id = mapping->calm ? aub_json_string(object, "id") : NULL;
+	const char *id =
+		mapping->of_request ? aub_json_string(object, "id") : NULL;
 	guint64 request = 0;
 
 	if (id)
@@ -167,7 +168,7 @@
 
 	if (filter->request)
 		return event->request == filter->request;
-	if (mapping->calm)
+	if (mapping->of_request)
 		return false;
 	return (!filter->process ||
 		!strcmp(filter->process, aub_json_string(object, "node"))) &&
--- a/tests/placer_rig.h
+++ b/tests/placer_rig.h
@@ -131,6 +131,19 @@
 		gate.placer = NULL;
 		gate.peers = NULL;
 	}
+	/* Gates that all know the upstream "u1", and each other. */
+	struct platform_upstream *start_all(
+		std::initializer_list<const char *> names)
+	{
+		struct platform_upstream *upstream = add_upstream("u1");
+
+		for (auto name : names)
+			start(name);
+		for (auto &gate : gates)
+			enter(*gate, upstream);
+		join();
+		return upstream;
+	}
 	/* All know each other and are ready. */
 	void join()
 	{
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -13,12 +13,7 @@
 	 */
 	Placed results[3];
 
-	start("a");
-	start("b");
-	auto upstream = add_upstream("u1");
-	for (auto &gate : gates)
-		enter(*gate, upstream);
-	join();
+	start_all({ "a", "b" });
 	ask(*gates[0], &results[0], 2000);
 	ask(*gates[1], &results[1], 2000);
 	ASSERT_TRUE(
@@ -72,12 +67,7 @@
 	 */
 	Placed result;
 
-	start("a");
-	start("b");
-	auto upstream = add_upstream("u1");
-	for (auto &gate : gates)
-		enter(*gate, upstream);
-	join();
+	auto upstream = start_all({ "a", "b" });
 	Gate *fresh = start("fresh");
 	enter(*fresh, upstream);
 	say(*fresh, false); /* it ranks last: it has not heard the store */
@@ -103,12 +93,7 @@
 	 */
 	Placed result;
 
-	for (auto name : { "a", "b", "c" })
-		start(name);
-	auto upstream = add_upstream("u1");
-	for (auto &gate : gates)
-		enter(*gate, upstream);
-	join();
+	start_all({ "a", "b", "c" });
 	Gate *placer = placer_of_all();
 	placer->deaf = true;
 	gint64 begun = g_get_monotonic_time();
@@ -122,12 +107,7 @@
 {
 	Placed result;
 
-	for (auto name : { "a", "b", "c" })
-		start(name);
-	auto upstream = add_upstream("u1");
-	for (auto &gate : gates)
-		enter(*gate, upstream);
-	join();
+	start_all({ "a", "b", "c" });
 	Gate *asking = gates[0].get();
 	for (auto &gate : gates)
 		if (gate.get() != asking)
@@ -185,12 +165,7 @@
 	 */
 	Placed results[3];
 
-	for (auto name : { "a", "b", "c" })
-		start(name);
-	auto upstream = add_upstream("u1");
-	for (auto &gate : gates)
-		enter(*gate, upstream);
-	join();
+	start_all({ "a", "b", "c" });
 	Gate *placer = placer_of_all();
 	Gate *dying = other_than(placer);
 	Gate *third = NULL;
