gateway: serve a caller's requests side by side

What may run once is not sent before its turn: an answer before it may end the connection, and its caller sends it again. A planned stop ends the connection with the last request that was sent on. A caller's connection is a file of its own now.

--- a/include/auburnstile/internal/gateway_parts.h
+++ b/include/auburnstile/internal/gateway_parts.h
@@ -51,10 +51,12 @@
 	struct aub_gateway *gateway;
 	GList *link; /* in gateway->callers */
 	struct aub_http_stream *stream;
-	struct aub_request *request; /* NULL: idle, or reading a head */
+	GQueue requests; /* of struct aub_request, in the order they came */
 	gint64 since_us; /* of being idle, or of its end */
-	bool keep_alive; /* the caller would go on with it */
+	bool closing; /* an answer says that the connection ends with it */
 	bool finishing; /* nothing more is answered on it */
+	bool refused; /* what came after the last request is none */
+	enum aub_stream_end refusal; /* and why */
 };
 
 /* One try at one upstream. */
@@ -94,6 +96,10 @@
 	char *line; /* "METHOD target HTTP/1.1" */
 	GString *headers; /* to forward, without framing and deadline */
 	bool is_head;
+	bool keep_alive; /* the caller would go on with the connection */
+	bool parked; /* not to be placed before its turn to be answered */
+	bool done; /* answered; its turn to be written has not come */
+	GByteArray *held; /* of its answer, before its turn */
 	gint64 begun_us;
 	gint64 waited_us; /* for slots, in all */
 	gint64 deadline_us; /* the caller's */
@@ -145,8 +151,19 @@
 /* Its answer is written: go on with the caller's connection, or end it. */
 void aub_request_end(struct aub_request *request);
 void aub_request_free(struct aub_request *request);
-/* "Connection: close" as a header line where the connection will end. */
-const char *aub_request_connection_line(const struct aub_request *request);
+/*
+ * "Connection: close" as a header line where the connection ends with this
+ * answer; nothing more is then read on it.
+ */
+const char *aub_request_connection_line(struct aub_request *request);
+
+/* Bytes of its answer: to the caller, or held until its turn. */
+void aub_request_put(struct aub_request *request, const void *data,
+		     gsize length);
+bool aub_request_is_first(const struct aub_request *request);
+bool aub_request_is_last(const struct aub_request *request);
+/* Those before it have been answered. */
+void aub_request_take_turn(struct aub_request *request);
 
 /* aub_request: called by its attempts. */
 void aub_request_attempt_failed(struct aub_request *request,
@@ -176,9 +193,15 @@
 void aub_attempt_free(struct aub_attempt_state *attempt);
 
 /* Callers' connections. */
-void aub_caller_put(struct aub_caller *caller, const void *data, gsize length);
-/* The answer is written: go on with the next request, or end. */
-void aub_caller_answered(struct aub_caller *caller, bool keep);
+void aub_caller_new(struct aub_gateway *gateway, int fd, guint header_bytes);
+/* Its requests end as if the caller had left. */
+void aub_caller_free(struct aub_caller *caller);
+bool aub_caller_is_overdue(const struct aub_caller *caller, gint64 now_us);
+bool aub_caller_is_idle(const struct aub_caller *caller);
+/* End the connection in order; nothing more is read. */
+void aub_caller_finish(struct aub_caller *caller);
+/* The first request has been answered and freed: go on with the next. */
+void aub_caller_next(struct aub_caller *caller);
 /* Break the connection off: an answer that ends early must not look whole. */
 void aub_caller_break(struct aub_caller *caller);
 
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -1,5 +1,6 @@
 /*
- * Callers' connections: accepting, reading, answering, ending.
+ * A gateway: accepting callers' connections, and its start and end. What goes
+ * on inside a connection is in gateway_caller.c.
  */
 #include <auburnstile/internal/gateway_parts.h>
 #include <auburnstile/internal/tcp.h>
@@ -9,130 +10,12 @@
 
 #define SWEEP_US (500 * AUB_MS) /* how late a silent connection is closed */
 #define ACCEPTS_A_TURN 32
-#define FINISH_US (2 * AUB_SECOND) /* for a peer to take the end in */
 
-/* Until a configuration is known. */
-#define HEADER_BYTES_DEFAULT (16u << 10)
-#define HEADER_MS_DEFAULT 3000
-#define IDLE_MS_DEFAULT 15000
+#define HEADER_BYTES_DEFAULT (16u << 10) /* until a configuration is known */
 
 /* Of 4,100 descriptors, what upstreams, peers and the store don't need. */
 #define CALLERS_MOST 2500
 
-static void caller_free(struct aub_caller *caller)
-{
-	if (caller->request)
-		aub_request_caller_left(caller->request);
-	aub_http_stream_free(caller->stream);
-	g_queue_delete_link(&caller->gateway->callers, caller->link);
-	g_free(caller);
-}
-
-void aub_caller_put(struct aub_caller *caller, const void *data, gsize length)
-{
-	aub_http_stream_write(caller->stream, data, length);
-	aub_http_stream_flush(caller->stream);
-}
-
-static void caller_finish(struct aub_caller *caller)
-{
-	caller->finishing = true;
-	caller->since_us = aub_timer_now(caller->gateway->options.timers);
-	aub_http_stream_finish(caller->stream);
-}
-
-void aub_caller_answered(struct aub_caller *caller, bool keep)
-{
-	if (!keep) {
-		caller_finish(caller);
-		return;
-	}
-	caller->since_us = aub_timer_now(caller->gateway->options.timers);
-	aub_http_stream_resume(caller->stream);
-}
-
-void aub_caller_break(struct aub_caller *caller)
-{
-	if (caller->request)
-		aub_request_free(caller->request);
-	caller_free(caller);
-}
-
-static void on_head(const struct aub_http_head *head, void *context)
-{
-	struct aub_caller *caller = context;
-
-	if (caller->finishing)
-		return;
-	caller->keep_alive = head->keep_alive;
-	aub_request_new(caller, head);
-}
-
-static void on_body(const char *data, gsize length, void *context)
-{
-	struct aub_caller *caller = context;
-
-	if (caller->request)
-		aub_request_body(caller->request, data, length);
-}
-
-static void on_complete(void *context)
-{
-	struct aub_caller *caller = context;
-
-	if (caller->request)
-		aub_request_body_end(caller->request);
-	else if (!caller->finishing) /* answered at its head */
-		aub_http_stream_resume(caller->stream);
-}
-
-static void on_drained(void *context)
-{
-	struct aub_caller *caller = context;
-
-	if (caller->request)
-		aub_request_drained(caller->request);
-}
-
-static void write_error(struct aub_caller *caller, const char *status)
-{
-	char *text = g_strdup_printf("HTTP/1.1 %s\r\nContent-Length: 0\r\n"
-				     "Connection: close\r\n\r\n",
-				     status);
-
-	aub_caller_put(caller, text, strlen(text));
-	g_free(text);
-}
-
-static void on_ended(enum aub_stream_end end, bool midway, void *context)
-{
-	caller_free(context);
-}
-
-/* A body that turns into nonsense ends its request as if the caller left. */
-static void on_refused(enum aub_stream_end end, void *context)
-{
-	struct aub_caller *caller = context;
-
-	if (caller->request) {
-		caller_free(caller);
-		return;
-	}
-	write_error(caller, end == AUB_STREAM_TOO_LARGE ?
-				    "431 Request Header Fields Too Large" :
-				    "400 Bad Request");
-	caller_finish(caller);
-}
-
-static const struct aub_http_callbacks caller_callbacks = {
-	.head = on_head,
-	.body = on_body,
-	.complete = on_complete,
-	.drained = on_drained,
-	.refused = on_refused,
-	.ended = on_ended,
-};
-
 static guint header_bytes(const struct aub_gateway *gateway)
 {
 	return gateway->routing ? gateway->routing->limits.header_bytes :
@@ -145,7 +28,6 @@
 
 	for (guint i = 0; i < ACCEPTS_A_TURN; i++) {
 		int fd = aub_tcp_accept(gateway->listener);
-		struct aub_caller *caller;
 
 		if (fd < 0)
 			return;
@@ -153,38 +35,10 @@
 			close(fd);
 			continue;
 		}
-		caller = g_new0(struct aub_caller, 1);
-		caller->gateway = gateway;
-		caller->since_us = aub_timer_now(gateway->options.timers);
-		g_queue_push_tail(&gateway->callers, caller);
-		caller->link = gateway->callers.tail;
-		caller->stream = aub_http_stream_new(gateway->options.poller,
-						     fd, HTTP_REQUEST, false,
-						     header_bytes(gateway),
-						     &caller_callbacks, caller);
+		aub_caller_new(gateway, fd, header_bytes(gateway));
 	}
 }
 
-static bool is_overdue(const struct aub_caller *caller, gint64 now_us)
-{
-	const struct aub_routing *routing = caller->gateway->routing;
-	gint64 idle_us = now_us - caller->since_us;
-
-	if (caller->finishing)
-		return idle_us > FINISH_US;
-	if (caller->request)
-		return false;
-	if (aub_http_stream_midway(caller->stream))
-		return idle_us > (routing ? routing->limits.header_ms :
-					    HEADER_MS_DEFAULT) *
-						 AUB_MS +
-					 (routing ? routing->limits.idle_ms :
-						    IDLE_MS_DEFAULT) *
-						 AUB_MS;
-	return idle_us >
-	       (routing ? routing->limits.idle_ms : IDLE_MS_DEFAULT) * AUB_MS;
-}
-
 static void on_sweep(void *context, gint64 now_us)
 {
 	struct aub_gateway *gateway = context;
@@ -194,8 +48,8 @@
 		struct aub_caller *caller = link->data;
 
 		link = link->next;
-		if (is_overdue(caller, now_us))
-			caller_free(caller);
+		if (aub_caller_is_overdue(caller, now_us))
+			aub_caller_free(caller);
 	}
 	aub_http_client_sweep(gateway->options.client, now_us);
 }
@@ -276,7 +130,7 @@
 		struct aub_caller *caller = link->data;
 
 		link = link->next;
-		caller_free(caller);
+		aub_caller_free(caller);
 	}
 	if (!gateway->closed) {
 		aub_poll_watch_remove(gateway->watch);
@@ -316,9 +170,8 @@
 	for (GList *link = gateway->callers.head; link; link = link->next) {
 		struct aub_caller *caller = link->data;
 
-		if (!caller->request && !caller->finishing &&
-		    !aub_http_stream_midway(caller->stream))
-			caller_finish(caller);
+		if (aub_caller_is_idle(caller))
+			aub_caller_finish(caller);
 	}
 }
 
--- a/src/coordination/gateway_answer.c
+++ b/src/coordination/gateway_answer.c
@@ -23,7 +23,8 @@
 	if (request->attempt)
 		aub_attempt_abort(request->attempt, AUB_END_ABANDONED);
 	gateway->requests--;
-	request->caller->request = NULL;
+	g_queue_remove(&request->caller->requests, request);
+	g_byte_array_unref(request->held);
 	if (request->kept.head)
 		kept_clear(&request->kept);
 	g_ptr_array_unref(request->tried);
@@ -36,25 +37,40 @@
 	g_free(request);
 }
 
-/* The connection may carry on if the request was read to its end. */
-static bool keeps_connection(const struct aub_request *request)
+/*
+ * The connection may carry on if the request was read to its end. A planned
+ * stop ends it with the last request that was read: one that has been sent on
+ * must not lose its answer.
+ */
+static bool ends_connection(const struct aub_request *request)
 {
-	return request->body_whole && request->caller->keep_alive &&
-	       !request->gateway->stopping;
+	return !request->body_whole || !request->keep_alive ||
+	       (request->gateway->stopping && aub_request_is_last(request));
 }
 
 void aub_request_end(struct aub_request *request)
 {
 	struct aub_caller *caller = request->caller;
-	bool keep = keeps_connection(request);
 
+	if (ends_connection(request))
+		caller->closing = true;
+	if (!aub_request_is_first(request)) {
+		request->done = true;
+		aub_timer_cancel(request->gateway->options.timers,
+				 request->timer);
+		request->timer = 0;
+		return;
+	}
 	aub_request_free(request);
-	aub_caller_answered(caller, keep);
+	aub_caller_next(caller);
 }
 
-const char *aub_request_connection_line(const struct aub_request *request)
+const char *aub_request_connection_line(struct aub_request *request)
 {
-	return keeps_connection(request) ? "" : "Connection: close\r\n";
+	if (!ends_connection(request))
+		return "";
+	request->caller->closing = true;
+	return "Connection: close\r\n";
 }
 
 struct own_answer {
@@ -89,7 +105,7 @@
 	g_free(body);
 	aub_request_log(request, own->counter, own->status, own->reason,
 			own->detail);
-	aub_caller_put(request->caller, text->str, text->len);
+	aub_request_put(request, text->str, text->len);
 	g_string_free(text, TRUE);
 	aub_request_end(request);
 }
@@ -137,9 +153,8 @@
 				       body->len);
 	g_string_append(head, aub_request_connection_line(request));
 	g_string_append(head, "\r\n");
-	aub_caller_put(request->caller, head->str, head->len);
-	aub_caller_put(request->caller, body->data,
-		       request->is_head ? 0 : body->len);
+	aub_request_put(request, head->str, head->len);
+	aub_request_put(request, body->data, request->is_head ? 0 : body->len);
 }
 
 void aub_request_answer_kept(struct aub_request *request)
@@ -172,6 +187,8 @@
 	aub_log_text("upstream", detail);
 	aub_log_number("tries", request->tried->len);
 	aub_log_number("waited_ms", request->waited_us / AUB_MS);
+	aub_log_number("ahead",
+		       g_queue_index(&request->caller->requests, request));
 	aub_log_number("config",
 		       request->routing ? request->routing->version : 0);
 	aub_log_number("ms", (now - request->begun_us) / AUB_MS);
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -269,12 +269,17 @@
 	attempt->chunked = attempt->length < 0;
 	g_string_append(text, aub_request_connection_line(request));
 	g_string_append(text, "\r\n");
-	aub_caller_put(request->caller, text->str, text->len);
+	aub_request_put(request, text->str, text->len);
 }
 
 void aub_request_attempt_streams(struct aub_request *request,
 				 struct aub_attempt_state *attempt)
 {
+	/* Before its turn no more is read than is held. */
+	if (!aub_request_is_first(request)) {
+		aub_exchange_hold(attempt->exchange, true);
+		return;
+	}
 	request->answering = true;
 	attempt->streaming = true;
 	write_stream_head(request, attempt);
@@ -340,7 +345,7 @@
 	}
 	if (attempt->streaming) {
 		if (attempt->chunked)
-			aub_caller_put(request->caller, "0\r\n\r\n", 5);
+			aub_request_put(request, "0\r\n\r\n", 5);
 	} else {
 		aub_request_put_whole(request, attempt->head, attempt->body);
 	}
@@ -422,6 +427,8 @@
 void aub_request_body_end(struct aub_request *request)
 {
 	request->body_whole = true;
+	if (request->parked)
+		return;
 	if (waits_for_body(request)) {
 		begin_placing(request);
 		return;
@@ -432,6 +439,22 @@
 	aub_exchange_flush(request->attempt->exchange);
 }
 
+void aub_request_take_turn(struct aub_request *request)
+{
+	struct aub_attempt_state *attempt = request->attempt;
+
+	if (attempt && !attempt->streaming &&
+	    attempt->body->len > AUB_BODY_KEPT) {
+		aub_request_attempt_streams(request, attempt);
+		aub_exchange_hold(attempt->exchange, false);
+	}
+	if (!request->parked)
+		return;
+	request->parked = false;
+	if (request->body_whole || !waits_for_body(request))
+		begin_placing(request);
+}
+
 /* NULL, or why the head makes no request that can be served. */
 static const char *head_problem(const struct aub_http_head *head,
 				const struct aub_platform *platform)
@@ -524,7 +547,9 @@
 
 	request->gateway = gateway;
 	request->caller = caller;
-	caller->request = request;
+	g_queue_push_tail(&caller->requests, request);
+	request->held = g_byte_array_new();
+	request->keep_alive = head->keep_alive;
 	gateway->requests++;
 	request->begun_us = aub_timer_now(gateway->options.timers);
 	request->body = g_byte_array_new();
@@ -539,8 +564,10 @@
 	request->timer = aub_timer_at(gateway->options.timers, "request",
 				      request->limit_us, on_limit, request);
 	if (!request->body_whole && aub_http_head_find(head, "Expect"))
-		aub_caller_put(caller, "HTTP/1.1 100 Continue\r\n\r\n", 25);
-	if (!waits_for_body(request))
+		aub_request_put(request, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+	request->parked =
+		!aub_request_is_first(request) && !request->route->idempotent;
+	if (!request->parked && !waits_for_body(request))
 		begin_placing(request);
 	return request;
 }
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -9,8 +9,9 @@
 #include <math.h>
 #include <string.h>
 
-#define COUNTS_FRESH_US (200 * AUB_PLACE_MS) /* running and waiting, as told \
-					      */
+#define COUNTS_FRESH_US                                      \
+	(200 * AUB_PLACE_MS) /* running and waiting, as told \
+			      */
 
 #define WORK_SHARE 0.35 /* of the target that usual work takes */
 
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -42,6 +42,7 @@
 	bool paused; /* a message is complete and not yet answered */
 	bool midway;
 	bool no_body;
+	bool refused; /* what came is no message: nothing more is read */
 	bool finishing;
 	bool shut;
 	bool freed;
@@ -243,7 +244,7 @@
 		stream_end(stream, end);
 		return;
 	}
-	stream->finishing = true;
+	stream->refused = true;
 	stream->callbacks.refused(end, stream->context);
 }
 
@@ -282,7 +283,7 @@
 static void stream_take(struct aub_http_stream *stream, const char *data,
 			gsize length)
 {
-	if (stream->finishing)
+	if (stream->finishing || stream->refused)
 		return;
 	if (stream->paused) {
 		if (stream->early->len + length > EARLY_LIMIT) {
@@ -314,7 +315,8 @@
 		return;
 	}
 	/* A body without a length ends here; `complete` comes first. */
-	if (stream->midway && !stream->paused && !stream->finishing)
+	if (stream->midway && !stream->paused && !stream->finishing &&
+	    !stream->refused)
 		stream_parse(stream, NULL, 0);
 	if (!stream->freed)
 		stream_end(stream, AUB_STREAM_EOF);
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -47,6 +47,8 @@
 	guint answers = 0;
 	std::string body;
 	std::string last_id;
+	std::vector<std::string> ids; /* of all answers, in order */
+	std::vector<size_t> lengths; /* of their bodies */
 	std::string retry_after;
 	bool keep_alive = false;
 	bool ended = false;
@@ -105,6 +107,7 @@
 		self->status = head->status;
 		self->keep_alive = head->keep_alive;
 		self->last_id = id ? id : "";
+		self->ids.push_back(self->last_id);
 		self->retry_after = after ? after : "";
 		self->body.clear();
 	}
@@ -117,6 +120,7 @@
 		Caller *self = (Caller *)context;
 
 		self->answers++;
+		self->lengths.push_back(self->body.size());
 		aub_http_stream_resume(self->stream_);
 	}
 	static void on_ended(enum aub_stream_end end, bool midway,
