placement: learn the time of work by kind, apart from neighbours and knee

Ruled out: the knee itself (1.7 there, as for the prior).

Change: the usual time of work is a mean by kind (requests with one target); an answer's time counts for its kind, for the knee and for its upstream with what the others explain divided out, and only where the kind is known and is work at all. A step of the knee that was given up is tried again. Nobody waits for a better upstream where none is.

--- a/include/auburnstile/internal/knee.h
+++ b/include/auburnstile/internal/knee.h
@@ -14,14 +14,17 @@
 #define AUB_KNEE_STEPS 12 /* shares are told apart in twelfths */
 
 struct aub_knee {
-	double time[AUB_KNEE_STEPS + 1]; /* mean, in any one unit */
+	double time[AUB_KNEE_STEPS + 1]; /* mean, times the usual */
 	double weight[AUB_KNEE_STEPS + 1]; /* answers behind it */
 	double factor[AUB_KNEE_STEPS + 1]; /* from these, never falling */
 };
 
 void aub_knee_init(struct aub_knee *knee);
 
-/* An answer took `time`; with it `running` of `slots` were taken. */
+/*
+ * An answer took `time` times as long as usual; with it `running` of `slots`
+ * were taken when it began.
+ */
 void aub_knee_observe(struct aub_knee *knee, guint running, guint slots,
 		      double time);
 
--- a/include/auburnstile/internal/placement_parts.h
+++ b/include/auburnstile/internal/placement_parts.h
@@ -8,6 +8,7 @@
 #include <auburnstile/internal/load_trend.h>
 #include <auburnstile/internal/placement.h>
 #include <auburnstile/internal/retry_budget.h>
+#include <auburnstile/internal/work_times.h>
 
 G_BEGIN_DECLS
 
@@ -37,7 +38,7 @@
 	struct aub_load load; /* last told */
 	gint64 load_us; /* when; 0: never */
 	gint64 full_until_us; /* it refused: takes nothing before this */
-	double slowness; /* its answers' time over the service's, smoothed */
+	double slowness; /* its answers' time over the expected, smoothed */
 	double failures; /* share of its answers that failed, smoothed */
 	gint64 failures_us; /* when `failures` was last brought up to date */
 	gint64 ok_us; /* its last good answer */
@@ -84,7 +85,7 @@
 	GPtrArray *waiting; /* of struct aub_waiting, in order of service */
 	struct aub_knee knee;
 	struct aub_load_trend trend; /* of its upstreams' reports */
-	double work; /* answers' time over their targets, smoothed */
+	struct aub_work_times work;
 	double held_us; /* a grant's time from grant to report, smoothed */
 	guint64 refused; /* asks that got no upstream, since the start */
 	guint64 cold_grants; /* to cold upstreams, since the start */
--- a/src/state/knee.c
+++ b/src/state/knee.c
@@ -1,6 +1,6 @@
 /*
- * Times are compared with those at the least full upstreams that enough
- * answers tell of. A mean that few answers stand behind is held by its prior.
+ * Means by step. One that few answers stand behind is held by its prior, and
+ * returns to it when no more come: a step that was given up is tried again.
  */
 #include <auburnstile/internal/knee.h>
 
@@ -8,10 +8,10 @@
 #define PRIOR_AT 0.8
 #define PRIOR_FACTOR 1.7
 #define PRIOR_ANSWERS 10.0
-#define BASE_ANSWERS 20.0 /* enough to compare with */
 
 #define MEMORY_ANSWERS 200.0
-#define OUTLIER 3.0 /* times the mean: a burst or a failure, not the knee */
+#define FORGET 0.0005 /* of a step's answers, for each answer at another */
+#define OUTLIER 2.0 /* times the step's mean: a neighbour's burst */
 
 static guint step_of(guint running, guint slots)
 {
@@ -28,29 +28,11 @@
 	return past <= 0 ? 1.0 : 1.0 + (PRIOR_FACTOR - 1) * past;
 }
 
-/* The mean time at the least full upstreams; 0 where too little is known. */
-static double base(const struct aub_knee *knee)
-{
-	double sum = 0;
-	double weight = 0;
-
-	for (guint step = 1;
-	     step <= AUB_KNEE_STEPS / 2 && weight < BASE_ANSWERS; step++) {
-		sum += knee->time[step] * knee->weight[step];
-		weight += knee->weight[step];
-	}
-	return weight < BASE_ANSWERS ? 0 : sum / weight;
-}
-
 static double step_factor(const struct aub_knee *knee, guint step)
 {
-	double usual = base(knee);
 	double weight = knee->weight[step];
 
-	if (usual <= 0)
-		return prior(step);
-	return (PRIOR_ANSWERS * prior(step) +
-		weight * knee->time[step] / usual) /
+	return (PRIOR_ANSWERS * prior(step) + weight * knee->time[step]) /
 	       (PRIOR_ANSWERS + weight);
 }
 
@@ -92,6 +74,8 @@
 
 	if (time <= 0)
 		return;
+	for (guint i = 1; i <= AUB_KNEE_STEPS; i++)
+		knee->weight[i] *= 1 - FORGET;
 	if (knee->weight[step] > 0)
 		time = MIN(time, OUTLIER * knee->time[step]);
 	knee->weight[step] = MIN(knee->weight[step] + 1, MEMORY_ANSWERS);
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -13,8 +13,6 @@
 	(200 * AUB_PLACE_MS) /* running and waiting, as told \
 			      */
 
-#define WORK_SHARE 0.35 /* of the target that usual work takes */
-
 /* Crossing a zone costs about a twentieth of what an answer is worth. */
 #define CROSS_ZONE_COST 0.05
 
@@ -133,7 +131,9 @@
 		   const struct aub_row *row, const struct aub_ask *ask,
 		   bool stuck, gint64 now_us)
 {
-	double value = WORK_SHARE * slowdown(placement, row, now_us);
+	double value = aub_work_times_usual(&placement->work, ask->target_ms) /
+		       MAX(ask->target_ms, 1) *
+		       slowdown(placement, row, now_us);
 
 	value += FAILURE_COST * row_failures(row, now_us);
 	if (g_strcmp0(row->zone, ask->zone) != 0)
@@ -166,17 +166,15 @@
 }
 
 /*
- * What a request accepts that could still be on time: an upstream in a
- * neighbour's burst only after a short wait, since one without frees a slot
- * within some ms. A late one takes what there is.
+ * A request that could still be on time takes an upstream in a neighbour's
+ * burst only after a short wait, since one without frees a slot within some
+ * ms. A late one takes what there is.
  */
-static double cost_limit(const struct aub_ask *ask)
+static bool is_picky(const struct aub_ask *ask)
 {
 	double waited = (double)ask->waited_ms / MAX(ask->target_ms, 1);
 
-	if (!ask->on_time_ms || waited > PICKY_SHARE)
-		return INFINITY;
-	return PICKY_COST;
+	return ask->on_time_ms && waited <= PICKY_SHARE;
 }
 
 gint aub_placement_choose(struct aub_placement *placement,
@@ -186,7 +184,7 @@
 	guint count = placement->rows->len;
 	bool *stuck = g_newa0(bool, count + 1);
 	double best_cost = INFINITY;
-	double most = cost_limit(ask);
+	double least_cost = INFINITY; /* of all, room or not */
 	gint best = -1;
 
 	*usable = 0;
@@ -200,13 +198,16 @@
 		if (!is_usable(row, ask, now_us))
 			continue;
 		*usable += aub_row_limit(placement, row);
-		if (!has_room(placement, row, ask, now_us))
-			continue;
 		value = cost(placement, row, ask, stuck[i], now_us);
-		if (value < best_cost && value <= most) {
-			best_cost = value;
-			best = (gint)i;
-		}
+		least_cost = MIN(least_cost, value);
+		if (value >= best_cost ||
+		    !has_room(placement, row, ask, now_us))
+			continue;
+		best_cost = value;
+		best = (gint)i;
 	}
+	/* Nobody waits for a better one where there is none. */
+	if (best_cost > PICKY_COST && least_cost <= PICKY_COST && is_picky(ask))
+		return -1;
 	return best;
 }
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -372,24 +372,32 @@
 	return false;
 }
 
+/*
+ * What an answer's time says of its kind of work, of how full the upstream
+ * was, and of the upstream itself: each with what the others explain divided
+ * out.
+ */
 static void learn_time(struct aub_placement *placement, struct aub_row *row,
 		       const struct aub_grant *made, gint64 elapsed_us,
 		       gint64 now_us)
 {
-	double share = (double)elapsed_us /
-		       (double)(MAX(made->target_ms, 1) * AUB_PLACE_MS);
+	double usual_ms =
+		aub_work_times_usual(&placement->work, made->target_ms);
+	double full =
+		aub_knee_factor(&placement->knee, made->running, row->slots);
+	double ms = (double)elapsed_us / AUB_PLACE_MS / made->slowdown;
 	double held = (double)(now_us - made->since_us);
 
-	if (placement->work <= 0)
-		placement->work = share;
-	placement->work += (share - placement->work) * SMOOTHING;
-	aub_knee_observe(&placement->knee, made->running, row->slots,
-			 share / made->slowdown);
 	if (placement->held_us <= 0)
 		placement->held_us = held;
 	placement->held_us += (held - placement->held_us) * SMOOTHING;
+	aub_work_times_observe(&placement->work, made->target_ms, ms / full);
+	if (!aub_work_times_is_telling(&placement->work, made->target_ms))
+		return;
+	aub_knee_observe(&placement->knee, made->running, row->slots,
+			 ms / usual_ms / row->slowness);
 	row->slowness +=
-		(share / placement->work - row->slowness) * SLOWNESS_SMOOTHING;
+		(ms / usual_ms / full - row->slowness) * SLOWNESS_SMOOTHING;
 	row->slowness = CLAMP(row->slowness, 0.5, SLOWNESS_MOST);
 }
 
--- a/tests/test_knee.cc
+++ b/tests/test_knee.cc
@@ -15,7 +15,7 @@
 	for (int i = 0; i < answers; i++)
 		for (guint n = 1; n <= slots; n++)
 			aub_knee_observe(&knee, n, slots,
-					 0.4 * (n >= at * slots ? factor : 1));
+					 n >= at * slots ? factor : 1);
 	return knee;
 }
 
@@ -53,11 +53,11 @@
 
 	aub_knee_init(&knee);
 	EXPECT_EQ(aub_knee_limit(&knee, 6), 5u);
-	aub_knee_observe(&knee, 1, 6, 0.4);
-	aub_knee_observe(&knee, 5, 6, 40.0);
+	aub_knee_observe(&knee, 1, 6, 1);
+	aub_knee_observe(&knee, 5, 6, 100);
 	EXPECT_GE(aub_knee_limit(&knee, 6), 4u);
 	aub_knee_observe(&knee, 5, 6, -1);
-	aub_knee_observe(&knee, 9, 6, 0.4);
+	aub_knee_observe(&knee, 9, 6, 1);
 	EXPECT_GE(aub_knee_limit(&knee, 6), 4u);
 	EXPECT_GE(aub_knee_limit(&knee, 0), 1u);
 }
@@ -69,6 +69,20 @@
 
 	aub_knee_init(&knee);
 	for (int i = 0; i < 600; i++)
-		aub_knee_observe(&knee, 1 + i % 6, 6, i / 6 % 10 ? 0.4 : 1.6);
+		aub_knee_observe(&knee, 1 + i % 6, 6, i / 6 % 10 ? 1 : 4);
 	EXPECT_EQ(aub_knee_limit(&knee, 6), 6u);
 }
+
+TEST(Knee, TriesAgainWhatItGaveUp)
+{
+	/*
+	 * Upstreams were slow for a while for another reason. Callers would
+	 * wait for slots that stand empty for good, were they not tried again.
+	 */
+	struct aub_knee knee = learned(6, 0.8, 3);
+
+	EXPECT_EQ(aub_knee_limit(&knee, 6), 4u);
+	for (int i = 0; i < 20000; i++)
+		aub_knee_observe(&knee, 1 + i % 4, 6, 1);
+	EXPECT_EQ(aub_knee_limit(&knee, 6), 5u);
+}
