placement: serve kinds of requests by their own measure

Besides, in a long overload all answers came from full upstreams, so that what is slow there was taken for the usual time of work, and the knee was lost.

Ruled out: priorities (the two are equal).

Change: whoever has used up most of the time in which it can be on time goes first, or least, once that is a good part; a newcomer that would be served first is not refused for those who wait. The usual time is learned where upstreams are at most half full.

--- a/include/auburnstile/internal/knee.h
+++ b/include/auburnstile/internal/knee.h
@@ -8,10 +8,12 @@
 #define AUBURNSTILE_INTERNAL_KNEE_H
 
 #include <glib.h>
+#include <stdbool.h>
 
 G_BEGIN_DECLS
 
 #define AUB_KNEE_STEPS 12 /* shares are told apart in twelfths */
+#define AUB_KNEE_HALF (AUB_KNEE_STEPS / 2)
 
 struct aub_knee {
 	double time[AUB_KNEE_STEPS + 1]; /* mean, times the usual */
@@ -28,6 +30,12 @@
 void aub_knee_observe(struct aub_knee *knee, guint running, guint slots,
 		      double time);
 
+/*
+ * Was it at most half full, so that nothing but the work itself shows in the
+ * time that it took?
+ */
+bool aub_knee_is_below(guint running, guint slots);
+
 /* Times the usual time that work takes which is the `running`th. */
 double aub_knee_factor(const struct aub_knee *knee, guint running, guint slots);
 
--- a/src/state/knee.c
+++ b/src/state/knee.c
@@ -28,11 +28,25 @@
 	return past <= 0 ? 1.0 : 1.0 + (PRIOR_FACTOR - 1) * past;
 }
 
+/* The mean time at upstreams that are at most half full. */
+static double base(const struct aub_knee *knee)
+{
+	double sum = PRIOR_ANSWERS;
+	double weight = PRIOR_ANSWERS;
+
+	for (guint step = 1; step <= AUB_KNEE_HALF; step++) {
+		sum += knee->time[step] * knee->weight[step];
+		weight += knee->weight[step];
+	}
+	return sum / weight;
+}
+
 static double step_factor(const struct aub_knee *knee, guint step)
 {
 	double weight = knee->weight[step];
 
-	return (PRIOR_ANSWERS * prior(step) + weight * knee->time[step]) /
+	return (PRIOR_ANSWERS * prior(step) +
+		weight * knee->time[step] / base(knee)) /
 	       (PRIOR_ANSWERS + weight);
 }
 
@@ -83,6 +97,11 @@
 	update(knee);
 }
 
+bool aub_knee_is_below(guint running, guint slots)
+{
+	return step_of(running, slots) <= AUB_KNEE_HALF;
+}
+
 double aub_knee_factor(const struct aub_knee *knee, guint running, guint slots)
 {
 	return knee->factor[step_of(running, slots)];
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -3,6 +3,7 @@
  */
 #include <auburnstile/internal/placement_parts.h>
 
+#include <math.h>
 #include <string.h>
 
 /* Before a report has come: a usual time of work at these upstreams. */
@@ -117,19 +118,82 @@
 	g_ptr_array_insert(placement->waiting, (gint)at, waiting);
 }
 
-/* Those that would be served before it, were it in the queue. */
+/*
+ * The order of service. Whoever can still be on time goes first; the most
+ * urgent of these, and of equals who has used up most of the time in which it
+ * can be, or least of it once that is a good part.
+ *
+ * Failure: in an overload everybody waits equally long. Symptom: all answers
+ * are late, though most could have been on time; and where kinds of requests
+ * with different targets wait for the same slots, only those with the longest
+ * are served. Enough: those served have hardly waited by their own measure;
+ * the others take what is left over.
+ */
+struct line {
+	gint first; /* index of who has used up most, or -1 */
+	gint last; /* of who has used up least */
+	bool stale; /* the first has used up a good part of its time */
+};
+
+/* Of the time in which it can be on time, or of its patience, if late. */
+static double used_up(const struct aub_waiting *waiting, gint64 now_us)
+{
+	gint64 end_us = waiting->on_time_us > now_us ? waiting->on_time_us :
+						       waiting->until_us;
+
+	return (double)(now_us - waiting->since_us) /
+	       (double)MAX(end_us - waiting->since_us, 1);
+}
+
+static void line_find(const struct aub_placement *placement, bool late,
+		      gint64 now_us, struct line *line)
+{
+	double most = -1;
+	double least = INFINITY;
+	guint priority = 0;
+
+	*line = (struct line){ .first = -1, .last = -1 };
+	for (guint i = 0; i < placement->waiting->len; i++) {
+		const struct aub_waiting *waiting =
+			g_ptr_array_index(placement->waiting, i);
+		double used = used_up(waiting, now_us);
+
+		if ((waiting->on_time_us <= now_us) != late)
+			continue;
+		if (line->first >= 0 && waiting->priority != priority)
+			break;
+		priority = waiting->priority;
+		if (used > most) {
+			most = used;
+			line->first = (gint)i;
+		}
+		if (used <= least) {
+			least = used;
+			line->last = (gint)i;
+		}
+	}
+	line->stale = most > NEWEST_FIRST_SHARE;
+}
+
+/* Those that would be served before a newcomer. */
 static guint ahead_of(const struct aub_placement *placement, guint priority,
 		      bool late, gint64 now_us)
 {
+	struct line line;
 	guint ahead = 0;
 
+	line_find(placement, false, now_us, &line);
 	for (guint i = 0; i < placement->waiting->len; i++) {
 		const struct aub_waiting *waiting =
 			g_ptr_array_index(placement->waiting, i);
 		bool other_late = waiting->on_time_us <= now_us;
 
-		if (other_late == late ? waiting->priority <= priority : late)
-			ahead++;
+		if (other_late != late)
+			ahead += late;
+		else if (line.stale && !late)
+			ahead += waiting->priority < priority;
+		else
+			ahead += waiting->priority <= priority;
 	}
 	return ahead;
 }
@@ -240,47 +304,6 @@
 	};
 }
 
-/*
- * The order of service. Whoever can still be on time goes first; the most
- * urgent of these, and of equals the oldest, or the newest once the oldest
- * has used up a good part of its time.
- *
- * Failure: in an overload everybody waits equally long. Symptom: all answers
- * are late, though most could have been on time. Enough: those served have
- * hardly waited; the others take what is left over.
- */
-struct line {
-	gint oldest; /* index of the most urgent ones' oldest, or -1 */
-	gint newest;
-	bool stale; /* the oldest has used up a good part of its time */
-};
-
-static void line_find(const struct aub_placement *placement, bool late,
-		      gint64 now_us, struct line *line)
-{
-	const struct aub_waiting *first = NULL;
-
-	*line = (struct line){ .oldest = -1, .newest = -1 };
-	for (guint i = 0; i < placement->waiting->len; i++) {
-		const struct aub_waiting *waiting =
-			g_ptr_array_index(placement->waiting, i);
-
-		if ((waiting->on_time_us <= now_us) != late)
-			continue;
-		if (first && waiting->priority != first->priority)
-			break;
-		if (!first) {
-			first = waiting;
-			line->oldest = (gint)i;
-		}
-		line->newest = (gint)i;
-	}
-	if (first)
-		line->stale = (double)(now_us - first->since_us) >
-			      NEWEST_FIRST_SHARE * (double)(first->on_time_us -
-							    first->since_us);
-}
-
 static bool waiting_grant(struct aub_placement *placement, gint i,
 			  gint64 now_us, struct aub_decision *decision)
 {
@@ -342,13 +365,12 @@
 	struct line line;
 
 	line_find(placement, false, now_us, &line);
-	if (line.stale &&
-	    waiting_grant(placement, line.newest, now_us, decision))
+	if (line.stale && waiting_grant(placement, line.last, now_us, decision))
 		return true;
-	if (waiting_grant(placement, line.oldest, now_us, decision))
+	if (waiting_grant(placement, line.first, now_us, decision))
 		return true;
 	line_find(placement, true, now_us, &line);
-	if (waiting_grant(placement, line.oldest, now_us, decision))
+	if (waiting_grant(placement, line.first, now_us, decision))
 		return true;
 	return waiting_expire(placement, now_us, decision);
 }
@@ -391,7 +413,15 @@
 	if (placement->held_us <= 0)
 		placement->held_us = held;
 	placement->held_us += (held - placement->held_us) * SMOOTHING;
-	aub_work_times_observe(&placement->work, made->target_ms, ms / full);
+	/*
+	 * Failure: in a long overload all answers come from full upstreams.
+	 * Symptom: what is slow there is taken for usual, and they are kept
+	 * that full. Enough: the usual is learned where there is room.
+	 */
+	if (aub_knee_is_below(made->running, row->slots) ||
+	    !aub_work_times_is_telling(&placement->work, made->target_ms))
+		aub_work_times_observe(&placement->work, made->target_ms,
+				       ms / full);
 	if (!aub_work_times_is_telling(&placement->work, made->target_ms))
 		return;
 	aub_knee_observe(&placement->knee, made->running, row->slots,
--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -354,6 +354,60 @@
 	EXPECT_EQ(decision.ticket, fresh.ticket);
 }
 
+TEST(Placement, ServesKindsOfRequestsByTheirOwnMeasure)
+{
+	/*
+	 * A caller that must have its answer soon stands behind others that
+	 * have time. Served in the order they came, only those that have time
+	 * are served in an overload; a third of its time is gone after 70 ms,
+	 * of theirs a seventh.
+	 */
+	Placement p;
+	struct aub_decision decision;
+
+	p.add("u1", 1);
+	guint64 held = p.ask().ticket;
+	struct aub_ask patient = p.ask_of();
+	patient.target_ms = 1000;
+	patient.on_time_ms = 600;
+	patient.patience_ms = 600;
+	p.ask(patient);
+	p.now += 20 * MS;
+	struct aub_ask hasty = p.ask_of();
+	hasty.on_time_ms = 240;
+	hasty.patience_ms = 3000;
+	p.ask(hasty);
+	p.now += 70 * MS;
+	p.report(held);
+	ASSERT_TRUE(p.next(&decision));
+	EXPECT_EQ(decision.ticket, hasty.ticket);
+}
+
+TEST(Placement, TakesANewcomerThatWouldBeServedFirst)
+{
+	/*
+	 * The caller is refused though it would have its answer in time: many
+	 * wait, but they have waited long, and the newest is served first.
+	 */
+	Placement p;
+	struct aub_decision decision;
+
+	p.add("u1", 1);
+	guint64 held = p.ask().ticket;
+	for (int i = 0; i < 5; i++) {
+		struct aub_ask ask = p.ask_of();
+
+		ask.patience_ms = 5000;
+		EXPECT_EQ(p.ask(ask).verdict, AUB_VERDICT_QUEUED);
+	}
+	p.now += 200 * MS;
+	struct aub_ask fresh = p.ask_of();
+	EXPECT_EQ(p.ask(fresh).verdict, AUB_VERDICT_QUEUED);
+	p.report(held);
+	ASSERT_TRUE(p.next(&decision));
+	EXPECT_EQ(decision.ticket, fresh.ticket);
+}
+
 TEST(Placement, RefusesOnArrivalWhatWouldWaitInVain)
 {
 	Placement p;
