Learned figures in metrics and the log; comments that told of their tuning

What a placer has learned (how full upstreams are kept, the slowdown that they tell, for how long that holds) stands among the metrics and in the line of refused requests. Comments give the reason of a value, not how it was found; trailing comments that the formatter had broken into boxes stand above.

--- a/include/auburnstile/internal/gateway_parts.h
+++ b/include/auburnstile/internal/gateway_parts.h
@@ -15,9 +15,7 @@
  * one can still be replaced. Beyond it bodies stream with back pressure.
  */
 #define AUB_BODY_KEPT (64u << 10)
-#define AUB_QUEUE_HIGH                                        \
-	(128u << 10) /* bytes to a slow reader before a pause \
-		      */
+#define AUB_QUEUE_HIGH (128u << 10) /* bytes to a slow reader, then a pause */
 
 struct aub_caller; /* one caller's connection */
 struct aub_request;
--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -188,6 +188,9 @@
 	guint64 refused; /* since the start */
 	guint64 cold_grants; /* to cold upstreams, since the start */
 	double cold_per_s; /* requests a second that a cold one is given */
+	guint full_percent; /* of its slots that one is kept to, learned */
+	guint slowdown_percent; /* mean of what they tell; 100 is as usual */
+	guint burst_ms; /* for which a neighbour's burst lasts, learned */
 };
 void aub_placement_get_state(const struct aub_placement *placement,
 			     gint64 now_us, struct aub_placement_state *state);
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -10,8 +10,8 @@
 #include <string.h>
 
 /*
- * Kept connections save a request 2% of its worth. For requests that may not
- * be repeated a connection that is reset leaves their fate unknown, so they
+ * A kept connection saves a request a round trip. For requests that may not be
+ * repeated a connection that is reset leaves their fate unknown, so they
  * use only what was in use a moment ago.
  */
 #define IDLE_SAFE_US (8 * AUB_SECOND)
--- a/src/coordination/node_answers.c
+++ b/src/coordination/node_answers.c
@@ -37,10 +37,7 @@
 	return list;
 }
 
-/*
- * Callers get gateways of their own zone: an answer that crosses a zone
- * costs 4 to 6% of what it is worth.
- */
+/* Callers get gateways of their own zone: bytes between zones are dear. */
 void aub_node_on_directory(const struct aub_http_head *head,
 			   struct aub_http_reply *reply, void *context)
 {
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -164,6 +164,18 @@
 		   aub_metrics_labels("service", service, NULL),
 		   "requests that one cold upstream is given",
 		   (gint64)(1000 * state->cold_per_s));
+	set_series(node, false, "auburnstile_upstream_full_percent",
+		   aub_metrics_labels("service", service, NULL),
+		   "of its slots that an upstream is kept to, learned",
+		   state->full_percent);
+	set_series(node, false, "auburnstile_upstream_slowdown_percent",
+		   aub_metrics_labels("service", service, NULL),
+		   "mean that upstreams tell; 100 is as usual",
+		   state->slowdown_percent);
+	set_series(node, false, "auburnstile_upstream_burst_ms",
+		   aub_metrics_labels("service", service, NULL),
+		   "for which what upstreams tell holds, learned",
+		   state->burst_ms);
 }
 
 static void export_store_kind(struct aub_node *node, enum aub_store_kind kind)
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -12,10 +12,9 @@
 
 /*
  * Four beacons a second within a zone, one to the others: bytes between zones
- * are dear, and four a second to all were 6% of a quiet day's worth. Three
- * lost in a row are rarer than a dead peer even where 3% of packets go. A
- * placer of another zone that is dead is passed by long before its beacons
- * are missed.
+ * are dear, and grow with the square of the gateways. Three lost in a row are
+ * rarer than a dead peer even where 3% of packets go. A placer of another zone
+ * that is dead is passed by long before its beacons are missed.
  */
 #define BEACON_US (250 * AUB_MS)
 #define ALIVE_US (1000 * AUB_MS)
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -35,7 +35,7 @@
 
 	if (!aub_peers_count_alive(placer->options.peers))
 		return age_us >= SETTLE_ALONE_US;
-	return age_us >= SETTLE_US + known * SETTLE_EACH_US;
+	return age_us >= SETTLE_US + (gint64)known * SETTLE_EACH_US;
 }
 
 static bool has_heard_all(const struct aub_placer *placer, gint64 now_us)
@@ -43,7 +43,8 @@
 	gint64 joined_us = aub_peers_joined_us(placer->options.peers);
 	gint64 age_us = now_us - placer->since_us;
 	guint known = aub_peers_all(placer->options.peers)->len;
-	gint64 quiet_us = SETTLE_QUIET_US + known * SETTLE_QUIET_EACH_US;
+	gint64 quiet_us =
+		SETTLE_QUIET_US + (gint64)known * SETTLE_QUIET_EACH_US;
 
 	return age_us >= SETTLE_MOST_US || (aub_placer_hears(placer, now_us) &&
 					    now_us - joined_us >= quiet_us);
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -9,9 +9,7 @@
 #define ACTIVE_US (1500 * AUB_MS) /* after the last word that it places */
 #define PROBE_TICK_US (25 * AUB_MS)
 #define PROBE_MS 400 /* an upstream answers a probe at once */
-#define TELL_US                                                      \
-	(4 * AUB_MS) /* collects the answers to probes sent together \
-		      */
+#define TELL_US (4 * AUB_MS) /* collects answers to probes sent together */
 #define PROBE_IDLE_US (8 * AUB_SECOND)
 
 struct probe {
--- a/src/coordination/placer_round.c
+++ b/src/coordination/placer_round.c
@@ -122,6 +122,9 @@
 	aub_log_number("unknown", state.unknown);
 	aub_log_number("cold", state.cold);
 	aub_log_number("leaving", state.leaving);
+	aub_log_number("full_percent", state.full_percent);
+	aub_log_number("slowdown_percent", state.slowdown_percent);
+	aub_log_number("burst_ms", state.burst_ms);
 	aub_log_end();
 	active->refused = state.refused;
 }
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -17,9 +17,8 @@
 
 #define NOTEWORTHY_SLOWNESS 1.5 /* others should avoid it, too */
 
-#define FAILURE_HALF_LIFE_US                            \
-	(2000 * AUB_PLACE_MS) /* then it is tried again \
-			       */
+/* What failed is tried again after that. */
+#define FAILURE_HALF_LIFE_US (2000 * AUB_PLACE_MS)
 
 struct aub_row *aub_placement_row(const struct aub_placement *placement,
 				  guint index)
@@ -361,6 +360,18 @@
 	row->slowness = belief->slowdown / 100.0;
 }
 
+/* Of the first registered upstream; those of a service are mostly alike. */
+static guint full_percent(const struct aub_placement *placement)
+{
+	for (guint i = 0; i < placement->rows->len; i++) {
+		const struct aub_row *row = aub_placement_row(placement, i);
+
+		if (row->registered && row->slots)
+			return 100 * aub_row_limit(placement, row) / row->slots;
+	}
+	return 100;
+}
+
 void aub_placement_get_state(const struct aub_placement *placement,
 			     gint64 now_us, struct aub_placement_state *state)
 {
@@ -370,6 +381,10 @@
 		.refused = placement->refused,
 		.cold_grants = placement->cold_grants,
 		.cold_per_s = aub_placement_cold_per_s(placement),
+		.full_percent = full_percent(placement),
+		.slowdown_percent =
+			(guint)(100 * aub_load_trend_mean(&placement->trend)),
+		.burst_ms = (guint)aub_load_trend_holds_ms(&placement->trend),
 	};
 	for (guint i = 0; i < placement->rows->len; i++) {
 		const struct aub_row *row = aub_placement_row(placement, i);
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -9,11 +9,10 @@
 #include <math.h>
 #include <string.h>
 
-#define COUNTS_FRESH_US                                      \
-	(200 * AUB_PLACE_MS) /* running and waiting, as told \
-			      */
+/* What an upstream told of running and waiting requests holds so long. */
+#define COUNTS_FRESH_US (200 * AUB_PLACE_MS)
 
-/* Crossing a zone costs about a twentieth of what an answer is worth. */
+/* Bytes between zones are dear: in calm times answers stay in their zone. */
 #define CROSS_ZONE_COST 0.05
 
 #define FAILURE_COST 2.0 /* a failed attempt costs its time and a retry */
--- a/src/state/placement_probe.c
+++ b/src/state/placement_probe.c
@@ -3,24 +3,19 @@
  */
 #include <auburnstile/internal/placement_parts.h>
 
-/*
- * Neighbours' bursts last some hundred milliseconds: ten probes a second catch
- * most of them, at 0.3% of what the requests are worth; five left 2% more
- * answers late, twenty cost more than they gained.
- */
+/* Neighbours' bursts last some hundred milliseconds. */
 #define PROBE_US (100 * AUB_PLACE_MS)
 #define PROBE_COLD_US (500 * AUB_PLACE_MS) /* it bears little */
 #define PROBE_DOWN_US (250 * AUB_PLACE_MS)
 /*
  * Failure: a service has a thousand upstreams, and those who probe them have a
- * fifth of a core. Symptom: at 300 gateways and 3,000 upstreams these took up
- * to 93% of it, and configurations were late. Enough: the interval grows with
- * the upstreams, to 600 ms at a thousand; up to 160 nothing changes.
+ * fifth of a core. Symptom: probes take nearly all of it, and configurations
+ * are late. Enough: the interval grows with the upstreams, to 600 ms at a
+ * thousand; up to 160 nothing changes.
  */
 #define PROBE_SPREAD_US 600 /* the least, for each upstream of the service */
-#define TOLD_INTERVALS                                        \
-	3 /* without word from a zone's prober: probe it here \
-	   */
+/* Without word from a zone's prober for so many, it is probed here. */
+#define TOLD_INTERVALS 3
 /*
  * Under way at once, for a service. After a start all upstreams are due; a
  * thousand connections in one turn keep a small VM from anything else.
--- a/src/state/routing.c
+++ b/src/state/routing.c
@@ -6,9 +6,8 @@
 
 #include <string.h>
 
-#define GOLDEN_STEP                                              \
-	0.6180339887498949 /* spreads any number of picks evenly \
-			    */
+/* Steps of the golden ratio spread any number of picks evenly. */
+#define GOLDEN_STEP 0.6180339887498949
 
 struct aub_routing *aub_routing_new(void)
 {
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -242,6 +242,9 @@
 		     "auburnstile_cold_grants_total{service=\"svc\"} 1",
 		     "auburnstile_log_dropped_total{class=\"trouble\"} ",
 		     "auburnstile_queued{service=\"svc\"} 0",
+		     "auburnstile_upstream_full_percent{service=\"svc\"} 100",
+		     "auburnstile_upstream_slowdown_percent{service=\"svc\"} ",
+		     "auburnstile_upstream_burst_ms{service=\"svc\"} ",
 	     })
 		EXPECT_NE(body.find(line), std::string::npos) << line << "\n"
 							      << body;
