--- a/include/auburnstile/internal/placement_parts.h
+++ b/include/auburnstile/internal/placement_parts.h
@@ -118,6 +118,11 @@
 double aub_placement_cold_per_s(const struct aub_placement *placement);
 bool aub_row_is_cold(const struct aub_row *row, gint64 now_us);
 
+/* Give `ask` a slot of the row at `index`, and fill in `decision`. */
+void aub_placement_grant(struct aub_placement *placement, guint index,
+			 const struct aub_ask *ask, gint64 now_us,
+			 struct aub_decision *decision);
+
 /*
  * The best row for `ask` with room, or -1. `*usable` becomes the number of
  * slots of rows that may serve it at all, room or not.
