placement, caller: say once what stood twice

No change of behaviour. What neighbours make of an upstream's pace was worked out in two places of the choice, the limit of a row up to three times and the usual time of work twice for each row; one struct carries what a choice goes by. The half-life of failures stood as a bare 2.0 beside its constant. Searching those that wait by ticket is one function of the queue. aub_ask.waited_ms has had no reader since the wait for a better upstream lost its share of the target. A newcomer's reading: one branch for both turns of a caller's next request; a comment of the placer gives the symptom without counts of one fleet.

--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -40,7 +40,6 @@
 	guint on_time_ms; /* granted within this, it can still be on time */
 	guint patience_ms; /* longest wait for a slot that helps at all */
 	bool retry; /* sent to an upstream before */
-	guint waited_ms; /* for a slot, so far */
 	bool alone; /* asked here for want of a placer */
 	const char *const *avoid; /* upstreams it was sent to */
 	guint avoid_count;
--- a/include/auburnstile/internal/placement_parts.h
+++ b/include/auburnstile/internal/placement_parts.h
@@ -14,6 +14,9 @@
 
 #define AUB_PLACE_MS ((gint64)1000) /* microseconds in a millisecond */
 
+/* What failed is tried again after that. */
+#define AUB_FAILURE_HALF_LIFE_US (2000 * AUB_PLACE_MS)
+
 /* Below, it is no more than what work differs by from request to request. */
 #define AUB_NOTEWORTHY_SLOWNESS 1.5
 
@@ -121,6 +124,9 @@
 double aub_placement_cold_per_s(const struct aub_placement *placement);
 bool aub_row_is_cold(const struct aub_row *row, gint64 now_us);
 
+/* Index among those that wait, or -1. */
+gint aub_waiting_find(const struct aub_placement *placement, guint64 ticket);
+
 /* Give `ask` a slot of the row at `index`, and fill in `decision`. */
 void aub_placement_grant(struct aub_placement *placement, guint index,
 			 const struct aub_ask *ask, gint64 now_us,
--- a/src/coordination/gateway_caller.c
+++ b/src/coordination/gateway_caller.c
@@ -140,6 +140,7 @@
 void aub_caller_next(struct aub_caller *caller)
 {
 	struct aub_request *request;
+	bool parked;
 
 	while ((request = first_of(caller)) != NULL) {
 		put(caller, request->held->data, request->held->len);
@@ -148,14 +149,15 @@
 			break;
 		aub_request_free(request);
 	}
-	if (!request)
+	if (!request) {
 		caller_rests(caller);
-	else if (request->parked)
-		aub_request_take_turn(request); /* which may free the caller */
-	else {
-		aub_request_take_turn(request);
-		read_on(caller);
+		return;
 	}
+	/* Nothing is read behind one that was parked, and it may end here. */
+	parked = request->parked;
+	aub_request_take_turn(request);
+	if (!parked)
+		read_on(caller);
 }
 
 static void on_head(const struct aub_http_head *head, void *context)
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -10,11 +10,10 @@
 
 /*
  * Failure: many gateways start at once, and each places for itself until it
- * has heard the others. Symptom: each probes every upstream, 22,000
- * connections at 142 gateways, and slots are promised many times. Enough: a
- * fresh gateway waits for as long as first beacons take to come back, and then
- * until no more of them come; both take longer the more gateways there are,
- * since small VMs need half a second to hear 140.
+ * has heard the others. Symptom: each probes every upstream, and slots are
+ * promised many times. Enough: a fresh gateway waits for as long as first
+ * beacons take to come back, and then until no more of them come; both take
+ * longer the more gateways there are, since small VMs are slow to hear many.
  */
 #define SETTLE_ALONE_US (250 * AUB_MS) /* while it has heard nobody */
 #define SETTLE_US (100 * AUB_MS)
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -15,9 +15,6 @@
 /* Late reports and probes of one that left have come in by then. */
 #define GONE_KEPT_US (60000 * AUB_PLACE_MS)
 
-/* What failed is tried again after that. */
-#define FAILURE_HALF_LIFE_US (2000 * AUB_PLACE_MS)
-
 struct aub_row *aub_placement_row(const struct aub_placement *placement,
 				  guint index)
 {
@@ -131,10 +128,10 @@
 {
 	gint64 age = now_us - row->failures_us;
 
-	while (age >= FAILURE_HALF_LIFE_US && row->failures > 0.01) {
+	while (age >= AUB_FAILURE_HALF_LIFE_US && row->failures > 0.01) {
 		row->failures /= 2;
-		age -= FAILURE_HALF_LIFE_US;
-		row->failures_us += FAILURE_HALF_LIFE_US;
+		age -= AUB_FAILURE_HALF_LIFE_US;
+		row->failures_us += AUB_FAILURE_HALF_LIFE_US;
 	}
 }
 
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -64,6 +64,14 @@
 	return aub_knee_limit(&placement->knee, row->slots);
 }
 
+/* What one choice goes by, whichever the upstream. */
+struct choice {
+	const struct aub_placement *placement;
+	const struct aub_ask *ask;
+	gint64 now_us;
+	double usual_ms; /* of its kind of work */
+};
+
 /*
  * Slots of each upstream that only requests that can be on time may take.
  *
@@ -72,12 +80,27 @@
  * are late for minutes. Enough: with a third of the slots kept free of late
  * ones, new requests are on time, and the late ones drain beside them.
  */
-static guint reserve(const struct aub_placement *placement,
-		     const struct aub_row *row, const struct aub_ask *ask)
+static guint reserve(const struct aub_ask *ask, guint limit)
 {
-	if (ask->on_time_ms)
-		return 0;
-	return (aub_row_limit(placement, row) + 1) / 3;
+	return ask->on_time_ms ? 0 : (limit + 1) / 3;
+}
+
+/*
+ * How many times as long as usual work takes there now because of neighbours.
+ *
+ * Failure: an upstream told that it is fast a tenth of a second ago, and a
+ * neighbour has slowed it since. Symptom: one request in twelve is late in
+ * calm times. Enough: what was told fades with its age, so that of several
+ * that were fast the one that told it last is taken.
+ */
+static double neighbours(const struct aub_placement *placement,
+			 const struct aub_row *row, gint64 now_us)
+{
+	if (!row->load_us || row->load.slowdown <= 0)
+		return aub_load_trend_mean(&placement->trend);
+	return aub_load_trend_expect(&placement->trend,
+				     row->load.slowdown / 100.0,
+				     now_us - row->load_us);
 }
 
 /*
@@ -87,55 +110,35 @@
  * empty where waiting for the burst's end and then working at the usual pace
  * takes less time.
  */
-static bool is_better_later(const struct aub_placement *placement,
-			    const struct aub_row *row,
-			    const struct aub_ask *ask, gint64 now_us)
+static bool is_better_later(const struct choice *choice,
+			    const struct aub_row *row)
 {
-	double usual_ms =
-		aub_work_times_usual(&placement->work, ask->target_ms);
-	double mean = aub_load_trend_mean(&placement->trend);
-	double told;
+	const struct aub_load_trend *trend = &choice->placement->trend;
+	double now = neighbours(choice->placement, row, choice->now_us);
 
-	if (!row->load_us || row->load.slowdown <= 0)
-		return false;
-	told = aub_load_trend_expect(&placement->trend,
-				     row->load.slowdown / 100.0,
-				     now_us - row->load_us);
-	return told * usual_ms >
-	       BURST_LEFT * aub_load_trend_holds_ms(&placement->trend) +
-		       mean * usual_ms;
+	return now * choice->usual_ms >
+	       BURST_LEFT * aub_load_trend_holds_ms(trend) +
+		       aub_load_trend_mean(trend) * choice->usual_ms;
 }
 
-static bool has_room(const struct aub_placement *placement,
-		     const struct aub_row *row, const struct aub_ask *ask,
-		     gint64 now_us)
+/* `limit` is the row's, see aub_row_limit(). */
+static bool has_room(const struct choice *choice, const struct aub_row *row,
+		     guint limit)
 {
-	if (aub_row_is_cold(row, now_us))
-		return row->next_cold_us <= now_us &&
+	if (aub_row_is_cold(row, choice->now_us))
+		return row->next_cold_us <= choice->now_us &&
 		       row->granted < MAX(1, row->slots / 2);
-	return !is_better_later(placement, row, ask, now_us) &&
-	       row_busy(row, now_us) + reserve(placement, row, ask) <
-		       aub_row_limit(placement, row);
+	return row_busy(row, choice->now_us) + reserve(choice->ask, limit) <
+		       limit &&
+	       !is_better_later(choice, row);
 }
 
-/*
- * Failure: an upstream told that it is fast a tenth of a second ago, and a
- * neighbour has slowed it since. Symptom: one request in twelve is late in
- * calm times. Enough: what was told fades with its age, so that of several
- * that were fast the one that told it last is taken.
- */
 double aub_row_disturbance(const struct aub_placement *placement,
 			   const struct aub_row *row, gint64 now_us)
 {
-	double factor = aub_load_trend_mean(&placement->trend);
-
-	if (row->load_us && row->load.slowdown > 0)
-		factor = aub_load_trend_expect(&placement->trend,
-					       row->load.slowdown / 100.0,
-					       now_us - row->load_us);
-	if (aub_row_is_cold(row, now_us))
-		factor *= COLD_FACTOR;
-	return factor;
+	double factor = neighbours(placement, row, now_us);
+
+	return aub_row_is_cold(row, now_us) ? factor * COLD_FACTOR : factor;
 }
 
 /*
@@ -151,29 +154,31 @@
 }
 
 /* How many times as long as usual the next request takes there. */
-static double slowdown(const struct aub_placement *placement,
-		       const struct aub_row *row, gint64 now_us)
+static double slowdown(const struct choice *choice, const struct aub_row *row)
 {
-	return own_slowness(row) * aub_row_disturbance(placement, row, now_us) *
+	const struct aub_placement *placement = choice->placement;
+
+	return own_slowness(row) *
+	       aub_row_disturbance(placement, row, choice->now_us) *
 	       aub_knee_factor(&placement->knee, row->granted + 1, row->slots);
 }
 
 static double row_failures(const struct aub_row *row, gint64 now_us)
 {
-	double age_s = (double)(now_us - row->failures_us) / 1e6;
+	double half_lives =
+		(double)(now_us - row->failures_us) / AUB_FAILURE_HALF_LIFE_US;
 
-	return row->failures * exp2(-age_s / 2.0);
+	return row->failures * exp2(-half_lives);
 }
 
-static double cost(const struct aub_placement *placement,
-		   const struct aub_row *row, const struct aub_ask *ask,
-		   bool stuck, gint64 now_us)
+static double cost(const struct choice *choice, const struct aub_row *row,
+		   bool stuck)
 {
-	double value = aub_work_times_usual(&placement->work, ask->target_ms) /
-		       MAX(ask->target_ms, 1) *
-		       slowdown(placement, row, now_us);
+	const struct aub_ask *ask = choice->ask;
+	double value = choice->usual_ms / MAX(ask->target_ms, 1) *
+		       slowdown(choice, row);
 
-	value += FAILURE_COST * row_failures(row, now_us);
+	value += FAILURE_COST * row_failures(row, choice->now_us);
 	if (g_strcmp0(row->zone, ask->zone) != 0)
 		value += CROSS_ZONE_COST;
 	if (row->ill)
@@ -207,6 +212,13 @@
 			  const struct aub_ask *ask, gint64 now_us,
 			  guint *usable)
 {
+	const struct choice choice = {
+		.placement = placement,
+		.ask = ask,
+		.now_us = now_us,
+		.usual_ms =
+			aub_work_times_usual(&placement->work, ask->target_ms),
+	};
 	guint count = placement->rows->len;
 	bool *stuck = g_newa0(bool, count + 1);
 	double best_cost = INFINITY;
@@ -219,15 +231,16 @@
 	for (guint n = 0; n < count; n++) {
 		guint i = (n + placement->turn) % count;
 		struct aub_row *row = aub_placement_row(placement, i);
+		guint limit;
 		double value;
 
 		if (!is_usable(row, ask, now_us))
 			continue;
-		*usable += aub_row_limit(placement, row);
-		value = cost(placement, row, ask, stuck[i], now_us);
+		limit = aub_row_limit(placement, row);
+		*usable += limit;
+		value = cost(&choice, row, stuck[i]);
 		least_cost = MIN(least_cost, value);
-		if (value >= best_cost ||
-		    !has_room(placement, row, ask, now_us))
+		if (value >= best_cost || !has_room(&choice, row, limit))
 			continue;
 		best_cost = value;
 		best = (gint)i;
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -53,20 +53,6 @@
 	decision->address = row->address;
 }
 
-static bool waiting_remove(struct aub_placement *placement, guint64 ticket)
-{
-	for (guint i = 0; i < placement->waiting->len; i++) {
-		const struct aub_waiting *waiting =
-			g_ptr_array_index(placement->waiting, i);
-
-		if (waiting->ticket != ticket)
-			continue;
-		g_ptr_array_remove_index(placement->waiting, i);
-		return true;
-	}
-	return false;
-}
-
 /*
  * What an answer's time says of its kind of work, of how full the upstream
  * was, and of the upstream itself: each with what the others explain divided
@@ -147,7 +133,11 @@
 	struct aub_row *row;
 
 	if (!made) {
-		waiting_remove(placement, report->ticket);
+		gint index = aub_waiting_find(placement, report->ticket);
+
+		if (index >= 0)
+			g_ptr_array_remove_index(placement->waiting,
+						 (guint)index);
 		return;
 	}
 	row = aub_placement_row(placement, made->row);
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -11,7 +11,7 @@
 
 #define RETRY_AFTER_LEAST_MS 700
 #define RETRY_AFTER_MOST_MS 5000
-#define NO_UPSTREAM_MS 500 /* probes go out five times a second */
+#define NO_UPSTREAM_MS 500 /* what is down is probed twice in it */
 
 /* Of the time in which it can still be on time: then the newest goes first. */
 #define NEWEST_FIRST_SHARE 0.3
@@ -107,13 +107,14 @@
 	for (guint i = 0; i < placement->waiting->len; i++) {
 		const struct aub_waiting *waiting =
 			g_ptr_array_index(placement->waiting, i);
-		double used = used_up(waiting, now_us);
+		double used;
 
 		if ((waiting->on_time_us <= now_us) != late)
 			continue;
 		if (line->first >= 0 && waiting->priority != priority)
 			break;
 		priority = waiting->priority;
+		used = used_up(waiting, now_us);
 		if (used > most) {
 			most = used;
 			line->first = (gint)i;
@@ -149,6 +150,18 @@
 	return ahead;
 }
 
+gint aub_waiting_find(const struct aub_placement *placement, guint64 ticket)
+{
+	for (guint i = 0; i < placement->waiting->len; i++) {
+		const struct aub_waiting *waiting =
+			g_ptr_array_index(placement->waiting, i);
+
+		if (waiting->ticket == ticket)
+			return (gint)i;
+	}
+	return -1;
+}
+
 static bool is_known(const struct aub_placement *placement,
 		     const struct aub_ask *ask, struct aub_decision *decision)
 {
@@ -163,16 +176,10 @@
 		decision->address = row->address;
 		return true;
 	}
-	for (guint i = 0; i < placement->waiting->len; i++) {
-		const struct aub_waiting *waiting =
-			g_ptr_array_index(placement->waiting, i);
-
-		if (waiting->ticket == ask->ticket) {
-			decision->verdict = AUB_VERDICT_QUEUED;
-			return true;
-		}
-	}
-	return false;
+	if (aub_waiting_find(placement, ask->ticket) < 0)
+		return false;
+	decision->verdict = AUB_VERDICT_QUEUED;
+	return true;
 }
 
 /* A probe is under way that may find an upstream for those who wait. */
@@ -249,8 +256,6 @@
 		.alone = waiting->alone,
 		.on_time_ms =
 			(guint)((on_time_us + AUB_PLACE_MS - 1) / AUB_PLACE_MS),
-		.waited_ms =
-			(guint)((now_us - waiting->since_us) / AUB_PLACE_MS),
 		.avoid = (const char *const *)waiting->avoid->pdata,
 		.avoid_count = waiting->avoid->len,
 	};
