--- a/tests/test_gateway_caller.cc
+++ b/tests/test_gateway_caller.cc
@@ -14,20 +14,36 @@
 	return std::vector<std::string>(list.begin(), list.end());
 }
 
-TEST_F(GatewayTest, ServesSafeRequestsOfOneCallerSideBySide)
+class CallerTest : public GatewayTest
+{
+      protected:
+	/* A ready gateway before `count` upstreams of so long a work. */
+	void serve(int count, guint work_ms)
+	{
+		for (int i = 1; i <= count; i++)
+			platform_upstream_set_work(
+				add_upstream("u" + std::to_string(i)), work_ms);
+		configure();
+		start_ready();
+	}
+	guint runs() const
+	{
+		guint sum = 0;
+
+		for (const struct platform_upstream *upstream : upstreams)
+			sum += platform_upstream_runs(upstream);
+		return sum;
+	}
+};
+
+TEST_F(CallerTest, ServesSafeRequestsOfOneCallerSideBySide)
 {
 	/*
 	 * The caller has its answers in the time of one. It sends four
 	 * requests at once on one connection; served one after the other, the
 	 * last would wait for the work of three before it is sent anywhere.
 	 */
-	struct platform_upstream *one = add_upstream("u1");
-	struct platform_upstream *two = add_upstream("u2");
-
-	platform_upstream_set_work(one, 300);
-	platform_upstream_set_work(two, 300);
-	configure();
-	start_ready();
+	serve(2, 300);
 	Caller caller(poller, addresses[0]);
 	gint64 begun = g_get_monotonic_time();
 	for (const char *id : { "p1", "p2", "p3", "p4" })
@@ -37,13 +53,9 @@
 	EXPECT_EQ(caller.ids, names({ "p1", "p2", "p3", "p4" }));
 }
 
-TEST_F(GatewayTest, HoldsAQuickAnswerUntilItsTurn)
+TEST_F(CallerTest, HoldsAQuickAnswerUntilItsTurn)
 {
-	struct platform_upstream *one = add_upstream("u1");
-
-	platform_upstream_set_work(one, 300);
-	configure();
-	start_ready();
+	serve(1, 300);
 	Caller caller(poller, addresses[0]);
 	caller.send(request("GET /safe/a", "slow") +
 		    request("GET /none/", "quick") +
@@ -52,27 +64,17 @@
 	EXPECT_EQ(caller.answers, 0u);
 	ASSERT_TRUE(run_until([&] { return caller.answers == 3; }, 3000));
 	EXPECT_EQ(caller.ids, names({ "slow", "quick", "last" }));
-	EXPECT_EQ(platform_upstream_runs(one), 2u);
+	EXPECT_EQ(runs(), 2u);
 }
 
-TEST_F(GatewayTest, SendsWhatRunsOnceOnlyInItsTurn)
+TEST_F(CallerTest, SendsWhatRunsOnceOnlyInItsTurn)
 {
 	/*
 	 * The caller sends what may run once behind another request. Were it
 	 * passed on at once and the answer before it ended the connection, it
 	 * would have run and the caller would send it again.
 	 */
-	struct platform_upstream *one = add_upstream("u1");
-	struct platform_upstream *two = add_upstream("u2");
-	auto runs = [&] {
-		return platform_upstream_runs(one) +
-		       platform_upstream_runs(two);
-	};
-
-	platform_upstream_set_work(one, 300);
-	platform_upstream_set_work(two, 300);
-	configure();
-	start_ready();
+	serve(2, 300);
 	Caller caller(poller, addresses[0]);
 	caller.send(request("GET /safe/a", "p1") +
 		    request("POST /once/pay", "p2"));
@@ -84,7 +86,7 @@
 	EXPECT_EQ(runs(), 2u);
 }
 
-TEST_F(GatewayTest, PassesOnLargeAnswersInOrder)
+TEST_F(CallerTest, PassesOnLargeAnswersInOrder)
 {
 	struct platform_upstream *one = add_upstream("u1");
 	struct platform_upstream *two = add_upstream("u2");
@@ -102,42 +104,32 @@
 		EXPECT_EQ(length, 300000u);
 }
 
-TEST_F(GatewayTest, CancelsAllThatACallerSentWhenItLeaves)
+TEST_F(CallerTest, CancelsAllThatACallerSentWhenItLeaves)
 {
-	struct platform_upstream *one = add_upstream("u1");
-
-	platform_upstream_set_work(one, 2000);
 	timeout_ms = 5000;
-	configure();
-	start_ready();
+	serve(1, 2000);
 	Caller caller(poller, addresses[0]);
 	caller.send(request("GET /safe/a", "p1") +
 		    request("GET /safe/b", "p2"));
-	ASSERT_TRUE(run_until([&] { return platform_upstream_runs(one) == 2; },
-			      2000));
+	ASSERT_TRUE(run_until([&] { return runs() == 2; }, 2000));
 	caller.leave();
-	EXPECT_TRUE(
-		run_until([&] { return platform_upstream_cancelled(one) == 2; },
-			  400));
+	EXPECT_TRUE(run_until(
+		[&] { return platform_upstream_cancelled(upstreams[0]) == 2; },
+		400));
 }
 
-TEST_F(GatewayTest, APlannedStopAnswersAllThatWasSentOn)
+TEST_F(CallerTest, APlannedStopAnswersAllThatWasSentOn)
 {
 	/*
 	 * The caller gets both answers, the last of which ends the connection.
 	 * Were it to end with the first, the second would be cut off though
 	 * its upstream is at work.
 	 */
-	struct platform_upstream *one = add_upstream("u1");
-
-	platform_upstream_set_work(one, 400);
-	configure();
-	start_ready();
+	serve(1, 400);
 	Caller caller(poller, addresses[0]);
 	caller.send(request("GET /safe/a", "p1") +
 		    request("GET /safe/b", "p2"));
-	ASSERT_TRUE(run_until([&] { return platform_upstream_runs(one) == 2; },
-			      2000));
+	ASSERT_TRUE(run_until([&] { return runs() == 2; }, 2000));
 	aub_node_stop(
 		node, [](void *) {}, NULL);
 	ASSERT_TRUE(run_until([&] { return caller.ended; }, 3000));
@@ -147,13 +139,9 @@
 	EXPECT_EQ(caller.end, AUB_STREAM_EOF);
 }
 
-TEST_F(GatewayTest, AnswersWhatCameBeforeNonsense)
+TEST_F(CallerTest, AnswersWhatCameBeforeNonsense)
 {
-	struct platform_upstream *one = add_upstream("u1");
-
-	platform_upstream_set_work(one, 200);
-	configure();
-	start_ready();
+	serve(1, 200);
 	Caller caller(poller, addresses[0]);
 	caller.send(request("GET /safe/a", "p1") + "no request at all\r\n\r\n");
 	ASSERT_TRUE(run_until([&] { return caller.ended; }, 3000));
@@ -163,7 +151,7 @@
 	EXPECT_FALSE(caller.keep_alive);
 }
 
-TEST_F(GatewayTest, TakesAsManyAtOnceAsACallerLikes)
+TEST_F(CallerTest, TakesAsManyAtOnceAsACallerLikes)
 {
 	add_upstream("u1");
 	add_upstream("u2");
