peers: hash a peer's name once a service, look peers up by table

Cause: any change of one peer emptied all rankings, and the next look-up computed a checksum for every gateway and service again. While a fleet starts each gateway appears at every other one, so that a start of n costs n rankings of n checksums. Beacons also walked the list of peers and compared texts.

Change: keys are kept with the peer, as numbers in the same order as before; peers are found by address and by incarnation through tables.

Test: 12 gateways join one after the other and three services are ranked after each: 39 hashes, one for each gateway and service.

--- a/include/auburnstile/internal/peers_parts.h
+++ b/include/auburnstile/internal/peers_parts.h
@@ -16,12 +16,15 @@
 	guint start_timer; /* 0: it has started */
 	guint start_rounds; /* left */
 	GPtrArray *all; /* of struct aub_peer; the first is this process */
+	GHashTable *by_address; /* of `all`; keys are the peers' own */
+	GHashTable *by_incarnation; /* the same, of those ever heard */
 	struct aub_beacon *beacon;
 	guint round;
 	guint far_rounds; /* as of this round */
 	gint64 joined_us; /* when a peer last appeared or became ready */
 	gint64 introduced_us; /* when it was last told where others are */
 	GHashTable *ranked; /* service -> GPtrArray; empty after a change */
+	guint64 rank_hashes; /* computed since the start */
 	GPtrArray *watchers; /* as seen from here; NULL after a change */
 	struct aub_peers_counts counts;
 };
@@ -29,6 +32,9 @@
 bool aub_peer_is_near(const struct aub_peers *peers,
 		      const struct aub_peer *peer);
 
+/* A peer's hashes for ranking hold its name: forget them when it changes. */
+void aub_peer_forget_ranks(struct aub_peer *peer);
+
 /* Who is alive, ready or hears the store has changed: rank anew. */
 void aub_peers_rank_again(struct aub_peers *peers);
 
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -47,6 +47,7 @@
 	g_free(peer->zone);
 	g_free(peer->address);
 	g_free(peer->callers_address);
+	g_hash_table_unref(peer->rank_keys);
 	g_free(peer);
 }
 
@@ -60,31 +61,50 @@
 	peer->address = g_strdup(address);
 	aub_socket_address(address, &peer->socket_address);
 	peer->known_us = now_us;
+	peer->rank_keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return peer;
 }
 
 static struct aub_peer *by_address(const struct aub_peers *peers,
 				   const char *address)
 {
-	for (guint i = 0; i < peers->all->len; i++) {
-		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
-
-		if (!strcmp(peer->address, address))
-			return peer;
-	}
-	return NULL;
+	return g_hash_table_lookup(peers->by_address, address);
 }
 
 struct aub_peer *aub_peers_by_incarnation(const struct aub_peers *peers,
 					  guint64 incarnation)
 {
-	for (guint i = 0; i < peers->all->len; i++) {
-		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
+	return g_hash_table_lookup(peers->by_incarnation, &incarnation);
+}
 
-		if (peer->incarnation == incarnation)
-			return peer;
-	}
-	return NULL;
+/* Takes the peer over. */
+static void list_add(struct aub_peers *peers, struct aub_peer *peer)
+{
+	g_ptr_array_add(peers->all, peer);
+	g_hash_table_insert(peers->by_address, peer->address, peer);
+	if (peer->incarnation)
+		g_hash_table_insert(peers->by_incarnation, &peer->incarnation,
+				    peer);
+}
+
+static void list_remove(struct aub_peers *peers, guint index)
+{
+	struct aub_peer *peer = g_ptr_array_index(peers->all, index);
+
+	g_hash_table_remove(peers->by_address, peer->address);
+	g_hash_table_remove(peers->by_incarnation, &peer->incarnation);
+	g_ptr_array_remove_index(peers->all, index);
+}
+
+static void set_incarnation(struct aub_peers *peers, struct aub_peer *peer,
+			    guint64 incarnation)
+{
+	if (peer->incarnation == incarnation)
+		return;
+	g_hash_table_remove(peers->by_incarnation, &peer->incarnation);
+	peer->incarnation = incarnation;
+	g_hash_table_insert(peers->by_incarnation, &peer->incarnation, peer);
 }
 
 static void log_peer(enum aub_log_event event, const struct aub_peer *peer,
@@ -172,7 +192,7 @@
 
 	if (!peer) {
 		peer = peer_new(beacon->address, now);
-		g_ptr_array_add(peers->all, peer);
+		list_add(peers, peer);
 	}
 	if (peer->self)
 		return;
@@ -187,10 +207,12 @@
 		  peer->hears != beacon->hears;
 	if (!peer->alive || (beacon->ready && !peer->ready))
 		peers->joined_us = now;
+	if (strcmp(peer->name, beacon->name) != 0)
+		aub_peer_forget_ranks(peer);
 	aub_string_set(&peer->name, beacon->name);
 	aub_string_set(&peer->zone, beacon->zone);
 	aub_string_set(&peer->callers_address, beacon->callers_address);
-	peer->incarnation = beacon->incarnation;
+	set_incarnation(peers, peer, beacon->incarnation);
 	peer->ready = beacon->ready;
 	peer->stopping = beacon->stopping;
 	peer->current = beacon->current;
@@ -398,7 +420,7 @@
 		    now_us - peer->heard_us > alive_us(peers, peer))
 			lose(peers, peer, now_us);
 		if (now_us - MAX(peer->heard_us, peer->known_us) > FORGET_US)
-			g_ptr_array_remove_index(peers->all, i);
+			list_remove(peers, i);
 		else
 			i++;
 	}
@@ -437,7 +459,7 @@
 	self->incarnation = options->incarnation;
 	self->alive = true;
 	self->self = true;
-	g_ptr_array_add(peers->all, self);
+	list_add(peers, self);
 	peers->beacon =
 		(struct aub_beacon *)aub_message_new(AUB_MESSAGE_BEACON);
 	aub_string_set(&peers->beacon->name, options->name);
@@ -461,6 +483,8 @@
 	peers->fd = fd;
 	peers->far_rounds = FAR_ROUNDS;
 	peers->all = g_ptr_array_new_with_free_func(peer_free);
+	peers->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	peers->by_incarnation = g_hash_table_new(g_int64_hash, g_int64_equal);
 	peers->ranked =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 				      (GDestroyNotify)g_ptr_array_unref);
@@ -485,6 +509,9 @@
 	close(peers->fd);
 	aub_message_free(&peers->beacon->base);
 	g_hash_table_unref(peers->ranked);
+	g_clear_pointer(&peers->watchers, g_ptr_array_unref);
+	g_hash_table_unref(peers->by_address);
+	g_hash_table_unref(peers->by_incarnation);
 	g_ptr_array_unref(peers->all);
 	g_free(peers);
 }
@@ -496,7 +523,7 @@
 	if (by_address(peers, address))
 		return;
 	peer = peer_new(address, aub_timer_now(peers->options.timers));
-	g_ptr_array_add(peers->all, peer);
+	list_add(peers, peer);
 	send_beacon(peers, peer);
 }
 
--- a/src/coordination/peers_rank.c
+++ b/src/coordination/peers_rank.c
@@ -29,11 +29,52 @@
 	g_clear_pointer(&peers->watchers, g_ptr_array_unref);
 }
 
+void aub_peer_forget_ranks(struct aub_peer *peer)
+{
+	g_hash_table_remove_all(peer->rank_keys);
+}
+
 struct ranked_peer {
-	char *key; /* hash of service and name */
+	guint64 key; /* hash of service and name */
 	struct aub_peer *peer;
 };
 
+/* The first bytes of a checksum over service and name. */
+static guint64 rank_hash(const char *service, const char *name)
+{
+	GChecksum *checksum = g_checksum_new(G_CHECKSUM_MD5);
+	guint8 digest[16];
+	gsize length = sizeof(digest);
+	guint64 key;
+
+	g_checksum_update(checksum, (const guchar *)service, -1);
+	g_checksum_update(checksum, (const guchar *)" ", 1);
+	g_checksum_update(checksum, (const guchar *)name, -1);
+	g_checksum_get_digest(checksum, digest, &length);
+	g_checksum_free(checksum);
+	memcpy(&key, digest, sizeof(key));
+	return GUINT64_FROM_BE(key);
+}
+
+/*
+ * Failure: every change of one peer ranks all of them anew. Symptom: while a
+ * fleet starts, a small VM does nothing but checksums and answers no asks.
+ * Enough: a peer's hash for a service is computed once.
+ */
+static guint64 rank_key(struct aub_peers *peers, struct aub_peer *peer,
+			const char *service)
+{
+	guint64 *known = g_hash_table_lookup(peer->rank_keys, service);
+
+	if (known)
+		return *known;
+	known = g_new(guint64, 1);
+	*known = rank_hash(service, peer->name);
+	peers->rank_hashes++;
+	g_hash_table_insert(peer->rank_keys, g_strdup(service), known);
+	return *known;
+}
+
 /*
  * Failure: a placer is cut off from the store and grants upstreams that have
  * left. Symptom: each such grant has to be asked for again. Enough: those
@@ -46,37 +87,28 @@
 
 	if (left->peer->current != right->peer->current)
 		return left->peer->current ? -1 : 1;
-	return strcmp(left->key, right->key);
+	return left->key < right->key ? -1 : left->key > right->key;
 }
 
-static GPtrArray *rank(const struct aub_peers *peers, const char *service)
+static GPtrArray *rank(struct aub_peers *peers, const char *service)
 {
 	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct ranked_peer));
 	GPtrArray *result = g_ptr_array_new();
 
 	for (guint i = 0; i < peers->all->len; i++) {
-		struct ranked_peer ranked = {
-			.peer = g_ptr_array_index(peers->all, i),
-		};
-		char *text;
+		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
+		struct ranked_peer ranked = { .peer = peer };
 
-		if (!ranked.peer->alive || !ranked.peer->ready ||
-		    ranked.peer->stopping)
+		if (!peer->alive || !peer->ready || peer->stopping)
 			continue;
-		text = g_strdup_printf("%s %s", service, ranked.peer->name);
-		ranked.key =
-			g_compute_checksum_for_string(G_CHECKSUM_MD5, text, -1);
-		g_free(text);
+		ranked.key = rank_key(peers, peer, service);
 		g_array_append_val(list, ranked);
 	}
 	g_array_sort(list, by_key);
-	for (guint i = 0; i < list->len; i++) {
-		struct ranked_peer *ranked =
-			&g_array_index(list, struct ranked_peer, i);
-
-		g_ptr_array_add(result, ranked->peer);
-		g_free(ranked->key);
-	}
+	for (guint i = 0; i < list->len; i++)
+		g_ptr_array_add(
+			result,
+			g_array_index(list, struct ranked_peer, i).peer);
 	g_array_unref(list);
 	return result;
 }
--- a/tests/test_peers.cc
+++ b/tests/test_peers.cc
@@ -1,6 +1,8 @@
 /* Membership by beacons: who is there, who is gone, who does what. */
 #include "placer_rig.h"
 
+#include <auburnstile/internal/peers_parts.h>
+
 using PeersTest = PlacerTest;
 
 TEST_F(PeersTest, KnowEachOtherThroughOneSeed)
@@ -83,6 +85,28 @@
 	}
 }
 
+/* Guards against a fleet's start in which ranking takes all of a small VM. */
+TEST_F(PeersTest, HashAPeerOnceForEachService)
+{
+	const guint services = 3;
+	Gate *gate = start("g0");
+
+	say(*gate, true);
+	for (int i = 1; i <= 12; i++) {
+		say(*start("g" + std::to_string(i)), true);
+		aub_peers_add(gates.back()->peers, gate->address.c_str());
+		ASSERT_TRUE(run_until(
+			[&] {
+				return aub_peers_ranked(gate->peers, "one")
+					       ->len == (guint)i + 1;
+			},
+			1000));
+		aub_peers_ranked(gate->peers, "two");
+		aub_peers_ranked(gate->peers, "three");
+	}
+	EXPECT_EQ(gate->peers->rank_hashes, 13u * services);
+}
+
 TEST_F(PeersTest, NoticeADeath)
 {
 	start("a");
