peers: VMs with more processor place for the others

Cause: who places for a service, probes it in a zone or watches the store was chosen by hash alone. In the large deployment 297 VMs of a tenth of a core stand beside 15 of half a core; nearly always one of the small ones placed for 292 upstreams, probed them and took everybody's asks.

Ruled out: weights in the hash (with weights as the processors one role in five would reach a large VM).

Change: settings processor_share and processor_cores, told in beacons; ranks go by who hears the store, then by processor in classes of a factor of two, then by hash as before. Real numbers are a type of settings.

--- a/include/auburnstile/internal/node.h
+++ b/include/auburnstile/internal/node.h
@@ -27,6 +27,8 @@
 	gint64 retry_slack;
 	gint64 retry_window_ms;
 	gint64 address_ms; /* for how long callers may keep an answer */
+	double processor_share; /* of each core, 0 to 1 */
+	double processor_cores;
 	char *log_level;
 };
 
--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -25,6 +25,7 @@
 	char *address; /* "ip:port" of its datagrams */
 	struct sockaddr_in socket_address; /* the same; port 0: no address */
 	char *callers_address;
+	guint32 capacity; /* thousandths of a core */
 	guint64 incarnation;
 	gint64 heard_us; /* 0: never */
 	gint64 known_us; /* since when it is listed here */
@@ -43,6 +44,7 @@
 	const char *zone;
 	const char *address;
 	const char *callers_address;
+	guint32 capacity; /* of this VM's processor, thousandths of a core */
 	guint64 incarnation;
 	struct aub_poller *poller;
 	struct aub_timer_service *timers;
@@ -85,8 +87,9 @@
 
 /*
  * The gateways that may place for `service`, most preferred first: alive,
- * ready, those that hear from the store first, by a hash of both names.
- * Borrowed until who is alive or ready changes.
+ * ready, those that hear from the store first, then those with the most
+ * processor, by a hash of both names. Borrowed until who is alive or ready
+ * changes.
  */
 const GPtrArray *aub_peers_ranked(struct aub_peers *peers, const char *service);
 
--- a/include/auburnstile/internal/toml_reader.h
+++ b/include/auburnstile/internal/toml_reader.h
@@ -57,6 +57,8 @@
  */
 bool aub_toml_string(const struct aub_toml_node *node, const char **value);
 bool aub_toml_integer(const struct aub_toml_node *node, gint64 *value);
+/* An integer is read as a real number, too. */
+bool aub_toml_real(const struct aub_toml_node *node, double *value);
 bool aub_toml_boolean(const struct aub_toml_node *node, bool *value);
 
 /* "a table", "an integer": for error messages. */
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -281,6 +281,7 @@
 	char *zone;
 	char *address; /* "ip:port" for datagrams of its peers */
 	char *callers_address;
+	guint32 capacity; /* thousandths of a core */
 	bool ready;
 	bool stopping;
 	guint64 config_version;
--- a/include/auburnstile/settings.h
+++ b/include/auburnstile/settings.h
@@ -17,6 +17,7 @@
 enum aub_setting_type {
 	AUB_SETTING_STRING, /* char *, owned by the struct */
 	AUB_SETTING_INTEGER, /* gint64 */
+	AUB_SETTING_REAL, /* double; an integer will do in the file */
 	AUB_SETTING_BOOLEAN, /* bool */
 	AUB_SETTING_ADDRESS, /* char *: "ip:port", checked */
 	AUB_SETTING_STRINGS /* char **, NULL-terminated, owned */
@@ -27,7 +28,7 @@
 	enum aub_setting_type type;
 	guint32 offset; /* into the program's settings struct */
 	bool required;
-	gint64 minimum; /* of integers */
+	gint64 minimum; /* of numbers */
 	gint64 maximum;
 	const char *fallback; /* default in text, NULL for none */
 	const char *help; /* one line, with the unit */
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -369,6 +369,12 @@
 	return node->exporter != NULL;
 }
 
+static guint32 capacity_of(const struct aub_node_settings *settings)
+{
+	return (guint32)(settings->processor_share * settings->processor_cores *
+			 1000);
+}
+
 static bool start_peers(struct aub_node *node,
 			const struct aub_node_settings *settings,
 			GError **error)
@@ -379,6 +385,7 @@
 		.zone = settings->zone,
 		.address = settings->peers,
 		.callers_address = settings->callers,
+		.capacity = capacity_of(settings),
 		.incarnation = incarnation,
 		.poller = node->poller,
 		.timers = node->timers,
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -212,6 +212,7 @@
 	aub_string_set(&peer->name, beacon->name);
 	aub_string_set(&peer->zone, beacon->zone);
 	aub_string_set(&peer->callers_address, beacon->callers_address);
+	peer->capacity = beacon->capacity;
 	set_incarnation(peers, peer, beacon->incarnation);
 	peer->ready = beacon->ready;
 	peer->stopping = beacon->stopping;
@@ -456,6 +457,7 @@
 	aub_string_set(&self->name, options->name);
 	aub_string_set(&self->zone, options->zone);
 	aub_string_set(&self->callers_address, options->callers_address);
+	self->capacity = options->capacity;
 	self->incarnation = options->incarnation;
 	self->alive = true;
 	self->self = true;
@@ -467,6 +469,7 @@
 	aub_string_set(&peers->beacon->address, options->address);
 	aub_string_set(&peers->beacon->callers_address,
 		       options->callers_address);
+	peers->beacon->capacity = options->capacity;
 	peers->beacon->incarnation = options->incarnation;
 }
 
--- a/src/coordination/peers_rank.c
+++ b/src/coordination/peers_rank.c
@@ -75,18 +75,32 @@
 	return *known;
 }
 
+/* VMs of one class differ by less than a factor of two. */
+static guint capacity_class(const struct aub_peer *peer)
+{
+	return g_bit_storage(peer->capacity);
+}
+
 /*
  * Failure: a placer is cut off from the store and grants upstreams that have
  * left. Symptom: each such grant has to be asked for again. Enough: those
  * that hear from the store place for the others.
+ *
+ * Failure: a small VM places for a large service. Symptom: probes and asks
+ * take its processor, and asks time out. Enough: VMs that have more of it go
+ * first.
  */
 static gint by_key(gconstpointer a, gconstpointer b)
 {
 	const struct ranked_peer *left = a;
 	const struct ranked_peer *right = b;
+	guint left_class = capacity_class(left->peer);
+	guint right_class = capacity_class(right->peer);
 
 	if (left->peer->current != right->peer->current)
 		return left->peer->current ? -1 : 1;
+	if (left_class != right_class)
+		return left_class > right_class ? -1 : 1;
 	return left->key < right->key ? -1 : left->key > right->key;
 }
 
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -304,6 +304,7 @@
 	STRING(aub_beacon, zone, NAME_LIMIT),
 	STRING(aub_beacon, address, ADDRESS_LIMIT),
 	STRING(aub_beacon, callers_address, ADDRESS_LIMIT),
+	NUMBER32(aub_beacon, capacity),
 	FLAG(aub_beacon, ready),
 	FLAG(aub_beacon, stopping),
 	NUMBER(aub_beacon, config_version),
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -25,6 +25,7 @@
 static const char *const type_names[] = {
 	[AUB_SETTING_STRING] = "a string",
 	[AUB_SETTING_INTEGER] = "an integer",
+	[AUB_SETTING_REAL] = "a number",
 	[AUB_SETTING_BOOLEAN] = "true or false",
 	[AUB_SETTING_ADDRESS] = "an address \"ip:port\"",
 	[AUB_SETTING_STRINGS] = "a list of strings",
@@ -64,6 +65,25 @@
 	return true;
 }
 
+/* NaN is in no range. */
+static bool real_read(struct reader *reader, const struct aub_setting *setting,
+		      const struct aub_toml_node *node)
+{
+	double value;
+
+	if (!aub_toml_real(node, &value))
+		return false;
+	if (!(value >= (double)setting->minimum &&
+	      value <= (double)setting->maximum))
+		aub_problems_add(reader->problems, aub_toml_line(node),
+				 setting->key, NULL,
+				 "%g is out of range: %" G_GINT64_FORMAT
+				 " to %" G_GINT64_FORMAT,
+				 value, setting->minimum, setting->maximum);
+	*(double *)field_of(reader->settings, setting) = value;
+	return true;
+}
+
 static bool strings_read(struct reader *reader,
 			 const struct aub_setting *setting,
 			 const struct aub_toml_node *node)
@@ -105,6 +125,8 @@
 		return true;
 	case AUB_SETTING_INTEGER:
 		return integer_read(reader, setting, node);
+	case AUB_SETTING_REAL:
+		return real_read(reader, setting, node);
 	case AUB_SETTING_BOOLEAN:
 		return aub_toml_boolean(node,
 					field_of(reader->settings, setting));
@@ -169,6 +191,10 @@
 		*(gint64 *)field_of(settings, setting) =
 			g_ascii_strtoll(setting->fallback, NULL, 10);
 		break;
+	case AUB_SETTING_REAL:
+		*(double *)field_of(settings, setting) =
+			g_ascii_strtod(setting->fallback, NULL);
+		break;
 	case AUB_SETTING_BOOLEAN:
 		*(bool *)field_of(settings, setting) =
 			strcmp(setting->fallback, "true") == 0;
@@ -271,6 +297,9 @@
 		case AUB_SETTING_INTEGER:
 			*(gint64 *)field = 0;
 			break;
+		case AUB_SETTING_REAL:
+			*(double *)field = 0;
+			break;
 		case AUB_SETTING_BOOLEAN:
 			*(bool *)field = false;
 			break;
--- a/src/protocol/toml_reader.cc
+++ b/src/protocol/toml_reader.cc
@@ -171,6 +171,21 @@
 	return true;
 }
 
+bool aub_toml_real(const struct aub_toml_node *node, double *value)
+{
+	const toml::value<double> *real = unwrap(node)->as_floating_point();
+	gint64 integer;
+
+	if (real) {
+		*value = real->get();
+		return true;
+	}
+	if (!aub_toml_integer(node, &integer))
+		return false;
+	*value = (double)integer;
+	return true;
+}
+
 bool aub_toml_boolean(const struct aub_toml_node *node, bool *value)
 {
 	const toml::value<bool> *boolean = unwrap(node)->as_boolean();
--- a/tests/placer_rig.h
+++ b/tests/placer_rig.h
@@ -88,7 +88,7 @@
 		}
 	}
 	Gate *start(const std::string &name, const std::string &zone = "z1",
-		    const std::string &address = "")
+		    const std::string &address = "", guint32 capacity = 1000)
 	{
 		gates.emplace_back(new Gate);
 		Gate *gate = gates.back().get();
@@ -101,6 +101,7 @@
 			.zone = gate->zone.c_str(),
 			.address = gate->address.c_str(),
 			.callers_address = "127.0.0.1:1",
+			.capacity = capacity,
 			.incarnation = gate->incarnation,
 			.poller = poller,
 			.timers = timers,
--- a/tests/test_peers.cc
+++ b/tests/test_peers.cc
@@ -130,6 +130,39 @@
 	EXPECT_TRUE(run_until([&] { return placer_of_all() != first; }, 1000));
 }
 
+/* Guards against small VMs that place for all while large ones stand idle. */
+TEST_F(PeersTest, PutVmsWithTheMostProcessorFirst)
+{
+	for (int i = 0; i < 8; i++)
+		start("small" + std::to_string(i), "z1", "", 100);
+	for (auto name : { "large1", "large2" })
+		start(name, "z1", "", 500);
+	join();
+	for (auto service : { "one", "two", "three", "four" }) {
+		const GPtrArray *ranked =
+			aub_peers_ranked(gates[0]->peers, service);
+
+		for (guint i = 0; i < 2; i++)
+			EXPECT_EQ(((const struct aub_peer *)
+					   g_ptr_array_index(ranked, i))
+					  ->capacity,
+				  500u)
+				<< service;
+	}
+}
+
+/* Guards against a VM without the store that places by what it last heard. */
+TEST_F(PeersTest, PutALargeVmWithoutTheStoreLast)
+{
+	for (int i = 0; i < 3; i++)
+		start("small" + std::to_string(i), "z1", "", 100);
+	Gate *large = start("large", "z1", "", 500);
+	join();
+	EXPECT_EQ(placer_of_all(), large);
+	say(*large, false);
+	EXPECT_TRUE(run_until([&] { return placer_of_all() != large; }, 1000));
+}
+
 TEST_F(PeersTest, TellEachOtherOfNews)
 {
 	start("a");
--- a/tests/test_settings.cc
+++ b/tests/test_settings.cc
@@ -90,6 +90,48 @@
 	g_error_free(error);
 }
 
+TEST(Settings, ReadsRealNumbersInTheirRange)
+{
+	static const struct aub_setting table[] = {
+		{ .key = "share",
+		  .type = AUB_SETTING_REAL,
+		  .offset = 0,
+		  .minimum = 0,
+		  .maximum = 1,
+		  .fallback = "0.5",
+		  .help = "a share" },
+		{},
+	};
+	double share = 0;
+	GError *error = nullptr;
+	const auto read = [&](const char *text) {
+		return aub_settings_parse(text, strlen(text), "a.toml", table,
+					  &share, &error);
+	};
+
+	ASSERT_TRUE(read("share = 0.25\n"));
+	EXPECT_EQ(share, 0.25);
+	ASSERT_TRUE(read("share = 1\n"));
+	EXPECT_EQ(share, 1.0);
+	ASSERT_TRUE(read(""));
+	EXPECT_EQ(share, 0.5);
+	for (const char *bad :
+	     { "share = 1.5\n", "share = nan\n", "share = -1\n" }) {
+		ASSERT_FALSE(read(bad));
+		EXPECT_NE(strstr(error->message, "a.toml:1: share: "), nullptr)
+			<< error->message;
+		EXPECT_NE(strstr(error->message, "out of range: 0 to 1"),
+			  nullptr)
+			<< error->message;
+		g_clear_error(&error);
+	}
+	ASSERT_FALSE(read("share = \"much\"\n"));
+	EXPECT_NE(strstr(error->message, "must be a number, not a string"),
+		  nullptr)
+		<< error->message;
+	g_clear_error(&error);
+}
+
 TEST(Settings, SyntaxErrorHasItsLine)
 {
 	struct sample sample;
