Settings: bounds of the platform may be fractions

Change: retry_slack, grace_s and retry_window_s are real numbers; the last two are in seconds and replace grace_ms and retry_window_ms.

Test: NodeSettings.TakeBoundsThatAreFractions; before, "retry_slack: must be an integer, not another type".

--- a/include/auburnstile/internal/node.h
+++ b/include/auburnstile/internal/node.h
@@ -22,10 +22,10 @@
 	char *metrics;
 	char *store;
 	char **seeds; /* gateways that may be there; their IPs count */
-	gint64 grace_ms; /* from SIGTERM to SIGKILL */
+	double grace_s; /* from SIGTERM to SIGKILL */
 	gint64 retry_percent; /* second attempts a hundred first ones */
-	gint64 retry_slack;
-	gint64 retry_window_ms;
+	double retry_slack;
+	double retry_window_s;
 	gint64 address_ms; /* for how long callers may keep an answer */
 	double processor_share; /* of each core, 0 to 1 */
 	double processor_cores;
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -310,9 +310,8 @@
 	*limits = (struct aub_placement_limits){
 		.retry_ratio =
 			BUDGET_SHARE * (double)settings->retry_percent / 100,
-		.retry_slack =
-			(guint)(SLACK_SHARE * (double)settings->retry_slack),
-		.window_us = settings->retry_window_ms * AUB_MS,
+		.retry_slack = (guint)(SLACK_SHARE * settings->retry_slack),
+		.window_us = (gint64)(settings->retry_window_s * AUB_SECOND),
 	};
 }
 
@@ -485,7 +484,7 @@
 	node->peers_port = g_strdup(strrchr(settings->peers, ':'));
 	aub_address_parse(settings->peers, &node->ip, NULL);
 	node->address_ms = (guint)settings->address_ms;
-	node->grace_ms = (guint)settings->grace_ms;
+	node->grace_ms = (guint)(settings->grace_s * 1000);
 	if (!start_peers(node, settings, error) ||
 	    !start_listeners(node, settings, error)) {
 		aub_node_free(node);
@@ -536,7 +535,7 @@
 	limits_of(settings, &limits);
 	aub_placer_set_limits(node->placer, &limits);
 	node->address_ms = (guint)settings->address_ms;
-	node->grace_ms = (guint)settings->grace_ms;
+	node->grace_ms = (guint)(settings->grace_s * 1000);
 	add_seeds(node, settings);
 	aub_log_begin(AUB_LOG_RELOAD);
 	aub_log_end();
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -241,10 +241,10 @@
 			settings.seeds = g_new0(char *, 2);
 			settings.seeds[0] = g_strdup(seed.c_str());
 		}
-		settings.grace_ms = 2000;
+		settings.grace_s = 2;
 		settings.retry_percent = 20;
 		settings.retry_slack = 50;
-		settings.retry_window_ms = 10000;
+		settings.retry_window_s = 10;
 		settings.address_ms = 300;
 		node = aub_node_new(&settings, &aub_platform, timers, &error);
 		ASSERT_NE(node, nullptr) << error->message;
--- a/tests/test_gateway_process.cc
+++ b/tests/test_gateway_process.cc
@@ -48,8 +48,8 @@
 			"\"\nreadiness = \"" + ports[2] + "\"\npeers = \"" +
 			ports[3] + "\"\nmetrics = \"" + ports[4] +
 			"\"\nstore = \"" + platform_store_address(store) +
-			"\"\nseeds = []\ngrace_ms = 3000\n"
-			"retry_slack = 50\nretry_window_ms = 10000\n"
+			"\"\nseeds = []\ngrace_s = 3\n"
+			"retry_slack = 50\nretry_window_s = 10\n"
 			"retry_percent = 20\naddress_ms = " +
 			std::to_string(address_ms) + "\n";
 
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -4,6 +4,31 @@
  */
 #include "gateway_rig.h"
 
+/* Guards against a gateway that does not start where a bound is a fraction. */
+TEST(NodeSettings, TakeBoundsThatAreFractions)
+{
+	const std::string text =
+		"name = \"g1\"\nzone = \"z1\"\ncallers = \"127.0.0.1:1\"\n"
+		"directory = \"127.0.0.1:2\"\nreadiness = \"127.0.0.1:3\"\n"
+		"peers = \"127.0.0.1:4\"\nmetrics = \"127.0.0.1:5\"\n"
+		"store = \"127.0.0.1:6\"\ngrace_s = 7.5\n"
+		"retry_slack = 143.33\nretry_window_s = 2.5\n"
+		"processor_share = 0.1\nprocessor_cores = 2\n";
+	struct aub_node_settings settings = {};
+	GError *error = NULL;
+
+	ASSERT_TRUE(aub_settings_parse(text.data(), text.size(), "a.toml",
+				       aub_node_setting_table, &settings,
+				       &error))
+		<< error->message;
+	EXPECT_EQ(settings.grace_s, 7.5);
+	EXPECT_EQ(settings.retry_slack, 143.33);
+	EXPECT_EQ(settings.retry_window_s, 2.5);
+	EXPECT_EQ(settings.processor_share, 0.1);
+	EXPECT_EQ(settings.processor_cores, 2);
+	aub_settings_clear(aub_node_setting_table, &settings);
+}
+
 TEST_F(GatewayTest, SendsNothingNewToWhatDrains)
 {
 	struct platform_upstream *one = add_upstream("u1");
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -244,7 +244,7 @@
 		text,
 		"name = \"g%u\"\nzone = \"z%u\"\nstore = \"%s\"\n"
 		"seeds = [\"127.0.1.%u:1\",\"127.0.1.%u:1\"]\n"
-		"grace_ms = 3000\naddress_ms = 300\nretry_percent = 20\n"
+		"grace_s = 3\naddress_ms = 300\nretry_percent = 20\n"
 		"retry_slack = 50\n",
 		gateway->number, gateway->number % 2,
 		platform_store_address(gateway->soak->store), FIRST_IP,
