platform: speak msgpack with the store and with callers' look-ups

Cause: reading a listing of 500 upstreams took 11 ms of processor time by json-glib (138 KB), 110 ms at a tenth of a core; each of 312 gateways reads 659 when power returns, and 180 KB each are 56 MB through the store's link of 1,000 Mbit/s, 0.45 s. The configuration was known after 0.35 to 0.5 s.

Ruled out: jansson (JSON's bytes stay); a streaming reader of our own for JSON (own code where a library does).

The stand-in store keeps its JSON inside and packs its answers; the tests' texts stay and are packed on the way. The directory's and enrolment's bodies are msgpack, too.

--- a/include/auburnstile/internal/frame_check.h
+++ b/include/auburnstile/internal/frame_check.h
@@ -15,6 +15,9 @@
 /* False where a frame is cut short, not msgpack, or announces too much. */
 bool aubi_frame_check(const void *data, gsize length);
 
+/* The same for a document, which may hold maps. */
+bool aubi_document_check(const void *data, gsize length);
+
 G_END_DECLS
 
 #endif
--- a/include/auburnstile/internal/http_client.h
+++ b/include/auburnstile/internal/http_client.h
@@ -84,7 +84,8 @@
 	const char *address;
 	const char *peer;
 	const char *path;
-	const char *body; /* JSON, or NULL */
+	GBytes *body; /* NULL for none */
+	const char *type; /* of the body */
 	guint timeout_ms;
 	gint64 idle_us;
 };
--- a/include/auburnstile/internal/http_service.h
+++ b/include/auburnstile/internal/http_service.h
@@ -14,7 +14,7 @@
 struct aub_http_reply {
 	guint status;
 	const char *type; /* of the body */
-	char *body; /* g_free; NULL for none */
+	GBytes *body; /* NULL for none; the service frees it */
 };
 
 /* Answer one call at once. `reply` is zeroed with status 404. */
--- a/include/auburnstile/internal/platform.h
+++ b/include/auburnstile/internal/platform.h
@@ -84,20 +84,22 @@
 			    guint wait_ms);
 	char *(*create_path)(enum aub_store_kind kind);
 	char *(*object_path)(enum aub_store_kind kind, const char *name);
-	char *(*member_body)(const char *name,
-			     const struct aub_member_record *member);
+	GBytes *(*member_body)(const char *name,
+			       const struct aub_member_record *member);
 
 	/* Decode a listing or a watch's answer; NULL with an error. */
 	struct aub_store_page *(*decode_page)(enum aub_store_kind kind,
-					      const char *text, gsize length,
+					      const void *data, gsize length,
 					      GError **error);
 
 	/* Read the load that an answer tells. */
 	void (*decode_load)(const struct aub_http_head *head,
 			    struct aub_load *load);
 
-	/* Body of the answer to "which addresses"; g_free. */
-	char *(*addresses_body)(GPtrArray *addresses, guint ttl_ms);
+	/* Media type of bodies, to the store and to callers. */
+	const char *body_type;
+	/* Body of the answer to "which addresses". */
+	GBytes *(*addresses_body)(GPtrArray *addresses, guint ttl_ms);
 	/* Its path, and the query that names the caller's zone. */
 	const char *addresses_path;
 	const char *zone_parameter;
--- a/include/auburnstile/internal/store_sync_parts.h
+++ b/include/auburnstile/internal/store_sync_parts.h
@@ -48,7 +48,7 @@
 	char *address;
 	struct aub_store_task tasks[AUB_STORE_KINDS];
 	char *name; /* of the own record; NULL: none */
-	char *record;
+	GBytes *record; /* its body */
 	struct aub_http_call *enrol_call;
 	guint enrol_timer;
 	guint64 results[AUB_STORE_KINDS][AUB_STORE_RESULTS];
--- a/src/coordination/node_answers.c
+++ b/src/coordination/node_answers.c
@@ -54,7 +54,7 @@
 		list = addresses_in(node, NULL);
 	}
 	reply->status = list->len ? 200 : 503;
-	reply->type = "application/json";
+	reply->type = node->platform->body_type;
 	reply->body = node->platform->addresses_body(list, node->address_ms);
 	g_ptr_array_unref(list);
 	g_free(zone);
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -240,6 +240,7 @@
 			struct aub_http_reply *reply, void *context)
 {
 	struct aub_node *node = context;
+	char *text;
 
 	if (!aub_http_path_is(head->target, "/metrics"))
 		return;
@@ -256,5 +257,6 @@
 	aub_placer_visit(node->placer, export_placement, node);
 	reply->status = 200;
 	reply->type = "text/plain; version=0.0.4";
-	reply->body = aub_metrics_text(node->metrics);
+	text = aub_metrics_text(node->metrics);
+	reply->body = g_bytes_new_take(text, strlen(text));
 }
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -314,7 +314,7 @@
 	aub_http_call_cancel(sync->enrol_call);
 	aub_timer_cancel(sync->options.timers, sync->enrol_timer);
 	g_free(sync->name);
-	g_free(sync->record);
+	g_clear_pointer(&sync->record, g_bytes_unref);
 	g_free(sync->address);
 	g_free(sync);
 }
--- a/src/protocol/frame_check.c
+++ b/src/protocol/frame_check.c
@@ -8,7 +8,8 @@
  * it has bytes is malformed, and is refused before anything is allocated.
  *
  * The pass is msgpack's own parser, made from its template with callbacks
- * that only count; maps and extension types are not part of the protocol.
+ * that only count. Maps are not part of the protocol, though of documents;
+ * extension types are part of neither.
  */
 #include <auburnstile/internal/frame_check.h>
 
@@ -18,6 +19,7 @@
 /* What the parser calls an object: its values are of no interest here. */
 struct frame_user {
 	gsize allowance; /* elements that may still be announced */
+	bool maps; /* may there be any? */
 };
 
 #define REFUSED (-1)
@@ -91,13 +93,16 @@
 static inline int frame_callback_map(struct frame_user *user,
 				     unsigned int count, int *object)
 {
-	return REFUSED;
+	if (!user->maps || count > user->allowance / 2)
+		return REFUSED;
+	user->allowance -= 2 * (gsize)count;
+	return 0;
 }
 
 static inline int frame_callback_map_item(struct frame_user *user, int *map,
 					  int key, int value)
 {
-	return REFUSED;
+	return 0;
 }
 
 static inline int frame_callback_ext(struct frame_user *user, const char *base,
@@ -109,18 +114,29 @@
 
 #pragma GCC diagnostic push
 #pragma GCC diagnostic ignored "-Wsign-compare"
-/* The template keeps a key for maps that never come. */
+/* The template keeps a key for maps that may never come. */
 #pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
 #include <msgpack/unpack_template.h>
 #pragma GCC diagnostic pop
 
-bool aubi_frame_check(const void *data, gsize length)
+static bool check(const void *data, gsize length, bool maps)
 {
 	struct frame_parser_context parser = {
 		.user.allowance = MIN(length, AUBI_FRAME_ELEMENTS),
+		.user.maps = maps,
 	};
 	size_t offset = 0;
 
 	frame_parser_init(&parser);
 	return frame_parser_execute(&parser, data, length, &offset) > 0;
 }
+
+bool aubi_frame_check(const void *data, gsize length)
+{
+	return check(data, length, false);
+}
+
+bool aubi_document_check(const void *data, gsize length)
+{
+	return check(data, length, true);
+}
--- a/src/transport/http_call.c
+++ b/src/transport/http_call.c
@@ -80,12 +80,14 @@
 			       options->address);
 	if (options->body)
 		g_string_append_printf(text,
-				       "Content-Type: application/json\r\n"
+				       "Content-Type: %s\r\n"
 				       "Content-Length: %zu\r\n",
-				       strlen(options->body));
+				       options->type,
+				       g_bytes_get_size(options->body));
 	g_string_append(text, "\r\n");
 	if (options->body)
-		g_string_append(text, options->body);
+		g_string_append_len(text, g_bytes_get_data(options->body, NULL),
+				    (gssize)g_bytes_get_size(options->body));
 	aub_exchange_write(call->exchange, text->str, text->len);
 	aub_exchange_request_done(call->exchange);
 	aub_exchange_flush(call->exchange);
--- a/src/transport/http_service.c
+++ b/src/transport/http_service.c
@@ -50,7 +50,7 @@
 
 	connection->keep = head->keep_alive;
 	service->handler(head, &reply, service->context);
-	length = reply.body ? strlen(reply.body) : 0;
+	length = reply.body ? g_bytes_get_size(reply.body) : 0;
 	text = g_strdup_printf("HTTP/1.1 %u %s\r\nContent-Type: %s\r\n"
 			       "Content-Length: %zu\r\n%s\r\n",
 			       reply.status,
@@ -59,10 +59,12 @@
 			       connection->keep ? "" : "Connection: close\r\n");
 	aub_http_stream_write(connection->stream, text, strlen(text));
 	if (reply.body && head->method != HTTP_HEAD)
-		aub_http_stream_write(connection->stream, reply.body, length);
+		aub_http_stream_write(connection->stream,
+				      g_bytes_get_data(reply.body, NULL),
+				      length);
 	aub_http_stream_flush(connection->stream);
 	g_free(text);
-	g_free(reply.body);
+	g_bytes_unref(reply.body);
 }
 
 static void on_body(const char *data, gsize length, void *context)
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -9,6 +9,7 @@
 
 #include <auburnstile/internal/node.h>
 #include <auburnstile/internal/tcp.h>
+#include <platform/body.h>
 #include <platform/store.h>
 #include <platform/upstream.h>
 
@@ -249,6 +250,18 @@
 		node = aub_node_new(&settings, &aub_platform, timers, &error);
 		ASSERT_NE(node, nullptr) << error->message;
 	}
+	/* What a body is that means `json`. */
+	static std::string packed(const std::string &json)
+	{
+		GBytes *bytes = platform_body_pack(json.data(), json.size());
+		gsize length;
+		const char *data =
+			(const char *)g_bytes_get_data(bytes, &length);
+		std::string body(data, length);
+
+		g_bytes_unref(bytes);
+		return body;
+	}
 	/* One whole GET; its status. */
 	guint get(const std::string &address, const std::string &target,
 		  std::string *body = NULL)
--- a/tests/test_gateway_process.cc
+++ b/tests/test_gateway_process.cc
@@ -80,12 +80,15 @@
 		return run_until(
 			[&] {
 				std::string body;
+				/* Without the byte that begins a map. */
+				std::string field =
+					packed("{\"ttl_s\":" + ttl + "}")
+						.substr(1);
 
 				get(ports[1],
 				    "/resolve?name=site&region=r&zone=z1",
 				    &body);
-				return body.find("\"ttl_s\":" + ttl) !=
-				       std::string::npos;
+				return body.find(field) != std::string::npos;
 			},
 			ms);
 	}
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -219,8 +219,8 @@
 	EXPECT_EQ(get(addresses[1], "/resolve?name=site&region=r&zone=z1",
 		      &body),
 		  200u);
-	EXPECT_EQ(body,
-		  "{\"addresses\":[\"" + addresses[0] + "\"],\"ttl_s\":0.300}");
+	EXPECT_EQ(body, packed("{\"addresses\":[\"" + addresses[0] +
+			       "\"],\"ttl_s\":0.300}"));
 }
 
 TEST_F(GatewayTest, ExportsItsCounters)
--- a/tests/test_platform_codec.cc
+++ b/tests/test_platform_codec.cc
@@ -3,12 +3,22 @@
 
 #include <auburnstile/internal/platform.h>
 
+#include "platform/body.h"
+
 #include <string>
 
 static struct aub_store_page *decode(enum aub_store_kind kind,
-				     const std::string &text)
+				     const std::string &text,
+				     GError **error = NULL)
 {
-	return aub_platform.decode_page(kind, text.data(), text.size(), NULL);
+	GBytes *body = platform_body_pack(text.data(), text.size());
+	gsize length;
+	const void *data = g_bytes_get_data(body, &length);
+	struct aub_store_page *page =
+		aub_platform.decode_page(kind, data, length, error);
+
+	g_bytes_unref(body);
+	return page;
 }
 
 static std::string item(const std::string &name, const std::string &spec)
@@ -117,9 +127,7 @@
 	       "{\"items\":[],\"store_revision\":\"x\"}", "{\"items\":[" }) {
 		GError *error = NULL;
 
-		EXPECT_EQ(aub_platform.decode_page(AUB_STORE_UPSTREAMS, text,
-						   strlen(text), &error),
-			  nullptr)
+		EXPECT_EQ(decode(AUB_STORE_UPSTREAMS, text, &error), nullptr)
 			<< text;
 		EXPECT_NE(error, nullptr);
 		g_clear_error(&error);
--- a/tools/platform/store.c
+++ b/tools/platform/store.c
@@ -3,6 +3,8 @@
  */
 #include "platform/store.h"
 
+#include "platform/body.h"
+
 #include <auburnstile/internal/http_service.h>
 #include <auburnstile/internal/tcp.h>
 
@@ -55,7 +57,7 @@
 	guint method;
 	char *target;
 	GString *body;
-	char *answer; /* waits for its delay */
+	GString *answer; /* waits for its delay */
 	guint timer;
 	bool watching;
 	char *watch_kind;
@@ -91,7 +93,8 @@
 	aub_http_stream_free(connection->stream);
 	g_string_free(connection->body, TRUE);
 	g_free(connection->target);
-	g_free(connection->answer);
+	if (connection->answer)
+		g_string_free(connection->answer, TRUE);
 	g_free(connection->watch_kind);
 	g_free(connection);
 }
@@ -213,9 +216,11 @@
 	return count;
 }
 
-static void send_now(struct connection *connection, const char *text)
+/* `answer` is taken over. */
+static void send_now(struct connection *connection, GString *answer)
 {
-	aub_http_stream_write(connection->stream, text, strlen(text));
+	aub_http_stream_write(connection->stream, answer->str, answer->len);
+	g_string_free(answer, TRUE);
 	aub_http_stream_flush(connection->stream);
 	aub_http_stream_resume(connection->stream);
 }
@@ -223,35 +228,44 @@
 static void on_delay(void *context, gint64 now_us)
 {
 	struct connection *connection = context;
-	char *text = g_steal_pointer(&connection->answer);
-
 	connection->timer = 0;
-	send_now(connection, text);
-	g_free(text);
+	send_now(connection, g_steal_pointer(&connection->answer));
+}
+
+static GString *answer_new(guint status, const char *body)
+{
+	GBytes *packed = platform_body_pack(body, strlen(body));
+	gsize length;
+	const char *data = g_bytes_get_data(packed, &length);
+	GString *answer = g_string_new(NULL);
+
+	g_string_printf(answer,
+			"HTTP/1.1 %u X\r\nContent-Type: "
+			"application/msgpack\r\nContent-Length: %zu\r\n\r\n",
+			status, length);
+	g_string_append_len(answer, data, (gssize)length);
+	g_bytes_unref(packed);
+	return answer;
 }
 
-/* `body` is taken over. */
+/* `body` is JSON and taken over. */
 static void reply(struct connection *connection, guint status, char *body)
 {
 	struct platform_store *store = connection->store;
-	char *text;
+	GString *answer;
 
 	if (store->fault == PLATFORM_STORE_LOSES) {
 		connection->silent = true;
 		g_free(body);
 		return;
 	}
-	text = g_strdup_printf(
-		"HTTP/1.1 %u X\r\nContent-Type: "
-		"application/json\r\nContent-Length: %zu\r\n\r\n%s",
-		status, strlen(body), body);
+	answer = answer_new(status, body);
 	g_free(body);
 	if (!store->delay_ms) {
-		send_now(connection, text);
-		g_free(text);
+		send_now(connection, answer);
 		return;
 	}
-	connection->answer = text;
+	connection->answer = answer;
 	connection->timer = aub_timer_at(store->timers, "store delay",
 					 aub_timer_now(store->timers) +
 						 store->delay_ms * AUB_MS,
@@ -397,7 +411,9 @@
 		     const char *name)
 {
 	struct platform_store *store = connection->store;
-	JsonNode *root = json_from_string(connection->body->str, NULL);
+	char *text = platform_body_text(connection->body->str,
+					connection->body->len);
+	JsonNode *root = text ? json_from_string(text, NULL) : NULL;
 	JsonObject *body = root && JSON_NODE_HOLDS_OBJECT(root) ?
 				   json_node_get_object(root) :
 				   NULL;
@@ -434,6 +450,7 @@
 out:
 	if (root)
 		json_node_unref(root);
+	g_free(text);
 }
 
 static void do_call(struct connection *connection)
