peers: one beacon each way when two meet, addresses of six bytes

Cause: a gateway answered each first beacon of a peer, also one that was an answer, and was sent another when its own answer arrived: three to four datagrams a pair, 300,000 when 312 gateways start. An introduction named each gateway as text: 312 of 6 KB are 2 MB, 0.8 s of a seed's link of 20 Mbit/s.

Ruled out: fewer pairs (each gateway has to know who ranks first; a partial view is a change of its own).

Change: a beacon says whether its sender has heard the receiver; only then it is answered. Introductions hold six bytes a gateway. What makes no sense is counted, and logged with its sender.

Tests: MeetWithOneBeaconEachWay (3 datagrams before), CountADatagramThatMakesNoSense.

--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -106,6 +106,7 @@
 	guint64 far_datagrams; /* to other zones */
 	guint64 far_bytes;
 	guint64 introductions; /* of these: to others that knew nobody */
+	guint64 refused; /* received ones that made no sense */
 };
 const struct aub_peers_counts *aub_peers_get_counts(
 	const struct aub_peers *peers);
--- a/include/auburnstile/internal/peers_parts.h
+++ b/include/auburnstile/internal/peers_parts.h
@@ -29,6 +29,24 @@
 	struct aub_peers_counts counts;
 };
 
+/* The table. Addresses are "ip:port"; the table owns its peers. */
+struct aub_peer *aub_peer_new(const char *address, gint64 now_us);
+void aub_peer_free(void *data);
+void aub_peers_list_add(struct aub_peers *peers, struct aub_peer *peer);
+void aub_peers_list_remove(struct aub_peers *peers, guint index);
+struct aub_peer *aub_peers_by_address(const struct aub_peers *peers,
+				      const char *address);
+void aub_peers_set_incarnation(struct aub_peers *peers, struct aub_peer *peer,
+			       guint64 incarnation);
+
+/* Tell `to`, which knows nobody else, where the others are. */
+void aub_peers_introduce(struct aub_peers *peers, const struct aub_peer *to);
+/* False where it makes no sense. */
+bool aub_peers_take_introduction(struct aub_peers *peers,
+				 const struct aub_introduction *message);
+/* Others that are alive, or that this process was just told of. */
+guint aub_peers_count_found(const struct aub_peers *peers, gint64 now_us);
+
 bool aub_peer_is_near(const struct aub_peers *peers,
 		      const struct aub_peer *peer);
 
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -286,6 +286,7 @@
 	bool stopping;
 	guint64 config_version;
 	guint32 peers; /* others that it hears, or was just told of */
+	bool reply; /* it has not heard the receiver yet */
 	bool current; /* it has not been without the store for long */
 	bool hears; /* the store answers it at this moment */
 	guint64 routing_news; /* the store's revision of what it knows */
@@ -296,7 +297,7 @@
 /* Where the other gateways are. */
 struct aub_introduction {
 	struct aub_message base;
-	GPtrArray *addresses; /* of struct aub_name */
+	struct aub_bytes addresses; /* six bytes each: IPv4, port */
 };
 
 struct aub_crashes {
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -73,6 +73,11 @@
 	return aub_peers_count_alive(node->peers);
 }
 
+static gint64 read_refused(const struct aub_node *node)
+{
+	return (gint64)aub_peers_get_counts(node->peers)->refused;
+}
+
 static gint64 read_introductions(const struct aub_node *node)
 {
 	return (gint64)aub_peers_get_counts(node->peers)->introductions;
@@ -109,6 +114,8 @@
 	{ "auburnstile_probes_total", "sent", true, read_probes },
 	{ "auburnstile_peers_alive", "other gateways heard lately", false,
 	  read_peers },
+	{ "auburnstile_peer_datagrams_refused_total",
+	  "datagrams of peers that made no sense", true, read_refused },
 	{ "auburnstile_peer_introductions_total",
 	  "of gateways that knew nobody", true, read_introductions },
 	{ "auburnstile_memory_peak_bytes", "-1: can't be told", false,
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -6,6 +6,7 @@
 #include <auburnstile/internal/peers_parts.h>
 #include <auburnstile/internal/tcp.h>
 
+#include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -30,7 +31,6 @@
 #define FAR_ROUNDS 4
 #define FAR_PEERS_A_ROUND 4
 #define FAR_ALIVE_ROUNDS 3.2 /* periods without a beacon that make a death */
-#define INTRODUCED_US (1 * AUB_SECOND) /* the others have answered by then */
 #define SILENT_US (15 * AUB_SECOND) /* then it gets one beacon in ten */
 #define SILENT_EACH 10
 #define FORGET_US (300 * AUB_SECOND) /* long after callers forgot it */
@@ -39,74 +39,6 @@
 	60000 /* bytes; a list of upstreams takes some 100 each */
 #define DATAGRAMS_A_TURN 64
 
-static void peer_free(void *data)
-{
-	struct aub_peer *peer = data;
-
-	g_free(peer->name);
-	g_free(peer->zone);
-	g_free(peer->address);
-	g_free(peer->callers_address);
-	g_hash_table_unref(peer->rank_keys);
-	g_free(peer);
-}
-
-static struct aub_peer *peer_new(const char *address, gint64 now_us)
-{
-	struct aub_peer *peer = g_new0(struct aub_peer, 1);
-
-	peer->name = g_strdup("");
-	peer->zone = g_strdup("");
-	peer->callers_address = g_strdup("");
-	peer->address = g_strdup(address);
-	aub_socket_address(address, &peer->socket_address);
-	peer->known_us = now_us;
-	peer->rank_keys =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	return peer;
-}
-
-static struct aub_peer *by_address(const struct aub_peers *peers,
-				   const char *address)
-{
-	return g_hash_table_lookup(peers->by_address, address);
-}
-
-struct aub_peer *aub_peers_by_incarnation(const struct aub_peers *peers,
-					  guint64 incarnation)
-{
-	return g_hash_table_lookup(peers->by_incarnation, &incarnation);
-}
-
-/* Takes the peer over. */
-static void list_add(struct aub_peers *peers, struct aub_peer *peer)
-{
-	g_ptr_array_add(peers->all, peer);
-	g_hash_table_insert(peers->by_address, peer->address, peer);
-	if (peer->incarnation)
-		g_hash_table_insert(peers->by_incarnation, &peer->incarnation,
-				    peer);
-}
-
-static void list_remove(struct aub_peers *peers, guint index)
-{
-	struct aub_peer *peer = g_ptr_array_index(peers->all, index);
-
-	g_hash_table_remove(peers->by_address, peer->address);
-	g_hash_table_remove(peers->by_incarnation, &peer->incarnation);
-	g_ptr_array_remove_index(peers->all, index);
-}
-
-static void set_incarnation(struct aub_peers *peers, struct aub_peer *peer,
-			    guint64 incarnation)
-{
-	if (peer->incarnation == incarnation)
-		return;
-	g_hash_table_remove(peers->by_incarnation, &peer->incarnation);
-	peer->incarnation = incarnation;
-	g_hash_table_insert(peers->by_incarnation, &peer->incarnation, peer);
-}
-
 static void log_peer(enum aub_log_event event, const struct aub_peer *peer,
 		     gint64 age_us)
 {
@@ -125,49 +57,10 @@
 	peers->options.lost(peer->incarnation, peers->options.context);
 }
 
-/*
- * To one that knows this process as a seed, and nobody else: where the others
- * are. Its beacons then reach all of them.
- */
-static void introduce(struct aub_peers *peers, const struct aub_peer *to)
-{
-	struct aub_introduction *message =
-		(struct aub_introduction *)aub_message_new(
-			AUB_MESSAGE_INTRODUCTION);
-
-	for (guint i = 1; i < peers->all->len; i++) {
-		const struct aub_peer *peer = g_ptr_array_index(peers->all, i);
-
-		if (peer->alive && peer != to)
-			g_ptr_array_add(message->addresses,
-					aub_name_new(peer->address));
-	}
-	if (message->addresses->len) {
-		peers->counts.introductions++;
-		aub_peers_send(peers, to, &message->base);
-	}
-	aub_message_free(&message->base);
-}
-
-static void take_introduction(struct aub_peers *peers,
-			      const struct aub_introduction *message)
-{
-	peers->introduced_us = aub_timer_now(peers->options.timers);
-	/* At once: the beacons that follow must not ask for another one. */
-	peers->beacon->peers = MAX(peers->beacon->peers, 1);
-	for (guint i = 0; i < message->addresses->len; i++) {
-		const struct aub_name *address =
-			g_ptr_array_index(message->addresses, i);
-		struct sockaddr_in parsed;
-
-		if (aub_socket_address(address->name, &parsed))
-			aub_peers_add(peers, address->name);
-	}
-}
-
-/* At once, to one that has just appeared: it would wait a second for it. */
+/* Whoever is not known to be alive is asked to answer. */
 static void send_beacon(struct aub_peers *peers, const struct aub_peer *to)
 {
+	peers->beacon->reply = !to->alive;
 	aub_peers_send(peers, to, &peers->beacon->base);
 }
 
@@ -183,16 +76,33 @@
 		      options->context);
 }
 
+/*
+ * At once: a peer that has just appeared would wait for the next round.
+ *
+ * Failure: two gateways hear of each other, and each answers the other's
+ * first beacon and then its answer. Symptom: a start of the whole fleet costs
+ * four datagrams a pair. Enough: only a beacon that asks for it is answered.
+ */
+static void welcome(struct aub_peers *peers, const struct aub_peer *peer,
+		    const struct aub_beacon *beacon)
+{
+	log_peer(AUB_LOG_PEER_HEARD, peer, 0);
+	if (beacon->reply)
+		send_beacon(peers, peer);
+	if (!beacon->peers)
+		aub_peers_introduce(peers, peer);
+}
+
 static void take_beacon(struct aub_peers *peers,
 			const struct aub_beacon *beacon)
 {
 	gint64 now = aub_timer_now(peers->options.timers);
-	struct aub_peer *peer = by_address(peers, beacon->address);
+	struct aub_peer *peer = aub_peers_by_address(peers, beacon->address);
 	bool differs;
 
 	if (!peer) {
-		peer = peer_new(beacon->address, now);
-		list_add(peers, peer);
+		peer = aub_peer_new(beacon->address, now);
+		aub_peers_list_add(peers, peer);
 	}
 	if (peer->self)
 		return;
@@ -213,7 +123,7 @@
 	aub_string_set(&peer->zone, beacon->zone);
 	aub_string_set(&peer->callers_address, beacon->callers_address);
 	peer->capacity = beacon->capacity;
-	set_incarnation(peers, peer, beacon->incarnation);
+	aub_peers_set_incarnation(peers, peer, beacon->incarnation);
 	peer->ready = beacon->ready;
 	peer->stopping = beacon->stopping;
 	peer->current = beacon->current;
@@ -221,27 +131,37 @@
 	peer->heard_us = now;
 	tell_news(peers, beacon);
 	if (differs) {
-		if (!peer->alive) {
-			log_peer(AUB_LOG_PEER_HEARD, peer, 0);
-			send_beacon(peers, peer);
-			if (!beacon->peers)
-				introduce(peers, peer);
-		}
+		bool appeared = !peer->alive;
+
 		peer->alive = true;
 		aub_peers_rank_again(peers);
+		if (appeared)
+			welcome(peers, peer, beacon);
 	}
 }
 
-static void take(struct aub_peers *peers, const void *data, gsize length)
+static void refuse(struct aub_peers *peers, const struct sockaddr_in *from,
+		   const char *why)
+{
+	char host[INET_ADDRSTRLEN];
+
+	peers->counts.refused++;
+	inet_ntop(AF_INET, &from->sin_addr, host, sizeof(host));
+	aub_log_begin(AUB_LOG_DATAGRAM_REFUSED);
+	aub_log_text("from", host);
+	aub_log_text("error", why);
+	aub_log_end();
+}
+
+static void take(struct aub_peers *peers, const void *data, gsize length,
+		 const struct sockaddr_in *from)
 {
 	GError *error = NULL;
 	struct aub_message *message =
 		aub_message_decode(data, length, "datagram", &error);
 
 	if (!message) {
-		aub_log_begin(AUB_LOG_DATAGRAM_REFUSED);
-		aub_log_text("error", error->message);
-		aub_log_end();
+		refuse(peers, from, error->message);
 		g_error_free(error);
 		return;
 	}
@@ -251,7 +171,10 @@
 		return;
 	}
 	if (message->type == AUB_MESSAGE_INTRODUCTION) {
-		take_introduction(peers, (struct aub_introduction *)message);
+		if (!aub_peers_take_introduction(
+			    peers, (struct aub_introduction *)message))
+			refuse(peers, from,
+			       "introduction: addresses: a part of one");
 		aub_message_free(message);
 		return;
 	}
@@ -264,11 +187,14 @@
 	char data[DATAGRAM_LIMIT];
 
 	for (guint i = 0; i < DATAGRAMS_A_TURN; i++) {
-		ssize_t got = recv(peers->fd, data, sizeof(data), 0);
+		struct sockaddr_in from = { 0 };
+		socklen_t from_length = sizeof(from);
+		ssize_t got = recvfrom(peers->fd, data, sizeof(data), 0,
+				       (struct sockaddr *)&from, &from_length);
 
 		if (got < 0)
 			return;
-		take(peers, data, (gsize)got);
+		take(peers, data, (gsize)got, &from);
 	}
 }
 
@@ -337,16 +263,6 @@
 	return peers->joined_us;
 }
 
-guint aub_peers_count_alive(const struct aub_peers *peers)
-{
-	guint count = 0;
-
-	for (guint i = 1; i < peers->all->len; i++)
-		count += ((struct aub_peer *)g_ptr_array_index(peers->all, i))
-				 ->alive;
-	return count;
-}
-
 static guint far_rounds(const struct aub_peers *peers)
 {
 	guint far = 0;
@@ -366,19 +282,6 @@
 	return (gint64)(FAR_ALIVE_ROUNDS * peers->far_rounds) * BEACON_US;
 }
 
-/*
- * Failure: one that starts is introduced by its seed, and tells all those that
- * it knows nobody yet. Symptom: all of them introduce it, 14 MB at 142
- * gateways. Enough: whoever was just introduced says that it has found them.
- */
-static guint count_found(const struct aub_peers *peers, gint64 now_us)
-{
-	if (peers->introduced_us &&
-	    now_us - peers->introduced_us < INTRODUCED_US)
-		return peers->all->len - 1;
-	return aub_peers_count_alive(peers);
-}
-
 static bool is_due(const struct aub_peers *peers, const struct aub_peer *peer,
 		   bool all, gint64 now_us)
 {
@@ -390,21 +293,28 @@
 	       peers->round % peers->far_rounds == 0;
 }
 
+static GBytes *encode_beacon(struct aub_peers *peers, bool reply)
+{
+	peers->beacon->reply = reply;
+	return aub_message_encode(&peers->beacon->base, NULL);
+}
+
 /* To those whose turn it is, or to `all` where something has changed. */
 static void send_beacons(struct aub_peers *peers, bool all, gint64 now_us)
 {
-	peers->beacon->peers = count_found(peers, now_us);
+	peers->beacon->peers = aub_peers_count_found(peers, now_us);
 
-	GBytes *bytes = aub_message_encode(&peers->beacon->base, NULL);
+	GBytes *asking = encode_beacon(peers, true);
+	GBytes *telling = encode_beacon(peers, false);
 
-	for (guint i = 1; bytes && i < peers->all->len; i++) {
+	for (guint i = 1; asking && telling && i < peers->all->len; i++) {
 		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
 
 		if (is_due(peers, peer, all, now_us))
-			send_to(peers, peer, bytes);
+			send_to(peers, peer, peer->alive ? telling : asking);
 	}
-	if (bytes)
-		g_bytes_unref(bytes);
+	g_bytes_unref(asking);
+	g_bytes_unref(telling);
 }
 
 static void on_round(void *context, gint64 now_us)
@@ -421,7 +331,7 @@
 		    now_us - peer->heard_us > alive_us(peers, peer))
 			lose(peers, peer, now_us);
 		if (now_us - MAX(peer->heard_us, peer->known_us) > FORGET_US)
-			list_remove(peers, i);
+			aub_peers_list_remove(peers, i);
 		else
 			i++;
 	}
@@ -452,7 +362,7 @@
 {
 	const struct aub_peers_options *options = &peers->options;
 	struct aub_peer *self =
-		peer_new(options->address, aub_timer_now(options->timers));
+		aub_peer_new(options->address, aub_timer_now(options->timers));
 
 	aub_string_set(&self->name, options->name);
 	aub_string_set(&self->zone, options->zone);
@@ -461,7 +371,7 @@
 	self->incarnation = options->incarnation;
 	self->alive = true;
 	self->self = true;
-	list_add(peers, self);
+	aub_peers_list_add(peers, self);
 	peers->beacon =
 		(struct aub_beacon *)aub_message_new(AUB_MESSAGE_BEACON);
 	aub_string_set(&peers->beacon->name, options->name);
@@ -485,7 +395,7 @@
 	peers->options = *options;
 	peers->fd = fd;
 	peers->far_rounds = FAR_ROUNDS;
-	peers->all = g_ptr_array_new_with_free_func(peer_free);
+	peers->all = g_ptr_array_new_with_free_func(aub_peer_free);
 	peers->by_address = g_hash_table_new(g_str_hash, g_str_equal);
 	peers->by_incarnation = g_hash_table_new(g_int64_hash, g_int64_equal);
 	peers->ranked =
@@ -523,10 +433,10 @@
 {
 	struct aub_peer *peer;
 
-	if (by_address(peers, address))
+	if (aub_peers_by_address(peers, address))
 		return;
-	peer = peer_new(address, aub_timer_now(peers->options.timers));
-	list_add(peers, peer);
+	peer = aub_peer_new(address, aub_timer_now(peers->options.timers));
+	aub_peers_list_add(peers, peer);
 	send_beacon(peers, peer);
 }
 
@@ -541,6 +451,7 @@
 {
 	const GPtrArray *watchers = aub_peers_watchers(peers);
 
+	peers->beacon->reply = false;
 	aub_peers_send_zone(peers, &peers->beacon->base);
 	for (guint i = 0; i < watchers->len; i++) {
 		const struct aub_peer *peer = g_ptr_array_index(watchers, i);
--- /dev/null
+++ b/src/coordination/peers_introduction.c
@@ -0,0 +1,90 @@
+/*
+ * Introductions: whoever starts is told by one gateway where the others are.
+ */
+#include <auburnstile/internal/peers_parts.h>
+
+#include <arpa/inet.h>
+#include <string.h>
+
+/* IPv4 address and port, in network order. */
+#define ADDRESS_BYTES 6
+#define PORT_AT 4
+
+#define INTRODUCED_US (1 * AUB_SECOND) /* the others have answered by then */
+
+static void append_address(GByteArray *packed,
+			   const struct sockaddr_in *address)
+{
+	g_byte_array_append(packed, (const guint8 *)&address->sin_addr.s_addr,
+			    PORT_AT);
+	g_byte_array_append(packed, (const guint8 *)&address->sin_port,
+			    ADDRESS_BYTES - PORT_AT);
+}
+
+/* "ip:port"; g_free. */
+static char *read_address(const guint8 *packed)
+{
+	char host[INET_ADDRSTRLEN];
+	guint16 port;
+
+	inet_ntop(AF_INET, packed, host, sizeof(host));
+	memcpy(&port, packed + PORT_AT, sizeof(port));
+	return g_strdup_printf("%s:%u", host, ntohs(port));
+}
+
+/*
+ * To one that knows this process as a seed, and nobody else: where the others
+ * are. Its beacons then reach all of them.
+ */
+void aub_peers_introduce(struct aub_peers *peers, const struct aub_peer *to)
+{
+	struct aub_introduction *message =
+		(struct aub_introduction *)aub_message_new(
+			AUB_MESSAGE_INTRODUCTION);
+
+	GByteArray *packed = g_byte_array_new();
+
+	for (guint i = 1; i < peers->all->len; i++) {
+		const struct aub_peer *peer = g_ptr_array_index(peers->all, i);
+
+		if (peer->alive && peer != to)
+			append_address(packed, &peer->socket_address);
+	}
+	aub_bytes_set(&message->addresses, packed->data, packed->len);
+	if (packed->len) {
+		peers->counts.introductions++;
+		aub_peers_send(peers, to, &message->base);
+	}
+	aub_message_free(&message->base);
+	g_byte_array_unref(packed);
+}
+
+bool aub_peers_take_introduction(struct aub_peers *peers,
+				 const struct aub_introduction *message)
+{
+	if (message->addresses.length % ADDRESS_BYTES)
+		return false;
+	peers->introduced_us = aub_timer_now(peers->options.timers);
+	/* At once: the beacons that follow must not ask for another one. */
+	peers->beacon->peers = MAX(peers->beacon->peers, 1);
+	for (gsize i = 0; i < message->addresses.length; i += ADDRESS_BYTES) {
+		char *address = read_address(message->addresses.data + i);
+
+		aub_peers_add(peers, address);
+		g_free(address);
+	}
+	return true;
+}
+
+/*
+ * Failure: one that starts is introduced by its seed, and tells all those that
+ * it knows nobody yet. Symptom: all of them introduce it. Enough: whoever was
+ * just introduced says that it has found them.
+ */
+guint aub_peers_count_found(const struct aub_peers *peers, gint64 now_us)
+{
+	if (peers->introduced_us &&
+	    now_us - peers->introduced_us < INTRODUCED_US)
+		return peers->all->len - 1;
+	return aub_peers_count_alive(peers);
+}
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -309,6 +309,7 @@
 	FLAG(aub_beacon, stopping),
 	NUMBER(aub_beacon, config_version),
 	NUMBER32(aub_beacon, peers),
+	FLAG(aub_beacon, reply),
 	FLAG(aub_beacon, current),
 	FLAG(aub_beacon, hears),
 	NUMBER(aub_beacon, routing_news),
@@ -323,7 +324,7 @@
 };
 
 static const struct aubi_field introduction_fields[] = {
-	LIST(aub_introduction, addresses, MEMBERS_LIMIT, &aubi_name_layout),
+	BYTES(aub_introduction, addresses, OBJECT_LIMIT),
 	END,
 };
 
--- a/tests/test_peers.cc
+++ b/tests/test_peers.cc
@@ -256,6 +256,61 @@
 		1000));
 }
 
+static guint64 datagrams_of(const struct aub_peers *peers)
+{
+	const struct aub_peers_counts *counts = aub_peers_get_counts(peers);
+
+	return counts->near_datagrams + counts->far_datagrams;
+}
+
+/* Guards against a start of the fleet in which beacons take all of a VM. */
+TEST_F(PeersTest, MeetWithOneBeaconEachWay)
+{
+	start("a");
+	start("b");
+	for (auto &gate : gates)
+		say(*gate, true);
+	guint64 before =
+		datagrams_of(gates[0]->peers) + datagrams_of(gates[1]->peers);
+	aub_peers_add(gates[0]->peers, gates[1]->address.c_str());
+	ASSERT_TRUE(run_until(
+		[&] {
+			return aub_peers_count_alive(gates[0]->peers) &&
+			       aub_peers_count_alive(gates[1]->peers);
+		},
+		1000));
+	run_for(20);
+	EXPECT_EQ(datagrams_of(gates[0]->peers) +
+			  datagrams_of(gates[1]->peers) - before,
+		  2u);
+}
+
+/* Guards against a damaged datagram that is swallowed, or names no sender. */
+TEST_F(PeersTest, CountADatagramThatMakesNoSense)
+{
+	Gate *gate = start("a");
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+	struct sockaddr_in to;
+	struct aub_introduction *half =
+		(struct aub_introduction *)aub_message_new(
+			AUB_MESSAGE_INTRODUCTION);
+
+	ASSERT_TRUE(aub_socket_address(gate->address.c_str(), &to));
+	aub_bytes_set(&half->addresses, "1234567", 7);
+	GBytes *bytes = aub_message_encode(&half->base, NULL);
+	gsize length;
+	const void *data = g_bytes_get_data(bytes, &length);
+	sendto(fd, "nonsense", 8, 0, (struct sockaddr *)&to, sizeof(to));
+	sendto(fd, data, length, 0, (struct sockaddr *)&to, sizeof(to));
+	EXPECT_TRUE(run_until(
+		[&] { return aub_peers_get_counts(gate->peers)->refused == 2; },
+		1000));
+	EXPECT_EQ(aub_peers_all(gate->peers)->len, 1u);
+	g_bytes_unref(bytes);
+	aub_message_free(&half->base);
+	close(fd);
+}
+
 TEST_F(PeersTest, IntroduceANewOneOnce)
 {
 	/*
