node: meet those that stand in the store before the seeds are up

Cause: seeds may start 0.3 s after the others.

Ruled out: longer waiting (callers wait); beacons to all that stand in the store (each of them would introduce everybody).

Change: the records of gateways, which were listed after a second, are listed at the start; the first three of them, the same for all, are contacted at once, the others when nobody has answered for 300 ms, or after a second. Listings of gateways may always be old ones.

Test: MeetsThoseInTheStoreBeforeItsSeedsAreUp.

--- a/include/auburnstile/internal/node_parts.h
+++ b/include/auburnstile/internal/node_parts.h
@@ -34,6 +34,8 @@
 	bool stopping;
 	gint64 stop_us; /* when the stop began */
 	guint current_timer;
+	guint members_listed; /* others' records in the store */
+	GPtrArray *contacts; /* of char *: listed, not yet contacted */
 	guint lonely_timer;
 	guint enrol_timer;
 	char *ip; /* of the peers' address */
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -52,6 +52,7 @@
  */
 #define ACQUAINTED_US (1000 * AUB_MS)
 #define RECORDS 24 /* gateways that stand in the store, about */
+#define FIRST_CONTACTS 3 /* of these */
 
 static bool is_current(const struct aub_node *node)
 {
@@ -125,6 +126,33 @@
 	aub_log_end();
 }
 
+/*
+ * Failure: power returns to all gateways, and their seeds are the last to
+ * start. Symptom: each places for itself, and callers wait, until the seeds
+ * are up. Enough: the same few of those that stand in the store are contacted
+ * first, and introduce all to each other.
+ */
+static void take_member(struct aub_node *node,
+			const struct aub_member_record *member)
+{
+	char *address = g_strconcat(member->ip, node->peers_port, NULL);
+
+	if (++node->members_listed <= FIRST_CONTACTS) {
+		aub_peers_add(node->peers, address);
+		g_free(address);
+	} else {
+		g_ptr_array_add(node->contacts, address);
+	}
+}
+
+static void contact_all(struct aub_node *node)
+{
+	for (guint i = 0; i < node->contacts->len; i++)
+		aub_peers_add(node->peers,
+			      g_ptr_array_index(node->contacts, i));
+	g_ptr_array_set_size(node->contacts, 0);
+}
+
 static void on_changed(enum aub_store_kind kind, struct aub_record *record,
 		       void *context)
 {
@@ -157,13 +185,8 @@
 				    !record->removed);
 		break;
 	case AUB_STORE_MEMBERS:
-		if (record->member) {
-			char *address = g_strconcat(record->member->ip,
-						    node->peers_port, NULL);
-
-			aub_peers_add(node->peers, address);
-			g_free(address);
-		}
+		if (record->member)
+			take_member(node, record->member);
 		break;
 	case AUB_STORE_KINDS:
 		break;
@@ -410,14 +433,14 @@
 	return true;
 }
 
-/* No seed has answered: somebody may stand in the store. */
+/* Neither a seed nor a first contact has answered. */
 static void on_lonely_check(void *context, gint64 now_us)
 {
 	struct aub_node *node = context;
 
 	node->lonely_timer = 0;
 	if (aub_peers_count_alive(node->peers) == 0)
-		aub_store_sync_list_members(node->store);
+		contact_all(node);
 }
 
 /*
@@ -437,9 +460,10 @@
 	node->enrol_timer = 0;
 	node->acquainted = true;
 	aub_store_sync_check(node->store);
+	contact_all(node);
 	if (g_str_hash(node->ip) % every == 0)
 		aub_store_sync_enrol(node->store, node->ip, &member);
-	else
+	else if (!node->members_listed)
 		aub_store_sync_list_members(node->store);
 }
 
@@ -459,6 +483,7 @@
 		.context = node,
 	};
 	node->store = aub_store_sync_new(&options);
+	aub_store_sync_list_members(node->store);
 	node->lonely_timer =
 		aub_timer_at(node->timers, "lonely",
 			     aub_timer_now(node->timers) + LONELY_US,
@@ -480,6 +505,7 @@
 	node->poller = aub_poller_new();
 	node->client = aub_http_client_new(node->poller, node->timers);
 	node->metrics = aub_metrics_new();
+	node->contacts = g_ptr_array_new_with_free_func(g_free);
 	node->zone = g_strdup(settings->zone);
 	node->peers_port = g_strdup(strrchr(settings->peers, ':'));
 	aub_address_parse(settings->peers, &node->ip, NULL);
@@ -520,6 +546,7 @@
 	aub_peers_free(node->peers);
 	aub_http_client_free(node->client);
 	aub_metrics_free(node->metrics);
+	g_ptr_array_unref(node->contacts);
 	aub_poller_free(node->poller);
 	g_free(node->zone);
 	g_free(node->peers_port);
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -326,6 +326,8 @@
 	if (task->call || task->timer)
 		return;
 	aub_store_relist(task);
+	/* Old ones will do, again and again: beacons tell who is there. */
+	task->strict = false;
 	task_run(task);
 }
 
