placer: pass early asks on, settle once most others are met

Cause: a gateway that starts waited 1.5 ms for each gateway it knows of before it asked a placer, 0.57 s at 312, so as not to ask a wrong one, and a second before it placed; a wrong one places, too: it probes every upstream and gives slots away that another counts.

Ruled out: asking earlier without more (two placers).

Change: an ask that was sent to the first choice is passed on, once, by a gateway that knows a better one; the decision goes to the asker. Nine in ten of those known of having answered replace the waits by number. A beacon that asks for an answer gets one each time: an answer that was lost left one of two unknown for up to 15 s.

Tests: PassesAnAskOnToTheGatewayThatRanksFirst, GrantsNothingToAGatewayThatIt DoesNotKnow, AnswerAsOftenAsTheyAreAsked.

--- a/include/auburnstile/internal/placer_parts.h
+++ b/include/auburnstile/internal/placer_parts.h
@@ -18,6 +18,7 @@
 	void *context;
 	gint64 since_us;
 	guint64 placer; /* incarnation of the one that was asked last */
+	bool forwardable; /* whoever was asked may have passed it on */
 	guint64 granted_by;
 	char *upstream; /* once granted */
 	guint asked; /* placers so far */
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -326,6 +326,8 @@
 	guint32 on_time_ms;
 	guint32 patience_ms;
 	bool retry;
+	bool forward; /* the receiver may pass it on to a better placer */
+	char *address; /* of the holder's datagrams, where it was passed on */
 	GPtrArray *avoid; /* of struct aub_name */
 };
 
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -58,6 +58,11 @@
 	return (gint64)aub_placer_get_counts(node->placer)->placed_alone;
 }
 
+static gint64 read_forwarded(const struct aub_node *node)
+{
+	return (gint64)aub_placer_get_counts(node->placer)->forwarded;
+}
+
 static gint64 read_passed_by(const struct aub_node *node)
 {
 	return (gint64)aub_placer_get_counts(node->placer)->passed_by;
@@ -109,6 +114,9 @@
 	  true, read_decided },
 	{ "auburnstile_placer_alone_total", "placed for want of a placer", true,
 	  read_alone },
+	{ "auburnstile_placer_forwarded_total",
+	  "asks passed on to a gateway that ranks first", true,
+	  read_forwarded },
 	{ "auburnstile_placer_passed_by_total",
 	  "placers that did not answer in time", true, read_passed_by },
 	{ "auburnstile_probes_total", "sent", true, read_probes },
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -76,23 +76,6 @@
 		      options->context);
 }
 
-/*
- * At once: a peer that has just appeared would wait for the next round.
- *
- * Failure: two gateways hear of each other, and each answers the other's
- * first beacon and then its answer. Symptom: a start of the whole fleet costs
- * four datagrams a pair. Enough: only a beacon that asks for it is answered.
- */
-static void welcome(struct aub_peers *peers, const struct aub_peer *peer,
-		    const struct aub_beacon *beacon)
-{
-	log_peer(AUB_LOG_PEER_HEARD, peer, 0);
-	if (beacon->reply)
-		send_beacon(peers, peer);
-	if (!beacon->peers)
-		aub_peers_introduce(peers, peer);
-}
-
 static void take_beacon(struct aub_peers *peers,
 			const struct aub_beacon *beacon)
 {
@@ -136,8 +119,17 @@
 		peer->alive = true;
 		aub_peers_rank_again(peers);
 		if (appeared)
-			welcome(peers, peer, beacon);
+			log_peer(AUB_LOG_PEER_HEARD, peer, 0);
+		if (appeared && !beacon->peers)
+			aub_peers_introduce(peers, peer);
 	}
+	/*
+	 * Failure: the answer to a first beacon is lost. Symptom: its sender
+	 * does not know of this gateway until the next round between zones.
+	 * Enough: it asks each round until it has been answered.
+	 */
+	if (beacon->reply)
+		send_beacon(peers, peer);
 }
 
 static void refuse(struct aub_peers *peers, const struct sockaddr_in *from,
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -11,22 +11,34 @@
 /*
  * Failure: many gateways start at once, and each places for itself until it
  * has heard the others. Symptom: each probes every upstream, and slots are
- * promised many times. Enough: a fresh gateway waits for as long as first
- * beacons take to come back, and then until no more of them come; both take
- * longer the more gateways there are, since small VMs are slow to hear many.
+ * promised many times. Enough: a fresh gateway waits until nearly all that it
+ * was told of have answered and no more of them appear. Where some stay silent
+ * it waits for as long as first beacons take to come back, which is longer the
+ * more gateways there are: small VMs are slow to hear many.
  */
 #define SETTLE_ALONE_US (250 * AUB_MS) /* while it has heard nobody */
 #define SETTLE_US (100 * AUB_MS)
 #define SETTLE_EACH_US 1500 /* and so much for each gateway known of */
 #define SETTLE_QUIET_US (60 * AUB_MS)
 #define SETTLE_QUIET_EACH_US 1000
+#define SETTLE_QUIET_MET_US (100 * AUB_MS) /* at most, once most are met */
 #define SETTLE_MOST_US (1000 * AUB_MS)
+#define MET_PERCENT 90
 
 bool aub_placer_is_settled(const struct aub_placer *placer)
 {
 	return placer->settled;
 }
 
+/* Have nearly all others that are known of been heard? */
+static bool has_met_most(const struct aub_placer *placer)
+{
+	guint known = aub_peers_all(placer->options.peers)->len - 1;
+
+	return 100 * aub_peers_count_alive(placer->options.peers) >=
+	       MET_PERCENT * known;
+}
+
 bool aub_placer_hears(const struct aub_placer *placer, gint64 now_us)
 {
 	guint known = aub_peers_all(placer->options.peers)->len;
@@ -34,6 +46,8 @@
 
 	if (!aub_peers_count_alive(placer->options.peers))
 		return age_us >= SETTLE_ALONE_US;
+	if (has_met_most(placer))
+		return age_us >= SETTLE_US;
 	return age_us >= SETTLE_US + (gint64)known * SETTLE_EACH_US;
 }
 
@@ -45,6 +59,8 @@
 	gint64 quiet_us =
 		SETTLE_QUIET_US + (gint64)known * SETTLE_QUIET_EACH_US;
 
+	if (has_met_most(placer))
+		quiet_us = MIN(quiet_us, SETTLE_QUIET_MET_US);
 	return age_us >= SETTLE_MOST_US || (aub_placer_hears(placer, now_us) &&
 					    now_us - joined_us >= quiet_us);
 }
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -65,12 +65,35 @@
 				  placer->options.incarnation);
 }
 
-static void take_ask(struct aub_placer *placer,
-		     const struct aub_place_ask *message)
+/*
+ * Failure: a gateway that has just started does not know of the gateway that
+ * ranks first, and asks another. Symptom: that one probes every upstream and
+ * gives slots away that the first one counts. Enough: it passes the ask on,
+ * once; the decision goes to the asker.
+ */
+static bool forward_ask(struct aub_placer *placer,
+			const struct aub_peer *holder,
+			struct aub_place_ask *message)
+{
+	struct aub_peer *better = NULL;
+
+	if (message->forward)
+		better = aub_placer_of(placer, message->service,
+				       aub_timer_now(placer->options.timers));
+	if (!better || better == holder)
+		return false;
+	message->forward = false;
+	aub_string_set(&message->address, holder->address);
+	placer->counts.forwarded++;
+	aub_peers_send(placer->options.peers, better, &message->base);
+	return true;
+}
+
+static void take_ask(struct aub_placer *placer, struct aub_place_ask *message)
 {
 	struct aub_placement *placement =
 		aub_placer_placement(placer, message->service);
-	GPtrArray *avoid = g_ptr_array_new();
+	GPtrArray *avoid;
 	struct aub_ask ask = {
 		.ticket = message->ticket,
 		.holder = message->holder,
@@ -82,7 +105,23 @@
 		.retry = message->retry,
 	};
 	struct aub_decision decision;
+	struct aub_peer *holder =
+		aub_peers_by_incarnation(placer->options.peers,
+					 message->holder);
 
+	/*
+	 * Failure: a grant for a gateway that this one does not know. Symptom:
+	 * the slot is lost, since no decision reaches it and no report comes
+	 * back. Enough: it is met first; the holder asks again at once.
+	 */
+	if (!holder) {
+		if (message->address[0])
+			aub_peers_add(placer->options.peers, message->address);
+		return;
+	}
+	if (forward_ask(placer, holder, message))
+		return;
+	avoid = g_ptr_array_new();
 	for (guint i = 0; i < message->avoid->len; i++)
 		g_ptr_array_add(avoid, ((struct aub_name *)g_ptr_array_index(
 						message->avoid, i))
@@ -133,13 +172,15 @@
 	if (message->verdict > AUB_VERDICT_NO_BUDGET)
 		return;
 	if (!ticket || !ticket->placed || ticket->local ||
-	    ticket->placer != message->placer) {
+	    (ticket->placer != message->placer && !ticket->forwardable)) {
 		bool same = ticket && ticket->granted_by == message->placer;
 
 		if (decision.verdict == AUB_VERDICT_GRANTED && !same)
 			return_grant(placer, message);
 		return;
 	}
+	ticket->placer = message->placer;
+	ticket->forwardable = false;
 	if (decision.verdict == AUB_VERDICT_QUEUED) {
 		ticket->queued = true;
 		ticket->next_us = ticket->sent_us +
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -151,6 +151,16 @@
 	}
 }
 
+/* Nobody who ranks before `peer` was passed by. */
+static bool is_first_choice(struct aub_placer *placer, const char *service,
+			    const struct aub_peer *peer)
+{
+	const GPtrArray *ranked =
+		aub_peers_ranked(placer->options.peers, service);
+
+	return ranked->len && g_ptr_array_index(ranked, 0) == peer;
+}
+
 static void send_ask(struct aub_placer *placer, struct aub_ticket *ticket,
 		     const struct aub_peer *peer)
 {
@@ -166,6 +176,8 @@
 	message->on_time_ms = ticket->ask.on_time_ms;
 	message->patience_ms = ticket->ask.patience_ms;
 	message->retry = ticket->ask.retry;
+	message->forward = is_first_choice(placer, ticket->service, peer);
+	ticket->forwardable = message->forward;
 	for (guint i = 0; i < ticket->avoid->len; i++)
 		g_ptr_array_add(message->avoid,
 				aub_name_new(
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -346,6 +346,8 @@
 	NUMBER32(aub_place_ask, on_time_ms),
 	NUMBER32(aub_place_ask, patience_ms),
 	FLAG(aub_place_ask, retry),
+	FLAG(aub_place_ask, forward),
+	STRING(aub_place_ask, address, ADDRESS_LIMIT),
 	LIST(aub_place_ask, avoid, ATTEMPTS_LIMIT, &aubi_name_layout),
 	END,
 };
--- a/tests/test_peers.cc
+++ b/tests/test_peers.cc
@@ -285,6 +285,40 @@
 		  2u);
 }
 
+/* Guards against a lost answer, after which one of two is unknown for long. */
+TEST_F(PeersTest, AnswerAsOftenAsTheyAreAsked)
+{
+	Gate *gate = start("a");
+	std::string address = free_address();
+	int fd = aub_udp_bind(address.c_str(), NULL);
+	struct sockaddr_in to;
+	struct aub_beacon *beacon =
+		(struct aub_beacon *)aub_message_new(AUB_MESSAGE_BEACON);
+
+	ASSERT_TRUE(aub_socket_address(gate->address.c_str(), &to));
+	aub_string_set(&beacon->address, address.c_str());
+	beacon->incarnation = 7;
+	beacon->reply = true;
+	beacon->peers = 1;
+	GBytes *bytes = aub_message_encode(&beacon->base, NULL);
+	gsize length;
+	const void *data = g_bytes_get_data(bytes, &length);
+	for (guint asked = 1; asked <= 2; asked++) {
+		char answer[1000];
+		guint64 before = datagrams_of(gate->peers);
+
+		sendto(fd, data, length, 0, (struct sockaddr *)&to, sizeof(to));
+		EXPECT_TRUE(run_until(
+			[&] { return datagrams_of(gate->peers) > before; },
+			100))
+			<< asked;
+		EXPECT_GT(recv(fd, answer, sizeof(answer), MSG_DONTWAIT), 0);
+	}
+	g_bytes_unref(bytes);
+	aub_message_free(&beacon->base);
+	close(fd);
+}
+
 /* Guards against a damaged datagram that is swallowed, or names no sender. */
 TEST_F(PeersTest, CountADatagramThatMakesNoSense)
 {
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -3,6 +3,7 @@
  */
 #include "placer_rig.h"
 
+#include <auburnstile/internal/peers_parts.h>
 #include <auburnstile/internal/placer_parts.h>
 
 TEST_F(PlacerTest, CountsSlotsForAllGateways)
@@ -85,6 +86,81 @@
 	EXPECT_EQ(result.verdict, AUB_VERDICT_GRANTED);
 }
 
+/* Guards against a second placer that probes and grants beside the first. */
+TEST_F(PlacerTest, PassesAnAskOnToTheGatewayThatRanksFirst)
+{
+	Placed result;
+
+	auto upstream = start_all({ "a", "b", "c" });
+	Gate *placer = placer_of_all();
+	Gate *other = other_than(placer);
+	Gate *fresh = start("fresh");
+	enter(*fresh, upstream);
+	say(*fresh, false);
+	aub_peers_add(fresh->peers, other->address.c_str());
+	ASSERT_TRUE(run_until(
+		[&] {
+			return aub_peers_count_alive(fresh->peers) == 3 &&
+			       aub_placer_hears(fresh->placer,
+						g_get_monotonic_time());
+		},
+		1000));
+	/* As if it had not yet heard that any but one is ready. */
+	for (guint i = 1; i < aub_peers_all(fresh->peers)->len; i++) {
+		struct aub_peer *peer = (struct aub_peer *)
+			g_ptr_array_index(aub_peers_all(fresh->peers), i);
+
+		peer->ready = peer->name == other->name;
+	}
+	aub_peers_rank_again(fresh->peers);
+	ask(*fresh, &result, 2000);
+	ASSERT_TRUE(run_until([&] { return result.done; }, 2000));
+	EXPECT_EQ(result.verdict, AUB_VERDICT_GRANTED);
+	EXPECT_EQ(aub_placer_get_counts(other->placer)->placed_here, 0u);
+	EXPECT_GE(aub_placer_get_counts(other->placer)->forwarded, 1u);
+	EXPECT_EQ(aub_placer_get_counts(placer->placer)->placed_here, 1u);
+	aub_placer_report(fresh->placer, result.ticket, AUB_END_OK, 1000, NULL);
+	ASSERT_TRUE(run_until(
+		[&] {
+			struct aub_placement_state state;
+
+			aub_placement_get_state(
+				aub_placer_placement(placer->placer, "svc"),
+				g_get_monotonic_time(), &state);
+			return state.granted == 0;
+		},
+		500));
+}
+
+/* Guards against slots granted to a gateway that no decision can reach. */
+TEST_F(PlacerTest, GrantsNothingToAGatewayThatItDoesNotKnow)
+{
+	struct aub_placement_state state;
+
+	start_all({ "a", "b" });
+	Gate *stranger = start("stranger");
+	struct aub_place_ask *ask =
+		(struct aub_place_ask *)aub_message_new(AUB_MESSAGE_PLACE_ASK);
+	ask->holder = stranger->incarnation;
+	ask->ticket = 1;
+	ask->patience_ms = 500;
+	aub_string_set(&ask->service, "svc");
+	aub_string_set(&ask->address, stranger->address.c_str());
+	aub_placer_message(gates[0]->placer, &ask->base);
+	aub_placement_get_state(aub_placer_placement(gates[0]->placer, "svc"),
+				g_get_monotonic_time(), &state);
+	EXPECT_EQ(state.granted, 0u);
+	EXPECT_EQ(state.queued, 0u);
+	/* It is met, so that its next ask finds it known. */
+	EXPECT_TRUE(run_until(
+		[&] {
+			return aub_peers_by_incarnation(
+				       gates[0]->peers,
+				       stranger->incarnation) != NULL;
+		},
+		500));
+}
+
 TEST_F(PlacerTest, GoesToTheNextWhenAPlacerDoesNotAnswer)
 {
 	/*
