placer: tell zones by relay, pass a dead placer by for longer each time

Cause: a placer sent what it knows of its upstreams to each gateway once a second: 311 datagrams a service, 250 of them to other zones. And a placer of another zone that died was asked again by each gateway each second, 65 ms a time, until its beacons were missed: 50 s at 312 gateways.

Ruled out: telling only those who may place next (a gateway that has to place alone would send to what is down); deaths told by those that see them (worth it once membership is changed as a whole).

Change: a placer tells its own zone and two gateways of each other one, of which the first passes it on. Who does not answer is passed by for 1, 2, 4 and 8 s, until it is heard again.

Tests: TellsOtherZonesOfItsUpstreamsByTwoGateways (12 gateways: 6 far datagrams before), AsksADeadPlacerLessAndLessOften (3 in 2.8 s before).

--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -30,6 +30,7 @@
 	gint64 heard_us; /* 0: never */
 	gint64 known_us; /* since when it is listed here */
 	gint64 suspect_until_us; /* did not answer: passed by until then */
+	gint64 suspect_us; /* for how long it was passed by last; 0: answers */
 	GHashTable *rank_keys; /* role -> guint64, as far as it was ranked */
 	bool ready;
 	bool stopping;
--- a/include/auburnstile/internal/placer_parts.h
+++ b/include/auburnstile/internal/placer_parts.h
@@ -119,7 +119,7 @@
 void aub_placer_take_held(struct aub_placer *placer,
 			  const struct aub_place_held *message);
 void aub_placer_take_beliefs(struct aub_placer *placer,
-			     const struct aub_place_beliefs *message);
+			     struct aub_place_beliefs *message);
 
 G_END_DECLS
 
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -385,6 +385,7 @@
 struct aub_place_beliefs {
 	struct aub_message base;
 	char *service;
+	bool relay; /* to be passed on within the receiver's zone */
 	GPtrArray *beliefs; /* of struct aub_place_belief */
 };
 
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -156,6 +156,16 @@
 	aub_ticket_send_report(placer, &ticket, &report);
 }
 
+/* It answers: the next time that it does not, it is passed by shortly. */
+static void answered(struct aub_placer *placer, guint64 incarnation)
+{
+	struct aub_peer *peer =
+		aub_peers_by_incarnation(placer->options.peers, incarnation);
+
+	if (peer)
+		peer->suspect_us = 0;
+}
+
 static void take_decision(struct aub_placer *placer,
 			  const struct aub_place_decision *message)
 {
@@ -181,6 +191,7 @@
 	}
 	ticket->placer = message->placer;
 	ticket->forwardable = false;
+	answered(placer, message->placer);
 	if (decision.verdict == AUB_VERDICT_QUEUED) {
 		ticket->queued = true;
 		ticket->next_us = ticket->sent_us +
--- a/src/coordination/placer_round.c
+++ b/src/coordination/placer_round.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #define BELIEFS_MOST 512 /* upstreams of a service in one datagram */
+#define RELAYS 2 /* of each other zone are told; the first passes it on */
 
 struct aub_peer *aub_placer_of(struct aub_placer *placer, const char *service,
 			       gint64 now_us)
@@ -74,6 +75,36 @@
 	aub_message_free(&message->base);
 }
 
+/*
+ * Failure: a placer tells each gateway of the fleet what it knows of its
+ * upstreams. Symptom: its link and its processor, and bytes between zones,
+ * grow with the fleet. Enough: its own zone is told, and the first of each
+ * other zone, which tell theirs.
+ */
+static void tell_zones(struct aub_placer *placer,
+		       struct aub_place_beliefs *message)
+{
+	struct aub_peers *peers = placer->options.peers;
+	const GPtrArray *ranked = aub_peers_ranked(peers, message->service);
+	GHashTable *told = g_hash_table_new(g_str_hash, g_str_equal);
+
+	message->relay = false;
+	aub_peers_send_zone(peers, &message->base);
+	message->relay = true;
+	for (guint i = 0; i < ranked->len; i++) {
+		struct aub_peer *peer = g_ptr_array_index(ranked, i);
+		guint count =
+			GPOINTER_TO_UINT(g_hash_table_lookup(told, peer->zone));
+
+		if (count >= RELAYS || !strcmp(peer->zone, placer->zone))
+			continue;
+		g_hash_table_insert(told, peer->zone,
+				    GUINT_TO_POINTER(count + 1));
+		aub_peers_send(peers, peer, &message->base);
+	}
+	g_hash_table_unref(told);
+}
+
 static void tell_beliefs(struct aub_placer *placer, const char *service,
 			 gint64 now_us)
 {
@@ -96,7 +127,7 @@
 		belief->slowdown = list[i].slowdown;
 		g_ptr_array_add(message->beliefs, belief);
 	}
-	aub_peers_send_all(placer->options.peers, &message->base);
+	tell_zones(placer, message);
 	aub_message_free(&message->base);
 }
 
@@ -129,8 +160,11 @@
 	active->refused = state.refused;
 }
 
-/* The first of each zone probes its upstreams: few bytes cross zones. */
-static bool probes_for_zone(struct aub_placer *placer, const char *service)
+/*
+ * The first of each zone probes its upstreams, and passes on what the placer
+ * says of all: few bytes cross zones.
+ */
+static bool is_first_of_zone(struct aub_placer *placer, const char *service)
 {
 	const GPtrArray *ranked =
 		aub_peers_ranked(placer->options.peers, service);
@@ -158,7 +192,7 @@
 
 		if (aub_placer_of(placer, service, now_us)) {
 			tell_held(placer, service, now_us);
-			if (probes_for_zone(placer, service))
+			if (is_first_of_zone(placer, service))
 				aub_placer_wake_near(placer, service);
 			continue;
 		}
@@ -194,7 +228,7 @@
 
 /* Whoever places for a service itself goes by its own probes. */
 void aub_placer_take_beliefs(struct aub_placer *placer,
-			     const struct aub_place_beliefs *message)
+			     struct aub_place_beliefs *message)
 {
 	gint64 now = aub_timer_now(placer->options.timers);
 	struct aub_placement *placement =
@@ -202,6 +236,10 @@
 	const struct aub_active *active =
 		g_hash_table_lookup(placer->active, message->service);
 
+	if (message->relay && is_first_of_zone(placer, message->service)) {
+		message->relay = false;
+		aub_peers_send_zone(placer->options.peers, &message->base);
+	}
 	if (active && active->until_us > now)
 		return;
 	aub_placement_believe_well(placement);
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -14,8 +14,9 @@
 #define ASK_AGAIN_US (15 * AUB_MS)
 #define ASK_NEXT_US (50 * AUB_MS)
 #define ASK_MOST 2 /* placers asked before placing alone */
-/* Passed by for as long as a death takes to be seen. */
+/* At first for as long as a death takes to be seen within a zone. */
 #define SUSPECT_US (1000 * AUB_MS)
+#define SUSPECT_MOST_US (8000 * AUB_MS)
 
 /* Odd, so that tickets of one incarnation differ for 2^64 requests. */
 #define TICKET_STEP G_GUINT64_CONSTANT(0x9E3779B97F4A7C15)
@@ -221,12 +222,29 @@
 	send_ask(placer, ticket, peer);
 }
 
+/*
+ * Failure: a placer of another zone dies, and its beacons come too rarely to
+ * be missed soon. Symptom: each second one request of each gateway waits for
+ * it in vain. Enough: it is passed by for twice as long each time, until it
+ * is heard again.
+ */
+static void suspect(struct aub_peer *peer, gint64 now_us)
+{
+	bool heard = peer->heard_us > peer->suspect_until_us - peer->suspect_us;
+
+	if (heard || !peer->suspect_us)
+		peer->suspect_us = SUSPECT_US;
+	else
+		peer->suspect_us = MIN(2 * peer->suspect_us, SUSPECT_MOST_US);
+	peer->suspect_until_us = now_us + peer->suspect_us;
+}
+
 static void pass_by(struct aub_placer *placer, struct aub_ticket *ticket,
 		    struct aub_peer *peer, gint64 now_us)
 {
 	placer->counts.passed_by++;
 	if (peer) {
-		peer->suspect_until_us = now_us + SUSPECT_US;
+		suspect(peer, now_us);
 		aub_log_begin(AUB_LOG_PLACER_PASSED_BY);
 		aub_log_text("peer", peer->name);
 		aub_log_text("service", ticket->service);
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -384,6 +384,7 @@
 
 static const struct aubi_field place_beliefs_fields[] = {
 	STRING(aub_place_beliefs, service, NAME_LIMIT),
+	FLAG(aub_place_beliefs, relay),
 	LIST(aub_place_beliefs, beliefs, UPSTREAMS_LIMIT,
 	     &aubi_place_belief_layout),
 	END,
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -179,6 +179,77 @@
 	EXPECT_LT(g_get_monotonic_time() - begun, 300 * 1000);
 }
 
+/* Guards against requests that wait for a dead placer of another zone. */
+TEST_F(PlacerTest, AsksADeadPlacerLessAndLessOften)
+{
+	Placed result;
+
+	for (auto name : { "a", "b", "c", "d" })
+		start(name, "z1");
+	auto upstream = add_upstream("u1");
+	for (auto &gate : gates)
+		enter(*gate, upstream);
+	join();
+	Gate *placer = placer_of_all();
+	/* The one that asks is alone in its zone: beacons come once a second.
+	 */
+	Gate *far = start("far", "z2");
+	enter(*far, upstream);
+	say(*far, false);
+	aub_peers_add(far->peers, gates[0]->address.c_str());
+	ASSERT_TRUE(
+		run_until([&] { return aub_placer_is_settled(far->placer); },
+			  2000));
+	stop(*placer);
+	gint64 end = g_get_monotonic_time() + 2800 * AUB_MS;
+	while (g_get_monotonic_time() < end) {
+		ask(*far, &result);
+		ASSERT_TRUE(run_until([&] { return result.done; }, 2000));
+		aub_placer_report(far->placer, result.ticket, AUB_END_OK, 1000,
+				  NULL);
+		run_for(20);
+	}
+	EXPECT_LE(aub_placer_get_counts(far->placer)->passed_by, 2u);
+}
+
+/* Guards against a placer whose link and processor grow with the fleet. */
+TEST_F(PlacerTest, TellsOtherZonesOfItsUpstreamsByTwoGateways)
+{
+	auto upstream = add_upstream("u1");
+
+	for (int i = 0; i < 12; i++) {
+		start("g" + std::to_string(i), "z" + std::to_string(i % 2 + 1));
+		enter(*gates[i], upstream);
+	}
+	join();
+	Gate *placer = placer_of_all();
+	const struct aub_peers_counts *counts =
+		aub_peers_get_counts(placer->peers);
+	aub_placer_wake_service(placer->placer, "svc");
+	struct aub_belief down = {};
+	down.upstream = "u1";
+	down.down = true;
+	aub_placement_believe(aub_placer_placement(placer->placer, "svc"),
+			      &down, g_get_monotonic_time());
+	guint64 far = counts->far_datagrams;
+	guint64 near = counts->near_datagrams;
+	aub_placer_on_round(placer->placer, g_get_monotonic_time());
+	EXPECT_EQ(counts->far_datagrams - far, 2u);
+	EXPECT_EQ(counts->near_datagrams - near, 5u);
+	EXPECT_TRUE(run_until(
+		[&] {
+			for (auto &gate : gates)
+				if (strcmp(aub_placement_believed(
+						   aub_placer_placement(
+							   gate->placer, "svc"),
+						   "u1"),
+					   "down") != 0)
+					return false;
+			return true;
+		},
+		300));
+}
+
 TEST_F(PlacerTest, PlacesAloneWhenNobodyAnswers)
 {
 	Placed result;
