placement: work out costs only where there is room

Cause: each choice computed the cost of every upstream, two exponentials each, also of those without room; in an overload nearly none has room, and each report brings several choices over hundreds of upstreams.

Change: room is looked at first; whether any upstream without room would be on time is looked for only where the best with room would be late. Decisions are the same.

Tests: all of test_placement, its queue and its loads, unchanged.

--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -208,6 +208,24 @@
 	}
 }
 
+/*
+ * May some upstream serve it on time, though it has no room now? Looked for
+ * only where those with room would not.
+ */
+static bool is_any_on_time(const struct choice *choice, const bool *stuck)
+{
+	const struct aub_placement *placement = choice->placement;
+
+	for (guint i = 0; i < placement->rows->len; i++) {
+		const struct aub_row *row = aub_placement_row(placement, i);
+
+		if (is_usable(row, choice->ask, choice->now_us) &&
+		    cost(choice, row, stuck[i]) <= LATE_COST)
+			return true;
+	}
+	return false;
+}
+
 gint aub_placement_choose(struct aub_placement *placement,
 			  const struct aub_ask *ask, gint64 now_us,
 			  guint *usable)
@@ -222,7 +240,6 @@
 	guint count = placement->rows->len;
 	bool *stuck = g_newa0(bool, count + 1);
 	double best_cost = INFINITY;
-	double least_cost = INFINITY; /* of all, room or not */
 	gint best = -1;
 
 	*usable = 0;
@@ -238,9 +255,10 @@
 			continue;
 		limit = aub_row_limit(placement, row);
 		*usable += limit;
+		if (!has_room(&choice, row, limit))
+			continue;
 		value = cost(&choice, row, stuck[i]);
-		least_cost = MIN(least_cost, value);
-		if (value >= best_cost || !has_room(&choice, row, limit))
+		if (value >= best_cost)
 			continue;
 		best_cost = value;
 		best = (gint)i;
@@ -249,7 +267,8 @@
 	 * A request that could still be on time waits for an upstream where it
 	 * is, if there is one. A late one takes what there is.
 	 */
-	if (ask->on_time_ms && best_cost > LATE_COST && least_cost <= LATE_COST)
+	if (best >= 0 && ask->on_time_ms && best_cost > LATE_COST &&
+	    is_any_on_time(&choice, stuck))
 		return -1;
 	return best;
 }
