log: write whole lines, or none

Ruled out: the reader (lines were cut at sizes of the pipe, not of its reads).

Change: writes of whole lines of at most PIPE_BUF bytes, which a pipe takes whole or not at all.

Test: WritesWholeLinesIntoAPipeThatIsNearlyFull, which failed before.

--- a/src/core/decision_log.c
+++ b/src/core/decision_log.c
@@ -5,6 +5,7 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -95,16 +96,43 @@
 	}
 }
 
+/* Bytes of whole lines that a pipe takes at once, or one line longer. */
+static gsize piece_length(const char *text, gsize length)
+{
+	const char *end;
+
+	if (length <= PIPE_BUF)
+		return length;
+	end = memrchr(text, '\n', PIPE_BUF);
+	if (!end)
+		end = memchr(text, '\n', length);
+	return (gsize)(end - text) + 1;
+}
+
+/*
+ * Failure: a pipe that is nearly full takes a part of what is written.
+ * Symptom: a line ends in the middle, and another process's stands in it.
+ * Enough: a pipe takes up to PIPE_BUF bytes whole or not at all, so that each
+ * write is that long at most and ends with a line.
+ */
 void aub_decision_log_flush(void)
 {
-	ssize_t put;
+	gsize done = 0;
+	ssize_t put = 0;
 
 	if (!decisions.lines || !decisions.lines->len)
 		return;
-	put = write(STDOUT_FILENO, decisions.lines->str, decisions.lines->len);
-	if (put > 0) {
-		g_string_erase(decisions.lines, 0, put);
-	} else if (put < 0 && errno != EAGAIN && errno != EINTR) {
+	while (done < decisions.lines->len) {
+		const char *text = decisions.lines->str + done;
+
+		put = write(STDOUT_FILENO, text,
+			    piece_length(text, decisions.lines->len - done));
+		if (put <= 0)
+			break;
+		done += (gsize)put;
+	}
+	g_string_erase(decisions.lines, 0, (gssize)done);
+	if (put < 0 && errno != EAGAIN && errno != EINTR) {
 		/* Nobody reads any more: the lines have no other place. */
 		g_string_truncate(decisions.lines, 0);
 	}
--- a/tests/test_decision_log.cc
+++ b/tests/test_decision_log.cc
@@ -96,6 +96,36 @@
 		  std::string::npos);
 }
 
+/* Guards against lines of two processes that stand inside each other. */
+TEST_F(DecisionLogTest, WritesWholeLinesIntoAPipeThatIsNearlyFull)
+{
+	std::string long_id(300, 'x');
+	std::string text;
+
+	fcntl(pipe_[1], F_SETPIPE_SZ, 4096);
+	for (int round = 0; round < 50; round++) {
+		for (int i = 0; i < 30; i++)
+			line(AUB_LOG_STORE_LOST, long_id.c_str());
+		aub_decision_log_flush();
+		char data[1500];
+		ssize_t got = read(pipe_[0], data, sizeof(data));
+		if (got > 0)
+			text.append(data, (size_t)got);
+		/* Another process writes whenever there is room. */
+		if (write(pipe_[1], "other\n", 6) != 6)
+			continue;
+	}
+	text += drain();
+	for (gsize at = 0, end; at < text.size(); at = end + 1) {
+		end = text.find('\n', at);
+		ASSERT_NE(end, std::string::npos);
+		std::string one = text.substr(at, end - at);
+		EXPECT_TRUE(one == "other" ||
+			    (one.front() == '{' && one.back() == '}'))
+			<< one;
+	}
+}
+
 TEST_F(DecisionLogTest, StaysBoundedWhateverIsLogged)
 {
 	std::string long_id(1000, 'x');
