store: a zone's second watcher asks a quarter as often

Ruled out: one watcher a zone (both of a change's ways are gone with it); watches of 12 s by all (a lost answer was found out after 9 s).

Change: duties are none, standby and first; a standby pauses for a second after changes and watches for 8 s. It is first as soon as the other one does not hear the store; what it misses in between it is told by beacons, as all others are.

Test: AsksLessOftenAsAStandby.

--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -99,6 +99,8 @@
  * learn from its beacons that something has changed.
  */
 bool aub_peers_self_watches(struct aub_peers *peers);
+/* ... and does another one of its zone do so before it? */
+enum aub_watch_duty aub_peers_watch_duty(struct aub_peers *peers);
 
 /* Datagrams sent since the start; those between zones are dear. */
 struct aub_peers_counts {
--- a/include/auburnstile/internal/platform.h
+++ b/include/auburnstile/internal/platform.h
@@ -19,6 +19,13 @@
 	AUB_STORE_KINDS
 };
 
+/* Whether a process watches the store. */
+enum aub_watch_duty {
+	AUB_WATCH_NONE, /* others tell it of changes */
+	AUB_WATCH_STANDBY, /* others do, too; it makes good what they miss */
+	AUB_WATCH_FIRST /* it tells the others */
+};
+
 struct aub_upstream_record {
 	char *service;
 	char *address; /* "ip:port" */
--- a/include/auburnstile/internal/store_sync.h
+++ b/include/auburnstile/internal/store_sync.h
@@ -29,7 +29,7 @@
 	void (*share)(enum aub_store_kind kind, gint64 after, gint64 until,
 		      const char *body, gsize length, void *context);
 	/* Does this process watch, or wait to be told of changes? */
-	bool (*watches)(void *context);
+	enum aub_watch_duty (*duty)(void *context);
 	/* The first full listing of a kind was read. */
 	void (*listed)(enum aub_store_kind kind, void *context);
 	void *context;
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -193,14 +193,14 @@
 	}
 }
 
-static bool on_watches(void *context)
+static enum aub_watch_duty on_duty(void *context)
 {
 	struct aub_node *node = context;
-
 	bool alone = aub_peers_all(node->peers)->len == 1;
 
-	return (alone || node->acquainted) &&
-	       aub_peers_self_watches(node->peers);
+	if (!alone && !node->acquainted)
+		return AUB_WATCH_NONE;
+	return aub_peers_watch_duty(node->peers);
 }
 
 static void on_news(enum aub_store_kind kind, gint64 revision, void *context)
@@ -478,7 +478,7 @@
 		.changed = on_changed,
 		.told = on_told,
 		.share = on_share,
-		.watches = on_watches,
+		.duty = on_duty,
 		.listed = on_listed,
 		.context = node,
 	};
--- a/src/coordination/peers_rank.c
+++ b/src/coordination/peers_rank.c
@@ -167,19 +167,26 @@
 	return peers->watchers;
 }
 
-bool aub_peers_self_watches(struct aub_peers *peers)
+enum aub_watch_duty aub_peers_watch_duty(struct aub_peers *peers)
 {
 	const GPtrArray *watchers = aub_peers_watchers(peers);
 	guint near = 0;
 
 	if (!aub_peers_self(peers)->hears)
-		return true; /* it has to find out when the store is back */
+		return AUB_WATCH_FIRST; /* to find out when the store is back */
 	for (guint i = 0; i < watchers->len; i++) {
 		const struct aub_peer *peer = g_ptr_array_index(watchers, i);
 
 		if (peer->self)
-			return true;
+			return near ? AUB_WATCH_STANDBY : AUB_WATCH_FIRST;
 		near += aub_peer_is_near(peers, peer);
 	}
-	return near < WATCHERS;
+	if (!near)
+		return AUB_WATCH_FIRST;
+	return near < WATCHERS ? AUB_WATCH_STANDBY : AUB_WATCH_NONE;
+}
+
+bool aub_peers_self_watches(struct aub_peers *peers)
+{
+	return aub_peers_watch_duty(peers) != AUB_WATCH_NONE;
 }
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -17,6 +17,15 @@
 #define WATCH_SLACK_MS 500
 #define FETCH_MS 1 /* what there is, at once */
 #define PAUSE_US (250 * AUB_MS) /* collects events that come together */
+
+/*
+ * Failure: both of a zone's watchers ask for each change. Symptom: while
+ * upstreams are replaced, most calls of the store tell what the other one has
+ * just passed on. Enough: the second one asks a quarter as often, and as soon
+ * as the first no longer hears the store it is the first.
+ */
+#define STANDBY_WATCH_MS 8000
+#define STANDBY_PAUSE_US (1000 * AUB_MS)
 /*
  * Who is told of news waits this long for the changes themselves to come: its
  * zone's watchers may be in a pause while another zone's were not. With 200 ms,
@@ -152,13 +161,22 @@
 
 static void wait_for_news(struct aub_store_task *task);
 
+static enum aub_watch_duty duty(const struct aub_store_task *task)
+{
+	const struct aub_store_sync_options *options = &task->sync->options;
+
+	return options->duty(options->context);
+}
+
 /* Changes that come together are collected before the next call. */
 static void run_after_changes(struct aub_store_task *task, guint changes)
 {
 	bool behind = task->overdue > task->known;
+	bool standby = duty(task) == AUB_WATCH_STANDBY;
+	gint64 pause_us = standby && !behind ? STANDBY_PAUSE_US : PAUSE_US;
 
 	wait_for_news(task);
-	task_later(task, changes || behind ? PAUSE_US : 0);
+	task_later(task, changes || behind ? pause_us : 0);
 }
 
 static void take_page(struct aub_store_task *task, const char *body,
@@ -228,10 +246,7 @@
 /* Members are read once; from then on beacons tell. */
 static bool may_watch(const struct aub_store_task *task)
 {
-	const struct aub_store_sync_options *options = &task->sync->options;
-
-	return task->kind != AUB_STORE_MEMBERS &&
-	       options->watches(options->context);
+	return task->kind != AUB_STORE_MEMBERS && duty(task) != AUB_WATCH_NONE;
 }
 
 static void task_run(struct aub_store_task *task)
@@ -245,13 +260,15 @@
 	 * the store fails, calls ask for what there is and wait for nothing.
 	 */
 	bool fetch = watch && (task->failing || task->overdue > task->known);
-	guint wait_ms = fetch ? FETCH_MS : WATCH_MS;
+	guint watch_ms =
+		duty(task) == AUB_WATCH_STANDBY ? STANDBY_WATCH_MS : WATCH_MS;
+	guint wait_ms = fetch ? FETCH_MS : watch_ms;
 	char *path;
 	struct aub_http_call_options options = {
 		.method = "GET",
 		.address = sync->address,
 		.peer = aub_store_kind_name(task->kind),
-		.timeout_ms = watch && !fetch ? WATCH_MS + WATCH_SLACK_MS :
+		.timeout_ms = watch && !fetch ? watch_ms + WATCH_SLACK_MS :
 						AUB_STORE_CALL_MS,
 		/* After a failure a kept connection may be a silent one. */
 		.idle_us = task->failing ? 0 : IDLE_US,
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -17,7 +17,7 @@
 	struct aub_store_sync *sync = NULL;
 	std::set<std::string> present;
 	std::vector<std::string> shared;
-	bool watching = true;
+	enum aub_watch_duty duty = AUB_WATCH_FIRST;
 	int changes = 0;
 
 	void SetUp() override
@@ -66,10 +66,9 @@
 			.changed = on_changed,
 			.told = [](void *) {},
 			.share = on_share,
-			.watches =
+			.duty =
 				[](void *context) {
-					return ((StoreSyncTest *)context)
-						->watching;
+					return ((StoreSyncTest *)context)->duty;
 				},
 			.listed = [](enum aub_store_kind, void *) {},
 			.context = this,
@@ -92,6 +91,30 @@
 	}
 };
 
+/* Guards against two watchers of a zone that both ask for each change. */
+TEST_F(StoreSyncTest, AsksLessOftenAsAStandby)
+{
+	guint64 calls[2];
+
+	for (auto now : { AUB_WATCH_FIRST, AUB_WATCH_STANDBY }) {
+		guint64 *count = &calls[now == AUB_WATCH_STANDBY];
+
+		duty = now;
+		if (!sync)
+			start();
+		run_for(1200);
+		*count = platform_store_calls(store);
+		for (int i = 0; i < 40; i++) {
+			put("u" + std::to_string(now * 100 + i));
+			run_for(50);
+		}
+		*count = platform_store_calls(store) - *count;
+	}
+	EXPECT_GE(calls[0], 6u);
+	EXPECT_LE(calls[1], 3u);
+	EXPECT_TRUE(holds(80));
+}
+
 TEST_F(StoreSyncTest, ListsAllPagesAndWatches)
 {
 	for (int i = 0; i < 7; i++)
@@ -184,7 +207,7 @@
 TEST_F(StoreSyncTest, AsksOnceWhenItIsToldOfNews)
 {
 	put("u1");
-	watching = false;
+	duty = AUB_WATCH_NONE;
 	start();
 	ASSERT_TRUE(holds(1));
 	run_for(200); /* the listing is checked */
@@ -213,7 +236,7 @@
 	put("u2");
 	ASSERT_TRUE(holds(2));
 	aub_store_sync_free(sync);
-	watching = false;
+	duty = AUB_WATCH_NONE;
 	start();
 	run_for(200);
 	gint64 known = aub_store_sync_known(sync, AUB_STORE_UPSTREAMS);
@@ -240,7 +263,7 @@
 		put("u" + std::to_string(i));
 	platform_store_set_page(store, 3);
 	platform_store_set_delay(store, 60);
-	watching = false;
+	duty = AUB_WATCH_NONE;
 	start();
 	ASSERT_TRUE(run_until([&] { return present.size() == 3; }, 1000));
 	platform_store_remove(store, "servers", "u0");
@@ -286,7 +309,7 @@
 	/* Another process, which does not watch, takes the same bytes. */
 	aub_store_sync_free(sync);
 	present.clear();
-	watching = false;
+	duty = AUB_WATCH_NONE;
 	platform_store_remove(store, "servers", "u2");
 	start();
 	ASSERT_TRUE(holds(1));
