--- a/include/auburnstile/internal/decision_log.h
+++ b/include/auburnstile/internal/decision_log.h
@@ -16,7 +16,7 @@
 enum aub_log_class {
 	AUB_LOG_CALM, /* a request that went well */
 	AUB_LOG_TROUBLE, /* one that did not */
-	AUB_LOG_STATE, /* what the process believes has changed */
+	AUB_LOG_STATE, /* what the process knows has changed */
 	AUB_LOG_CLASSES
 };
 
@@ -43,9 +43,9 @@
 	AUB_LOG_PEER_LOST,
 	AUB_LOG_DATAGRAM_REFUSED,
 	AUB_LOG_PLACING,
-	AUB_LOG_PLACER_PASSED_BY,
+	AUB_LOG_PLACER_SUSPECTED,
 	AUB_LOG_PLACEMENT,
-	AUB_LOG_BELIEF,
+	AUB_LOG_HEALTH,
 	AUB_LOG_REQUEST,
 	AUB_LOG_REQUEST_TROUBLE,
 	AUB_LOG_NOT_PLACED,
--- a/include/auburnstile/internal/message_fields.h
+++ b/include/auburnstile/internal/message_fields.h
@@ -44,9 +44,9 @@
 extern const struct aubi_layout aubi_crash_record_layout;
 extern const struct aubi_layout aubi_upstream_state_layout;
 extern const struct aubi_layout aubi_name_layout;
-extern const struct aubi_layout aubi_held_layout;
+extern const struct aubi_layout aubi_outstanding_layout;
 extern const struct aubi_layout aubi_probed_layout;
-extern const struct aubi_layout aubi_place_belief_layout;
+extern const struct aubi_layout aubi_place_health_row_layout;
 
 /* NULL for a type that does not exist. */
 const struct aubi_layout *aubi_message_layout(guint64 type);
--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -1,8 +1,8 @@
 /*
  * The other gateways: who they are, who is alive, and datagrams to them.
  *
- * Each gateway sends beacons: several times a second to those of its zone, less
- * often to the others. There is no agreement: each has its own view, and
+ * Each gateway sends heartbeats: several times a second to those of its zone,
+ * less often to the others. There is no agreement: each has its own view, and
  * nothing that must hold rests on two views being alike.
  */
 #ifndef AUBURNSTILE_INTERNAL_PEERS_H
@@ -29,8 +29,8 @@
 	guint64 incarnation;
 	gint64 heard_us; /* 0: never */
 	gint64 known_us; /* since when it is listed here */
-	gint64 suspect_until_us; /* did not answer: passed by until then */
-	gint64 suspect_us; /* for how long it was passed by last; 0: answers */
+	gint64 suspect_until_us; /* did not answer: not asked until then */
+	gint64 suspect_us; /* how long the last suspicion held; 0: it answers */
 	GHashTable *rank_keys; /* role -> guint64, as far as it was ranked */
 	bool ready;
 	bool stopping;
@@ -49,10 +49,11 @@
 	guint64 incarnation;
 	struct aub_poller *poller;
 	struct aub_timer_service *timers;
-	/* A message other than a beacon; owned by the callee. */
+	/* A message other than a heartbeat; owned by the callee. */
 	void (*message)(struct aub_message *message, void *context);
 	/* A peer knows of a change of `kind` at `revision`. */
-	void (*news)(enum aub_store_kind kind, gint64 revision, void *context);
+	void (*announced)(enum aub_store_kind kind, gint64 revision,
+			  void *context);
 	/* `incarnation` is gone: dead, restarted or silent. */
 	void (*lost)(guint64 incarnation, void *context);
 	void *context;
@@ -62,10 +63,10 @@
 				GError **error);
 void aub_peers_free(struct aub_peers *peers);
 
-/* There may be a gateway at `address`; it gets beacons from now on. */
+/* There may be a gateway at `address`; it gets heartbeats from now on. */
 void aub_peers_add(struct aub_peers *peers, const char *address);
 
-/* What the own beacons say. */
+/* What the own heartbeats say. */
 struct aub_peer_state {
 	bool ready;
 	bool stopping;
@@ -73,7 +74,7 @@
 	bool hears; /* the store answers this process: may watch for others */
 	gint64 config_version;
 	/* Revision of the store at the last change known, by kind. */
-	gint64 news[AUB_STORE_KINDS];
+	gint64 revisions[AUB_STORE_KINDS];
 };
 void aub_peers_set_self(struct aub_peers *peers,
 			const struct aub_peer_state *state);
@@ -96,7 +97,7 @@
 
 /*
  * Is this process one of those of its zone that watch the store? The others
- * learn from its beacons that something has changed.
+ * learn from its heartbeats that something has changed.
  */
 bool aub_peers_self_watches(struct aub_peers *peers);
 /* ... and does another one of its zone do so before it? */
--- a/include/auburnstile/internal/peers_parts.h
+++ b/include/auburnstile/internal/peers_parts.h
@@ -18,7 +18,7 @@
 	GPtrArray *all; /* of struct aub_peer; the first is this process */
 	GHashTable *by_address; /* of `all`; keys are the peers' own */
 	GHashTable *by_incarnation; /* the same, of those ever heard */
-	struct aub_beacon *beacon;
+	struct aub_heartbeat *heartbeat;
 	guint round;
 	guint far_rounds; /* as of this round */
 	gint64 joined_us; /* when a peer last appeared or became ready */
--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -117,8 +117,9 @@
  * `holder` still holds just `tickets`: older grants that are not among them
  * are released. A lost report would otherwise block a slot for good.
  */
-void aub_placement_held(struct aub_placement *placement, guint64 holder,
-			const guint64 *tickets, guint count, gint64 now_us);
+void aub_placement_reconcile(struct aub_placement *placement, guint64 holder,
+			     const guint64 *tickets, guint count,
+			     gint64 now_us);
 /* A request that another placer granted, learned from its holder. */
 void aub_placement_adopt(struct aub_placement *placement, guint64 holder,
 			 guint64 ticket, const char *upstream, guint target_ms,
@@ -156,28 +157,29 @@
 			      const struct aub_load *load, gint64 now_us);
 
 /* "up", "ill" (up, and said so), "down", "unknown" or "gone", for logs. */
-const char *aub_placement_believed(const struct aub_placement *placement,
-				   const char *id);
+const char *aub_placement_health_name(const struct aub_placement *placement,
+				      const char *id);
 
-/* What is believed of an upstream that is not just well, for others. */
-struct aub_belief {
+/* The state of an upstream that is not just well, for others. */
+struct aub_upstream_health {
 	const char *upstream; /* borrowed */
 	bool down;
 	bool unknown; /* not probed so far */
 	guint cold_ms; /* left; 0: warm */
 	guint slowdown; /* percent */
 };
-guint aub_placement_beliefs(const struct aub_placement *placement,
-			    struct aub_belief *list, guint limit,
-			    gint64 now_us);
-/* All are up, but for those that aub_placement_believe() then names. */
-void aub_placement_believe_well(struct aub_placement *placement);
-void aub_placement_believe(struct aub_placement *placement,
-			   const struct aub_belief *belief, gint64 now_us);
+guint aub_placement_list_health(const struct aub_placement *placement,
+				struct aub_upstream_health *list, guint limit,
+				gint64 now_us);
+/* All are up, but for those that aub_placement_set_health() then names. */
+void aub_placement_reset_health(struct aub_placement *placement);
+void aub_placement_set_health(struct aub_placement *placement,
+			      const struct aub_upstream_health *health,
+			      gint64 now_us);
 
 /* A placement at one moment, for logs and metrics. */
 struct aub_placement_state {
-	guint up; /* upstreams by what is believed of them */
+	guint up; /* upstreams by state */
 	guint down;
 	guint unknown;
 	guint cold; /* of those that are up */
--- a/include/auburnstile/internal/placer.h
+++ b/include/auburnstile/internal/placer.h
@@ -83,7 +83,7 @@
 	guint64 asked;
 	guint64 placed_here; /* for this and other gateways, as placer */
 	guint64 placed_alone; /* no placer answered */
-	guint64 passed_by; /* a placer that did not answer in time */
+	guint64 suspected; /* a placer that did not answer in time */
 	guint64 forwarded; /* asks, to a gateway that ranks before this one */
 	guint64 probes;
 };
--- a/include/auburnstile/internal/placer_parts.h
+++ b/include/auburnstile/internal/placer_parts.h
@@ -47,7 +47,8 @@
 	GHashTable *zones_out; /* set */
 	GHashTable *tickets; /* &id -> struct aub_ticket */
 	GHashTable *active; /* service -> struct aub_active */
-	GHashTable *held_told; /* services whose holders were told of grants */
+	GHashTable *outstanding_told; /* services whose holders were told of
+					 grants */
 	GPtrArray *probes; /* of struct probe, under way */
 	guint64 serial;
 	gint64 since_us; /* its start */
@@ -88,7 +89,7 @@
 /* There are tickets or queues that time alone moves on. */
 void aub_placer_arm(struct aub_placer *placer);
 
-/* Has it run for as long as first beacons take to come back? */
+/* Has it run for as long as first heartbeats take to come back? */
 bool aub_placer_hears(const struct aub_placer *placer, gint64 now_us);
 /* Has this process had the time to hear the other gateways? */
 bool aub_placer_is_settled(const struct aub_placer *placer);
@@ -116,10 +117,10 @@
 
 /* What gateways tell each other now and then. */
 void aub_placer_on_round(void *context, gint64 now_us);
-void aub_placer_take_held(struct aub_placer *placer,
-			  const struct aub_place_held *message);
-void aub_placer_take_beliefs(struct aub_placer *placer,
-			     struct aub_place_beliefs *message);
+void aub_placer_take_outstanding(struct aub_placer *placer,
+				 const struct aub_place_outstanding *message);
+void aub_placer_take_health(struct aub_placer *placer,
+			    struct aub_place_health *message);
 
 G_END_DECLS
 
--- a/include/auburnstile/internal/store_sync.h
+++ b/include/auburnstile/internal/store_sync.h
@@ -48,8 +48,8 @@
 void aub_store_sync_leave(struct aub_store_sync *sync);
 
 /* Another gateway knows of a change of `kind` at `revision`. */
-void aub_store_sync_news(struct aub_store_sync *sync, enum aub_store_kind kind,
-			 gint64 revision);
+void aub_store_sync_announce(struct aub_store_sync *sync,
+			     enum aub_store_kind kind, gint64 revision);
 /*
  * What a watching gateway was told: the changes after `after` up to `until`.
  * Taken if nothing before them is missing here; else the store is asked.
--- a/include/auburnstile/internal/store_sync_parts.h
+++ b/include/auburnstile/internal/store_sync_parts.h
@@ -30,14 +30,15 @@
 	gint64 back_us; /* when the store was heard again after an absence */
 	gint64 retry_us;
 	gint64 changed; /* revision of the last change known here */
-	gint64 known; /* the same, or later where others' news had no change */
-	gint64 news; /* the highest that others told of */
-	gint64 awaited; /* news that has until `news_timer` to come by itself */
-	gint64 overdue; /* news that did not: to be asked for */
+	gint64 known; /* the same, or later where others announced no change of
+			 this kind */
+	gint64 announced; /* the highest that others told of */
+	gint64 awaited; /* has until `announced_timer` to come by itself */
+	gint64 overdue; /* did not: to be asked for */
 	bool listed;
 	bool strict; /* an old listing had no history left: list anew */
 	bool unproved; /* nothing was heard since an old listing */
-	guint news_timer;
+	guint announced_timer;
 	bool fetching; /* the call under way waits for nothing */
 	bool failing;
 	gint64 failing_us; /* since when */
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -36,7 +36,7 @@
 	AUB_MESSAGE_KEYS, /* stopping entry -> heir: part of the key table */
 	AUB_MESSAGE_KEYS_ACK, /* heir -> stopping entry */
 	AUB_MESSAGE_STATES, /* owner -> its stand-by */
-	AUB_MESSAGE_BEACON, /* gateway -> gateway, several times a second */
+	AUB_MESSAGE_HEARTBEAT, /* gateway -> gateway, several times a second */
 	AUB_MESSAGE_INTRODUCTION, /* gateway -> gateway that has appeared */
 	AUB_MESSAGE_CRASHES, /* gateway -> all: requests that upstreams died
 				under */
@@ -44,8 +44,8 @@
 	AUB_MESSAGE_PLACE_ASK, /* gateway -> a service's placer */
 	AUB_MESSAGE_PLACE_DECISION, /* its answer */
 	AUB_MESSAGE_PLACE_REPORT, /* gateway -> the placer that granted */
-	AUB_MESSAGE_PLACE_HELD, /* gateway -> placer: grants in use */
-	AUB_MESSAGE_PLACE_BELIEFS, /* placer -> all gateways */
+	AUB_MESSAGE_PLACE_OUTSTANDING, /* gateway -> placer: grants in use */
+	AUB_MESSAGE_PLACE_HEALTH, /* placer -> all gateways */
 	AUB_MESSAGE_PLACE_PROBED, /* a zone's prober -> placer */
 	AUB_MESSAGE_TYPE_COUNT
 };
@@ -274,7 +274,7 @@
 };
 
 /* "I am here": membership among gateways. */
-struct aub_beacon {
+struct aub_heartbeat {
 	struct aub_message base;
 	guint64 incarnation;
 	char *name;
@@ -289,9 +289,9 @@
 	bool reply; /* it has not heard the receiver yet */
 	bool current; /* it has not been without the store for long */
 	bool hears; /* the store answers it at this moment */
-	guint64 routing_news; /* the store's revision of what it knows */
-	guint64 upstreams_news;
-	guint64 zones_out_news;
+	guint64 routing_revision; /* the store's revision of what it knows */
+	guint64 upstreams_revision;
+	guint64 zones_out_revision;
 };
 
 /* Where the other gateways are. */
@@ -360,21 +360,22 @@
 };
 
 /* One grant in use. Lists of these are GPtrArray. */
-struct aub_held {
+struct aub_outstanding {
 	guint64 ticket;
 	char *upstream;
 	guint32 target_ms;
 };
 
-struct aub_place_held {
+struct aub_place_outstanding {
 	struct aub_message base;
 	guint64 holder;
 	char *service;
-	GPtrArray *held; /* of struct aub_held */
+	GPtrArray *grants; /* of struct aub_outstanding */
 };
 
-/* What a placer believes of one upstream. Lists of these are GPtrArray. */
-struct aub_place_belief {
+/* The state of one upstream, as its placer sees it. Lists of these are
+ * GPtrArray. */
+struct aub_place_health_row {
 	char *upstream;
 	bool down;
 	bool unknown; /* not probed so far */
@@ -382,11 +383,11 @@
 	guint32 slowdown;
 };
 
-struct aub_place_beliefs {
+struct aub_place_health {
 	struct aub_message base;
 	char *service;
 	bool relay; /* to be passed on within the receiver's zone */
-	GPtrArray *beliefs; /* of struct aub_place_belief */
+	GPtrArray *rows; /* of struct aub_place_health_row */
 };
 
 /* How one probe ended. Lists of these are GPtrArray. */
@@ -431,9 +432,9 @@
 void aub_key_record_free(struct aub_key_record *record);
 struct aub_crash_record *aub_crash_record_new(void);
 struct aub_name *aub_name_new(const char *name);
-struct aub_held *aub_held_new(void);
+struct aub_outstanding *aub_outstanding_new(void);
 struct aub_probed *aub_probed_new(void);
-struct aub_place_belief *aub_place_belief_new(void);
+struct aub_place_health_row *aub_place_health_row_new(void);
 
 /*
  * Frame payload (without the length prefix) of a message. Owned by caller;
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -46,9 +46,9 @@
 #define LONELY_US (300 * AUB_MS) /* a seed answers within some ms */
 
 /*
- * By then the others are known. Who watches the store is clear only then:
- * where each watched from its start until it knew better, 142 gateways made
- * 430 calls of a quiet day's 1,410. Listings may be old until then.
+ * By then the others are known, and so is who watches the store: if each
+ * watched until it knew better, a start would cost calls by the fleet's size.
+ * Listings may be old until then.
  */
 #define ACQUAINTED_US (1000 * AUB_MS)
 #define RECORDS 24 /* gateways that stand in the store, about */
@@ -70,8 +70,9 @@
 	};
 
 	for (guint i = 0; node->store && i < AUB_STORE_KINDS; i++)
-		state.news[i] = aub_store_sync_known(node->store,
-						     (enum aub_store_kind)i);
+		state.revisions[i] =
+			aub_store_sync_known(node->store,
+					     (enum aub_store_kind)i);
 	aub_peers_set_self(node->peers, &state);
 }
 
@@ -203,15 +204,16 @@
 	return aub_peers_watch_duty(node->peers);
 }
 
-static void on_news(enum aub_store_kind kind, gint64 revision, void *context)
+static void on_announced(enum aub_store_kind kind, gint64 revision,
+			 void *context)
 {
 	struct aub_node *node = context;
 
 	if (node->store)
-		aub_store_sync_news(node->store, kind, revision);
+		aub_store_sync_announce(node->store, kind, revision);
 }
 
-/* Beacons go out at once, so that the others learn of the change. */
+/* Heartbeats go out at once, so that the others learn of the change. */
 static void on_told(void *context)
 {
 	update_self(context);
@@ -412,7 +414,7 @@
 		.poller = node->poller,
 		.timers = node->timers,
 		.message = on_peer_message,
-		.news = on_news,
+		.announced = on_announced,
 		.lost = on_peer_lost,
 		.context = node,
 	};
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -63,9 +63,9 @@
 	return (gint64)aub_placer_get_counts(node->placer)->forwarded;
 }
 
-static gint64 read_passed_by(const struct aub_node *node)
+static gint64 read_suspected(const struct aub_node *node)
 {
-	return (gint64)aub_placer_get_counts(node->placer)->passed_by;
+	return (gint64)aub_placer_get_counts(node->placer)->suspected;
 }
 
 static gint64 read_probes(const struct aub_node *node)
@@ -117,8 +117,8 @@
 	{ "auburnstile_placer_forwarded_total",
 	  "asks passed on to a gateway that ranks first", true,
 	  read_forwarded },
-	{ "auburnstile_placer_passed_by_total",
-	  "placers that did not answer in time", true, read_passed_by },
+	{ "auburnstile_placer_suspected_total",
+	  "placers that did not answer in time", true, read_suspected },
 	{ "auburnstile_probes_total", "sent", true, read_probes },
 	{ "auburnstile_peers_alive", "other gateways heard lately", false,
 	  read_peers },
@@ -148,7 +148,7 @@
 {
 	set_series(node, false, "auburnstile_upstreams",
 		   aub_metrics_labels("service", service, "state", state, NULL),
-		   "by what this gateway believes", count);
+		   "by state, as this gateway sees it", count);
 }
 
 static void export_placement(const char *service,
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -1,5 +1,5 @@
 /*
- * Membership by beacons over UDP.
+ * Membership by heartbeats over UDP.
  */
 #include <auburnstile/error.h>
 #include <auburnstile/internal/decision_log.h>
@@ -12,26 +12,27 @@
 #include <unistd.h>
 
 /*
- * Four beacons a second within a zone, one to the others: bytes between zones
- * are dear, and grow with the square of the gateways. Three lost in a row are
- * rarer than a dead peer even where 3% of packets go. A placer of another zone
- * that is dead is passed by long before its beacons are missed.
+ * Four heartbeats a second within a zone, one to the others: bytes between
+ * zones are dear, and grow with the square of the gateways. Three lost in a row
+ * are rarer than a dead peer even where 3% of packets go. A placer of another
+ * zone that is dead is suspected long before its heartbeats are missed.
  */
-#define BEACON_US (250 * AUB_MS)
+#define HEARTBEAT_US (250 * AUB_MS)
 #define ALIVE_US (1000 * AUB_MS)
 #define START_US (50 * AUB_MS)
 #define START_ROUNDS 6
 
 /*
- * Beacons to other zones go out each so many rounds, and less often the more
- * gateways there are: their bytes grow with the square of these. At 95 peers
- * in other zones one each 6 s is left. Nothing waits for them: a dead placer
- * is found out by those who ask it.
+ * Heartbeats to other zones go out each so many rounds, and less often the
+ * more gateways there are: their bytes grow with the square of these. Nothing
+ * waits for them: a dead placer is found out by those who ask it.
  */
 #define FAR_ROUNDS 4
 #define FAR_PEERS_A_ROUND 4
-#define FAR_ALIVE_ROUNDS 3.2 /* periods without a beacon that make a death */
-#define SILENT_US (15 * AUB_SECOND) /* then it gets one beacon in ten */
+#define FAR_ALIVE_ROUNDS                                     \
+	3.2 /* periods without a heartbeat that make a death \
+	     */
+#define SILENT_US (15 * AUB_SECOND) /* then it gets one heartbeat in ten */
 #define SILENT_EACH 10
 #define FORGET_US (300 * AUB_SECOND) /* long after callers forgot it */
 
@@ -58,61 +59,65 @@
 }
 
 /* Whoever is not known to be alive is asked to answer. */
-static void send_beacon(struct aub_peers *peers, const struct aub_peer *to)
+static void send_heartbeat(struct aub_peers *peers, const struct aub_peer *to)
 {
-	peers->beacon->reply = !to->alive;
-	aub_peers_send(peers, to, &peers->beacon->base);
+	peers->heartbeat->reply = !to->alive;
+	aub_peers_send(peers, to, &peers->heartbeat->base);
 }
 
-static void tell_news(struct aub_peers *peers, const struct aub_beacon *beacon)
+static void announce_revisions(struct aub_peers *peers,
+			       const struct aub_heartbeat *heartbeat)
 {
 	const struct aub_peers_options *options = &peers->options;
 
-	options->news(AUB_STORE_ROUTING, (gint64)beacon->routing_news,
-		      options->context);
-	options->news(AUB_STORE_UPSTREAMS, (gint64)beacon->upstreams_news,
-		      options->context);
-	options->news(AUB_STORE_ZONES_OUT, (gint64)beacon->zones_out_news,
-		      options->context);
+	options->announced(AUB_STORE_ROUTING,
+			   (gint64)heartbeat->routing_revision,
+			   options->context);
+	options->announced(AUB_STORE_UPSTREAMS,
+			   (gint64)heartbeat->upstreams_revision,
+			   options->context);
+	options->announced(AUB_STORE_ZONES_OUT,
+			   (gint64)heartbeat->zones_out_revision,
+			   options->context);
 }
 
-static void take_beacon(struct aub_peers *peers,
-			const struct aub_beacon *beacon)
+static void take_heartbeat(struct aub_peers *peers,
+			   const struct aub_heartbeat *heartbeat)
 {
 	gint64 now = aub_timer_now(peers->options.timers);
-	struct aub_peer *peer = aub_peers_by_address(peers, beacon->address);
+	struct aub_peer *peer = aub_peers_by_address(peers, heartbeat->address);
 	bool differs;
 
 	if (!peer) {
-		peer = aub_peer_new(beacon->address, now);
+		peer = aub_peer_new(heartbeat->address, now);
 		aub_peers_list_add(peers, peer);
 	}
 	if (peer->self)
 		return;
 	/* A datagram of an earlier start may come late. */
-	if (beacon->incarnation < peer->incarnation)
+	if (heartbeat->incarnation < peer->incarnation)
 		return;
-	if (peer->alive && peer->incarnation != beacon->incarnation)
+	if (peer->alive && peer->incarnation != heartbeat->incarnation)
 		lose(peers, peer, now);
-	differs = !peer->alive || peer->ready != beacon->ready ||
-		  peer->stopping != beacon->stopping ||
-		  peer->current != beacon->current ||
-		  peer->hears != beacon->hears;
-	if (!peer->alive || (beacon->ready && !peer->ready))
+	differs = !peer->alive || peer->ready != heartbeat->ready ||
+		  peer->stopping != heartbeat->stopping ||
+		  peer->current != heartbeat->current ||
+		  peer->hears != heartbeat->hears;
+	if (!peer->alive || (heartbeat->ready && !peer->ready))
 		peers->joined_us = now;
-	if (strcmp(peer->name, beacon->name) != 0)
+	if (strcmp(peer->name, heartbeat->name) != 0)
 		aub_peer_forget_ranks(peer);
-	aub_string_set(&peer->name, beacon->name);
-	aub_string_set(&peer->zone, beacon->zone);
-	aub_string_set(&peer->callers_address, beacon->callers_address);
-	peer->capacity = beacon->capacity;
-	aub_peers_set_incarnation(peers, peer, beacon->incarnation);
-	peer->ready = beacon->ready;
-	peer->stopping = beacon->stopping;
-	peer->current = beacon->current;
-	peer->hears = beacon->hears;
+	aub_string_set(&peer->name, heartbeat->name);
+	aub_string_set(&peer->zone, heartbeat->zone);
+	aub_string_set(&peer->callers_address, heartbeat->callers_address);
+	peer->capacity = heartbeat->capacity;
+	aub_peers_set_incarnation(peers, peer, heartbeat->incarnation);
+	peer->ready = heartbeat->ready;
+	peer->stopping = heartbeat->stopping;
+	peer->current = heartbeat->current;
+	peer->hears = heartbeat->hears;
 	peer->heard_us = now;
-	tell_news(peers, beacon);
+	announce_revisions(peers, heartbeat);
 	if (differs) {
 		bool appeared = !peer->alive;
 
@@ -120,16 +125,16 @@
 		aub_peers_rank_again(peers);
 		if (appeared)
 			log_peer(AUB_LOG_PEER_HEARD, peer, 0);
-		if (appeared && !beacon->peers)
+		if (appeared && !heartbeat->peers)
 			aub_peers_introduce(peers, peer);
 	}
 	/*
-	 * Failure: the answer to a first beacon is lost. Symptom: its sender
+	 * Failure: the answer to a first heartbeat is lost. Symptom: its sender
 	 * does not know of this gateway until the next round between zones.
 	 * Enough: it asks each round until it has been answered.
 	 */
-	if (beacon->reply)
-		send_beacon(peers, peer);
+	if (heartbeat->reply)
+		send_heartbeat(peers, peer);
 }
 
 static void refuse(struct aub_peers *peers, const struct sockaddr_in *from,
@@ -157,8 +162,8 @@
 		g_error_free(error);
 		return;
 	}
-	if (message->type == AUB_MESSAGE_BEACON) {
-		take_beacon(peers, (struct aub_beacon *)message);
+	if (message->type == AUB_MESSAGE_HEARTBEAT) {
+		take_heartbeat(peers, (struct aub_heartbeat *)message);
 		aub_message_free(message);
 		return;
 	}
@@ -271,7 +276,7 @@
 {
 	if (aub_peer_is_near(peers, peer))
 		return ALIVE_US;
-	return (gint64)(FAR_ALIVE_ROUNDS * peers->far_rounds) * BEACON_US;
+	return (gint64)(FAR_ALIVE_ROUNDS * peers->far_rounds) * HEARTBEAT_US;
 }
 
 static bool is_due(const struct aub_peers *peers, const struct aub_peer *peer,
@@ -285,19 +290,19 @@
 	       peers->round % peers->far_rounds == 0;
 }
 
-static GBytes *encode_beacon(struct aub_peers *peers, bool reply)
+static GBytes *encode_heartbeat(struct aub_peers *peers, bool reply)
 {
-	peers->beacon->reply = reply;
-	return aub_message_encode(&peers->beacon->base, NULL);
+	peers->heartbeat->reply = reply;
+	return aub_message_encode(&peers->heartbeat->base, NULL);
 }
 
 /* To those whose turn it is, or to `all` where something has changed. */
-static void send_beacons(struct aub_peers *peers, bool all, gint64 now_us)
+static void send_heartbeats(struct aub_peers *peers, bool all, gint64 now_us)
 {
-	peers->beacon->peers = aub_peers_count_found(peers, now_us);
+	peers->heartbeat->peers = aub_peers_count_found(peers, now_us);
 
-	GBytes *asking = encode_beacon(peers, true);
-	GBytes *telling = encode_beacon(peers, false);
+	GBytes *asking = encode_heartbeat(peers, true);
+	GBytes *telling = encode_heartbeat(peers, false);
 
 	for (guint i = 1; asking && telling && i < peers->all->len; i++) {
 		struct aub_peer *peer = g_ptr_array_index(peers->all, i);
@@ -327,13 +332,13 @@
 		else
 			i++;
 	}
-	send_beacons(peers, false, now_us);
+	send_heartbeats(peers, false, now_us);
 }
 
 /*
  * Failure: power returns to all gateways within 0.3 s, and the first ones to
  * start find their seeds not up yet. Symptom: they wait for the next round of
- * beacons before they find each other, and callers for a quarter of a second
+ * heartbeats before they find each other, and callers for a quarter of a second
  * more. Enough: until a gateway that starts has heard anybody, it asks five
  * times as often; whoever answers tells it of the others.
  */
@@ -347,7 +352,7 @@
 		return;
 	}
 	for (guint i = 1; i < peers->all->len; i++)
-		send_beacon(peers, g_ptr_array_index(peers->all, i));
+		send_heartbeat(peers, g_ptr_array_index(peers->all, i));
 }
 
 static void self_add(struct aub_peers *peers)
@@ -364,15 +369,15 @@
 	self->alive = true;
 	self->self = true;
 	aub_peers_list_add(peers, self);
-	peers->beacon =
-		(struct aub_beacon *)aub_message_new(AUB_MESSAGE_BEACON);
-	aub_string_set(&peers->beacon->name, options->name);
-	aub_string_set(&peers->beacon->zone, options->zone);
-	aub_string_set(&peers->beacon->address, options->address);
-	aub_string_set(&peers->beacon->callers_address,
+	peers->heartbeat =
+		(struct aub_heartbeat *)aub_message_new(AUB_MESSAGE_HEARTBEAT);
+	aub_string_set(&peers->heartbeat->name, options->name);
+	aub_string_set(&peers->heartbeat->zone, options->zone);
+	aub_string_set(&peers->heartbeat->address, options->address);
+	aub_string_set(&peers->heartbeat->callers_address,
 		       options->callers_address);
-	peers->beacon->capacity = options->capacity;
-	peers->beacon->incarnation = options->incarnation;
+	peers->heartbeat->capacity = options->capacity;
+	peers->heartbeat->incarnation = options->incarnation;
 }
 
 struct aub_peers *aub_peers_new(const struct aub_peers_options *options,
@@ -396,8 +401,8 @@
 	self_add(peers);
 	peers->watch = aub_poller_add(options->poller, fd, EPOLLIN, on_readable,
 				      peers);
-	peers->timer = aub_timer_every(options->timers, "beacons", BEACON_US,
-				       on_round, peers);
+	peers->timer = aub_timer_every(options->timers, "heartbeats",
+				       HEARTBEAT_US, on_round, peers);
 	peers->start_rounds = START_ROUNDS;
 	peers->start_timer = aub_timer_every(options->timers, "start", START_US,
 					     on_start_round, peers);
@@ -412,7 +417,7 @@
 	aub_timer_cancel(peers->options.timers, peers->start_timer);
 	aub_poll_watch_remove(peers->watch);
 	close(peers->fd);
-	aub_message_free(&peers->beacon->base);
+	aub_message_free(&peers->heartbeat->base);
 	g_hash_table_unref(peers->ranked);
 	g_clear_pointer(&peers->watchers, g_ptr_array_unref);
 	g_hash_table_unref(peers->by_address);
@@ -429,39 +434,39 @@
 		return;
 	peer = aub_peer_new(address, aub_timer_now(peers->options.timers));
 	aub_peers_list_add(peers, peer);
-	send_beacon(peers, peer);
+	send_heartbeat(peers, peer);
 }
 
 /*
  * Failure: each gateway tells every other at once of each change that it
- * learns of. Symptom: at 142 gateways that is 13,000 datagrams between zones
- * a change, six tenths of all bytes there on a day without trouble. Enough:
- * those that watch tell their own zone and those that watch for another; the
- * rest hear it from these, or by the next beacon of their zone.
+ * learns of. Symptom: a change costs the square of the fleet in datagrams
+ * between zones. Enough: those that watch tell their own zone and those that
+ * watch for another; the rest hear it from these, or by the next heartbeat of
+ * their zone.
  */
 static void tell_zone_and_watchers(struct aub_peers *peers)
 {
 	const GPtrArray *watchers = aub_peers_watchers(peers);
 
-	peers->beacon->reply = false;
-	aub_peers_send_zone(peers, &peers->beacon->base);
+	peers->heartbeat->reply = false;
+	aub_peers_send_zone(peers, &peers->heartbeat->base);
 	for (guint i = 0; i < watchers->len; i++) {
 		const struct aub_peer *peer = g_ptr_array_index(watchers, i);
 
 		if (!aub_peer_is_near(peers, peer))
-			send_beacon(peers, peer);
+			send_heartbeat(peers, peer);
 	}
 }
 
-static bool news_differ(const struct aub_beacon *beacon,
-			const struct aub_peer_state *state)
+static bool revisions_differ(const struct aub_heartbeat *heartbeat,
+			     const struct aub_peer_state *state)
 {
-	return beacon->routing_news !=
-		       (guint64)state->news[AUB_STORE_ROUTING] ||
-	       beacon->upstreams_news !=
-		       (guint64)state->news[AUB_STORE_UPSTREAMS] ||
-	       beacon->zones_out_news !=
-		       (guint64)state->news[AUB_STORE_ZONES_OUT];
+	return heartbeat->routing_revision !=
+		       (guint64)state->revisions[AUB_STORE_ROUTING] ||
+	       heartbeat->upstreams_revision !=
+		       (guint64)state->revisions[AUB_STORE_UPSTREAMS] ||
+	       heartbeat->zones_out_revision !=
+		       (guint64)state->revisions[AUB_STORE_ZONES_OUT];
 }
 
 void aub_peers_set_self(struct aub_peers *peers,
@@ -472,27 +477,29 @@
 			    self->stopping != state->stopping ||
 			    self->current != state->current;
 	bool hears_differs = self->hears != state->hears;
-	bool news = news_differ(peers->beacon, state);
+	bool changed = revisions_differ(peers->heartbeat, state);
 
 	self->ready = state->ready;
 	self->stopping = state->stopping;
 	self->current = state->current;
 	self->hears = state->hears;
-	peers->beacon->ready = state->ready;
-	peers->beacon->stopping = state->stopping;
-	peers->beacon->current = state->current;
-	peers->beacon->hears = state->hears;
-	peers->beacon->config_version = (guint64)state->config_version;
-	peers->beacon->routing_news = (guint64)state->news[AUB_STORE_ROUTING];
-	peers->beacon->upstreams_news =
-		(guint64)state->news[AUB_STORE_UPSTREAMS];
-	peers->beacon->zones_out_news =
-		(guint64)state->news[AUB_STORE_ZONES_OUT];
+	peers->heartbeat->ready = state->ready;
+	peers->heartbeat->stopping = state->stopping;
+	peers->heartbeat->current = state->current;
+	peers->heartbeat->hears = state->hears;
+	peers->heartbeat->config_version = (guint64)state->config_version;
+	peers->heartbeat->routing_revision =
+		(guint64)state->revisions[AUB_STORE_ROUTING];
+	peers->heartbeat->upstreams_revision =
+		(guint64)state->revisions[AUB_STORE_UPSTREAMS];
+	peers->heartbeat->zones_out_revision =
+		(guint64)state->revisions[AUB_STORE_ZONES_OUT];
 	if (role_differs || hears_differs)
 		aub_peers_rank_again(peers);
 	if (role_differs)
-		send_beacons(peers, true, aub_timer_now(peers->options.timers));
-	else if (hears_differs || (news && aub_peers_self_watches(peers)))
+		send_heartbeats(peers, true,
+				aub_timer_now(peers->options.timers));
+	else if (hears_differs || (changed && aub_peers_self_watches(peers)))
 		tell_zone_and_watchers(peers);
 }
 
--- a/src/coordination/peers_introduction.c
+++ b/src/coordination/peers_introduction.c
@@ -34,7 +34,7 @@
 
 /*
  * To one that knows this process as a seed, and nobody else: where the others
- * are. Its beacons then reach all of them.
+ * are. Its heartbeats then reach all of them.
  */
 void aub_peers_introduce(struct aub_peers *peers, const struct aub_peer *to)
 {
@@ -65,8 +65,8 @@
 	if (message->addresses.length % ADDRESS_BYTES)
 		return false;
 	peers->introduced_us = aub_timer_now(peers->options.timers);
-	/* At once: the beacons that follow must not ask for another one. */
-	peers->beacon->peers = MAX(peers->beacon->peers, 1);
+	/* At once: the heartbeats that follow must not ask for another one. */
+	peers->heartbeat->peers = MAX(peers->heartbeat->peers, 1);
 	for (gsize i = 0; i < message->addresses.length; i += ADDRESS_BYTES) {
 		char *address = read_address(message->addresses.data + i);
 
--- a/src/coordination/peers_rank.c
+++ b/src/coordination/peers_rank.c
@@ -11,9 +11,9 @@
 
 /*
  * Failure: the store turns a part of the machines away, or falls silent for
- * them. Symptom: with one watcher a zone, all of them were among 7 of 19
- * once in 120 days, and a change was in force 4 s late. Enough: two a zone,
- * and another begins as soon as one says that it does not hear.
+ * them. Symptom: with one watcher a zone, all of them may be among these, and
+ * a change is late everywhere. Enough: two a zone, and another begins as soon
+ * as one says that it does not hear.
  */
 #define WATCHERS 2
 
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -13,8 +13,8 @@
  * has heard the others. Symptom: each probes every upstream, and slots are
  * promised many times. Enough: a fresh gateway waits until nearly all that it
  * was told of have answered and no more of them appear. Where some stay silent
- * it waits for as long as first beacons take to come back, which is longer the
- * more gateways there are: small VMs are slow to hear many.
+ * it waits for as long as first heartbeats take to come back, which is longer
+ * the more gateways there are: small VMs are slow to hear many.
  */
 #define SETTLE_ALONE_US (250 * AUB_MS) /* while it has heard nobody */
 #define SETTLE_US (100 * AUB_MS)
@@ -220,7 +220,7 @@
 						NULL, aub_ticket_free);
 	placer->active = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					       aub_active_free);
-	placer->held_told =
+	placer->outstanding_told =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	placer->probes = g_ptr_array_new();
 	placer->settle_timer =
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -156,7 +156,8 @@
 	aub_ticket_send_report(placer, &ticket, &report);
 }
 
-/* It answers: the next time that it does not, it is passed by shortly. */
+/* It answers: the next time that it does not, it is suspected for a short time.
+ */
 static void answered(struct aub_placer *placer, guint64 incarnation)
 {
 	struct aub_peer *peer =
@@ -238,16 +239,17 @@
 	case AUB_MESSAGE_PLACE_REPORT:
 		take_remote_report(placer, (struct aub_place_report *)message);
 		break;
-	case AUB_MESSAGE_PLACE_HELD:
-		aub_placer_take_held(placer, (struct aub_place_held *)message);
+	case AUB_MESSAGE_PLACE_OUTSTANDING:
+		aub_placer_take_outstanding(
+			placer, (struct aub_place_outstanding *)message);
 		break;
 	case AUB_MESSAGE_PLACE_PROBED:
 		aub_placer_take_probed(placer,
 				       (struct aub_place_probed *)message);
 		break;
-	case AUB_MESSAGE_PLACE_BELIEFS:
-		aub_placer_take_beliefs(placer,
-					(struct aub_place_beliefs *)message);
+	case AUB_MESSAGE_PLACE_HEALTH:
+		aub_placer_take_health(placer,
+				       (struct aub_place_health *)message);
 		break;
 	default:
 		break;
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -42,7 +42,7 @@
 }
 
 /* Only changes: one that stays ill is probed ten times a second. */
-static void log_belief(const struct probe *probe, const char *was,
+static void log_health(const struct probe *probe, const char *was,
 		       const char *now, enum aub_probe_end end,
 		       const struct aub_load *load)
 {
@@ -55,7 +55,7 @@
 
 	if (!strcmp(was, now))
 		return;
-	aub_log_begin(AUB_LOG_BELIEF);
+	aub_log_begin(AUB_LOG_HEALTH);
 	aub_log_text("upstream", probe->upstream);
 	aub_log_text("service", probe->service);
 	aub_log_text("was", was);
@@ -150,11 +150,11 @@
 
 	if (head)
 		placer->options.platform->decode_load(head, &load);
-	was = aub_placement_believed(placement, probe->upstream);
+	was = aub_placement_health_name(placement, probe->upstream);
 	aub_placement_probe_ended(placement, probe->upstream, ended, &load,
 				  aub_timer_now(placer->options.timers));
-	log_belief(probe, was,
-		   aub_placement_believed(placement, probe->upstream), ended,
+	log_health(probe, was,
+		   aub_placement_health_name(placement, probe->upstream), ended,
 		   &load);
 	tell_later(placer, probe, ended, &load);
 	probe_free(probe);
@@ -270,5 +270,5 @@
 		probe_free(probe);
 	}
 	g_ptr_array_unref(placer->probes);
-	g_hash_table_unref(placer->held_told);
+	g_hash_table_unref(placer->outstanding_told);
 }
--- a/src/coordination/placer_round.c
+++ b/src/coordination/placer_round.c
@@ -1,6 +1,6 @@
 /*
  * What gateways tell each other once a second: the grants they hold,
- * so that lost reports are made good, and what a placer believes, so that
+ * so that lost reports are made good, and the health of upstreams, so that
  * another one can take over or do without it.
  */
 #include <auburnstile/internal/decision_log.h>
@@ -8,7 +8,7 @@
 
 #include <string.h>
 
-#define BELIEFS_MOST 512 /* upstreams of a service in one datagram */
+#define HEALTH_ROWS_MOST 512 /* upstreams of a service in one datagram */
 #define RELAYS 2 /* of each other zone are told; the first passes it on */
 
 struct aub_peer *aub_placer_of(struct aub_placer *placer, const char *service,
@@ -28,12 +28,12 @@
 	return NULL;
 }
 
-static struct aub_place_held *held_of(struct aub_placer *placer,
-				      const char *service)
+static struct aub_place_outstanding *outstanding_of(struct aub_placer *placer,
+						    const char *service)
 {
-	struct aub_place_held *message =
-		(struct aub_place_held *)aub_message_new(
-			AUB_MESSAGE_PLACE_HELD);
+	struct aub_place_outstanding *message =
+		(struct aub_place_outstanding *)aub_message_new(
+			AUB_MESSAGE_PLACE_OUTSTANDING);
 	GHashTableIter iter;
 	void *value;
 
@@ -42,35 +42,35 @@
 	g_hash_table_iter_init(&iter, placer->tickets);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct aub_ticket *ticket = value;
-		struct aub_held *held;
+		struct aub_outstanding *held;
 
 		if (!ticket->upstream || strcmp(ticket->service, service) != 0)
 			continue;
-		held = aub_held_new();
+		held = aub_outstanding_new();
 		held->ticket = ticket->id;
 		held->target_ms = ticket->ask.target_ms;
 		aub_string_set(&held->upstream, ticket->upstream);
-		g_ptr_array_add(message->held, held);
+		g_ptr_array_add(message->grants, held);
 	}
 	return message;
 }
 
 /* An empty list is told once, so that the last grant is released too. */
-static void tell_held(struct aub_placer *placer, const char *service,
-		      gint64 now_us)
+static void send_outstanding(struct aub_placer *placer, const char *service,
+			     gint64 now_us)
 {
 	struct aub_peer *peer = aub_placer_of(placer, service, now_us);
-	struct aub_place_held *message;
-	bool told = g_hash_table_contains(placer->held_told, service);
+	struct aub_place_outstanding *message;
+	bool told = g_hash_table_contains(placer->outstanding_told, service);
 
 	if (!peer)
 		return;
-	message = held_of(placer, service);
-	if (message->held->len)
-		g_hash_table_add(placer->held_told, g_strdup(service));
+	message = outstanding_of(placer, service);
+	if (message->grants->len)
+		g_hash_table_add(placer->outstanding_told, g_strdup(service));
 	else
-		g_hash_table_remove(placer->held_told, service);
-	if (message->held->len || told)
+		g_hash_table_remove(placer->outstanding_told, service);
+	if (message->grants->len || told)
 		aub_peers_send(placer->options.peers, peer, &message->base);
 	aub_message_free(&message->base);
 }
@@ -82,7 +82,7 @@
  * other zone, which tell theirs.
  */
 static void tell_zones(struct aub_placer *placer,
-		       struct aub_place_beliefs *message)
+		       struct aub_place_health *message)
 {
 	struct aub_peers *peers = placer->options.peers;
 	const GPtrArray *ranked = aub_peers_ranked(peers, message->service);
@@ -105,27 +105,28 @@
 	g_hash_table_unref(told);
 }
 
-static void tell_beliefs(struct aub_placer *placer, const char *service,
-			 gint64 now_us)
+static void send_health(struct aub_placer *placer, const char *service,
+			gint64 now_us)
 {
-	struct aub_belief list[BELIEFS_MOST];
+	struct aub_upstream_health list[HEALTH_ROWS_MOST];
 	struct aub_placement *placement = aub_placer_placement(placer, service);
-	guint count =
-		aub_placement_beliefs(placement, list, BELIEFS_MOST, now_us);
-	struct aub_place_beliefs *message;
+	guint count = aub_placement_list_health(placement, list,
+						HEALTH_ROWS_MOST, now_us);
+	struct aub_place_health *message;
 
-	message = (struct aub_place_beliefs *)aub_message_new(
-		AUB_MESSAGE_PLACE_BELIEFS);
+	message = (struct aub_place_health *)aub_message_new(
+		AUB_MESSAGE_PLACE_HEALTH);
 	aub_string_set(&message->service, service);
 	for (guint i = 0; i < count; i++) {
-		struct aub_place_belief *belief = aub_place_belief_new();
+		struct aub_place_health_row *health =
+			aub_place_health_row_new();
 
-		aub_string_set(&belief->upstream, list[i].upstream);
-		belief->down = list[i].down;
-		belief->unknown = list[i].unknown;
-		belief->cold_ms = list[i].cold_ms;
-		belief->slowdown = list[i].slowdown;
-		g_ptr_array_add(message->beliefs, belief);
+		aub_string_set(&health->upstream, list[i].upstream);
+		health->down = list[i].down;
+		health->unknown = list[i].unknown;
+		health->cold_ms = list[i].cold_ms;
+		health->slowdown = list[i].slowdown;
+		g_ptr_array_add(message->rows, health);
 	}
 	tell_zones(placer, message);
 	aub_message_free(&message->base);
@@ -191,7 +192,7 @@
 		const char *service = key;
 
 		if (aub_placer_of(placer, service, now_us)) {
-			tell_held(placer, service, now_us);
+			send_outstanding(placer, service, now_us);
 			if (is_first_of_zone(placer, service))
 				aub_placer_wake_near(placer, service);
 			continue;
@@ -199,36 +200,36 @@
 		if (!aub_peers_self(placer->options.peers)->ready)
 			continue;
 		aub_placer_wake_service(placer, service);
-		tell_beliefs(placer, service, now_us);
+		send_health(placer, service, now_us);
 		log_refusals(placer, service, now_us);
 	}
 }
 
-void aub_placer_take_held(struct aub_placer *placer,
-			  const struct aub_place_held *message)
+void aub_placer_take_outstanding(struct aub_placer *placer,
+				 const struct aub_place_outstanding *message)
 {
 	gint64 now = aub_timer_now(placer->options.timers);
 	struct aub_placement *placement =
 		aub_placer_placement(placer, message->service);
-	guint64 *tickets = g_new(guint64, message->held->len + 1);
+	guint64 *tickets = g_new(guint64, message->grants->len + 1);
 
-	for (guint i = 0; i < message->held->len; i++) {
-		const struct aub_held *held =
-			g_ptr_array_index(message->held, i);
+	for (guint i = 0; i < message->grants->len; i++) {
+		const struct aub_outstanding *held =
+			g_ptr_array_index(message->grants, i);
 
 		tickets[i] = held->ticket;
 		aub_placement_adopt(placement, message->holder, held->ticket,
 				    held->upstream, held->target_ms, now);
 	}
-	aub_placement_held(placement, message->holder, tickets,
-			   message->held->len, now);
+	aub_placement_reconcile(placement, message->holder, tickets,
+				message->grants->len, now);
 	g_free(tickets);
 	aub_placer_drain(placer, placement);
 }
 
 /* Whoever places for a service itself goes by its own probes. */
-void aub_placer_take_beliefs(struct aub_placer *placer,
-			     struct aub_place_beliefs *message)
+void aub_placer_take_health(struct aub_placer *placer,
+			    struct aub_place_health *message)
 {
 	gint64 now = aub_timer_now(placer->options.timers);
 	struct aub_placement *placement =
@@ -242,11 +243,11 @@
 	}
 	if (active && active->until_us > now)
 		return;
-	aub_placement_believe_well(placement);
-	for (guint i = 0; i < message->beliefs->len; i++) {
-		const struct aub_place_belief *told =
-			g_ptr_array_index(message->beliefs, i);
-		const struct aub_belief belief = {
+	aub_placement_reset_health(placement);
+	for (guint i = 0; i < message->rows->len; i++) {
+		const struct aub_place_health_row *told =
+			g_ptr_array_index(message->rows, i);
+		const struct aub_upstream_health health = {
 			.upstream = told->upstream,
 			.down = told->down,
 			.unknown = told->unknown,
@@ -254,6 +255,6 @@
 			.slowdown = told->slowdown,
 		};
 
-		aub_placement_believe(placement, &belief, now);
+		aub_placement_set_health(placement, &health, now);
 	}
 }
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -152,7 +152,7 @@
 	}
 }
 
-/* Nobody who ranks before `peer` was passed by. */
+/* Nobody who ranks before `peer` is suspected. */
 static bool is_first_choice(struct aub_placer *placer, const char *service,
 			    const struct aub_peer *peer)
 {
@@ -188,8 +188,8 @@
 }
 
 /*
- * Another placer can be asked as soon as first beacons are back, though it may
- * turn out to be the wrong one; only who would place itself has to be sure.
+ * Another placer can be asked as soon as first heartbeats are back, though it
+ * may turn out to be the wrong one; only who would place itself has to be sure.
  */
 static bool waits_to_settle(const struct aub_placer *placer,
 			    const struct aub_peer *peer, gint64 now_us)
@@ -223,9 +223,9 @@
 }
 
 /*
- * Failure: a placer of another zone dies, and its beacons come too rarely to
+ * Failure: a placer of another zone dies, and its heartbeats come too rarely to
  * be missed soon. Symptom: each second one request of each gateway waits for
- * it in vain. Enough: it is passed by for twice as long each time, until it
+ * it in vain. Enough: it is suspected for twice as long each time, until it
  * is heard again.
  */
 static void suspect(struct aub_peer *peer, gint64 now_us)
@@ -239,13 +239,13 @@
 	peer->suspect_until_us = now_us + peer->suspect_us;
 }
 
-static void pass_by(struct aub_placer *placer, struct aub_ticket *ticket,
-		    struct aub_peer *peer, gint64 now_us)
+static void ask_next(struct aub_placer *placer, struct aub_ticket *ticket,
+		     struct aub_peer *peer, gint64 now_us)
 {
-	placer->counts.passed_by++;
+	placer->counts.suspected++;
 	if (peer) {
 		suspect(peer, now_us);
-		aub_log_begin(AUB_LOG_PLACER_PASSED_BY);
+		aub_log_begin(AUB_LOG_PLACER_SUSPECTED);
 		aub_log_text("peer", peer->name);
 		aub_log_text("service", ticket->service);
 		aub_log_number("heard_ms", (now_us - peer->heard_us) / AUB_MS);
@@ -270,7 +270,7 @@
 		send_ask(placer, ticket, peer);
 		return;
 	}
-	pass_by(placer, ticket, peer, now_us);
+	ask_next(placer, ticket, peer, now_us);
 }
 
 void aub_tickets_due(struct aub_placer *placer, gint64 now_us)
--- a/src/coordination/store_changes.c
+++ b/src/coordination/store_changes.c
@@ -93,7 +93,7 @@
 
 /*
  * Old listings cost a tenth of a call. They tell the revision they are from:
- * who watches gets what came after it, and the others hear by beacons that
+ * who watches gets what came after it, and the others hear by heartbeats that
  * they are behind.
  */
 static void list_ended(struct aub_store_task *task, gint64 now_us)
@@ -118,9 +118,9 @@
 
 /*
  * All gateways have to name a change by the same revision, or each takes the
- * others' for news and asks the store: the change's own. A removal has none
- * of its own; the answer's stands for it. Nothing past `most` counts: later
- * pages of a listing may hold changes that its first page is too old for.
+ * others' for newer ones and asks the store: the change's own. A removal has
+ * none of its own; the answer's stands for it. Nothing past `most` counts:
+ * later pages of a listing may hold changes that its first page is too old for.
  */
 static void note_changes(struct aub_store_task *task,
 			 const struct aub_store_page *page, gint64 most)
@@ -177,8 +177,9 @@
 			    now_us);
 	task->revision = MAX(task->revision, page->revision);
 	note_changes(task, page, page->revision);
-	if (task->news > task->known && page->revision >= task->news)
-		task->known = task->news; /* it was no change of this kind */
+	if (task->announced > task->known && page->revision >= task->announced)
+		task->known =
+			task->announced; /* it was no change of this kind */
 }
 
 void aub_store_relist(struct aub_store_task *task)
--- a/src/coordination/store_enrol.c
+++ b/src/coordination/store_enrol.c
@@ -15,7 +15,7 @@
 
 /*
  * Each enrols before it lists: of two that start together, at least one
- * finds the other, and its beacon tells the other in turn.
+ * finds the other, and its heartbeat tells the other in turn.
  */
 static void on_enrolled(enum aub_exchange_end end,
 			const struct aub_http_head *head, const char *body,
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -11,7 +11,7 @@
 
 /*
  * A watch whose connection went silent is found out by its time limit at the
- * latest; other gateways' beacons tell sooner what it missed.
+ * latest; other gateways' heartbeats tell sooner what it missed.
  */
 #define WATCH_MS 4000
 #define WATCH_SLACK_MS 500
@@ -27,9 +27,9 @@
 #define STANDBY_WATCH_MS 8000
 #define STANDBY_PAUSE_US (1000 * AUB_MS)
 /*
- * Who is told of news waits this long for the changes themselves to come: its
- * zone's watchers may be in a pause while another zone's were not. With 200 ms,
- * 94 gateways made 1,366 calls in 22 s that the pause made needless.
+ * Whoever hears of a later revision waits this long for the changes
+ * themselves: its zone's watchers may be in a pause while another zone's are
+ * not.
  */
 #define SHARE_US (700 * AUB_MS)
 #define IDLE_US (20 * AUB_SECOND)
@@ -107,10 +107,7 @@
 	aub_log_end();
 }
 
-/*
- * While the store fails, one kind asks whether it is back; each call costs,
- * and at 94 gateways three kinds made 1,278 calls in an outage of 8 s.
- */
+/* While the store fails, one kind asks whether it is back: calls cost. */
 static bool is_scout(const struct aub_store_task *task)
 {
 	for (guint i = 0; i < (guint)task->kind; i++)
@@ -159,7 +156,7 @@
 	task->retry_us = MIN(task->retry_us * 2, AUB_STORE_RETRY_MOST_US);
 }
 
-static void wait_for_news(struct aub_store_task *task);
+static void wait_for_changes(struct aub_store_task *task);
 
 static enum aub_watch_duty duty(const struct aub_store_task *task)
 {
@@ -175,7 +172,7 @@
 	bool standby = duty(task) == AUB_WATCH_STANDBY;
 	gint64 pause_us = standby && !behind ? STANDBY_PAUSE_US : PAUSE_US;
 
-	wait_for_news(task);
+	wait_for_changes(task);
 	task_later(task, changes || behind ? pause_us : 0);
 }
 
@@ -243,7 +240,7 @@
 	}
 }
 
-/* Members are read once; from then on beacons tell. */
+/* Members are read once; from then on heartbeats tell. */
 static bool may_watch(const struct aub_store_task *task)
 {
 	return task->kind != AUB_STORE_MEMBERS && duty(task) != AUB_WATCH_NONE;
@@ -322,7 +319,7 @@
 		aub_http_call_cancel(task->call);
 		aub_timer_cancel(sync->options.timers, task->timer);
 		aub_timer_cancel(sync->options.timers, task->gone_timer);
-		aub_timer_cancel(sync->options.timers, task->news_timer);
+		aub_timer_cancel(sync->options.timers, task->announced_timer);
 		g_hash_table_unref(task->present);
 		g_hash_table_unref(task->seen);
 		g_hash_table_unref(task->gone);
@@ -343,7 +340,7 @@
 	if (task->call || task->timer)
 		return;
 	aub_store_relist(task);
-	/* Old ones will do, again and again: beacons tell who is there. */
+	/* Old ones will do, again and again: heartbeats tell who is there. */
 	task->strict = false;
 	task_run(task);
 }
@@ -351,20 +348,18 @@
 /*
  * Failure: the store no longer feeds a watch that waits (it is about to drop
  * its history), and others have heard of a change. Symptom: this process goes
- * by the old configuration for as long as the watch waits. Enough: news that
- * has not come by itself is asked for, and the watch is given up.
- *
- * Each piece of news has its own time to come. Where any news that was open
- * at the end of it was asked for, 142 gateways made 3,100 of 5,600 calls in
- * 60 s for changes that their zone's watchers were about to pass on.
+ * by the old configuration for as long as the watch waits. Enough: a revision
+ * that has not come by itself is asked for, and the watch is given up. Each
+ * has its own time to come, or changes that are about to be passed on would be
+ * asked for by the whole fleet.
  */
-static void on_news(void *context, gint64 now_us)
+static void on_announced(void *context, gint64 now_us)
 {
 	struct aub_store_task *task = context;
 
-	task->news_timer = 0;
+	task->announced_timer = 0;
 	if (task->awaited <= task->known) {
-		wait_for_news(task);
+		wait_for_changes(task);
 		return;
 	}
 	task->overdue = task->awaited;
@@ -376,27 +371,27 @@
 	task_run(task);
 }
 
-static void wait_for_news(struct aub_store_task *task)
+static void wait_for_changes(struct aub_store_task *task)
 {
 	struct aub_timer_service *timers = task->sync->options.timers;
 
-	if (task->news <= task->known || task->news_timer)
+	if (task->announced <= task->known || task->announced_timer)
 		return;
-	task->awaited = task->news;
-	task->news_timer =
-		aub_timer_at(timers, "store news",
-			     aub_timer_now(timers) + SHARE_US, on_news, task);
+	task->awaited = task->announced;
+	task->announced_timer = aub_timer_at(timers, "store changes",
+					     aub_timer_now(timers) + SHARE_US,
+					     on_announced, task);
 }
 
-void aub_store_sync_news(struct aub_store_sync *sync, enum aub_store_kind kind,
-			 gint64 revision)
+void aub_store_sync_announce(struct aub_store_sync *sync,
+			     enum aub_store_kind kind, gint64 revision)
 {
 	struct aub_store_task *task = &sync->tasks[kind];
 
-	if (revision <= task->news)
+	if (revision <= task->announced)
 		return;
-	task->news = revision;
-	wait_for_news(task);
+	task->announced = revision;
+	wait_for_changes(task);
 }
 
 void aub_store_sync_take(struct aub_store_sync *sync, enum aub_store_kind kind,
@@ -412,7 +407,7 @@
 	page = sync->options.platform->decode_page(kind, body, length, NULL);
 	if (!page)
 		return;
-	task->news = MAX(task->news, until);
+	task->announced = MAX(task->announced, until);
 	aub_store_take_changes(task, page, aub_timer_now(sync->options.timers));
 	task->changed = MAX(task->changed, until);
 	task->known = MAX(task->known, until);
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -181,14 +181,14 @@
 	return aubi_struct_new(&aubi_probed_layout);
 }
 
-struct aub_held *aub_held_new(void)
+struct aub_outstanding *aub_outstanding_new(void)
 {
-	return aubi_struct_new(&aubi_held_layout);
+	return aubi_struct_new(&aubi_outstanding_layout);
 }
 
-struct aub_place_belief *aub_place_belief_new(void)
+struct aub_place_health_row *aub_place_health_row_new(void)
 {
-	return aubi_struct_new(&aubi_place_belief_layout);
+	return aubi_struct_new(&aubi_place_health_row_layout);
 }
 
 const char *aub_message_type_name(enum aub_message_type type)
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -19,7 +19,7 @@
 #define KEYS_LIMIT 4096 /* keys a part */
 #define CRASHES_LIMIT 1024
 #define ATTEMPTS_LIMIT 64 /* upstreams one request was sent to */
-#define HELD_LIMIT 4096 /* requests of one service at one gateway */
+#define OUTSTANDING_LIMIT 4096 /* requests of one service at one gateway */
 #define OBJECT_LIMIT (1u << 20) /* the store's megabyte */
 #define BODY_LIMIT (8u << 20)
 
@@ -256,15 +256,15 @@
 const struct aubi_layout aubi_name_layout =
 	LAYOUT("name", aub_name, name_fields);
 
-static const struct aubi_field held_fields[] = {
-	NUMBER(aub_held, ticket),
-	STRING(aub_held, upstream, NAME_LIMIT),
-	NUMBER32(aub_held, target_ms),
+static const struct aubi_field outstanding_fields[] = {
+	NUMBER(aub_outstanding, ticket),
+	STRING(aub_outstanding, upstream, NAME_LIMIT),
+	NUMBER32(aub_outstanding, target_ms),
 	END,
 };
 
-const struct aubi_layout aubi_held_layout =
-	LAYOUT("held grant", aub_held, held_fields);
+const struct aubi_layout aubi_outstanding_layout =
+	LAYOUT("outstanding grant", aub_outstanding, outstanding_fields);
 
 static const struct aubi_field probed_fields[] = {
 	STRING(aub_probed, upstream, NAME_LIMIT),
@@ -286,35 +286,35 @@
 	END,
 };
 
-static const struct aubi_field place_belief_fields[] = {
-	STRING(aub_place_belief, upstream, NAME_LIMIT),
-	FLAG(aub_place_belief, down),
-	FLAG(aub_place_belief, unknown),
-	NUMBER32(aub_place_belief, cold_ms),
-	NUMBER32(aub_place_belief, slowdown),
+static const struct aubi_field place_health_row_fields[] = {
+	STRING(aub_place_health_row, upstream, NAME_LIMIT),
+	FLAG(aub_place_health_row, down),
+	FLAG(aub_place_health_row, unknown),
+	NUMBER32(aub_place_health_row, cold_ms),
+	NUMBER32(aub_place_health_row, slowdown),
 	END,
 };
 
-const struct aubi_layout aubi_place_belief_layout =
-	LAYOUT("belief", aub_place_belief, place_belief_fields);
+const struct aubi_layout aubi_place_health_row_layout =
+	LAYOUT("health", aub_place_health_row, place_health_row_fields);
 
-static const struct aubi_field beacon_fields[] = {
-	NUMBER(aub_beacon, incarnation),
-	STRING(aub_beacon, name, NAME_LIMIT),
-	STRING(aub_beacon, zone, NAME_LIMIT),
-	STRING(aub_beacon, address, ADDRESS_LIMIT),
-	STRING(aub_beacon, callers_address, ADDRESS_LIMIT),
-	NUMBER32(aub_beacon, capacity),
-	FLAG(aub_beacon, ready),
-	FLAG(aub_beacon, stopping),
-	NUMBER(aub_beacon, config_version),
-	NUMBER32(aub_beacon, peers),
-	FLAG(aub_beacon, reply),
-	FLAG(aub_beacon, current),
-	FLAG(aub_beacon, hears),
-	NUMBER(aub_beacon, routing_news),
-	NUMBER(aub_beacon, upstreams_news),
-	NUMBER(aub_beacon, zones_out_news),
+static const struct aubi_field heartbeat_fields[] = {
+	NUMBER(aub_heartbeat, incarnation),
+	STRING(aub_heartbeat, name, NAME_LIMIT),
+	STRING(aub_heartbeat, zone, NAME_LIMIT),
+	STRING(aub_heartbeat, address, ADDRESS_LIMIT),
+	STRING(aub_heartbeat, callers_address, ADDRESS_LIMIT),
+	NUMBER32(aub_heartbeat, capacity),
+	FLAG(aub_heartbeat, ready),
+	FLAG(aub_heartbeat, stopping),
+	NUMBER(aub_heartbeat, config_version),
+	NUMBER32(aub_heartbeat, peers),
+	FLAG(aub_heartbeat, reply),
+	FLAG(aub_heartbeat, current),
+	FLAG(aub_heartbeat, hears),
+	NUMBER(aub_heartbeat, routing_revision),
+	NUMBER(aub_heartbeat, upstreams_revision),
+	NUMBER(aub_heartbeat, zones_out_revision),
 	END,
 };
 
@@ -375,18 +375,19 @@
 	END,
 };
 
-static const struct aubi_field place_held_fields[] = {
-	NUMBER(aub_place_held, holder),
-	STRING(aub_place_held, service, NAME_LIMIT),
-	LIST(aub_place_held, held, HELD_LIMIT, &aubi_held_layout),
+static const struct aubi_field place_outstanding_fields[] = {
+	NUMBER(aub_place_outstanding, holder),
+	STRING(aub_place_outstanding, service, NAME_LIMIT),
+	LIST(aub_place_outstanding, grants, OUTSTANDING_LIMIT,
+	     &aubi_outstanding_layout),
 	END,
 };
 
-static const struct aubi_field place_beliefs_fields[] = {
-	STRING(aub_place_beliefs, service, NAME_LIMIT),
-	FLAG(aub_place_beliefs, relay),
-	LIST(aub_place_beliefs, beliefs, UPSTREAMS_LIMIT,
-	     &aubi_place_belief_layout),
+static const struct aubi_field place_health_fields[] = {
+	STRING(aub_place_health, service, NAME_LIMIT),
+	FLAG(aub_place_health, relay),
+	LIST(aub_place_health, rows, UPSTREAMS_LIMIT,
+	     &aubi_place_health_row_layout),
 	END,
 };
 
@@ -409,7 +410,8 @@
 	[AUB_MESSAGE_KEYS_ACK] =
 		LAYOUT("keys acknowledgement", aub_keys_ack, keys_ack_fields),
 	[AUB_MESSAGE_STATES] = LAYOUT("states", aub_states, states_fields),
-	[AUB_MESSAGE_BEACON] = LAYOUT("beacon", aub_beacon, beacon_fields),
+	[AUB_MESSAGE_HEARTBEAT] =
+		LAYOUT("heartbeat", aub_heartbeat, heartbeat_fields),
 	[AUB_MESSAGE_INTRODUCTION] =
 		LAYOUT("introduction", aub_introduction, introduction_fields),
 	[AUB_MESSAGE_CRASHES] = LAYOUT("crashes", aub_crashes, crashes_fields),
@@ -422,12 +424,13 @@
 		       place_decision_fields),
 	[AUB_MESSAGE_PLACE_REPORT] =
 		LAYOUT("place report", aub_place_report, place_report_fields),
-	[AUB_MESSAGE_PLACE_HELD] =
-		LAYOUT("place held", aub_place_held, place_held_fields),
+	[AUB_MESSAGE_PLACE_OUTSTANDING] =
+		LAYOUT("place outstanding", aub_place_outstanding,
+		       place_outstanding_fields),
 	[AUB_MESSAGE_PLACE_PROBED] =
 		LAYOUT("place probed", aub_place_probed, place_probed_fields),
-	[AUB_MESSAGE_PLACE_BELIEFS] = LAYOUT("place beliefs", aub_place_beliefs,
-					     place_beliefs_fields),
+	[AUB_MESSAGE_PLACE_HEALTH] =
+		LAYOUT("place health", aub_place_health, place_health_fields),
 };
 
 const struct aubi_layout *aubi_message_layout(guint64 type)
--- a/src/state/log_story.c
+++ b/src/state/log_story.c
@@ -144,11 +144,11 @@
 	if (!strcmp(event, "request") || !strcmp(event, "attempt") ||
 	    !strcmp(event, "not-placed"))
 		return false;
-	if (!strcmp(event, "upstream") || !strcmp(event, "belief"))
+	if (!strcmp(event, "upstream") || !strcmp(event, "health"))
 		return is_named(story, object, "id") ||
 		       is_named(story, object, "upstream");
 	if (!strcmp(event, "placement") || !strcmp(event, "placing") ||
-	    !strcmp(event, "placer-passed-by"))
+	    !strcmp(event, "placer-suspected"))
 		return is_named(story, object, "service");
 	return is_named(story, object, "node") &&
 	       strcmp(event, "peer-heard") != 0;
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -1,6 +1,6 @@
 /*
  * A service's upstreams as a placement knows them: registered, observed,
- * believed.
+ * probed.
  */
 #include <auburnstile/internal/placement_parts.h>
 
@@ -282,8 +282,8 @@
 	return row->registered && !row->draining && !row->zone_out;
 }
 
-const char *aub_placement_believed(const struct aub_placement *placement,
-				   const char *id)
+const char *aub_placement_health_name(const struct aub_placement *placement,
+				      const char *id)
 {
 	gint index = aub_placement_find(placement, id);
 	const struct aub_row *row;
@@ -303,8 +303,9 @@
 	       row->slowness > AUB_NOTEWORTHY_SLOWNESS;
 }
 
-guint aub_placement_beliefs(const struct aub_placement *placement,
-			    struct aub_belief *list, guint limit, gint64 now_us)
+guint aub_placement_list_health(const struct aub_placement *placement,
+				struct aub_upstream_health *list, guint limit,
+				gint64 now_us)
 {
 	guint count = 0;
 
@@ -313,7 +314,7 @@
 
 		if (!row->registered || !is_noteworthy(row, now_us))
 			continue;
-		list[count++] = (struct aub_belief){
+		list[count++] = (struct aub_upstream_health){
 			.upstream = row->id,
 			.down = row->state == AUB_ROW_DOWN,
 			.unknown = row->state == AUB_ROW_UNKNOWN,
@@ -328,7 +329,7 @@
 	return count;
 }
 
-void aub_placement_believe_well(struct aub_placement *placement)
+void aub_placement_reset_health(struct aub_placement *placement)
 {
 	for (guint i = 0; i < placement->rows->len; i++) {
 		struct aub_row *row = aub_placement_row(placement, i);
@@ -338,21 +339,22 @@
 	}
 }
 
-void aub_placement_believe(struct aub_placement *placement,
-			   const struct aub_belief *belief, gint64 now_us)
+void aub_placement_set_health(struct aub_placement *placement,
+			      const struct aub_upstream_health *health,
+			      gint64 now_us)
 {
-	gint index = aub_placement_find(placement, belief->upstream);
+	gint index = aub_placement_find(placement, health->upstream);
 	struct aub_row *row;
 
 	if (index < 0)
 		return;
 	row = aub_placement_row(placement, (guint)index);
-	row->state = belief->down    ? AUB_ROW_DOWN :
-		     belief->unknown ? AUB_ROW_UNKNOWN :
+	row->state = health->down    ? AUB_ROW_DOWN :
+		     health->unknown ? AUB_ROW_UNKNOWN :
 				       AUB_ROW_UP;
 	row->cold_until_us = MAX(row->cold_until_us,
-				 now_us + belief->cold_ms * AUB_PLACE_MS);
-	row->slowness = belief->slowdown / 100.0;
+				 now_us + health->cold_ms * AUB_PLACE_MS);
+	row->slowness = health->slowdown / 100.0;
 }
 
 /* Of the first registered upstream; those of a service are mostly alike. */
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -5,11 +5,11 @@
 
 #define SMOOTHING 0.05 /* a mean over some twenty requests */
 
-/* An upstream that says it is full is believed for about a slot's time. */
+/* An upstream that says it is full is taken to be for about a slot's time. */
 #define FULL_US (50 * AUB_PLACE_MS)
 
 /* A grant younger than this may not yet be in its holder's list. */
-#define HELD_GRACE_US (1200 * AUB_PLACE_MS)
+#define OUTSTANDING_GRACE_US (1200 * AUB_PLACE_MS)
 
 #define SLOWNESS_SMOOTHING 0.1
 #define SLOWNESS_MOST 8.0
@@ -154,8 +154,8 @@
 	return false;
 }
 
-void aub_placement_held(struct aub_placement *placement, guint64 holder,
-			const guint64 *tickets, guint count, gint64 now_us)
+void aub_placement_reconcile(struct aub_placement *placement, guint64 holder,
+			     const guint64 *tickets, guint count, gint64 now_us)
 {
 	GHashTableIter iter;
 	void *value;
@@ -165,7 +165,7 @@
 		struct aub_grant *made = value;
 
 		if (made->holder != holder ||
-		    now_us - made->since_us < HELD_GRACE_US ||
+		    now_us - made->since_us < OUTSTANDING_GRACE_US ||
 		    is_listed(tickets, count, made->ticket))
 			continue;
 		aub_placement_row(placement, made->row)->granted--;
@@ -204,5 +204,6 @@
 		else
 			i++;
 	}
-	aub_placement_held(placement, holder, NULL, 0, now_us + HELD_GRACE_US);
+	aub_placement_reconcile(placement, holder, NULL, 0,
+				now_us + OUTSTANDING_GRACE_US);
 }
--- a/tests/placer_rig.h
+++ b/tests/placer_rig.h
@@ -17,7 +17,7 @@
 	struct aub_peers *peers = NULL;
 	struct aub_placer *placer = NULL;
 	guint64 incarnation = 0;
-	std::map<int, gint64> news; /* by kind */
+	std::map<int, gint64> revisions; /* by kind */
 	std::vector<guint64> lost;
 	bool deaf = false; /* drops messages of the others' placers */
 };
@@ -56,12 +56,12 @@
 		else
 			aub_message_free(message);
 	}
-	static void on_news(enum aub_store_kind kind, gint64 revision,
-			    void *context)
+	static void on_announced(enum aub_store_kind kind, gint64 revision,
+				 void *context)
 	{
 		Gate *gate = (Gate *)context;
 
-		gate->news[kind] = MAX(gate->news[kind], revision);
+		gate->revisions[kind] = MAX(gate->revisions[kind], revision);
 	}
 	static void on_lost(guint64 incarnation, void *context)
 	{
@@ -106,7 +106,7 @@
 			.poller = poller,
 			.timers = timers,
 			.message = on_message,
-			.news = on_news,
+			.announced = on_announced,
 			.lost = on_lost,
 			.context = gate,
 		};
@@ -169,14 +169,14 @@
 			},
 			3000));
 	}
-	void say(Gate &gate, bool current, gint64 news = 0)
+	void say(Gate &gate, bool current, gint64 revision = 0)
 	{
 		struct aub_peer_state state = {};
 
 		state.ready = true;
 		state.current = current;
 		state.hears = current;
-		state.news[AUB_STORE_UPSTREAMS] = news;
+		state.revisions[AUB_STORE_UPSTREAMS] = revision;
 		aub_peers_set_self(gate.peers, &state);
 	}
 	struct platform_upstream *add_upstream(const std::string &id)
--- a/tests/test_log_story.cc
+++ b/tests/test_log_story.cc
@@ -11,9 +11,9 @@
 	R"("reason":"","service":"s","upstream":"u2","tries":2,"ms":900})",
 	R"(  3.2 g1 {"t":1400,"node":"g1","event":"attempt","id":"r1",)"
 	R"("upstream":"u1","end":"lost","ms":300})",
-	R"({"t":1350,"node":"g2","event":"belief","upstream":"u1",)"
+	R"({"t":1350,"node":"g2","event":"health","upstream":"u1",)"
 	R"("service":"s","was":"up","probe":"silent"})",
-	R"({"t":1360,"node":"g2","event":"belief","upstream":"u9",)"
+	R"({"t":1360,"node":"g2","event":"health","upstream":"u9",)"
 	R"("service":"s","was":"up","probe":"silent"})",
 	R"({"t":1500,"node":"g1","event":"request","id":"other","ms":5})",
 	R"({"t":900,"node":"g1","event":"store-lost","kind":"upstreams"})",
@@ -41,7 +41,7 @@
 		     "upstream=u2 tries=2 ms=900\n"
 		     "around it\n"
 		     "    -100 ms  g1  store-lost kind=upstreams\n"
-		     "    +350 ms  g2  belief upstream=u1 service=s was=up "
+		     "    +350 ms  g2  health upstream=u1 service=s was=up "
 		     "probe=silent\n");
 	g_free(text);
 	aub_log_story_free(story);
--- a/tests/test_peers.cc
+++ b/tests/test_peers.cc
@@ -1,4 +1,4 @@
-/* Membership by beacons: who is there, who is gone, who does what. */
+/* Membership by heartbeats: who is there, who is gone, who does what. */
 #include "placer_rig.h"
 
 #include <auburnstile/internal/peers_parts.h>
@@ -26,8 +26,9 @@
 {
 	/*
 	 * Callers wait until gateways have found each other. Power returns to
-	 * all of them at once, and a gateway is up before its seed: the beacon
-	 * that it sends at its start is lost, and the seed knows nobody.
+	 * all of them at once, and a gateway is up before its seed: the
+	 * heartbeat that it sends at its start is lost, and the seed knows
+	 * nobody.
 	 */
 	std::string address = free_address();
 	Gate *early = start("a");
@@ -170,7 +171,7 @@
 	join();
 	say(*gates[0], true, 77);
 	EXPECT_TRUE(run_until(
-		[&] { return gates[1]->news[AUB_STORE_UPSTREAMS] == 77; },
+		[&] { return gates[1]->revisions[AUB_STORE_UPSTREAMS] == 77; },
 		500));
 }
 
@@ -249,7 +250,7 @@
 	EXPECT_TRUE(run_until(
 		[&] {
 			for (auto &gate : gates)
-				if (gate->news[AUB_STORE_UPSTREAMS] < 20)
+				if (gate->revisions[AUB_STORE_UPSTREAMS] < 20)
 					return false;
 			return true;
 		},
@@ -263,8 +264,8 @@
 	return counts->near_datagrams + counts->far_datagrams;
 }
 
-/* Guards against a start of the fleet in which beacons take all of a VM. */
-TEST_F(PeersTest, MeetWithOneBeaconEachWay)
+/* Guards against a start of the fleet in which heartbeats take all of a VM. */
+TEST_F(PeersTest, MeetWithOneHeartbeatEachWay)
 {
 	start("a");
 	start("b");
@@ -292,15 +293,15 @@
 	std::string address = free_address();
 	int fd = aub_udp_bind(address.c_str(), NULL);
 	struct sockaddr_in to;
-	struct aub_beacon *beacon =
-		(struct aub_beacon *)aub_message_new(AUB_MESSAGE_BEACON);
+	struct aub_heartbeat *heartbeat =
+		(struct aub_heartbeat *)aub_message_new(AUB_MESSAGE_HEARTBEAT);
 
 	ASSERT_TRUE(aub_socket_address(gate->address.c_str(), &to));
-	aub_string_set(&beacon->address, address.c_str());
-	beacon->incarnation = 7;
-	beacon->reply = true;
-	beacon->peers = 1;
-	GBytes *bytes = aub_message_encode(&beacon->base, NULL);
+	aub_string_set(&heartbeat->address, address.c_str());
+	heartbeat->incarnation = 7;
+	heartbeat->reply = true;
+	heartbeat->peers = 1;
+	GBytes *bytes = aub_message_encode(&heartbeat->base, NULL);
 	gsize length;
 	const void *data = g_bytes_get_data(bytes, &length);
 	for (guint asked = 1; asked <= 2; asked++) {
@@ -315,7 +316,7 @@
 		EXPECT_GT(recv(fd, answer, sizeof(answer), MSG_DONTWAIT), 0);
 	}
 	g_bytes_unref(bytes);
-	aub_message_free(&beacon->base);
+	aub_message_free(&heartbeat->base);
 	close(fd);
 }
 
--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -404,7 +404,7 @@
 	tickets[0] = p.ask().ticket;
 	tickets[1] = p.ask().ticket;
 	p.now += 2000 * MS;
-	aub_placement_held(p.it, 7, &tickets[1], 1, p.now);
+	aub_placement_reconcile(p.it, 7, &tickets[1], 1, p.now);
 	aub_placement_check(p.it);
 	EXPECT_EQ(p.row("u1")->granted, 1u);
 	aub_placement_forget(p.it, 7, p.now);
@@ -475,8 +475,8 @@
 						 random, 0, 9));
 			break;
 		case 5:
-			aub_placement_held(p.it, 7, open.data(),
-					   (guint)open.size() / 2, p.now);
+			aub_placement_reconcile(p.it, 7, open.data(),
+						(guint)open.size() / 2, p.now);
 			break;
 		default: {
 			struct aub_ask ask =
--- a/tests/test_placement_probe.cc
+++ b/tests/test_placement_probe.cc
@@ -142,15 +142,15 @@
 {
 	Placement place;
 
-	EXPECT_STREQ(aub_placement_believed(place.it, "u1"), "gone");
+	EXPECT_STREQ(aub_placement_health_name(place.it, "u1"), "gone");
 	place.enter("u1");
-	EXPECT_STREQ(aub_placement_believed(place.it, "u1"), "unknown");
+	EXPECT_STREQ(aub_placement_health_name(place.it, "u1"), "unknown");
 	place.probed("u1");
-	EXPECT_STREQ(aub_placement_believed(place.it, "u1"), "up");
+	EXPECT_STREQ(aub_placement_health_name(place.it, "u1"), "up");
 	place.probed("u1", -1, 100, AUB_PROBE_ILL);
-	EXPECT_STREQ(aub_placement_believed(place.it, "u1"), "ill");
+	EXPECT_STREQ(aub_placement_health_name(place.it, "u1"), "ill");
 	place.probed("u1", -1, 100, AUB_PROBE_SILENT);
-	EXPECT_STREQ(aub_placement_believed(place.it, "u1"), "ill");
+	EXPECT_STREQ(aub_placement_health_name(place.it, "u1"), "ill");
 	place.probed("u1", -1, 100, AUB_PROBE_SILENT);
-	EXPECT_STREQ(aub_placement_believed(place.it, "u1"), "down");
+	EXPECT_STREQ(aub_placement_health_name(place.it, "u1"), "down");
 }
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -64,7 +64,7 @@
 {
 	/*
 	 * Callers who come back after a loss of power wait for no more than
-	 * first beacons take. Others still appear, but a placer is known.
+	 * first heartbeats take. Others still appear, but a placer is known.
 	 */
 	Placed result;
 
@@ -164,8 +164,8 @@
 TEST_F(PlacerTest, GoesToTheNextWhenAPlacerDoesNotAnswer)
 {
 	/*
-	 * The caller waits some 50 ms more. The placer is alive by its beacons
-	 * but does not answer (its processor share is used up).
+	 * The caller waits some 50 ms more. The placer is alive by its
+	 * heartbeats but does not answer (its processor share is used up).
 	 */
 	Placed result;
 
@@ -191,7 +191,8 @@
 		enter(*gate, upstream);
 	join();
 	Gate *placer = placer_of_all();
-	/* The one that asks is alone in its zone: beacons come once a second.
+	/* The one that asks is alone in its zone: heartbeats come once a
+	 * second.
 	 */
 	Gate *far = start("far", "z2");
 	enter(*far, upstream);
@@ -209,7 +210,7 @@
 				  NULL);
 		run_for(20);
 	}
-	EXPECT_LE(aub_placer_get_counts(far->placer)->passed_by, 2u);
+	EXPECT_LE(aub_placer_get_counts(far->placer)->suspected, 2u);
 }
 
 /* Guards against a placer whose link and processor grow with the fleet. */
@@ -226,11 +227,11 @@
 	const struct aub_peers_counts *counts =
 		aub_peers_get_counts(placer->peers);
 	aub_placer_wake_service(placer->placer, "svc");
-	struct aub_belief down = {};
+	struct aub_upstream_health down = {};
 	down.upstream = "u1";
 	down.down = true;
-	aub_placement_believe(aub_placer_placement(placer->placer, "svc"),
-			      &down, g_get_monotonic_time());
+	aub_placement_set_health(aub_placer_placement(placer->placer, "svc"),
+				 &down, g_get_monotonic_time());
 	guint64 far = counts->far_datagrams;
 	guint64 near = counts->near_datagrams;
 	aub_placer_on_round(placer->placer, g_get_monotonic_time());
@@ -239,7 +240,7 @@
 	EXPECT_TRUE(run_until(
 		[&] {
 			for (auto &gate : gates)
-				if (strcmp(aub_placement_believed(
+				if (strcmp(aub_placement_health_name(
 						   aub_placer_placement(
 							   gate->placer, "svc"),
 						   "u1"),
@@ -337,7 +338,7 @@
 {
 	/*
 	 * The caller is not sent to a dead upstream while no placer answers:
-	 * what the placer believed is known to the others.
+	 * what the placer knows is known to the others.
 	 */
 	start("a");
 	start("b");
@@ -380,7 +381,7 @@
 			    counts[i];
 	EXPECT_GE(counts[0], 7u);
 	EXPECT_LE(counts[1], 2u);
-	EXPECT_STREQ(aub_placement_believed(
+	EXPECT_STREQ(aub_placement_health_name(
 			     aub_placer_placement(placer_of_all()->placer,
 						  "svc"),
 			     "u1"),
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -215,9 +215,10 @@
 	run_for(400);
 	EXPECT_EQ(present.size(), 1u);
 	guint64 before = platform_store_calls(store);
-	aub_store_sync_news(sync, AUB_STORE_UPSTREAMS,
-			    aub_store_sync_known(sync, AUB_STORE_UPSTREAMS) +
-				    1);
+	aub_store_sync_announce(sync, AUB_STORE_UPSTREAMS,
+				aub_store_sync_known(sync,
+						     AUB_STORE_UPSTREAMS) +
+					1);
 	EXPECT_TRUE(holds(2));
 	EXPECT_EQ(platform_store_calls(store) - before, 1u);
 }
@@ -243,7 +244,8 @@
 	guint64 before = platform_store_calls(store);
 
 	for (int i = 1; i <= 20; i++) {
-		aub_store_sync_news(sync, AUB_STORE_UPSTREAMS, known + i + 1);
+		aub_store_sync_announce(sync, AUB_STORE_UPSTREAMS,
+					known + i + 1);
 		aub_store_sync_take(sync, AUB_STORE_UPSTREAMS, known + i - 1,
 				    known + i, shared[0].data(),
 				    shared[0].size());
@@ -271,7 +273,7 @@
 	ASSERT_TRUE(run_until([&] { return present.count("u9") > 0; }, 1000));
 	EXPECT_TRUE(present.count("u0"));
 	/* Another gateway tells of the newest change. */
-	aub_store_sync_news(sync, AUB_STORE_UPSTREAMS, 8);
+	aub_store_sync_announce(sync, AUB_STORE_UPSTREAMS, 8);
 	EXPECT_TRUE(run_until([&] { return !present.count("u0"); }, 2500));
 }
 
@@ -279,8 +281,8 @@
 {
 	/*
 	 * Callers are handled by the newest configuration. This process waits
-	 * on a watch that the store no longer feeds; another gateway's beacon
-	 * tells of a change.
+	 * on a watch that the store no longer feeds; another gateway's
+	 * heartbeat tells of a change.
 	 */
 	put("u1");
 	start();
@@ -290,9 +292,10 @@
 	put("u2");
 	run_for(400);
 	EXPECT_EQ(present.size(), 1u);
-	aub_store_sync_news(sync, AUB_STORE_UPSTREAMS,
-			    aub_store_sync_known(sync, AUB_STORE_UPSTREAMS) +
-				    1);
+	aub_store_sync_announce(sync, AUB_STORE_UPSTREAMS,
+				aub_store_sync_known(sync,
+						     AUB_STORE_UPSTREAMS) +
+					1);
 	EXPECT_TRUE(holds(2, 1000));
 }
 
