store: a large fleet asks a failing store less often

Cause: while the store failed each gateway asked once a second or so whether it was back: some 1,100 calls of 312 gateways in a silent outage of 8 s.

Change: the longest interval is 10 ms for each gateway known, between 1 and 3 s; up to 100 gateways nothing changes.

Tests: AsksAFailingStoreLessOftenInALargeFleet, AsksAtOnceForWhatOthersAnnounce WhileTheStoreFails.

--- a/include/auburnstile/internal/store_sync.h
+++ b/include/auburnstile/internal/store_sync.h
@@ -30,6 +30,8 @@
 		      const char *body, gsize length, void *context);
 	/* Does this process watch, or wait to be told of changes? */
 	enum aub_watch_duty (*duty)(void *context);
+	/* Processes that share the store, this one not counted. */
+	guint (*fleet)(void *context);
 	/* The first full listing of a kind was read. */
 	void (*listed)(enum aub_store_kind kind, void *context);
 	void *context;
--- a/include/auburnstile/internal/store_sync_parts.h
+++ b/include/auburnstile/internal/store_sync_parts.h
@@ -42,6 +42,7 @@
 	bool fetching; /* the call under way waits for nothing */
 	bool failing;
 	gint64 failing_us; /* since when */
+	gint64 called_us; /* when the last call began */
 };
 
 struct aub_store_sync {
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -204,6 +204,13 @@
 	return aub_peers_watch_duty(node->peers);
 }
 
+static guint on_fleet(void *context)
+{
+	struct aub_node *node = context;
+
+	return aub_peers_count_alive(node->peers);
+}
+
 static void on_announced(enum aub_store_kind kind, gint64 revision,
 			 void *context)
 {
@@ -481,6 +488,7 @@
 		.told = on_told,
 		.share = on_share,
 		.duty = on_duty,
+		.fleet = on_fleet,
 		.listed = on_listed,
 		.context = node,
 	};
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -34,6 +34,9 @@
 #define SHARE_US (700 * AUB_MS)
 #define IDLE_US (20 * AUB_SECOND)
 
+#define RETRY_EACH_US (10 * AUB_MS) /* for each gateway of the fleet */
+#define RETRY_LARGE_US (3000 * AUB_MS)
+
 const char *aub_store_kind_name(enum aub_store_kind kind)
 {
 	static const char *const names[AUB_STORE_KINDS] = {
@@ -140,6 +143,21 @@
 	task->retry_us = AUB_STORE_RETRY_US;
 }
 
+/*
+ * Failure: the store fails, and each gateway asks once a second whether it is
+ * back. Symptom: an outage costs calls by the fleet's size, and the store
+ * returns under their load. Enough: the interval grows with the fleet, so far
+ * that a gateway that was turned away is back before it counts as reachable.
+ * A revision that others announce is asked for at once all the same.
+ */
+static gint64 retry_most_us(const struct aub_store_task *task)
+{
+	const struct aub_store_sync_options *options = &task->sync->options;
+	gint64 us = options->fleet(options->context) * RETRY_EACH_US;
+
+	return CLAMP(us, AUB_STORE_RETRY_MOST_US, RETRY_LARGE_US);
+}
+
 static void failed(struct aub_store_task *task, const char *why)
 {
 	gint64 now = aub_timer_now(task->sync->options.timers);
@@ -153,7 +171,7 @@
 		return;
 	task_later(task,
 		   task->retry_us + g_random_int_range(0, AUB_STORE_RETRY_US));
-	task->retry_us = MIN(task->retry_us * 2, AUB_STORE_RETRY_MOST_US);
+	task->retry_us = MIN(task->retry_us * 2, retry_most_us(task));
 }
 
 static void wait_for_changes(struct aub_store_task *task);
@@ -279,6 +297,7 @@
 					   !task->strict);
 	options.path = path;
 	task->fetching = !watch || fetch;
+	task->called_us = aub_timer_now(sync->options.timers);
 	task->call = aub_http_call_new(sync->options.client, &options,
 				       on_answer, task);
 	g_free(path);
@@ -363,9 +382,14 @@
 		return;
 	}
 	task->overdue = task->awaited;
-	if (!task->listed || task->step != AUB_STORE_WATCH || task->timer ||
-	    task->fetching)
+	if (!task->listed || task->step != AUB_STORE_WATCH || task->fetching)
 		return;
+	/* A retry that is due soon will do; one that is far off will not. */
+	if (task->timer && (!task->failing ||
+			    now_us - task->called_us < AUB_STORE_RETRY_MOST_US))
+		return;
+	aub_timer_cancel(task->sync->options.timers, task->timer);
+	task->timer = 0;
 	aub_http_call_cancel(task->call);
 	task->call = NULL;
 	task_run(task);
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -18,6 +18,7 @@
 	std::set<std::string> present;
 	std::vector<std::string> shared;
 	enum aub_watch_duty duty = AUB_WATCH_FIRST;
+	guint fleet = 0;
 	int changes = 0;
 
 	void SetUp() override
@@ -70,6 +71,11 @@
 				[](void *context) {
 					return ((StoreSyncTest *)context)->duty;
 				},
+			.fleet =
+				[](void *context) {
+					return ((StoreSyncTest *)context)
+						->fleet;
+				},
 			.listed = [](enum aub_store_kind, void *) {},
 			.context = this,
 		};
@@ -115,6 +121,37 @@
 	EXPECT_TRUE(holds(80));
 }
 
+/* Guards against a large fleet whose calls keep a store from returning. */
+TEST_F(StoreSyncTest, AsksAFailingStoreLessOftenInALargeFleet)
+{
+	fleet = 300;
+	put("u1");
+	start();
+	ASSERT_TRUE(holds(1));
+	platform_store_set_fault(store, PLATFORM_STORE_BUSY);
+	run_for(2500);
+	guint64 before = platform_store_calls(store);
+	run_for(6000);
+	EXPECT_LE(platform_store_calls(store) - before, 3u);
+	EXPECT_GE(platform_store_calls(store) - before, 1u);
+}
+
+/* Guards against an old configuration while a store's retry is far off. */
+TEST_F(StoreSyncTest, AsksAtOnceForWhatOthersAnnounceWhileTheStoreFails)
+{
+	fleet = 300;
+	put("u1");
+	start();
+	ASSERT_TRUE(holds(1));
+	platform_store_set_fault(store, PLATFORM_STORE_BUSY);
+	run_for(4000);
+	platform_store_set_fault(store, PLATFORM_STORE_WELL);
+	put("u2");
+	aub_store_sync_announce(sync, AUB_STORE_UPSTREAMS,
+				platform_store_put(store, "x", "y", "{}"));
+	EXPECT_TRUE(holds(2, 900));
+}
+
 TEST_F(StoreSyncTest, ListsAllPagesAndWatches)
 {
 	for (int i = 0; i < 7; i++)
