placer: one silence is one suspicion

Cause, found while reading the change: each request that had waited for a placer doubled the time for which it was suspected, so that one pause with five requests on the way meant 8 s at another placer.

Change: a placer under suspicion is not suspected anew.

Test: SuspectsOnceForRequestsThatWaitTogether: six requests meant 8 s before.

--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -156,8 +156,7 @@
 	aub_ticket_send_report(placer, &ticket, &report);
 }
 
-/* It answers: the next time that it does not, it is suspected for a short time.
- */
+/* The next suspicion of whoever answers is a short one again. */
 static void answered(struct aub_placer *placer, guint64 incarnation)
 {
 	struct aub_peer *peer =
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -232,6 +232,9 @@
 {
 	bool heard = peer->heard_us > peer->suspect_until_us - peer->suspect_us;
 
+	/* Several requests may have waited through the same silence. */
+	if (peer->suspect_until_us > now_us)
+		return;
 	if (heard || !peer->suspect_us)
 		peer->suspect_us = SUSPECT_US;
 	else
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -213,6 +213,30 @@
 	EXPECT_LE(aub_placer_get_counts(far->placer)->suspected, 2u);
 }
 
+/* Guards against a long suspicion of a placer that was slow once. */
+TEST_F(PlacerTest, SuspectsOnceForRequestsThatWaitTogether)
+{
+	Placed results[6];
+
+	start_all({ "a", "b", "c" });
+	Gate *placer = placer_of_all();
+	Gate *asking = other_than(placer);
+	placer->deaf = true;
+	gint64 begun = g_get_monotonic_time();
+	for (auto &result : results)
+		ask(*asking, &result, 2000);
+	ASSERT_TRUE(run_until(
+		[&] {
+			return aub_placer_get_counts(asking->placer)
+				       ->suspected >= G_N_ELEMENTS(results);
+		},
+		2000));
+	struct aub_peer *peer =
+		aub_peers_by_incarnation(asking->peers, placer->incarnation);
+	ASSERT_NE(peer, nullptr);
+	EXPECT_LT(peer->suspect_until_us, begun + 1500 * AUB_MS);
+}
+
 /* Guards against a placer whose link and processor grow with the fleet. */
 TEST_F(PlacerTest, TellsOtherZonesOfItsUpstreamsByTwoGateways)
 {
