--- a/include/auburnstile/internal/node_parts.h
+++ b/include/auburnstile/internal/node_parts.h
@@ -8,6 +8,7 @@
 #include <auburnstile/internal/http_service.h>
 #include <auburnstile/internal/node.h>
 #include <auburnstile/internal/store_sync.h>
+#include <auburnstile/message.h>
 
 G_BEGIN_DECLS
 
@@ -47,6 +48,19 @@
 /* Callers may be sent here: configuration and upstreams are known. */
 bool aub_node_is_ready(const struct aub_node *node);
 
+/* The peers are told what this process knows and whether it is ready. */
+void aub_node_update_self(struct aub_node *node);
+
+/* Begin to read the store. */
+void aub_node_start_store(struct aub_node *node,
+			  const struct aub_node_settings *settings);
+/* Another gateway knows of a change; `context` is the node. */
+void aub_node_on_announced(enum aub_store_kind kind, gint64 revision,
+			   void *context);
+/* Changes that a watcher of this zone was told. */
+void aub_node_take_shared(struct aub_node *node,
+			  const struct aub_store_changes *message);
+
 /* Handlers of the small listeners; `context` is the node. */
 aub_http_service_handler aub_node_on_directory;
 aub_http_service_handler aub_node_on_readiness;
