placement: where only the budget of retries was in the way, come back soon

Ruled out: more retries (the bound is the users'); not to send to those that shed (all do).

Change: a retry that finds the budget used up is told to come back after 100 ms while less than three quarters of the slots are in use; it is a request of its own then.

--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -10,6 +10,8 @@
 #define HELD_DEFAULT_US (250 * AUB_PLACE_MS)
 
 #define RETRY_AFTER_LEAST_MS 700
+#define RETRY_AFTER_ROOM_MS 100 /* only the budget was in the way */
+#define ROOM_PERCENT 75 /* of the slots: below, nobody waits for one */
 #define RETRY_AFTER_MOST_MS 5000
 #define NO_UPSTREAM_MS 500 /* what is down is probed twice in it */
 
@@ -182,6 +184,28 @@
 	return true;
 }
 
+/*
+ * Load: many attempts fail though upstreams have room, and the fleet's budget
+ * of retries is used up.
+ *
+ * Failure: callers are told to come back when the next queue has drained.
+ * Symptom: nobody waits in a queue, and all of them are late. Enough: where
+ * there is room for the request now, it may come back at once: it is a request
+ * of its own then.
+ */
+static void refuse_retry(struct aub_placement *placement,
+			 const struct aub_ask *ask, gint64 now_us,
+			 struct aub_decision *decision)
+{
+	guint granted = g_hash_table_size(placement->grants);
+	guint slots;
+
+	(void)aub_placement_choose(placement, ask, now_us, &slots);
+	refuse(placement, decision, AUB_VERDICT_NO_BUDGET, NO_UPSTREAM_MS);
+	if (100 * granted < ROOM_PERCENT * slots)
+		decision->retry_after_ms = RETRY_AFTER_ROOM_MS;
+}
+
 /* A probe is under way that may find an upstream for those who wait. */
 static bool is_any_unknown(const struct aub_placement *placement)
 {
@@ -215,8 +239,7 @@
 					  placement->limits.retry_ratio,
 					  placement->limits.retry_slack,
 					  now_us)) {
-		refuse(placement, decision, AUB_VERDICT_NO_BUDGET,
-		       NO_UPSTREAM_MS);
+		refuse_retry(placement, ask, now_us, decision);
 		return;
 	}
 	ahead = ahead_of(placement, ask->priority, !ask->on_time_ms, now_us);
--- a/tests/test_placement_load.cc
+++ b/tests/test_placement_load.cc
@@ -3,6 +3,8 @@
  */
 #include "placement_load.h"
 
+#include <map>
+
 static LoadResult play(LoadSpec spec, guint seeds = 3)
 {
 	LoadResult all;
@@ -110,3 +112,115 @@
 		EXPECT_GT(got.share(), each.least) << each.name;
 	}
 }
+
+/* Callers of upstreams that turn away a share of what they could run. */
+class SheddingLoad
+{
+      public:
+	static constexpr int UPSTREAMS = 40;
+	static constexpr double SHED = 0.55;
+	static constexpr gint64 WORK_MS = 220;
+	static constexpr gint64 TARGET_MS = 600;
+	static constexpr int RETURNS = 2; /* of a caller after a refusal */
+	static constexpr guint32 SEED = 3;
+
+	~SheddingLoad()
+	{
+		g_rand_free(random);
+	}
+	/* Share of the callers that are answered within their target. */
+	double play()
+	{
+		for (int i = 0; i < UPSTREAMS; i++)
+			p.add("u" + std::to_string(i));
+		for (gint64 ms = 0; ms < 10000; ms++) {
+			if (ms % 10 == 0 && ms < 9000)
+				arrive({ ms, 0 }, ms);
+			run(ms);
+		}
+		return (double)on_time / callers;
+	}
+
+      private:
+	struct Caller {
+		gint64 since_ms;
+		int returns;
+	};
+	struct Running {
+		guint64 ticket;
+		Caller caller;
+	};
+	Placement p;
+	GRand *random = g_rand_new_with_seed(SEED);
+	std::multimap<gint64, Running> ends;
+	std::multimap<gint64, Caller> returns;
+	std::map<guint64, Caller> queued;
+	int callers = 0;
+	int on_time = 0;
+
+	void attempt(const Caller &caller, bool retry, gint64 ms)
+	{
+		struct aub_ask ask = p.ask_of();
+
+		ask.retry = retry;
+		decided(p.ask(ask), caller, ms);
+	}
+	void decided(const struct aub_decision &decision, const Caller &caller,
+		     gint64 ms)
+	{
+		if (decision.verdict == AUB_VERDICT_QUEUED) {
+			queued[decision.ticket] = caller;
+		} else if (decision.verdict != AUB_VERDICT_GRANTED) {
+			if (caller.returns < RETURNS)
+				returns.insert({ ms + decision.retry_after_ms,
+						 { caller.since_ms,
+						   caller.returns + 1 } });
+		} else if (g_rand_double(random) >= SHED) {
+			ends.insert(
+				{ ms + WORK_MS, { decision.ticket, caller } });
+		} else {
+			p.report(decision.ticket, AUB_END_REFUSED, 3 * MS);
+			attempt(caller, true, ms);
+		}
+	}
+	void arrive(const Caller &caller, gint64 ms)
+	{
+		callers++;
+		p.now = 1000 * MS + ms * MS;
+		attempt(caller, false, ms);
+	}
+	void run(gint64 ms)
+	{
+		p.now = 1000 * MS + ms * MS;
+		while (!ends.empty() && ends.begin()->first <= ms) {
+			Running done = ends.begin()->second;
+
+			ends.erase(ends.begin());
+			p.report(done.ticket, AUB_END_OK, WORK_MS * MS);
+			on_time += ms - done.caller.since_ms <= TARGET_MS;
+		}
+		while (!returns.empty() && returns.begin()->first <= ms) {
+			Caller back = returns.begin()->second;
+
+			returns.erase(returns.begin());
+			attempt(back, false, ms);
+		}
+		struct aub_decision decision;
+		while (p.next(&decision)) {
+			Caller caller = queued[decision.ticket];
+
+			queued.erase(decision.ticket);
+			decided(decision, caller, ms);
+		}
+	}
+};
+
+/*
+ * Guards against callers who are late while upstreams have room. As many are on
+ * time as two attempts each would serve.
+ */
+TEST(PlacementLoad, IsOnTimeWhereUpstreamsShedWithRoom)
+{
+	EXPECT_GT(SheddingLoad().play(),
+		  1 - SheddingLoad::SHED * SheddingLoad::SHED);
+}
--- a/tests/test_placement_queue.cc
+++ b/tests/test_placement_queue.cc
@@ -145,3 +145,23 @@
 	EXPECT_EQ(granted, 3);
 	EXPECT_EQ(p.ask().verdict, AUB_VERDICT_GRANTED);
 }
+
+/* Guards against callers sent away for long while upstreams have room. */
+TEST(PlacementQueue, SendsRetriesBackSoonWhereThereIsRoom)
+{
+	Placement p(0.0, 0);
+	struct aub_ask again = p.ask_of();
+
+	p.add("u1");
+	again.retry = true;
+	struct aub_decision decision = p.ask(again);
+	EXPECT_EQ(decision.verdict, AUB_VERDICT_NO_BUDGET);
+	EXPECT_LE(decision.retry_after_ms, 100u);
+	/* Without room it is as long as for all others. */
+	p.ask();
+	p.ask();
+	again.ticket = ++p.serial;
+	decision = p.ask(again);
+	EXPECT_EQ(decision.verdict, AUB_VERDICT_NO_BUDGET);
+	EXPECT_GE(decision.retry_after_ms, 700u);
+}
