node: contact whoever is listed once the first second is over

Cause, found while reading the change: gateways listed after the first three were kept for one moment, a second after the start. What a listing brought later, after enrolment for instance, was never contacted: with all seeds and the first three gone, a gateway stayed alone.

Test: MeetsThoseThatAppearInTheStoreLater, which failed before.

--- a/src/coordination/node_store.c
+++ b/src/coordination/node_store.c
@@ -71,7 +71,7 @@
 {
 	char *address = g_strconcat(member->ip, node->peers_port, NULL);
 
-	if (++node->members_listed <= FIRST_CONTACTS) {
+	if (++node->members_listed <= FIRST_CONTACTS || node->acquainted) {
 		aub_peers_add(node->peers, address);
 		g_free(address);
 	} else {
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -159,6 +159,35 @@
 	close(fd);
 }
 
+/* Guards against a gateway that stays alone where its first contacts are gone.
+ */
+TEST_F(GatewayTest, MeetsThoseThatAppearInTheStoreLater)
+{
+	seed = "127.0.0.2:9";
+	add_upstream("u1");
+	configure();
+	for (int i = 0; i < 3; i++)
+		platform_store_put(store, "entries",
+				   ("gone" + std::to_string(i)).c_str(),
+				   ("{\"ip\":\"127.0.1." + std::to_string(i) +
+				    "\",\"zone\":\"z1\"}")
+					   .c_str());
+	start_ready();
+	platform_store_put(store, "entries", "later",
+			   "{\"ip\":\"127.0.0.3\",\"zone\":\"z1\"}");
+	std::string port = addresses[3].substr(addresses[3].find(':'));
+	int fd = aub_udp_bind(("127.0.0.3" + port).c_str(), NULL);
+	char datagram[1000];
+	ASSERT_GE(fd, 0);
+	EXPECT_TRUE(run_until(
+		[&] {
+			return recv(fd, datagram, sizeof(datagram),
+				    MSG_DONTWAIT | MSG_PEEK) > 0;
+		},
+		2500));
+	close(fd);
+}
+
 TEST_F(GatewayTest, KeepsUpstreamsWhoseEntriesLapsedWhileTheStoreWasAway)
 {
 	/*
