--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -94,6 +94,14 @@
  * changes.
  */
 const GPtrArray *aub_peers_ranked(struct aub_peers *peers, const char *service);
+/*
+ * The first `most` of each zone among `ranked`, in its order; only those that
+ * `is_fit` takes, or all where it is NULL. Owned by the caller, its peers are
+ * not.
+ */
+GPtrArray *aub_peers_first_of_zones(
+	const GPtrArray *ranked, guint most,
+	bool (*is_fit)(const struct aub_peer *peer));
 
 /*
  * Is this process one of those of its zone that watch the store? The others
--- a/src/coordination/peers_rank.c
+++ b/src/coordination/peers_rank.c
@@ -138,26 +138,37 @@
 	return list;
 }
 
-/* The first of each zone that hear the store; of this process's, also it. */
-static GPtrArray *find_watchers(struct aub_peers *peers)
+GPtrArray *aub_peers_first_of_zones(const GPtrArray *ranked, guint most,
+				    bool (*is_fit)(const struct aub_peer *peer))
 {
-	const GPtrArray *ranked = aub_peers_ranked(peers, WATCH_ROLE);
 	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
-	GPtrArray *watchers = g_ptr_array_new();
+	GPtrArray *first = g_ptr_array_new();
 
 	for (guint i = 0; i < ranked->len; i++) {
 		struct aub_peer *peer = g_ptr_array_index(ranked, i);
 		guint before = GPOINTER_TO_UINT(
 			g_hash_table_lookup(counts, peer->zone));
 
-		if (!peer->hears || before >= WATCHERS)
+		if (before >= most || (is_fit && !is_fit(peer)))
 			continue;
 		g_hash_table_insert(counts, peer->zone,
 				    GUINT_TO_POINTER(before + 1));
-		g_ptr_array_add(watchers, peer);
+		g_ptr_array_add(first, peer);
 	}
 	g_hash_table_unref(counts);
-	return watchers;
+	return first;
+}
+
+static bool hears_store(const struct aub_peer *peer)
+{
+	return peer->hears;
+}
+
+/* The first of each zone that hear the store; of this process's, also it. */
+static GPtrArray *find_watchers(struct aub_peers *peers)
+{
+	return aub_peers_first_of_zones(aub_peers_ranked(peers, WATCH_ROLE),
+					WATCHERS, hears_store);
 }
 
 const GPtrArray *aub_peers_watchers(struct aub_peers *peers)
--- a/src/coordination/placer_round.c
+++ b/src/coordination/placer_round.c
@@ -85,24 +85,19 @@
 		       struct aub_place_health *message)
 {
 	struct aub_peers *peers = placer->options.peers;
-	const GPtrArray *ranked = aub_peers_ranked(peers, message->service);
-	GHashTable *told = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *relays = aub_peers_first_of_zones(
+		aub_peers_ranked(peers, message->service), RELAYS, NULL);
 
 	message->relay = false;
 	aub_peers_send_zone(peers, &message->base);
 	message->relay = true;
-	for (guint i = 0; i < ranked->len; i++) {
-		struct aub_peer *peer = g_ptr_array_index(ranked, i);
-		guint count =
-			GPOINTER_TO_UINT(g_hash_table_lookup(told, peer->zone));
+	for (guint i = 0; i < relays->len; i++) {
+		const struct aub_peer *peer = g_ptr_array_index(relays, i);
 
-		if (count >= RELAYS || !strcmp(peer->zone, placer->zone))
-			continue;
-		g_hash_table_insert(told, peer->zone,
-				    GUINT_TO_POINTER(count + 1));
-		aub_peers_send(peers, peer, &message->base);
+		if (strcmp(peer->zone, placer->zone) != 0)
+			aub_peers_send(peers, peer, &message->base);
 	}
-	g_hash_table_unref(told);
+	g_ptr_array_unref(relays);
 }
 
 static void send_health(struct aub_placer *placer, const char *service,
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -129,63 +129,67 @@
 			      1500));
 }
 
-/* Guards against a fleet that waits for its seeds after a loss of power. */
-TEST_F(GatewayTest, MeetsThoseInTheStoreBeforeItsSeedsAreUp)
+/* A gateway whose seed is gone, and what stands in the store of others. */
+class MeetingTest : public GatewayTest
 {
-	std::string ip = "127.0.0.3";
+      protected:
+	static constexpr const char *OTHER = "127.0.0.3";
 
-	seed = "127.0.0.2:9";
-	add_upstream("u1");
-	configure();
-	platform_store_put(store, "entries", "other",
-			   ("{\"ip\":\"" + ip + "\",\"zone\":\"z1\"}").c_str());
-	for (int i = 0; i < 8; i++)
-		platform_store_put(store, "entries",
-				   ("p" + std::to_string(i)).c_str(),
-				   ("{\"ip\":\"127.0.1." + std::to_string(i) +
-				    "\",\"zone\":\"z1\"}")
-					   .c_str());
+	void SetUp() override
+	{
+		GatewayTest::SetUp();
+		seed = "127.0.0.2:9";
+		add_upstream("u1");
+		configure();
+	}
+	void enrol(const std::string &name, const std::string &ip)
+	{
+		std::string spec = "{\"ip\":\"" + ip + "\",\"zone\":\"z1\"}";
+
+		platform_store_put(store, "entries", name.c_str(),
+				   spec.c_str());
+	}
+	void enrol_gone(const std::string &prefix, int count)
+	{
+		for (int i = 0; i < count; i++)
+			enrol(prefix + std::to_string(i),
+			      "127.0.1." + std::to_string(i));
+	}
+	/* Does the other gateway get a datagram within `ms`? */
+	bool contacts_other(int ms)
+	{
+		std::string port = addresses[3].substr(addresses[3].find(':'));
+		int fd = aub_udp_bind((OTHER + port).c_str(), NULL);
+		char datagram[1000];
+
+		EXPECT_GE(fd, 0);
+		bool contacted = run_until(
+			[&] {
+				return recv(fd, datagram, sizeof(datagram),
+					    MSG_DONTWAIT | MSG_PEEK) > 0;
+			},
+			ms);
+		close(fd);
+		return contacted;
+	}
+};
+
+/* Guards against a fleet that waits for its seeds after a loss of power. */
+TEST_F(MeetingTest, MeetsThoseInTheStoreBeforeItsSeedsAreUp)
+{
+	enrol("other", OTHER);
+	enrol_gone("p", 8);
 	start();
-	std::string port = addresses[3].substr(addresses[3].find(':'));
-	int fd = aub_udp_bind((ip + port).c_str(), NULL);
-	char datagram[1000];
-	ASSERT_GE(fd, 0);
-	EXPECT_TRUE(run_until(
-		[&] {
-			return recv(fd, datagram, sizeof(datagram),
-				    MSG_DONTWAIT | MSG_PEEK) > 0;
-		},
-		200));
-	close(fd);
+	EXPECT_TRUE(contacts_other(200));
 }
 
-/* Guards against a gateway that stays alone where its first contacts are gone.
- */
-TEST_F(GatewayTest, MeetsThoseThatAppearInTheStoreLater)
+/* Guards against a gateway that stays alone where first contacts are gone. */
+TEST_F(MeetingTest, MeetsThoseThatAppearInTheStoreLater)
 {
-	seed = "127.0.0.2:9";
-	add_upstream("u1");
-	configure();
-	for (int i = 0; i < 3; i++)
-		platform_store_put(store, "entries",
-				   ("gone" + std::to_string(i)).c_str(),
-				   ("{\"ip\":\"127.0.1." + std::to_string(i) +
-				    "\",\"zone\":\"z1\"}")
-					   .c_str());
+	enrol_gone("gone", 3);
 	start_ready();
-	platform_store_put(store, "entries", "later",
-			   "{\"ip\":\"127.0.0.3\",\"zone\":\"z1\"}");
-	std::string port = addresses[3].substr(addresses[3].find(':'));
-	int fd = aub_udp_bind(("127.0.0.3" + port).c_str(), NULL);
-	char datagram[1000];
-	ASSERT_GE(fd, 0);
-	EXPECT_TRUE(run_until(
-		[&] {
-			return recv(fd, datagram, sizeof(datagram),
-				    MSG_DONTWAIT | MSG_PEEK) > 0;
-		},
-		2500));
-	close(fd);
+	enrol("later", OTHER);
+	EXPECT_TRUE(contacts_other(2500));
 }
 
 TEST_F(GatewayTest, KeepsUpstreamsWhoseEntriesLapsedWhileTheStoreWasAway)
