--- a/include/auburnstile/internal/message_fields.h
+++ b/include/auburnstile/internal/message_fields.h
@@ -47,6 +47,7 @@
 extern const struct aubi_layout aubi_outstanding_layout;
 extern const struct aubi_layout aubi_probed_layout;
 extern const struct aubi_layout aubi_place_health_row_layout;
+extern const struct aubi_layout aubi_place_evidence_layout;
 
 /* NULL for a type that does not exist. */
 const struct aubi_layout *aubi_message_layout(guint64 type);
--- a/include/auburnstile/internal/node.h
+++ b/include/auburnstile/internal/node.h
@@ -26,6 +26,8 @@
 	gint64 retry_percent; /* second attempts a hundred first ones */
 	double retry_slack;
 	double retry_window_s;
+	double rollout_share; /* of requests to a new version; 0: no orders */
+	double rollout_slack; /* requests beyond that, for each order */
 	gint64 address_ms; /* for how long callers may keep an answer */
 	double processor_share; /* of each core, 0 to 1 */
 	double processor_cores;
--- a/include/auburnstile/internal/node_parts.h
+++ b/include/auburnstile/internal/node_parts.h
@@ -27,6 +27,9 @@
 	struct aub_http_service *exporter;
 	char *zone;
 	char *peers_port; /* ":port" */
+	GHashTable *orders; /* service -> struct order, in node_rollouts.c */
+	bool takes_orders;
+	guint64 records_refused; /* objects of the store that made no sense */
 	guint address_ms;
 	guint grace_ms;
 	gint64 version; /* of the configuration in force */
@@ -61,6 +64,16 @@
 void aub_node_take_shared(struct aub_node *node,
 			  const struct aub_store_changes *message);
 
+/* Orders to move services to other versions. */
+void aub_node_rollouts_init(struct aub_node *node);
+void aub_node_rollouts_clear(struct aub_node *node);
+void aub_node_take_order(struct aub_node *node,
+			 const struct aub_record *record);
+/* As struct aub_placer_options says; `context` is the node. */
+bool aub_node_on_rollout_wanted(const char *service,
+				enum aub_rollout_state state, bool placer,
+				void *context);
+
 /* Handlers of the small listeners; `context` is the node. */
 aub_http_service_handler aub_node_on_directory;
 aub_http_service_handler aub_node_on_readiness;
--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -41,6 +41,7 @@
 	guint patience_ms; /* longest wait for a slot that helps at all */
 	bool retry; /* sent to an upstream before */
 	bool alone; /* asked here for want of a placer */
+	guint32 route; /* key of its route: versions are judged by route */
 	const char *const *avoid; /* upstreams it was sent to */
 	guint avoid_count;
 };
@@ -101,6 +102,49 @@
 bool aub_placement_may_send(const struct aub_placement *placement,
 			    const char *id);
 
+/*
+ * Orders to move to other versions are taken, within `limits`. Until
+ * aub_placement_orders_known() nothing may be sent: an order may stand that
+ * has not been read.
+ */
+void aub_placement_take_orders(struct aub_placement *placement,
+			       const struct aub_rollout_limits *limits);
+void aub_placement_orders_known(struct aub_placement *placement, gint64 now_us);
+/*
+ * What stands in the store: an order and its stored state, or none (`record`
+ * NULL). `unreadable`: there is one, and nobody knows for which version.
+ */
+void aub_placement_order(struct aub_placement *placement,
+			 const struct aub_rollout_record *record,
+			 bool unreadable, gint64 now_us);
+/* How far another process is with `order`, which has been there for `age_us`.
+ * False if that is not the order here. */
+bool aub_placement_order_told(struct aub_placement *placement,
+			      const struct aub_rollout_order *order,
+			      enum aub_rollout_state state, gint64 age_us,
+			      gint64 now_us);
+/* The order here, or NULL; borrowed. */
+const struct aub_rollout *aub_placement_rollout(
+	const struct aub_placement *placement);
+/*
+ * Evidence of another process, to go on with; `reached` and `exposed` count
+ * what it and those before it have sent, to either version and to the new one;
+ * `allowance` is what it has beyond its share.
+ */
+void aub_placement_inherit(struct aub_placement *placement,
+			   const struct aub_judge_route *routes, guint count,
+			   guint64 reached, guint64 exposed, double allowance);
+/* This process alone may spend the order's slack. */
+void aub_placement_grant_slack(struct aub_placement *placement);
+/* Now and then: versions for which no order came take part. */
+void aub_placement_admit(struct aub_placement *placement, gint64 now_us);
+/*
+ * As the one that places for all: judge and move on as far as it is time.
+ * Returns the state that the store should hold; NONE: no order.
+ */
+enum aub_rollout_state aub_placement_rollout_step(
+	struct aub_placement *placement, gint64 now_us);
+
 void aub_placement_ask(struct aub_placement *placement,
 		       const struct aub_ask *ask, gint64 now_us,
 		       struct aub_decision *decision);
@@ -184,6 +228,7 @@
 	guint unknown;
 	guint cold; /* of those that are up */
 	guint leaving; /* draining, or in a zone that is out */
+	guint held; /* of a version that is to get nothing */
 	guint granted;
 	guint queued;
 	guint64 refused; /* since the start */
@@ -192,6 +237,10 @@
 	guint full_percent; /* of its slots that one is kept to, learned */
 	guint slowdown_percent; /* mean of what they tell; 100 is as usual */
 	guint burst_ms; /* for which a neighbour's burst lasts, learned */
+	enum aub_rollout_state rollout; /* of the order, as seen here */
+	guint64 exposed; /* requests placed here at its version */
+	guint judged; /* answers of that version */
+	guint judged_bad; /* of these */
 };
 void aub_placement_get_state(const struct aub_placement *placement,
 			     gint64 now_us, struct aub_placement_state *state);
--- a/include/auburnstile/internal/placement_parts.h
+++ b/include/auburnstile/internal/placement_parts.h
@@ -8,6 +8,7 @@
 #include <auburnstile/internal/load_trend.h>
 #include <auburnstile/internal/placement.h>
 #include <auburnstile/internal/retry_budget.h>
+#include <auburnstile/internal/service_versions.h>
 #include <auburnstile/internal/work_times.h>
 
 G_BEGIN_DECLS
@@ -26,6 +27,13 @@
 	AUB_ROW_DOWN /* refused, reset or silent: nothing until a probe */
 };
 
+/* What its version allows an upstream to get. */
+enum aub_version_use {
+	AUB_VERSION_HELD, /* nothing */
+	AUB_VERSION_FREE, /* what it can bear */
+	AUB_VERSION_ON_TRIAL /* what the order's exposure allows */
+};
+
 /* One upstream. */
 struct aub_row {
 	char *id;
@@ -33,6 +41,9 @@
 	char *zone;
 	guint slots;
 	gint64 born_ms;
+	gint version; /* handle into the service's versions */
+	enum aub_version_use use;
+	struct aub_judge_evidence evidence; /* against its version */
 	bool registered; /* false: gone; kept while grants are out */
 	gint64 gone_us; /* since when */
 	bool draining;
@@ -61,6 +72,10 @@
 	guint running; /* there, with it, when it was made */
 	double slowdown; /* expected then, for other reasons */
 	guint target_ms;
+	guint32 route;
+	bool cold; /* the upstream was, when it was made */
+	bool trial; /* counts as exposure of a new version */
+	bool judged; /* known to be slow before its end */
 	gint64 since_us;
 };
 
@@ -70,6 +85,8 @@
 	char *zone;
 	guint priority;
 	guint target_ms;
+	guint32 route;
+	bool retry;
 	bool alone; /* no placer answered: nothing cold or down */
 	gint64 since_us;
 	gint64 on_time_us; /* granted later it is late for sure */
@@ -92,6 +109,11 @@
 	struct aub_knee knee;
 	struct aub_load_trend trend; /* of its upstreams' reports */
 	struct aub_work_times work;
+	bool takes_orders; /* versions matter */
+	bool orders_known;
+	bool order_unreadable; /* so no other version takes part */
+	struct aub_service_versions versions;
+	struct aub_rollout rollout;
 	double held_us; /* a grant's time from grant to report, smoothed */
 	guint64 refused; /* asks that got no upstream, since the start */
 	guint64 cold_grants; /* to cold upstreams, since the start */
@@ -124,6 +146,30 @@
 double aub_placement_cold_per_s(const struct aub_placement *placement);
 bool aub_row_is_cold(const struct aub_row *row, gint64 now_us);
 
+/* The version of an upstream that was registered; counts all anew. */
+void aub_row_set_version(struct aub_placement *placement, struct aub_row *row,
+			 const char *version);
+void aub_placement_versions_changed(struct aub_placement *placement,
+				    gint64 now_us);
+/* Which upstreams a request may go to, by their versions. */
+enum aub_trial {
+	AUB_TRIAL_NONE, /* those that are free */
+	AUB_TRIAL_FIRST, /* those on trial that have room, or those that are
+			    free */
+	AUB_TRIAL_ONLY /* those on trial, as long as there are any */
+};
+enum aub_trial aub_placement_trial(const struct aub_placement *placement,
+				   const struct aub_ask *ask, gint64 now_us);
+/* Of what it may bring forward against its version: 0 to 1, and beyond. */
+double aub_row_evidence(const struct aub_placement *placement,
+			const struct aub_row *row);
+/* A grant was made for a request, or ended. */
+void aub_grant_count_trial(struct aub_placement *placement,
+			   struct aub_grant *made, const struct aub_row *row);
+void aub_grant_judge(struct aub_placement *placement, struct aub_row *row,
+		     const struct aub_grant *made,
+		     const struct aub_attempt_report *report);
+
 /* Index among those that wait, or -1. */
 gint aub_waiting_find(const struct aub_placement *placement, guint64 ticket);
 
--- a/include/auburnstile/internal/placer.h
+++ b/include/auburnstile/internal/placer.h
@@ -36,6 +36,16 @@
 	guint64 incarnation;
 	const char *zone;
 	struct aub_placement_limits limits; /* fleet-wide */
+	struct aub_rollout_limits rollouts; /* the same */
+	/*
+	 * The store should hold `state` for the order of `service`; called
+	 * again and again. `placer`: by who places for it. True if the store
+	 * holds it already.
+	 */
+	bool (*rollout_wanted)(const char *service,
+			       enum aub_rollout_state state, bool placer,
+			       void *context);
+	void *context;
 };
 
 struct aub_placer *aub_placer_new(const struct aub_placer_options *options);
@@ -48,6 +58,15 @@
 			 const struct aub_upstream_record *record);
 void aub_placer_zone_out(struct aub_placer *placer, const char *zone, bool out);
 
+/* All orders that stand in the store have been told. */
+void aub_placer_orders_known(struct aub_placer *placer);
+/* As aub_placement_order(). */
+void aub_placer_order(struct aub_placer *placer, const char *service,
+		      const struct aub_rollout_record *record, bool unreadable);
+/* The store has taken `state` for the order of `service` from this process. */
+void aub_placer_order_stored(struct aub_placer *placer, const char *service,
+			     const struct aub_rollout_record *record);
+
 void aub_placer_set_limits(struct aub_placer *placer,
 			   const struct aub_placement_limits *limits);
 
--- a/include/auburnstile/internal/placer_parts.h
+++ b/include/auburnstile/internal/placer_parts.h
@@ -56,6 +56,9 @@
 	guint tick;
 	guint settle_timer;
 	guint round;
+	guint rollout_timer; /* while an order is not settled */
+	gint64 rollouts_told_us; /* their evidence, to the others */
+	bool orders_known;
 	guint probe_timer;
 	guint tell_timer;
 	struct aub_placer_counts counts;
@@ -115,6 +118,20 @@
 struct aub_load_told aub_load_tell(const struct aub_load *load);
 struct aub_load aub_load_of(const struct aub_load_told *told);
 
+/* Orders to move services to other versions. */
+void aub_placer_take_rollout(struct aub_placer *placer,
+			     struct aub_place_rollout *message);
+/* Once a second, as the placer of `service`. */
+void aub_placer_round_rollout(struct aub_placer *placer, const char *service);
+/* Tell all how far the order of `service` is. */
+void aub_placer_tell_rollout(struct aub_placer *placer, const char *service);
+/* Is this gateway the first of its zone for `service`? */
+bool aub_placer_is_first_of_zone(struct aub_placer *placer,
+				 const char *service);
+/* To all gateways, by relays in other zones; `relay` is a flag in it. */
+void aub_placer_tell_zones(struct aub_placer *placer, const char *service,
+			   struct aub_message *message, bool *relay);
+
 /* What gateways tell each other now and then. */
 void aub_placer_on_round(void *context, gint64 now_us);
 void aub_placer_take_outstanding(struct aub_placer *placer,
--- a/include/auburnstile/internal/platform.h
+++ b/include/auburnstile/internal/platform.h
@@ -6,6 +6,7 @@
 #define AUBURNSTILE_INTERNAL_PLATFORM_H
 
 #include <auburnstile/internal/http_stream.h>
+#include <auburnstile/internal/rollout.h>
 #include <auburnstile/internal/routing.h>
 
 G_BEGIN_DECLS
@@ -15,6 +16,7 @@
 	AUB_STORE_ROUTING, /* one object: the operators' configuration */
 	AUB_STORE_UPSTREAMS, /* each upstream's own entry */
 	AUB_STORE_ZONES_OUT, /* zones whose upstreams get nothing new */
+	AUB_STORE_ROLLOUTS, /* orders to move services to new versions */
 	AUB_STORE_MEMBERS, /* this project's entries, where to find them */
 	AUB_STORE_KINDS
 };
@@ -30,6 +32,7 @@
 	char *service;
 	char *address; /* "ip:port" */
 	char *zone;
+	char *version; /* of its software */
 	guint slots; /* requests it runs at once */
 	bool draining;
 	guint warmup_left_ms;
@@ -41,6 +44,12 @@
 	char *zone;
 };
 
+/* An order, under its service's name, and how far it is as stored. */
+struct aub_rollout_record {
+	struct aub_rollout_order order;
+	enum aub_rollout_state state; /* NONE: nothing is stored about it */
+};
+
 /* One object, as listed or as a change. Unreadable ones have no content. */
 struct aub_record {
 	char *name;
@@ -49,6 +58,7 @@
 	struct aub_upstream_record *upstream; /* of AUB_STORE_UPSTREAMS */
 	struct aub_member_record *member; /* of AUB_STORE_MEMBERS */
 	struct aub_routing *routing; /* of AUB_STORE_ROUTING */
+	struct aub_rollout_record *rollout; /* of AUB_STORE_ROLLOUTS */
 	char *problem; /* why the content could not be read; else NULL */
 };
 
@@ -91,8 +101,13 @@
 			    guint wait_ms);
 	char *(*create_path)(enum aub_store_kind kind);
 	char *(*object_path)(enum aub_store_kind kind, const char *name);
+	/* Where the state of an object is written. */
+	char *(*state_path)(enum aub_store_kind kind, const char *name);
 	GBytes *(*member_body)(const char *name,
 			       const struct aub_member_record *member);
+	/* Taken only while the object is at `revision`. */
+	GBytes *(*rollout_body)(const char *name, gint64 revision,
+				const struct aub_rollout_record *rollout);
 
 	/* Decode a listing or a watch's answer; NULL with an error. */
 	struct aub_store_page *(*decode_page)(enum aub_store_kind kind,
@@ -118,6 +133,7 @@
 struct aub_store_page *aub_store_page_new(void);
 void aub_store_page_free(struct aub_store_page *page);
 void aub_upstream_record_free(struct aub_upstream_record *record);
+void aub_rollout_record_free(struct aub_rollout_record *record);
 
 extern const struct aub_platform aub_platform;
 
--- a/include/auburnstile/internal/store_sync.h
+++ b/include/auburnstile/internal/store_sync.h
@@ -17,6 +17,7 @@
 	struct aub_http_client *client;
 	struct aub_timer_service *timers;
 	const char *address; /* of the store */
+	bool takes_orders; /* orders to change versions are read, too */
 	/*
 	 * An object is there, has changed, or is gone; `record` is borrowed.
 	 * Contents may be taken out of it (set to NULL).
@@ -80,6 +81,19 @@
 	AUB_STORE_UNREADABLE, /* an answer that makes no sense */
 	AUB_STORE_RESULTS
 };
+/*
+ * Write `body` as the state of an object. `written` comes once, unless the
+ * returned call is cancelled first; with AUB_STORE_REFUSED and conflict where
+ * the object is at another revision than the body names.
+ */
+typedef void aub_store_written(enum aub_store_result result, bool conflict,
+			       void *context);
+struct aub_store_write;
+struct aub_store_write *aub_store_sync_write_state(
+	struct aub_store_sync *sync, enum aub_store_kind kind, const char *name,
+	GBytes *body, aub_store_written *written, void *context);
+void aub_store_write_cancel(struct aub_store_write *write);
+
 guint64 aub_store_sync_calls(const struct aub_store_sync *sync,
 			     enum aub_store_kind kind,
 			     enum aub_store_result result);
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -46,6 +46,7 @@
 	AUB_MESSAGE_PLACE_REPORT, /* gateway -> the placer that granted */
 	AUB_MESSAGE_PLACE_OUTSTANDING, /* gateway -> placer: grants in use */
 	AUB_MESSAGE_PLACE_HEALTH, /* placer -> all gateways */
+	AUB_MESSAGE_PLACE_ROLLOUT, /* the same: how far an order is */
 	AUB_MESSAGE_PLACE_PROBED, /* a zone's prober -> placer */
 	AUB_MESSAGE_TYPE_COUNT
 };
@@ -292,6 +293,7 @@
 	guint64 routing_revision; /* the store's revision of what it knows */
 	guint64 upstreams_revision;
 	guint64 zones_out_revision;
+	guint64 rollouts_revision;
 };
 
 /* Where the other gateways are. */
@@ -328,6 +330,7 @@
 	bool retry;
 	bool forward; /* the receiver may pass it on to a better placer */
 	char *address; /* of the holder's datagrams, where it was passed on */
+	guint32 route; /* key of the request's route */
 	GPtrArray *avoid; /* of struct aub_name */
 };
 
@@ -390,6 +393,35 @@
 	GPtrArray *rows; /* of struct aub_place_health_row */
 };
 
+/* Evidence about a new version on one route. Lists of these are GPtrArray. */
+struct aub_place_evidence {
+	guint32 route;
+	guint32 answers;
+	guint32 timed; /* of these, those whose time could be judged */
+	guint32 failures;
+	guint32 slow;
+	guint32 slow_ms; /* from which on an answer is slow; 0: not known */
+	/* Strength of each test, by fault and whether upstreams were full, in
+	 * hundredths. */
+	guint32 strength[4];
+	guint32 rate[4]; /* the alternative that it is about */
+};
+
+struct aub_place_rollout {
+	struct aub_message base;
+	char *service;
+	bool relay; /* to be passed on within the receiver's zone */
+	char *version; /* these three name the order */
+	guint32 duration_ms;
+	guint64 created;
+	guint32 age_ms;
+	guint32 state; /* enum aub_rollout_state */
+	guint64 reached; /* requests sent by this and earlier placers */
+	guint64 exposed; /* of these, to the new version */
+	guint32 allowance; /* requests of this placer beyond the share */
+	GPtrArray *evidence; /* of struct aub_place_evidence */
+};
+
 /* How one probe ended. Lists of these are GPtrArray. */
 struct aub_probed {
 	char *upstream;
@@ -435,6 +467,7 @@
 struct aub_outstanding *aub_outstanding_new(void);
 struct aub_probed *aub_probed_new(void);
 struct aub_place_health_row *aub_place_health_row_new(void);
+struct aub_place_evidence *aub_place_evidence_new(void);
 
 /*
  * Frame payload (without the length prefix) of a message. Owned by caller;
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -218,6 +218,10 @@
 		.timers = node->timers,
 		.incarnation = incarnation,
 		.zone = node->zone,
+		.rollouts = { .share = settings->rollout_share,
+			      .slack = settings->rollout_slack },
+		.rollout_wanted = aub_node_on_rollout_wanted,
+		.context = node,
 	};
 
 	node->peers = aub_peers_new(&peers, error);
@@ -241,6 +245,8 @@
 	node->client = aub_http_client_new(node->poller, node->timers);
 	node->metrics = aub_metrics_new();
 	node->contacts = g_ptr_array_new_with_free_func(g_free);
+	node->takes_orders = settings->rollout_share > 0;
+	aub_node_rollouts_init(node);
 	node->zone = g_strdup(settings->zone);
 	node->peers_port = g_strdup(strrchr(settings->peers, ':'));
 	aub_address_parse(settings->peers, &node->ip, NULL);
@@ -272,6 +278,7 @@
 	aub_timer_cancel(node->timers, node->lonely_timer);
 	aub_timer_cancel(node->timers, node->enrol_timer);
 	aub_timer_cancel(node->timers, node->stop_timer);
+	aub_node_rollouts_clear(node);
 	aub_store_sync_free(node->store);
 	aub_gateway_free(node->gateway);
 	aub_http_service_free(node->directory);
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -88,6 +88,11 @@
 	return (gint64)aub_peers_get_counts(node->peers)->introductions;
 }
 
+static gint64 read_records_refused(const struct aub_node *node)
+{
+	return (gint64)node->records_refused;
+}
+
 /* Linux tells kilobytes. */
 static gint64 read_memory(const struct aub_node *node)
 {
@@ -126,6 +131,9 @@
 	  "datagrams of peers that made no sense", true, read_refused },
 	{ "auburnstile_peer_introductions_total",
 	  "of gateways that knew nobody", true, read_introductions },
+	{ "auburnstile_records_refused_total",
+	  "objects of the store that made no sense", true,
+	  read_records_refused },
 	{ "auburnstile_memory_peak_bytes", "-1: can't be told", false,
 	  read_memory },
 };
@@ -162,6 +170,7 @@
 	export_upstreams(node, service, "unknown", state->unknown);
 	export_upstreams(node, service, "cold", state->cold);
 	export_upstreams(node, service, "leaving", state->leaving);
+	export_upstreams(node, service, "held", state->held);
 	set_series(node, false, "auburnstile_queued",
 		   aub_metrics_labels("service", service, NULL),
 		   "requests that wait here for a slot", state->queued);
@@ -193,6 +202,32 @@
 		   state->burst_ms);
 }
 
+static void export_rollout(const char *service,
+			   const struct aub_placement_state *state,
+			   void *context)
+{
+	struct aub_node *node = context;
+
+	for (guint i = AUB_ROLLOUT_RUNNING; i < AUB_ROLLOUT_STATES; i++)
+		set_series(node, false, "auburnstile_rollout_state",
+			   aub_metrics_labels("service", service, "state",
+					      aub_rollout_state_name((
+						      enum aub_rollout_state)i),
+					      NULL),
+			   "1: the order is there, as this gateway sees it",
+			   state->rollout == i);
+	set_series(node, false, "auburnstile_rollout_exposed",
+		   aub_metrics_labels("service", service, NULL),
+		   "requests placed here at the version of the order",
+		   (gint64)state->exposed);
+	set_series(node, false, "auburnstile_rollout_answers",
+		   aub_metrics_labels("service", service, NULL),
+		   "of the version, that judge it", state->judged);
+	set_series(node, false, "auburnstile_rollout_bad_answers",
+		   aub_metrics_labels("service", service, NULL),
+		   "of these, failures and slow ones", state->judged_bad);
+}
+
 static void export_store_kind(struct aub_node *node, enum aub_store_kind kind)
 {
 	const char *name = aub_store_kind_name(kind);
@@ -270,6 +305,8 @@
 	export_links(node);
 	export_log(node);
 	aub_placer_visit(node->placer, export_placement, node);
+	if (node->takes_orders)
+		aub_placer_visit(node->placer, export_rollout, node);
 	reply->status = 200;
 	reply->type = "text/plain; version=0.0.4";
 	text = aub_metrics_text(node->metrics);
--- /dev/null
+++ b/src/coordination/node_rollouts.c
@@ -0,0 +1,153 @@
+/*
+ * What the store holds of operators' orders, and the states that are written
+ * there.
+ *
+ * Each write is taken by the store only at the revision that is known here, so
+ * that one of several writers, or an operator who changes the order, wins. One
+ * that is not answered may have been done: it is tried again at the same
+ * revision, which is refused where it was.
+ */
+#include <auburnstile/internal/decision_log.h>
+#include <auburnstile/internal/node_parts.h>
+
+#define RETRY_US (250 * AUB_MS)
+#define WATCHER_US (1500 * AUB_MS) /* before others write for the placer */
+
+struct order {
+	struct aub_node *node;
+	char *service;
+	gint64 revision;
+	struct aub_rollout_record record; /* as stored */
+	struct aub_rollout_record writing; /* its order is the record's */
+	struct aub_store_write *write; /* under way */
+	gint64 next_us; /* no write before this */
+	gint64 wanted_us; /* since when the final state is wanted */
+};
+
+static void order_free(void *data)
+{
+	struct order *order = data;
+
+	aub_store_write_cancel(order->write);
+	g_free(order->record.order.version);
+	g_free(order->service);
+	g_free(order);
+}
+
+void aub_node_rollouts_init(struct aub_node *node)
+{
+	node->orders = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					     order_free);
+}
+
+void aub_node_rollouts_clear(struct aub_node *node)
+{
+	g_clear_pointer(&node->orders, g_hash_table_unref);
+}
+
+void aub_node_take_order(struct aub_node *node, const struct aub_record *record)
+{
+	const struct aub_rollout_record *rollout = record->rollout;
+	struct order *order;
+
+	aub_placer_order(node->placer, record->name, rollout,
+			 record->problem != NULL);
+	if (!rollout) {
+		g_hash_table_remove(node->orders, record->name);
+		return;
+	}
+	order = g_hash_table_lookup(node->orders, record->name);
+	if (!order) {
+		order = g_new0(struct order, 1);
+		order->node = node;
+		order->service = g_strdup(record->name);
+		g_hash_table_insert(node->orders, order->service, order);
+	}
+	if (!aub_rollout_order_equal(&order->record.order, &rollout->order)) {
+		/* What is under way is for the one before. */
+		g_clear_pointer(&order->write, aub_store_write_cancel);
+		order->wanted_us = 0;
+	}
+	g_free(order->record.order.version);
+	order->record = *rollout;
+	order->record.order.version = g_strdup(rollout->order.version);
+	order->revision = record->revision;
+}
+
+static void on_written(enum aub_store_result result, bool conflict,
+		       void *context)
+{
+	struct order *order = context;
+	struct aub_node *node = order->node;
+	const struct aub_rollout_record written = {
+		.order = order->record.order,
+		.state = order->writing.state,
+	};
+
+	order->write = NULL;
+	order->next_us = aub_timer_now(node->timers) + RETRY_US;
+	aub_log_begin(AUB_LOG_ROLLOUT_STORED);
+	aub_log_text("service", order->service);
+	aub_log_text("state", aub_rollout_state_name(written.state));
+	aub_log_text("result",
+		     conflict ? "conflict" : aub_store_result_name(result));
+	aub_log_number("revision", order->revision);
+	aub_log_end();
+	if (result != AUB_STORE_ANSWERED)
+		return;
+	order->record.state = written.state;
+	aub_placer_order_stored(node->placer, order->service, &written);
+}
+
+static bool is_final(enum aub_rollout_state state)
+{
+	return state == AUB_ROLLOUT_COMPLETED ||
+	       state == AUB_ROLLOUT_ROLLED_BACK;
+}
+
+static void write_state(struct order *order, enum aub_rollout_state state)
+{
+	struct aub_node *node = order->node;
+	GBytes *body;
+
+	order->writing = (struct aub_rollout_record){
+		.order = order->record.order,
+		.state = state,
+	};
+	body = node->platform->rollout_body(order->service, order->revision,
+					    &order->writing);
+	order->write =
+		aub_store_sync_write_state(node->store, AUB_STORE_ROLLOUTS,
+					   order->service, body, on_written,
+					   order);
+	g_bytes_unref(body);
+}
+
+bool aub_node_on_rollout_wanted(const char *service,
+				enum aub_rollout_state state, bool placer,
+				void *context)
+{
+	struct aub_node *node = context;
+	struct order *order = g_hash_table_lookup(node->orders, service);
+	gint64 now = aub_timer_now(node->timers);
+
+	if (!order)
+		return true;
+	if (order->record.state == state || is_final(order->record.state) ||
+	    state == AUB_ROLLOUT_NONE)
+		return true;
+	if (!order->wanted_us)
+		order->wanted_us = now;
+	if (order->write || now < order->next_us)
+		return false;
+	/*
+	 * Failure: the placer is cut off from the store when it finds a version
+	 * to be bad, and ends. Symptom: whoever starts later doesn't know.
+	 * Enough: those that watch the store write what it has told them.
+	 */
+	if (!placer && (!aub_peers_self_watches(node->peers) ||
+			now - order->wanted_us < WATCHER_US))
+		return false;
+	write_state(order, state);
+	return false;
+}
--- a/src/coordination/node_store.c
+++ b/src/coordination/node_store.c
@@ -55,6 +55,7 @@
 		aub_log_text("service", upstream->service);
 		aub_log_text("address", upstream->address);
 		aub_log_text("zone", upstream->zone);
+		aub_log_text("version", upstream->version);
 		aub_log_number("cold_ms", upstream->warmup_left_ms);
 	}
 	aub_log_end();
@@ -93,6 +94,7 @@
 	struct aub_node *node = context;
 
 	if (record->problem) {
+		node->records_refused++;
 		aub_log_begin(AUB_LOG_RECORD_REFUSED);
 		aub_log_text("name", record->name);
 		aub_log_text("problem", record->problem);
@@ -118,6 +120,9 @@
 		aub_placer_zone_out(node->placer, record->name,
 				    !record->removed);
 		break;
+	case AUB_STORE_ROLLOUTS:
+		aub_node_take_order(node, record);
+		break;
 	case AUB_STORE_MEMBERS:
 		if (record->member)
 			take_member(node, record->member);
@@ -165,6 +170,8 @@
 
 	if (kind == AUB_STORE_UPSTREAMS)
 		node->upstreams_known = true;
+	if (kind == AUB_STORE_ROLLOUTS)
+		aub_placer_orders_known(node->placer);
 	aub_node_update_self(node);
 }
 
@@ -260,6 +267,7 @@
 		.client = node->client,
 		.timers = node->timers,
 		.address = settings->store,
+		.takes_orders = node->takes_orders,
 		.changed = on_changed,
 		.told = on_told,
 		.share = on_share,
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -79,6 +79,9 @@
 	options->announced(AUB_STORE_ZONES_OUT,
 			   (gint64)heartbeat->zones_out_revision,
 			   options->context);
+	options->announced(AUB_STORE_ROLLOUTS,
+			   (gint64)heartbeat->rollouts_revision,
+			   options->context);
 }
 
 static void take_heartbeat(struct aub_peers *peers,
@@ -466,7 +469,9 @@
 	       heartbeat->upstreams_revision !=
 		       (guint64)state->revisions[AUB_STORE_UPSTREAMS] ||
 	       heartbeat->zones_out_revision !=
-		       (guint64)state->revisions[AUB_STORE_ZONES_OUT];
+		       (guint64)state->revisions[AUB_STORE_ZONES_OUT] ||
+	       heartbeat->rollouts_revision !=
+		       (guint64)state->revisions[AUB_STORE_ROLLOUTS];
 }
 
 void aub_peers_set_self(struct aub_peers *peers,
@@ -494,6 +499,8 @@
 		(guint64)state->revisions[AUB_STORE_UPSTREAMS];
 	peers->heartbeat->zones_out_revision =
 		(guint64)state->revisions[AUB_STORE_ZONES_OUT];
+	peers->heartbeat->rollouts_revision =
+		(guint64)state->revisions[AUB_STORE_ROLLOUTS];
 	if (role_differs || hears_differs)
 		aub_peers_rank_again(peers);
 	if (role_differs)
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -91,6 +91,11 @@
 	g_hash_table_iter_init(&iter, placer->zones_out);
 	while (g_hash_table_iter_next(&iter, &zone, NULL))
 		aub_placement_zone_out(placement, zone, true, 0);
+	aub_placement_take_orders(placement, &placer->options.rollouts);
+	if (placer->orders_known)
+		aub_placement_orders_known(placement,
+					   aub_timer_now(
+						   placer->options.timers));
 	g_hash_table_insert(placer->placements, g_strdup(service), placement);
 	return placement;
 }
@@ -238,6 +243,7 @@
 	aub_timer_cancel(placer->options.timers, placer->tick);
 	aub_timer_cancel(placer->options.timers, placer->settle_timer);
 	aub_timer_cancel(placer->options.timers, placer->round);
+	aub_timer_cancel(placer->options.timers, placer->rollout_timer);
 	aub_timer_cancel(placer->options.timers, placer->probe_timer);
 	aub_timer_cancel(placer->options.timers, placer->tell_timer);
 	aub_placer_probes_stop(placer);
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -103,6 +103,7 @@
 		.on_time_ms = message->on_time_ms,
 		.patience_ms = message->patience_ms,
 		.retry = message->retry,
+		.route = message->route,
 	};
 	struct aub_decision decision;
 	struct aub_peer *holder =
@@ -250,6 +251,10 @@
 		aub_placer_take_health(placer,
 				       (struct aub_place_health *)message);
 		break;
+	case AUB_MESSAGE_PLACE_ROLLOUT:
+		aub_placer_take_rollout(placer,
+					(struct aub_place_rollout *)message);
+		break;
 	default:
 		break;
 	}
--- /dev/null
+++ b/src/coordination/placer_rollouts.c
@@ -0,0 +1,299 @@
+/*
+ * Orders to move services to other versions: who judges, what the others are
+ * told, and what the store is to hold.
+ *
+ * The placer of a service judges the new version by the answers to what it
+ * placed, and tells its evidence to all, so that the next one goes on from it.
+ * A version that one gateway found to be bad gets nothing from any that heard.
+ */
+#include <auburnstile/internal/decision_log.h>
+#include <auburnstile/internal/placer_parts.h>
+
+#define STEP_US (25 * AUB_MS)
+#define TELL_US (250 * AUB_MS) /* the evidence, while an order is open */
+#define STRENGTH_UNIT 100.0 /* on its way between gateways */
+
+static void arm(struct aub_placer *placer);
+
+static void log_rollout(const char *service, const struct aub_rollout *rollout,
+			gint64 now_us)
+{
+	const struct aub_judge *judge = &rollout->judge;
+
+	aub_log_begin(AUB_LOG_ROLLOUT);
+	aub_log_text("service", service);
+	aub_log_text("version", rollout->order.version);
+	aub_log_text("state", aub_rollout_state_name(rollout->state));
+	aub_log_text("reason", rollout->reason);
+	aub_log_number("age_ms", (now_us - rollout->began_us) / AUB_MS);
+	aub_log_number("duration_ms", rollout->order.duration_ms);
+	aub_log_number("upstreams", rollout->upstreams);
+	aub_log_number("exposed", (gint64)rollout->exposed);
+	aub_log_number("reached", (gint64)rollout->reached);
+	aub_log_number("answers", judge->answers);
+	aub_log_number("bad", judge->bad);
+	if (judge->alarmed)
+		aub_log_number("route", judge->route);
+	aub_log_end();
+}
+
+/* Its object is gone, or says something else now. */
+static void log_ended(const char *service, const struct aub_rollout *rollout,
+		      const char *reason)
+{
+	aub_log_begin(AUB_LOG_ROLLOUT);
+	aub_log_text("service", service);
+	aub_log_text("version", rollout->order.version);
+	aub_log_text("state", "ended");
+	aub_log_text("reason", reason);
+	aub_log_end();
+}
+
+static bool is_placer(struct aub_placer *placer, const char *service,
+		      gint64 now_us)
+{
+	return placer->settled &&
+	       aub_peers_self(placer->options.peers)->ready &&
+	       !aub_placer_of(placer, service, now_us);
+}
+
+static void fill_evidence(const struct aub_judge_route *route,
+			  struct aub_place_evidence *evidence)
+{
+	evidence->route = route->key;
+	evidence->answers = route->answers;
+	evidence->timed = route->timed;
+	evidence->slow_ms = (guint32)route->told_slow_ms;
+	evidence->failures = route->bad[AUB_JUDGE_FAILURES];
+	evidence->slow = route->bad[AUB_JUDGE_SLOWNESS];
+	for (guint i = 0; i < G_N_ELEMENTS(evidence->strength); i++) {
+		const struct aub_judge_test *test = &route->tests[i / 2][i % 2];
+
+		for (guint j = 0; j < AUB_JUDGE_ALTERNATIVES; j++) {
+			guint32 strength =
+				(guint32)(test->sums[j] * STRENGTH_UNIT);
+
+			if (strength <= evidence->strength[i])
+				continue;
+			evidence->strength[i] = strength;
+			evidence->rate[i] = j;
+		}
+	}
+}
+
+static void read_evidence(const struct aub_place_evidence *evidence,
+			  struct aub_judge_route *route)
+{
+	*route = (struct aub_judge_route){
+		.key = evidence->route,
+		.answers = evidence->answers,
+		.timed = evidence->timed,
+		.told_slow_ms = evidence->slow_ms,
+		.bad = { [AUB_JUDGE_FAILURES] = evidence->failures,
+			 [AUB_JUDGE_SLOWNESS] = evidence->slow },
+	};
+	for (guint i = 0; i < G_N_ELEMENTS(evidence->strength); i++)
+		if (evidence->rate[i] < AUB_JUDGE_ALTERNATIVES)
+			route->tests[i / 2][i % 2].sums[evidence->rate[i]] =
+				evidence->strength[i] / STRENGTH_UNIT;
+}
+
+void aub_placer_tell_rollout(struct aub_placer *placer, const char *service)
+{
+	gint64 now = aub_timer_now(placer->options.timers);
+	const struct aub_rollout *rollout =
+		aub_placement_rollout(aub_placer_placement(placer, service));
+	struct aub_judge_route routes[AUB_JUDGE_ROUTES + 1];
+	struct aub_place_rollout *message;
+	guint count;
+
+	if (!rollout)
+		return;
+	message = (struct aub_place_rollout *)aub_message_new(
+		AUB_MESSAGE_PLACE_ROLLOUT);
+	aub_string_set(&message->service, service);
+	aub_string_set(&message->version, rollout->order.version);
+	message->duration_ms = rollout->order.duration_ms;
+	message->created = (guint64)rollout->order.created;
+	message->age_ms = (guint32)((now - rollout->began_us) / AUB_MS);
+	message->state = rollout->state;
+	message->reached = aub_rollout_total_reached(rollout);
+	message->exposed = aub_rollout_total_exposed(rollout);
+	message->allowance = (guint32)rollout->allowance;
+	count = aub_judge_export(&rollout->judge, routes);
+	for (guint i = 0; i < count; i++) {
+		struct aub_place_evidence *evidence = aub_place_evidence_new();
+
+		fill_evidence(&routes[i], evidence);
+		g_ptr_array_add(message->evidence, evidence);
+	}
+	aub_placer_tell_zones(placer, service, &message->base, &message->relay);
+	aub_message_free(&message->base);
+}
+
+static void inherit(struct aub_placement *placement,
+		    const struct aub_place_rollout *message)
+{
+	struct aub_judge_route routes[AUB_JUDGE_ROUTES + 1];
+	guint count = MIN(message->evidence->len, G_N_ELEMENTS(routes));
+
+	for (guint i = 0; i < count; i++)
+		read_evidence(g_ptr_array_index(message->evidence, i),
+			      &routes[i]);
+	aub_placement_inherit(placement, routes, count, message->reached,
+			      message->exposed, message->allowance);
+}
+
+void aub_placer_take_rollout(struct aub_placer *placer,
+			     struct aub_place_rollout *message)
+{
+	gint64 now = aub_timer_now(placer->options.timers);
+	struct aub_placement *placement =
+		aub_placer_placement(placer, message->service);
+	const struct aub_rollout_order order = {
+		.version = message->version,
+		.duration_ms = message->duration_ms,
+		.created = (gint64)message->created,
+	};
+	enum aub_rollout_state before;
+
+	if (message->relay &&
+	    aub_placer_is_first_of_zone(placer, message->service)) {
+		message->relay = false;
+		aub_peers_send_zone(placer->options.peers, &message->base);
+	}
+	if (message->state >= AUB_ROLLOUT_STATES ||
+	    !aub_placement_rollout(placement))
+		return;
+	before = aub_placement_rollout(placement)->state;
+	if (!aub_placement_order_told(placement, &order,
+				      (enum aub_rollout_state)message->state,
+				      message->age_ms * AUB_MS, now))
+		return;
+	if (aub_placement_rollout(placement)->state != before)
+		log_rollout(message->service, aub_placement_rollout(placement),
+			    now);
+	if (!is_placer(placer, message->service, now))
+		inherit(placement, message);
+	arm(placer);
+	aub_placer_drain(placer, placement);
+}
+
+/* True where the state has to be looked at again soon. */
+static bool step(struct aub_placer *placer, const char *service,
+		 struct aub_placement *placement, bool tells, gint64 now_us)
+{
+	const struct aub_placer_options *options = &placer->options;
+	const struct aub_rollout *rollout = aub_placement_rollout(placement);
+	bool places = is_placer(placer, service, now_us);
+	enum aub_rollout_state before;
+	enum aub_rollout_state wanted;
+	bool stored = false;
+
+	if (!rollout || rollout->state == AUB_ROLLOUT_COMPLETED)
+		return false;
+	before = rollout->state;
+	wanted =
+		places ? aub_placement_rollout_step(placement, now_us) : before;
+	if (places || wanted == AUB_ROLLOUT_ROLLED_BACK)
+		stored = options->rollout_wanted(service, wanted, places,
+						 options->context);
+	if (rollout->state != before)
+		log_rollout(service, rollout, now_us);
+	if (rollout->state != before || (places && tells)) {
+		aub_placer_tell_rollout(placer, service);
+		aub_placer_drain(placer, placement);
+	}
+	if (rollout->state == AUB_ROLLOUT_ROLLED_BACK)
+		return !stored;
+	return places;
+}
+
+static void on_step(void *context, gint64 now_us)
+{
+	struct aub_placer *placer = context;
+	GHashTableIter iter;
+	void *key;
+	void *placement;
+	bool tells = now_us - placer->rollouts_told_us >= TELL_US;
+	bool more = false;
+
+	if (tells)
+		placer->rollouts_told_us = now_us;
+	g_hash_table_iter_init(&iter, placer->placements);
+	while (g_hash_table_iter_next(&iter, &key, &placement))
+		more = step(placer, key, placement, tells, now_us) || more;
+	if (more)
+		return;
+	aub_timer_cancel(placer->options.timers, placer->rollout_timer);
+	placer->rollout_timer = 0;
+}
+
+static void arm(struct aub_placer *placer)
+{
+	if (!placer->rollout_timer)
+		placer->rollout_timer =
+			aub_timer_every(placer->options.timers, "rollouts",
+					STEP_US, on_step, placer);
+}
+
+void aub_placer_round_rollout(struct aub_placer *placer, const char *service)
+{
+	if (!aub_placement_rollout(aub_placer_placement(placer, service)))
+		return;
+	aub_placer_tell_rollout(placer, service);
+	arm(placer);
+}
+
+void aub_placer_orders_known(struct aub_placer *placer)
+{
+	gint64 now = aub_timer_now(placer->options.timers);
+	GHashTableIter iter;
+	void *placement;
+
+	placer->orders_known = true;
+	g_hash_table_iter_init(&iter, placer->placements);
+	while (g_hash_table_iter_next(&iter, NULL, &placement)) {
+		aub_placement_orders_known(placement, now);
+		aub_placer_drain(placer, placement);
+	}
+}
+
+void aub_placer_order(struct aub_placer *placer, const char *service,
+		      const struct aub_rollout_record *record, bool unreadable)
+{
+	gint64 now = aub_timer_now(placer->options.timers);
+	struct aub_placement *placement = aub_placer_placement(placer, service);
+	const struct aub_rollout *rollout = aub_placement_rollout(placement);
+	bool is_new = !rollout || !record ||
+		      !aub_rollout_order_equal(&rollout->order, &record->order);
+	enum aub_rollout_state before =
+		rollout ? rollout->state : AUB_ROLLOUT_NONE;
+
+	if (rollout && is_new)
+		log_ended(service, rollout, record ? "replaced" : "deleted");
+	aub_placement_order(placement, record, unreadable, now);
+	rollout = aub_placement_rollout(placement);
+	if (rollout && (is_new || rollout->state != before))
+		log_rollout(service, rollout, now);
+	if (rollout)
+		arm(placer);
+	aub_placer_drain(placer, placement);
+}
+
+void aub_placer_order_stored(struct aub_placer *placer, const char *service,
+			     const struct aub_rollout_record *record)
+{
+	struct aub_placement *placement = aub_placer_placement(placer, service);
+	const struct aub_rollout *rollout = aub_placement_rollout(placement);
+
+	if (!rollout ||
+	    !aub_rollout_order_equal(&rollout->order, &record->order))
+		return;
+	if (record->state == AUB_ROLLOUT_RUNNING) {
+		aub_placement_grant_slack(placement);
+		return;
+	}
+	aub_placer_order(placer, service, record, false);
+	aub_placer_tell_rollout(placer, service);
+}
--- a/src/coordination/placer_round.c
+++ b/src/coordination/placer_round.c
@@ -81,21 +81,22 @@
  * grow with the fleet. Enough: its own zone is told, and the first of each
  * other zone, which tell theirs.
  */
-static void tell_zones(struct aub_placer *placer,
-		       struct aub_place_health *message)
+void aub_placer_tell_zones(struct aub_placer *placer, const char *service,
+			   struct aub_message *message, bool *relay)
 {
 	struct aub_peers *peers = placer->options.peers;
-	GPtrArray *relays = aub_peers_first_of_zones(
-		aub_peers_ranked(peers, message->service), RELAYS, NULL);
+	GPtrArray *relays =
+		aub_peers_first_of_zones(aub_peers_ranked(peers, service),
+					 RELAYS, NULL);
 
-	message->relay = false;
-	aub_peers_send_zone(peers, &message->base);
-	message->relay = true;
+	*relay = false;
+	aub_peers_send_zone(peers, message);
+	*relay = true;
 	for (guint i = 0; i < relays->len; i++) {
 		const struct aub_peer *peer = g_ptr_array_index(relays, i);
 
 		if (strcmp(peer->zone, placer->zone) != 0)
-			aub_peers_send(peers, peer, &message->base);
+			aub_peers_send(peers, peer, message);
 	}
 	g_ptr_array_unref(relays);
 }
@@ -123,7 +124,7 @@
 		health->slowdown = list[i].slowdown;
 		g_ptr_array_add(message->rows, health);
 	}
-	tell_zones(placer, message);
+	aub_placer_tell_zones(placer, service, &message->base, &message->relay);
 	aub_message_free(&message->base);
 }
 
@@ -160,7 +161,7 @@
  * The first of each zone probes its upstreams, and passes on what the placer
  * says of all: few bytes cross zones.
  */
-static bool is_first_of_zone(struct aub_placer *placer, const char *service)
+bool aub_placer_is_first_of_zone(struct aub_placer *placer, const char *service)
 {
 	const GPtrArray *ranked =
 		aub_peers_ranked(placer->options.peers, service);
@@ -179,16 +180,19 @@
 	struct aub_placer *placer = context;
 	GHashTableIter iter;
 	void *key;
+	void *placement;
 
 	if (!aub_placer_is_settled(placer))
 		return;
 	g_hash_table_iter_init(&iter, placer->placements);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+	while (g_hash_table_iter_next(&iter, &key, &placement)) {
 		const char *service = key;
 
+		aub_placement_admit(placement, now_us);
+
 		if (aub_placer_of(placer, service, now_us)) {
 			send_outstanding(placer, service, now_us);
-			if (is_first_of_zone(placer, service))
+			if (aub_placer_is_first_of_zone(placer, service))
 				aub_placer_wake_near(placer, service);
 			continue;
 		}
@@ -196,6 +200,7 @@
 			continue;
 		aub_placer_wake_service(placer, service);
 		send_health(placer, service, now_us);
+		aub_placer_round_rollout(placer, service);
 		log_refusals(placer, service, now_us);
 	}
 }
@@ -232,7 +237,8 @@
 	const struct aub_active *active =
 		g_hash_table_lookup(placer->active, message->service);
 
-	if (message->relay && is_first_of_zone(placer, message->service)) {
+	if (message->relay &&
+	    aub_placer_is_first_of_zone(placer, message->service)) {
 		message->relay = false;
 		aub_peers_send_zone(placer->options.peers, &message->base);
 	}
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -177,6 +177,7 @@
 	message->on_time_ms = ticket->ask.on_time_ms;
 	message->patience_ms = ticket->ask.patience_ms;
 	message->retry = ticket->ask.retry;
+	message->route = ticket->ask.route;
 	message->forward = is_first_choice(placer, ticket->service, peer);
 	ticket->forwardable = message->forward;
 	for (guint i = 0; i < ticket->avoid->len; i++)
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -34,6 +34,9 @@
 #define SHARE_US (700 * AUB_MS)
 #define IDLE_US (20 * AUB_SECOND)
 
+/* Orders are rare, and one that is heard of late loses some of its time. */
+#define ORDERS_WATCH_FACTOR 2
+
 #define RETRY_EACH_US (10 * AUB_MS) /* for each gateway of the fleet */
 #define RETRY_LARGE_US (3000 * AUB_MS)
 
@@ -43,6 +46,7 @@
 		[AUB_STORE_ROUTING] = "configuration",
 		[AUB_STORE_UPSTREAMS] = "upstreams",
 		[AUB_STORE_ZONES_OUT] = "zones-out",
+		[AUB_STORE_ROLLOUTS] = "rollouts",
 		[AUB_STORE_MEMBERS] = "members",
 	};
 
@@ -259,9 +263,24 @@
 }
 
 /* Members are read once; from then on heartbeats tell. */
+static bool is_followed(const struct aub_store_task *task)
+{
+	return task->kind != AUB_STORE_MEMBERS &&
+	       (task->kind != AUB_STORE_ROLLOUTS ||
+		task->sync->options.takes_orders);
+}
+
 static bool may_watch(const struct aub_store_task *task)
 {
-	return task->kind != AUB_STORE_MEMBERS && duty(task) != AUB_WATCH_NONE;
+	return is_followed(task) && duty(task) != AUB_WATCH_NONE;
+}
+
+static guint watch_ms(const struct aub_store_task *task)
+{
+	guint ms =
+		duty(task) == AUB_WATCH_STANDBY ? STANDBY_WATCH_MS : WATCH_MS;
+
+	return task->kind == AUB_STORE_ROLLOUTS ? ms * ORDERS_WATCH_FACTOR : ms;
 }
 
 static void task_run(struct aub_store_task *task)
@@ -275,15 +294,13 @@
 	 * the store fails, calls ask for what there is and wait for nothing.
 	 */
 	bool fetch = watch && (task->failing || task->overdue > task->known);
-	guint watch_ms =
-		duty(task) == AUB_WATCH_STANDBY ? STANDBY_WATCH_MS : WATCH_MS;
-	guint wait_ms = fetch ? FETCH_MS : watch_ms;
+	guint wait_ms = fetch ? FETCH_MS : watch_ms(task);
 	char *path;
 	struct aub_http_call_options options = {
 		.method = "GET",
 		.address = sync->address,
 		.peer = aub_store_kind_name(task->kind),
-		.timeout_ms = watch && !fetch ? watch_ms + WATCH_SLACK_MS :
+		.timeout_ms = watch && !fetch ? wait_ms + WATCH_SLACK_MS :
 						AUB_STORE_CALL_MS,
 		/* After a failure a kept connection may be a silent one. */
 		.idle_us = task->failing ? 0 : IDLE_US,
@@ -322,7 +339,7 @@
 						   g_free, NULL);
 		task->gone = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   g_free, NULL);
-		if (task->kind != AUB_STORE_MEMBERS)
+		if (is_followed(task))
 			task_run(task);
 	}
 	return sync;
@@ -444,8 +461,8 @@
 	for (guint i = 0; i < AUB_STORE_KINDS; i++) {
 		struct aub_store_task *task = &sync->tasks[i];
 
-		if (task->kind != AUB_STORE_MEMBERS && !task->call &&
-		    !task->timer && (!task->failing || is_scout(task)))
+		if (is_followed(task) && !task->call && !task->timer &&
+		    (!task->failing || is_scout(task)))
 			task_run(task);
 	}
 }
--- /dev/null
+++ b/src/coordination/store_write.c
@@ -0,0 +1,64 @@
+/*
+ * Writes of an object's state, each taken only at one revision of the object.
+ * One that is not answered may have been done: it is never repeated here, and
+ * whoever asked for it finds out by the object itself.
+ */
+#include <auburnstile/internal/store_sync_parts.h>
+
+#include <libsoup/soup.h>
+
+struct aub_store_write {
+	struct aub_store_sync *sync;
+	enum aub_store_kind kind;
+	struct aub_http_call *call;
+	aub_store_written *written;
+	void *context;
+};
+
+static void on_written(enum aub_exchange_end end,
+		       const struct aub_http_head *head, const char *body,
+		       gsize length, void *context)
+{
+	struct aub_store_write *write = context;
+	enum aub_store_result result = aub_store_result_of(end, head);
+	bool conflict = result == AUB_STORE_REFUSED &&
+			head->status == SOUP_STATUS_CONFLICT;
+
+	aub_store_count(write->sync, write->kind, result);
+	write->written(result, conflict, write->context);
+	g_free(write);
+}
+
+struct aub_store_write *aub_store_sync_write_state(
+	struct aub_store_sync *sync, enum aub_store_kind kind, const char *name,
+	GBytes *body, aub_store_written *written, void *context)
+{
+	struct aub_store_write *write = g_new0(struct aub_store_write, 1);
+	char *path = sync->options.platform->state_path(kind, name);
+	const struct aub_http_call_options options = {
+		.method = "PUT",
+		.address = sync->address,
+		.peer = aub_store_kind_name(kind),
+		.path = path,
+		.body = body,
+		.type = sync->options.platform->body_type,
+		.timeout_ms = AUB_STORE_CALL_MS,
+	};
+
+	write->sync = sync;
+	write->kind = kind;
+	write->written = written;
+	write->context = context;
+	write->call = aub_http_call_new(sync->options.client, &options,
+					on_written, write);
+	g_free(path);
+	return write;
+}
+
+void aub_store_write_cancel(struct aub_store_write *write)
+{
+	if (!write)
+		return;
+	aub_http_call_cancel(write->call);
+	g_free(write);
+}
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -21,6 +21,7 @@
 #define ATTEMPTS_LIMIT 64 /* upstreams one request was sent to */
 #define OUTSTANDING_LIMIT 4096 /* requests of one service at one gateway */
 #define OBJECT_LIMIT (1u << 20) /* the store's megabyte */
+#define ROUTES_LIMIT 64 /* of one service, in what is told of an order */
 #define BODY_LIMIT (8u << 20)
 
 #define FIELD(kind_, struct_, member_, limit_, element_)                      \
@@ -298,6 +299,27 @@
 const struct aubi_layout aubi_place_health_row_layout =
 	LAYOUT("health", aub_place_health_row, place_health_row_fields);
 
+static const struct aubi_field place_evidence_fields[] = {
+	NUMBER32(aub_place_evidence, route),
+	NUMBER32(aub_place_evidence, answers),
+	NUMBER32(aub_place_evidence, timed),
+	NUMBER32(aub_place_evidence, failures),
+	NUMBER32(aub_place_evidence, slow),
+	NUMBER32(aub_place_evidence, slow_ms),
+	NUMBER32(aub_place_evidence, strength[0]),
+	NUMBER32(aub_place_evidence, strength[1]),
+	NUMBER32(aub_place_evidence, strength[2]),
+	NUMBER32(aub_place_evidence, strength[3]),
+	NUMBER32(aub_place_evidence, rate[0]),
+	NUMBER32(aub_place_evidence, rate[1]),
+	NUMBER32(aub_place_evidence, rate[2]),
+	NUMBER32(aub_place_evidence, rate[3]),
+	END,
+};
+
+const struct aubi_layout aubi_place_evidence_layout =
+	LAYOUT("evidence", aub_place_evidence, place_evidence_fields);
+
 static const struct aubi_field heartbeat_fields[] = {
 	NUMBER(aub_heartbeat, incarnation),
 	STRING(aub_heartbeat, name, NAME_LIMIT),
@@ -315,6 +337,7 @@
 	NUMBER(aub_heartbeat, routing_revision),
 	NUMBER(aub_heartbeat, upstreams_revision),
 	NUMBER(aub_heartbeat, zones_out_revision),
+	NUMBER(aub_heartbeat, rollouts_revision),
 	END,
 };
 
@@ -349,6 +372,7 @@
 	FLAG(aub_place_ask, forward),
 	STRING(aub_place_ask, address, ADDRESS_LIMIT),
 	LIST(aub_place_ask, avoid, ATTEMPTS_LIMIT, &aubi_name_layout),
+	NUMBER32(aub_place_ask, route),
 	END,
 };
 
@@ -391,6 +415,22 @@
 	END,
 };
 
+static const struct aubi_field place_rollout_fields[] = {
+	STRING(aub_place_rollout, service, NAME_LIMIT),
+	FLAG(aub_place_rollout, relay),
+	STRING(aub_place_rollout, version, NAME_LIMIT),
+	NUMBER32(aub_place_rollout, duration_ms),
+	NUMBER(aub_place_rollout, created),
+	NUMBER32(aub_place_rollout, age_ms),
+	NUMBER32(aub_place_rollout, state),
+	NUMBER(aub_place_rollout, reached),
+	NUMBER(aub_place_rollout, exposed),
+	NUMBER32(aub_place_rollout, allowance),
+	LIST(aub_place_rollout, evidence, ROUTES_LIMIT,
+	     &aubi_place_evidence_layout),
+	END,
+};
+
 static const struct aubi_layout layouts[AUB_MESSAGE_TYPE_COUNT] = {
 	[AUB_MESSAGE_HELLO] = LAYOUT("hello", aub_hello, hello_fields),
 	[AUB_MESSAGE_PING] = LAYOUT("ping", aub_ping, ping_fields),
@@ -431,6 +471,8 @@
 		LAYOUT("place probed", aub_place_probed, place_probed_fields),
 	[AUB_MESSAGE_PLACE_HEALTH] =
 		LAYOUT("place health", aub_place_health, place_health_fields),
+	[AUB_MESSAGE_PLACE_ROLLOUT] = LAYOUT("place rollout", aub_place_rollout,
+					     place_rollout_fields),
 };
 
 const struct aubi_layout *aubi_message_layout(guint64 type)
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -55,6 +55,9 @@
 	aub_retry_budget_init(&placement->budget, limits->window_us);
 	aub_knee_init(&placement->knee);
 	aub_load_trend_init(&placement->trend);
+	aub_service_versions_init(&placement->versions);
+	aub_rollout_init(&placement->rollout,
+			 &(struct aub_rollout_limits){ 0 });
 	placement->rows = g_ptr_array_new_with_free_func(row_free);
 	placement->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	placement->zones_out =
@@ -75,6 +78,8 @@
 	g_hash_table_unref(placement->zones_out);
 	g_hash_table_unref(placement->by_id);
 	g_ptr_array_unref(placement->rows);
+	aub_service_versions_clear(&placement->versions);
+	aub_rollout_clear(&placement->rollout);
 	g_free(placement->health_path);
 	g_free(placement->service);
 	g_free(placement);
@@ -180,6 +185,7 @@
 
 	row->id = g_strdup(id);
 	row->slowness = 1.0;
+	row->version = AUB_VERSION_NONE;
 	if (index < 0) {
 		index = (gint)placement->rows->len;
 		g_ptr_array_add(placement->rows, row);
@@ -218,6 +224,7 @@
 		row = aub_placement_row(placement, (guint)index);
 		row->registered = false;
 		row->gone_us = now_us;
+		aub_placement_versions_changed(placement, now_us);
 		return;
 	}
 	row = index >= 0 ? aub_placement_row(placement, (guint)index) :
@@ -229,6 +236,7 @@
 		row->failures = 0;
 		row->slowness = 1.0;
 		row->load_us = 0;
+		row->evidence = (struct aub_judge_evidence){ 0 };
 	}
 	text_set(&row->address, record->address);
 	text_set(&row->zone, record->zone);
@@ -236,12 +244,14 @@
 	row->born_ms = record->born_ms;
 	row->draining = record->draining;
 	row->registered = true;
+	aub_row_set_version(placement, row, record->version);
 	row->zone_out =
 		g_hash_table_contains(placement->zones_out, record->zone);
 	if (record->warmup_left_ms)
 		row->cold_until_us =
 			MAX(row->cold_until_us,
 			    now_us + record->warmup_left_ms * AUB_PLACE_MS);
+	aub_placement_versions_changed(placement, now_us);
 }
 
 /*
@@ -279,7 +289,8 @@
 	if (index < 0)
 		return false;
 	row = aub_placement_row(placement, (guint)index);
-	return row->registered && !row->draining && !row->zone_out;
+	return row->registered && !row->draining && !row->zone_out &&
+	       row->use != AUB_VERSION_HELD;
 }
 
 const char *aub_placement_health_name(const struct aub_placement *placement,
@@ -382,6 +393,10 @@
 		.slowdown_percent =
 			(guint)(100 * aub_load_trend_mean(&placement->trend)),
 		.burst_ms = (guint)aub_load_trend_holds_ms(&placement->trend),
+		.rollout = placement->rollout.state,
+		.exposed = placement->rollout.exposed,
+		.judged = placement->rollout.judge.answers,
+		.judged_bad = placement->rollout.judge.bad,
 	};
 	for (guint i = 0; i < placement->rows->len; i++) {
 		const struct aub_row *row = aub_placement_row(placement, i);
@@ -390,6 +405,8 @@
 			continue;
 		if (row->draining || row->zone_out)
 			state->leaving++;
+		else if (row->use == AUB_VERSION_HELD)
+			state->held++;
 		else if (row->state == AUB_ROW_DOWN)
 			state->down++;
 		else if (row->state == AUB_ROW_UNKNOWN)
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -32,16 +32,33 @@
 	return false;
 }
 
+/* What one choice goes by, whichever the upstream. */
+struct choice {
+	struct aub_placement *placement;
+	const struct aub_ask *ask;
+	gint64 now_us;
+	double usual_ms; /* of its kind of work */
+	enum aub_version_use use; /* of the upstreams that count */
+	bool judging; /* a version, by a few requests */
+	bool fills; /* one upstream after the other, not evenly */
+};
+
 /* May this request ever go there, room or not? */
-static bool is_usable(const struct aub_row *row, const struct aub_ask *ask,
-		      gint64 now_us)
+static bool is_usable(const struct choice *choice, const struct aub_row *row)
 {
-	if (!row->registered || row->draining || row->zone_out)
+	const struct aub_ask *ask = choice->ask;
+
+	if (!row->registered || row->draining || row->zone_out ||
+	    row->use != choice->use)
 		return false;
 	if (row->state == AUB_ROW_DOWN)
 		return false;
+	/* Cold ones are slow, and what they answer says little. */
+	if (choice->judging && aub_row_is_cold(row, choice->now_us))
+		return false;
 	if (ask->alone)
-		return !aub_row_is_cold(row, now_us) && !avoided(ask, row->id);
+		return !aub_row_is_cold(row, choice->now_us) &&
+		       !avoided(ask, row->id);
 	return row->state == AUB_ROW_UP && !avoided(ask, row->id);
 }
 
@@ -64,14 +81,6 @@
 	return aub_knee_limit(&placement->knee, row->slots);
 }
 
-/* What one choice goes by, whichever the upstream. */
-struct choice {
-	const struct aub_placement *placement;
-	const struct aub_ask *ask;
-	gint64 now_us;
-	double usual_ms; /* of its kind of work */
-};
-
 /*
  * Slots of each upstream that only requests that can be on time may take.
  *
@@ -219,45 +228,57 @@
 	for (guint i = 0; i < placement->rows->len; i++) {
 		const struct aub_row *row = aub_placement_row(placement, i);
 
-		if (is_usable(row, choice->ask, choice->now_us) &&
+		if (is_usable(choice, row) &&
 		    cost(choice, row, stuck[i]) <= LATE_COST)
 			return true;
 	}
 	return false;
 }
 
-gint aub_placement_choose(struct aub_placement *placement,
-			  const struct aub_ask *ask, gint64 now_us,
-			  guint *usable)
+/*
+ * Load: the share of the requests that judge a new version, while few of its
+ * upstreams would do.
+ *
+ * Failure: a version fails only where its upstreams are nearly full. Symptom:
+ * spread evenly, its share fills none, and it is taken for good. Enough: at
+ * times the fullest that has room takes the next request.
+ */
+static double trial_cost(const struct choice *choice, const struct aub_row *row,
+			 bool stuck)
 {
-	const struct choice choice = {
-		.placement = placement,
-		.ask = ask,
-		.now_us = now_us,
-		.usual_ms =
-			aub_work_times_usual(&placement->work, ask->target_ms),
-	};
+	double value = cost(choice, row, stuck);
+
+	if (!choice->judging)
+		return value;
+	if (choice->fills && value < LATE_COST)
+		value = -(double)row->granted;
+	/* One that has said much already has less to add. */
+	return value + aub_row_evidence(choice->placement, row);
+}
+
+static gint choose_among(const struct choice *choice, guint *usable)
+{
+	struct aub_placement *placement = choice->placement;
 	guint count = placement->rows->len;
 	bool *stuck = g_newa0(bool, count + 1);
 	double best_cost = INFINITY;
 	gint best = -1;
 
 	*usable = 0;
-	placement->turn++;
-	find_stuck(placement, stuck, now_us);
+	find_stuck(placement, stuck, choice->now_us);
 	for (guint n = 0; n < count; n++) {
 		guint i = (n + placement->turn) % count;
 		struct aub_row *row = aub_placement_row(placement, i);
 		guint limit;
 		double value;
 
-		if (!is_usable(row, ask, now_us))
+		if (!is_usable(choice, row))
 			continue;
 		limit = aub_row_limit(placement, row);
 		*usable += limit;
-		if (!has_room(&choice, row, limit))
+		if (!has_room(choice, row, limit))
 			continue;
-		value = cost(&choice, row, stuck[i]);
+		value = trial_cost(choice, row, stuck[i]);
 		if (value >= best_cost)
 			continue;
 		best_cost = value;
@@ -267,8 +288,38 @@
 	 * A request that could still be on time waits for an upstream where it
 	 * is, if there is one. A late one takes what there is.
 	 */
-	if (best >= 0 && ask->on_time_ms && best_cost > LATE_COST &&
-	    is_any_on_time(&choice, stuck))
+	if (best >= 0 && !choice->judging && choice->ask->on_time_ms &&
+	    best_cost > LATE_COST && is_any_on_time(choice, stuck))
 		return -1;
 	return best;
 }
+
+gint aub_placement_choose(struct aub_placement *placement,
+			  const struct aub_ask *ask, gint64 now_us,
+			  guint *usable)
+{
+	struct choice choice = {
+		.placement = placement,
+		.ask = ask,
+		.now_us = now_us,
+		.usual_ms =
+			aub_work_times_usual(&placement->work, ask->target_ms),
+		.use = AUB_VERSION_ON_TRIAL,
+	};
+	enum aub_trial trial = aub_placement_trial(placement, ask, now_us);
+	gint best = -1;
+
+	placement->turn++;
+	if (trial != AUB_TRIAL_NONE) {
+		choice.judging = trial == AUB_TRIAL_FIRST;
+		choice.fills = choice.judging &&
+			       aub_rollout_fills(&placement->rollout);
+		best = choose_among(&choice, usable);
+		if (best >= 0 || (trial == AUB_TRIAL_ONLY && *usable))
+			return best;
+	}
+	choice.use = AUB_VERSION_FREE;
+	choice.judging = false;
+	choice.fills = false;
+	return choose_among(&choice, usable);
+}
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -39,10 +39,12 @@
 	made->running = row->granted + 1;
 	made->slowdown = aub_row_disturbance(placement, row, now_us);
 	made->target_ms = ask->target_ms;
+	made->route = ask->route;
+	made->cold = aub_row_is_cold(row, now_us);
 	made->since_us = now_us;
 	g_hash_table_replace(placement->grants, &made->ticket, made);
 	row->granted++;
-	if (aub_row_is_cold(row, now_us)) {
+	if (made->cold) {
 		placement->cold_grants++;
 		row->next_cold_us =
 			now_us +
@@ -143,6 +145,7 @@
 	row = aub_placement_row(placement, made->row);
 	row->granted--;
 	learn_end(placement, row, made, report, now_us);
+	aub_grant_judge(placement, row, made, report);
 	g_hash_table_remove(placement->grants, &report->ticket);
 }
 
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -53,6 +53,8 @@
 	waiting->zone = g_strdup(ask->zone);
 	waiting->priority = ask->priority;
 	waiting->target_ms = ask->target_ms;
+	waiting->route = ask->route;
+	waiting->retry = ask->retry;
 	waiting->alone = ask->alone;
 	waiting->since_us = now_us;
 	waiting->on_time_us = now_us + ask->on_time_ms * AUB_PLACE_MS;
@@ -213,12 +215,24 @@
 		const struct aub_row *row = aub_placement_row(placement, i);
 
 		if (row->registered && !row->draining && !row->zone_out &&
+		    row->use == AUB_VERSION_FREE &&
 		    row->state == AUB_ROW_UNKNOWN)
 			return true;
 	}
 	return false;
 }
 
+static void grant(struct aub_placement *placement, guint index,
+		  const struct aub_ask *ask, gint64 now_us,
+		  struct aub_decision *decision)
+{
+	aub_placement_grant(placement, index, ask, now_us, decision);
+	aub_grant_count_trial(placement,
+			      g_hash_table_lookup(placement->grants,
+						  &ask->ticket),
+			      aub_placement_row(placement, index));
+}
+
 void aub_placement_ask(struct aub_placement *placement,
 		       const struct aub_ask *ask, gint64 now_us,
 		       struct aub_decision *decision)
@@ -245,8 +259,7 @@
 	ahead = ahead_of(placement, ask->priority, !ask->on_time_ms, now_us);
 	index = aub_placement_choose(placement, ask, now_us, &slots);
 	if (index >= 0 && !ahead) {
-		aub_placement_grant(placement, (guint)index, ask, now_us,
-				    decision);
+		grant(placement, (guint)index, ask, now_us, decision);
 		return;
 	}
 	if (!slots &&
@@ -276,6 +289,8 @@
 		.zone = waiting->zone,
 		.priority = waiting->priority,
 		.target_ms = waiting->target_ms,
+		.route = waiting->route,
+		.retry = waiting->retry,
 		.alone = waiting->alone,
 		.on_time_ms =
 			(guint)((on_time_us + AUB_PLACE_MS - 1) / AUB_PLACE_MS),
@@ -303,7 +318,7 @@
 		.ticket = ask.ticket,
 		.holder = ask.holder,
 	};
-	aub_placement_grant(placement, (guint)index, &ask, now_us, decision);
+	grant(placement, (guint)index, &ask, now_us, decision);
 	g_ptr_array_remove_index(placement->waiting, (guint)i);
 	return true;
 }
--- /dev/null
+++ b/src/state/rollout_judge.c
@@ -0,0 +1,324 @@
+/*
+ * Sequential tests of a new version against the old one beside it.
+ */
+#include <auburnstile/internal/rollout_judge.h>
+
+#include <math.h>
+#include <string.h>
+
+const double aub_judge_threshold = 9.0;
+
+#define SUSPICION 5.5 /* evidence with which a version isn't trusted */
+#define BUCKETS_AN_OCTAVE 4.0
+#define BASE_MOST 4000.0 /* answers of the old version that are remembered */
+#define BASE_LEAST 20.0 /* before the old version tells what is slow */
+
+/* The old version's share of failures is taken to be at least this much. */
+#define FAILURES_LEAST 0.008
+#define FAILURES_MARGIN 1.5
+#define FAILURES_PRIOR 100.0 /* answers without a failure */
+
+#define SLOW_QUANTILE 0.85 /* of the old version's times; beyond is slow */
+#define SLOW_FACTOR 1.1 /* and this many times as long */
+#define FULL_TOLERANCE 1.8 /* full upstreams are slower, whichever version */
+#define SLOW_SHARE_LEAST 0.25
+#define SLOW_MARGIN 1.4
+#define RATE_GAP 1.5 /* an alternative below so many times the base is none */
+
+/* Upstreams whose evidence convicts a version: a share of its own. */
+#define CONVICTING_SHARE 0.3
+#define CONVICTING_LEAST 1.5
+#define CONVICTING_MOST 5.0
+
+static const double rates[AUB_JUDGE_FAULTS][AUB_JUDGE_ALTERNATIVES] = {
+	[AUB_JUDGE_FAILURES] = { 0.03, 0.1, 0.3, 0.8 },
+	[AUB_JUDGE_SLOWNESS] = { 0.4, 0.55, 0.75, 0.95 },
+};
+
+/* Of an upstream's evidence, with each of its good answers. */
+static const double fades[AUB_JUDGE_FAULTS] = {
+	[AUB_JUDGE_FAILURES] = 0.1,
+	[AUB_JUDGE_SLOWNESS] = 0.5,
+};
+
+void aub_judge_init(struct aub_judge *judge)
+{
+	memset(judge, 0, sizeof(*judge));
+}
+
+void aub_judge_restart(struct aub_judge *judge)
+{
+	judge->answers = 0;
+	judge->timed = 0;
+	judge->bad = 0;
+	judge->alarmed = false;
+	memset(judge->pooled, 0, sizeof(judge->pooled));
+	for (guint i = 0; i < judge->count; i++) {
+		struct aub_judge_route *route = &judge->routes[i];
+
+		route->answers = 0;
+		route->timed = 0;
+		memset(route->bad, 0, sizeof(route->bad));
+		memset(route->tests, 0, sizeof(route->tests));
+	}
+}
+
+double aub_judge_evidence_most(guint upstreams)
+{
+	double needed = CLAMP(CONVICTING_SHARE * upstreams, CONVICTING_LEAST,
+			      CONVICTING_MOST);
+
+	return upstreams <= 1 ? 2 * aub_judge_threshold :
+				1.2 * aub_judge_threshold / needed;
+}
+
+const char *aub_judge_fault_name(enum aub_judge_fault fault)
+{
+	static const char *const names[AUB_JUDGE_FAULTS] = {
+		[AUB_JUDGE_FAILURES] = "failures",
+		[AUB_JUDGE_SLOWNESS] = "slowness",
+	};
+
+	return names[fault];
+}
+
+static struct aub_judge_route *route_of(struct aub_judge *judge, guint32 key)
+{
+	struct aub_judge_route *route;
+
+	for (guint i = 0; i < judge->count; i++)
+		if (judge->routes[i].key == key)
+			return &judge->routes[i];
+	if (judge->count == AUB_JUDGE_ROUTES)
+		return &judge->routes[AUB_JUDGE_ROUTES - 1];
+	route = &judge->routes[judge->count++];
+	route->key = key;
+	return route;
+}
+
+static guint bucket_of(double ms)
+{
+	double bucket = BUCKETS_AN_OCTAVE * log2(MAX(ms, 1));
+
+	return (guint)CLAMP(bucket, 0, AUB_JUDGE_BUCKETS - 1);
+}
+
+/* The lower end of a bucket. */
+static double bucket_ms(guint bucket)
+{
+	return exp2(bucket / BUCKETS_AN_OCTAVE);
+}
+
+static void halve(struct aub_judge_route *route)
+{
+	route->base_answers /= 2;
+	route->base_failures /= 2;
+	for (guint i = 0; i < AUB_JUDGE_BUCKETS; i++)
+		route->base_times[i] /= 2;
+}
+
+void aub_judge_take_base(struct aub_judge *judge,
+			 const struct aub_judge_answer *answer)
+{
+	struct aub_judge_route *route = route_of(judge, answer->route);
+
+	route->base_answers++;
+	route->base_failures += answer->failed;
+	if (!answer->failed && answer->ms > 0)
+		route->base_times[bucket_of(answer->ms)]++;
+	if (route->base_answers >= BASE_MOST)
+		halve(route);
+}
+
+/* Bucket from which on an answer is slow; AUB_JUDGE_BUCKETS: not known. */
+static guint slow_bucket(const struct aub_judge_route *route, double *share)
+{
+	double total = 0;
+	double below = 0;
+	guint bucket;
+
+	for (guint i = 0; i < AUB_JUDGE_BUCKETS; i++)
+		total += route->base_times[i];
+	*share = SLOW_SHARE_LEAST;
+	if (total < BASE_LEAST)
+		return AUB_JUDGE_BUCKETS;
+	for (bucket = 0; bucket < AUB_JUDGE_BUCKETS - 1; bucket++) {
+		below += route->base_times[bucket];
+		if (below >= SLOW_QUANTILE * total)
+			break;
+	}
+	*share = MAX((total - below) / total * SLOW_MARGIN, SLOW_SHARE_LEAST);
+	return bucket + 1;
+}
+
+static double slow_ms(const struct aub_judge_route *route, bool full,
+		      double *share)
+{
+	guint bucket = slow_bucket(route, share);
+
+	double ms = route->told_slow_ms;
+
+	if (bucket < AUB_JUDGE_BUCKETS)
+		ms = bucket_ms(bucket) * SLOW_FACTOR;
+	return ms * (full ? FULL_TOLERANCE : 1);
+}
+
+guint aub_judge_export(const struct aub_judge *judge,
+		       struct aub_judge_route *routes)
+{
+	for (guint i = 0; i < judge->count; i++) {
+		double share;
+
+		routes[i] = judge->routes[i];
+		routes[i].told_slow_ms =
+			slow_ms(&judge->routes[i], false, &share);
+	}
+	routes[judge->count] =
+		(struct aub_judge_route){ .key = AUB_JUDGE_POOLED };
+	for (guint j = 0; j < AUB_JUDGE_FAULTS; j++)
+		routes[judge->count].tests[j][0] = judge->pooled[j];
+	return judge->count + 1;
+}
+
+void aub_judge_inherit(struct aub_judge *judge,
+		       const struct aub_judge_route *routes, guint count)
+{
+	judge->answers = 0;
+	judge->timed = 0;
+	judge->bad = 0;
+	for (guint i = 0; i < count; i++) {
+		struct aub_judge_route *route;
+
+		if (routes[i].key == AUB_JUDGE_POOLED) {
+			for (guint j = 0; j < AUB_JUDGE_FAULTS; j++)
+				judge->pooled[j] = routes[i].tests[j][0];
+			continue;
+		}
+		route = route_of(judge, routes[i].key);
+		route->answers = routes[i].answers;
+		route->timed = routes[i].timed;
+		route->told_slow_ms = routes[i].told_slow_ms;
+		memcpy(route->bad, routes[i].bad, sizeof(route->bad));
+		memcpy(route->tests, routes[i].tests, sizeof(route->tests));
+		judge->answers += route->answers;
+		judge->timed += route->timed;
+		for (guint j = 0; j < AUB_JUDGE_FAULTS; j++)
+			judge->bad += route->bad[j];
+	}
+}
+
+double aub_judge_slow_ms(const struct aub_judge *judge, guint32 key, bool full)
+{
+	double share;
+
+	for (guint i = 0; i < judge->count; i++)
+		if (judge->routes[i].key == key)
+			return slow_ms(&judge->routes[i], full, &share);
+	return 0;
+}
+
+static double failure_share(const struct aub_judge_route *route)
+{
+	double share = FAILURES_MARGIN * route->base_failures /
+		       (route->base_answers + FAILURES_PRIOR);
+
+	return CLAMP(share, FAILURES_LEAST, 0.9);
+}
+
+/* One step of a test; what the strongest alternative gained by it. */
+static double test_step(struct aub_judge_test *test, enum aub_judge_fault fault,
+			bool bad, double base, double weight)
+{
+	double gained = 0;
+
+	for (guint i = 0; i < AUB_JUDGE_ALTERNATIVES; i++) {
+		double rate = rates[fault][i];
+		double step;
+
+		if (rate < RATE_GAP * base)
+			continue;
+		step = weight *
+		       (bad ? log(rate / base) : log((1 - rate) / (1 - base)));
+		test->sums[i] = MAX(test->sums[i] + step, 0);
+		gained = MAX(gained, step);
+	}
+	return gained;
+}
+
+static bool reaches(const struct aub_judge_test *test, double threshold)
+{
+	for (guint i = 0; i < AUB_JUDGE_ALTERNATIVES; i++)
+		if (test->sums[i] >= threshold)
+			return true;
+	return false;
+}
+
+bool aub_judge_is_suspicious(const struct aub_judge *judge)
+{
+	for (guint fault = 0; fault < AUB_JUDGE_FAULTS; fault++) {
+		if (reaches(&judge->pooled[fault], SUSPICION))
+			return true;
+		for (guint i = 0; i < judge->count; i++)
+			if (reaches(&judge->routes[i].tests[fault][0],
+				    SUSPICION) ||
+			    reaches(&judge->routes[i].tests[fault][1],
+				    SUSPICION))
+				return true;
+	}
+	return false;
+}
+
+/*
+ * One answer, good or bad, where the old version's share is `base`. The more
+ * its upstream has brought forward, the less it counts, for and against.
+ */
+static void take(struct aub_judge *judge, struct aub_judge_route *route,
+		 enum aub_judge_fault fault, bool full, bool bad, double base,
+		 struct aub_judge_evidence *evidence, double most)
+{
+	double *brought = &evidence->brought[fault];
+	struct aub_judge_test *test = &route->tests[fault][full];
+	struct aub_judge_test *pooled = &judge->pooled[fault];
+	double strongest = log(rates[fault][AUB_JUDGE_ALTERNATIVES - 1] / base);
+	double weight = CLAMP(1 - *brought / most, 0, 1) *
+			MIN(most / MAX(strongest, 1), 1);
+	double gained = test_step(test, fault, bad, base, weight);
+
+	/* Whether a full one is slow is hard to tell: that stays apart. */
+	if (!full || fault != AUB_JUDGE_SLOWNESS)
+		(void)test_step(pooled, fault, bad, base, weight);
+	if (bad)
+		*brought += gained;
+	else
+		*brought = MAX(*brought - fades[fault], 0);
+	if (judge->alarmed || (!reaches(test, aub_judge_threshold) &&
+			       !reaches(pooled, aub_judge_threshold)))
+		return;
+	judge->alarmed = true;
+	judge->fault = fault;
+	judge->route = route->key;
+}
+
+void aub_judge_take_new(struct aub_judge *judge,
+			const struct aub_judge_answer *answer,
+			struct aub_judge_evidence *evidence, double most)
+{
+	struct aub_judge_route *route = route_of(judge, answer->route);
+	double slow_share = 0;
+	double limit_ms = slow_ms(route, answer->full, &slow_share);
+	bool slow = limit_ms > 0 && answer->ms > limit_ms;
+
+	judge->answers++;
+	route->answers++;
+	route->bad[AUB_JUDGE_FAILURES] += answer->failed;
+	take(judge, route, AUB_JUDGE_FAILURES, answer->full, answer->failed,
+	     failure_share(route), evidence, most);
+	if (answer->ms > 0 && limit_ms > 0 && !answer->failed) {
+		judge->timed++;
+		route->timed++;
+		route->bad[AUB_JUDGE_SLOWNESS] += slow;
+		take(judge, route, AUB_JUDGE_SLOWNESS, answer->full, slow,
+		     slow_share, evidence, most);
+	}
+	judge->bad += answer->failed || slow;
+}
--- a/src/state/store_records.c
+++ b/src/state/store_records.c
@@ -18,6 +18,15 @@
 	g_free(record->service);
 	g_free(record->address);
 	g_free(record->zone);
+	g_free(record->version);
+	g_free(record);
+}
+
+void aub_rollout_record_free(struct aub_rollout_record *record)
+{
+	if (!record)
+		return;
+	g_free(record->order.version);
 	g_free(record);
 }
 
@@ -29,6 +38,7 @@
 	g_free(record->problem);
 	aub_upstream_record_free(record->upstream);
 	aub_routing_unref(record->routing);
+	aub_rollout_record_free(record->rollout);
 	if (record->member) {
 		g_free(record->member->ip);
 		g_free(record->member->zone);
--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -148,6 +148,7 @@
 	int max_attempts = 2;
 	int timeout_ms = 1000;
 	int version = 1;
+	double rollout_share = 0; /* of requests to a new version */
 	std::string seed; /* another gateway's address; empty: none */
 
 	void SetUp() override
@@ -210,15 +211,16 @@
 		return upstream;
 	}
 	void enter(struct platform_upstream *upstream, const std::string &state,
-		   const std::string &zone = "z1", int warmup_ms = 0)
+		   const std::string &zone = "z1", int warmup_ms = 0,
+		   const std::string &release = "v1", int born = 7)
 	{
 		char *text = g_strdup_printf(
 			"{\"address\":\"%s\",\"details\":{\"service\":\"svc\","
-			"\"version\":\"v1\",\"zone\":\"%s\",\"slots\":2},"
+			"\"version\":\"%s\",\"zone\":\"%s\",\"slots\":2},"
 			"\"status\":{\"state\":\"%s\",\"sequence\":1,"
-			"\"warmup_left_ms\":%d},\"born\":7}",
-			platform_upstream_address(upstream), zone.c_str(),
-			state.c_str(), warmup_ms);
+			"\"warmup_left_ms\":%d},\"born\":%d}",
+			platform_upstream_address(upstream), release.c_str(),
+			zone.c_str(), state.c_str(), warmup_ms, born);
 
 		platform_store_put(store, "servers",
 				   platform_upstream_id(upstream), text);
@@ -247,6 +249,8 @@
 		settings.retry_slack = 50;
 		settings.retry_window_s = 10;
 		settings.address_ms = 300;
+		settings.rollout_share = rollout_share;
+		settings.rollout_slack = 50;
 		node = aub_node_new(&settings, &aub_platform, timers, &error);
 		ASSERT_NE(node, nullptr) << error->message;
 	}
--- a/tests/placement_rig.h
+++ b/tests/placement_rig.h
@@ -42,7 +42,8 @@
 	}
 	void enter(const std::string &id, guint slots = 2,
 		   const std::string &zone = "z1", bool draining = false,
-		   gint64 born = 1, guint warmup_ms = 0)
+		   gint64 born = 1, guint warmup_ms = 0,
+		   const std::string &version = "v1")
 	{
 		std::string address = "10.0.0.1:" + std::to_string(8000 + born);
 		struct aub_upstream_record record = {};
@@ -50,6 +51,7 @@
 		record.service = (char *)"svc";
 		record.address = (char *)address.c_str();
 		record.zone = (char *)zone.c_str();
+		record.version = (char *)version.c_str();
 		record.slots = slots;
 		record.draining = draining;
 		record.born_ms = born;
--- a/tests/placer_rig.h
+++ b/tests/placer_rig.h
@@ -19,6 +19,7 @@
 	guint64 incarnation = 0;
 	std::map<int, gint64> revisions; /* by kind */
 	std::vector<guint64> lost;
+	std::map<std::string, enum aub_rollout_state> wanted;
 	bool deaf = false; /* drops messages of the others' placers */
 };
 
@@ -30,6 +31,7 @@
 	struct aub_http_client *client;
 	std::vector<std::unique_ptr<Gate>> gates;
 	std::vector<struct platform_upstream *> upstreams;
+	double rollout_share = 0; /* of requests to a new version */
 
 	void SetUp() override
 	{
@@ -71,6 +73,12 @@
 		if (gate->placer)
 			aub_placer_peer_lost(gate->placer, incarnation);
 	}
+	static bool on_wanted(const char *service, enum aub_rollout_state state,
+			      bool placer, void *context)
+	{
+		((Gate *)context)->wanted[service] = state;
+		return false;
+	}
 	/* Free for datagrams: another gate may have just been given it. */
 	static std::string free_address()
 	{
@@ -122,6 +130,9 @@
 			.limits = { .retry_ratio = 0.2,
 				    .retry_slack = 10,
 				    .window_us = 10 * AUB_SECOND },
+			.rollouts = { .share = rollout_share, .slack = 50 },
+			.rollout_wanted = on_wanted,
+			.context = gate,
 		};
 		gate->placer = aub_placer_new(&placer);
 		return gate;
@@ -186,13 +197,16 @@
 		return upstreams.back();
 	}
 	void enter(Gate &gate, struct platform_upstream *upstream,
-		   bool draining = false)
+		   bool draining = false, const std::string &version = "v1",
+		   gint64 born_ms = 0)
 	{
 		struct aub_upstream_record record = {};
 
 		record.service = (char *)"svc";
 		record.address = (char *)platform_upstream_address(upstream);
 		record.zone = (char *)"z1";
+		record.version = (char *)version.c_str();
+		record.born_ms = born_ms;
 		record.slots = 2;
 		record.draining = draining;
 		aub_placer_upstream(gate.placer, platform_upstream_id(upstream),
--- a/tests/test_platform_codec.cc
+++ b/tests/test_platform_codec.cc
@@ -258,3 +258,145 @@
 		EXPECT_EQ(load_of(bad).slots, -1) << bad;
 	EXPECT_EQ(load_of("1,1,1", "soon").warmup_ms, -1);
 }
+
+TEST(Codec, ReadsAnOrderToChangeVersions)
+{
+	struct aub_store_page *page = decode(
+		AUB_STORE_ROLLOUTS,
+		list(item("svc",
+			  "{\"service\":\"svc\",\"target_version\":\"v2\","
+			  "\"duration_s\":12.5}")));
+
+	ASSERT_NE(page, nullptr);
+	const struct aub_rollout_record *rollout = record_at(page, 0)->rollout;
+	ASSERT_NE(rollout, nullptr);
+	EXPECT_STREQ(rollout->order.version, "v2");
+	EXPECT_EQ(rollout->order.duration_ms, 12500u);
+	EXPECT_EQ(rollout->order.created, 1);
+	EXPECT_EQ(rollout->state, AUB_ROLLOUT_NONE);
+	aub_store_page_free(page);
+}
+
+TEST(Codec, NamesWhatIsWrongWithAnOrderAndKeepsTheOthers)
+{
+	const char *const bad[][2] = {
+		{ "7", "spec" },
+		{ "{}", "spec.service" },
+		{ "{\"service\":\"other\",\"target_version\":\"v2\","
+		  "\"duration_s\":12}",
+		  "spec.service" },
+		{ "{\"service\":\"svc\",\"duration_s\":12}",
+		  "spec.target_version" },
+		{ "{\"service\":\"svc\",\"target_version\":2,\"duration_s\":12}",
+		  "spec.target_version" },
+		{ "{\"service\":\"svc\",\"target_version\":\"\","
+		  "\"duration_s\":12}",
+		  "spec.target_version" },
+		{ "{\"service\":\"svc\",\"target_version\":\"v2\"}",
+		  "spec.duration_s" },
+		{ "{\"service\":\"svc\",\"target_version\":\"v2\","
+		  "\"duration_s\":\"12\"}",
+		  "spec.duration_s" },
+		{ "{\"service\":\"svc\",\"target_version\":\"v2\","
+		  "\"duration_s\":0}",
+		  "spec.duration_s" },
+		{ "{\"service\":\"svc\",\"target_version\":\"v2\","
+		  "\"duration_s\":-3}",
+		  "spec.duration_s" },
+		{ "{\"service\":\"svc\",\"target_version\":\"v2\","
+		  "\"duration_s\":1e300}",
+		  "spec.duration_s" },
+	};
+	const std::string good =
+		"{\"service\":\"zz\",\"target_version\":\"v2\","
+		"\"duration_s\":12}";
+
+	for (auto &order : bad) {
+		struct aub_store_page *page =
+			decode(AUB_STORE_ROLLOUTS,
+			       list(item("svc", order[0]) + "," +
+				    item("zz", good)));
+
+		ASSERT_NE(page, nullptr) << order[0];
+		EXPECT_EQ(record_at(page, 0)->rollout, nullptr) << order[0];
+		ASSERT_NE(record_at(page, 0)->problem, nullptr) << order[0];
+		EXPECT_NE(strstr(record_at(page, 0)->problem, order[1]),
+			  nullptr)
+			<< record_at(page, 0)->problem;
+		EXPECT_NE(record_at(page, 1)->rollout, nullptr);
+		aub_store_page_free(page);
+	}
+}
+
+static enum aub_rollout_state stored_state(const std::string &status)
+{
+	struct aub_store_page *page = decode(
+		AUB_STORE_ROLLOUTS,
+		"{\"items\":[{\"metadata\":{\"name\":\"svc\",\"revision\":5,"
+		"\"created\":1},\"spec\":{\"service\":\"svc\","
+		"\"target_version\":\"v2\",\"duration_s\":12},\"status\":" +
+			status + "}],\"more\":false,\"store_revision\":9}");
+	enum aub_rollout_state state = record_at(page, 0)->rollout->state;
+
+	aub_store_page_free(page);
+	return state;
+}
+
+/* Guards against the state of one order that is taken for another's. */
+TEST(Codec, ReadsAStateOnlyForTheOrderItIsAbout)
+{
+	EXPECT_EQ(stored_state("null"), AUB_ROLLOUT_NONE);
+	EXPECT_EQ(stored_state("{\"state\":\"running\",\"target_version\":"
+			       "\"v2\"}"),
+		  AUB_ROLLOUT_RUNNING);
+	EXPECT_EQ(stored_state("{\"state\":\"completed\",\"target_version\":"
+			       "\"v2\"}"),
+		  AUB_ROLLOUT_COMPLETED);
+	EXPECT_EQ(stored_state("{\"state\":\"rolled_back\",\"target_version\":"
+			       "\"v2\",\"duration_s\":12.0}"),
+		  AUB_ROLLOUT_ROLLED_BACK);
+	EXPECT_EQ(stored_state("{\"state\":\"rolled_back\",\"target_version\":"
+			       "\"v2\",\"duration_s\":30.0}"),
+		  AUB_ROLLOUT_NONE);
+	EXPECT_EQ(stored_state("{\"state\":\"completed\",\"target_version\":"
+			       "\"v1\"}"),
+		  AUB_ROLLOUT_NONE);
+	EXPECT_EQ(stored_state("{\"state\":\"odd\",\"target_version\":\"v2\"}"),
+		  AUB_ROLLOUT_NONE);
+}
+
+TEST(Codec, WritesAStateThatItReadsBack)
+{
+	struct aub_rollout_record record = {};
+	gsize length;
+
+	record.order.version = (char *)"v2";
+	record.order.duration_ms = 12000;
+	record.state = AUB_ROLLOUT_ROLLED_BACK;
+	GBytes *body = aub_platform.rollout_body("svc", 42, &record);
+	const void *data = g_bytes_get_data(body, &length);
+	char *text = platform_body_text(data, length);
+	EXPECT_NE(strstr(text, "\"revision\":42"), nullptr) << text;
+	EXPECT_NE(strstr(text, "\"state\":\"rolled_back\""), nullptr) << text;
+	EXPECT_NE(strstr(text, "\"target_version\":\"v2\""), nullptr) << text;
+	g_free(text);
+	g_bytes_unref(body);
+	char *path = aub_platform.state_path(AUB_STORE_ROLLOUTS, "svc");
+	EXPECT_STREQ(path, "/objects/rollouts/svc/status");
+	g_free(path);
+}
+
+/* Guards against an upstream whose version nobody knows. */
+TEST(Codec, RefusesAnUpstreamWithoutAVersion)
+{
+	struct aub_store_page *page = decode(
+		AUB_STORE_UPSTREAMS,
+		list(item("u1", "{\"address\":\"10.0.0.9:80\",\"details\":{"
+				"\"service\":\"s\",\"zone\":\"z\",\"slots\":2},"
+				"\"status\":{\"state\":\"ready\"}}")));
+
+	EXPECT_EQ(record_at(page, 0)->upstream, nullptr);
+	EXPECT_STREQ(record_at(page, 0)->problem,
+		     "details.version must be a string");
+	aub_store_page_free(page);
+}
--- a/tools/platform/store.c
+++ b/tools/platform/store.c
@@ -176,6 +176,29 @@
 	return store->revision;
 }
 
+gint64 platform_store_put_status(struct platform_store *store, const char *kind,
+				 const char *name, const char *status)
+{
+	struct object *object = object_find(store, kind, name);
+
+	if (!object || !strcmp(object->status, status))
+		return store->revision;
+	g_free(object->status);
+	object->status = g_strdup(status);
+	object->revision = ++store->revision;
+	changed(store, object, false);
+	answer_watches(store);
+	return store->revision;
+}
+
+const char *platform_store_status(struct platform_store *store,
+				  const char *kind, const char *name)
+{
+	struct object *object = object_find(store, kind, name);
+
+	return object ? object->status : NULL;
+}
+
 void platform_store_remove(struct platform_store *store, const char *kind,
 			   const char *name)
 {
@@ -406,9 +429,12 @@
 	return node ? json_to_string(node, FALSE) : g_strdup("null");
 }
 
-/* POST creates, PUT replaces; both may name the revision they expect. */
+/*
+ * POST creates, PUT replaces; both may name the revision they expect. With
+ * `part` "status" only that is replaced.
+ */
 static void do_write(struct connection *connection, const char *kind,
-		     const char *name)
+		     const char *name, const char *part)
 {
 	struct platform_store *store = connection->store;
 	char *text = platform_body_text(connection->body->str,
@@ -423,7 +449,7 @@
 			NULL;
 	bool create = connection->method == HTTP_POST;
 	struct object *object;
-	char *spec;
+	char *value;
 
 	if (!metadata) {
 		reply(connection, 400, g_strdup("{}"));
@@ -443,9 +469,12 @@
 		reply(connection, 404, g_strdup("{}"));
 		goto out;
 	}
-	spec = member_text(body, "spec");
-	platform_store_put(store, kind, name, spec);
-	g_free(spec);
+	value = member_text(body, part);
+	if (!strcmp(part, "status"))
+		platform_store_put_status(store, kind, name, value);
+	else
+		platform_store_put(store, kind, name, value);
+	g_free(value);
 	reply(connection, 200, object_text(object_find(store, kind, name)));
 out:
 	if (root)
@@ -468,7 +497,8 @@
 		platform_store_remove(store, parts[2], parts[3]);
 		reply(connection, 200, g_strdup("{}"));
 	} else if (connection->method != HTTP_GET) {
-		do_write(connection, parts[2], count == 4 ? parts[3] : "");
+		do_write(connection, parts[2], count >= 4 ? parts[3] : "",
+			 count == 5 ? parts[4] : "spec");
 	} else if (count == 4) {
 		struct object *object = object_find(store, parts[2], parts[3]);
 
--- a/tools/platform/store.h
+++ b/tools/platform/store.h
@@ -31,6 +31,11 @@
 /* What an operator or an upstream writes; returns the new revision. */
 gint64 platform_store_put(struct platform_store *store, const char *kind,
 			  const char *name, const char *spec);
+/* The same of its status, which has to be there. */
+gint64 platform_store_put_status(struct platform_store *store, const char *kind,
+				 const char *name, const char *status);
+const char *platform_store_status(struct platform_store *store,
+				  const char *kind, const char *name);
 void platform_store_remove(struct platform_store *store, const char *kind,
 			   const char *name);
 /* The spec of an object; borrowed; NULL if there is none. */
