--- a/src/coordination/placer_rollouts.c
+++ b/src/coordination/placer_rollouts.c
@@ -11,6 +11,7 @@
 
 #define STEP_US (25 * AUB_MS)
 #define TELL_US (250 * AUB_MS) /* the evidence, while an order is open */
+#define AGE_SLACK_US (500 * AUB_MS) /* between two views of an order's age */
 #define STRENGTH_UNIT 100.0 /* on its way between gateways */
 
 static void arm(struct aub_placer *placer);
@@ -98,7 +99,9 @@
 				evidence->strength[i] / STRENGTH_UNIT;
 }
 
-void aub_placer_tell_rollout(struct aub_placer *placer, const char *service)
+/* How far the order of `service` is, and the evidence so far; NULL: none. */
+static struct aub_place_rollout *rollout_message(struct aub_placer *placer,
+						 const char *service)
 {
 	gint64 now = aub_timer_now(placer->options.timers);
 	const struct aub_rollout *rollout =
@@ -108,7 +111,7 @@
 	guint count;
 
 	if (!rollout)
-		return;
+		return NULL;
 	message = (struct aub_place_rollout *)aub_message_new(
 		AUB_MESSAGE_PLACE_ROLLOUT);
 	aub_string_set(&message->service, service);
@@ -127,10 +130,37 @@
 		fill_evidence(&routes[i], evidence);
 		g_ptr_array_add(message->evidence, evidence);
 	}
+	return message;
+}
+
+void aub_placer_tell_rollout(struct aub_placer *placer, const char *service)
+{
+	struct aub_place_rollout *message = rollout_message(placer, service);
+
+	if (!message)
+		return;
 	aub_placer_tell_zones(placer, service, &message->base, &message->relay);
 	aub_message_free(&message->base);
 }
 
+/*
+ * Failure: the placer has started in the middle of an order. Symptom: to it,
+ * the order has just been given, and nothing is known of the version. Enough:
+ * whoever has known the order for longer tells it.
+ */
+static void tell_placer(struct aub_placer *placer, const char *service,
+			gint64 now_us)
+{
+	const struct aub_peer *peer = aub_placer_of(placer, service, now_us);
+	struct aub_place_rollout *message;
+
+	if (!peer)
+		return;
+	message = rollout_message(placer, service);
+	aub_peers_send(placer->options.peers, peer, &message->base);
+	aub_message_free(&message->base);
+}
+
 static void inherit(struct aub_placement *placement,
 		    const struct aub_place_rollout *message)
 {
@@ -144,6 +174,14 @@
 			      message->exposed, message->allowance);
 }
 
+static bool knows_more(const struct aub_rollout *rollout,
+		       const struct aub_place_rollout *message, gint64 now_us)
+{
+	gint64 age_us = now_us - rollout->began_us;
+
+	return age_us - message->age_ms * AUB_MS > AGE_SLACK_US;
+}
+
 void aub_placer_take_rollout(struct aub_placer *placer,
 			     struct aub_place_rollout *message)
 {
@@ -173,8 +211,9 @@
 	if (aub_placement_rollout(placement)->state != before)
 		log_rollout(message->service, aub_placement_rollout(placement),
 			    now);
-	if (!is_placer(placer, message->service, now))
-		inherit(placement, message);
+	if (knows_more(aub_placement_rollout(placement), message, now))
+		tell_placer(placer, message->service, now);
+	inherit(placement, message);
 	arm(placer);
 	aub_placer_drain(placer, placement);
 }
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -35,7 +35,7 @@
 #define IDLE_US (20 * AUB_SECOND)
 
 /* Orders are rare, and one that is heard of late loses some of its time. */
-#define ORDERS_WATCH_FACTOR 2
+#define ORDERS_WATCH_MS 16000
 
 #define RETRY_EACH_US (10 * AUB_MS) /* for each gateway of the fleet */
 #define RETRY_LARGE_US (3000 * AUB_MS)
@@ -270,17 +270,21 @@
 		task->sync->options.takes_orders);
 }
 
+/* For orders one watcher a zone will do: the others' heartbeats tell, too. */
 static bool may_watch(const struct aub_store_task *task)
 {
-	return is_followed(task) && duty(task) != AUB_WATCH_NONE;
+	enum aub_watch_duty now = duty(task);
+
+	if (task->kind == AUB_STORE_ROLLOUTS)
+		return is_followed(task) && now == AUB_WATCH_FIRST;
+	return is_followed(task) && now != AUB_WATCH_NONE;
 }
 
 static guint watch_ms(const struct aub_store_task *task)
 {
-	guint ms =
-		duty(task) == AUB_WATCH_STANDBY ? STANDBY_WATCH_MS : WATCH_MS;
-
-	return task->kind == AUB_STORE_ROLLOUTS ? ms * ORDERS_WATCH_FACTOR : ms;
+	if (task->kind == AUB_STORE_ROLLOUTS)
+		return ORDERS_WATCH_MS;
+	return duty(task) == AUB_WATCH_STANDBY ? STANDBY_WATCH_MS : WATCH_MS;
 }
 
 static void task_run(struct aub_store_task *task)
--- a/src/state/placement_rollout.c
+++ b/src/state/placement_rollout.c
@@ -163,6 +163,9 @@
 			   const struct aub_judge_route *routes, guint count,
 			   guint64 reached, guint64 exposed, double allowance)
 {
+	/* Older than what is known. */
+	if (reached < aub_rollout_total_reached(&placement->rollout))
+		return;
 	aub_rollout_learn_exposure(&placement->rollout, reached, exposed,
 				   allowance);
 	aub_judge_inherit(&placement->rollout.judge, routes, count);
--- a/src/state/rollout.c
+++ b/src/state/rollout.c
@@ -34,7 +34,7 @@
 #define RATE_MS 1000.0
 
 /* Answers that have to be known before a version can be good. */
-#define BAD_MANY 40 /* bad answers, if they are many of all ... */
+#define BAD_MANY 20 /* bad answers, if they are many of all ... */
 #define BAD_SHARE 0.4 /* ... those whose time could be judged */
 #define ANSWERS_LEAST 8
 #define REACHED_LEAST 40 /* ... where as many requests reached the service */
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -67,22 +67,31 @@
 done
 # A short soak with fixed seeds. 15 once said DRAIN while no gateway could know,
 # 117 TWICE of an upstream that took its word back: both were the soak's faults.
-for seed in 1 15 117; do
-	log=$build/tests/soak-$seed.log
-	if BUILD=$release "$release/soak" --seed $seed --seconds 8 >"$log" 2>&1
+soak()
+{
+	name=$1
+	shift
+	log=$build/tests/soak-$name.log
+	if BUILD=$release "$release/soak" "$@" >"$log" 2>&1
 	then
 		passed=$((passed + 1))
 	else
 		failed=$((failed + 1))
-		if printf '%s\n' "$known" | grep -qx "soak/$seed"; then
-			echo "known red: soak/$seed"
+		if printf '%s\n' "$known" | grep -qx "soak/$name"; then
+			echo "known red: soak/$name"
 		else
 			verdict=1
-			echo "FAILED: soak, seed $seed"
+			echo "FAILED: soak, $name"
 			tail -n 30 "$log"
 		fi
 	fi
-	grep '^seed ' "$log"
+	grep '^seed \|^order' "$log"
+}
+for seed in 1 15 117; do
+	soak $seed --seed $seed --seconds 8
 done
+# An order to change to a bad version, and one to a good one.
+soak bad-version --rollouts --seed 1 --seconds 14
+soak good-version --rollouts --seed 2 --seconds 14
 echo "$passed passed, $failed failed"
 exit $verdict
--- a/tests/test_placer_rollouts.cc
+++ b/tests/test_placer_rollouts.cc
@@ -130,6 +130,28 @@
 	EXPECT_LE(heard->allowance, rollout->allowance / 2);
 }
 
+/* Guards against a placer that starts in the middle and takes it for new. */
+TEST_F(PlacerRolloutTest, APlacerThatStartsInTheMiddleIsToldByTheOthers)
+{
+	start_both({ "g1", "g2" });
+	Gate *placer = placer_of_all();
+	Gate *other = other_than(placer);
+	order(*other);
+	run_for(1200);
+	placement(*other)->rollout.reached = 400;
+	placement(*other)->rollout.exposed = 25;
+	order(*placer);
+	const struct aub_rollout *its = &placement(*placer)->rollout;
+	gint64 began_us = its->began_us;
+	EXPECT_TRUE(run_until(
+		[&] {
+			return its->began_us <= began_us - 1000 * 1000 &&
+			       aub_rollout_total_reached(its) == 400 &&
+			       aub_rollout_total_exposed(its) == 25;
+		},
+		1000));
+}
+
 /* Guards against an order that seems to begin anew at each new placer. */
 TEST_F(PlacerRolloutTest, LearnsHowOldAnOrderIs)
 {
--- a/tools/common/child.c
+++ b/tools/common/child.c
@@ -80,6 +80,12 @@
 		dup2(file, STDERR_FILENO);
 }
 
+static void on_child_setup_output(gpointer data)
+{
+	on_child_setup(data);
+	dup2(STDERR_FILENO, STDOUT_FILENO);
+}
+
 /* Reads up to the first line's end; NULL after the time or at the end. */
 static char *read_line(int file, guint timeout_ms)
 {
@@ -130,8 +136,9 @@
 	return ok;
 }
 
-struct child *child_start(const char *program, const char *const *arguments,
-			  bool listening, const char *log, GError **error)
+static struct child *start(const char *program, const char *const *arguments,
+			   bool listening, const char *log,
+			   GSpawnChildSetupFunc setup, GError **error)
 {
 	GPtrArray *command = g_ptr_array_new();
 	char *path = child_program_path(program);
@@ -148,7 +155,7 @@
 		NULL, (char **)command->pdata, NULL,
 		G_SPAWN_DO_NOT_REAP_CHILD |
 			(listening ? 0 : G_SPAWN_STDOUT_TO_DEV_NULL),
-		on_child_setup, (char *)log, &child->pid, NULL,
+		setup, (char *)log, &child->pid, NULL,
 		listening ? &output : NULL, NULL, error);
 	if (ok)
 		remember(child->pid, 0);
@@ -164,6 +171,20 @@
 	return NULL;
 }
 
+struct child *child_start(const char *program, const char *const *arguments,
+			  bool listening, const char *log, GError **error)
+{
+	return start(program, arguments, listening, log, on_child_setup, error);
+}
+
+struct child *child_start_output(const char *program,
+				 const char *const *arguments, const char *log,
+				 GError **error)
+{
+	return start(program, arguments, false, log, on_child_setup_output,
+		     error);
+}
+
 bool child_ended(struct child *child)
 {
 	if (!child->pid)
--- a/tools/common/child.h
+++ b/tools/common/child.h
@@ -29,6 +29,10 @@
  */
 struct child *child_start(const char *program, const char *const *arguments,
 			  bool listening, const char *log, GError **error);
+/* The same; what it writes to standard output goes to `log`, too. */
+struct child *child_start_output(const char *program,
+				 const char *const *arguments, const char *log,
+				 GError **error);
 
 /* Send a signal; false when it has ended. */
 bool child_signal(struct child *child, int number);
--- /dev/null
+++ b/tools/soak/soak_gateways.c
@@ -0,0 +1,64 @@
+/*
+ * The soak's gateways: real processes.
+ */
+#include "soak.h"
+
+/*
+ * Gateways know each other by IP number and one port for all: each has a
+ * loopback number of its own. The first two are the seeds of all.
+ */
+char *soak_gateway_address(const struct gateway *gateway, guint port)
+{
+	return g_strdup_printf("127.0.1.%u:%u", FIRST_IP + gateway->number,
+			       gateway->soak->ports[port]);
+}
+
+void soak_gateway_write(struct gateway *gateway)
+{
+	static const char *const names[PORTS] = {
+		"callers", "directory", "readiness", "peers", "metrics",
+	};
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(
+		text,
+		"name = \"g%u\"\nzone = \"z%u\"\nstore = \"%s\"\n"
+		"seeds = [\"127.0.1.%u:1\",\"127.0.1.%u:1\"]\n"
+		"grace_s = 3\naddress_ms = 300\nretry_percent = 20\n"
+		"retry_slack = 50\nrollout_share = %s\n"
+		"rollout_slack = 50\n",
+		gateway->number, gateway->number % 2,
+		platform_store_address(gateway->soak->store), FIRST_IP,
+		FIRST_IP + 1, gateway->soak->rollout ? "0.1" : "0");
+	for (guint i = 0; i < PORTS; i++) {
+		char *address = soak_gateway_address(gateway, i);
+
+		g_string_append_printf(text, "%s = \"%s\"\n", names[i],
+				       address);
+		g_free(address);
+	}
+	gateway->settings =
+		g_strdup_printf("%s/g%u.toml", gateway->soak->folder,
+				gateway->number);
+	if (!g_file_set_contents(gateway->settings, text->str, -1, NULL))
+		g_error("%s can't be written", gateway->settings);
+	g_string_free(text, TRUE);
+}
+
+void soak_gateway_start(struct gateway *gateway)
+{
+	const char *const arguments[] = { "--settings", gateway->settings,
+					  NULL };
+	char *log = g_strdup_printf("%s/g%u.log", gateway->soak->folder,
+				    gateway->number);
+	GError *error = NULL;
+
+	child_free(gateway->child);
+	gateway->child = child_start_output("auburnstile-gateway", arguments,
+					    log, &error);
+	if (!gateway->child)
+		g_error("%s", error->message);
+	gateway->restart_us = 0;
+	gateway->resume_us = 0;
+	g_free(log);
+}
