--- a/include/auburnstile/internal/placement_parts.h
+++ b/include/auburnstile/internal/placement_parts.h
@@ -31,7 +31,7 @@
 enum aub_version_use {
 	AUB_VERSION_HELD, /* nothing */
 	AUB_VERSION_FREE, /* what it can bear */
-	AUB_VERSION_ON_TRIAL /* what the order's exposure allows */
+	AUB_VERSION_CANARY /* what an order to move to it allows */
 };
 
 /* One upstream. */
@@ -74,7 +74,7 @@
 	guint target_ms;
 	guint32 route;
 	bool cold; /* the upstream was, when it was made */
-	bool trial; /* counts as exposure of a new version */
+	bool canary; /* counts as exposure of a new version */
 	bool judged; /* known to be slow before its end */
 	gint64 since_us;
 };
@@ -152,20 +152,20 @@
 void aub_placement_versions_changed(struct aub_placement *placement,
 				    gint64 now_us);
 /* Which upstreams a request may go to, by their versions. */
-enum aub_trial {
-	AUB_TRIAL_NONE, /* those that are free */
-	AUB_TRIAL_FIRST, /* those on trial that have room, or those that are
-			    free */
-	AUB_TRIAL_ONLY /* those on trial, as long as there are any */
+enum aub_canary_choice {
+	AUB_CANARY_NONE, /* those of the version in force */
+	AUB_CANARY_FIRST, /* canaries that have room, or else the others */
+	AUB_CANARY_ONLY /* canaries, as long as there are any */
 };
-enum aub_trial aub_placement_trial(const struct aub_placement *placement,
-				   const struct aub_ask *ask, gint64 now_us);
+enum aub_canary_choice aub_placement_canary(
+	const struct aub_placement *placement, const struct aub_ask *ask,
+	gint64 now_us);
 /* Of what it may bring forward against its version: 0 to 1, and beyond. */
 double aub_row_evidence(const struct aub_placement *placement,
 			const struct aub_row *row);
 /* A grant was made for a request, or ended. */
-void aub_grant_count_trial(struct aub_placement *placement,
-			   struct aub_grant *made, const struct aub_row *row);
+void aub_grant_count_canary(struct aub_placement *placement,
+			    struct aub_grant *made, const struct aub_row *row);
 void aub_grant_judge(struct aub_placement *placement, struct aub_row *row,
 		     const struct aub_grant *made,
 		     const struct aub_attempt_report *report);
--- a/include/auburnstile/internal/rollout.h
+++ b/include/auburnstile/internal/rollout.h
@@ -60,8 +60,8 @@
 	guint64 others_reached; /* the same, as those that placed before told */
 	guint64 others_exposed;
 	double allowance; /* requests beyond the share, given to this process */
-	double trial_share; /* of the requests, while it is judged */
-	double trial_allowance; /* requests beyond that */
+	double canary_share; /* of the requests, while it is judged */
+	double canary_allowance; /* requests beyond that */
 	double per_ms; /* requests that reach the service, of late */
 	gint64 rate_us; /* when that was looked at, and at how many */
 	guint64 rate_reached;
--- a/src/coordination/node_settings.c
+++ b/src/coordination/node_settings.c
@@ -84,7 +84,7 @@
 	  .minimum = 0,
 	  .maximum = 1,
 	  .fallback = "0",
-	  .help = "share of a service's requests for a new version on trial; "
+	  .help = "share of a service's requests for a new version that is judged; "
 		  "0: versions don't matter" },
 	{ .key = "rollout_slack",
 	  .type = AUB_SETTING_REAL,
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -243,8 +243,8 @@
  * spread evenly, its share fills none, and it is taken for good. Enough: at
  * times the fullest that has room takes the next request.
  */
-static double trial_cost(const struct choice *choice, const struct aub_row *row,
-			 bool stuck)
+static double canary_cost(const struct choice *choice,
+			  const struct aub_row *row, bool stuck)
 {
 	double value = cost(choice, row, stuck);
 
@@ -278,7 +278,7 @@
 		*usable += limit;
 		if (!has_room(choice, row, limit))
 			continue;
-		value = trial_cost(choice, row, stuck[i]);
+		value = canary_cost(choice, row, stuck[i]);
 		if (value >= best_cost)
 			continue;
 		best_cost = value;
@@ -304,18 +304,19 @@
 		.now_us = now_us,
 		.usual_ms =
 			aub_work_times_usual(&placement->work, ask->target_ms),
-		.use = AUB_VERSION_ON_TRIAL,
+		.use = AUB_VERSION_CANARY,
 	};
-	enum aub_trial trial = aub_placement_trial(placement, ask, now_us);
+	enum aub_canary_choice canary =
+		aub_placement_canary(placement, ask, now_us);
 	gint best = -1;
 
 	placement->turn++;
-	if (trial != AUB_TRIAL_NONE) {
-		choice.judging = trial == AUB_TRIAL_FIRST;
+	if (canary != AUB_CANARY_NONE) {
+		choice.judging = canary == AUB_CANARY_FIRST;
 		choice.fills = choice.judging &&
 			       aub_rollout_fills(&placement->rollout);
 		best = choose_among(&choice, usable);
-		if (best >= 0 || (trial == AUB_TRIAL_ONLY && *usable))
+		if (best >= 0 || (canary == AUB_CANARY_ONLY && *usable))
 			return best;
 	}
 	choice.use = AUB_VERSION_FREE;
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -227,10 +227,10 @@
 		  struct aub_decision *decision)
 {
 	aub_placement_grant(placement, index, ask, now_us, decision);
-	aub_grant_count_trial(placement,
-			      g_hash_table_lookup(placement->grants,
-						  &ask->ticket),
-			      aub_placement_row(placement, index));
+	aub_grant_count_canary(placement,
+			       g_hash_table_lookup(placement->grants,
+						   &ask->ticket),
+			       aub_placement_row(placement, index));
 }
 
 void aub_placement_ask(struct aub_placement *placement,
--- a/src/state/placement_rollout.c
+++ b/src/state/placement_rollout.c
@@ -32,21 +32,21 @@
 	if (row->version != AUB_VERSION_NONE &&
 	    row->version == versions->target &&
 	    aub_rollout_is_open(&placement->rollout))
-		return AUB_VERSION_ON_TRIAL;
+		return AUB_VERSION_CANARY;
 	return AUB_VERSION_HELD;
 }
 
 static void set_uses(struct aub_placement *placement)
 {
-	guint on_trial = 0;
+	guint canaries = 0;
 
 	for (guint i = 0; i < placement->rows->len; i++) {
 		struct aub_row *row = aub_placement_row(placement, i);
 
 		row->use = use_of(placement, row);
-		on_trial += row->registered && row->use == AUB_VERSION_ON_TRIAL;
+		canaries += row->registered && row->use == AUB_VERSION_CANARY;
 	}
-	placement->rollout.upstreams = on_trial;
+	placement->rollout.upstreams = canaries;
 }
 
 void aub_placement_versions_changed(struct aub_placement *placement,
@@ -110,7 +110,7 @@
 			(struct aub_judge_evidence){ 0 };
 	g_hash_table_iter_init(&iter, placement->grants);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		((struct aub_grant *)value)->trial = false;
+		((struct aub_grant *)value)->canary = false;
 }
 
 void aub_placement_order(struct aub_placement *placement,
@@ -176,31 +176,32 @@
 	aub_rollout_grant_slack(&placement->rollout);
 }
 
-enum aub_trial aub_placement_trial(const struct aub_placement *placement,
-				   const struct aub_ask *ask, gint64 now_us)
+enum aub_canary_choice aub_placement_canary(
+	const struct aub_placement *placement, const struct aub_ask *ask,
+	gint64 now_us)
 {
 	const struct aub_rollout *rollout = &placement->rollout;
 
 	if (!placement->takes_orders || !aub_rollout_is_open(rollout))
-		return AUB_TRIAL_NONE;
+		return AUB_CANARY_NONE;
 	if (aub_rollout_has_switched(rollout,
 				     aub_work_times_usual(&placement->work,
 							  ask->target_ms),
 				     now_us))
-		return AUB_TRIAL_ONLY;
+		return AUB_CANARY_ONLY;
 	/* A caller meets a version that may be bad once, not again. */
 	if (ask->alone || ask->retry ||
 	    !aub_rollout_may_expose(rollout, now_us))
-		return AUB_TRIAL_NONE;
-	return AUB_TRIAL_FIRST;
+		return AUB_CANARY_NONE;
+	return AUB_CANARY_FIRST;
 }
 
-void aub_grant_count_trial(struct aub_placement *placement,
-			   struct aub_grant *made, const struct aub_row *row)
+void aub_grant_count_canary(struct aub_placement *placement,
+			    struct aub_grant *made, const struct aub_row *row)
 {
-	if (row->use != AUB_VERSION_ON_TRIAL)
+	if (row->use != AUB_VERSION_CANARY)
 		return;
-	made->trial = true;
+	made->canary = true;
 	placement->rollout.exposed++;
 	placement->rollout.exposed_us = made->since_us;
 }
@@ -302,9 +303,9 @@
 		return;
 	if (has_reached(report->end))
 		rollout->reached++;
-	else if (made->trial && rollout->exposed)
+	else if (made->canary && rollout->exposed)
 		rollout->exposed--;
-	if (made->trial && row->use == AUB_VERSION_ON_TRIAL &&
+	if (made->canary && row->use == AUB_VERSION_CANARY &&
 	    is_answer(report->end)) {
 		fill_answer(placement, row, made, report->elapsed_us, &answer);
 		answer.failed = report->end == AUB_END_FAILED;
@@ -332,7 +333,7 @@
 		struct aub_judge_answer answer;
 		double slow_ms;
 
-		if (!made->trial || made->judged || made->cold)
+		if (!made->canary || made->judged || made->cold)
 			continue;
 		slow_ms = aub_judge_slow_ms(&rollout->judge, made->route,
 					    is_full(made, row));
@@ -363,7 +364,7 @@
 
 		view->longest_ms = MAX(view->longest_ms, usual_ms);
 		view->mean_ms += usual_ms / count;
-		view->base_running += row->use != AUB_VERSION_ON_TRIAL;
+		view->base_running += row->use != AUB_VERSION_CANARY;
 	}
 }
 
@@ -388,7 +389,7 @@
 	for (guint i = 0; i < placement->rows->len; i++) {
 		const struct aub_row *row = aub_placement_row(placement, i);
 
-		if (row->use == AUB_VERSION_ON_TRIAL && row->registered &&
+		if (row->use == AUB_VERSION_CANARY && row->registered &&
 		    !row->draining && !row->zone_out &&
 		    row->state == AUB_ROW_UP && !aub_row_is_cold(row, now_us))
 			view_upstream(placement, row, view);
--- a/src/state/rollout.c
+++ b/src/state/rollout.c
@@ -8,18 +8,19 @@
 
 #define MS ((gint64)1000)
 
-/* Of the share and of the slack that may be used. */
-#define EXPOSED_MOST 0.98
-#define SHARE_USED 0.96
-#define RESERVE_SIGMAS 1.5 /* arrivals come at random */
-#define SHARE_USED_INHERITED 0.92 /* what was told is a moment old */
+/* Parts of the operators' share and slack that are used. */
+#define SHARE_MOST 0.98 /* of the share, by all means */
+#define SHARE_PLANNED 0.96
+#define SHARE_PLANNED_INHERITED 0.92 /* what was told is a moment old */
 #define SLACK_USED 0.85
-#define INHERITED_ALLOWANCE 0.5
+#define ALLOWANCE_INHERITED 0.5
+#define RESERVE_SIGMAS 1.5 /* arrivals come at random */
 
-/* Parts of the share for judging; the rest is for the move. */
-#define TRIAL_MOST 0.7
-#define TRIAL_LEAST 0.18
+/* Parts of what is planned for judging; the rest is for the move. */
+#define CANARY_MOST 0.7
+#define CANARY_LEAST 0.18
 #define ALLOWANCE_PACE 0.6 /* of the whole time, to spend the allowance in */
+#define SPREAD_US (1500.0 * MS) /* in which what may be sent is sent */
 
 /* An order is heard of a little late, and completing it takes a call. */
 #define MARGIN_SHARE 0.01
@@ -30,15 +31,16 @@
 #define DRAIN_TIMES 7.0
 #define DRAIN_TIMES_LEAST 0.5
 #define DRAIN_SHARE 0.25 /* of the whole time, at most */
-#define SPREAD_US (1500.0 * MS)
-#define RATE_MS 1000.0
+#define RATE_MS 1000.0 /* over which the rate of requests is taken */
 
-/* Answers that have to be known before a version can be good. */
-#define BAD_MANY 20 /* bad answers, if they are many of all ... */
-#define BAD_SHARE 0.4 /* ... those whose time could be judged */
+/* Answers whose time could be judged, before a version can be good ... */
 #define ANSWERS_LEAST 8
 #define REACHED_LEAST 40 /* ... where as many requests reached the service */
 
+/* So many bad answers, if they are so much of all, make a bad version. */
+#define BAD_MANY 20
+#define BAD_SHARE 0.4
+
 bool aub_rollout_order_equal(const struct aub_rollout_order *left,
 			     const struct aub_rollout_order *right)
 {
@@ -71,7 +73,6 @@
 void aub_rollout_clear(struct aub_rollout *rollout)
 {
 	const struct aub_rollout_limits limits = rollout->limits;
-
 	const struct aub_judge judge = rollout->judge;
 
 	g_free(rollout->order.version);
@@ -89,7 +90,7 @@
 	rollout->state = AUB_ROLLOUT_RUNNING;
 	rollout->began_us = now_us;
 	rollout->batch = 1;
-	rollout->trial_share = TRIAL_LEAST * rollout->limits.share;
+	rollout->canary_share = CANARY_LEAST * rollout->limits.share;
 	rollout->drain_times = DRAIN_TIMES;
 }
 
@@ -118,7 +119,7 @@
 	rollout->reached = 0;
 	rollout->exposed = 0;
 	rollout->allowance =
-		MAX(rollout->allowance, INHERITED_ALLOWANCE * allowance);
+		MAX(rollout->allowance, ALLOWANCE_INHERITED * allowance);
 }
 
 void aub_rollout_learn_age(struct aub_rollout *rollout, gint64 age_us,
@@ -186,7 +187,7 @@
 /* Whatever the version turns out to be, it may get `requests` more. */
 static bool may_expose_more(const struct aub_rollout *rollout, double requests)
 {
-	double most = EXPOSED_MOST * rollout->limits.share *
+	double most = SHARE_MOST * rollout->limits.share *
 			      (double)aub_rollout_total_reached(rollout) +
 		      rollout->allowance;
 
@@ -206,9 +207,9 @@
 {
 	double pace = age_ms(rollout, now_us) /
 		      (ALLOWANCE_PACE * rollout->order.duration_ms);
-	double most = rollout->trial_share *
+	double most = rollout->canary_share *
 			      (double)aub_rollout_total_reached(rollout) +
-		      rollout->trial_allowance * MIN(pace, 1);
+		      rollout->canary_allowance * MIN(pace, 1);
 
 	return most - (double)aub_rollout_total_exposed(rollout);
 }
@@ -277,24 +278,24 @@
 	double reached = (double)aub_rollout_total_reached(rollout);
 	double exposed = (double)aub_rollout_total_exposed(rollout);
 	double per_ms = MAX(reached / age, rollout->per_ms);
-	double used =
-		rollout->others_reached ? SHARE_USED_INHERITED : SHARE_USED;
+	double used = rollout->others_reached ? SHARE_PLANNED_INHERITED :
+						SHARE_PLANNED;
 	double total = used * limits->share * (reached + per_ms * left_ms) +
 		       rollout->allowance;
 	double after = per_ms * margin_ms(rollout) +
 		       RESERVE_SIGMAS * sqrt(MAX(total, 0));
 	double drain; /* requests in one usual time of work */
-	double trial;
+	double canary;
 
 	note_rate(rollout, now_us);
 	drain = MAX(per_ms * view->mean_ms, 1);
-	trial = CLAMP(total - after - DRAIN_TIMES * drain, TRIAL_LEAST * total,
-		      TRIAL_MOST * total);
-	rollout->trial_share =
-		MIN(trial / MAX(per_ms * whole, 1), TRIAL_MOST * limits->share);
-	rollout->trial_allowance =
-		CLAMP(trial - rollout->trial_share * per_ms * whole, 0,
-		      TRIAL_MOST * rollout->allowance);
+	canary = CLAMP(total - after - DRAIN_TIMES * drain,
+		       CANARY_LEAST * total, CANARY_MOST * total);
+	rollout->canary_share = MIN(canary / MAX(per_ms * whole, 1),
+				    CANARY_MOST * limits->share);
+	rollout->canary_allowance =
+		CLAMP(canary - rollout->canary_share * per_ms * whole, 0,
+		      CANARY_MOST * rollout->allowance);
 	rollout->drain_times = CLAMP((total - exposed - after) / drain,
 				     DRAIN_TIMES_LEAST, DRAIN_TIMES);
 }
@@ -324,13 +325,12 @@
 	return view->slots < view->slots_needed ? "no-room" : "too-late";
 }
 
-static bool begin_switch(struct aub_rollout *rollout,
-			 const struct aub_rollout_view *view)
+static bool may_switch(const struct aub_rollout *rollout,
+		       const struct aub_rollout_view *view)
 {
-	if (is_unproved(rollout) || aub_judge_is_suspicious(&rollout->judge) ||
-	    view->slots < view->slots_needed || !view->slots)
-		return false;
-	return set_state(rollout, AUB_ROLLOUT_SWITCHING, "good");
+	return !is_unproved(rollout) &&
+	       !aub_judge_is_suspicious(&rollout->judge) && view->slots &&
+	       view->slots >= view->slots_needed;
 }
 
 /* A test may take long to be sure of what is only a little worse. */
@@ -362,8 +362,10 @@
 	if (age >= rollout->order.duration_ms - margin_ms(rollout) / 2)
 		return set_state(rollout, AUB_ROLLOUT_ROLLED_BACK,
 				 why_not(rollout, view));
-	return age >= switch_ms(rollout, view->longest_ms) &&
-	       begin_switch(rollout, view);
+	if (age < switch_ms(rollout, view->longest_ms) ||
+	    !may_switch(rollout, view))
+		return false;
+	return set_state(rollout, AUB_ROLLOUT_SWITCHING, "good");
 }
 
 /* Everything goes to the new version, and the old one has nothing left. */
@@ -371,13 +373,10 @@
 		       const struct aub_rollout_view *view, gint64 now_us)
 {
 	double age = age_ms(rollout, now_us);
-
 	double left_ms = MAX(rollout->order.duration_ms - age, 0);
 
-	if (age < switch_ms(rollout, 0) ||
-	    !may_expose_more(rollout, rollout->per_ms * left_ms))
-		return false;
-	return !view->base_running;
+	return age >= switch_ms(rollout, 0) && !view->base_running &&
+	       may_expose_more(rollout, rollout->per_ms * left_ms);
 }
 
 enum aub_rollout_state aub_rollout_wanted(const struct aub_rollout *rollout,
--- a/src/state/rollout_judge.c
+++ b/src/state/rollout_judge.c
@@ -6,6 +6,7 @@
 #include <math.h>
 #include <string.h>
 
+/* In nats. */
 const double aub_judge_threshold = 9.0;
 
 #define SUSPICION 5.5 /* evidence with which a version isn't trusted */
@@ -29,13 +30,16 @@
 #define CONVICTING_SHARE 0.3
 #define CONVICTING_LEAST 1.5
 #define CONVICTING_MOST 5.0
+#define CONVICTING_FACTOR                                  \
+	1.2 /* the last of these need not bring all of its \
+	     */
 
 static const double rates[AUB_JUDGE_FAULTS][AUB_JUDGE_ALTERNATIVES] = {
 	[AUB_JUDGE_FAILURES] = { 0.03, 0.1, 0.3, 0.8 },
 	[AUB_JUDGE_SLOWNESS] = { 0.4, 0.55, 0.75, 0.95 },
 };
 
-/* Of an upstream's evidence, with each of its good answers. */
+/* What an upstream's evidence loses with each of its good answers, nats. */
 static const double fades[AUB_JUDGE_FAULTS] = {
 	[AUB_JUDGE_FAILURES] = 0.1,
 	[AUB_JUDGE_SLOWNESS] = 0.5,
@@ -68,8 +72,9 @@
 	double needed = CLAMP(CONVICTING_SHARE * upstreams, CONVICTING_LEAST,
 			      CONVICTING_MOST);
 
-	return upstreams <= 1 ? 2 * aub_judge_threshold :
-				1.2 * aub_judge_threshold / needed;
+	if (upstreams <= 1)
+		return 2 * aub_judge_threshold;
+	return CONVICTING_FACTOR * aub_judge_threshold / needed;
 }
 
 const char *aub_judge_fault_name(enum aub_judge_fault fault)
@@ -155,7 +160,6 @@
 		      double *share)
 {
 	guint bucket = slow_bucket(route, share);
-
 	double ms = route->told_slow_ms;
 
 	if (bucket < AUB_JUDGE_BUCKETS)
