--- a/include/auburnstile/internal/service_versions.h
+++ b/include/auburnstile/internal/service_versions.h
@@ -45,6 +45,9 @@
 void aub_service_versions_recount(struct aub_service_versions *versions);
 void aub_service_versions_count(struct aub_service_versions *versions,
 				gint index, gint64 born_ms);
+/* One less is registered. */
+void aub_service_versions_discount(struct aub_service_versions *versions,
+				   gint index);
 /* ... and find what is in force then. */
 void aub_service_versions_counted(struct aub_service_versions *versions,
 				  gint64 now_us);
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -222,9 +222,9 @@
 		if (index < 0)
 			return;
 		row = aub_placement_row(placement, (guint)index);
+		aub_row_count_version(placement, row, NULL, now_us);
 		row->registered = false;
 		row->gone_us = now_us;
-		aub_placement_versions_changed(placement, now_us);
 		return;
 	}
 	row = index >= 0 ? aub_placement_row(placement, (guint)index) :
@@ -243,15 +243,15 @@
 	row->slots = record->slots;
 	row->born_ms = record->born_ms;
 	row->draining = record->draining;
+	aub_row_count_version(placement, row,
+			      record->version ? record->version : "", now_us);
 	row->registered = true;
-	aub_row_set_version(placement, row, record->version);
 	row->zone_out =
 		g_hash_table_contains(placement->zones_out, record->zone);
 	if (record->warmup_left_ms)
 		row->cold_until_us =
 			MAX(row->cold_until_us,
 			    now_us + record->warmup_left_ms * AUB_PLACE_MS);
-	aub_placement_versions_changed(placement, now_us);
 }
 
 /*
--- a/src/state/placement_rollout.c
+++ b/src/state/placement_rollout.c
@@ -4,20 +4,11 @@
  */
 #include <auburnstile/internal/placement_parts.h>
 
+#include <string.h>
+
 #define FULL_SHARE 0.7 /* of its slots: an upstream counts as full */
 #define ROOM_FACTOR 1.2 /* slots over what runs, to take all requests */
 
-void aub_row_set_version(struct aub_placement *placement, struct aub_row *row,
-			 const char *version)
-{
-	gint index = aub_service_versions_index(&placement->versions,
-						version ? version : "");
-
-	if (row->version != index)
-		row->evidence = (struct aub_judge_evidence){ 0 };
-	row->version = index;
-}
-
 static enum aub_version_use use_of(const struct aub_placement *placement,
 				   const struct aub_row *row)
 {
@@ -49,8 +40,8 @@
 	placement->rollout.upstreams = canaries;
 }
 
-void aub_placement_versions_changed(struct aub_placement *placement,
-				    gint64 now_us)
+/* Counts all upstreams anew and finds what each may get. */
+static void recount_versions(struct aub_placement *placement, gint64 now_us)
 {
 	struct aub_service_versions *versions = &placement->versions;
 
@@ -66,6 +57,51 @@
 	set_uses(placement);
 }
 
+static bool is_same_version(const struct aub_placement *placement,
+			    const struct aub_row *row, const char *version)
+{
+	return row->registered && row->version != AUB_VERSION_NONE &&
+	       !strcmp(placement->versions.list[row->version].name, version);
+}
+
+/*
+ * Load: the listing of a service with hundreds of upstreams, all of them of one
+ * version.
+ *
+ * Failure: all are counted anew for each that is read. Symptom: a start takes
+ * time by the square of their number. Enough: while there is one version only,
+ * nothing but the upstream's own count changes.
+ */
+void aub_row_count_version(struct aub_placement *placement, struct aub_row *row,
+			   const char *version, gint64 now_us)
+{
+	struct aub_service_versions *versions = &placement->versions;
+	bool was = row->registered;
+
+	if (!placement->takes_orders) {
+		row->use = AUB_VERSION_FREE;
+		return;
+	}
+	if (version && is_same_version(placement, row, version))
+		return;
+	if (version) {
+		row->version = aub_service_versions_index(versions, version);
+		row->evidence = (struct aub_judge_evidence){ 0 };
+	}
+	row->registered = version != NULL;
+	if (versions->count > 1 || (version && was)) {
+		recount_versions(placement, now_us);
+		return;
+	}
+	if (version)
+		aub_service_versions_count(versions, row->version,
+					   row->born_ms);
+	else if (was)
+		aub_service_versions_discount(versions, row->version);
+	aub_service_versions_counted(versions, now_us);
+	row->use = use_of(placement, row);
+}
+
 void aub_placement_take_orders(struct aub_placement *placement,
 			       const struct aub_rollout_limits *limits)
 {
@@ -79,7 +115,7 @@
 	if (placement->orders_known)
 		return;
 	placement->orders_known = true;
-	aub_placement_versions_changed(placement, now_us);
+	recount_versions(placement, now_us);
 }
 
 /* What follows from the order's state for the versions. */
@@ -97,7 +133,7 @@
 	else
 		aub_service_versions_set_target(&placement->versions, target,
 						now_us);
-	aub_placement_versions_changed(placement, now_us);
+	recount_versions(placement, now_us);
 }
 
 static void forget_evidence(struct aub_placement *placement)
--- a/src/state/service_versions.c
+++ b/src/state/service_versions.c
@@ -73,6 +73,13 @@
 		version->born_ms = born_ms;
 }
 
+void aub_service_versions_discount(struct aub_service_versions *versions,
+				   gint index)
+{
+	if (index != AUB_VERSION_NONE && versions->list[index].upstreams)
+		versions->list[index].upstreams--;
+}
+
 static bool may_be_in_force(const struct aub_service_versions *versions, gint i)
 {
 	return versions->list[i].upstreams && !versions->list[i].barred &&
--- a/tests/test_rollout.cc
+++ b/tests/test_rollout.cc
@@ -116,6 +116,34 @@
 	EXPECT_EQ(p.ask().verdict, AUB_VERDICT_GRANTED);
 }
 
+/* Guards against a count of upstreams that drifts as they come and go. */
+TEST(Rollout, CountsUpstreamsAsTheyComeAndGo)
+{
+	Rollout it(0);
+	auto upstreams = [&](const char *version) {
+		gint i =
+			aub_service_versions_index(&it.p.it->versions, version);
+
+		return it.p.it->versions.list[i].upstreams;
+	};
+
+	for (int i = 0; i < 50; i++)
+		it.add("a" + std::to_string(i), "v1", 1);
+	EXPECT_EQ(upstreams("v1"), 50u);
+	it.add("a0", "v1", 7);
+	it.p.leave("a1");
+	it.p.leave("a1");
+	EXPECT_EQ(upstreams("v1"), 49u);
+	it.add_new(3);
+	it.add("a2", "v2", 9);
+	EXPECT_EQ(upstreams("v1"), 48u);
+	EXPECT_EQ(upstreams("v2"), 4u);
+	it.p.leave("b0");
+	EXPECT_EQ(upstreams("v2"), 3u);
+	EXPECT_TRUE(aub_placement_may_send(it.p.it, "a0"));
+	EXPECT_FALSE(aub_placement_may_send(it.p.it, "a2"));
+}
+
 TEST(Rollout, VersionsDontMatterWhereNoOrdersAreTaken)
 {
 	Placement p;
