--- a/tests/gateway_rig.h
+++ b/tests/gateway_rig.h
@@ -5,6 +5,8 @@
 #ifndef TESTS_GATEWAY_RIG_H
 #define TESTS_GATEWAY_RIG_H
 
+#include "addresses.h"
+
 #include <gtest/gtest.h>
 
 #include <auburnstile/internal/node.h>
@@ -167,16 +169,6 @@
 		aub_poller_free(poller);
 		aub_timer_service_free(timers);
 	}
-	static std::string free_address()
-	{
-		char *address = NULL;
-		int fd = aub_tcp_listen_any(&address);
-		std::string text = address;
-
-		close(fd);
-		g_free(address);
-		return text;
-	}
 	/* Routes /safe/ and /once/ of host "site" go to service "svc". */
 	void configure()
 	{
--- a/tests/placer_rig.h
+++ b/tests/placer_rig.h
@@ -79,22 +79,6 @@
 		((Gate *)context)->wanted[service] = state;
 		return false;
 	}
-	/* Free for datagrams: another gate may have just been given it. */
-	static std::string free_address()
-	{
-		for (;;) {
-			char *found = NULL;
-
-			close(aub_tcp_listen_any(&found));
-			std::string address = found;
-			g_free(found);
-			int fd = aub_udp_bind(address.c_str(), NULL);
-			if (fd < 0)
-				continue;
-			close(fd);
-			return address;
-		}
-	}
 	Gate *start(const std::string &name, const std::string &zone = "z1",
 		    const std::string &address = "", guint32 capacity = 1000)
 	{
--- a/tests/test_link.cc
+++ b/tests/test_link.cc
@@ -1,4 +1,6 @@
 /* Links: hello first, whole messages in order, errors that name the peer. */
+#include "addresses.h"
+
 #include <gtest/gtest.h>
 
 #include <auburnstile/error.h>
@@ -72,17 +74,6 @@
 	return hello;
 }
 
-static std::string free_address(void)
-{
-	GSocketListener *listener = g_socket_listener_new();
-	guint16 port =
-		g_socket_listener_add_any_inet_port(listener, NULL, NULL);
-
-	g_socket_listener_close(listener);
-	g_object_unref(listener);
-	return "127.0.0.1:" + std::to_string(port);
-}
-
 class Link : public testing::Test
 {
       protected:
