--- a/include/auburnstile/internal/placement_parts.h
+++ b/include/auburnstile/internal/placement_parts.h
@@ -146,12 +146,10 @@
 double aub_placement_cold_per_s(const struct aub_placement *placement);
 bool aub_row_is_cold(const struct aub_row *row, gint64 now_us);
 
-/*
- * An upstream is about to be registered with `version`, or (NULL) taken out.
- * Its start is in `row` already.
- */
+/* An upstream was registered with `version`, or (NULL) taken out. */
 void aub_row_count_version(struct aub_placement *placement, struct aub_row *row,
-			   const char *version, gint64 now_us);
+			   const char *version, bool was_registered,
+			   gint64 now_us);
 /* Which upstreams a request may go to, by their versions. */
 enum aub_canary_choice {
 	AUB_CANARY_NONE, /* those of the version in force */
--- a/include/auburnstile/internal/rollout_judge.h
+++ b/include/auburnstile/internal/rollout_judge.h
@@ -47,6 +47,7 @@
 	struct aub_judge_test tests[AUB_JUDGE_FAULTS][2]; /* [1]: when full */
 };
 
+/* All zero to begin with. */
 struct aub_judge {
 	struct aub_judge_test pooled[AUB_JUDGE_FAULTS]; /* over all routes */
 	struct aub_judge_route routes[AUB_JUDGE_ROUTES];
@@ -73,7 +74,6 @@
 	bool full; /* its upstream had few slots left */
 };
 
-void aub_judge_init(struct aub_judge *judge);
 /* Another new version: what is known of the old one stays. */
 void aub_judge_restart(struct aub_judge *judge);
 /* An answer of the old version. */
--- a/include/auburnstile/internal/routing.h
+++ b/include/auburnstile/internal/routing.h
@@ -33,6 +33,7 @@
 
 struct aub_route {
 	char *name;
+	guint32 key; /* hash of its name, for gateways to tell each other */
 	char *host; /* lower case */
 	char *prefix; /* begins and ends with a slash */
 	bool idempotent;
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -274,6 +274,8 @@
 	GPtrArray *crashes; /* of struct aub_crash_record */
 };
 
+#define AUB_HEARTBEAT_REVISIONS 4 /* kinds of object that gateways follow */
+
 /* "I am here": membership among gateways. */
 struct aub_heartbeat {
 	struct aub_message base;
@@ -290,10 +292,8 @@
 	bool reply; /* it has not heard the receiver yet */
 	bool current; /* it has not been without the store for long */
 	bool hears; /* the store answers it at this moment */
-	guint64 routing_revision; /* the store's revision of what it knows */
-	guint64 upstreams_revision;
-	guint64 zones_out_revision;
-	guint64 rollouts_revision;
+	/* The store's revisions of what it knows, by kind. */
+	guint64 revisions[AUB_HEARTBEAT_REVISIONS];
 };
 
 /* Where the other gateways are. */
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -159,7 +159,7 @@
 		.on_time_ms = on_time_ms(request, now),
 		.patience_ms = patience_ms(request, now),
 		.retry = request->tried->len > request->unreachable,
-		.route = g_str_hash(request->route->name),
+		.route = request->route->key,
 		.avoid = (const char *const *)request->tried->pdata,
 		.avoid_count = request->tried->len,
 	};
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -151,6 +151,14 @@
 	g_free(labels);
 }
 
+/* A series of one service. */
+static void set_service(struct aub_node *node, bool total, const char *name,
+			const char *service, const char *help, gint64 value)
+{
+	set_series(node, total, name,
+		   aub_metrics_labels("service", service, NULL), help, value);
+}
+
 static void export_upstreams(struct aub_node *node, const char *service,
 			     const char *state, guint count)
 {
@@ -171,35 +179,27 @@
 	export_upstreams(node, service, "cold", state->cold);
 	export_upstreams(node, service, "leaving", state->leaving);
 	export_upstreams(node, service, "held", state->held);
-	set_series(node, false, "auburnstile_queued",
-		   aub_metrics_labels("service", service, NULL),
-		   "requests that wait here for a slot", state->queued);
-	set_series(node, false, "auburnstile_granted",
-		   aub_metrics_labels("service", service, NULL),
-		   "slots in use by what was granted here", state->granted);
-	set_series(node, true, "auburnstile_asks_refused_total",
-		   aub_metrics_labels("service", service, NULL),
-		   "asks that got no upstream here", (gint64)state->refused);
-	set_series(node, true, "auburnstile_cold_grants_total",
-		   aub_metrics_labels("service", service, NULL),
-		   "requests given to cold upstreams",
-		   (gint64)state->cold_grants);
-	set_series(node, false, "auburnstile_cold_limit_per_1000_s",
-		   aub_metrics_labels("service", service, NULL),
-		   "requests that one cold upstream is given",
-		   (gint64)(1000 * state->cold_per_s));
-	set_series(node, false, "auburnstile_upstream_full_percent",
-		   aub_metrics_labels("service", service, NULL),
-		   "of its slots that an upstream is kept to, learned",
-		   state->full_percent);
-	set_series(node, false, "auburnstile_upstream_slowdown_percent",
-		   aub_metrics_labels("service", service, NULL),
-		   "mean that upstreams tell; 100 is as usual",
-		   state->slowdown_percent);
-	set_series(node, false, "auburnstile_upstream_burst_ms",
-		   aub_metrics_labels("service", service, NULL),
-		   "for which what upstreams tell holds, learned",
-		   state->burst_ms);
+	set_service(node, false, "auburnstile_queued", service,
+		    "requests that wait here for a slot", state->queued);
+	set_service(node, false, "auburnstile_granted", service,
+		    "slots in use by what was granted here", state->granted);
+	set_service(node, true, "auburnstile_asks_refused_total", service,
+		    "asks that got no upstream here", (gint64)state->refused);
+	set_service(node, true, "auburnstile_cold_grants_total", service,
+		    "requests given to cold upstreams",
+		    (gint64)state->cold_grants);
+	set_service(node, false, "auburnstile_cold_limit_per_1000_s", service,
+		    "requests that one cold upstream is given",
+		    (gint64)(1000 * state->cold_per_s));
+	set_service(node, false, "auburnstile_upstream_full_percent", service,
+		    "of its slots that an upstream is kept to, learned",
+		    state->full_percent);
+	set_service(node, false, "auburnstile_upstream_slowdown_percent",
+		    service, "mean that upstreams tell; 100 is as usual",
+		    state->slowdown_percent);
+	set_service(node, false, "auburnstile_upstream_burst_ms", service,
+		    "for which what upstreams tell holds, learned",
+		    state->burst_ms);
 }
 
 static void export_rollout(const char *service,
@@ -216,16 +216,13 @@
 					      NULL),
 			   "1: the order is there, as this gateway sees it",
 			   state->rollout == i);
-	set_series(node, false, "auburnstile_rollout_exposed",
-		   aub_metrics_labels("service", service, NULL),
-		   "requests placed here at the version of the order",
-		   (gint64)state->exposed);
-	set_series(node, false, "auburnstile_rollout_answers",
-		   aub_metrics_labels("service", service, NULL),
-		   "of the version, that judge it", state->judged);
-	set_series(node, false, "auburnstile_rollout_bad_answers",
-		   aub_metrics_labels("service", service, NULL),
-		   "of these, failures and slow ones", state->judged_bad);
+	set_service(node, false, "auburnstile_rollout_exposed", service,
+		    "requests placed here at the version of the order",
+		    (gint64)state->exposed);
+	set_service(node, false, "auburnstile_rollout_answers", service,
+		    "of the version, that judge it", state->judged);
+	set_service(node, false, "auburnstile_rollout_bad_answers", service,
+		    "of these, failures and slow ones", state->judged_bad);
 }
 
 static void export_store_kind(struct aub_node *node, enum aub_store_kind kind)
--- a/src/coordination/node_rollouts.c
+++ b/src/coordination/node_rollouts.c
@@ -18,7 +18,7 @@
 	char *service;
 	gint64 revision;
 	struct aub_rollout_record record; /* as stored */
-	struct aub_rollout_record writing; /* its order is the record's */
+	enum aub_rollout_state writing; /* by the write under way */
 	struct aub_store_write *write; /* under way */
 	gint64 next_us; /* no write before this */
 	gint64 wanted_us; /* since when the final state is wanted */
@@ -81,7 +81,7 @@
 	struct aub_node *node = order->node;
 	const struct aub_rollout_record written = {
 		.order = order->record.order,
-		.state = order->writing.state,
+		.state = order->writing,
 	};
 
 	order->write = NULL;
@@ -108,14 +108,15 @@
 static void write_state(struct order *order, enum aub_rollout_state state)
 {
 	struct aub_node *node = order->node;
-	GBytes *body;
-
-	order->writing = (struct aub_rollout_record){
+	const struct aub_rollout_record written = {
 		.order = order->record.order,
 		.state = state,
 	};
+	GBytes *body;
+
+	order->writing = state;
 	body = node->platform->rollout_body(order->service, order->revision,
-					    &order->writing);
+					    &written);
 	order->write =
 		aub_store_sync_write_state(node->store, AUB_STORE_ROLLOUTS,
 					   order->service, body, on_written,
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -65,23 +65,18 @@
 	aub_peers_send(peers, to, &peers->heartbeat->base);
 }
 
+/* Members alone are not followed: heartbeats themselves tell of them. */
+G_STATIC_ASSERT(AUB_HEARTBEAT_REVISIONS == AUB_STORE_MEMBERS);
+
 static void announce_revisions(struct aub_peers *peers,
 			       const struct aub_heartbeat *heartbeat)
 {
 	const struct aub_peers_options *options = &peers->options;
 
-	options->announced(AUB_STORE_ROUTING,
-			   (gint64)heartbeat->routing_revision,
-			   options->context);
-	options->announced(AUB_STORE_UPSTREAMS,
-			   (gint64)heartbeat->upstreams_revision,
-			   options->context);
-	options->announced(AUB_STORE_ZONES_OUT,
-			   (gint64)heartbeat->zones_out_revision,
-			   options->context);
-	options->announced(AUB_STORE_ROLLOUTS,
-			   (gint64)heartbeat->rollouts_revision,
-			   options->context);
+	for (guint i = 0; i < AUB_HEARTBEAT_REVISIONS; i++)
+		options->announced((enum aub_store_kind)i,
+				   (gint64)heartbeat->revisions[i],
+				   options->context);
 }
 
 static void take_heartbeat(struct aub_peers *peers,
@@ -461,17 +456,19 @@
 	}
 }
 
-static bool revisions_differ(const struct aub_heartbeat *heartbeat,
-			     const struct aub_peer_state *state)
+/* True where some are other ones than before. */
+static bool set_revisions(struct aub_heartbeat *heartbeat,
+			  const struct aub_peer_state *state)
 {
-	return heartbeat->routing_revision !=
-		       (guint64)state->revisions[AUB_STORE_ROUTING] ||
-	       heartbeat->upstreams_revision !=
-		       (guint64)state->revisions[AUB_STORE_UPSTREAMS] ||
-	       heartbeat->zones_out_revision !=
-		       (guint64)state->revisions[AUB_STORE_ZONES_OUT] ||
-	       heartbeat->rollouts_revision !=
-		       (guint64)state->revisions[AUB_STORE_ROLLOUTS];
+	bool changed = false;
+
+	for (guint i = 0; i < AUB_HEARTBEAT_REVISIONS; i++) {
+		guint64 revision = (guint64)state->revisions[i];
+
+		changed = changed || heartbeat->revisions[i] != revision;
+		heartbeat->revisions[i] = revision;
+	}
+	return changed;
 }
 
 void aub_peers_set_self(struct aub_peers *peers,
@@ -482,7 +479,7 @@
 			    self->stopping != state->stopping ||
 			    self->current != state->current;
 	bool hears_differs = self->hears != state->hears;
-	bool changed = revisions_differ(peers->heartbeat, state);
+	bool changed = set_revisions(peers->heartbeat, state);
 
 	self->ready = state->ready;
 	self->stopping = state->stopping;
@@ -493,14 +490,6 @@
 	peers->heartbeat->current = state->current;
 	peers->heartbeat->hears = state->hears;
 	peers->heartbeat->config_version = (guint64)state->config_version;
-	peers->heartbeat->routing_revision =
-		(guint64)state->revisions[AUB_STORE_ROUTING];
-	peers->heartbeat->upstreams_revision =
-		(guint64)state->revisions[AUB_STORE_UPSTREAMS];
-	peers->heartbeat->zones_out_revision =
-		(guint64)state->revisions[AUB_STORE_ZONES_OUT];
-	peers->heartbeat->rollouts_revision =
-		(guint64)state->revisions[AUB_STORE_ROLLOUTS];
 	if (role_differs || hears_differs)
 		aub_peers_rank_again(peers);
 	if (role_differs)
--- a/src/coordination/placer_rollouts.c
+++ b/src/coordination/placer_rollouts.c
@@ -278,9 +278,14 @@
 
 void aub_placer_round_rollout(struct aub_placer *placer, const char *service)
 {
-	if (!aub_placement_rollout(aub_placer_placement(placer, service)))
+	const struct aub_rollout *rollout =
+		aub_placement_rollout(aub_placer_placement(placer, service));
+
+	if (!rollout)
 		return;
-	aub_placer_tell_rollout(placer, service);
+	/* While it is open each step tells, and more often. */
+	if (!aub_rollout_is_open(rollout))
+		aub_placer_tell_rollout(placer, service);
 	arm(placer);
 }
 
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -334,10 +334,10 @@
 	FLAG(aub_heartbeat, reply),
 	FLAG(aub_heartbeat, current),
 	FLAG(aub_heartbeat, hears),
-	NUMBER(aub_heartbeat, routing_revision),
-	NUMBER(aub_heartbeat, upstreams_revision),
-	NUMBER(aub_heartbeat, zones_out_revision),
-	NUMBER(aub_heartbeat, rollouts_revision),
+	NUMBER(aub_heartbeat, revisions[0]),
+	NUMBER(aub_heartbeat, revisions[1]),
+	NUMBER(aub_heartbeat, revisions[2]),
+	NUMBER(aub_heartbeat, revisions[3]),
 	END,
 };
 
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -217,14 +217,17 @@
 {
 	gint index = aub_placement_find(placement, id);
 	struct aub_row *row;
+	bool was_registered;
 
 	if (!record) {
 		if (index < 0)
 			return;
 		row = aub_placement_row(placement, (guint)index);
-		aub_row_count_version(placement, row, NULL, now_us);
+		was_registered = row->registered;
 		row->registered = false;
 		row->gone_us = now_us;
+		aub_row_count_version(placement, row, NULL, was_registered,
+				      now_us);
 		return;
 	}
 	row = index >= 0 ? aub_placement_row(placement, (guint)index) :
@@ -243,9 +246,11 @@
 	row->slots = record->slots;
 	row->born_ms = record->born_ms;
 	row->draining = record->draining;
-	aub_row_count_version(placement, row,
-			      record->version ? record->version : "", now_us);
+	was_registered = row->registered;
 	row->registered = true;
+	aub_row_count_version(placement, row,
+			      record->version ? record->version : "",
+			      was_registered, now_us);
 	row->zone_out =
 		g_hash_table_contains(placement->zones_out, record->zone);
 	if (record->warmup_left_ms)
--- a/src/state/placement_rollout.c
+++ b/src/state/placement_rollout.c
@@ -57,10 +57,10 @@
 	set_uses(placement);
 }
 
-static bool is_same_version(const struct aub_placement *placement,
-			    const struct aub_row *row, const char *version)
+static bool has_version(const struct aub_placement *placement,
+			const struct aub_row *row, const char *version)
 {
-	return row->registered && row->version != AUB_VERSION_NONE &&
+	return row->version != AUB_VERSION_NONE &&
 	       !strcmp(placement->versions.list[row->version].name, version);
 }
 
@@ -73,30 +73,29 @@
  * nothing but the upstream's own count changes.
  */
 void aub_row_count_version(struct aub_placement *placement, struct aub_row *row,
-			   const char *version, gint64 now_us)
+			   const char *version, bool was_registered,
+			   gint64 now_us)
 {
 	struct aub_service_versions *versions = &placement->versions;
-	bool was = row->registered;
 
 	if (!placement->takes_orders) {
 		row->use = AUB_VERSION_FREE;
 		return;
 	}
-	if (version && is_same_version(placement, row, version))
+	if (version && was_registered && has_version(placement, row, version))
 		return;
 	if (version) {
 		row->version = aub_service_versions_index(versions, version);
 		row->evidence = (struct aub_judge_evidence){ 0 };
 	}
-	row->registered = version != NULL;
-	if (versions->count > 1 || (version && was)) {
+	if (versions->count > 1 || (version && was_registered)) {
 		recount_versions(placement, now_us);
 		return;
 	}
 	if (version)
 		aub_service_versions_count(versions, row->version,
 					   row->born_ms);
-	else if (was)
+	else if (was_registered)
 		aub_service_versions_discount(versions, row->version);
 	aub_service_versions_counted(versions, now_us);
 	row->use = use_of(placement, row);
@@ -310,18 +309,14 @@
 	return end == AUB_END_OK || end == AUB_END_FAILED;
 }
 
-/* Also while there is no order, so that the next one has its measure. */
-static void judge_base(struct aub_placement *placement,
-		       const struct aub_row *row, const struct aub_grant *made,
-		       const struct aub_attempt_report *report)
+static void count_exposure(struct aub_rollout *rollout,
+			   const struct aub_grant *made,
+			   enum aub_attempt_end end)
 {
-	struct aub_judge_answer answer;
-
-	if (!is_answer(report->end))
-		return;
-	fill_answer(placement, row, made, report->elapsed_us, &answer);
-	answer.failed = report->end == AUB_END_FAILED;
-	aub_judge_take_base(&placement->rollout.judge, &answer);
+	if (has_reached(end))
+		rollout->reached++;
+	else if (made->canary && rollout->exposed)
+		rollout->exposed--;
 }
 
 void aub_grant_judge(struct aub_placement *placement, struct aub_row *row,
@@ -333,20 +328,18 @@
 
 	if (!placement->takes_orders)
 		return;
-	if (row->use == AUB_VERSION_FREE)
-		judge_base(placement, row, made, report);
-	if (!aub_rollout_is_open(rollout))
+	if (aub_rollout_is_open(rollout))
+		count_exposure(rollout, made, report->end);
+	if (!is_answer(report->end))
 		return;
-	if (has_reached(report->end))
-		rollout->reached++;
-	else if (made->canary && rollout->exposed)
-		rollout->exposed--;
-	if (made->canary && row->use == AUB_VERSION_CANARY &&
-	    is_answer(report->end)) {
-		fill_answer(placement, row, made, report->elapsed_us, &answer);
-		answer.failed = report->end == AUB_END_FAILED;
+	fill_answer(placement, row, made, report->elapsed_us, &answer);
+	answer.failed = report->end == AUB_END_FAILED;
+	/* Also while there is no order, so that the next one has its measure.
+	 */
+	if (row->use == AUB_VERSION_FREE)
+		aub_judge_take_base(&rollout->judge, &answer);
+	else if (row->use == AUB_VERSION_CANARY && made->canary)
 		judge_new(placement, row, &answer);
-	}
 }
 
 /*
@@ -382,7 +375,7 @@
 	}
 }
 
-static void view_grants(const struct aub_placement *placement, gint64 now_us,
+static void view_grants(const struct aub_placement *placement,
 			struct aub_rollout_view *view)
 {
 	guint count = g_hash_table_size(placement->grants);
@@ -394,7 +387,6 @@
 		const struct aub_grant *made = value;
 		const struct aub_row *row =
 			aub_placement_row(placement, made->row);
-
 		double usual_ms =
 			aub_work_times_usual(&placement->work, made->target_ms);
 
@@ -421,7 +413,7 @@
 		.slots_needed = (guint)(ROOM_FACTOR *
 					g_hash_table_size(placement->grants)),
 	};
-	view_grants(placement, now_us, view);
+	view_grants(placement, view);
 	for (guint i = 0; i < placement->rows->len; i++) {
 		const struct aub_row *row = aub_placement_row(placement, i);
 
--- a/src/state/rollout.c
+++ b/src/state/rollout.c
@@ -4,7 +4,6 @@
 #include <auburnstile/internal/rollout.h>
 
 #include <math.h>
-#include <string.h>
 
 #define MS ((gint64)1000)
 
@@ -65,19 +64,17 @@
 void aub_rollout_init(struct aub_rollout *rollout,
 		      const struct aub_rollout_limits *limits)
 {
-	memset(rollout, 0, sizeof(*rollout));
-	rollout->limits = *limits;
-	rollout->reason = "";
+	*rollout = (struct aub_rollout){ .limits = *limits, .reason = "" };
 }
 
 void aub_rollout_clear(struct aub_rollout *rollout)
 {
-	const struct aub_rollout_limits limits = rollout->limits;
-	const struct aub_judge judge = rollout->judge;
-
 	g_free(rollout->order.version);
-	aub_rollout_init(rollout, &limits);
-	rollout->judge = judge;
+	*rollout = (struct aub_rollout){
+		.limits = rollout->limits,
+		.judge = rollout->judge,
+		.reason = "",
+	};
 	aub_judge_restart(&rollout->judge);
 }
 
--- a/src/state/rollout_judge.c
+++ b/src/state/rollout_judge.c
@@ -45,11 +45,6 @@
 	[AUB_JUDGE_SLOWNESS] = 0.5,
 };
 
-void aub_judge_init(struct aub_judge *judge)
-{
-	memset(judge, 0, sizeof(*judge));
-}
-
 void aub_judge_restart(struct aub_judge *judge)
 {
 	judge->answers = 0;
--- a/src/state/routing.c
+++ b/src/state/routing.c
@@ -138,6 +138,7 @@
 
 		if (!route_check(routing, route, error))
 			return false;
+		route->key = g_str_hash(route->name);
 		if (!routes) {
 			routes = g_ptr_array_new();
 			g_hash_table_insert(routing->hosts, route->host,
--- a/tests/test_rollout.cc
+++ b/tests/test_rollout.cc
@@ -74,6 +74,19 @@
 				 200 * MS);
 		}
 	}
+	/* Requests that differ by `change`; all go to the old version. */
+	void expect_old(int count, void (*change)(struct aub_ask *ask))
+	{
+		for (int i = 0; i < count; i++) {
+			struct aub_ask ask = p.ask_of();
+
+			change(&ask);
+			struct aub_decision decision = p.ask(ask);
+			ASSERT_EQ(decision.verdict, AUB_VERDICT_GRANTED);
+			EXPECT_EQ(decision.upstream[0], 'a');
+			p.report(decision.ticket);
+		}
+	}
 	enum aub_rollout_state state()
 	{
 		return p.it->rollout.state;
@@ -245,7 +258,7 @@
 	EXPECT_STREQ(it.p.it->rollout.reason, "no-upstreams");
 }
 
-TEST(Rollout, SendsNoRetryToAVersionOnTrial)
+TEST(Rollout, SendsNoRetryToACanary)
 {
 	Rollout it;
 
@@ -253,15 +266,7 @@
 	it.order();
 	it.serve(300);
 	int sent = it.sent["v2"];
-	for (int i = 0; i < 10; i++) {
-		struct aub_ask ask = it.p.ask_of();
-
-		ask.retry = true;
-		struct aub_decision decision = it.p.ask(ask);
-		ASSERT_EQ(decision.verdict, AUB_VERDICT_GRANTED);
-		EXPECT_EQ(decision.upstream[0], 'a');
-		it.p.report(decision.ticket);
-	}
+	it.expect_old(10, [](struct aub_ask *ask) { ask->retry = true; });
 	EXPECT_EQ(it.sent["v2"], sent);
 }
 
@@ -404,22 +409,14 @@
 	EXPECT_EQ(done.sent["v2"], 100);
 }
 
-TEST(Rollout, WhoPlacesForWantOfAPlacerSendsNothingToAVersionOnTrial)
+TEST(Rollout, WhoPlacesForWantOfAPlacerSendsNothingToACanary)
 {
 	Rollout it;
 
 	it.add_new();
 	it.order();
 	it.serve(300);
-	for (int i = 0; i < 50; i++) {
-		struct aub_ask ask = it.p.ask_of();
-
-		ask.alone = true;
-		struct aub_decision decision = it.p.ask(ask);
-		ASSERT_EQ(decision.verdict, AUB_VERDICT_GRANTED);
-		EXPECT_EQ(decision.upstream[0], 'a');
-		it.p.report(decision.ticket);
-	}
+	it.expect_old(50, [](struct aub_ask *ask) { ask->alone = true; });
 }
 
 /* Guards against crashes of either version's upstreams taken for a verdict. */
--- a/tests/test_rollout_judge.cc
+++ b/tests/test_rollout_judge.cc
@@ -14,13 +14,12 @@
 class Judge
 {
       public:
-	struct aub_judge it;
+	struct aub_judge it = {};
 	std::mt19937 random{ 7 };
 	std::vector<struct aub_judge_evidence> evidence;
 
 	explicit Judge(guint upstreams = 10) : evidence(upstreams)
 	{
-		aub_judge_init(&it);
 	}
 	double time(double usual = 200)
 	{
