Read and log the limit that an upstream names on its requests

An upstream in need names Server-Limit, the requests a second that it accepts from all gateways together.

The header is decoded in platform/ (digits with an optional fraction; garbage and doubled headers neither name nor lift a limit) and travels with the load that an answer reports, to the placer as well. Each gateway keeps it for each upstream; an answer without it lifts it only if its request was sent after it was last named. Seen by the line upstream-limit, the field limited of placement, and auburnstile_upstreams{state="limited"}. No decision uses it yet.

The protocol version is 2: reports and probe results have two more fields.

--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -11,7 +11,7 @@
 #ifndef AUBURNSTILE_INTERNAL_PLACEMENT_H
 #define AUBURNSTILE_INTERNAL_PLACEMENT_H
 
-#include <auburnstile/internal/platform.h>
+#include <auburnstile/internal/upstream_limit.h>
 
 G_BEGIN_DECLS
 
@@ -164,6 +164,24 @@
 void aub_placement_report(struct aub_placement *placement,
 			  const struct aub_grant_report *report, gint64 now_us);
 
+/*
+ * Applies what an answer of upstream `id` says of the upstream itself, apart
+ * from its load. The request was sent at `sent_us`.
+ */
+void aub_placement_observe_answer(struct aub_placement *placement,
+				  const char *id, const struct aub_load *load,
+				  gint64 sent_us, gint64 now_us);
+
+/* A change of an upstream's limit; AUB_LIMIT_NONE: no limit. */
+struct aub_limit_change {
+	guint32 was_per_1000_s;
+	guint32 now_per_1000_s;
+};
+/* See aub_upstream_limit_take_change(). */
+bool aub_placement_take_limit_change(struct aub_placement *placement,
+				     const char *id,
+				     struct aub_limit_change *change);
+
 /*
  * Sets `decision` to the next one on a queued request. Returns false if there
  * is none at present.
@@ -256,6 +274,7 @@
 	guint unknown;
 	guint cold; /* of those that are up */
 	guint draining; /* including those in a zone that is out */
+	guint limited; /* those that name a limit, of all registered */
 	guint withheld; /* of a version that gets no requests */
 	guint granted;
 	guint queued;
--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -10,6 +10,7 @@
 #include <auburnstile/internal/retry_budget.h>
 #include <auburnstile/internal/service_versions.h>
 #include <auburnstile/internal/service_times.h>
+#include <auburnstile/internal/upstream_limit.h>
 
 G_BEGIN_DECLS
 
@@ -49,6 +50,7 @@
 	char *zone;
 	guint slots;
 	gint64 started_ms;
+	gint64 started_us; /* when this incarnation became known here */
 	gint version; /* index into the service's versions */
 	enum aub_version_traffic traffic;
 	struct aub_judge_evidence evidence; /* against its version */
@@ -62,6 +64,7 @@
 	guint granted; /* grants that have not ended */
 	struct aub_load load; /* last reported */
 	gint64 load_us; /* when it was reported; 0: never */
+	struct aub_upstream_limit limit; /* named by its answers */
 	gint64 full_until_us; /* it refused a request: full until this time */
 	double slowness; /* actual over expected response time, smoothed */
 	double failures; /* share of its responses that failed, smoothed */
@@ -143,6 +146,10 @@
 					struct aub_placement_upstream *upstream,
 					const struct aub_load *load,
 					gint64 now_us);
+/* See aub_placement_observe_answer(). */
+void aub_placement_upstream_observe_answer(
+	struct aub_placement_upstream *upstream, const struct aub_load *load,
+	gint64 sent_us, gint64 now_us);
 /* Updates the failure rate: `weight` is 1 for a failure, 0 for a success. */
 void aub_placement_upstream_update_failures(
 	struct aub_placement_upstream *upstream, double weight, gint64 now_us);
--- a/include/auburnstile/internal/placer.h
+++ b/include/auburnstile/internal/placer.h
@@ -98,6 +98,20 @@
 		       enum aub_grant_result end, gint64 elapsed_us,
 		       const struct aub_load *load);
 
+/* An upstream's answer to a request that this gateway sent. */
+struct aub_upstream_answer {
+	const char *upstream;
+	const char *request_id; /* for the log */
+	struct aub_load load;
+	gint64 sent_us; /* when the request was sent */
+};
+/*
+ * Applies what the head of an answer says of its upstream to this gateway's own
+ * copy, and logs changes. The placer learns it by aub_placer_report().
+ */
+void aub_placer_observe_answer(struct aub_placer *placer, const char *service,
+			       const struct aub_upstream_answer *answer);
+
 /* Calls `visit` for each placement of this gateway, for the metrics. */
 typedef void aub_placement_visitor(const char *service,
 				   const struct aub_placement_stats *state,
--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -137,6 +137,13 @@
 struct aub_reported_load aub_load_encode(const struct aub_load *load);
 struct aub_load aub_load_decode(const struct aub_reported_load *encoded);
 
+/*
+ * Logs a notable change of an upstream's limit. `source` is "answer", "probe"
+ * or "peer", `id` the request or the peer, or "".
+ */
+void aub_placer_log_limit(struct aub_placement *placement, const char *upstream,
+			  const char *source, const char *id);
+
 /* Rollout orders. */
 void aub_placer_apply_rollout(struct aub_placer *placer,
 			      struct aub_place_rollout *message);
--- a/include/auburnstile/internal/platform.h
+++ b/include/auburnstile/internal/platform.h
@@ -72,6 +72,13 @@
 	GPtrArray *records; /* of struct aub_record */
 };
 
+/* What an answer says of a limit on its upstream's requests. */
+enum aub_limit_header {
+	AUB_LIMIT_UNKNOWN, /* no answer, or unreadable */
+	AUB_LIMIT_NOT_NAMED,
+	AUB_LIMIT_NAMED
+};
+
 /* The load that an upstream reports in an answer; -1 where unknown. */
 struct aub_load {
 	gint running; /* requests that are running */
@@ -79,6 +86,8 @@
 	gint slots;
 	gint slowdown; /* service time in percent of the baseline */
 	gint warmup_ms; /* remaining time of the warm-up */
+	enum aub_limit_header limit;
+	guint32 limit_per_1000_s; /* requests from all gateways; if named */
 };
 
 /* Initializer for a load that was not reported. */
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -18,7 +18,7 @@
 
 G_BEGIN_DECLS
 
-#define AUB_PROTOCOL_VERSION 1
+#define AUB_PROTOCOL_VERSION 2
 #define AUB_FRAME_BYTES_MAX (9u << 20) /* an 8 MiB body with its headers */
 
 enum aub_message_type {
@@ -362,6 +362,8 @@
 	guint32 slots;
 	guint32 slowdown; /* service time in percent of the baseline */
 	guint32 warmup_ms; /* remaining warm-up */
+	guint32 limit; /* enum aub_limit_header; not plus one */
+	guint32 limit_per_1000_s; /* likewise not plus one */
 };
 
 struct aub_place_report {
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -90,6 +90,30 @@
 	       aub_http_head_find(head, platform->answer_stamp);
 }
 
+/*
+ * An answer with 421 is another upstream's. A refusal confirms a limit, but
+ * does not lift it: it is no sign that the upstream accepts more.
+ */
+static void read_load(struct aub_upstream_attempt *attempt,
+		      const struct aub_http_head *head)
+{
+	struct aub_gateway *gateway = attempt->request->gateway;
+
+	if (attempt->malformed || attempt->status == STATUS_MISDIRECTED)
+		return;
+	gateway->options.platform->decode_load(head, &attempt->load);
+	if (attempt->not_run && attempt->load.limit == AUB_LIMIT_NOT_NAMED)
+		attempt->load.limit = AUB_LIMIT_UNKNOWN;
+	aub_placer_observe_answer(gateway->options.placer,
+				  attempt->request->service,
+				  &(struct aub_upstream_answer){
+					  .upstream = attempt->upstream,
+					  .request_id = attempt->request->id,
+					  .load = attempt->load,
+					  .sent_us = attempt->sent_us,
+				  });
+}
+
 static void on_head(const struct aub_http_head *head, void *context)
 {
 	struct aub_upstream_attempt *attempt = context;
@@ -107,7 +131,7 @@
 	attempt->content_length = attempt->request->is_head ? 0 :
 				  head->chunked		    ? -1 :
 							      head->length;
-	platform->decode_load(head, &attempt->load);
+	read_load(attempt, head);
 	attempt->head = g_string_new(NULL);
 	g_string_append_printf(attempt->head, "HTTP/1.1 %u %s\r\n",
 			       head->status,
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -12,6 +12,8 @@
 		.slots = (guint32)(load->slots + 1),
 		.slowdown = (guint32)(load->slowdown + 1),
 		.warmup_ms = (guint32)(load->warmup_ms + 1),
+		.limit = load->limit,
+		.limit_per_1000_s = load->limit_per_1000_s,
 	};
 }
 
@@ -23,6 +25,10 @@
 		.slots = (gint)encoded->slots - 1,
 		.slowdown = (gint)encoded->slowdown - 1,
 		.warmup_ms = (gint)encoded->warmup_ms - 1,
+		.limit = encoded->limit <= AUB_LIMIT_NAMED ?
+				 (enum aub_limit_header)encoded->limit :
+				 AUB_LIMIT_UNKNOWN,
+		.limit_per_1000_s = encoded->limit_per_1000_s,
 	};
 }
 
--- /dev/null
+++ b/src/coordination/placer_notices.c
@@ -0,0 +1,40 @@
+/*
+ * What upstreams say of themselves in answers: applied to the placements of
+ * this gateway, and logged.
+ */
+#include <auburnstile/internal/decision_log.h>
+#include <auburnstile/internal/placer_internal.h>
+
+static gint64 limit_for_log(guint32 per_1000_s)
+{
+	return per_1000_s == AUB_LIMIT_NONE ? -1 : (gint64)per_1000_s;
+}
+
+void aub_placer_log_limit(struct aub_placement *placement, const char *upstream,
+			  const char *source, const char *id)
+{
+	struct aub_limit_change change;
+
+	if (!aub_placement_take_limit_change(placement, upstream, &change))
+		return;
+	aub_log_begin(AUB_LOG_UPSTREAM_LIMIT);
+	aub_log_text("upstream", upstream);
+	aub_log_text("service", aub_placement_service(placement));
+	aub_log_number("was", limit_for_log(change.was_per_1000_s));
+	aub_log_number("now", limit_for_log(change.now_per_1000_s));
+	aub_log_text("source", source);
+	aub_log_text("id", id);
+	aub_log_end();
+}
+
+void aub_placer_observe_answer(struct aub_placer *placer, const char *service,
+			       const struct aub_upstream_answer *answer)
+{
+	struct aub_placement *placement = aub_placer_placement(placer, service);
+
+	aub_placement_observe_answer(placement, answer->upstream, &answer->load,
+				     answer->sent_us,
+				     aub_timer_now(placer->options.timers));
+	aub_placer_log_limit(placement, answer->upstream, "answer",
+			     answer->request_id);
+}
--- a/src/coordination/placer_periodic.c
+++ b/src/coordination/placer_periodic.c
@@ -156,6 +156,7 @@
 	aub_log_number("down", state.down);
 	aub_log_number("unknown", state.unknown);
 	aub_log_number("cold", state.cold);
+	aub_log_number("limited", state.limited);
 	aub_log_number("leaving", state.draining);
 	aub_log_number("full_percent", state.concurrency_limit_percent);
 	aub_log_number("slowdown_percent", state.slowdown_percent);
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -166,6 +166,7 @@
 	log_health(probe, health_before,
 		   aub_placement_health_name(placement, probe->upstream),
 		   result, &load);
+	aub_placer_log_limit(placement, probe->upstream, "probe", "");
 	queue_probe_result(placer, probe, result, &load);
 	probe_free(probe);
 	aub_placer_drain_queue(placer, placement);
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -283,6 +283,8 @@
 	U32(aub_reported_probe, load.slots),
 	U32(aub_reported_probe, load.slowdown),
 	U32(aub_reported_probe, load.warmup_ms),
+	U32(aub_reported_probe, load.limit),
+	U32(aub_reported_probe, load.limit_per_1000_s),
 	END,
 };
 
@@ -405,6 +407,8 @@
 	U32(aub_place_report, load.slots),
 	U32(aub_place_report, load.slowdown),
 	U32(aub_place_report, load.warmup_ms),
+	U32(aub_place_report, load.limit),
+	U32(aub_place_report, load.limit_per_1000_s),
 	END,
 };
 
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -198,6 +198,7 @@
 	upstream->id = g_strdup(id);
 	upstream->slowness = 1.0;
 	upstream->version = AUB_VERSION_NONE;
+	aub_upstream_limit_init(&upstream->limit);
 	if (index < 0) {
 		index = (gint)placement->upstreams->len;
 		g_ptr_array_add(placement->upstreams, upstream);
@@ -253,6 +254,8 @@
 		upstream->slowness = 1.0;
 		upstream->load_us = 0;
 		upstream->evidence = (struct aub_judge_evidence){ 0 };
+		upstream->started_us = now_us;
+		aub_upstream_limit_init(&upstream->limit);
 	}
 	replace_string(&upstream->address, record->address);
 	replace_string(&upstream->zone, record->zone);
@@ -329,6 +332,43 @@
 								"unknown";
 }
 
+void aub_placement_upstream_observe_answer(
+	struct aub_placement_upstream *upstream, const struct aub_load *load,
+	gint64 sent_us, gint64 now_us)
+{
+	/* An answer of an earlier incarnation says nothing about this one. */
+	if (sent_us >= upstream->started_us)
+		aub_upstream_limit_observe_answer(&upstream->limit, load,
+						  sent_us, now_us);
+}
+
+void aub_placement_observe_answer(struct aub_placement *placement,
+				  const char *id, const struct aub_load *load,
+				  gint64 sent_us, gint64 now_us)
+{
+	gint index = aub_placement_find_upstream(placement, id);
+
+	if (index >= 0)
+		aub_placement_upstream_observe_answer(
+			aub_placement_get_upstream(placement, (guint)index),
+			load, sent_us, now_us);
+}
+
+bool aub_placement_take_limit_change(struct aub_placement *placement,
+				     const char *id,
+				     struct aub_limit_change *change)
+{
+	gint index = aub_placement_find_upstream(placement, id);
+	struct aub_placement_upstream *upstream;
+
+	if (index < 0)
+		return false;
+	upstream = aub_placement_get_upstream(placement, (guint)index);
+	change->now_per_1000_s = upstream->limit.per_1000_s;
+	return aub_upstream_limit_take_change(&upstream->limit,
+					      &change->was_per_1000_s);
+}
+
 /* Upstreams that are not reported are up, warm and as fast as the others. */
 static bool is_reportable(const struct aub_placement_upstream *upstream,
 			  gint64 now_us)
@@ -455,6 +495,7 @@
 		if (upstream->state == AUB_PLACEMENT_UPSTREAM_UP &&
 		    aub_placement_upstream_is_cold(upstream, now_us))
 			stats->cold++;
+		stats->limited += aub_upstream_limit_is_set(&upstream->limit);
 	}
 }
 
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -142,6 +142,8 @@
 	}
 	aub_placement_upstream_update_load(placement, upstream, &report->load,
 					   now_us);
+	aub_placement_upstream_observe_answer(upstream, &report->load,
+					      grant->granted_us, now_us);
 }
 
 void aub_placement_report(struct aub_placement *placement,
--- a/src/state/placement_probe.c
+++ b/src/state/placement_probe.c
@@ -29,6 +29,8 @@
 #define CONCURRENT_PROBES_MAX 64
 /* Consecutive ones; a single lost packet does not mark it down. */
 #define FAILED_PROBES_DOWN 2
+/* Upper bound of the time from sending a probe to its result here. */
+#define PROBE_AGE_MAX_US (500 * AUB_US_PER_MS)
 
 static gint64 probe_interval_us(const struct aub_placement *placement,
 				const struct aub_placement_upstream *upstream,
@@ -124,6 +126,8 @@
 	if (load->warmup_ms < 0)
 		upstream->cold_until_us = MIN(upstream->cold_until_us, now_us);
 	aub_placement_upstream_update_load(placement, upstream, load, now_us);
+	aub_upstream_limit_observe_probe(&upstream->limit, load,
+					 now_us - PROBE_AGE_MAX_US, now_us);
 }
 
 void aub_placement_probe_received(struct aub_placement *placement,
--- a/tests/test_platform_codec.cc
+++ b/tests/test_platform_codec.cc
@@ -261,6 +261,42 @@
 	EXPECT_EQ(load_of("1,1,1", "soon").warmup_ms, -1);
 }
 
+static struct aub_load load_with_limits(std::vector<const char *> values)
+{
+	struct aub_http_head head = {};
+	struct aub_load load;
+
+	head.headers =
+		g_array_new(FALSE, FALSE, sizeof(struct aub_http_header));
+	for (const char *value : values) {
+		struct aub_http_header header = { "Server-Limit", value };
+
+		g_array_append_val(head.headers, header);
+	}
+	aub_platform.decode_load(&head, &load);
+	g_array_unref(head.headers);
+	return load;
+}
+
+TEST(PlatformCodec, DecodesLimitOnRequests)
+{
+	EXPECT_EQ(load_with_limits({}).limit, AUB_LIMIT_NOT_NAMED);
+	EXPECT_EQ(load_with_limits({ "2.5" }).limit, AUB_LIMIT_NAMED);
+	EXPECT_EQ(load_with_limits({ "2.5" }).limit_per_1000_s, 2500u);
+	EXPECT_EQ(load_with_limits({ "0" }).limit_per_1000_s, 0u);
+	EXPECT_EQ(load_with_limits({ "0.0004" }).limit_per_1000_s, 0u);
+	EXPECT_EQ(load_with_limits({ std::string(400, '9').c_str() })
+			  .limit_per_1000_s,
+		  1000000000u);
+	for (const char *unreadable :
+	     { "", " ", "soon", "-1", "+1", "1e3", "0x10", "1,5", "1.", ".5",
+	       "1.2.3", "nan", "inf", "1 2" })
+		EXPECT_EQ(load_with_limits({ unreadable }).limit,
+			  AUB_LIMIT_UNKNOWN)
+			<< unreadable;
+	EXPECT_EQ(load_with_limits({ "1", "2" }).limit, AUB_LIMIT_UNKNOWN);
+}
+
 TEST(PlatformCodec, DecodesRolloutOrder)
 {
 	struct aub_store_page *page = decode(
--- a/tools/platform/upstream.c
+++ b/tools/platform/upstream.c
@@ -23,6 +23,9 @@
 	guint service_time_ms;
 	gsize body_bytes;
 	guint warmup_ms;
+	char *limit; /* value of Server-Limit; NULL: none */
+	bool limit_in_probes;
+	guint arrivals;
 	guint runs;
 	guint cancelled;
 	guint probes;
@@ -30,6 +33,10 @@
 	guint64 body_bytes_read_max;
 	platform_upstream_run_callback *on_run;
 	void *on_run_context;
+	platform_upstream_run_callback *on_arrival;
+	void *on_arrival_context;
+	platform_upstream_run_callback *on_answer;
+	void *on_answer_context;
 	GHashTable *headers; /* of the last request, names in lower case */
 };
 
@@ -76,6 +83,19 @@
 	g_free(text);
 }
 
+/* Writes the headers that all answers to requests bear at present. */
+static void write_notices(struct connection *connection)
+{
+	const struct platform_upstream *upstream = connection->upstream;
+
+	if (upstream->limit)
+		write_format(connection, "Server-Limit: %s\r\n",
+			     upstream->limit);
+	if (upstream->on_answer)
+		upstream->on_answer(connection->request_id,
+				    upstream->on_answer_context);
+}
+
 static void write_body(struct connection *connection, gsize bytes)
 {
 	char *body = g_malloc(bytes + 1);
@@ -94,6 +114,7 @@
 		write_format(connection, "Response-Stamp: stamp-of-%s\r\n", id);
 	write_format(connection, "Instance-Load: %u,0,2,100\r\n",
 		     connection->upstream->connections->len);
+	write_notices(connection);
 }
 
 static void write_complete(struct connection *connection, guint status,
@@ -122,9 +143,10 @@
 static void write_not_run(struct connection *connection, guint status)
 {
 	write_format(connection,
-		     "HTTP/1.1 %u X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n"
-		     "Content-Length: 0\r\n\r\n",
+		     "HTTP/1.1 %u X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n",
 		     status, connection->request_id);
+	write_notices(connection);
+	write_format(connection, "Content-Length: 0\r\n\r\n");
 }
 
 /*
@@ -234,6 +256,9 @@
 	if (upstream->warmup_ms)
 		write_format(connection, "Warmup-Remaining-Ms: %u\r\n",
 			     upstream->warmup_ms);
+	if (upstream->limit && upstream->limit_in_probes)
+		write_format(connection, "Server-Limit: %s\r\n",
+			     upstream->limit);
 	write_format(connection, "Content-Length: 0\r\n\r\n");
 	aub_http_stream_flush(connection->stream);
 	aub_http_stream_resume(connection->stream);
@@ -243,6 +268,10 @@
 {
 	struct platform_upstream *upstream = connection->upstream;
 
+	upstream->arrivals++;
+	if (upstream->on_arrival)
+		upstream->on_arrival(connection->request_id,
+				     upstream->on_arrival_context);
 	if (will_run(upstream)) {
 		upstream->runs++;
 		if (upstream->on_run)
@@ -394,6 +423,7 @@
 	g_ptr_array_unref(upstream->connections);
 	g_hash_table_unref(upstream->headers);
 	g_free(upstream->address);
+	g_free(upstream->limit);
 	g_free(upstream->id);
 	g_free(upstream);
 }
@@ -438,6 +468,16 @@
 	upstream->warmup_ms = ms;
 }
 
+void platform_upstream_set_limit(struct platform_upstream *upstream,
+				 const char *text, bool in_probes)
+{
+	char *copy = g_strdup(text);
+
+	g_free(upstream->limit);
+	upstream->limit = copy;
+	upstream->limit_in_probes = in_probes;
+}
+
 void platform_upstream_set_down(struct platform_upstream *upstream, bool down)
 {
 	if (down) {
@@ -457,6 +497,27 @@
 	upstream->on_run_context = context;
 }
 
+void platform_upstream_set_arrival_callback(
+	struct platform_upstream *upstream,
+	platform_upstream_run_callback *callback, void *context)
+{
+	upstream->on_arrival = callback;
+	upstream->on_arrival_context = context;
+}
+
+void platform_upstream_set_answer_callback(
+	struct platform_upstream *upstream,
+	platform_upstream_run_callback *callback, void *context)
+{
+	upstream->on_answer = callback;
+	upstream->on_answer_context = context;
+}
+
+guint platform_upstream_arrivals(const struct platform_upstream *upstream)
+{
+	return upstream->arrivals;
+}
+
 guint platform_upstream_runs(const struct platform_upstream *upstream)
 {
 	return upstream->runs;
--- a/tools/platform/upstream.h
+++ b/tools/platform/upstream.h
@@ -57,6 +57,12 @@
 				      gsize bytes);
 /* Sets Warmup-Remaining-Ms in the answers to probes; 0 omits the header. */
 void platform_upstream_set_warmup(struct platform_upstream *upstream, guint ms);
+/*
+ * Sets Server-Limit in the answers to requests, and with `in_probes` also in
+ * those to probes. The text is sent as it is; NULL omits the header.
+ */
+void platform_upstream_set_limit(struct platform_upstream *upstream,
+				 const char *text, bool in_probes);
 /*
  * Closes all connections and refuses new ones, as after a crash, or accepts
  * connections again.
@@ -64,14 +70,23 @@
 void platform_upstream_set_down(struct platform_upstream *upstream, bool down);
 
 /*
- * Sets a callback that is called with the Request-Id whenever a request starts
- * to execute.
+ * Set callbacks that are called with the Request-Id whenever a request starts
+ * to execute, arrives whether it will be executed or not, or is answered.
  */
 typedef void platform_upstream_run_callback(const char *id, void *context);
 void platform_upstream_set_run_callback(
 	struct platform_upstream *upstream,
 	platform_upstream_run_callback *callback, void *context);
 
+void platform_upstream_set_arrival_callback(
+	struct platform_upstream *upstream,
+	platform_upstream_run_callback *callback, void *context);
+void platform_upstream_set_answer_callback(
+	struct platform_upstream *upstream,
+	platform_upstream_run_callback *callback, void *context);
+
+/* Returns the number of requests that arrived, executed or not. */
+guint platform_upstream_arrivals(const struct platform_upstream *upstream);
 /*
  * Return the number of requests that started to execute, and of those whose
  * connection closed before their answer.
