--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -297,6 +297,35 @@
 	EXPECT_EQ(platform_upstream_runs(first_upstream), 1u);
 }
 
+/* Guards against more requests than an upstream's answers allow. */
+TEST_F(GatewayTest, KeepsLimitThatUpstreamNames)
+{
+	guint served = 0;
+
+	configure();
+	auto limited = add_upstream("u1");
+	platform_upstream_set_limit(limited, "2", false);
+	start_and_wait_until_ready();
+	gint64 start_us = g_get_monotonic_time();
+	while (g_get_monotonic_time() - start_us < 4 * AUB_SECOND) {
+		auto caller = send_request("GET", "/safe/a", "r");
+
+		ASSERT_TRUE(wait_for_answer(caller));
+		served += caller->status == 200;
+		if (caller->status != 200) {
+			EXPECT_EQ(caller->status, 503u);
+			EXPECT_GE(g_ascii_strtod(caller->retry_after.c_str(),
+						 NULL),
+				  0.1);
+		}
+		run_for(15);
+	}
+	EXPECT_EQ(served, platform_upstream_arrivals(limited));
+	EXPECT_GE(served, 4u);
+	/* 2 requests a second for 4 s, times 1.5, and 5 */
+	EXPECT_LE(served, 17u);
+}
+
 TEST_F(GatewayTest, CancelsUpstreamRequestWhenCallerDisconnects)
 {
 	struct platform_upstream *first_upstream = add_upstream("u1");
--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -275,6 +275,70 @@
 	EXPECT_EQ(fixture.submit(request).verdict, AUB_VERDICT_NO_UPSTREAM);
 }
 
+/* Sets the limit that `id` names in its answers to requests. */
+static void name_limit(PlacementFixture &fixture, const std::string &id,
+		       double per_s)
+{
+	struct aub_load load = AUB_LOAD_UNKNOWN;
+
+	load.limit = AUB_LIMIT_NAMED;
+	load.limit_per_1000_s = (guint32)(1000 * per_s);
+	aub_placement_observe_answer(fixture.placement, id.c_str(), &load,
+				     fixture.now_us, fixture.now_us);
+}
+
+/* Returns the largest number of `times_us` within 4 s. */
+static size_t max_in_4_s(const std::vector<gint64> &times_us)
+{
+	size_t max = 0;
+
+	for (size_t i = 0; i < times_us.size(); i++)
+		for (size_t k = i; k < times_us.size(); k++)
+			if (times_us[k] - times_us[i] <= 4000 * US_PER_MS)
+				max = MAX(max, k - i + 1);
+	return max;
+}
+
+TEST(Placement, LocalFallbackSendsNothingToLimitedUpstream)
+{
+	PlacementFixture fixture;
+
+	fixture.add_healthy("u1");
+	name_limit(fixture, "u1", 1);
+	struct aub_placement_request request = fixture.new_request();
+	request.local_fallback = true;
+	EXPECT_EQ(fixture.submit(request).verdict, AUB_VERDICT_NO_UPSTREAM);
+}
+
+/* Guards against two placers that each grant a limit in full. */
+TEST(Placement, TwoPlacersTogetherKeepLimit)
+{
+	for (double per_s : { 0.0, 0.3, 1.0, 2.5, 20.0 }) {
+		PlacementFixture placers[2];
+		std::vector<gint64> grants;
+
+		for (PlacementFixture &placer : placers) {
+			placer.add_healthy("u1", 6);
+			name_limit(placer, "u1", per_s);
+		}
+		for (int ms = 0; ms < 12000; ms += 10)
+			for (PlacementFixture &placer : placers) {
+				struct aub_placement_request request =
+					placer.new_request();
+
+				placer.now_us = (1000 + ms) * US_PER_MS;
+				request.max_wait_ms = 0;
+				if (placer.submit(request).verdict !=
+				    AUB_VERDICT_GRANTED)
+					continue;
+				grants.push_back(placer.now_us);
+				placer.report(request.ticket);
+			}
+		EXPECT_LE(max_in_4_s(grants), (size_t)(6 * per_s + 5)) << per_s;
+		EXPECT_GE(max_in_4_s(grants), (size_t)(3 * per_s)) << per_s;
+	}
+}
+
 TEST(Placement, RestartedUpstreamIsUnknownAgain)
 {
 	PlacementFixture fixture;
