placement: keep the limit that an upstream names on its requests

Callers saw nothing; the upstream in need got up to 39 requests in 4 s where its limit of 2.5 a second allows 20.

Ruled out: knowledge that stays at one gateway, and knowledge lost at a change of placers: there was none to stay or be lost, and one gateway placed for the service from before the traffic to its end. The class of fault: a bound on the sum over all gateways and over time of which no part of the system is the owner. Its relative, the rate of a cold upstream, has one.

The placer is the owner. It grants three quarters of the limit, evenly over time, so that two placers that don't know of each other stay within one and a half times; after it has taken over it grants nothing for one interval, since the one before may just have done so. A gateway that has passed on an answer says what it knows, with its age, with every placement request, so that no placer can grant a told gateway's request without knowing; placers tell all gateways once a second. Local fallback, which counts for itself alone, grants limited upstreams nothing, as it does with cold ones. Probes come at half the rate of grants. However low the limit is, one request in 4 s is granted: only its answer shows that the limit was lifted. What waits only for limited upstreams is refused on arrival if their next place is too far off, and told when that is.

--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -28,7 +28,9 @@
 	AUB_VERDICT_QUEUED, /* aub_placement_next_decision() decides later */
 	AUB_VERDICT_NO_UPSTREAM, /* none may take it at present */
 	AUB_VERDICT_OVERLOAD, /* the wait would exceed its maximum */
-	AUB_VERDICT_NO_BUDGET /* a retry beyond the fleet's budget */
+	AUB_VERDICT_NO_BUDGET, /* a retry beyond the fleet's budget */
+	AUB_VERDICT_LIMITED, /* as OVERLOAD; all name limits of their own */
+	AUB_VERDICT_COUNT
 };
 
 struct aub_placement_request {
@@ -155,6 +157,13 @@
 enum aub_rollout_state aub_placement_rollout_step(
 	struct aub_placement *placement, gint64 now_us);
 
+/*
+ * Called when this process begins to place for the service. The placer before
+ * it may have granted until now what the limits of upstreams allow.
+ */
+void aub_placement_begin_placing(struct aub_placement *placement,
+				 gint64 now_us);
+
 /* Decides on `request`. A repeated ticket gets the same decision. */
 void aub_placement_submit(struct aub_placement *placement,
 			  const struct aub_placement_request *request,
@@ -172,6 +181,21 @@
 				  const char *id, const struct aub_load *load,
 				  gint64 sent_us, gint64 now_us);
 
+/* A statement of a limit, for other processes. */
+struct aub_named_limit {
+	const char *upstream; /* borrowed */
+	struct aub_limit_statement statement;
+};
+/*
+ * Copies up to `limit` statements to `list`. Returns their number.
+ */
+guint aub_placement_list_limits(const struct aub_placement *placement,
+				struct aub_named_limit *list, guint limit,
+				gint64 now_us);
+void aub_placement_merge_limit(struct aub_placement *placement,
+			       const struct aub_named_limit *named,
+			       gint64 now_us);
+
 /* A change of an upstream's limit; AUB_LIMIT_NONE: no limit. */
 struct aub_limit_change {
 	guint32 was_per_1000_s;
--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -50,7 +50,9 @@
 	char *zone;
 	guint slots;
 	gint64 started_ms;
-	gint64 started_us; /* when this incarnation became known here */
+	/* when this incarnation replaced another; 0: it is the first one here
+	 */
+	gint64 started_us;
 	gint version; /* index into the service's versions */
 	enum aub_version_traffic traffic;
 	struct aub_judge_evidence evidence; /* against its version */
@@ -218,14 +220,25 @@
 			 gint64 now_us,
 			 struct aub_placement_decision *decision);
 
+/* What the upstreams that may serve a request can serve. */
+struct aub_placement_capacity {
+	guint slots; /* of those without a limit of their own */
+	double limited_per_s; /* grants a second to the others together */
+	gint64 next_limited_us; /* earliest next grant to one of these */
+};
+/* Returns false if no upstream may serve the request. */
+bool aub_placement_capacity_exists(
+	const struct aub_placement_capacity *capacity);
+
 /*
  * Returns the index of the best upstream with room for `request`, or -1. Sets
- * `*usable` to the number of slots of the upstreams that may serve it, whether
- * they have room or not.
+ * `capacity` to that of the upstreams that may serve it, whether they have room
+ * or not.
  */
 gint aub_placement_choose(struct aub_placement *placement,
 			  const struct aub_placement_request *request,
-			  gint64 now_us, guint *usable);
+			  gint64 now_us,
+			  struct aub_placement_capacity *capacity);
 
 G_END_DECLS
 
--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -144,6 +144,15 @@
 void aub_placer_log_limit(struct aub_placement *placement, const char *upstream,
 			  const char *source, const char *id);
 
+/* Statements about upstreams of a service in one message. */
+#define AUB_NOTICES_MAX 512
+/* Appends what is known here of the limits of the service's upstreams. */
+void aub_placer_append_limits(struct aub_placer *placer, const char *service,
+			      GPtrArray *limits);
+/* Applies what `peer`, a name for the log, knows. */
+void aub_placer_apply_limits(struct aub_placer *placer, const char *service,
+			     const GPtrArray *limits, const char *peer);
+
 /* Rollout orders. */
 void aub_placer_apply_rollout(struct aub_placer *placer,
 			      struct aub_place_rollout *message);
--- a/include/auburnstile/internal/upstream_limit.h
+++ b/include/auburnstile/internal/upstream_limit.h
@@ -4,6 +4,11 @@
  *
  * An answer without the header lifts the limit, but only if its request was
  * sent after the limit was last named: answers overtake each other.
+ *
+ * Each placer grants a share of the limit, evenly over time, so that two
+ * placers that do not know of each other stay within one and a half times the
+ * limit. What a process knows of a limit is exchanged as a statement with its
+ * age; of two that differ, the newer one applies.
  */
 #ifndef AUBURNSTILE_INTERNAL_UPSTREAM_LIMIT_H
 #define AUBURNSTILE_INTERNAL_UPSTREAM_LIMIT_H
@@ -21,6 +26,7 @@
 	/* sending time of a request whose answer named a higher one or none */
 	gint64 lifted_us;
 	bool probes_name_it; /* answers to probes bear the header as well */
+	gint64 last_grant_us; /* whether it was limited then or not */
 	guint32 logged_per_1000_s;
 };
 
@@ -36,6 +42,34 @@
 				      const struct aub_load *load,
 				      gint64 sent_us, gint64 now_us);
 
+/* What another process says of a limit. */
+struct aub_limit_statement {
+	guint32 per_1000_s; /* AUB_LIMIT_NONE: it was lifted */
+	guint32 age_ms; /* of the answer that says so */
+};
+/*
+ * Sets `statement` to what is known here. Returns false if there is nothing to
+ * tell: no limit, and none was lifted recently.
+ */
+bool aub_upstream_limit_get_statement(const struct aub_upstream_limit *limit,
+				      gint64 now_us,
+				      struct aub_limit_statement *statement);
+/* Applies the statement of another process, unless it is outdated. */
+void aub_upstream_limit_merge(struct aub_upstream_limit *limit,
+			      const struct aub_limit_statement *statement,
+			      gint64 now_us);
+
+/* Counts a grant, or any time at which another placer may have granted. */
+void aub_upstream_limit_count_grant(struct aub_upstream_limit *limit,
+				    gint64 now_us);
+/*
+ * Returns the earliest time of the next grant; in the past if there is no
+ * limit.
+ */
+gint64 aub_upstream_limit_next_grant_us(const struct aub_upstream_limit *limit);
+/* Returns the grants a second of one placer. The limit must be set. */
+double aub_upstream_limit_grants_per_s(const struct aub_upstream_limit *limit);
+
 /*
  * Returns whether the limit differs notably from the one that was logged last.
  * If so, sets `was` to that one and takes the present one as logged.
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -324,6 +324,13 @@
 	struct aub_bytes body;
 };
 
+/* What a gateway knows of an upstream's limit on its requests. */
+struct aub_place_limit {
+	char *upstream;
+	guint32 per_1000_s; /* AUB_LIMIT_NONE: it was lifted */
+	guint32 age_ms; /* of the answer that says so */
+};
+
 /*
  * A request for an upstream slot. The fields of this message and of those
  * below are documented in placement.h.
@@ -343,6 +350,7 @@
 	char *address; /* the holder's datagram address if forwarded, else "" */
 	guint32 route; /* key of the request's route */
 	GPtrArray *avoid; /* of struct aub_name */
+	GPtrArray *limits; /* of struct aub_place_limit, known to the holder */
 };
 
 struct aub_place_decision {
@@ -403,6 +411,7 @@
 	char *service;
 	bool relay; /* to be relayed within the receiver's zone */
 	GPtrArray *rows; /* of struct aub_place_health_row */
+	GPtrArray *limits; /* of struct aub_place_limit */
 };
 
 /* Evidence about a new version on one route. */
@@ -486,6 +495,7 @@
 struct aub_reported_probe *aub_reported_probe_new(void);
 struct aub_place_health_row *aub_place_health_row_new(void);
 struct aub_place_evidence *aub_place_evidence_new(void);
+struct aub_place_limit *aub_place_limit_new(void);
 
 /*
  * Returns the frame of a message, without its length prefix, owned by the
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -141,6 +141,8 @@
 	request.avoid = (const char *const *)avoid->pdata;
 	request.avoid_count = avoid->len;
 	aub_placer_probe_service(placer, message->service);
+	aub_placer_apply_limits(placer, message->service, message->limits,
+				holder->name);
 	aub_placement_submit(placement, &request,
 			     aub_timer_now(placer->options.timers), &decision);
 	placer->counts.placed_here++;
@@ -191,7 +193,7 @@
 		.retry_after_ms = message->retry_after_ms,
 	};
 
-	if (message->verdict > AUB_VERDICT_NO_BUDGET)
+	if (message->verdict >= AUB_VERDICT_COUNT)
 		return;
 	if (!ticket || !ticket->callback || ticket->placed_locally ||
 	    (ticket->asked_placer != message->placer && !ticket->forwardable)) {
--- a/src/coordination/placer_notices.c
+++ b/src/coordination/placer_notices.c
@@ -38,3 +38,42 @@
 	aub_placer_log_limit(placement, answer->upstream, "answer",
 			     answer->request_id);
 }
+
+void aub_placer_append_limits(struct aub_placer *placer, const char *service,
+			      GPtrArray *limits)
+{
+	struct aub_named_limit list[AUB_NOTICES_MAX];
+	guint count = aub_placement_list_limits(
+		aub_placer_placement(placer, service), list, AUB_NOTICES_MAX,
+		aub_timer_now(placer->options.timers));
+
+	for (guint i = 0; i < count; i++) {
+		struct aub_place_limit *limit = aub_place_limit_new();
+
+		aub_string_set(&limit->upstream, list[i].upstream);
+		limit->per_1000_s = list[i].statement.per_1000_s;
+		limit->age_ms = list[i].statement.age_ms;
+		g_ptr_array_add(limits, limit);
+	}
+}
+
+void aub_placer_apply_limits(struct aub_placer *placer, const char *service,
+			     const GPtrArray *limits, const char *peer)
+{
+	struct aub_placement *placement = aub_placer_placement(placer, service);
+
+	for (guint i = 0; i < limits->len; i++) {
+		const struct aub_place_limit *limit =
+			g_ptr_array_index(limits, i);
+		const struct aub_named_limit named = {
+			.upstream = limit->upstream,
+			.statement = { .per_1000_s = limit->per_1000_s,
+				       .age_ms = limit->age_ms },
+		};
+
+		aub_placement_merge_limit(placement, &named,
+					  aub_timer_now(
+						  placer->options.timers));
+		aub_placer_log_limit(placement, limit->upstream, "peer", peer);
+	}
+}
--- a/src/coordination/placer_periodic.c
+++ b/src/coordination/placer_periodic.c
@@ -127,6 +127,7 @@
 		health->slowdown = list[i].slowdown;
 		g_ptr_array_add(message->rows, health);
 	}
+	aub_placer_append_limits(placer, service, message->limits);
 	aub_placer_send_to_zones(placer, service, &message->base,
 				 &message->relay);
 	aub_message_free(&message->base);
@@ -251,6 +252,7 @@
 		message->relay = false;
 		aub_peers_send_to_zone(placer->options.peers, &message->base);
 	}
+	aub_placer_apply_limits(placer, message->service, message->limits, "");
 	if (probed_service && probed_service->probe_all_until_us > now)
 		return;
 	aub_placement_reset_health(placement);
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -256,6 +256,9 @@
 		aub_log_begin(AUB_LOG_PLACER_ACTIVE);
 		aub_log_text("service", service);
 		aub_log_end();
+		aub_placement_begin_placing(aub_placer_placement(placer,
+								 service),
+					    now);
 	}
 	probed_service->probe_all_until_us = now + PROBING_ACTIVE_US;
 }
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -196,6 +196,7 @@
 		g_ptr_array_add(message->avoid,
 				aub_name_new(
 					g_ptr_array_index(ticket->avoid, i)));
+	aub_placer_append_limits(placer, ticket->service, message->limits);
 	aub_peers_send(placer->options.peers, peer, &message->base);
 	aub_message_free(&message->base);
 }
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -310,6 +310,16 @@
 const struct aubi_layout aubi_place_health_row_layout =
 	LAYOUT("health", aub_place_health_row, place_health_row_fields);
 
+static const struct aubi_field place_limit_fields[] = {
+	STRING(aub_place_limit, upstream, NAME_BYTES_MAX),
+	U32(aub_place_limit, per_1000_s),
+	U32(aub_place_limit, age_ms),
+	END,
+};
+
+const struct aubi_layout aubi_place_limit_layout =
+	LAYOUT("limit", aub_place_limit, place_limit_fields);
+
 static const struct aubi_field place_evidence_fields[] = {
 	U32(aub_place_evidence, route),
 	U32(aub_place_evidence, answers),
@@ -383,6 +393,8 @@
 	BOOL(aub_place_request, forward),
 	STRING(aub_place_request, address, ADDRESS_BYTES_MAX),
 	LIST(aub_place_request, avoid, ATTEMPTS_MAX, &aubi_name_layout),
+	LIST(aub_place_request, limits, UPSTREAMS_MAX,
+	     &aubi_place_limit_layout),
 	U32(aub_place_request, route),
 	END,
 };
@@ -425,6 +437,7 @@
 	BOOL(aub_place_health, relay),
 	LIST(aub_place_health, rows, UPSTREAMS_MAX,
 	     &aubi_place_health_row_layout),
+	LIST(aub_place_health, limits, UPSTREAMS_MAX, &aubi_place_limit_layout),
 	END,
 };
 
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -254,7 +254,8 @@
 		upstream->slowness = 1.0;
 		upstream->load_us = 0;
 		upstream->evidence = (struct aub_judge_evidence){ 0 };
-		upstream->started_us = now_us;
+		if (index >= 0)
+			upstream->started_us = now_us;
 		aub_upstream_limit_init(&upstream->limit);
 	}
 	replace_string(&upstream->address, record->address);
@@ -354,6 +355,41 @@
 			load, sent_us, now_us);
 }
 
+guint aub_placement_list_limits(const struct aub_placement *placement,
+				struct aub_named_limit *list, guint limit,
+				gint64 now_us)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < placement->upstreams->len && count < limit; i++) {
+		const struct aub_placement_upstream *upstream =
+			aub_placement_get_upstream(placement, i);
+
+		list[count].upstream = upstream->id;
+		if (upstream->registered &&
+		    aub_upstream_limit_get_statement(&upstream->limit, now_us,
+						     &list[count].statement))
+			count++;
+	}
+	return count;
+}
+
+void aub_placement_merge_limit(struct aub_placement *placement,
+			       const struct aub_named_limit *named,
+			       gint64 now_us)
+{
+	gint index = aub_placement_find_upstream(placement, named->upstream);
+	gint64 said_us = now_us - named->statement.age_ms * AUB_US_PER_MS;
+	struct aub_placement_upstream *upstream;
+
+	if (index < 0)
+		return;
+	upstream = aub_placement_get_upstream(placement, (guint)index);
+	if (said_us >= upstream->started_us)
+		aub_upstream_limit_merge(&upstream->limit, &named->statement,
+					 now_us);
+}
+
 bool aub_placement_take_limit_change(struct aub_placement *placement,
 				     const char *id,
 				     struct aub_limit_change *change)
@@ -532,12 +568,13 @@
 
 const char *aub_verdict_name(enum aub_verdict verdict)
 {
-	static const char *const names[] = {
+	static const char *const names[AUB_VERDICT_COUNT] = {
 		[AUB_VERDICT_GRANTED] = "granted",
 		[AUB_VERDICT_QUEUED] = "queued",
 		[AUB_VERDICT_NO_UPSTREAM] = "no-upstream",
 		[AUB_VERDICT_OVERLOAD] = "overload",
 		[AUB_VERDICT_NO_BUDGET] = "no-budget",
+		[AUB_VERDICT_LIMITED] = "limited",
 	};
 
 	return names[verdict];
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -70,6 +70,7 @@
 	if (request->local_fallback)
 		return !aub_placement_upstream_is_cold(upstream,
 						       choice->now_us) &&
+		       !aub_upstream_limit_is_set(&upstream->limit) &&
 		       !was_tried(request, upstream->id);
 	return upstream->state == AUB_PLACEMENT_UPSTREAM_UP &&
 	       !was_tried(request, upstream->id);
@@ -151,10 +152,20 @@
 		       aub_load_trend_mean(trend) * choice->service_time_ms;
 }
 
+/* Returns whether the upstream's own limit on its requests is used up. */
+static bool is_limit_used_up(const struct choice *choice,
+			     const struct aub_placement_upstream *upstream)
+{
+	return aub_upstream_limit_next_grant_us(&upstream->limit) >
+	       choice->now_us;
+}
+
 /* `limit` is aub_placement_upstream_concurrency_limit(). */
 static bool has_room(const struct choice *choice,
 		     const struct aub_placement_upstream *upstream, guint limit)
 {
+	if (is_limit_used_up(choice, upstream))
+		return false;
 	if (aub_placement_upstream_is_cold(upstream, choice->now_us))
 		return upstream->next_cold_grant_us <= choice->now_us &&
 		       upstream->granted < MAX(1, upstream->slots / 2);
@@ -267,6 +278,7 @@
 			aub_placement_get_upstream(placement, i);
 
 		if (is_usable(choice, upstream) &&
+		    !is_limit_used_up(choice, upstream) &&
 		    cost(choice, upstream, stuck[i]) <= LATE_COST)
 			return true;
 	}
@@ -298,7 +310,26 @@
 						     upstream);
 }
 
-static gint choose_by_traffic(const struct choice *choice, guint *usable)
+/* Adds what `upstream` can serve, whether it has room now or not. */
+static void add_capacity(struct aub_placement_capacity *capacity,
+			 const struct aub_placement_upstream *upstream,
+			 guint limit)
+{
+	gint64 next_us;
+
+	if (!aub_upstream_limit_is_set(&upstream->limit)) {
+		capacity->slots += limit;
+		return;
+	}
+	next_us = aub_upstream_limit_next_grant_us(&upstream->limit);
+	if (capacity->limited_per_s <= 0 || next_us < capacity->next_limited_us)
+		capacity->next_limited_us = next_us;
+	capacity->limited_per_s +=
+		aub_upstream_limit_grants_per_s(&upstream->limit);
+}
+
+static gint choose_by_traffic(const struct choice *choice,
+			      struct aub_placement_capacity *capacity)
 {
 	struct aub_placement *placement = choice->placement;
 	guint count = placement->upstreams->len;
@@ -306,7 +337,7 @@
 	double best_cost = INFINITY;
 	gint best = -1;
 
-	*usable = 0;
+	*capacity = (struct aub_placement_capacity){ 0 };
 	find_stuck(placement, stuck, choice->now_us);
 	for (guint n = 0; n < count; n++) {
 		guint i = (n + placement->search_start) % count;
@@ -319,7 +350,7 @@
 			continue;
 		limit = aub_placement_upstream_concurrency_limit(placement,
 								 upstream);
-		*usable += limit;
+		add_capacity(capacity, upstream, limit);
 		if (!has_room(choice, upstream, limit))
 			continue;
 		candidate_cost = canary_cost(choice, upstream, stuck[i]);
@@ -338,9 +369,16 @@
 	return best;
 }
 
+bool aub_placement_capacity_exists(
+	const struct aub_placement_capacity *capacity)
+{
+	return capacity->slots || capacity->limited_per_s > 0;
+}
+
 gint aub_placement_choose(struct aub_placement *placement,
 			  const struct aub_placement_request *request,
-			  gint64 now_us, guint *usable)
+			  gint64 now_us,
+			  struct aub_placement_capacity *capacity)
 {
 	struct choice choice = {
 		.placement = placement,
@@ -360,12 +398,13 @@
 		choice.judging = canary == AUB_CANARY_FIRST;
 		choice.filling = choice.judging &&
 				 aub_rollout_is_filling(&placement->rollout);
-		best = choose_by_traffic(&choice, usable);
-		if (best >= 0 || (canary == AUB_CANARY_ONLY && *usable))
+		best = choose_by_traffic(&choice, capacity);
+		if (best >= 0 || (canary == AUB_CANARY_ONLY &&
+				  aub_placement_capacity_exists(capacity)))
 			return best;
 	}
 	choice.traffic = AUB_VERSION_ACTIVE;
 	choice.judging = false;
 	choice.filling = false;
-	return choose_by_traffic(&choice, usable);
+	return choose_by_traffic(&choice, capacity);
 }
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -51,6 +51,7 @@
 	grant->granted_us = now_us;
 	g_hash_table_replace(placement->grants, &grant->ticket, grant);
 	upstream->granted++;
+	aub_upstream_limit_count_grant(&upstream->limit, now_us);
 	if (grant->cold) {
 		placement->cold_grants++;
 		upstream->next_cold_grant_us =
@@ -62,6 +63,14 @@
 	decision->address = upstream->address;
 }
 
+void aub_placement_begin_placing(struct aub_placement *placement, gint64 now_us)
+{
+	for (guint i = 0; i < placement->upstreams->len; i++)
+		aub_upstream_limit_count_grant(
+			&aub_placement_get_upstream(placement, i)->limit,
+			now_us);
+}
+
 /*
  * Updates the service time of the class, the slowdown by utilization and the
  * slowness of the upstream, each with the effects of the others divided out.
--- a/src/state/placement_probe.c
+++ b/src/state/placement_probe.c
@@ -8,6 +8,8 @@
 /* A cold upstream can handle few requests. */
 #define PROBE_INTERVAL_COLD_US (500 * AUB_US_PER_MS)
 #define PROBE_INTERVAL_DOWN_US (250 * AUB_US_PER_MS)
+/* Requests that a limited upstream is granted for each probe. */
+#define PROBE_LIMITED_GRANTS 2
 /*
  * Multiplied by the number of upstreams of the service, the minimum interval.
  * The processes that probe a service of a thousand upstreams have a fifth of a
@@ -32,6 +34,13 @@
 /* Upper bound of the time from sending a probe to its result here. */
 #define PROBE_AGE_MAX_US (500 * AUB_US_PER_MS)
 
+/* An upstream in need gets fewer probes than requests. */
+static gint64 limited_interval_us(const struct aub_placement_upstream *upstream)
+{
+	return (gint64)(PROBE_LIMITED_GRANTS * G_USEC_PER_SEC /
+			aub_upstream_limit_grants_per_s(&upstream->limit));
+}
+
 static gint64 probe_interval_us(const struct aub_placement *placement,
 				const struct aub_placement_upstream *upstream,
 				gint64 now_us)
@@ -44,6 +53,8 @@
 		base_us = PROBE_INTERVAL_DOWN_US;
 	else if (aub_placement_upstream_is_cold(upstream, now_us))
 		base_us = PROBE_INTERVAL_COLD_US;
+	if (aub_upstream_limit_is_set(&upstream->limit))
+		base_us = MAX(base_us, limited_interval_us(upstream));
 	return MAX(base_us, min_us);
 }
 
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -31,11 +31,24 @@
 
 /* Returns the wait for a slot behind `ahead` other requests, in ms. */
 static guint wait_ms(const struct aub_placement *placement, guint ahead,
-		     guint slots)
+		     const struct aub_placement_capacity *capacity,
+		     gint64 now_us)
 {
-	double us = slot_time_us(placement) * (ahead + 1) / MAX(slots, 1);
+	double per_us = capacity->slots / slot_time_us(placement) +
+			capacity->limited_per_s / G_USEC_PER_SEC;
+	double us = (ahead + 1) / per_us;
+
+	if (!capacity->slots)
+		us = (double)MAX(capacity->next_limited_us - now_us, 0) +
+		     ahead / per_us;
+	return (guint)MIN(us / AUB_US_PER_MS, G_MAXINT);
+}
 
-	return (guint)(us / AUB_US_PER_MS);
+/* Returns the reason for a refusal where the wait would be too long. */
+static enum aub_verdict overload_verdict(
+	const struct aub_placement_capacity *capacity)
+{
+	return capacity->slots ? AUB_VERDICT_OVERLOAD : AUB_VERDICT_LIMITED;
 }
 
 static void refuse(struct aub_placement *placement,
@@ -217,12 +230,12 @@
 			 gint64 now_us, struct aub_placement_decision *decision)
 {
 	guint granted = g_hash_table_size(placement->grants);
-	guint slots;
+	struct aub_placement_capacity capacity;
 
-	(void)aub_placement_choose(placement, request, now_us, &slots);
+	(void)aub_placement_choose(placement, request, now_us, &capacity);
 	refuse(placement, decision, AUB_VERDICT_NO_BUDGET,
 	       RETRY_AFTER_NO_UPSTREAM_MS);
-	if (100 * granted < LOW_UTILIZATION_PERCENT * slots)
+	if (100 * granted < LOW_UTILIZATION_PERCENT * capacity.slots)
 		decision->retry_after_ms = RETRY_AFTER_BUDGET_MS;
 }
 
@@ -258,8 +271,8 @@
 			  gint64 now_us,
 			  struct aub_placement_decision *decision)
 {
+	struct aub_placement_capacity capacity;
 	guint ahead;
-	guint slots;
 	gint index;
 
 	*decision = (struct aub_placement_decision){
@@ -279,13 +292,14 @@
 	}
 	ahead = count_ahead(placement, request->priority,
 			    !request->on_time_wait_ms, now_us);
-	index = aub_placement_choose(placement, request, now_us, &slots);
+	index = aub_placement_choose(placement, request, now_us, &capacity);
 	if (index >= 0 && !ahead) {
 		grant_slot(placement, (guint)index, request, now_us, decision);
 		return;
 	}
-	if (!slots && (request->retry || request->local_fallback ||
-		       !is_any_unknown(placement))) {
+	if (!aub_placement_capacity_exists(&capacity) &&
+	    (request->retry || request->local_fallback ||
+	     !is_any_unknown(placement))) {
 		refuse(placement, decision, AUB_VERDICT_NO_UPSTREAM,
 		       RETRY_AFTER_NO_UPSTREAM_MS);
 		return;
@@ -294,9 +308,11 @@
 	 * Refused on arrival rather than after a wait that is too long to be
 	 * useful.
 	 */
-	if (slots && wait_ms(placement, ahead, slots) > request->max_wait_ms) {
-		refuse(placement, decision, AUB_VERDICT_OVERLOAD,
-		       wait_ms(placement, ahead, slots));
+	if (aub_placement_capacity_exists(&capacity) &&
+	    wait_ms(placement, ahead, &capacity, now_us) >
+		    request->max_wait_ms) {
+		refuse(placement, decision, overload_verdict(&capacity),
+		       wait_ms(placement, ahead, &capacity, now_us));
 		return;
 	}
 	enqueue(placement, request, now_us);
@@ -329,14 +345,14 @@
 {
 	struct aub_queued_request *queued;
 	struct aub_placement_request request;
-	guint slots;
+	struct aub_placement_capacity capacity;
 	gint index;
 
 	if (i < 0)
 		return false;
 	queued = g_ptr_array_index(placement->queue, (guint)i);
 	to_request(queued, now_us, &request);
-	index = aub_placement_choose(placement, &request, now_us, &slots);
+	index = aub_placement_choose(placement, &request, now_us, &capacity);
 	if (index < 0)
 		return false;
 	*decision = (struct aub_placement_decision){
@@ -356,7 +372,7 @@
 		struct aub_queued_request *queued =
 			g_ptr_array_index(placement->queue, i);
 		struct aub_placement_request request;
-		guint slots;
+		struct aub_placement_capacity capacity;
 
 		if (queued->expires_us > now_us)
 			continue;
@@ -365,11 +381,12 @@
 			.ticket = request.ticket,
 			.holder = request.holder,
 		};
-		(void)aub_placement_choose(placement, &request, now_us, &slots);
-		if (slots)
-			refuse(placement, decision, AUB_VERDICT_OVERLOAD,
+		(void)aub_placement_choose(placement, &request, now_us,
+					   &capacity);
+		if (aub_placement_capacity_exists(&capacity))
+			refuse(placement, decision, overload_verdict(&capacity),
 			       wait_ms(placement, placement->queue->len,
-				       slots));
+				       &capacity, now_us));
 		else
 			refuse(placement, decision, AUB_VERDICT_NO_UPSTREAM,
 			       RETRY_AFTER_NO_UPSTREAM_MS);
--- a/tests/test_placement_probe.cc
+++ b/tests/test_placement_probe.cc
@@ -114,6 +114,31 @@
 	}
 }
 
+/* Guards against probes that an upstream in need has no room for. */
+TEST(PlacementProbe, ProbesLimitedUpstreamLessOften)
+{
+	PlacementFixture fixture;
+	struct aub_load load = AUB_LOAD_UNKNOWN;
+	struct aub_probe probe;
+	int probes = 0;
+
+	fixture.add_healthy("u1");
+	load.limit = AUB_LIMIT_NAMED;
+	load.limit_per_1000_s = 1000;
+	aub_placement_observe_answer(fixture.placement, "u1", &load,
+				     fixture.now_us, fixture.now_us);
+	for (int ms = 0; ms < 16000; ms += 25) {
+		fixture.now_us += 25 * US_PER_MS;
+		if (!aub_placement_probe_next(fixture.placement, NULL,
+					      fixture.now_us, &probe))
+			continue;
+		probes++;
+		fixture.finish_probe("u1");
+	}
+	EXPECT_GE(probes, 4);
+	EXPECT_LE(probes, 16);
+}
+
 TEST(PlacementProbe, ProbesHealthyUpstreamsWhenManyAreUnresponsive)
 {
 	/*
--- a/tests/test_upstream_limit.cc
+++ b/tests/test_upstream_limit.cc
@@ -104,3 +104,64 @@
 	ASSERT_TRUE(aub_upstream_limit_take_change(&limit, &was));
 	EXPECT_FALSE(aub_upstream_limit_take_change(&limit, &was));
 }
+
+TEST_F(UpstreamLimitTest, NewerStatementApplies)
+{
+	struct aub_limit_statement statement = { 1000, 3000 };
+	gint64 now = 10 * SECOND;
+
+	/* Older than this process: its clock may have started later. */
+	aub_upstream_limit_merge(&limit, &statement, 2 * SECOND);
+	EXPECT_EQ(limit.per_1000_s, 1000u);
+	statement = { AUB_LIMIT_NONE, 9000 };
+	aub_upstream_limit_merge(&limit, &statement, 2 * SECOND);
+	EXPECT_EQ(limit.per_1000_s, 1000u);
+	statement = { AUB_LIMIT_NONE, 1000 };
+	aub_upstream_limit_merge(&limit, &statement, now);
+	EXPECT_FALSE(aub_upstream_limit_is_set(&limit));
+	statement = { 500, 4000 };
+	aub_upstream_limit_merge(&limit, &statement, now);
+	EXPECT_FALSE(aub_upstream_limit_is_set(&limit));
+	statement = { 500, 100 };
+	aub_upstream_limit_merge(&limit, &statement, now);
+	EXPECT_EQ(limit.per_1000_s, 500u);
+	statement = { 500, G_MAXUINT32 };
+	aub_upstream_limit_merge(&limit, &statement, now);
+	EXPECT_EQ(limit.named_us, now - SECOND / 10);
+}
+
+TEST_F(UpstreamLimitTest, TellsLimitsAndThoseLiftedRecently)
+{
+	struct aub_limit_statement statement;
+
+	EXPECT_FALSE(
+		aub_upstream_limit_get_statement(&limit, SECOND, &statement));
+	name(1000, 1, 2);
+	ASSERT_TRUE(aub_upstream_limit_get_statement(&limit, 90 * SECOND,
+						     &statement));
+	EXPECT_EQ(statement.per_1000_s, 1000u);
+	EXPECT_EQ(statement.age_ms, 88000u);
+	name_none(100, 101);
+	ASSERT_TRUE(aub_upstream_limit_get_statement(&limit, 102 * SECOND,
+						     &statement));
+	EXPECT_EQ(statement.per_1000_s, AUB_LIMIT_NONE);
+	EXPECT_EQ(statement.age_ms, 2000u);
+	EXPECT_FALSE(aub_upstream_limit_get_statement(&limit, 110 * SECOND,
+						      &statement));
+}
+
+TEST_F(UpstreamLimitTest, SpreadsGrantsOverTime)
+{
+	aub_upstream_limit_count_grant(&limit, 10 * SECOND);
+	EXPECT_LT(aub_upstream_limit_next_grant_us(&limit), 10 * SECOND);
+	name(2000, 1, 2);
+	EXPECT_EQ(aub_upstream_limit_next_grant_us(&limit),
+		  10 * SECOND + 666666);
+	name(0, 1, 2);
+	EXPECT_EQ(aub_upstream_limit_next_grant_us(&limit), 14 * SECOND);
+	EXPECT_DOUBLE_EQ(aub_upstream_limit_grants_per_s(&limit), 0.25);
+	name(1, 3, 4);
+	EXPECT_EQ(aub_upstream_limit_next_grant_us(&limit), 14 * SECOND);
+	name(1000000000, 5, 6);
+	EXPECT_EQ(aub_upstream_limit_next_grant_us(&limit), 10 * SECOND + 1);
+}
