Read and log the rest that an upstream asks a gateway for

A 503 of an upstream may say for how long it wants nothing from this gateway. Now the line upstream-rest does, with the request or probe that was answered, and auburnstile_upstreams{state="resting"} counts the upstreams that this gateway is asked to leave alone. No decision uses it yet.

--- a/include/auburnstile/internal/http_client.h
+++ b/include/auburnstile/internal/http_client.h
@@ -44,6 +44,13 @@
 	bool is_head; /* the response has no body */
 };
 
+/*
+ * Returns how long, in us, the peer asks not to be called: Retry-After (RFC
+ * 9110, 10.2.3) of an answer with status 503, in seconds. 0 if there is none or
+ * it is in another notation; longer times than an hour count as one hour.
+ */
+gint64 aub_http_head_retry_after_us(const struct aub_http_head *head);
+
 struct aub_http_client *aub_http_client_new(struct aub_poller *poller,
 					    struct aub_timer_service *timers);
 void aub_http_client_free(struct aub_http_client *client);
--- a/include/auburnstile/internal/http_stream.h
+++ b/include/auburnstile/internal/http_stream.h
@@ -39,6 +39,12 @@
 const char *aub_http_head_find(const struct aub_http_head *head,
 			       const char *name);
 guint aub_http_head_count(const struct aub_http_head *head, const char *name);
+/*
+ * Reads a number of digits with an optional fraction. Returns false if the
+ * header is absent, repeated or in any other notation.
+ */
+bool aub_http_head_decimal(const struct aub_http_head *head, const char *name,
+			   double *value);
 
 enum aub_stream_end_reason {
 	AUB_STREAM_EOF, /* the peer closed the connection */
--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -181,6 +181,13 @@
 				  const char *id, const struct aub_load *load,
 				  gint64 sent_us, gint64 now_us);
 
+/*
+ * Records that upstream `id` asked this process, and no other, to send it
+ * nothing for `rest_us`.
+ */
+void aub_placement_begin_rest(struct aub_placement *placement, const char *id,
+			      gint64 rest_us, gint64 now_us);
+
 /* A statement of a limit, for other processes. */
 struct aub_named_limit {
 	const char *upstream; /* borrowed */
@@ -299,6 +306,7 @@
 	guint cold; /* of those that are up */
 	guint draining; /* including those in a zone that is out */
 	guint limited; /* those that name a limit, of all registered */
+	guint resting; /* those that asked this process for rest */
 	guint withheld; /* of a version that gets no requests */
 	guint granted;
 	guint queued;
--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -67,6 +67,8 @@
 	struct aub_load load; /* last reported */
 	gint64 load_us; /* when it was reported; 0: never */
 	struct aub_upstream_limit limit; /* named by its answers */
+	/* it asked this process to send nothing until then */
+	gint64 rest_until_us;
 	gint64 full_until_us; /* it refused a request: full until this time */
 	double slowness; /* actual over expected response time, smoothed */
 	double failures; /* share of its responses that failed, smoothed */
--- a/include/auburnstile/internal/placer.h
+++ b/include/auburnstile/internal/placer.h
@@ -104,6 +104,7 @@
 	const char *request_id; /* for the log */
 	struct aub_load load;
 	gint64 sent_us; /* when the request was sent */
+	gint64 rest_us; /* it asks this gateway for so much rest; 0: none */
 };
 /*
  * Applies what the head of an answer says of its upstream to this gateway's own
--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -144,6 +144,14 @@
 void aub_placer_log_limit(struct aub_placement *placement, const char *upstream,
 			  const char *source, const char *id);
 
+/*
+ * Records and logs that an upstream asked this gateway for rest. `request_id`
+ * is NULL if it answered a probe.
+ */
+void aub_placer_begin_rest(struct aub_placer *placer, const char *service,
+			   const char *upstream, gint64 rest_us,
+			   const char *request_id);
+
 /* Statements about upstreams of a service in one message. */
 #define AUB_NOTICES_MAX 512
 /* Appends what is known here of the limits of the service's upstreams. */
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -104,14 +104,15 @@
 	gateway->options.platform->decode_load(head, &attempt->load);
 	if (attempt->not_run && attempt->load.limit == AUB_LIMIT_NOT_NAMED)
 		attempt->load.limit = AUB_LIMIT_UNKNOWN;
-	aub_placer_observe_answer(gateway->options.placer,
-				  attempt->request->service,
-				  &(struct aub_upstream_answer){
-					  .upstream = attempt->upstream,
-					  .request_id = attempt->request->id,
-					  .load = attempt->load,
-					  .sent_us = attempt->sent_us,
-				  });
+	aub_placer_observe_answer(
+		gateway->options.placer, attempt->request->service,
+		&(struct aub_upstream_answer){
+			.upstream = attempt->upstream,
+			.request_id = attempt->request->id,
+			.load = attempt->load,
+			.sent_us = attempt->sent_us,
+			.rest_us = aub_http_head_retry_after_us(head),
+		});
 }
 
 static void on_head(const struct aub_http_head *head, void *context)
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -184,6 +184,7 @@
 	export_upstreams(node, service, "unknown", state->unknown);
 	export_upstreams(node, service, "cold", state->cold);
 	export_upstreams(node, service, "limited", state->limited);
+	export_upstreams(node, service, "resting", state->resting);
 	export_upstreams(node, service, "leaving", state->draining);
 	export_upstreams(node, service, "held", state->withheld);
 	set_service_series(node, false, "auburnstile_queued", service,
--- a/src/coordination/placer_notices.c
+++ b/src/coordination/placer_notices.c
@@ -27,6 +27,24 @@
 	aub_log_end();
 }
 
+void aub_placer_begin_rest(struct aub_placer *placer, const char *service,
+			   const char *upstream, gint64 rest_us,
+			   const char *request_id)
+{
+	if (rest_us <= 0)
+		return;
+	aub_placement_begin_rest(aub_placer_placement(placer, service),
+				 upstream, rest_us,
+				 aub_timer_now(placer->options.timers));
+	aub_log_begin(AUB_LOG_UPSTREAM_REST);
+	aub_log_text("upstream", upstream);
+	aub_log_text("service", service);
+	aub_log_number("ms", rest_us / AUB_MS);
+	aub_log_text("source", request_id ? "answer" : "probe");
+	aub_log_text("id", request_id);
+	aub_log_end();
+}
+
 void aub_placer_observe_answer(struct aub_placer *placer, const char *service,
 			       const struct aub_upstream_answer *answer)
 {
@@ -37,6 +55,8 @@
 				     aub_timer_now(placer->options.timers));
 	aub_placer_log_limit(placement, answer->upstream, "answer",
 			     answer->request_id);
+	aub_placer_begin_rest(placer, service, answer->upstream,
+			      answer->rest_us, answer->request_id);
 }
 
 void aub_placer_append_limits(struct aub_placer *placer, const char *service,
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -158,8 +158,13 @@
 	struct aub_load load = AUB_LOAD_UNKNOWN;
 	const char *health_before;
 
-	if (head)
+	if (head) {
 		placer->options.platform->decode_load(head, &load);
+		if (result != AUB_PROBE_WRONG_UPSTREAM)
+			aub_placer_begin_rest(
+				placer, probe->service, probe->upstream,
+				aub_http_head_retry_after_us(head), NULL);
+	}
 	health_before = aub_placement_health_name(placement, probe->upstream);
 	aub_placement_probe_finished(placement, probe->upstream, result, &load,
 				     aub_timer_now(placer->options.timers));
--- a/src/core/decision_log.c
+++ b/src/core/decision_log.c
@@ -57,6 +57,8 @@
 			     "a probe changed the state of an upstream" },
 	[AUB_LOG_UPSTREAM_LIMIT] = { "upstream-limit", AUB_LOG_STATE,
 				     "an upstream names, changes or lifts a limit on its requests" },
+	[AUB_LOG_UPSTREAM_REST] = { "upstream-rest", AUB_LOG_STATE,
+				    "an upstream asks this gateway to send it nothing for a time" },
 	[AUB_LOG_ROLLOUT] = { "rollout", AUB_LOG_STATE,
 			      "an order to change versions is another one, or further" },
 	[AUB_LOG_ROLLOUT_STORED] = { "rollout-stored", AUB_LOG_STATE,
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -257,6 +257,7 @@
 		if (index >= 0)
 			upstream->started_us = now_us;
 		aub_upstream_limit_init(&upstream->limit);
+		upstream->rest_until_us = 0;
 	}
 	replace_string(&upstream->address, record->address);
 	replace_string(&upstream->zone, record->zone);
@@ -355,6 +356,25 @@
 			load, sent_us, now_us);
 }
 
+static bool is_resting(const struct aub_placement_upstream *upstream,
+		       gint64 now_us)
+{
+	return upstream->rest_until_us > now_us;
+}
+
+void aub_placement_begin_rest(struct aub_placement *placement, const char *id,
+			      gint64 rest_us, gint64 now_us)
+{
+	gint index = aub_placement_find_upstream(placement, id);
+	struct aub_placement_upstream *upstream;
+
+	if (index < 0)
+		return;
+	upstream = aub_placement_get_upstream(placement, (guint)index);
+	upstream->rest_until_us =
+		MAX(upstream->rest_until_us, now_us + rest_us);
+}
+
 guint aub_placement_list_limits(const struct aub_placement *placement,
 				struct aub_named_limit *list, guint limit,
 				gint64 now_us)
@@ -531,6 +551,7 @@
 		if (upstream->state == AUB_PLACEMENT_UPSTREAM_UP &&
 		    aub_placement_upstream_is_cold(upstream, now_us))
 			stats->cold++;
+		stats->resting += is_resting(upstream, now_us);
 		stats->limited += aub_upstream_limit_is_set(&upstream->limit);
 	}
 }
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -15,6 +15,7 @@
 #define KEEP_ALIVE_DEFAULT_US (8 * AUB_SECOND)
 #define KEEP_ALIVE_FRACTION 0.7 /* of the idle limit sent by the peer */
 #define POOLED_PER_KEY_MAX 32
+#define RETRY_AFTER_MAX_S 3600.0
 
 struct aub_http_client {
 	struct aub_poller *poller;
@@ -94,6 +95,16 @@
 	g_queue_free(queue);
 }
 
+gint64 aub_http_head_retry_after_us(const struct aub_http_head *head)
+{
+	double seconds;
+
+	if (head->status != HTTP_STATUS_SERVICE_UNAVAILABLE ||
+	    !aub_http_head_decimal(head, "Retry-After", &seconds))
+		return 0;
+	return (gint64)(MIN(seconds, RETRY_AFTER_MAX_S) * AUB_SECOND);
+}
+
 struct aub_http_client *aub_http_client_new(struct aub_poller *poller,
 					    struct aub_timer_service *timers)
 {
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -78,6 +78,32 @@
 	return count;
 }
 
+static gsize count_digits(const char *text)
+{
+	return strspn(text, "0123456789");
+}
+
+bool aub_http_head_decimal(const struct aub_http_head *head, const char *name,
+			   double *value)
+{
+	const char *text = aub_http_head_find(head, name);
+	gsize digits = text ? count_digits(text) : 0;
+
+	if (!digits || aub_http_head_count(head, name) > 1)
+		return false;
+	if (text[digits] == '.') {
+		gsize fraction = count_digits(text + digits + 1);
+
+		if (!fraction)
+			return false;
+		digits += 1 + fraction;
+	}
+	if (text[digits])
+		return false;
+	*value = g_ascii_strtod(text, NULL);
+	return true;
+}
+
 static int on_message_begin(http_parser *parser)
 {
 	struct aub_http_stream *stream = parser->data;
--- a/tests/test_http_stream.cc
+++ b/tests/test_http_stream.cc
@@ -192,3 +192,34 @@
 	}
 	g_rand_free(random);
 }
+
+static gint64 retry_after_us(guint status, std::vector<const char *> values)
+{
+	struct aub_http_head head = {};
+
+	head.status = status;
+	head.headers =
+		g_array_new(FALSE, FALSE, sizeof(struct aub_http_header));
+	for (const char *value : values) {
+		struct aub_http_header header = { "retry-after", value };
+
+		g_array_append_val(head.headers, header);
+	}
+	gint64 us = aub_http_head_retry_after_us(&head);
+	g_array_unref(head.headers);
+	return us;
+}
+
+TEST(HttpHead, ReadsRetryAfterOfRefusals)
+{
+	EXPECT_EQ(retry_after_us(503, { "3" }), 3000000);
+	EXPECT_EQ(retry_after_us(503, { "0.25" }), 250000);
+	EXPECT_EQ(retry_after_us(200, { "3" }), 0);
+	EXPECT_EQ(retry_after_us(503, {}), 0);
+	EXPECT_EQ(retry_after_us(503, { "3", "4" }), 0);
+	EXPECT_EQ(retry_after_us(503, { std::string(400, '9').c_str() }),
+		  3600 * AUB_SECOND);
+	for (const char *unreadable : { "", "soon", "-1", "1e9", "nan", "1,5",
+					"3s", "Fri, 31 Dec 1999 23:59:59 GMT" })
+		EXPECT_EQ(retry_after_us(503, { unreadable }), 0) << unreadable;
+}
--- a/tools/platform/upstream.c
+++ b/tools/platform/upstream.c
@@ -25,6 +25,7 @@
 	guint warmup_ms;
 	char *limit; /* value of Server-Limit; NULL: none */
 	bool limit_in_probes;
+	char *retry_after; /* value of Retry-After with 503; NULL: none */
 	guint arrivals;
 	guint runs;
 	guint cancelled;
@@ -159,6 +160,9 @@
 		     "HTTP/1.1 %u X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n",
 		     status, connection->request_id);
 	write_notices(connection);
+	if (status == 503 && connection->upstream->retry_after)
+		write_format(connection, "Retry-After: %s\r\n",
+			     connection->upstream->retry_after);
 	write_format(connection, "Content-Length: 0\r\n\r\n");
 }
 
@@ -437,6 +441,7 @@
 	g_hash_table_unref(upstream->headers);
 	g_free(upstream->address);
 	g_free(upstream->limit);
+	g_free(upstream->retry_after);
 	g_free(upstream->id);
 	g_free(upstream);
 }
@@ -491,6 +496,15 @@
 	upstream->limit_in_probes = in_probes;
 }
 
+void platform_upstream_set_retry_after(struct platform_upstream *upstream,
+				       const char *text)
+{
+	char *copy = g_strdup(text);
+
+	g_free(upstream->retry_after);
+	upstream->retry_after = copy;
+}
+
 void platform_upstream_set_down(struct platform_upstream *upstream, bool down)
 {
 	if (down) {
--- a/tools/platform/upstream.h
+++ b/tools/platform/upstream.h
@@ -63,6 +63,12 @@
  */
 void platform_upstream_set_limit(struct platform_upstream *upstream,
 				 const char *text, bool in_probes);
+/*
+ * Sets Retry-After in answers with 503. The text is sent as it is; NULL omits
+ * the header.
+ */
+void platform_upstream_set_retry_after(struct platform_upstream *upstream,
+				       const char *text);
 /*
  * Closes all connections and refuses new ones, as after a crash, or accepts
  * connections again.
