tests: requests to an upstream that asked a gateway for rest

In PlacerNoticesTest gateways send at random: with two idle upstreams a placer prefers the one that was probed last, so that a fixed rhythm sent each gateway to the same one.

--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -339,6 +339,23 @@
 	}
 }
 
+/* Guards against full load on an upstream that turns cold unseen. */
+TEST(Placement, GrantsNothingAtRestingUpstreamWithoutRecentProbe)
+{
+	PlacementFixture fixture;
+
+	fixture.add_healthy("u1");
+	aub_placement_begin_rest(fixture.placement, "u1", 3000 * US_PER_MS,
+				 fixture.now_us);
+	EXPECT_EQ(fixture.submit().verdict, AUB_VERDICT_GRANTED);
+	fixture.now_us += 1000 * US_PER_MS;
+	EXPECT_NE(fixture.submit().verdict, AUB_VERDICT_GRANTED);
+	struct aub_load load = { 0, 0, 2, 100, -1 };
+	aub_placement_probe_received(fixture.placement, "u1", AUB_PROBE_HEALTHY,
+				     &load, fixture.now_us);
+	EXPECT_EQ(fixture.submit().verdict, AUB_VERDICT_GRANTED);
+}
+
 TEST(Placement, RestartedUpstreamIsUnknownAgain)
 {
 	PlacementFixture fixture;
--- a/tests/test_placer_notices.cc
+++ b/tests/test_placer_notices.cc
@@ -1,14 +1,28 @@
 /*
- * What upstreams say of themselves, kept by several gateways together: limits
- * on their requests.
+ * What upstreams say of themselves, kept by several gateways: limits on their
+ * requests, and rest.
  */
 #include "placer_fixture.h"
 
+#include <random>
+
 #define LIMIT_WINDOW_US (4 * AUB_SECOND)
 
 /* The requests that reached one upstream. */
 struct Arrivals {
 	std::vector<gint64> times_us;
+	std::vector<TestGateway *> senders;
+
+	/* Returns the number from `sender` since `after_us`. */
+	int count_from(const TestGateway *sender, gint64 after_us) const
+	{
+		int count = 0;
+
+		for (size_t i = 0; i < times_us.size(); i++)
+			count +=
+				senders[i] == sender && times_us[i] >= after_us;
+		return count;
+	}
 
 	/* Returns the largest number within a window of `LIMIT_WINDOW_US`. */
 	size_t max_in_window(gint64 after_us) const
@@ -41,7 +55,10 @@
 	std::map<std::string, Arrivals> arrivals;
 	/* what the answers of an upstream say of it */
 	std::map<std::string, struct aub_load> loads;
+	/* the rest that an upstream asks a gateway for */
+	std::map<std::pair<std::string, TestGateway *>, gint64> rests_us;
 	std::vector<std::unique_ptr<Attempt>> attempts;
+	std::mt19937 random;
 	guint served = 0;
 	guint refused = 0;
 
@@ -81,6 +98,8 @@
 			.request_id = "r",
 			.load = loads[attempt.result.upstream],
 			.sent_us = attempt.sent_us,
+			.rest_us = rests_us[{ attempt.result.upstream,
+					      attempt.gateway }],
 		};
 		struct aub_placer *placer = attempt.gateway->placer;
 
@@ -101,10 +120,13 @@
 			if (attempt.result.done && !attempt.sent_us) {
 				attempt.sent_us = now;
 				if (attempt.result.verdict ==
-				    AUB_VERDICT_GRANTED)
-					arrivals[attempt.result.upstream]
-						.times_us.push_back(now);
-				else {
+				    AUB_VERDICT_GRANTED) {
+					Arrivals &seen =
+						arrivals[attempt.result
+								 .upstream];
+					seen.times_us.push_back(now);
+					seen.senders.push_back(attempt.gateway);
+				} else {
 					refused++;
 					ended = true;
 				}
@@ -119,31 +141,45 @@
 				i++;
 		}
 	}
-	/* All gateways send a request every `period_ms` for `ms`. */
-	void send_requests(int ms, int period_ms = 20)
+	void send_request(TestGateway *gateway)
+	{
+		attempts.emplace_back(new Attempt);
+		attempts.back()->gateway = gateway;
+		request_placement(*gateway, &attempts.back()->result, 200);
+	}
+	/* Each gateway sends up to two requests every 20 ms, for `ms`. */
+	void send_requests(int ms)
 	{
 		gint64 end_us = aub_timer_now(timers) + ms * AUB_MS;
 		gint64 next_us = 0;
 
 		while (aub_timer_now(timers) < end_us) {
 			if (aub_timer_now(timers) >= next_us) {
-				next_us = aub_timer_now(timers) +
-					  period_ms * AUB_MS;
-				for (auto &gateway : gateways) {
-					if (!gateway->placer)
-						continue;
-					attempts.emplace_back(new Attempt);
-					attempts.back()->gateway =
-						gateway.get();
-					request_placement(
-						*gateway,
-						&attempts.back()->result, 200);
-				}
+				next_us = aub_timer_now(timers) + 20 * AUB_MS;
+				for (auto &gateway : gateways)
+					for (guint n = random() % 3; n; n--)
+						send_request(gateway.get());
 			}
 			advance_attempts();
 			run_for(2);
 		}
 	}
+	/* Upstream u1 asks `gateway` for rest at its next answer, once. */
+	void ask_for_rest(TestGateway *gateway, gint64 rest_us)
+	{
+		size_t before = (size_t)arrivals["u1"].count_from(gateway, 0);
+
+		rests_us[{ "u1", gateway }] = rest_us;
+		ASSERT_TRUE(run_until(
+			[&] {
+				send_requests(20);
+				return (size_t)arrivals["u1"].count_from(
+					       gateway, 0) > before;
+			},
+			3000));
+		send_requests(30);
+		rests_us.clear();
+	}
 	void TearDown() override
 	{
 		run_for(300);
@@ -221,3 +257,74 @@
 	send_requests(500);
 	EXPECT_GE(arrivals["u1"].times_us.size(), before + 5);
 }
+
+/* Guards against requests in the time that an upstream wants none. */
+TEST_F(PlacerNoticesTest, LeavesUpstreamAloneThatAskedForRest)
+{
+	start_with_two_upstreams({ "a", "b", "c" });
+	TestGateway *placer = find_placer();
+	TestGateway *told = other_gateway(placer);
+
+	for (TestGateway *gateway : { told, placer }) {
+		ask_for_rest(gateway, 2 * AUB_SECOND);
+		gint64 told_us = aub_timer_now(timers);
+		send_requests(1800);
+		EXPECT_EQ(arrivals["u1"].count_from(gateway, told_us), 0);
+		EXPECT_EQ(refused, 0u);
+		gint64 rested_us = aub_timer_now(timers);
+		send_requests(2000);
+		EXPECT_GE(arrivals["u1"].count_from(gateway, rested_us), 5);
+	}
+}
+
+/* Guards against a rest that only the placer knew, or only the gateway. */
+TEST_F(PlacerNoticesTest, LeavesRestingUpstreamAloneWhilePlacersChange)
+{
+	start_with_two_upstreams({ "a", "b", "c" });
+	TestGateway *placer = find_placer();
+	TestGateway *told = other_gateway(placer);
+
+	ask_for_rest(told, 5 * AUB_SECOND);
+	gint64 told_us = aub_timer_now(timers);
+	for (auto &gateway : gateways) {
+		gateway->drops_messages = true;
+		send_requests(700);
+		gateway->drops_messages = false;
+		send_requests(700);
+	}
+	EXPECT_EQ(arrivals["u1"].count_from(told, told_us), 0);
+	EXPECT_GE(arrivals["u2"].count_from(told, told_us), 50);
+}
+
+/* Guards against a grant to a queued request after its gateway was told. */
+TEST_F(PlacerNoticesTest, ReturnsGrantOfUpstreamThatAskedForRestMeanwhile)
+{
+	PlacementResult running[2];
+	PlacementResult queued;
+
+	start_all({ "a", "b" });
+	TestGateway *placer = find_placer();
+	TestGateway *told = other_gateway(placer);
+	for (PlacementResult &result : running) {
+		request_placement(*told, &result, 2000);
+		ASSERT_TRUE(run_until([&] { return result.done; }, 1000));
+	}
+	request_placement(*told, &queued, 2000);
+	run_for(100);
+	ASSERT_FALSE(queued.done);
+	const struct aub_upstream_answer answer = {
+		.upstream = "u1",
+		.request_id = "r",
+		.load = AUB_LOAD_UNKNOWN,
+		.sent_us = aub_timer_now(timers),
+		.rest_us = 3 * AUB_SECOND,
+	};
+	aub_placer_observe_answer(told->placer, "svc", &answer);
+	for (PlacementResult &result : running)
+		aub_placer_report(told->placer, result.ticket,
+				  AUB_GRANT_REFUSED, 5000, NULL);
+	ASSERT_TRUE(run_until([&] { return queued.done; }, 3000));
+	EXPECT_EQ(queued.verdict, AUB_VERDICT_NO_UPSTREAM);
+	EXPECT_GE(queued.retry_after_ms, 1500u);
+	EXPECT_LE(queued.retry_after_ms, 3000u);
+}
