placer: leave an upstream alone that asks for rest

Callers saw nothing; an upstream that had answered a gateway with 503 and Retry-After 3 got a third request from it within these 3 s.

After a refusal the placer takes the upstream for full for 50 ms and its failure rate rises, for all gateways alike; when that has fallen again the gateway's next request may be granted it. Ruled out: a time that is counted wrongly (none was), and a gateway that knows without the placer: no gateway knew. The class of fault: what an upstream says to one gateway is reduced to a figure that all share and that fades by itself.

The gateway that was told is the owner: the rest binds it alone. It leaves such upstreams out of each placement request, whoever places, and returns a grant of one, as it does with leaving upstreams; that covers retries, local fallback, queued requests and a second or new placer. Its probes stop too. A placer that may not probe an upstream grants it to others only on the results of another gateway's probes: otherwise nobody would see it turn cold. Where nothing else is left, the caller is told when the first rest ends.

The list of upstreams to avoid in a placement request may be as long as a service has upstreams.

--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -102,11 +102,12 @@
 				const char *zone, bool out, gint64 now_us);
 
 /*
- * Returns whether new requests may be sent to `id`. False for an upstream that
- * is not registered here: it may have departed before this process started.
+ * Returns whether this process may send new requests to `id`. False for an
+ * upstream that is not registered here: it may have departed before this
+ * process started.
  */
 bool aub_placement_may_send(const struct aub_placement *placement,
-			    const char *id);
+			    const char *id, gint64 now_us);
 
 /*
  * Enables rollout orders within `limits`. Until
@@ -188,6 +189,15 @@
 void aub_placement_begin_rest(struct aub_placement *placement, const char *id,
 			      gint64 rest_us, gint64 now_us);
 
+/*
+ * Returns the number of upstreams that want no requests of this process at
+ * present. If there are any, sets `first_end_us` to the first end of a rest and
+ * appends their ids, borrowed, to `ids`, which may be NULL.
+ */
+guint aub_placement_list_resting(const struct aub_placement *placement,
+				 GPtrArray *ids, gint64 *first_end_us,
+				 gint64 now_us);
+
 /* A statement of a limit, for other processes. */
 struct aub_named_limit {
 	const char *upstream; /* borrowed */
--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -78,6 +78,7 @@
 	bool unhealthy; /* reported by its last probe */
 	guint failed_probes; /* consecutive ones without a response */
 	gint64 next_probe_us;
+	gint64 probed_us; /* time of its last response to a probe */
 };
 
 struct aub_grant {
@@ -150,6 +151,8 @@
 					struct aub_placement_upstream *upstream,
 					const struct aub_load *load,
 					gint64 now_us);
+bool aub_placement_upstream_is_resting(
+	const struct aub_placement_upstream *upstream, gint64 now_us);
 /* See aub_placement_observe_answer(). */
 void aub_placement_upstream_observe_answer(
 	struct aub_placement_upstream *upstream, const struct aub_load *load,
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -22,6 +22,9 @@
 #define SUSPICION_INITIAL_US (1000 * AUB_MS)
 #define SUSPICION_MAX_US (8000 * AUB_MS)
 
+/* Other gateways may not have been asked for so long a rest. */
+#define REST_RETRY_AFTER_MAX_MS 5000
+
 /* Odd, so that the tickets of an incarnation differ for 2^64 requests. */
 #define TICKET_STEP G_GUINT64_CONSTANT(0x9E3779B97F4A7C15)
 
@@ -67,9 +70,10 @@
 
 /*
  * If the placer doesn't know yet that an upstream or a zone is leaving and this
- * process does, the upstream would get new requests for too long. A grant that
- * is known here to be stale is returned, and the request is placed again
- * without that upstream.
+ * process does, the upstream would get new requests for too long; and a queued
+ * request may be granted an upstream that has asked this process for rest
+ * since. A grant that is known here to be stale is returned, and the request is
+ * placed again without that upstream.
  */
 static bool reject_stale_grant(struct aub_placer *placer,
 			       struct aub_ticket *ticket,
@@ -85,7 +89,8 @@
 	if (decision->verdict != AUB_VERDICT_GRANTED ||
 	    aub_placement_may_send(aub_placer_placement(placer,
 							ticket->service),
-				   decision->upstream))
+				   decision->upstream,
+				   aub_timer_now(placer->options.timers)))
 		return false;
 	g_ptr_array_add(ticket->avoid, g_strdup(decision->upstream));
 	ticket->granted_by = from;
@@ -95,6 +100,27 @@
 	return true;
 }
 
+/*
+ * Returns when the caller may come back. If no upstream is left because some
+ * want rest, that is when the first rest ends.
+ */
+static guint retry_after_ms(struct aub_placer *placer,
+			    const struct aub_ticket *ticket,
+			    const struct aub_placement_decision *decision)
+{
+	gint64 now = aub_timer_now(placer->options.timers);
+	gint64 end_us;
+
+	if (decision->verdict != AUB_VERDICT_NO_UPSTREAM ||
+	    !aub_placement_list_resting(aub_placer_placement(placer,
+							     ticket->service),
+					NULL, &end_us, now))
+		return decision->retry_after_ms;
+	return MAX(decision->retry_after_ms,
+		   (guint)MIN((end_us - now) / AUB_MS,
+			      REST_RETRY_AFTER_MAX_MS));
+}
+
 void aub_ticket_resolve(struct aub_placer *placer, struct aub_ticket *ticket,
 			const struct aub_placement_decision *decision,
 			guint64 from)
@@ -106,7 +132,7 @@
 		.verdict = decision->verdict,
 		.upstream = decision->upstream,
 		.address = decision->address,
-		.retry_after_ms = decision->retry_after_ms,
+		.retry_after_ms = retry_after_ms(placer, ticket, decision),
 		.placer = peer_name(placer, from),
 		.waited_us = now - ticket->start_us,
 	};
@@ -215,6 +241,26 @@
 	       !aub_placer_first_replies_are_due(placer, now_us);
 }
 
+/* Excludes upstreams that asked this process for rest, whoever places. */
+static void avoid_resting(struct aub_placer *placer, struct aub_ticket *ticket)
+{
+	GPtrArray *resting = g_ptr_array_new();
+	gint64 end_us;
+
+	aub_placement_list_resting(aub_placer_placement(placer,
+							ticket->service),
+				   resting, &end_us,
+				   aub_timer_now(placer->options.timers));
+	for (guint i = 0; i < resting->len; i++) {
+		const char *id = g_ptr_array_index(resting, i);
+
+		if (!g_ptr_array_find_with_equal_func(ticket->avoid, id,
+						      g_str_equal, NULL))
+			g_ptr_array_add(ticket->avoid, g_strdup(id));
+	}
+	g_ptr_array_unref(resting);
+}
+
 /* Sends the request to the next placer; places locally if there is none. */
 static void ticket_request(struct aub_placer *placer, struct aub_ticket *ticket)
 {
@@ -222,6 +268,7 @@
 	struct aub_peer *peer = next_placer(placer, ticket);
 
 	ticket->queued = false;
+	avoid_resting(placer, ticket);
 	if (must_wait_for_startup(placer, peer, now)) {
 		ticket->next_action_us = now + AUB_STARTUP_CHECK_PERIOD_US;
 		return;
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -19,7 +19,6 @@
 #define UPSTREAMS_MAX 4096 /* per service */
 #define KEYS_PER_PART_MAX 4096 /* see struct aub_keys */
 #define CRASHES_MAX 1024
-#define ATTEMPTS_MAX 64 /* upstreams tried for one request */
 #define OUTSTANDING_MAX 4096 /* requests per service and gateway */
 #define OBJECT_BYTES_MAX (1u << 20) /* the store's limit of 1 MiB */
 #define ROUTES_MAX 64 /* per service, in rollout evidence */
@@ -392,7 +391,7 @@
 	BOOL(aub_place_request, retry),
 	BOOL(aub_place_request, forward),
 	STRING(aub_place_request, address, ADDRESS_BYTES_MAX),
-	LIST(aub_place_request, avoid, ATTEMPTS_MAX, &aubi_name_layout),
+	LIST(aub_place_request, avoid, UPSTREAMS_MAX, &aubi_name_layout),
 	LIST(aub_place_request, limits, UPSTREAMS_MAX,
 	     &aubi_place_limit_layout),
 	U32(aub_place_request, route),
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -117,6 +117,12 @@
 	return upstream->cold_until_us > now_us;
 }
 
+bool aub_placement_upstream_is_resting(
+	const struct aub_placement_upstream *upstream, gint64 now_us)
+{
+	return upstream->rest_until_us > now_us;
+}
+
 void aub_placement_upstream_update_load(struct aub_placement *placement,
 					struct aub_placement_upstream *upstream,
 					const struct aub_load *load,
@@ -307,7 +313,7 @@
 }
 
 bool aub_placement_may_send(const struct aub_placement *placement,
-			    const char *id)
+			    const char *id, gint64 now_us)
 {
 	gint index = aub_placement_find_upstream(placement, id);
 	const struct aub_placement_upstream *upstream;
@@ -316,7 +322,9 @@
 		return false;
 	upstream = aub_placement_get_upstream(placement, (guint)index);
 	return upstream->registered && !upstream->draining &&
-	       !upstream->zone_out && upstream->traffic != AUB_VERSION_WITHHELD;
+	       !upstream->zone_out &&
+	       !aub_placement_upstream_is_resting(upstream, now_us) &&
+	       upstream->traffic != AUB_VERSION_WITHHELD;
 }
 
 const char *aub_placement_health_name(const struct aub_placement *placement,
@@ -356,12 +364,6 @@
 			load, sent_us, now_us);
 }
 
-static bool is_resting(const struct aub_placement_upstream *upstream,
-		       gint64 now_us)
-{
-	return upstream->rest_until_us > now_us;
-}
-
 void aub_placement_begin_rest(struct aub_placement *placement, const char *id,
 			      gint64 rest_us, gint64 now_us)
 {
@@ -375,6 +377,27 @@
 		MAX(upstream->rest_until_us, now_us + rest_us);
 }
 
+guint aub_placement_list_resting(const struct aub_placement *placement,
+				 GPtrArray *ids, gint64 *first_end_us,
+				 gint64 now_us)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < placement->upstreams->len; i++) {
+		struct aub_placement_upstream *upstream =
+			aub_placement_get_upstream(placement, i);
+
+		if (!upstream->registered ||
+		    !aub_placement_upstream_is_resting(upstream, now_us))
+			continue;
+		if (!count++ || upstream->rest_until_us < *first_end_us)
+			*first_end_us = upstream->rest_until_us;
+		if (ids)
+			g_ptr_array_add(ids, upstream->id);
+	}
+	return count;
+}
+
 guint aub_placement_list_limits(const struct aub_placement *placement,
 				struct aub_named_limit *list, guint limit,
 				gint64 now_us)
@@ -551,7 +574,8 @@
 		if (upstream->state == AUB_PLACEMENT_UPSTREAM_UP &&
 		    aub_placement_upstream_is_cold(upstream, now_us))
 			stats->cold++;
-		stats->resting += is_resting(upstream, now_us);
+		stats->resting +=
+			aub_placement_upstream_is_resting(upstream, now_us);
 		stats->limited += aub_upstream_limit_is_set(&upstream->limit);
 	}
 }
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -12,6 +12,9 @@
 /* For how long an upstream's reported request counts are valid. */
 #define LOAD_COUNTS_VALID_US (200 * AUB_US_PER_MS)
 
+/* For how long a probe's result tells whether an upstream is cold. */
+#define PROBE_VALID_US (500 * AUB_US_PER_MS)
+
 /*
  * Traffic between zones is expensive: under light load, requests stay in their
  * zone.
@@ -49,6 +52,18 @@
 	bool filling; /* fill one upstream after the other, not evenly */
 };
 
+/*
+ * A process sends no probes to an upstream that asked it for rest. Others may
+ * send requests meanwhile, but without the result of a probe nobody would see
+ * that the upstream turns cold.
+ */
+static bool is_observed(const struct aub_placement_upstream *upstream,
+			gint64 now_us)
+{
+	return !aub_placement_upstream_is_resting(upstream, now_us) ||
+	       now_us - upstream->probed_us <= PROBE_VALID_US;
+}
+
 /* Returns whether the request may go there, regardless of room. */
 static bool is_usable(const struct choice *choice,
 		      const struct aub_placement_upstream *upstream)
@@ -58,7 +73,8 @@
 	if (!upstream->registered || upstream->draining || upstream->zone_out ||
 	    upstream->traffic != choice->traffic)
 		return false;
-	if (upstream->state == AUB_PLACEMENT_UPSTREAM_DOWN)
+	if (upstream->state == AUB_PLACEMENT_UPSTREAM_DOWN ||
+	    !is_observed(upstream, choice->now_us))
 		return false;
 	/*
 	 * Cold upstreams are slow, so their responses say little of the
--- a/src/state/placement_probe.c
+++ b/src/state/placement_probe.c
@@ -75,7 +75,9 @@
 		   const char *zone, gint64 now_us)
 {
 	return upstream->registered && !upstream->draining &&
-	       !upstream->probing && upstream->next_probe_us <= now_us &&
+	       !upstream->probing &&
+	       !aub_placement_upstream_is_resting(upstream, now_us) &&
+	       upstream->next_probe_us <= now_us &&
 	       (!zone || !g_strcmp0(upstream->zone, zone));
 }
 
@@ -128,6 +130,7 @@
 		return;
 	}
 	upstream->failed_probes = 0;
+	upstream->probed_us = now_us;
 	if (result == AUB_PROBE_WRONG_UPSTREAM) {
 		upstream->state = AUB_PLACEMENT_UPSTREAM_DOWN;
 		return;
--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -169,8 +169,10 @@
 	fixture.add_healthy("u1");
 	fixture.register_upstream("u1", 2, "z1", true);
 	EXPECT_NE(fixture.submit().verdict, AUB_VERDICT_GRANTED);
-	EXPECT_FALSE(aub_placement_may_send(fixture.placement, "u1"));
-	EXPECT_FALSE(aub_placement_may_send(fixture.placement, "unregistered"));
+	EXPECT_FALSE(aub_placement_may_send(fixture.placement, "u1",
+					    fixture.now_us));
+	EXPECT_FALSE(aub_placement_may_send(fixture.placement, "unregistered",
+					    fixture.now_us));
 	fixture.add_healthy("u2");
 	fixture.unregister_upstream("u2");
 	EXPECT_NE(fixture.submit().verdict, AUB_VERDICT_GRANTED);
--- a/tests/test_placer_rollouts.cc
+++ b/tests/test_placer_rollouts.cc
@@ -58,7 +58,8 @@
 	}
 	bool may_send(TestGateway &gateway, const char *id)
 	{
-		return aub_placement_may_send(placement(gateway), id);
+		return aub_placement_may_send(placement(gateway), id,
+					      aub_timer_now(timers));
 	}
 };
 
--- a/tests/test_rollout.cc
+++ b/tests/test_rollout.cc
@@ -143,7 +143,8 @@
 	aub_placement_enable_rollouts(fixture.placement, &limits);
 	fixture.add_healthy("u1");
 	EXPECT_EQ(fixture.submit().verdict, AUB_VERDICT_NO_UPSTREAM);
-	EXPECT_FALSE(aub_placement_may_send(fixture.placement, "u1"));
+	EXPECT_FALSE(aub_placement_may_send(fixture.placement, "u1",
+					    fixture.now_us));
 	aub_placement_set_rollouts_loaded(fixture.placement, fixture.now_us);
 	EXPECT_EQ(fixture.submit().verdict, AUB_VERDICT_GRANTED);
 }
@@ -172,8 +173,10 @@
 	EXPECT_EQ(upstreams("v2"), 4u);
 	rollout.fixture.unregister_upstream("b0");
 	EXPECT_EQ(upstreams("v2"), 3u);
-	EXPECT_TRUE(aub_placement_may_send(rollout.fixture.placement, "a0"));
-	EXPECT_FALSE(aub_placement_may_send(rollout.fixture.placement, "a2"));
+	EXPECT_TRUE(aub_placement_may_send(rollout.fixture.placement, "a0",
+					   rollout.fixture.now_us));
+	EXPECT_FALSE(aub_placement_may_send(rollout.fixture.placement, "a2",
+					    rollout.fixture.now_us));
 }
 
 TEST(Rollout, IgnoresVersionsIfRolloutsAreDisabled)
@@ -184,8 +187,10 @@
 	fixture.register_upstream("u2", 2, "z1", false, 9, 0, "v2");
 	fixture.finish_probe("u1");
 	fixture.finish_probe("u2");
-	EXPECT_TRUE(aub_placement_may_send(fixture.placement, "u1"));
-	EXPECT_TRUE(aub_placement_may_send(fixture.placement, "u2"));
+	EXPECT_TRUE(aub_placement_may_send(fixture.placement, "u1",
+					   fixture.now_us));
+	EXPECT_TRUE(aub_placement_may_send(fixture.placement, "u2",
+					   fixture.now_us));
 }
 
 TEST(Rollout, RollsBackBadVersionAndSendsItNothingMore)
@@ -200,7 +205,8 @@
 	EXPECT_LT(sent, 20);
 	rollout.serve(300);
 	EXPECT_EQ(rollout.sent["v2"], sent);
-	EXPECT_FALSE(aub_placement_may_send(rollout.fixture.placement, "b0"));
+	EXPECT_FALSE(aub_placement_may_send(rollout.fixture.placement, "b0",
+					    rollout.fixture.now_us));
 	EXPECT_EQ(aub_placement_rollout_step(rollout.fixture.placement,
 					     rollout.fixture.now_us),
 		  AUB_ROLLOUT_ROLLED_BACK);
@@ -352,13 +358,15 @@
 						&order_record.order,
 						AUB_ROLLOUT_ROLLED_BACK, 0,
 						rollout.fixture.now_us));
-	EXPECT_FALSE(aub_placement_may_send(rollout.fixture.placement, "b0"));
+	EXPECT_FALSE(aub_placement_may_send(rollout.fixture.placement, "b0",
+					    rollout.fixture.now_us));
 	/* It is final, whatever other state is received. */
 	(void)aub_placement_merge_rollout(rollout.fixture.placement,
 					  &order_record.order,
 					  AUB_ROLLOUT_SWITCHING, 0,
 					  rollout.fixture.now_us);
-	EXPECT_FALSE(aub_placement_may_send(rollout.fixture.placement, "b0"));
+	EXPECT_FALSE(aub_placement_may_send(rollout.fixture.placement, "b0",
+					    rollout.fixture.now_us));
 }
 
 /* Guards against applying the decision on one order to the next one. */
