placement: send nothing new to an upstream whose answers say that it leaves

Until now only the store's entry told that an upstream leaves, and that can be late or missing.

The gateway takes the upstream for leaving from the head of the answer on: it returns grants of it, whoever places, local fallback too. Its report tells the placer, which grants it no more and tells all gateways with the health that it sends once a second. It is not probed. Nothing but a new start under the id ends it; a placer that has not heard of that start names the old one, so that the others go on using the new one. Only the value 1 counts.

--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -218,6 +218,16 @@
 	guint32 was_per_1000_s;
 	guint32 now_per_1000_s;
 };
+/* Returns whether answers of upstream `id` said that it leaves. */
+bool aub_placement_says_leaving(const struct aub_placement *placement,
+				const char *id);
+/*
+ * Records that an answer to another process said so. Ignored unless it was the
+ * incarnation that is registered here.
+ */
+void aub_placement_set_leaving(struct aub_placement *placement, const char *id,
+			       gint64 started_ms);
+
 /* See aub_upstream_limit_take_change(). */
 bool aub_placement_take_limit_change(struct aub_placement *placement,
 				     const char *id,
@@ -291,6 +301,8 @@
 	bool unknown; /* not probed so far */
 	guint cold_ms; /* remaining; 0: warm */
 	guint slowdown; /* percent of the expected response time */
+	bool leaving; /* its answers said so */
+	gint64 started_ms; /* of the incarnation that leaves */
 };
 /*
  * Copies up to `limit` entries to `list`, for other processes. Returns their
--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -59,6 +59,7 @@
 	bool registered; /* false: departed; retained for open grants */
 	gint64 departed_us; /* time at which it departed */
 	bool draining;
+	bool leaving; /* its answers said so; until it starts anew */
 	bool zone_out;
 	enum aub_placement_upstream_state state;
 	gint64 cold_until_us;
@@ -151,6 +152,9 @@
 					struct aub_placement_upstream *upstream,
 					const struct aub_load *load,
 					gint64 now_us);
+/* Returns whether the upstream gets no new requests for good. */
+bool aub_placement_upstream_is_leaving(
+	const struct aub_placement_upstream *upstream);
 bool aub_placement_upstream_is_resting(
 	const struct aub_placement_upstream *upstream, gint64 now_us);
 /* See aub_placement_observe_answer(). */
--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -152,6 +152,14 @@
 			   const char *upstream, gint64 rest_us,
 			   const char *request_id);
 
+/* Logs that an upstream's answer said for the first time that it leaves. */
+void aub_placer_log_leaving(const struct aub_placement *placement,
+			    const char *upstream, const char *source,
+			    const char *id);
+/* Applies what a placer's message says of leaving upstreams. */
+void aub_placer_apply_leaving(struct aub_placement *placement,
+			      const GPtrArray *rows);
+
 /* Statements about upstreams of a service in one message. */
 #define AUB_NOTICES_MAX 512
 /* Appends what is known here of the limits of the service's upstreams. */
--- a/include/auburnstile/internal/platform.h
+++ b/include/auburnstile/internal/platform.h
@@ -88,13 +88,15 @@
 	gint warmup_ms; /* remaining time of the warm-up */
 	enum aub_limit_header limit;
 	guint32 limit_per_1000_s; /* requests from all gateways; if named */
+	bool leaving; /* the upstream leaves: it wants no new requests */
 };
 
 /* Initializer for a load that was not reported. */
 #define AUB_LOAD_UNKNOWN                                                   \
 	{                                                                  \
 		.running = -1, .waiting = -1, .slots = -1, .slowdown = -1, \
-		.warmup_ms = -1                                            \
+		.warmup_ms = -1, .limit = AUB_LIMIT_UNKNOWN,               \
+		.limit_per_1000_s = 0, .leaving = false                    \
 	}
 
 struct aub_platform {
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -372,6 +372,7 @@
 	guint32 warmup_ms; /* remaining warm-up */
 	guint32 limit; /* enum aub_limit_header; not plus one */
 	guint32 limit_per_1000_s; /* likewise not plus one */
+	bool leaving;
 };
 
 struct aub_place_report {
@@ -404,6 +405,9 @@
 	bool unknown; /* not probed yet */
 	guint32 cold_ms; /* remaining warm-up */
 	guint32 slowdown; /* service time in percent of the baseline */
+	bool leaving; /* its answers said so */
+	guint64 started_ms; /* start of the incarnation that leaves, Unix time
+			     */
 };
 
 struct aub_place_health {
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -14,6 +14,7 @@
 		.warmup_ms = (guint32)(load->warmup_ms + 1),
 		.limit = load->limit,
 		.limit_per_1000_s = load->limit_per_1000_s,
+		.leaving = load->leaving,
 	};
 }
 
@@ -29,6 +30,7 @@
 				 (enum aub_limit_header)encoded->limit :
 				 AUB_LIMIT_UNKNOWN,
 		.limit_per_1000_s = encoded->limit_per_1000_s,
+		.leaving = encoded->leaving,
 	};
 }
 
--- a/src/coordination/placer_notices.c
+++ b/src/coordination/placer_notices.c
@@ -27,6 +27,36 @@
 	aub_log_end();
 }
 
+void aub_placer_log_leaving(const struct aub_placement *placement,
+			    const char *upstream, const char *source,
+			    const char *id)
+{
+	aub_log_begin(AUB_LOG_UPSTREAM_LEAVING);
+	aub_log_text("upstream", upstream);
+	aub_log_text("service", aub_placement_service(placement));
+	aub_log_text("source", source);
+	aub_log_text("id", id);
+	aub_log_end();
+}
+
+void aub_placer_apply_leaving(struct aub_placement *placement,
+			      const GPtrArray *rows)
+{
+	for (guint i = 0; i < rows->len; i++) {
+		const struct aub_place_health_row *row =
+			g_ptr_array_index(rows, i);
+
+		if (!row->leaving ||
+		    aub_placement_says_leaving(placement, row->upstream))
+			continue;
+		aub_placement_set_leaving(placement, row->upstream,
+					  (gint64)row->started_ms);
+		if (aub_placement_says_leaving(placement, row->upstream))
+			aub_placer_log_leaving(placement, row->upstream, "peer",
+					       "");
+	}
+}
+
 void aub_placer_begin_rest(struct aub_placer *placer, const char *service,
 			   const char *upstream, gint64 rest_us,
 			   const char *request_id)
@@ -49,12 +79,16 @@
 			       const struct aub_upstream_answer *answer)
 {
 	struct aub_placement *placement = aub_placer_placement(placer, service);
+	bool left = aub_placement_says_leaving(placement, answer->upstream);
 
 	aub_placement_observe_answer(placement, answer->upstream, &answer->load,
 				     answer->sent_us,
 				     aub_timer_now(placer->options.timers));
 	aub_placer_log_limit(placement, answer->upstream, "answer",
 			     answer->request_id);
+	if (!left && aub_placement_says_leaving(placement, answer->upstream))
+		aub_placer_log_leaving(placement, answer->upstream, "answer",
+				       answer->request_id);
 	aub_placer_begin_rest(placer, service, answer->upstream,
 			      answer->rest_us, answer->request_id);
 }
--- a/src/coordination/placer_periodic.c
+++ b/src/coordination/placer_periodic.c
@@ -125,6 +125,8 @@
 		health->unknown = list[i].unknown;
 		health->cold_ms = list[i].cold_ms;
 		health->slowdown = list[i].slowdown;
+		health->leaving = list[i].leaving;
+		health->started_ms = (guint64)list[i].started_ms;
 		g_ptr_array_add(message->rows, health);
 	}
 	aub_placer_append_limits(placer, service, message->limits);
@@ -253,6 +255,7 @@
 		aub_peers_send_to_zone(placer->options.peers, &message->base);
 	}
 	aub_placer_apply_limits(placer, message->service, message->limits, "");
+	aub_placer_apply_leaving(placement, message->rows);
 	if (probed_service && probed_service->probe_all_until_us > now)
 		return;
 	aub_placement_reset_health(placement);
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -157,6 +157,7 @@
 	enum aub_probe_result result = classify_probe(probe, head);
 	struct aub_load load = AUB_LOAD_UNKNOWN;
 	const char *health_before;
+	bool left = aub_placement_says_leaving(placement, probe->upstream);
 
 	if (head) {
 		placer->options.platform->decode_load(head, &load);
@@ -172,6 +173,8 @@
 		   aub_placement_health_name(placement, probe->upstream),
 		   result, &load);
 	aub_placer_log_limit(placement, probe->upstream, "probe", "");
+	if (!left && aub_placement_says_leaving(placement, probe->upstream))
+		aub_placer_log_leaving(placement, probe->upstream, "probe", "");
 	queue_probe_result(placer, probe, result, &load);
 	probe_free(probe);
 	aub_placer_drain_queue(placer, placement);
--- a/src/core/decision_log.c
+++ b/src/core/decision_log.c
@@ -59,6 +59,8 @@
 				     "an upstream names, changes or lifts a limit on its requests" },
 	[AUB_LOG_UPSTREAM_REST] = { "upstream-rest", AUB_LOG_STATE,
 				    "an upstream asks this gateway to send it nothing for a time" },
+	[AUB_LOG_UPSTREAM_LEAVING] = { "upstream-leaving", AUB_LOG_STATE,
+				       "an upstream's answers say that it leaves" },
 	[AUB_LOG_ROLLOUT] = { "rollout", AUB_LOG_STATE,
 			      "an order to change versions is another one, or further" },
 	[AUB_LOG_ROLLOUT_STORED] = { "rollout-stored", AUB_LOG_STATE,
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -284,6 +284,7 @@
 	U32(aub_reported_probe, load.warmup_ms),
 	U32(aub_reported_probe, load.limit),
 	U32(aub_reported_probe, load.limit_per_1000_s),
+	BOOL(aub_reported_probe, load.leaving),
 	END,
 };
 
@@ -303,6 +304,8 @@
 	BOOL(aub_place_health_row, unknown),
 	U32(aub_place_health_row, cold_ms),
 	U32(aub_place_health_row, slowdown),
+	BOOL(aub_place_health_row, leaving),
+	U64(aub_place_health_row, started_ms),
 	END,
 };
 
@@ -420,6 +423,7 @@
 	U32(aub_place_report, load.warmup_ms),
 	U32(aub_place_report, load.limit),
 	U32(aub_place_report, load.limit_per_1000_s),
+	BOOL(aub_place_report, load.leaving),
 	END,
 };
 
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -117,6 +117,12 @@
 	return upstream->cold_until_us > now_us;
 }
 
+bool aub_placement_upstream_is_leaving(
+	const struct aub_placement_upstream *upstream)
+{
+	return upstream->draining || upstream->leaving;
+}
+
 bool aub_placement_upstream_is_resting(
 	const struct aub_placement_upstream *upstream, gint64 now_us)
 {
@@ -264,6 +270,7 @@
 			upstream->started_us = now_us;
 		aub_upstream_limit_init(&upstream->limit);
 		upstream->rest_until_us = 0;
+		upstream->leaving = false;
 	}
 	replace_string(&upstream->address, record->address);
 	replace_string(&upstream->zone, record->zone);
@@ -321,7 +328,8 @@
 	if (index < 0)
 		return false;
 	upstream = aub_placement_get_upstream(placement, (guint)index);
-	return upstream->registered && !upstream->draining &&
+	return upstream->registered &&
+	       !aub_placement_upstream_is_leaving(upstream) &&
 	       !upstream->zone_out &&
 	       !aub_placement_upstream_is_resting(upstream, now_us) &&
 	       upstream->traffic != AUB_VERSION_WITHHELD;
@@ -347,9 +355,11 @@
 	gint64 sent_us, gint64 now_us)
 {
 	/* An answer of an earlier incarnation says nothing about this one. */
-	if (sent_us >= upstream->started_us)
-		aub_upstream_limit_observe_answer(&upstream->limit, load,
-						  sent_us, now_us);
+	if (sent_us < upstream->started_us)
+		return;
+	upstream->leaving = upstream->leaving || load->leaving;
+	aub_upstream_limit_observe_answer(&upstream->limit, load, sent_us,
+					  now_us);
 }
 
 void aub_placement_observe_answer(struct aub_placement *placement,
@@ -433,6 +443,28 @@
 					 now_us);
 }
 
+bool aub_placement_says_leaving(const struct aub_placement *placement,
+				const char *id)
+{
+	gint index = aub_placement_find_upstream(placement, id);
+
+	return index >= 0 &&
+	       aub_placement_get_upstream(placement, (guint)index)->leaving;
+}
+
+void aub_placement_set_leaving(struct aub_placement *placement, const char *id,
+			       gint64 started_ms)
+{
+	gint index = aub_placement_find_upstream(placement, id);
+	struct aub_placement_upstream *upstream;
+
+	if (index < 0)
+		return;
+	upstream = aub_placement_get_upstream(placement, (guint)index);
+	if (upstream->started_ms == started_ms)
+		upstream->leaving = true;
+}
+
 bool aub_placement_take_limit_change(struct aub_placement *placement,
 				     const char *id,
 				     struct aub_limit_change *change)
@@ -453,6 +485,7 @@
 			  gint64 now_us)
 {
 	return upstream->state != AUB_PLACEMENT_UPSTREAM_UP ||
+	       upstream->leaving ||
 	       aub_placement_upstream_is_cold(upstream, now_us) ||
 	       upstream->slowness > AUB_SIGNIFICANT_SLOWNESS;
 }
@@ -481,6 +514,8 @@
 						   AUB_US_PER_MS) :
 					   0,
 			.slowdown = (guint)(100 * upstream->slowness),
+			.leaving = upstream->leaving,
+			.started_ms = upstream->started_ms,
 		};
 	}
 	return count;
@@ -561,7 +596,8 @@
 
 		if (!upstream->registered)
 			continue;
-		if (upstream->draining || upstream->zone_out)
+		if (aub_placement_upstream_is_leaving(upstream) ||
+		    upstream->zone_out)
 			stats->draining++;
 		else if (upstream->traffic == AUB_VERSION_WITHHELD)
 			stats->withheld++;
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -70,7 +70,8 @@
 {
 	const struct aub_placement_request *request = choice->request;
 
-	if (!upstream->registered || upstream->draining || upstream->zone_out ||
+	if (!upstream->registered ||
+	    aub_placement_upstream_is_leaving(upstream) || upstream->zone_out ||
 	    upstream->traffic != choice->traffic)
 		return false;
 	if (upstream->state == AUB_PLACEMENT_UPSTREAM_DOWN ||
--- a/src/state/placement_probe.c
+++ b/src/state/placement_probe.c
@@ -74,7 +74,8 @@
 static bool is_due(const struct aub_placement_upstream *upstream,
 		   const char *zone, gint64 now_us)
 {
-	return upstream->registered && !upstream->draining &&
+	return upstream->registered &&
+	       !aub_placement_upstream_is_leaving(upstream) &&
 	       !upstream->probing &&
 	       !aub_placement_upstream_is_resting(upstream, now_us) &&
 	       upstream->next_probe_us <= now_us &&
@@ -118,6 +119,7 @@
 				  const struct aub_load *load, gint64 now_us)
 {
 	gint index = aub_placement_find_upstream(placement, id);
+	gint64 sent_us = now_us - PROBE_AGE_MAX_US;
 	struct aub_placement_upstream *upstream;
 
 	if (index < 0)
@@ -140,8 +142,12 @@
 	if (load->warmup_ms < 0)
 		upstream->cold_until_us = MIN(upstream->cold_until_us, now_us);
 	aub_placement_upstream_update_load(placement, upstream, load, now_us);
-	aub_upstream_limit_observe_probe(&upstream->limit, load,
-					 now_us - PROBE_AGE_MAX_US, now_us);
+	/* An answer of an earlier incarnation says nothing about this one. */
+	if (sent_us < upstream->started_us)
+		return;
+	upstream->leaving = upstream->leaving || load->leaving;
+	aub_upstream_limit_observe_probe(&upstream->limit, load, sent_us,
+					 now_us);
 }
 
 void aub_placement_probe_received(struct aub_placement *placement,
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -246,7 +246,8 @@
 		const struct aub_placement_upstream *upstream =
 			aub_placement_get_upstream(placement, i);
 
-		if (upstream->registered && !upstream->draining &&
+		if (upstream->registered &&
+		    !aub_placement_upstream_is_leaving(upstream) &&
 		    !upstream->zone_out &&
 		    upstream->traffic == AUB_VERSION_ACTIVE &&
 		    upstream->state == AUB_PLACEMENT_UPSTREAM_UNKNOWN)
--- a/src/state/placement_rollout.c
+++ b/src/state/placement_rollout.c
@@ -450,7 +450,8 @@
 			aub_placement_get_upstream(placement, i);
 
 		if (upstream->traffic == AUB_VERSION_CANARY &&
-		    upstream->registered && !upstream->draining &&
+		    upstream->registered &&
+		    !aub_placement_upstream_is_leaving(upstream) &&
 		    !upstream->zone_out &&
 		    upstream->state == AUB_PLACEMENT_UPSTREAM_UP &&
 		    !aub_placement_upstream_is_cold(upstream, now_us))
--- a/tests/placement_fixture.h
+++ b/tests/placement_fixture.h
@@ -68,7 +68,9 @@
 			  gint slowdown = 100,
 			  enum aub_probe_result result = AUB_PROBE_HEALTHY)
 	{
-		struct aub_load load = { 0, 0, 2, slowdown, warmup_ms };
+		struct aub_load load = { 0,	   0,	      2,
+					 slowdown, warmup_ms, AUB_LIMIT_UNKNOWN,
+					 0,	   false };
 
 		aub_placement_probe_finished(placement, id.c_str(), result,
 					     &load, now_us);
@@ -121,7 +123,7 @@
 		report.ticket = ticket;
 		report.end = end;
 		report.elapsed_us = elapsed_us;
-		report.load = { -1, -1, -1, -1, -1 };
+		report.load = AUB_LOAD_UNKNOWN;
 		aub_placement_report(placement, &report, now_us);
 		aub_placement_check_invariants(placement);
 	}
--- a/tests/placement_load.h
+++ b/tests/placement_load.h
@@ -109,9 +109,15 @@
 	struct aub_load load_of(const Upstream &upstream) const
 	{
 		if (!spec.reports_load)
-			return { -1, -1, -1, -1, -1 };
-		return { (gint)upstream.running, 0, (gint)spec.slots,
-			 (gint)(upstream.slowdown * 100), -1 };
+			return AUB_LOAD_UNKNOWN;
+		return { (gint)upstream.running,
+			 0,
+			 (gint)spec.slots,
+			 (gint)(upstream.slowdown * 100),
+			 -1,
+			 AUB_LIMIT_UNKNOWN,
+			 0,
+			 false };
 	}
 	double saturation(const Upstream &upstream) const
 	{
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -382,6 +382,38 @@
 	EXPECT_EQ(platform_upstream_arrivals(tired), 1u);
 }
 
+/* Guards against requests to an upstream whose answer said that it leaves. */
+TEST_F(GatewayTest, SendsNothingNewToUpstreamThatSaysItLeaves)
+{
+	configure();
+	auto leaving = add_upstream("u1");
+	platform_upstream_set_leaving(leaving, "1");
+	start_and_wait_until_ready();
+	auto caller = send_request("GET", "/safe/a", "r1");
+	ASSERT_TRUE(wait_for_answer(caller));
+	EXPECT_EQ(caller->status, 200u);
+	add_upstream("u2");
+	run_for(300);
+	for (int i = 0; i < 20; i++) {
+		auto next = send_request("GET", "/safe/a", "r");
+		ASSERT_TRUE(wait_for_answer(next));
+		run_for(10);
+	}
+	EXPECT_EQ(platform_upstream_arrivals(leaving), 1u);
+	/* The next incarnation under the same id is another upstream. */
+	platform_upstream_set_leaving(leaving, NULL);
+	register_upstream(leaving, "ready", "z1", 0, "v1", 8);
+	EXPECT_TRUE(run_until(
+		[&] {
+			auto next = send_request("GET", "/safe/a", "r");
+			auto other = send_request("GET", "/safe/b", "s");
+			wait_for_answer(next);
+			wait_for_answer(other);
+			return platform_upstream_arrivals(leaving) > 1;
+		},
+		5000));
+}
+
 TEST_F(GatewayTest, CancelsUpstreamRequestWhenCallerDisconnects)
 {
 	struct platform_upstream *first_upstream = add_upstream("u1");
--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -352,7 +352,9 @@
 	EXPECT_EQ(fixture.submit().verdict, AUB_VERDICT_GRANTED);
 	fixture.now_us += 1000 * US_PER_MS;
 	EXPECT_NE(fixture.submit().verdict, AUB_VERDICT_GRANTED);
-	struct aub_load load = { 0, 0, 2, 100, -1 };
+	struct aub_load load = {
+		0, 0, 2, 100, -1, AUB_LIMIT_UNKNOWN, 0, false
+	};
 	aub_placement_probe_received(fixture.placement, "u1", AUB_PROBE_HEALTHY,
 				     &load, fixture.now_us);
 	EXPECT_EQ(fixture.submit().verdict, AUB_VERDICT_GRANTED);
--- a/tests/test_placement_probe.cc
+++ b/tests/test_placement_probe.cc
@@ -30,7 +30,9 @@
 {
 	PlacementFixture fixture;
 	struct aub_probe probe;
-	struct aub_load load = { 0, 0, 2, 100, -1 };
+	struct aub_load load = {
+		0, 0, 2, 100, -1, AUB_LIMIT_UNKNOWN, 0, false
+	};
 
 	fixture.register_upstream("far", 2, "z2");
 	fixture.register_upstream("near", 2, "z1");
--- a/tests/test_placer_notices.cc
+++ b/tests/test_placer_notices.cc
@@ -1,11 +1,13 @@
 /*
  * What upstreams say of themselves, kept by several gateways: limits on their
- * requests, and rest.
+ * requests, rest, and leaving.
  */
 #include "placer_fixture.h"
 
 #include <random>
 
+/* An upstream that leaves serves requests for so long. */
+#define DRAIN_MS 2000
 #define LIMIT_WINDOW_US (4 * AUB_SECOND)
 
 /* The requests that reached one upstream. */
@@ -328,3 +330,41 @@
 	EXPECT_GE(queued.retry_after_ms, 1500u);
 	EXPECT_LE(queued.retry_after_ms, 3000u);
 }
+
+/* Guards against a gateway that learns of a leaving upstream from the store. */
+TEST_F(PlacerNoticesTest, NoGatewayUsesUpstreamThatSaysItLeaves)
+{
+	start_with_two_upstreams({ "a", "b", "c" });
+	TestGateway *placer = find_placer();
+
+	loads["u1"].leaving = true;
+	send_requests(DRAIN_MS);
+	gint64 told_us = aub_timer_now(timers);
+	placer->drops_messages = true;
+	send_requests(1500);
+	placer->drops_messages = false;
+	send_requests(1500);
+	for (auto &gateway : gateways)
+		EXPECT_EQ(arrivals["u1"].count_from(gateway.get(), told_us), 0);
+	EXPECT_GE(arrivals["u2"].times_us.size(), 50u);
+}
+
+/* Guards against a placer that excludes the next incarnation as well. */
+TEST_F(PlacerNoticesTest, NewIncarnationOfLeavingUpstreamGetsRequests)
+{
+	start_with_two_upstreams({ "a", "b" });
+
+	loads["u1"].leaving = true;
+	send_requests(400);
+	loads["u1"] = load_without_limit();
+	/* The placer learns of the new incarnation after the other gateway. */
+	TestGateway *placer = find_placer();
+	register_upstream(*other_gateway(placer), upstreams[0], false, "v1", 2);
+	send_requests(1500);
+	register_upstream(*placer, upstreams[0], false, "v1", 2);
+	gint64 started_us = aub_timer_now(timers);
+	send_requests(2000);
+	for (auto &gateway : gateways)
+		EXPECT_GE(arrivals["u1"].count_from(gateway.get(), started_us),
+			  5);
+}
--- a/tests/test_platform_codec.cc
+++ b/tests/test_platform_codec.cc
@@ -297,6 +297,22 @@
 	EXPECT_EQ(load_with_limits({ "1", "2" }).limit, AUB_LIMIT_UNKNOWN);
 }
 
+TEST(PlatformCodec, DecodesLeaving)
+{
+	for (const char *value : { "1", "0", "", "yes", "11", "-1" }) {
+		struct aub_http_head head = {};
+		struct aub_http_header header = { "server-leaving", value };
+		struct aub_load load;
+
+		head.headers = g_array_new(FALSE, FALSE,
+					   sizeof(struct aub_http_header));
+		g_array_append_val(head.headers, header);
+		aub_platform.decode_load(&head, &load);
+		g_array_unref(head.headers);
+		EXPECT_EQ(load.leaving, !strcmp(value, "1")) << value;
+	}
+}
+
 TEST(PlatformCodec, DecodesRolloutOrder)
 {
 	struct aub_store_page *page = decode(
--- a/tools/platform/upstream.c
+++ b/tools/platform/upstream.c
@@ -25,6 +25,7 @@
 	guint warmup_ms;
 	char *limit; /* value of Server-Limit; NULL: none */
 	bool limit_in_probes;
+	char *leaving; /* value of Server-Leaving; NULL: none */
 	char *retry_after; /* value of Retry-After with 503; NULL: none */
 	guint arrivals;
 	guint runs;
@@ -92,6 +93,9 @@
 	if (upstream->limit)
 		write_format(connection, "Server-Limit: %s\r\n",
 			     upstream->limit);
+	if (upstream->leaving)
+		write_format(connection, "Server-Leaving: %s\r\n",
+			     upstream->leaving);
 	if (upstream->on_answer)
 		upstream->on_answer(connection->request_id,
 				    upstream->on_answer_context);
@@ -428,6 +432,7 @@
 	g_hash_table_unref(upstream->headers);
 	g_free(upstream->address);
 	g_free(upstream->limit);
+	g_free(upstream->leaving);
 	g_free(upstream->retry_after);
 	g_free(upstream->id);
 	g_free(upstream);
@@ -473,23 +478,30 @@
 	upstream->warmup_ms = ms;
 }
 
+/* Replaces a header's value by a copy of `text`, which may be NULL. */
+static void set_header(char **header, const char *text)
+{
+	g_free(*header);
+	*header = g_strdup(text);
+}
+
 void platform_upstream_set_limit(struct platform_upstream *upstream,
 				 const char *text, bool in_probes)
 {
-	char *copy = g_strdup(text);
-
-	g_free(upstream->limit);
-	upstream->limit = copy;
+	set_header(&upstream->limit, text);
 	upstream->limit_in_probes = in_probes;
 }
 
+void platform_upstream_set_leaving(struct platform_upstream *upstream,
+				   const char *text)
+{
+	set_header(&upstream->leaving, text);
+}
+
 void platform_upstream_set_retry_after(struct platform_upstream *upstream,
 				       const char *text)
 {
-	char *copy = g_strdup(text);
-
-	g_free(upstream->retry_after);
-	upstream->retry_after = copy;
+	set_header(&upstream->retry_after, text);
 }
 
 void platform_upstream_set_down(struct platform_upstream *upstream, bool down)
--- a/tools/platform/upstream.h
+++ b/tools/platform/upstream.h
@@ -63,6 +63,12 @@
  */
 void platform_upstream_set_limit(struct platform_upstream *upstream,
 				 const char *text, bool in_probes);
+/*
+ * Sets Server-Leaving in the answers to requests. The text is sent as it is;
+ * NULL omits the header.
+ */
+void platform_upstream_set_leaving(struct platform_upstream *upstream,
+				   const char *text);
 /*
  * Sets Retry-After in answers with 503. The text is sent as it is; NULL omits
  * the header.
