soak: limits, rest and leaving upstreams, while gateways are killed

Without the option nothing that is drawn at random has changed, so that the fixed seeds of before play what they did.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -88,7 +88,7 @@
 			tail -n 30 "$log"
 		fi
 	fi
-	grep '^seed \|^order' "$log"
+	grep '^seed \|^order\|^notices' "$log"
 }
 # Short runs with fixed seeds. Seeds 15 and 117 guard against violations that
 # the soak itself would cause. With seed 15, an upstream drains while no gateway
@@ -101,5 +101,10 @@
 # A rollout to a faulty version, and one to a good version.
 soak bad-version --rollouts --seed 1 --seconds 14
 soak good-version --rollouts --seed 2 --seconds 14
+# Upstreams that name limits, ask for rest and say that they leave, while
+# gateways are killed.
+for seed in 11 13; do
+	soak notices-$seed --notices --seed $seed --seconds 14
+done
 echo "$passed passed, $failed failed"
 exit $exit_status
--- a/tools/platform/upstream.c
+++ b/tools/platform/upstream.c
@@ -37,7 +37,7 @@
 	void *on_run_context;
 	platform_upstream_run_callback *on_arrival;
 	void *on_arrival_context;
-	platform_upstream_run_callback *on_answer;
+	platform_upstream_answer_callback *on_answer;
 	void *on_answer_context;
 	GHashTable *headers; /* of the last request, names in lower case */
 };
@@ -86,7 +86,7 @@
 }
 
 /* Writes the headers that all answers to requests bear at present. */
-static void write_notices(struct connection *connection)
+static void write_notices(struct connection *connection, guint status)
 {
 	const struct platform_upstream *upstream = connection->upstream;
 
@@ -97,7 +97,7 @@
 		write_format(connection, "Server-Leaving: %s\r\n",
 			     upstream->leaving);
 	if (upstream->on_answer)
-		upstream->on_answer(connection->request_id,
+		upstream->on_answer(connection->request_id, status,
 				    upstream->on_answer_context);
 }
 
@@ -119,7 +119,7 @@
 		write_format(connection, "Response-Stamp: stamp-of-%s\r\n", id);
 	write_format(connection, "Instance-Load: %u,0,2,100\r\n",
 		     connection->upstream->connections->len);
-	write_notices(connection);
+	write_notices(connection, status);
 }
 
 static void write_complete(struct connection *connection, guint status,
@@ -150,7 +150,7 @@
 	write_format(connection,
 		     "HTTP/1.1 %u X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n",
 		     status, connection->request_id);
-	write_notices(connection);
+	write_notices(connection, status);
 	if (status == 503 && connection->upstream->retry_after)
 		write_format(connection, "Retry-After: %s\r\n",
 			     connection->upstream->retry_after);
@@ -533,7 +533,7 @@
 
 void platform_upstream_set_answer_callback(
 	struct platform_upstream *upstream,
-	platform_upstream_run_callback *callback, void *context)
+	platform_upstream_answer_callback *callback, void *context)
 {
 	upstream->on_answer = callback;
 	upstream->on_answer_context = context;
--- a/tools/platform/upstream.h
+++ b/tools/platform/upstream.h
@@ -93,9 +93,11 @@
 void platform_upstream_set_arrival_callback(
 	struct platform_upstream *upstream,
 	platform_upstream_run_callback *callback, void *context);
+typedef void platform_upstream_answer_callback(const char *id, guint status,
+					       void *context);
 void platform_upstream_set_answer_callback(
 	struct platform_upstream *upstream,
-	platform_upstream_run_callback *callback, void *context);
+	platform_upstream_answer_callback *callback, void *context);
 
 /* Returns the number of requests that arrived, executed or not. */
 guint platform_upstream_arrivals(const struct platform_upstream *upstream);
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -15,11 +15,14 @@
  *            before or after the report
  *   MIXED    an answer belongs to another request or is incomplete
  *   DENIED   a valid request was rejected
- *   DRAIN    an upstream got a new request seconds after it began to drain
+ *   DRAIN    an upstream got a new request seconds after it began to drain,
+ *            or after it said so in an answer
  *   ROUTE    a version got requests without its rollout order, or after
  *            its roll-back
  *   EXPOSURE a faulty version got more than its share of requests
  *   VERDICT  the rollout of a faulty version was completed
+ *   LIMIT    an upstream got more than its limit from gateways that knew it
+ *   BUDGET   an upstream got requests in the rest that it asked a gateway for
  *   RECOVER  requests are not served after the faults have ended
  */
 #include "soak/soak.h"
@@ -34,6 +37,7 @@
 	guint seconds;
 	guint runs;
 	bool rollouts; /* with a rollout in each run */
+	bool notices; /* with limits, rest and leaving upstreams */
 };
 
 gint64 soak_now(const struct soak *soak)
@@ -62,6 +66,8 @@
 	soak_repair_due(soak, now_us);
 	if (soak->rollout)
 		soak_rollout_step(soak->rollout, now_us);
+	if (soak->notices)
+		soak_notices_step(soak->notices, now_us);
 	if (soak->zone_evacuated && now_us >= soak->faults_end_us)
 		soak_end_evacuation(soak);
 	if (now_us >= soak->next_fault_us && now_us < soak->faults_end_us)
@@ -83,6 +89,8 @@
 	soak->folder = g_dir_make_tmp("auburnstile-soak-XXXXXX", NULL);
 	if (options->rollouts)
 		soak->rollout = soak_rollout_new(soak, seed);
+	if (options->notices)
+		soak->notices = soak_notices_new(soak, seed);
 	soak_configure(soak);
 	for (guint i = 0; i < UPSTREAM_COUNT; i++) {
 		soak->upstreams[i].soak = soak;
@@ -120,6 +128,8 @@
 		soak->violations);
 	if (soak->rollout)
 		soak_rollout_report(soak->rollout);
+	if (soak->notices)
+		soak_notices_report(soak->notices);
 	if (soak->violations)
 		g_print("logs are kept in %s\n", soak->folder);
 	return soak->violations == 0;
@@ -142,6 +152,7 @@
 	if (!soak->violations)
 		g_rmdir(soak->folder);
 	soak_rollout_free(soak->rollout);
+	soak_notices_free(soak->notices);
 }
 
 static error_t parse_option(int key, char *text, struct argp_state *state)
@@ -157,6 +168,13 @@
 		options->rollouts = true;
 		return 0;
 	}
+	if (key == 'l') {
+		options->notices = true;
+		return 0;
+	}
+	if (key == ARGP_KEY_END && options->rollouts && options->notices)
+		argp_error(state,
+			   "--rollouts and --notices exclude each other");
 	if (!number_target)
 		return ARGP_ERR_UNKNOWN;
 	if (!g_ascii_string_to_unsigned(text, 10, 1, G_MAXUINT32, &number,
@@ -192,6 +210,9 @@
 		{ "runs", 'n', "N", 0, "number of consecutive seeds to run (1)",
 		  0 },
 		{ "rollouts", 'r', NULL, 0, "start a rollout in each run", 0 },
+		{ "notices", 'l', NULL, 0,
+		  "upstreams name limits, ask for rest or say that they leave",
+		  0 },
 		{ 0 },
 	};
 	const struct argp argp = {
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -28,6 +28,7 @@
 /* From the update of the store to the last new request. */
 #define DRAIN_LIMIT_US (3 * AUB_SECOND)
 
+struct notices;
 struct rollout;
 struct soak;
 
@@ -39,6 +40,7 @@
 	char *settings_file;
 	gint64 resume_us; /* paused until then; 0 if not paused */
 	gint64 restart_us; /* stopped until then; 0 if running */
+	gint64 disturbed_us; /* last kill, stop, pause, start or resumption */
 };
 
 struct upstream {
@@ -59,6 +61,11 @@
 	/* The caller was told that the request was not run. */
 	bool reported_not_run;
 	guint executions;
+	guint gateway; /* that it was sent to */
+	gint64 sent_us;
+	/* The upstream that answered last, and its generation; or NULL. */
+	const struct upstream *answered_by;
+	guint answered_generation;
 };
 
 struct caller {
@@ -77,6 +84,7 @@
 struct soak {
 	GRand *random;
 	struct rollout *rollout; /* NULL without a rollout */
+	struct notices *notices; /* NULL without notices */
 	struct aub_timer_service *timers;
 	struct aub_poller *poller;
 	struct platform_store *store;
@@ -144,6 +152,26 @@
 void soak_caller_step(struct caller *caller, gint64 now_us);
 void soak_caller_disconnect(struct caller *caller);
 
+/*
+ * What upstreams say of themselves during the faults, and further kills of
+ * gateways, at random by `seed`.
+ */
+struct notices *soak_notices_new(struct soak *soak, guint32 seed);
+void soak_notices_free(struct notices *notices);
+void soak_notices_step(struct notices *notices, gint64 now_us);
+/* Returns whether `upstream` says something; it has no other fault then. */
+bool soak_notice_is_active(const struct upstream *upstream);
+/* Checks a request that arrived, whether it will be executed or not. */
+void soak_notices_on_arrival(struct upstream *upstream,
+			     const struct request *request, const char *id);
+void soak_notices_on_answer(struct upstream *upstream, struct request *request,
+			    guint status);
+/* Called when a caller has received the head of the answer. */
+void soak_notices_on_passed(struct request *request,
+			    const struct aub_http_head *head);
+/* Prints one line with counts. */
+void soak_notices_report(const struct notices *notices);
+
 /*
  * A rollout that takes place during the faults. The parity of `seed` determines
  * whether the new version is good (even) or faulty (odd). The rollout owns the
--- a/tools/soak/soak_callers.c
+++ b/tools/soak/soak_callers.c
@@ -39,6 +39,10 @@
 	caller->status = head->status;
 	caller->body_bytes = 0;
 	caller->is_own_answer = caller->id && id && !strcmp(id, caller->id);
+	if (caller->is_own_answer)
+		soak_notices_on_passed(
+			g_hash_table_lookup(caller->soak->requests, caller->id),
+			head);
 }
 
 static void on_body(const char *data, gsize length, void *context)
@@ -131,6 +135,8 @@
 	caller->id = g_strdup_printf("%x", ++soak->last_request_id);
 	caller->start_us = soak_now(soak);
 	caller->status = 0;
+	request->gateway = caller->gateway->number;
+	request->sent_us = caller->start_us;
 	g_hash_table_insert(soak->requests, g_strdup(caller->id), request);
 	text = g_strdup_printf("%s /%s/%s HTTP/1.1\r\nHost: site\r\n"
 			       "Request-Id: %s\r\nDeadline-Remaining-Ms: %d\r\n"
--- a/tools/soak/soak_faults.c
+++ b/tools/soak/soak_faults.c
@@ -11,6 +11,7 @@
 
 	if (gateway->restart_us || gateway->resume_us)
 		return;
+	gateway->disturbed_us = soak_now(soak);
 	switch (g_rand_int_range(soak->random, 0, 4)) {
 	case 0:
 		child_signal(gateway->child, SIGKILL);
@@ -61,6 +62,7 @@
 						  UPSTREAM_COUNT)];
 
 	if (upstream->repair_us || upstream->draining_us ||
+	    soak_notice_is_active(upstream) ||
 	    soak_rollout_is_done(soak->rollout))
 		return;
 	upstream->repair_us = soak_random_time(soak, 300, 2500);
@@ -160,6 +162,7 @@
 		if (gateway->resume_us && gateway->resume_us <= now_us) {
 			child_signal(gateway->child, SIGCONT);
 			gateway->resume_us = 0;
+			gateway->disturbed_us = now_us;
 		}
 		if (gateway->restart_us && gateway->restart_us <= now_us)
 			soak_gateway_start(gateway);
--- a/tools/soak/soak_gateways.c
+++ b/tools/soak/soak_gateways.c
@@ -59,6 +59,7 @@
 	if (!gateway->child)
 		g_error("%s", error->message);
 	gateway->restart_us = 0;
+	gateway->disturbed_us = soak_now(gateway->soak);
 	gateway->resume_us = 0;
 	g_free(log);
 }
--- a/tools/soak/soak_upstreams.c
+++ b/tools/soak/soak_upstreams.c
@@ -38,6 +38,26 @@
 		soak_report_violation(soak, "DRAIN", id);
 }
 
+static void on_request_arrived(const char *id, void *context)
+{
+	struct upstream *upstream = context;
+	const struct request *request =
+		g_hash_table_lookup(upstream->soak->requests, id);
+
+	if (request)
+		soak_notices_on_arrival(upstream, request, id);
+}
+
+static void on_request_answered(const char *id, guint status, void *context)
+{
+	struct upstream *upstream = context;
+	struct request *request =
+		g_hash_table_lookup(upstream->soak->requests, id);
+
+	if (request)
+		soak_notices_on_answer(upstream, request, status);
+}
+
 void soak_upstream_register(struct upstream *upstream, const char *state)
 {
 	char *address = g_strdup_printf("127.0.0.1:%u", upstream->route->port);
@@ -72,6 +92,10 @@
 	platform_upstream_set_service_time(upstream->server, SERVICE_TIME_MS);
 	platform_upstream_set_run_callback(upstream->server, on_request_started,
 					   upstream);
+	platform_upstream_set_arrival_callback(upstream->server,
+					       on_request_arrived, upstream);
+	platform_upstream_set_answer_callback(upstream->server,
+					      on_request_answered, upstream);
 	upstream->route =
 		proxy_route_new("127.0.0.1:0",
 				platform_upstream_address(upstream->server),
