placement: what upstreams say of themselves in a file of its own

Moved without a change of behaviour; the look-up of an upstream by its id stands once in the new file.

--- /dev/null
+++ b/src/state/placement_notices.c
@@ -0,0 +1,136 @@
+/*
+ * What upstreams say of themselves in answers: a limit on their requests, rest
+ * for this process, and that they leave.
+ */
+#include <auburnstile/internal/placement_internal.h>
+
+/* Returns upstream `id`, owned by `placement`, or NULL. */
+static struct aub_placement_upstream *find(
+	const struct aub_placement *placement, const char *id)
+{
+	gint index = aub_placement_find_upstream(placement, id);
+
+	return index < 0 ? NULL :
+			   aub_placement_get_upstream(placement, (guint)index);
+}
+
+void aub_placement_upstream_observe_answer(
+	struct aub_placement_upstream *upstream, const struct aub_load *load,
+	gint64 sent_us, gint64 now_us)
+{
+	/* An answer of an earlier incarnation says nothing about this one. */
+	if (sent_us < upstream->started_us)
+		return;
+	upstream->leaving = upstream->leaving || load->leaving;
+	aub_upstream_limit_observe_answer(&upstream->limit, load, sent_us,
+					  now_us);
+}
+
+void aub_placement_observe_answer(struct aub_placement *placement,
+				  const char *id, const struct aub_load *load,
+				  gint64 sent_us, gint64 now_us)
+{
+	struct aub_placement_upstream *upstream = find(placement, id);
+
+	if (upstream)
+		aub_placement_upstream_observe_answer(upstream, load, sent_us,
+						      now_us);
+}
+
+void aub_placement_begin_rest(struct aub_placement *placement, const char *id,
+			      gint64 rest_us, gint64 now_us)
+{
+	struct aub_placement_upstream *upstream = find(placement, id);
+
+	if (!upstream)
+		return;
+	upstream->rest_until_us =
+		MAX(upstream->rest_until_us, now_us + rest_us);
+}
+
+guint aub_placement_list_resting(const struct aub_placement *placement,
+				 GPtrArray *ids, gint64 *first_end_us,
+				 gint64 now_us)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < placement->upstreams->len; i++) {
+		struct aub_placement_upstream *upstream =
+			aub_placement_get_upstream(placement, i);
+
+		if (!upstream->registered ||
+		    !aub_placement_upstream_is_resting(upstream, now_us))
+			continue;
+		if (!count++ || upstream->rest_until_us < *first_end_us)
+			*first_end_us = upstream->rest_until_us;
+		if (ids)
+			g_ptr_array_add(ids, upstream->id);
+	}
+	return count;
+}
+
+guint aub_placement_list_limits(const struct aub_placement *placement,
+				struct aub_named_limit *list, guint limit,
+				gint64 now_us)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < placement->upstreams->len && count < limit; i++) {
+		const struct aub_placement_upstream *upstream =
+			aub_placement_get_upstream(placement, i);
+
+		list[count].upstream = upstream->id;
+		if (upstream->registered &&
+		    aub_upstream_limit_get_statement(&upstream->limit, now_us,
+						     &list[count].statement))
+			count++;
+	}
+	return count;
+}
+
+void aub_placement_merge_limit(struct aub_placement *placement,
+			       const struct aub_named_limit *named,
+			       gint64 now_us)
+{
+	struct aub_placement_upstream *upstream =
+		find(placement, named->upstream);
+	gint64 said_us = now_us - named->statement.age_ms * AUB_US_PER_MS;
+
+	if (!upstream)
+		return;
+	if (said_us >= upstream->started_us)
+		aub_upstream_limit_merge(&upstream->limit, &named->statement,
+					 now_us);
+}
+
+bool aub_placement_says_leaving(const struct aub_placement *placement,
+				const char *id)
+{
+	const struct aub_placement_upstream *upstream = find(placement, id);
+
+	return upstream && upstream->leaving;
+}
+
+void aub_placement_set_leaving(struct aub_placement *placement, const char *id,
+			       gint64 started_ms)
+{
+	struct aub_placement_upstream *upstream = find(placement, id);
+
+	if (!upstream)
+		return;
+	if (upstream->started_ms == started_ms)
+		upstream->leaving = true;
+}
+
+bool aub_placement_take_limit_change(struct aub_placement *placement,
+				     const char *id,
+				     struct aub_limit_change *change)
+{
+	struct aub_placement_upstream *upstream = find(placement, id);
+
+	if (!upstream)
+		return false;
+	change->now_per_1000_s = upstream->limit.per_1000_s;
+	return aub_upstream_limit_take_change(&upstream->limit,
+					      &change->was_per_1000_s);
+}
