placement: apply limits that were named before this VM's clock started

A gateway on a VM that has just booted ignored what others told it of a limit named longer ago than its clock runs: the time of the answer came out negative, before the time 0 at which it took the upstream for started. The time is unknown where no earlier incarnation was seen.

Placement.AppliesLimitNamedBeforeItsClockStarted failed before (no limit was set) and holds now.

--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -210,6 +210,7 @@
 	upstream->id = g_strdup(id);
 	upstream->slowness = 1.0;
 	upstream->version = AUB_VERSION_NONE;
+	upstream->started_us = G_MININT64;
 	aub_upstream_limit_init(&upstream->limit);
 	if (index < 0) {
 		index = (gint)placement->upstreams->len;
--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -360,6 +360,25 @@
 	EXPECT_EQ(fixture.submit().verdict, AUB_VERDICT_GRANTED);
 }
 
+/* Guards against a gateway on a VM that has just booted and knows no limits. */
+TEST(Placement, AppliesLimitNamedBeforeItsClockStarted)
+{
+	PlacementFixture fixture;
+
+	fixture.now_us = 1000 * US_PER_MS;
+	fixture.add_healthy("u1");
+	const struct aub_named_limit named = {
+		.upstream = "u1",
+		.statement = { .per_1000_s = 0, .age_ms = 30000 },
+	};
+	aub_placement_merge_limit(fixture.placement, &named, fixture.now_us);
+	EXPECT_EQ(fixture.upstream("u1")->limit.per_1000_s, 0u);
+	/* It says nothing about an upstream that started after it. */
+	fixture.register_upstream("u1", 2, "z1", false, 2);
+	aub_placement_merge_limit(fixture.placement, &named, fixture.now_us);
+	EXPECT_FALSE(aub_upstream_limit_is_set(&fixture.upstream("u1")->limit));
+}
+
 TEST(Placement, RestartedUpstreamIsUnknownAgain)
 {
 	PlacementFixture fixture;
