placement: probe an upstream at once when its limit is lifted

A limited upstream is probed at half the rate of its grants, down to once in 8 s, or 24 s where another gateway probes for the placer. It may turn cold meanwhile; when an answer lifted the limit, it got its full share until the next probe, and a cold upstream falls over under that.

The next probe is now due when a limit is raised or lifted, and none comes later than 2 s after the one before. Ruled out: probing at the usual rate, which alone is more than what a small limit allows.

PlacementProbe.ProbesAtOnceWhenLimitIsLifted failed before (8 s between probes, none at the lifting) and holds now.

--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -50,7 +50,9 @@
 	char *zone;
 	guint slots;
 	gint64 started_ms;
-	/* when this incarnation replaced another; 0: it is the first one here
+	/*
+	 * When this incarnation replaced another; G_MININT64 if it is the first
+	 * one here, of which others may have known for longer.
 	 */
 	gint64 started_us;
 	gint version; /* index into the service's versions */
@@ -161,6 +163,10 @@
 void aub_placement_upstream_observe_answer(
 	struct aub_placement_upstream *upstream, const struct aub_load *load,
 	gint64 sent_us, gint64 now_us);
+/* The same for the answer to a probe. */
+void aub_placement_upstream_observe_probe(
+	struct aub_placement_upstream *upstream, const struct aub_load *load,
+	gint64 sent_us, gint64 now_us);
 /* Updates the failure rate: `weight` is 1 for a failure, 0 for a success. */
 void aub_placement_upstream_update_failures(
 	struct aub_placement_upstream *upstream, double weight, gint64 now_us);
--- a/src/state/placement_notices.c
+++ b/src/state/placement_notices.c
@@ -14,16 +14,44 @@
 			   aub_placement_get_upstream(placement, (guint)index);
 }
 
+/*
+ * A limited upstream is probed rarely; it may have turned cold since, and more
+ * requests are about to reach it.
+ */
+static void probe_if_raised(struct aub_placement_upstream *upstream,
+			    guint32 before_per_1000_s, gint64 now_us)
+{
+	if (upstream->limit.per_1000_s > before_per_1000_s)
+		upstream->next_probe_us = MIN(upstream->next_probe_us, now_us);
+}
+
 void aub_placement_upstream_observe_answer(
 	struct aub_placement_upstream *upstream, const struct aub_load *load,
 	gint64 sent_us, gint64 now_us)
 {
+	guint32 before = upstream->limit.per_1000_s;
+
 	/* An answer of an earlier incarnation says nothing about this one. */
 	if (sent_us < upstream->started_us)
 		return;
 	upstream->leaving = upstream->leaving || load->leaving;
 	aub_upstream_limit_observe_answer(&upstream->limit, load, sent_us,
 					  now_us);
+	probe_if_raised(upstream, before, now_us);
+}
+
+void aub_placement_upstream_observe_probe(
+	struct aub_placement_upstream *upstream, const struct aub_load *load,
+	gint64 sent_us, gint64 now_us)
+{
+	guint32 before = upstream->limit.per_1000_s;
+
+	if (sent_us < upstream->started_us)
+		return;
+	upstream->leaving = upstream->leaving || load->leaving;
+	aub_upstream_limit_observe_probe(&upstream->limit, load, sent_us,
+					 now_us);
+	probe_if_raised(upstream, before, now_us);
 }
 
 void aub_placement_observe_answer(struct aub_placement *placement,
@@ -95,12 +123,15 @@
 	struct aub_placement_upstream *upstream =
 		find(placement, named->upstream);
 	gint64 said_us = now_us - named->statement.age_ms * AUB_US_PER_MS;
+	guint32 before;
 
 	if (!upstream)
 		return;
-	if (said_us >= upstream->started_us)
-		aub_upstream_limit_merge(&upstream->limit, &named->statement,
-					 now_us);
+	if (said_us < upstream->started_us)
+		return;
+	before = upstream->limit.per_1000_s;
+	aub_upstream_limit_merge(&upstream->limit, &named->statement, now_us);
+	probe_if_raised(upstream, before, now_us);
 }
 
 bool aub_placement_says_leaving(const struct aub_placement *placement,
--- a/src/state/placement_probe.c
+++ b/src/state/placement_probe.c
@@ -8,6 +8,7 @@
 /* A cold upstream can handle few requests. */
 #define PROBE_INTERVAL_COLD_US (500 * AUB_US_PER_MS)
 #define PROBE_INTERVAL_DOWN_US (250 * AUB_US_PER_MS)
+#define PROBE_INTERVAL_LIMITED_MAX_US (2000 * AUB_US_PER_MS)
 /* Requests that a limited upstream is granted for each probe. */
 #define PROBE_LIMITED_GRANTS 2
 /*
@@ -37,8 +38,10 @@
 /* An upstream in need gets fewer probes than requests. */
 static gint64 limited_interval_us(const struct aub_placement_upstream *upstream)
 {
-	return (gint64)(PROBE_LIMITED_GRANTS * G_USEC_PER_SEC /
-			aub_upstream_limit_grants_per_s(&upstream->limit));
+	double us = PROBE_LIMITED_GRANTS * G_USEC_PER_SEC /
+		    aub_upstream_limit_grants_per_s(&upstream->limit);
+
+	return (gint64)MIN(us, PROBE_INTERVAL_LIMITED_MAX_US);
 }
 
 static gint64 probe_interval_us(const struct aub_placement *placement,
@@ -119,7 +122,6 @@
 				  const struct aub_load *load, gint64 now_us)
 {
 	gint index = aub_placement_find_upstream(placement, id);
-	gint64 sent_us = now_us - PROBE_AGE_MAX_US;
 	struct aub_placement_upstream *upstream;
 
 	if (index < 0)
@@ -142,12 +144,8 @@
 	if (load->warmup_ms < 0)
 		upstream->cold_until_us = MIN(upstream->cold_until_us, now_us);
 	aub_placement_upstream_update_load(placement, upstream, load, now_us);
-	/* An answer of an earlier incarnation says nothing about this one. */
-	if (sent_us < upstream->started_us)
-		return;
-	upstream->leaving = upstream->leaving || load->leaving;
-	aub_upstream_limit_observe_probe(&upstream->limit, load, sent_us,
-					 now_us);
+	aub_placement_upstream_observe_probe(upstream, load,
+					     now_us - PROBE_AGE_MAX_US, now_us);
 }
 
 void aub_placement_probe_received(struct aub_placement *placement,
--- a/tests/test_placement_probe.cc
+++ b/tests/test_placement_probe.cc
@@ -141,6 +141,41 @@
 	EXPECT_LE(probes, 16);
 }
 
+/* Guards against full load on an upstream that turned cold while limited. */
+TEST(PlacementProbe, ProbesAtOnceWhenLimitIsLifted)
+{
+	PlacementFixture fixture;
+	struct aub_load load = AUB_LOAD_UNKNOWN;
+	struct aub_probe probe;
+	gint64 longest_us = 0;
+	gint64 last_us;
+
+	fixture.add_healthy("u1");
+	load.limit = AUB_LIMIT_NAMED;
+	aub_placement_observe_answer(fixture.placement, "u1", &load,
+				     fixture.now_us, fixture.now_us);
+	last_us = fixture.now_us;
+	for (int ms = 0; ms < 20000; ms += 25) {
+		fixture.now_us += 25 * US_PER_MS;
+		if (!aub_placement_probe_next(fixture.placement, NULL,
+					      fixture.now_us, &probe))
+			continue;
+		longest_us = MAX(longest_us, fixture.now_us - last_us);
+		last_us = fixture.now_us;
+		fixture.finish_probe("u1");
+	}
+	EXPECT_LE(longest_us, 2100 * US_PER_MS);
+	ASSERT_FALSE(aub_placement_probe_next(fixture.placement, NULL,
+					      last_us + 1000 * US_PER_MS,
+					      &probe));
+	load.limit = AUB_LIMIT_NOT_NAMED;
+	fixture.now_us = last_us + 1000 * US_PER_MS;
+	aub_placement_observe_answer(fixture.placement, "u1", &load,
+				     fixture.now_us, fixture.now_us);
+	EXPECT_TRUE(aub_placement_probe_next(fixture.placement, NULL,
+					     fixture.now_us, &probe));
+}
+
 TEST(PlacementProbe, ProbesHealthyUpstreamsWhenManyAreUnresponsive)
 {
 	/*
