placer: the log says where the placer learned of a limit

A placer that learned of a limit by a gateway's report wrote no line, and the next probe of that upstream wrote it with source "probe". Reports and the results of a zone's prober now write it with source "peer". One function logs all that an upstream says of itself, in place of comparisons at each caller.

--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -170,9 +170,13 @@
 			  const struct aub_placement_request *request,
 			  gint64 now_us,
 			  struct aub_placement_decision *decision);
-/* Ends a grant, or removes a request from the queue. */
-void aub_placement_report(struct aub_placement *placement,
-			  const struct aub_grant_report *report, gint64 now_us);
+/*
+ * Ends a grant, or removes a request from the queue. Returns the id of the
+ * upstream that was granted, valid until the next call, or NULL.
+ */
+const char *aub_placement_report(struct aub_placement *placement,
+				 const struct aub_grant_report *report,
+				 gint64 now_us);
 
 /*
  * Applies what an answer of upstream `id` says of the upstream itself, apart
@@ -213,25 +217,28 @@
 			       const struct aub_named_limit *named,
 			       gint64 now_us);
 
-/* A change of an upstream's limit; AUB_LIMIT_NONE: no limit. */
-struct aub_limit_change {
-	guint32 was_per_1000_s;
-	guint32 now_per_1000_s;
-};
-/* Returns whether answers of upstream `id` said that it leaves. */
-bool aub_placement_says_leaving(const struct aub_placement *placement,
-				const char *id);
 /*
- * Records that an answer to another process said so. Ignored unless it was the
- * incarnation that is registered here.
+ * Records that an answer to another process said that upstream `id` leaves.
+ * Ignored unless it was the incarnation that is registered here.
  */
 void aub_placement_set_leaving(struct aub_placement *placement, const char *id,
 			       gint64 started_ms);
 
+/* A change of an upstream's limit; AUB_LIMIT_NONE: no limit. */
+struct aub_limit_change {
+	guint32 was_per_1000_s;
+	guint32 now_per_1000_s;
+};
 /* See aub_upstream_limit_take_change(). */
 bool aub_placement_take_limit_change(struct aub_placement *placement,
 				     const char *id,
 				     struct aub_limit_change *change);
+/*
+ * Returns true once for each incarnation of upstream `id` that is known to
+ * leave by its answers.
+ */
+bool aub_placement_take_leaving(struct aub_placement *placement,
+				const char *id);
 
 /*
  * Sets `decision` to the next one on a queued request. Returns false if there
--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -62,6 +62,7 @@
 	gint64 departed_us; /* time at which it departed */
 	bool draining;
 	bool leaving; /* its answers said so; until it starts anew */
+	bool leaving_logged;
 	bool zone_out;
 	enum aub_placement_upstream_state state;
 	gint64 cold_until_us;
--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -138,11 +138,12 @@
 struct aub_load aub_load_decode(const struct aub_reported_load *encoded);
 
 /*
- * Logs a notable change of an upstream's limit. `source` is "answer", "probe"
- * or "peer", `id` the request or the peer, or "".
+ * Logs a notable change of an upstream's limit, and that it leaves. `source` is
+ * "answer", "probe" or "peer", `id` the request or the peer, or "".
  */
-void aub_placer_log_limit(struct aub_placement *placement, const char *upstream,
-			  const char *source, const char *id);
+void aub_placer_log_notices(struct aub_placement *placement,
+			    const char *upstream, const char *source,
+			    const char *id);
 
 /*
  * Records and logs that an upstream asked this gateway for rest. `request_id`
@@ -152,10 +153,6 @@
 			   const char *upstream, gint64 rest_us,
 			   const char *request_id);
 
-/* Logs that an upstream's answer said for the first time that it leaves. */
-void aub_placer_log_leaving(const struct aub_placement *placement,
-			    const char *upstream, const char *source,
-			    const char *id);
 /* Applies what a placer's message says of leaving upstreams. */
 void aub_placer_apply_leaving(struct aub_placement *placement,
 			      const GPtrArray *rows);
--- a/src/coordination/placer_notices.c
+++ b/src/coordination/placer_notices.c
@@ -10,8 +10,8 @@
 	return per_1000_s == AUB_LIMIT_NONE ? -1 : (gint64)per_1000_s;
 }
 
-void aub_placer_log_limit(struct aub_placement *placement, const char *upstream,
-			  const char *source, const char *id)
+static void log_limit(struct aub_placement *placement, const char *upstream,
+		      const char *source, const char *id)
 {
 	struct aub_limit_change change;
 
@@ -27,10 +27,11 @@
 	aub_log_end();
 }
 
-void aub_placer_log_leaving(const struct aub_placement *placement,
-			    const char *upstream, const char *source,
-			    const char *id)
+static void log_leaving(struct aub_placement *placement, const char *upstream,
+			const char *source, const char *id)
 {
+	if (!aub_placement_take_leaving(placement, upstream))
+		return;
 	aub_log_begin(AUB_LOG_UPSTREAM_LEAVING);
 	aub_log_text("upstream", upstream);
 	aub_log_text("service", aub_placement_service(placement));
@@ -39,6 +40,14 @@
 	aub_log_end();
 }
 
+void aub_placer_log_notices(struct aub_placement *placement,
+			    const char *upstream, const char *source,
+			    const char *id)
+{
+	log_limit(placement, upstream, source, id);
+	log_leaving(placement, upstream, source, id);
+}
+
 void aub_placer_apply_leaving(struct aub_placement *placement,
 			      const GPtrArray *rows)
 {
@@ -46,14 +55,11 @@
 		const struct aub_place_health_row *row =
 			g_ptr_array_index(rows, i);
 
-		if (!row->leaving ||
-		    aub_placement_says_leaving(placement, row->upstream))
+		if (!row->leaving)
 			continue;
 		aub_placement_set_leaving(placement, row->upstream,
 					  (gint64)row->started_ms);
-		if (aub_placement_says_leaving(placement, row->upstream))
-			aub_placer_log_leaving(placement, row->upstream, "peer",
-					       "");
+		log_leaving(placement, row->upstream, "peer", "");
 	}
 }
 
@@ -79,16 +85,12 @@
 			       const struct aub_upstream_answer *answer)
 {
 	struct aub_placement *placement = aub_placer_placement(placer, service);
-	bool left = aub_placement_says_leaving(placement, answer->upstream);
 
 	aub_placement_observe_answer(placement, answer->upstream, &answer->load,
 				     answer->sent_us,
 				     aub_timer_now(placer->options.timers));
-	aub_placer_log_limit(placement, answer->upstream, "answer",
-			     answer->request_id);
-	if (!left && aub_placement_says_leaving(placement, answer->upstream))
-		aub_placer_log_leaving(placement, answer->upstream, "answer",
-				       answer->request_id);
+	aub_placer_log_notices(placement, answer->upstream, "answer",
+			       answer->request_id);
 	aub_placer_begin_rest(placer, service, answer->upstream,
 			      answer->rest_us, answer->request_id);
 }
@@ -128,6 +130,6 @@
 		aub_placement_merge_limit(placement, &named,
 					  aub_timer_now(
 						  placer->options.timers));
-		aub_placer_log_limit(placement, limit->upstream, "peer", peer);
+		log_limit(placement, limit->upstream, "peer", peer);
 	}
 }
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -142,6 +142,7 @@
 				placement, probed->upstream,
 				(enum aub_probe_result)probed->result, &load,
 				now);
+		aub_placer_log_notices(placement, probed->upstream, "peer", "");
 	}
 	aub_placer_drain_queue(placer, placement);
 }
@@ -157,7 +158,6 @@
 	enum aub_probe_result result = classify_probe(probe, head);
 	struct aub_load load = AUB_LOAD_UNKNOWN;
 	const char *health_before;
-	bool left = aub_placement_says_leaving(placement, probe->upstream);
 
 	if (head) {
 		placer->options.platform->decode_load(head, &load);
@@ -172,9 +172,7 @@
 	log_health(probe, health_before,
 		   aub_placement_health_name(placement, probe->upstream),
 		   result, &load);
-	aub_placer_log_limit(placement, probe->upstream, "probe", "");
-	if (!left && aub_placement_says_leaving(placement, probe->upstream))
-		aub_placer_log_leaving(placement, probe->upstream, "probe", "");
+	aub_placer_log_notices(placement, probe->upstream, "probe", "");
 	queue_probe_result(placer, probe, result, &load);
 	probe_free(probe);
 	aub_placer_drain_queue(placer, placement);
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -424,9 +424,12 @@
 			     const struct aub_grant_report *report)
 {
 	struct aub_placement *placement = aub_placer_placement(placer, service);
+	const char *upstream =
+		aub_placement_report(placement, report,
+				     aub_timer_now(placer->options.timers));
 
-	aub_placement_report(placement, report,
-			     aub_timer_now(placer->options.timers));
+	if (upstream)
+		aub_placer_log_notices(placement, upstream, "peer", "");
 	aub_placer_drain_queue(placer, placement);
 }
 
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -272,6 +272,7 @@
 		aub_upstream_limit_init(&upstream->limit);
 		upstream->rest_until_us = 0;
 		upstream->leaving = false;
+		upstream->leaving_logged = false;
 	}
 	replace_string(&upstream->address, record->address);
 	replace_string(&upstream->zone, record->zone);
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -155,8 +155,9 @@
 					      grant->granted_us, now_us);
 }
 
-void aub_placement_report(struct aub_placement *placement,
-			  const struct aub_grant_report *report, gint64 now_us)
+const char *aub_placement_report(struct aub_placement *placement,
+				 const struct aub_grant_report *report,
+				 gint64 now_us)
 {
 	struct aub_grant *grant =
 		g_hash_table_lookup(placement->grants, &report->ticket);
@@ -169,13 +170,14 @@
 		if (index >= 0)
 			g_ptr_array_remove_index(placement->queue,
 						 (guint)index);
-		return;
+		return NULL;
 	}
 	upstream = aub_placement_get_upstream(placement, grant->upstream_index);
 	upstream->granted--;
 	apply_result(placement, upstream, grant, report, now_us);
 	aub_grant_judge(placement, upstream, grant, report);
 	g_hash_table_remove(placement->grants, &report->ticket);
+	return upstream->id;
 }
 
 static bool is_listed(const guint64 *tickets, guint count, guint64 ticket)
--- a/src/state/placement_notices.c
+++ b/src/state/placement_notices.c
@@ -134,12 +134,14 @@
 	probe_if_raised(upstream, before, now_us);
 }
 
-bool aub_placement_says_leaving(const struct aub_placement *placement,
-				const char *id)
+bool aub_placement_take_leaving(struct aub_placement *placement, const char *id)
 {
-	const struct aub_placement_upstream *upstream = find(placement, id);
+	struct aub_placement_upstream *upstream = find(placement, id);
 
-	return upstream && upstream->leaving;
+	if (!upstream || !upstream->leaving || upstream->leaving_logged)
+		return false;
+	upstream->leaving_logged = true;
+	return true;
 }
 
 void aub_placement_set_leaving(struct aub_placement *placement, const char *id,
