placement: a limit beyond an upstream's slots is no room

An upstream that names a limit far above what its slots can serve (a garbage figure, or a generous one) counted with the whole limit in the estimate of a wait: it came out as nothing, and in an overload requests waited to the end of their time and were refused then instead of on arrival. Found by reading.

Such an upstream now counts by its slots, as one without a limit; the verdict is overload. Placement.LimitBeyondItsSlotsIsNoRoom failed before (0 of 20 refused on arrival, 10 expected) and holds now.

--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -192,6 +192,8 @@
 /* Returns the requests per second that this placement grants a cold upstream.
  */
 double aub_placement_cold_rate_per_s(const struct aub_placement *placement);
+/* Returns the mean time from a grant to its report. */
+double aub_placement_slot_time_us(const struct aub_placement *placement);
 bool aub_placement_upstream_is_cold(
 	const struct aub_placement_upstream *upstream, gint64 now_us);
 
@@ -238,7 +240,7 @@
 
 /* What the upstreams that may serve a request can serve. */
 struct aub_placement_capacity {
-	guint slots; /* of those without a limit of their own */
+	guint slots; /* of those that no limit of their own keeps from use */
 	double limited_per_s; /* grants a second to the others together */
 	gint64 next_limited_us; /* earliest next grant to one of these */
 };
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -327,15 +327,27 @@
 						     upstream);
 }
 
+/* Returns whether its own limit leaves some of the upstream's slots unused. */
+static bool is_limited(const struct aub_placement *placement,
+		       const struct aub_placement_upstream *upstream,
+		       guint slots)
+{
+	return aub_upstream_limit_is_set(&upstream->limit) &&
+	       aub_upstream_limit_grants_per_s(&upstream->limit) *
+			       aub_placement_slot_time_us(placement) <
+		       (double)slots * G_USEC_PER_SEC;
+}
+
 /* Adds what `upstream` can serve, whether it has room now or not. */
 static void add_capacity(struct aub_placement_capacity *capacity,
+			 const struct aub_placement *placement,
 			 const struct aub_placement_upstream *upstream,
-			 guint limit)
+			 guint slots)
 {
 	gint64 next_us;
 
-	if (!aub_upstream_limit_is_set(&upstream->limit)) {
-		capacity->slots += limit;
+	if (!is_limited(placement, upstream, slots)) {
+		capacity->slots += slots;
 		return;
 	}
 	next_us = aub_upstream_limit_next_grant_us(&upstream->limit);
@@ -367,7 +379,7 @@
 			continue;
 		limit = aub_placement_upstream_concurrency_limit(placement,
 								 upstream);
-		add_capacity(capacity, upstream, limit);
+		add_capacity(capacity, placement, upstream, limit);
 		if (!has_room(choice, upstream, limit))
 			continue;
 		candidate_cost = canary_cost(choice, upstream, stuck[i]);
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -3,6 +3,8 @@
  */
 #include <auburnstile/internal/placement_internal.h>
 
+/* Used before the first report: a typical time that a slot is in use. */
+#define SLOT_TIME_DEFAULT_US (250 * AUB_US_PER_MS)
 #define SLOT_TIME_SMOOTHING 0.05 /* averages about twenty requests */
 
 /*
@@ -25,6 +27,12 @@
 #define COLD_RATE_SHARE 0.75
 #define COLD_RATE_MIN_PER_S 0.1 /* if the configuration sets none */
 
+double aub_placement_slot_time_us(const struct aub_placement *placement)
+{
+	return placement->mean_slot_time_us > 0 ? placement->mean_slot_time_us :
+						  SLOT_TIME_DEFAULT_US;
+}
+
 double aub_placement_cold_rate_per_s(const struct aub_placement *placement)
 {
 	return MAX(placement->warmup_per_s * COLD_RATE_SHARE,
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -6,9 +6,6 @@
 #include <math.h>
 #include <string.h>
 
-/* Used before the first report: a typical time that a slot is in use. */
-#define SLOT_TIME_DEFAULT_US (250 * AUB_US_PER_MS)
-
 #define RETRY_AFTER_MIN_MS 700
 #define RETRY_AFTER_BUDGET_MS 100 /* only the retry budget is exhausted */
 /* Granted share of the slots below which no request has to wait. */
@@ -23,19 +20,14 @@
  */
 #define NEWEST_FIRST_WAIT_SHARE 0.3
 
-static double slot_time_us(const struct aub_placement *placement)
-{
-	return placement->mean_slot_time_us > 0 ? placement->mean_slot_time_us :
-						  SLOT_TIME_DEFAULT_US;
-}
-
 /* Returns the wait for a slot behind `ahead` other requests, in ms. */
 static guint wait_ms(const struct aub_placement *placement, guint ahead,
 		     const struct aub_placement_capacity *capacity,
 		     gint64 now_us)
 {
-	double per_us = capacity->slots / slot_time_us(placement) +
-			capacity->limited_per_s / G_USEC_PER_SEC;
+	double per_us =
+		capacity->slots / aub_placement_slot_time_us(placement) +
+		capacity->limited_per_s / G_USEC_PER_SEC;
 	double us = (ahead + 1) / per_us;
 
 	if (!capacity->slots)
--- a/tests/test_placement_queue.cc
+++ b/tests/test_placement_queue.cc
@@ -115,6 +115,27 @@
 	EXPECT_GE(refused, 10);
 }
 
+/* Guards against requests that wait in vain behind an absurdly high limit. */
+TEST(Placement, LimitBeyondItsSlotsIsNoRoom)
+{
+	PlacementFixture fixture;
+	struct aub_load load = AUB_LOAD_UNKNOWN;
+	int refused = 0;
+
+	fixture.add_healthy("u1");
+	load.limit = AUB_LIMIT_NAMED;
+	load.limit_per_1000_s = 1000000000;
+	aub_placement_observe_answer(fixture.placement, "u1", &load,
+				     fixture.now_us, fixture.now_us);
+	for (int i = 0; i < 20; i++) {
+		struct aub_placement_decision decision = fixture.submit();
+
+		fixture.now_us += US_PER_MS;
+		refused += decision.verdict == AUB_VERDICT_OVERLOAD;
+	}
+	EXPECT_GE(refused, 10);
+}
+
 TEST(Placement, RefusesQueuedRequestAfterItsMaxWait)
 {
 	PlacementFixture fixture;
