--- a/src/state/upstream_limit.c
+++ b/src/state/upstream_limit.c
@@ -7,9 +7,9 @@
  * Only the answer to a request shows that a limit was lifted. However low the
  * limit is, one request is granted in this time.
  */
-#define GRANT_INTERVAL_MAX_US (4 * G_USEC_PER_SEC)
+#define GRANT_INTERVAL_MAX_US (4 * (gint64)G_USEC_PER_SEC)
 /* For how long a lifted limit is told to other processes. */
-#define LIFTED_TOLD_US (5 * G_USEC_PER_SEC)
+#define LIFTED_TOLD_US (5 * (gint64)G_USEC_PER_SEC)
 /* Of a message; a statement may be that much older than its age says. */
 #define DELIVERY_TIME_MAX_US (500 * G_GINT64_CONSTANT(1000))
 
