--- a/tests/test_placement.cc
+++ b/tests/test_placement.cc
@@ -379,6 +379,34 @@
 	EXPECT_FALSE(aub_upstream_limit_is_set(&fixture.upstream("u1")->limit));
 }
 
+TEST(Placement, NewStartEndsLimitRestAndLeaving)
+{
+	PlacementFixture fixture;
+	struct aub_load load = AUB_LOAD_UNKNOWN;
+
+	fixture.add_healthy("u1");
+	name_limit(fixture, "u1", 0);
+	aub_placement_begin_rest(fixture.placement, "u1", 9000 * US_PER_MS,
+				 fixture.now_us);
+	load.leaving = true;
+	aub_placement_observe_answer(fixture.placement, "u1", &load,
+				     fixture.now_us, fixture.now_us);
+	EXPECT_FALSE(aub_placement_may_send(fixture.placement, "u1",
+					    fixture.now_us));
+	gint64 sent_us = fixture.now_us;
+	fixture.now_us += 100 * US_PER_MS;
+	fixture.register_upstream("u1", 2, "z1", false, 2);
+	fixture.now_us += 1000 * US_PER_MS;
+	fixture.finish_probe("u1");
+	/* The answer to a request that the one before it had got. */
+	aub_placement_observe_answer(fixture.placement, "u1", &load, sent_us,
+				     fixture.now_us);
+	EXPECT_TRUE(aub_placement_may_send(fixture.placement, "u1",
+					   fixture.now_us));
+	EXPECT_EQ(fixture.submit().verdict, AUB_VERDICT_GRANTED);
+	EXPECT_EQ(fixture.submit().verdict, AUB_VERDICT_GRANTED);
+}
+
 TEST(Placement, RestartedUpstreamIsUnknownAgain)
 {
 	PlacementFixture fixture;
