proofs: limits, rest and leaving, while gateways are killed

The run of the soak test is a module that proofs use as well; each of the three new ones says one kind only.

What the soak draws at random is as before, with all kinds as well.

In these runs requests are refused for overload while few upstreams are left and none has a slot in use: the stand-in reports open connections as its load.

--- a/tools/proofs.c
+++ b/tools/proofs.c
@@ -22,6 +22,7 @@
 	proofs_retry_amplification,
 	proofs_upstream_leaves,
 	proofs_probe_budget,
+	proofs_upstream_notices,
 };
 
 struct options {
--- a/tools/proofs/proof.h
+++ b/tools/proofs/proof.h
@@ -38,6 +38,7 @@
 extern const struct proof proofs_retry_amplification[];
 extern const struct proof proofs_upstream_leaves[];
 extern const struct proof proofs_probe_budget[];
+extern const struct proof proofs_upstream_notices[];
 
 /* The state of one check while it runs. */
 struct proof_run {
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -6,6 +6,7 @@
 #include "platform/store.h"
 #include "platform/upstream.h"
 #include "proxy/proxy.h"
+#include "soak/soak_run.h"
 
 #include <auburnstile/internal/http_stream.h>
 #include <auburnstile/timer.h>
@@ -153,10 +154,10 @@
 void soak_caller_disconnect(struct caller *caller);
 
 /*
- * What upstreams say of themselves during the faults, and further kills of
- * gateways, at random by `seed`.
+ * What upstreams say of themselves during the faults, of the given kinds (enum
+ * soak_notice_kind), and further kills of gateways, at random by `seed`.
  */
-struct notices *soak_notices_new(struct soak *soak, guint32 seed);
+struct notices *soak_notices_new(struct soak *soak, guint32 seed, guint kinds);
 void soak_notices_free(struct notices *notices);
 void soak_notices_step(struct notices *notices, gint64 now_us);
 /* Returns whether `upstream` says something; it has no other fault then. */
@@ -169,6 +170,9 @@
 /* Called when a caller has received the head of the answer. */
 void soak_notices_on_passed(struct request *request,
 			    const struct aub_http_head *head);
+/* Sets the counts of notices and of checks. */
+void soak_notices_count(const struct notices *notices,
+			struct soak_result *result);
 /* Prints one line with counts. */
 void soak_notices_report(const struct notices *notices);
 
--- a/tools/soak/soak_notices.c
+++ b/tools/soak/soak_notices.c
@@ -24,6 +24,7 @@
 
 #define NO_LIMIT 1e9
 
+/* In the order of the bits of enum soak_notice_kind. */
 enum notice_kind { NOTICE_NONE, NOTICE_LIMIT, NOTICE_REST, NOTICE_LEAVING };
 
 /* A rest that one gateway was asked for. */
@@ -51,6 +52,7 @@
 
 struct notices {
 	struct soak *soak;
+	guint kinds; /* enum soak_notice_kind */
 	GRand *random;
 	gint64 next_us;
 	gint64 next_kill_us;
@@ -73,11 +75,12 @@
 };
 #define READABLE_LIMITS 7 /* the first ones */
 
-struct notices *soak_notices_new(struct soak *soak, guint32 seed)
+struct notices *soak_notices_new(struct soak *soak, guint32 seed, guint kinds)
 {
 	struct notices *notices = g_new0(struct notices, 1);
 
 	notices->soak = soak;
+	notices->kinds = kinds;
 	notices->random = g_rand_new_with_seed(seed);
 	notices->next_us = soak_now(soak) + 2 * AUB_SECOND;
 	notices->next_kill_us = notices->next_us;
@@ -145,14 +148,26 @@
 				     PLATFORM_ANSWER_OVERLOADED);
 }
 
+/*
+ * Draws a kind, and takes the next one that may occur, so that a seed draws the
+ * same numbers whatever kinds are chosen.
+ */
+static enum notice_kind draw_kind(struct notices *notices)
+{
+	guint kind = (guint)g_rand_int_range(notices->random, NOTICE_LIMIT,
+					     NOTICE_LEAVING + 1);
+
+	while (!(notices->kinds & 1u << (kind - 1)))
+		kind = kind % NOTICE_LEAVING + 1;
+	return (enum notice_kind)kind;
+}
+
 static void begin_notice(struct notices *notices, struct upstream *upstream)
 {
 	struct notice *notice = &notices->notices[upstream->number];
 	gint64 now = soak_now(notices->soak);
 
-	notice->kind = (enum notice_kind)g_rand_int_range(notices->random,
-							  NOTICE_LIMIT,
-							  NOTICE_LEAVING + 1);
+	notice->kind = draw_kind(notices);
 	notices->counts[notice->kind]++;
 	switch (notice->kind) {
 	case NOTICE_LIMIT:
@@ -391,6 +406,14 @@
 		*told_us = soak_now(upstream->soak);
 }
 
+void soak_notices_count(const struct notices *notices,
+			struct soak_result *result)
+{
+	for (guint i = NOTICE_LIMIT; i <= NOTICE_LEAVING; i++)
+		result->notices += notices->counts[i];
+	result->notice_checks = notices->checked;
+}
+
 void soak_notices_report(const struct notices *notices)
 {
 	g_print("notices: %u limits, %u rests, %u leaving; %u requests "
