--- a/src/state/request_trace.c
+++ b/src/state/request_trace.c
@@ -156,8 +156,13 @@
 	if (!strcmp(event, "upstream") || !strcmp(event, "health"))
 		return field_is_in_trace(trace, object, "id") ||
 		       field_is_in_trace(trace, object, "upstream");
+	/* They concern requests of the service that reached no upstream, too.
+	 */
 	if (!strcmp(event, "placement") || !strcmp(event, "placing") ||
-	    !strcmp(event, "placer-suspected"))
+	    !strcmp(event, "placer-suspected") ||
+	    !strcmp(event, "upstream-limit") ||
+	    !strcmp(event, "upstream-rest") ||
+	    !strcmp(event, "upstream-leaving"))
 		return field_is_in_trace(trace, object, "service");
 	return field_is_in_trace(trace, object, "node") &&
 	       strcmp(event, "peer-heard") != 0;
--- a/tests/test_request_trace.cc
+++ b/tests/test_request_trace.cc
@@ -51,6 +51,34 @@
 	aub_request_trace_free(trace);
 }
 
+/* Guards against a refusal whose cause no related line shows. */
+TEST(RequestTrace, ShowsWhatUpstreamsOfTheServiceSaid)
+{
+	struct aub_request_trace *trace = aub_request_trace_new("r1");
+	const char *const own[] = {
+		R"({"t":2000,"node":"g1","event":"not-placed","id":"r1",)"
+		R"("service":"s","verdict":"limited"})",
+		R"({"t":2000,"node":"g1","event":"request","id":"r1",)"
+		R"("status":503,"service":"s"})",
+	};
+	const char *const related[] = {
+		R"({"t":1800,"node":"g2","event":"upstream-limit",)"
+		R"("upstream":"u1","service":"s","was":-1,"now":500})",
+		R"({"t":1810,"node":"g2","event":"upstream-rest",)"
+		R"("upstream":"u2","service":"other","ms":3000})",
+	};
+
+	for (const char *line : own)
+		aub_request_trace_add_line(trace, line);
+	for (const char *line : related)
+		aub_request_trace_add_context_line(trace, line);
+	char *text = aub_request_trace_text(trace);
+	EXPECT_NE(strstr(text, "upstream-limit upstream=u1"), nullptr) << text;
+	EXPECT_EQ(strstr(text, "upstream-rest"), nullptr) << text;
+	g_free(text);
+	aub_request_trace_free(trace);
+}
+
 TEST(RequestTrace, IsEmptyForUnknownRequest)
 {
 	struct aub_request_trace *trace = aub_request_trace_new("r7");
