--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -149,6 +149,9 @@
 /* Returns the index of `id`, or -1. */
 gint aub_placement_find_upstream(const struct aub_placement *placement,
 				 const char *id);
+/* Returns upstream `id`, owned by `placement`, or NULL. */
+struct aub_placement_upstream *aub_placement_upstream_by_id(
+	const struct aub_placement *placement, const char *id);
 
 /* Applies the load that a response or a probe reported. */
 void aub_placement_upstream_update_load(struct aub_placement *placement,
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -29,6 +29,15 @@
 	return GPOINTER_TO_INT(g_hash_table_lookup(placement->by_id, id)) - 1;
 }
 
+struct aub_placement_upstream *aub_placement_upstream_by_id(
+	const struct aub_placement *placement, const char *id)
+{
+	gint index = aub_placement_find_upstream(placement, id);
+
+	return index < 0 ? NULL :
+			   aub_placement_get_upstream(placement, (guint)index);
+}
+
 static void placement_upstream_free(void *data)
 {
 	struct aub_placement_upstream *upstream = data;
@@ -324,12 +333,11 @@
 bool aub_placement_may_send(const struct aub_placement *placement,
 			    const char *id, gint64 now_us)
 {
-	gint index = aub_placement_find_upstream(placement, id);
-	const struct aub_placement_upstream *upstream;
+	const struct aub_placement_upstream *upstream =
+		aub_placement_upstream_by_id(placement, id);
 
-	if (index < 0)
+	if (!upstream)
 		return false;
-	upstream = aub_placement_get_upstream(placement, (guint)index);
 	return upstream->registered &&
 	       !aub_placement_upstream_is_leaving(upstream) &&
 	       !upstream->zone_out &&
@@ -340,12 +348,11 @@
 const char *aub_placement_health_name(const struct aub_placement *placement,
 				      const char *id)
 {
-	gint index = aub_placement_find_upstream(placement, id);
-	const struct aub_placement_upstream *upstream;
+	const struct aub_placement_upstream *upstream =
+		aub_placement_upstream_by_id(placement, id);
 
-	if (index < 0)
+	if (!upstream)
 		return "gone";
-	upstream = aub_placement_get_upstream(placement, (guint)index);
 	if (upstream->state == AUB_PLACEMENT_UPSTREAM_UP)
 		return upstream->unhealthy ? "ill" : "up";
 	return upstream->state == AUB_PLACEMENT_UPSTREAM_DOWN ? "down" :
@@ -408,12 +415,11 @@
 			      const struct aub_upstream_health *health,
 			      gint64 now_us)
 {
-	gint index = aub_placement_find_upstream(placement, health->upstream);
-	struct aub_placement_upstream *upstream;
+	struct aub_placement_upstream *upstream =
+		aub_placement_upstream_by_id(placement, health->upstream);
 
-	if (index < 0)
+	if (!upstream)
 		return;
-	upstream = aub_placement_get_upstream(placement, (guint)index);
 	upstream->state = health->down	  ? AUB_PLACEMENT_UPSTREAM_DOWN :
 			  health->unknown ? AUB_PLACEMENT_UPSTREAM_UNKNOWN :
 					    AUB_PLACEMENT_UPSTREAM_UP;
--- a/src/state/placement_notices.c
+++ b/src/state/placement_notices.c
@@ -4,16 +4,6 @@
  */
 #include <auburnstile/internal/placement_internal.h>
 
-/* Returns upstream `id`, owned by `placement`, or NULL. */
-static struct aub_placement_upstream *find(
-	const struct aub_placement *placement, const char *id)
-{
-	gint index = aub_placement_find_upstream(placement, id);
-
-	return index < 0 ? NULL :
-			   aub_placement_get_upstream(placement, (guint)index);
-}
-
 /*
  * A limited upstream is probed rarely; it may have turned cold since, and more
  * requests are about to reach it.
@@ -58,7 +48,8 @@
 				  const char *id, const struct aub_load *load,
 				  gint64 sent_us, gint64 now_us)
 {
-	struct aub_placement_upstream *upstream = find(placement, id);
+	struct aub_placement_upstream *upstream =
+		aub_placement_upstream_by_id(placement, id);
 
 	if (upstream)
 		aub_placement_upstream_observe_answer(upstream, load, sent_us,
@@ -68,12 +59,12 @@
 void aub_placement_begin_rest(struct aub_placement *placement, const char *id,
 			      gint64 rest_us, gint64 now_us)
 {
-	struct aub_placement_upstream *upstream = find(placement, id);
+	struct aub_placement_upstream *upstream =
+		aub_placement_upstream_by_id(placement, id);
 
-	if (!upstream)
-		return;
-	upstream->rest_until_us =
-		MAX(upstream->rest_until_us, now_us + rest_us);
+	if (upstream)
+		upstream->rest_until_us =
+			MAX(upstream->rest_until_us, now_us + rest_us);
 }
 
 guint aub_placement_list_resting(const struct aub_placement *placement,
@@ -121,13 +112,11 @@
 			       gint64 now_us)
 {
 	struct aub_placement_upstream *upstream =
-		find(placement, named->upstream);
+		aub_placement_upstream_by_id(placement, named->upstream);
 	gint64 said_us = now_us - named->statement.age_ms * AUB_US_PER_MS;
 	guint32 before;
 
-	if (!upstream)
-		return;
-	if (said_us < upstream->started_us)
+	if (!upstream || said_us < upstream->started_us)
 		return;
 	before = upstream->limit.per_1000_s;
 	aub_upstream_limit_merge(&upstream->limit, &named->statement, now_us);
@@ -136,7 +125,8 @@
 
 bool aub_placement_take_leaving(struct aub_placement *placement, const char *id)
 {
-	struct aub_placement_upstream *upstream = find(placement, id);
+	struct aub_placement_upstream *upstream =
+		aub_placement_upstream_by_id(placement, id);
 
 	if (!upstream || !upstream->leaving || upstream->leaving_logged)
 		return false;
@@ -147,11 +137,10 @@
 void aub_placement_set_leaving(struct aub_placement *placement, const char *id,
 			       gint64 started_ms)
 {
-	struct aub_placement_upstream *upstream = find(placement, id);
+	struct aub_placement_upstream *upstream =
+		aub_placement_upstream_by_id(placement, id);
 
-	if (!upstream)
-		return;
-	if (upstream->started_ms == started_ms)
+	if (upstream && upstream->started_ms == started_ms)
 		upstream->leaving = true;
 }
 
@@ -159,7 +148,8 @@
 				     const char *id,
 				     struct aub_limit_change *change)
 {
-	struct aub_placement_upstream *upstream = find(placement, id);
+	struct aub_placement_upstream *upstream =
+		aub_placement_upstream_by_id(placement, id);
 
 	if (!upstream)
 		return false;
--- a/src/state/placement_probe.c
+++ b/src/state/placement_probe.c
@@ -121,12 +121,11 @@
 				  const char *id, enum aub_probe_result result,
 				  const struct aub_load *load, gint64 now_us)
 {
-	gint index = aub_placement_find_upstream(placement, id);
-	struct aub_placement_upstream *upstream;
+	struct aub_placement_upstream *upstream =
+		aub_placement_upstream_by_id(placement, id);
 
-	if (index < 0)
+	if (!upstream)
 		return;
-	upstream = aub_placement_get_upstream(placement, (guint)index);
 	aub_placement_upstream_set_probing(placement, upstream, false);
 	if (result == AUB_PROBE_NO_RESPONSE) {
 		if (++upstream->failed_probes >= FAILED_PROBES_DOWN)
@@ -152,13 +151,12 @@
 				  const char *id, enum aub_probe_result result,
 				  const struct aub_load *load, gint64 now_us)
 {
-	gint index = aub_placement_find_upstream(placement, id);
-	struct aub_placement_upstream *upstream;
+	struct aub_placement_upstream *upstream =
+		aub_placement_upstream_by_id(placement, id);
 	bool probing;
 
-	if (index < 0)
+	if (!upstream)
 		return;
-	upstream = aub_placement_get_upstream(placement, (guint)index);
 	probing = upstream->probing;
 	aub_placement_probe_finished(placement, id, result, load, now_us);
 	/* A local probe in progress continues. */
