placement: answers to requests and to probes are observed by one function

The two differed only in the function that reads the limit; the guard against answers of an earlier incarnation, leaving and the early probe stood twice.

--- a/src/state/placement_notices.c
+++ b/src/state/placement_notices.c
@@ -15,9 +15,13 @@
 		upstream->next_probe_us = MIN(upstream->next_probe_us, now_us);
 }
 
-void aub_placement_upstream_observe_answer(
-	struct aub_placement_upstream *upstream, const struct aub_load *load,
-	gint64 sent_us, gint64 now_us)
+/* `observe_limit` is the function of upstream_limit.h for the kind of answer.
+ */
+static void observe(struct aub_placement_upstream *upstream,
+		    const struct aub_load *load, gint64 sent_us, gint64 now_us,
+		    void (*observe_limit)(struct aub_upstream_limit *limit,
+					  const struct aub_load *load,
+					  gint64 sent_us, gint64 now_us))
 {
 	guint32 before = upstream->limit.per_1000_s;
 
@@ -25,23 +29,24 @@
 	if (sent_us < upstream->started_us)
 		return;
 	upstream->leaving = upstream->leaving || load->leaving;
-	aub_upstream_limit_observe_answer(&upstream->limit, load, sent_us,
-					  now_us);
+	observe_limit(&upstream->limit, load, sent_us, now_us);
 	probe_if_raised(upstream, before, now_us);
 }
 
-void aub_placement_upstream_observe_probe(
+void aub_placement_upstream_observe_answer(
 	struct aub_placement_upstream *upstream, const struct aub_load *load,
 	gint64 sent_us, gint64 now_us)
 {
-	guint32 before = upstream->limit.per_1000_s;
+	observe(upstream, load, sent_us, now_us,
+		aub_upstream_limit_observe_answer);
+}
 
-	if (sent_us < upstream->started_us)
-		return;
-	upstream->leaving = upstream->leaving || load->leaving;
-	aub_upstream_limit_observe_probe(&upstream->limit, load, sent_us,
-					 now_us);
-	probe_if_raised(upstream, before, now_us);
+void aub_placement_upstream_observe_probe(
+	struct aub_placement_upstream *upstream, const struct aub_load *load,
+	gint64 sent_us, gint64 now_us)
+{
+	observe(upstream, load, sent_us, now_us,
+		aub_upstream_limit_observe_probe);
 }
 
 void aub_placement_observe_answer(struct aub_placement *placement,
