placement: resting upstreams are added to a request's list directly

One function returned a count, an optional list and the first end of a rest; its two callers needed different parts, and each placement request built an array that is nearly always empty. Two functions now, and no array. No change of behaviour.

--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -194,13 +194,14 @@
 			      gint64 rest_us, gint64 now_us);
 
 /*
- * Returns the number of upstreams that want no requests of this process at
- * present. If there are any, sets `first_end_us` to the first end of a rest and
- * appends their ids, borrowed, to `ids`, which may be NULL.
+ * Appends the upstreams that want no requests of this process at present to
+ * `avoid`, an array of owned char *, unless they are in it.
  */
-guint aub_placement_list_resting(const struct aub_placement *placement,
-				 GPtrArray *ids, gint64 *first_end_us,
-				 gint64 now_us);
+void aub_placement_avoid_resting(const struct aub_placement *placement,
+				 GPtrArray *avoid, gint64 now_us);
+/* Returns when the first of these rests ends; 0 if there is none. */
+gint64 aub_placement_first_rest_end_us(const struct aub_placement *placement,
+				       gint64 now_us);
 
 /* A statement of a limit, for other processes. */
 struct aub_named_limit {
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -111,10 +111,11 @@
 	gint64 now = aub_timer_now(placer->options.timers);
 	gint64 end_us;
 
-	if (decision->verdict != AUB_VERDICT_NO_UPSTREAM ||
-	    !aub_placement_list_resting(aub_placer_placement(placer,
-							     ticket->service),
-					NULL, &end_us, now))
+	if (decision->verdict != AUB_VERDICT_NO_UPSTREAM)
+		return decision->retry_after_ms;
+	end_us = aub_placement_first_rest_end_us(
+		aub_placer_placement(placer, ticket->service), now);
+	if (!end_us)
 		return decision->retry_after_ms;
 	return MAX(decision->retry_after_ms,
 		   (guint)MIN((end_us - now) / AUB_MS,
@@ -241,26 +242,6 @@
 	       !aub_placer_first_replies_are_due(placer, now_us);
 }
 
-/* Excludes upstreams that asked this process for rest, whoever places. */
-static void avoid_resting(struct aub_placer *placer, struct aub_ticket *ticket)
-{
-	GPtrArray *resting = g_ptr_array_new();
-	gint64 end_us;
-
-	aub_placement_list_resting(aub_placer_placement(placer,
-							ticket->service),
-				   resting, &end_us,
-				   aub_timer_now(placer->options.timers));
-	for (guint i = 0; i < resting->len; i++) {
-		const char *id = g_ptr_array_index(resting, i);
-
-		if (!g_ptr_array_find_with_equal_func(ticket->avoid, id,
-						      g_str_equal, NULL))
-			g_ptr_array_add(ticket->avoid, g_strdup(id));
-	}
-	g_ptr_array_unref(resting);
-}
-
 /* Sends the request to the next placer; places locally if there is none. */
 static void ticket_request(struct aub_placer *placer, struct aub_ticket *ticket)
 {
@@ -268,7 +249,9 @@
 	struct aub_peer *peer = next_placer(placer, ticket);
 
 	ticket->queued = false;
-	avoid_resting(placer, ticket);
+	aub_placement_avoid_resting(aub_placer_placement(placer,
+							 ticket->service),
+				    ticket->avoid, now);
 	if (must_wait_for_startup(placer, peer, now)) {
 		ticket->next_action_us = now + AUB_STARTUP_CHECK_PERIOD_US;
 		return;
--- a/src/state/placement_notices.c
+++ b/src/state/placement_notices.c
@@ -72,25 +72,46 @@
 			MAX(upstream->rest_until_us, now_us + rest_us);
 }
 
-guint aub_placement_list_resting(const struct aub_placement *placement,
-				 GPtrArray *ids, gint64 *first_end_us,
-				 gint64 now_us)
+/* Returns whether a registered upstream wants no requests of this process. */
+static bool wants_rest(const struct aub_placement_upstream *upstream,
+		       gint64 now_us)
 {
-	guint count = 0;
+	return upstream->registered &&
+	       aub_placement_upstream_is_resting(upstream, now_us);
+}
+
+static bool contains(GPtrArray *names, const char *name)
+{
+	return g_ptr_array_find_with_equal_func(names, name, g_str_equal, NULL);
+}
 
+void aub_placement_avoid_resting(const struct aub_placement *placement,
+				 GPtrArray *avoid, gint64 now_us)
+{
 	for (guint i = 0; i < placement->upstreams->len; i++) {
-		struct aub_placement_upstream *upstream =
+		const struct aub_placement_upstream *upstream =
 			aub_placement_get_upstream(placement, i);
 
-		if (!upstream->registered ||
-		    !aub_placement_upstream_is_resting(upstream, now_us))
-			continue;
-		if (!count++ || upstream->rest_until_us < *first_end_us)
-			*first_end_us = upstream->rest_until_us;
-		if (ids)
-			g_ptr_array_add(ids, upstream->id);
+		if (wants_rest(upstream, now_us) &&
+		    !contains(avoid, upstream->id))
+			g_ptr_array_add(avoid, g_strdup(upstream->id));
 	}
-	return count;
+}
+
+gint64 aub_placement_first_rest_end_us(const struct aub_placement *placement,
+				       gint64 now_us)
+{
+	gint64 first_us = 0;
+
+	for (guint i = 0; i < placement->upstreams->len; i++) {
+		const struct aub_placement_upstream *upstream =
+			aub_placement_get_upstream(placement, i);
+
+		if (wants_rest(upstream, now_us) &&
+		    (!first_us || upstream->rest_until_us < first_us))
+			first_us = upstream->rest_until_us;
+	}
+	return first_us;
 }
 
 guint aub_placement_list_limits(const struct aub_placement *placement,
