--- a/include/auburnstile/internal/upstream_limit.h
+++ b/include/auburnstile/internal/upstream_limit.h
@@ -17,6 +17,13 @@
 
 G_BEGIN_DECLS
 
+/*
+ * The share of an upstream's rate, in its warm-up or under its own limit, that
+ * one placer grants. Two placers that do not know of each other then stay
+ * within one and a half times that rate.
+ */
+#define AUB_PLACER_RATE_SHARE 0.75
+
 /* No limit, in place of a number of requests per 1000 s. */
 #define AUB_LIMIT_NONE G_MAXUINT32
 
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -19,12 +19,6 @@
 #define SLOWNESS_SMOOTHING 0.1
 #define SLOWNESS_MAX 8.0
 
-/*
- * The share of the warm-up rate that one placer grants a cold upstream. Two
- * placers that do not know of each other then stay within one and a half times
- * that rate.
- */
-#define COLD_RATE_SHARE 0.75
 #define COLD_RATE_MIN_PER_S 0.1 /* if the configuration sets none */
 
 double aub_placement_slot_time_us(const struct aub_placement *placement)
@@ -35,7 +29,7 @@
 
 double aub_placement_cold_rate_per_s(const struct aub_placement *placement)
 {
-	return MAX(placement->warmup_per_s * COLD_RATE_SHARE,
+	return MAX(placement->warmup_per_s * AUB_PLACER_RATE_SHARE,
 		   COLD_RATE_MIN_PER_S);
 }
 
--- a/src/state/upstream_limit.c
+++ b/src/state/upstream_limit.c
@@ -1,8 +1,6 @@
 /* The limit that an upstream names; see upstream_limit.h. */
 #include <auburnstile/internal/upstream_limit.h>
 
-/* Two placers at once then grant one and a half times the limit. */
-#define PLACER_SHARE 0.75
 /*
  * Only the answer to a request shows that a limit was lifted. However low the
  * limit is, one request is granted in this time.
@@ -113,7 +111,7 @@
 
 static gint64 grant_interval_us(const struct aub_upstream_limit *limit)
 {
-	double grants_per_1000_s = PLACER_SHARE * limit->per_1000_s;
+	double grants_per_1000_s = AUB_PLACER_RATE_SHARE * limit->per_1000_s;
 
 	if (grants_per_1000_s * GRANT_INTERVAL_MAX_US <=
 	    1000.0 * G_USEC_PER_SEC)
