--- a/tools/soak/soak_notices.c
+++ b/tools/soak/soak_notices.c
@@ -191,6 +191,13 @@
 	}
 }
 
+static void serve_normally(struct upstream *upstream)
+{
+	platform_upstream_set_answer(upstream->server,
+				     PLATFORM_ANSWER_COMPLETE);
+	platform_upstream_set_retry_after(upstream->server, NULL);
+}
+
 static void change_notice(struct notices *notices, struct upstream *upstream)
 {
 	struct notice *notice = &notices->notices[upstream->number];
@@ -200,9 +207,7 @@
 		name_limit(notices, notice, upstream, G_N_ELEMENTS(limits));
 		return;
 	}
-	platform_upstream_set_answer(upstream->server,
-				     PLATFORM_ANSWER_COMPLETE);
-	platform_upstream_set_retry_after(upstream->server, NULL);
+	serve_normally(upstream);
 }
 
 /* A leaving upstream is replaced; now and then another one as well. */
@@ -212,9 +217,7 @@
 	bool replaced = notice->kind == NOTICE_LEAVING ||
 			g_rand_int_range(notices->random, 0, 4) == 0;
 
-	platform_upstream_set_answer(upstream->server,
-				     PLATFORM_ANSWER_COMPLETE);
-	platform_upstream_set_retry_after(upstream->server, NULL);
+	serve_normally(upstream);
 	platform_upstream_set_limit(upstream->server, NULL, false);
 	*notice = (struct notice){ .arrivals = notice->arrivals,
 				   .rests = notice->rests };
@@ -375,9 +378,8 @@
 	request->answered_generation = upstream->generation;
 	if (notice->kind == NOTICE_LIMIT && !notice->named_us)
 		notice->named_us = now;
-	if (notice->kind == NOTICE_REST && !notice->change_us)
-		return;
-	if (notice->kind == NOTICE_REST && status == 503) {
+	/* It asks for rest until its change. */
+	if (notice->kind == NOTICE_REST && notice->change_us && status == 503) {
 		const struct rest rest = {
 			.gateway = request->gateway,
 			.asked_us = now,
