--- a/tests/placement_fixture.h
+++ b/tests/placement_fixture.h
@@ -75,6 +75,16 @@
 		aub_placement_probe_finished(placement, id.c_str(), result,
 					     &load, now_us);
 	}
+	/* An answer of `id`, to a request sent now, names a limit. */
+	void name_limit(const std::string &id, double per_s)
+	{
+		struct aub_load load = AUB_LOAD_UNKNOWN;
+
+		load.limit = AUB_LIMIT_NAMED;
+		load.limit_per_1000_s = (guint32)(1000 * per_s);
+		aub_placement_observe_answer(placement, id.c_str(), &load,
+					     now_us, now_us);
+	}
 	void add_healthy(const std::string &id, guint slots = 2,
 			 const std::string &zone = "z1")
 	{
--- a/tests/test_placement_probe.cc
+++ b/tests/test_placement_probe.cc
@@ -120,15 +120,11 @@
 TEST(PlacementProbe, ProbesLimitedUpstreamLessOften)
 {
 	PlacementFixture fixture;
-	struct aub_load load = AUB_LOAD_UNKNOWN;
 	struct aub_probe probe;
 	int probes = 0;
 
 	fixture.add_healthy("u1");
-	load.limit = AUB_LIMIT_NAMED;
-	load.limit_per_1000_s = 1000;
-	aub_placement_observe_answer(fixture.placement, "u1", &load,
-				     fixture.now_us, fixture.now_us);
+	fixture.name_limit("u1", 1);
 	for (int ms = 0; ms < 16000; ms += 25) {
 		fixture.now_us += 25 * US_PER_MS;
 		if (!aub_placement_probe_next(fixture.placement, NULL,
@@ -151,9 +147,7 @@
 	gint64 last_us;
 
 	fixture.add_healthy("u1");
-	load.limit = AUB_LIMIT_NAMED;
-	aub_placement_observe_answer(fixture.placement, "u1", &load,
-				     fixture.now_us, fixture.now_us);
+	fixture.name_limit("u1", 0);
 	last_us = fixture.now_us;
 	for (int ms = 0; ms < 20000; ms += 25) {
 		fixture.now_us += 25 * US_PER_MS;
--- a/tests/test_placement_queue.cc
+++ b/tests/test_placement_queue.cc
@@ -119,14 +119,10 @@
 TEST(Placement, LimitBeyondItsSlotsIsNoRoom)
 {
 	PlacementFixture fixture;
-	struct aub_load load = AUB_LOAD_UNKNOWN;
 	int refused = 0;
 
 	fixture.add_healthy("u1");
-	load.limit = AUB_LIMIT_NAMED;
-	load.limit_per_1000_s = 1000000000;
-	aub_placement_observe_answer(fixture.placement, "u1", &load,
-				     fixture.now_us, fixture.now_us);
+	fixture.name_limit("u1", 1e6);
 	for (int i = 0; i < 20; i++) {
 		struct aub_placement_decision decision = fixture.submit();
 
