workspaces: API keys and fleet-wide quotas on the platform

Cause: requests of keyed deployments were forwarded with their key and without their workspace, whoever sent them, and nothing counted quotas.

Change: a configuration's workspaces are decoded with their keys as keyed digests; a key is checked at each request (401; a route that is not there stays 404); upstreams get the workspace in place of the key, and what a caller says of a workspace is dropped. Store answers that are shared by datagram carry digests under a secret of their own. Quotas are token buckets at the placers, which tell each other what they grant; work that did not run is given back; beyond a quota callers get 429 with a time spread over the credit to come. The workspace's priority precedes that of the route. Protocol version 3.

Retry-After: credit that is granted to others meanwhile is not promised, and late requests get only what others leave.

--- a/include/auburnstile/internal/gateway_internal.h
+++ b/include/auburnstile/internal/gateway_internal.h
@@ -95,6 +95,8 @@
 	struct aub_routing *routing;
 	struct aub_route *route; /* borrowed from `routing` */
 	const char *service; /* borrowed from `routing` */
+	/* borrowed from `routing`; NULL: the caller is anonymous */
+	const struct aub_workspace *workspace;
 	char *id; /* request ID; "" if the caller sent none */
 	char *host;
 	char *request_line; /* "METHOD target HTTP/1.1" */
@@ -146,6 +148,10 @@
  */
 void aub_request_refuse(struct aub_request *request, const char *reason,
 			guint retry_after_ms);
+/* Refuses a request beyond its workspace's quota. */
+void aub_request_refuse_over_quota(struct aub_request *request,
+				   const char *reason, const char *placer,
+				   guint retry_after_ms);
 void aub_request_deny(struct aub_request *request, guint status,
 		      const char *reason);
 void aub_request_fail(struct aub_request *request, guint status,
@@ -225,12 +231,29 @@
 /* Resets the connection, so that a truncated answer doesn't look complete. */
 void aub_caller_abort(struct aub_caller *caller);
 
+/* What is left out of the headers that are forwarded. */
+enum aub_headers_kind {
+	AUB_HEADERS_OF_ANSWER,
+	AUB_HEADERS_OF_REQUEST, /* what the gateway sets itself */
+	/* also the API key, and any statement of a workspace */
+	AUB_HEADERS_OF_KEYED_REQUEST
+};
+/* Appends the headers of `head` that are forwarded. */
+void aub_headers_forward(GString *out, const struct aub_http_head *head,
+			 const struct aub_platform *platform,
+			 enum aub_headers_kind kind);
+
 /*
- * Appends the headers of `head` that are forwarded. `request` is true for a
- * request and false for an answer.
+ * Sets the workspace of the request's caller by its API key. Returns why the
+ * caller may not use the route, or NULL if it may.
  */
-void aub_headers_forward(GString *out, const struct aub_http_head *head,
-			 const struct aub_platform *platform, bool request);
+const char *aub_request_find_workspace(struct aub_request *request,
+				       const struct aub_http_head *head);
+/*
+ * Returns the rank of the request: by its workspace's priority, or that of the
+ * route if there is no workspace, and then by that of the route.
+ */
+guint aub_request_priority(const struct aub_request *request);
 /* Returns false if `text` is NULL or not a decimal number below 2^31. */
 bool aub_header_parse_number(const char *text, gint64 *value);
 
--- a/include/auburnstile/internal/message_fields.h
+++ b/include/auburnstile/internal/message_fields.h
@@ -49,6 +49,7 @@
 extern const struct aubi_layout aubi_probe_result_layout;
 extern const struct aubi_layout aubi_place_health_row_layout;
 extern const struct aubi_layout aubi_place_limit_layout;
+extern const struct aubi_layout aubi_quota_use_row_layout;
 extern const struct aubi_layout aubi_place_evidence_layout;
 
 /* Returns the layout of a message type; NULL if the type is unknown. */
--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -11,6 +11,7 @@
 #ifndef AUBURNSTILE_INTERNAL_PLACEMENT_H
 #define AUBURNSTILE_INTERNAL_PLACEMENT_H
 
+#include <auburnstile/internal/quota.h>
 #include <auburnstile/internal/upstream_limit.h>
 
 G_BEGIN_DECLS
@@ -30,6 +31,7 @@
 	AUB_VERDICT_OVERLOAD, /* the wait would exceed its maximum */
 	AUB_VERDICT_NO_BUDGET, /* a retry beyond the fleet's budget */
 	AUB_VERDICT_LIMITED, /* as OVERLOAD; all name limits of their own */
+	AUB_VERDICT_OVER_QUOTA, /* its workspace has no credit left */
 	AUB_VERDICT_COUNT
 };
 
@@ -45,6 +47,10 @@
 	bool retry; /* it was sent to an upstream before */
 	bool local_fallback; /* placed locally, for lack of a placer */
 	guint32 route; /* key of its route: versions are judged by route */
+	const char *workspace; /* of its caller; "" or NULL: none */
+	/* where it counts; must outlive the grant; NULL: nowhere */
+	struct aub_quotas *quotas;
+	guint quota; /* handle of its workspace's quota; 0: none */
 	const char *const *avoid; /* upstreams it was sent to */
 	guint avoid_count;
 };
--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -93,6 +93,8 @@
 	double slowdown; /* expected at grant for other reasons than that */
 	guint target_ms;
 	guint32 route;
+	struct aub_quotas *quotas; /* NULL: it counts nowhere */
+	guint quota;
 	bool cold; /* the upstream was cold at grant */
 	bool canary; /* counts as exposure of a new version */
 	bool judged_early; /* counted as slow before it ended */
@@ -106,6 +108,8 @@
 	guint priority;
 	guint target_ms;
 	guint32 route;
+	struct aub_quotas *quotas; /* NULL: it counts nowhere */
+	guint quota;
 	bool retry;
 	bool local_fallback; /* no placer reachable: no cold or down upstream */
 	gint64 queued_us;
--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -11,6 +11,7 @@
 	guint64 id;
 	char *service;
 	struct aub_placement_request request; /* without its pointers */
+	char *workspace;
 	GPtrArray *avoid; /* of char * */
 	/* NULL once it is decided */
 	aub_placement_result_callback *callback;
@@ -59,6 +60,14 @@
 	guint rollout_timer; /* 0: no order is open */
 	gint64 rollouts_sent_us; /* when evidence was last sent */
 	bool orders_known; /* all orders in the store have been read */
+	/* of the fleet, and of this gateway while it reaches no placer */
+	struct aub_quotas *quotas;
+	struct aub_quotas *fallback_quotas;
+	/* it is told what others grant, or began without credit */
+	bool quotas_informed;
+	gint64 last_placed_us; /* when it last placed a request itself */
+	gint64 quota_sent_us; /* when it last told others of its grants */
+	guint quota_timer; /* 0: nothing to tell */
 	guint probe_timer;
 	guint report_timer; /* sends queued probe results */
 	struct aub_placer_counts counts;
@@ -183,6 +192,23 @@
 void aub_placer_send_to_zones(struct aub_placer *placer, const char *service,
 			      struct aub_message *message, bool *relay);
 
+/* Quotas of workspaces. */
+/*
+ * Called before a request is placed here, by this gateway for all or, in
+ * `fallback`, for itself: sets where the request counts.
+ */
+void aub_placer_set_quota(struct aub_placer *placer,
+			  struct aub_placement_request *request, bool fallback);
+/* Tells other placers of grants here, at once or within a short time. */
+void aub_placer_send_quota_use(struct aub_placer *placer);
+void aub_placer_apply_quota_use(struct aub_placer *placer,
+				const struct aub_quota_use_message *message);
+/* Forgets the counts of a process that has ended. */
+void aub_placer_forget_quota_use(struct aub_placer *placer,
+				 guint64 incarnation);
+/* Called every second: adapts to changes of the fleet. */
+void aub_placer_refresh_quotas(struct aub_placer *placer, gint64 now_us);
+
 /* Periodic exchange between gateways. */
 /* Called every second. */
 void aub_placer_on_round(void *context, gint64 now_us);
--- a/include/auburnstile/internal/platform.h
+++ b/include/auburnstile/internal/platform.h
@@ -107,6 +107,9 @@
 	const char *answer_stamp; /* proof that the answer is the upstream's */
 	const char *not_run; /* marks an answer to a request that did not run */
 	const char *upstream_id;
+	const char *api_key; /* "SCHEME KEY", of a caller */
+	const char *api_key_scheme;
+	const char *workspace; /* that holds the key, for upstreams */
 
 	/*
 	 * Return the paths of store calls, to be freed with g_free(). `after`
@@ -133,6 +136,13 @@
 					      const void *data, gsize length,
 					      GError **error);
 
+	/*
+	 * Returns a copy of a store answer in which API keys are replaced by
+	 * digests, so that it can be sent to other gateways. NULL if it is
+	 * unreadable.
+	 */
+	GBytes *(*without_keys)(const void *data, gsize length);
+
 	/* Reads the load headers of an answer. */
 	void (*decode_load)(const struct aub_http_head *head,
 			    struct aub_load *load);
--- a/include/auburnstile/internal/routing.h
+++ b/include/auburnstile/internal/routing.h
@@ -10,6 +10,7 @@
 #define AUBURNSTILE_INTERNAL_ROUTING_H
 
 #include <auburnstile/internal/caller_wait.h>
+#include <auburnstile/internal/workspaces.h>
 
 #include <glib.h>
 #include <stdbool.h>
@@ -40,6 +41,7 @@
 	guint timeout_ms; /* maximum time that a caller waits */
 	guint target_ms; /* a response within this time is on time */
 	guint priority; /* 0 is the highest */
+	bool allow_anonymous; /* callers need no API key */
 	guint max_attempts;
 	GArray *splits; /* of struct aub_split; a single one without a split */
 	double total_weight;
@@ -62,6 +64,8 @@
 	GHashTable *hosts; /* host -> GPtrArray of routes, longest prefix first
 			    */
 	struct aub_limits limits;
+	/* NULL: callers need no API keys */
+	struct aub_workspaces *workspaces;
 };
 
 /* Returns an empty routing table with one reference. */
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -18,7 +18,7 @@
 
 G_BEGIN_DECLS
 
-#define AUB_PROTOCOL_VERSION 2
+#define AUB_PROTOCOL_VERSION 3
 #define AUB_FRAME_BYTES_MAX (9u << 20) /* an 8 MiB body with its headers */
 
 enum aub_message_type {
@@ -48,6 +48,7 @@
 	AUB_MESSAGE_PLACE_HEALTH, /* placer -> all gateways */
 	AUB_MESSAGE_PLACE_ROLLOUT, /* placer -> gateways: rollout progress */
 	AUB_MESSAGE_PLACE_PROBE_RESULTS, /* a zone's prober -> placer */
+	AUB_MESSAGE_QUOTA_USE, /* placer -> placers: grants by workspace */
 	AUB_MESSAGE_TYPE_COUNT
 };
 
@@ -349,6 +350,7 @@
 	bool forward; /* the receiver may forward it to a better placer */
 	char *address; /* the holder's datagram address if forwarded, else "" */
 	guint32 route; /* key of the request's route */
+	char *workspace; /* "": none */
 	GPtrArray *avoid; /* of struct aub_name */
 	GPtrArray *limits; /* of struct aub_place_limit, known to the holder */
 };
@@ -464,6 +466,19 @@
 	GPtrArray *probed; /* of struct aub_reported_probe */
 };
 
+/* What the sender has granted of a workspace's quota; see quota.h. */
+struct aub_quota_use_row {
+	char *workspace;
+	guint64 used;
+	guint32 recent;
+};
+
+struct aub_quota_use_message {
+	struct aub_message base;
+	guint64 origin; /* incarnation of the sender */
+	GPtrArray *rows; /* of struct aub_quota_use_row */
+};
+
 struct aub_name {
 	char *name;
 };
@@ -500,6 +515,7 @@
 struct aub_place_health_row *aub_place_health_row_new(void);
 struct aub_place_evidence *aub_place_evidence_new(void);
 struct aub_place_limit *aub_place_limit_new(void);
+struct aub_quota_use_row *aub_quota_use_row_new(void);
 
 /*
  * Returns the frame of a message, without its length prefix, owned by the
--- a/src/coordination/gateway_answer.c
+++ b/src/coordination/gateway_answer.c
@@ -79,6 +79,9 @@
 	guint retry_after_ms; /* 0: none */
 };
 
+#define STATUS_UNAUTHORIZED 401
+#define STATUS_TOO_MANY_REQUESTS 429
+
 static void send_local_answer(struct aub_request *request,
 			      const struct local_answer *local)
 {
@@ -97,6 +100,10 @@
 		g_string_append_printf(text, "Retry-After: %u.%03u\r\n",
 				       local->retry_after_ms / 1000,
 				       local->retry_after_ms % 1000);
+	if (local->status == STATUS_UNAUTHORIZED)
+		g_string_append_printf(
+			text, "WWW-Authenticate: %s\r\n",
+			request->gateway->options.platform->api_key_scheme);
 	g_string_append(text, "\r\n");
 	if (!request->is_head)
 		g_string_append(text, body);
@@ -120,6 +127,19 @@
 				   });
 }
 
+void aub_request_refuse_over_quota(struct aub_request *request,
+				   const char *reason, const char *placer,
+				   guint retry_after_ms)
+{
+	send_local_answer(request, &(struct local_answer){
+					   .status = STATUS_TOO_MANY_REQUESTS,
+					   .outcome = AUB_REQUEST_REFUSED,
+					   .reason = reason,
+					   .detail = placer,
+					   .retry_after_ms = retry_after_ms,
+				   });
+}
+
 void aub_request_deny(struct aub_request *request, guint status,
 		      const char *reason)
 {
@@ -183,6 +203,8 @@
 	aub_log_text("reason", reason);
 	aub_log_text("route", request->route ? request->route->name : "");
 	aub_log_text("service", request->service);
+	if (request->workspace)
+		aub_log_text("workspace", request->workspace->name);
 	aub_log_text("upstream", detail);
 	aub_log_number("tries", request->tried_upstreams->len);
 	aub_log_number("waited_ms", request->slot_wait_us / AUB_MS);
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -137,7 +137,8 @@
 	g_string_append_printf(attempt->head, "HTTP/1.1 %u %s\r\n",
 			       head->status,
 			       http_status_str((enum http_status)head->status));
-	aub_headers_forward(attempt->head, head, platform, false);
+	aub_headers_forward(attempt->head, head, platform,
+			    AUB_HEADERS_OF_ANSWER);
 	if (attempt->request->is_head && head->length >= 0)
 		g_string_append_printf(attempt->head,
 				       "Content-Length: %" G_GINT64_FORMAT
@@ -219,6 +220,9 @@
 	g_string_append_printf(text, "%s: %" G_GINT64_FORMAT "\r\n%s: %s\r\n",
 			       platform->deadline_ms, MAX(left_us / AUB_MS, 1),
 			       platform->target_upstream, attempt->upstream);
+	if (request->workspace)
+		g_string_append_printf(text, "%s: %s\r\n", platform->workspace,
+				       request->workspace->name);
 	if (request->body_length < 0)
 		g_string_append(text, "Transfer-Encoding: chunked\r\n");
 	else if (request->body_length > 0)
--- a/src/coordination/gateway_headers.c
+++ b/src/coordination/gateway_headers.c
@@ -40,16 +40,23 @@
 	return found;
 }
 
-/* Returns whether the gateway itself sets this header for upstreams. */
+/* Returns whether only the gateway itself may set this header. */
 static bool is_set_by_gateway(const struct aub_platform *platform,
-			      const char *name)
+			      enum aub_headers_kind kind, const char *name)
 {
-	return !g_ascii_strcasecmp(name, platform->deadline_ms) ||
-	       !g_ascii_strcasecmp(name, platform->target_upstream);
+	if (kind == AUB_HEADERS_OF_ANSWER)
+		return false;
+	if (!g_ascii_strcasecmp(name, platform->deadline_ms) ||
+	    !g_ascii_strcasecmp(name, platform->target_upstream))
+		return true;
+	return kind == AUB_HEADERS_OF_KEYED_REQUEST &&
+	       (!g_ascii_strcasecmp(name, platform->api_key) ||
+		!g_ascii_strcasecmp(name, platform->workspace));
 }
 
 void aub_headers_forward(GString *out, const struct aub_http_head *head,
-			 const struct aub_platform *platform, bool request)
+			 const struct aub_platform *platform,
+			 enum aub_headers_kind kind)
 {
 	const char *connection = aub_http_head_find(head, "Connection");
 
@@ -60,7 +67,7 @@
 
 		if (is_hop_by_hop_header(header->name) ||
 		    is_listed_in_connection(connection, header->name) ||
-		    (request && is_set_by_gateway(platform, header->name)))
+		    is_set_by_gateway(platform, kind, header->name))
 			continue;
 		g_string_append_printf(out, "%s: %s\r\n", header->name,
 				       header->value);
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -108,6 +108,13 @@
 	request->slot_wait_us += result->waited_us;
 	if (result->verdict != AUB_VERDICT_GRANTED) {
 		log_not_placed(request, result);
+		if (result->verdict == AUB_VERDICT_OVER_QUOTA &&
+		    !request->may_have_run && !request->retained_answer.head) {
+			aub_request_refuse_over_quota(
+				request, aub_verdict_name(result->verdict),
+				result->placer, result->retry_after_ms);
+			return;
+		}
 		finish_unanswered(request, HTTP_STATUS_BAD_GATEWAY,
 				  aub_verdict_name(result->verdict),
 				  result->placer, result->retry_after_ms);
@@ -166,7 +173,8 @@
 	struct aub_gateway *gateway = request->gateway;
 	gint64 now = request_now_us(request);
 	const struct aub_placement_request placement_request = {
-		.priority = request->route->priority,
+		.priority = aub_request_priority(request),
+		.workspace = request->workspace ? request->workspace->name : "",
 		.target_ms = request->route->target_ms,
 		.on_time_wait_ms = on_time_wait_ms(request, now),
 		.max_wait_ms = max_wait_ms(request, now),
@@ -547,6 +555,11 @@
 		aub_request_deny(request, 404, "no-route");
 		return false;
 	}
+	error = aub_request_find_workspace(request, head);
+	if (error) {
+		aub_request_deny(request, 401, error);
+		return false;
+	}
 	if (head->length > 0 &&
 	    (guint64)head->length > request->routing->limits.body_bytes) {
 		aub_request_deny(request, 413, "body-too-large");
@@ -569,7 +582,10 @@
 				http_method_str((enum http_method)head->method),
 				head->target);
 	request->headers = g_string_new(NULL);
-	aub_headers_forward(request->headers, head, platform, true);
+	aub_headers_forward(request->headers, head, platform,
+			    request->routing && request->routing->workspaces ?
+				    AUB_HEADERS_OF_KEYED_REQUEST :
+				    AUB_HEADERS_OF_REQUEST);
 	request->is_head = head->method == HTTP_HEAD;
 	request->body_length = head->chunked	? -1 :
 			       head->length > 0 ? head->length :
--- a/src/coordination/node_store.c
+++ b/src/coordination/node_store.c
@@ -183,6 +183,16 @@
 /* Limit for unpacked changes; pages of the store are smaller. */
 #define SHARED_UNPACKED_MAX_BYTES (4u << 20)
 
+/* Returns NULL if the body can't be shared. */
+static GBytes *shared_body(const struct aub_node *node,
+			   enum aub_store_kind kind, const char *body,
+			   gsize length)
+{
+	if (kind == AUB_STORE_ROUTING)
+		return node->platform->without_keys(body, length);
+	return g_bytes_new_static(body, length);
+}
+
 /*
  * Sends the store's answer to the gateways of the same zone, so that these need
  * no store call for it.
@@ -192,13 +202,19 @@
 {
 	struct aub_node *node = context;
 	struct aub_store_changes *message;
+	GBytes *shared;
 	GBytes *packed;
 	gsize size;
 	const void *data;
 
 	if (!aub_peers_self_is_watcher(node->peers))
 		return;
-	packed = aubi_compress(body, length);
+	shared = shared_body(node, kind, body, length);
+	if (!shared)
+		return;
+	data = g_bytes_get_data(shared, &size);
+	packed = aubi_compress(data, size);
+	g_bytes_unref(shared);
 	data = g_bytes_get_data(packed, &size);
 	if (size <= SHARED_PACKED_MAX_BYTES) {
 		message = (struct aub_store_changes *)aub_message_new(
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -111,6 +111,7 @@
 
 	while (aub_placement_next_decision(placement, now, &decision))
 		aub_placer_deliver(placer, &decision);
+	aub_placer_send_quota_use(placer);
 }
 
 static bool drain_queues(struct aub_placer *placer)
@@ -168,6 +169,10 @@
 	GHashTableIter iter;
 	void *spec;
 
+	aub_quotas_configure(placer->quotas, routing->workspaces,
+			     aub_timer_now(placer->options.timers));
+	aub_quotas_configure(placer->fallback_quotas, routing->workspaces,
+			     aub_timer_now(placer->options.timers));
 	g_hash_table_iter_init(&iter, routing->services);
 	while (g_hash_table_iter_next(&iter, NULL, &spec))
 		aub_placement_configure(
@@ -237,6 +242,8 @@
 	placer->outstanding_reported =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	placer->probes = g_ptr_array_new();
+	placer->quotas = aub_quotas_new();
+	placer->fallback_quotas = aub_quotas_new();
 	placer->startup_timer =
 		aub_timer_every(options->timers, "settle",
 				AUB_STARTUP_CHECK_PERIOD_US,
@@ -256,10 +263,13 @@
 	aub_timer_cancel(placer->options.timers, placer->round_timer);
 	aub_timer_cancel(placer->options.timers, placer->rollout_timer);
 	aub_timer_cancel(placer->options.timers, placer->probe_timer);
+	aub_timer_cancel(placer->options.timers, placer->quota_timer);
 	aub_timer_cancel(placer->options.timers, placer->report_timer);
 	aub_placer_stop_probes(placer);
 	g_hash_table_unref(placer->tickets);
 	g_hash_table_unref(placer->placements);
+	aub_quotas_free(placer->quotas);
+	aub_quotas_free(placer->fallback_quotas);
 	g_hash_table_unref(placer->service_by_upstream);
 	g_hash_table_unref(placer->evacuated_zones);
 	g_hash_table_unref(placer->probed_services);
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -117,6 +117,7 @@
 		.max_wait_ms = message->max_wait_ms,
 		.retry = message->retry,
 		.route = message->route,
+		.workspace = message->workspace,
 	};
 	struct aub_placement_decision decision;
 	struct aub_peer *holder =
@@ -145,10 +146,12 @@
 	aub_placer_probe_service(placer, message->service);
 	aub_placer_apply_limits(placer, message->service, message->limits,
 				holder->name);
+	aub_placer_set_quota(placer, &request, false);
 	aub_placement_submit(placement, &request,
 			     aub_timer_now(placer->options.timers), &decision);
 	placer->counts.placed_here++;
 	send_decision(placer, &decision);
+	aub_placer_send_quota_use(placer);
 	if (decision.verdict == AUB_VERDICT_QUEUED)
 		aub_placer_arm_tick(placer);
 	g_ptr_array_unref(avoid);
@@ -269,6 +272,10 @@
 		aub_placer_apply_probe_results(
 			placer, (struct aub_place_probe_results *)message);
 		break;
+	case AUB_MESSAGE_QUOTA_USE:
+		aub_placer_apply_quota_use(
+			placer, (struct aub_quota_use_message *)message);
+		break;
 	case AUB_MESSAGE_PLACE_HEALTH:
 		aub_placer_apply_health(placer,
 					(struct aub_place_health *)message);
@@ -289,6 +296,7 @@
 	GHashTableIter iter;
 	void *value;
 
+	aub_placer_forget_quota_use(placer, incarnation);
 	g_hash_table_iter_init(&iter, placer->placements);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		aub_placement_drop_holder(value, incarnation, now);
--- a/src/coordination/placer_periodic.c
+++ b/src/coordination/placer_periodic.c
@@ -194,6 +194,7 @@
 	void *key;
 	void *placement;
 
+	aub_placer_refresh_quotas(placer, now_us);
 	if (!aub_placer_startup_is_over(placer))
 		return;
 	g_hash_table_iter_init(&iter, placer->placements);
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -34,6 +34,7 @@
 
 	g_free(ticket->service);
 	g_free(ticket->upstream);
+	g_free(ticket->workspace);
 	g_ptr_array_unref(ticket->avoid);
 	g_free(ticket);
 }
@@ -157,6 +158,7 @@
 	request->ticket = ticket->id;
 	request->holder = placer->options.incarnation;
 	request->zone = placer->zone;
+	request->workspace = ticket->workspace;
 	request->avoid = (const char *const *)ticket->avoid->pdata;
 	request->avoid_count = ticket->avoid->len;
 }
@@ -175,9 +177,11 @@
 	else
 		aub_placer_probe_service(placer, ticket->service);
 	ticket->placed_locally = true;
+	aub_placer_set_quota(placer, &request, is_fallback);
 	aub_placement_submit(aub_placer_placement(placer, ticket->service),
 			     &request, now, &decision);
 	placer->counts.placed_here++;
+	aub_placer_send_quota_use(placer);
 	if (decision.verdict == AUB_VERDICT_QUEUED) {
 		ticket->queued = true;
 		ticket->next_action_us = G_MAXINT64;
@@ -217,6 +221,7 @@
 	message->max_wait_ms = ticket->request.max_wait_ms;
 	message->retry = ticket->request.retry;
 	message->route = ticket->request.route;
+	aub_string_set(&message->workspace, ticket->workspace);
 	message->forward = ranks_first(placer, ticket->service, peer);
 	ticket->forwardable = message->forward;
 	for (guint i = 0; i < ticket->avoid->len; i++)
@@ -368,6 +373,7 @@
 	ticket->id = id;
 	ticket->service = g_strdup(service);
 	ticket->request = *request;
+	ticket->workspace = g_strdup(request->workspace);
 	ticket->callback = callback;
 	ticket->context = context;
 	ticket->start_us = aub_timer_now(placer->options.timers);
--- a/src/protocol/message.c
+++ b/src/protocol/message.c
@@ -192,6 +192,11 @@
 	return aubi_struct_new(&aubi_place_evidence_layout);
 }
 
+struct aub_quota_use_row *aub_quota_use_row_new(void)
+{
+	return aubi_struct_new(&aubi_quota_use_row_layout);
+}
+
 struct aub_place_limit *aub_place_limit_new(void)
 {
 	return aubi_struct_new(&aubi_place_limit_layout);
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -21,6 +21,8 @@
 #define CRASHES_MAX 1024
 #define OUTSTANDING_MAX 4096 /* requests per service and gateway */
 #define OBJECT_BYTES_MAX (1u << 20) /* the store's limit of 1 MiB */
+#define WORKSPACE_BYTES_MAX 255
+#define QUOTAS_MAX 1024 /* per message */
 #define ROUTES_MAX 64 /* per service, in rollout evidence */
 #define BODY_BYTES_MAX (8u << 20)
 
@@ -398,6 +400,7 @@
 	LIST(aub_place_request, limits, UPSTREAMS_MAX,
 	     &aubi_place_limit_layout),
 	U32(aub_place_request, route),
+	STRING(aub_place_request, workspace, WORKSPACE_BYTES_MAX),
 	END,
 };
 
@@ -460,6 +463,23 @@
 	END,
 };
 
+static const struct aubi_field quota_use_row_fields[] = {
+	STRING(aub_quota_use_row, workspace, WORKSPACE_BYTES_MAX),
+	U64(aub_quota_use_row, used),
+	U32(aub_quota_use_row, recent),
+	END,
+};
+
+const struct aubi_layout aubi_quota_use_row_layout =
+	LAYOUT("quota use", aub_quota_use_row, quota_use_row_fields);
+
+static const struct aubi_field quota_use_fields[] = {
+	U64(aub_quota_use_message, origin),
+	LIST(aub_quota_use_message, rows, QUOTAS_MAX,
+	     &aubi_quota_use_row_layout),
+	END,
+};
+
 static const struct aubi_layout layouts[AUB_MESSAGE_TYPE_COUNT] = {
 	[AUB_MESSAGE_HELLO] = LAYOUT("hello", aub_hello, hello_fields),
 	[AUB_MESSAGE_PING] = LAYOUT("ping", aub_ping, ping_fields),
@@ -504,6 +524,8 @@
 		LAYOUT("place health", aub_place_health, place_health_fields),
 	[AUB_MESSAGE_PLACE_ROLLOUT] = LAYOUT("place rollout", aub_place_rollout,
 					     place_rollout_fields),
+	[AUB_MESSAGE_QUOTA_USE] =
+		LAYOUT("quota use", aub_quota_use_message, quota_use_fields),
 };
 
 const struct aubi_layout *aubi_message_layout(guint64 type)
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -534,6 +534,7 @@
 		[AUB_VERDICT_OVERLOAD] = "overload",
 		[AUB_VERDICT_NO_BUDGET] = "no-budget",
 		[AUB_VERDICT_LIMITED] = "limited",
+		[AUB_VERDICT_OVER_QUOTA] = "over-quota",
 	};
 
 	return names[verdict];
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -49,8 +49,12 @@
 		aub_placement_upstream_slowdown(placement, upstream, now_us);
 	grant->target_ms = request->target_ms;
 	grant->route = request->route;
+	grant->quotas = request->quotas;
+	grant->quota = request->quota;
 	grant->cold = aub_placement_upstream_is_cold(upstream, now_us);
 	grant->granted_us = now_us;
+	if (grant->quotas)
+		aub_quota_take(grant->quotas, grant->quota, now_us);
 	g_hash_table_replace(placement->grants, &grant->ticket, grant);
 	upstream->granted++;
 	aub_upstream_limit_count_grant(&upstream->limit, now_us);
@@ -157,6 +161,13 @@
 					      grant->granted_us, now_us);
 }
 
+/* Returns whether no upstream has run the request. */
+static bool is_not_run(enum aub_grant_result end)
+{
+	return end == AUB_GRANT_REFUSED || end == AUB_GRANT_WRONG_UPSTREAM ||
+	       end == AUB_GRANT_UNREACHABLE || end == AUB_GRANT_UNUSED;
+}
+
 const char *aub_placement_report(struct aub_placement *placement,
 				 const struct aub_grant_report *report,
 				 gint64 now_us)
@@ -176,6 +187,8 @@
 	}
 	upstream = aub_placement_get_upstream(placement, grant->upstream_index);
 	upstream->granted--;
+	if (grant->quotas && is_not_run(report->end))
+		aub_quota_give_back(grant->quotas, grant->quota, now_us);
 	apply_result(placement, upstream, grant, report, now_us);
 	aub_grant_judge(placement, upstream, grant, report);
 	g_hash_table_remove(placement->grants, &report->ticket);
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -66,6 +66,8 @@
 	queued->priority = request->priority;
 	queued->target_ms = request->target_ms;
 	queued->route = request->route;
+	queued->quotas = request->quotas;
+	queued->quota = request->quota;
 	queued->retry = request->retry;
 	queued->local_fallback = request->local_fallback;
 	queued->queued_us = now_us;
@@ -231,6 +233,42 @@
 		decision->retry_after_ms = RETRY_AFTER_BUDGET_MS;
 }
 
+static guint count_queued_of_quota(const struct aub_placement *placement,
+				   const struct aub_quotas *quotas, guint quota)
+{
+	guint count = 0;
+
+	for (guint i = 0; i < placement->queue->len; i++) {
+		const struct aub_queued_request *queued =
+			g_ptr_array_index(placement->queue, i);
+
+		count += queued->quotas == quotas && queued->quota == quota;
+	}
+	return count;
+}
+
+/*
+ * Returns whether the request's workspace has no credit for it. A retry always
+ * has: the request may have run, so that it can't be refused as over quota any
+ * more. It is counted, and others are refused in its place.
+ */
+static bool is_over_quota(const struct aub_placement *placement,
+			  const struct aub_placement_request *request,
+			  gint64 now_us)
+{
+	struct aub_quota_claim claim;
+
+	if (!request->quotas || !request->quota || request->retry)
+		return false;
+	claim = (struct aub_quota_claim){
+		.waiting = count_queued_of_quota(placement, request->quotas,
+						 request->quota),
+		.late = !request->on_time_wait_ms,
+	};
+	return !aub_quota_has_credit(request->quotas, request->quota, &claim,
+				     now_us);
+}
+
 /* Returns whether a pending probe may find an upstream for queued requests. */
 static bool is_any_unknown(const struct aub_placement *placement)
 {
@@ -274,6 +312,13 @@
 	};
 	if (find_decided(placement, request, decision))
 		return;
+	if (is_over_quota(placement, request, now_us)) {
+		decision->verdict = AUB_VERDICT_OVER_QUOTA;
+		decision->retry_after_ms =
+			aub_quota_retry_after_ms(request->quotas,
+						 request->quota, now_us);
+		return;
+	}
 	if (!request->retry) {
 		aub_retry_budget_add_request(&placement->budget, now_us);
 	} else if (!aub_retry_budget_take_retry(&placement->budget,
@@ -324,6 +369,8 @@
 		.priority = queued->priority,
 		.target_ms = queued->target_ms,
 		.route = queued->route,
+		.quotas = queued->quotas,
+		.quota = queued->quota,
 		.retry = queued->retry,
 		.local_fallback = queued->local_fallback,
 		.on_time_wait_ms = (guint)((on_time_us + AUB_US_PER_MS - 1) /
--- a/src/state/routing.c
+++ b/src/state/routing.c
@@ -38,6 +38,7 @@
 	g_hash_table_unref(routing->hosts);
 	g_hash_table_unref(routing->services);
 	g_ptr_array_unref(routing->routes);
+	aub_workspaces_free(routing->workspaces);
 	g_free(routing);
 }
 
