--- a/tests/test_platform_codec.cc
+++ b/tests/test_platform_codec.cc
@@ -454,3 +454,129 @@
 		     "details.version must be a string");
 	aub_store_page_free(page);
 }
+
+/* A configuration with `rows` as its table of workspaces. */
+static std::string config_with_workspaces(const std::string &rows)
+{
+	std::string text = config(
+		"[\"r\",\"h\",\"/x/\",\"safe\",2000,600,2,null,2,\"a\"]");
+
+	text.pop_back();
+	return text +
+	       ",\"tenants\":{\"columns\":[\"name\",\"api_keys\","
+	       "\"priority\",\"rate_per_s\",\"burst\"],\"rows\":[" +
+	       rows + "]}}";
+}
+
+static const char *holder_name(const struct aub_routing *routing,
+			       const char *key)
+{
+	const struct aub_workspace *holder =
+		aub_workspaces_find(routing->workspaces, key);
+
+	return holder ? holder->name : "";
+}
+
+TEST(PlatformCodec, DecodesWorkspaces)
+{
+	struct aub_store_page *page = decode(
+		AUB_STORE_ROUTING,
+		list(item("main", config_with_workspaces(
+					  "[\"w1\",[\"k1\",\"k2\"],1,2.5,7],"
+					  "[\"w2\",[],null,null,null]"))));
+	const struct aub_routing *routing = record_at(page, 0)->routing;
+
+	ASSERT_NE(routing, nullptr) << record_at(page, 0)->problem;
+	ASSERT_NE(routing->workspaces, nullptr);
+	ASSERT_EQ(aub_workspaces_count(routing->workspaces), 2u);
+	const struct aub_workspace *first =
+		aub_workspaces_get(routing->workspaces, 0);
+	EXPECT_EQ(first->priority, 1u);
+	EXPECT_EQ(first->rate_per_s, 2.5);
+	EXPECT_EQ(first->burst, 7.0);
+	EXPECT_EQ(aub_workspaces_get(routing->workspaces, 1)->rate_per_s, 0.0);
+	EXPECT_STREQ(holder_name(routing, "k2"), "w1");
+	EXPECT_STREQ(holder_name(routing, "k3"), "");
+	aub_store_page_free(page);
+}
+
+/* Failure: a configuration is applied without some of its keys or limits. */
+TEST(PlatformCodec, RefusesInvalidWorkspacesWithoutPrintingKeys)
+{
+	const std::pair<const char *, const char *> invalid[] = {
+		{ "[7,[],1,1,1]", "tenants[0].name" },
+		{ "[\"w\",\"hidden\",1,1,1]", "tenants[0].api_keys" },
+		{ "[\"w\",[\"hidden\",7],1,1,1]", "tenants[0].api_keys" },
+		{ "[\"w\",[\"\"],1,1,1]", "w" },
+		{ "[\"w\",[],-1,1,1]", "tenants[0].priority" },
+		{ "[\"w\",[],1,\"many\",1]", "tenants[0].rate_per_s" },
+		{ "[\"w\",[],1,-0.5,1]", "tenants[0].rate_per_s" },
+		{ "[\"w\",[],1,1,1e300]", "tenants[0].burst" },
+		{ "[\"w\",[],1,1,1],[\"w\",[],1,1,1]", "w" },
+		{ "[\"v\",[\"hidden\"],1,1,1],[\"w\",[\"hidden\"],1,1,1]",
+		  "w: has a key that workspace v has too" },
+		{ "[\"a\\r\\nb\",[],1,1,1]", "workspaces" },
+		{ "7", "tenants[0]" },
+	};
+
+	for (const auto &entry : invalid) {
+		struct aub_store_page *page =
+			decode(AUB_STORE_ROUTING,
+			       list(item("main", config_with_workspaces(
+							 entry.first))));
+		const struct aub_record *record = record_at(page, 0);
+
+		EXPECT_EQ(record->routing, nullptr) << entry.first;
+		ASSERT_NE(record->problem, nullptr) << entry.first;
+		EXPECT_NE(std::string(record->problem).find(entry.second),
+			  std::string::npos)
+			<< record->problem;
+		EXPECT_EQ(std::string(record->problem).find("hidden"),
+			  std::string::npos);
+		aub_store_page_free(page);
+	}
+}
+
+/* Failure: a datagram between gateways shows the keys of callers. */
+TEST(PlatformCodec, SharedConfigurationHasDigestsInPlaceOfKeys)
+{
+	std::string text = list(item(
+		"main", config_with_workspaces("[\"w1\",[\"hidden1\"],1,2.5,7],"
+					       "[\"w2\",[\"hidden2\"],0,0,0]")));
+	GBytes *body = platform_body_pack(text.data(), text.size());
+	gsize length;
+	const void *data = g_bytes_get_data(body, &length);
+	GBytes *shared = aub_platform.without_keys(data, length);
+	const void *shared_data = g_bytes_get_data(shared, &length);
+
+	EXPECT_EQ(memmem(shared_data, length, "hidden", 6), nullptr);
+	struct aub_store_page *page = aub_platform.decode_page(
+		AUB_STORE_ROUTING, shared_data, length, NULL);
+	ASSERT_NE(page, nullptr);
+	const struct aub_routing *routing = record_at(page, 0)->routing;
+	ASSERT_NE(routing, nullptr) << record_at(page, 0)->problem;
+	EXPECT_EQ(routing->version, 7);
+	EXPECT_EQ(routing->routes->len, 1u);
+	EXPECT_STREQ(holder_name(routing, "hidden1"), "w1");
+	EXPECT_STREQ(holder_name(routing, "hidden2"), "w2");
+	EXPECT_STREQ(holder_name(routing, "hidden3"), "");
+	aub_store_page_free(page);
+	g_bytes_unref(shared);
+	g_bytes_unref(body);
+}
+
+TEST(PlatformCodec, SharedConfigurationWithoutWorkspacesIsUnchanged)
+{
+	std::string text = list(item(
+		"main", config("[\"r\",\"h\",\"/x/\",\"safe\",2000,600,2,null,"
+			       "2,\"a\"]")));
+	GBytes *body = platform_body_pack(text.data(), text.size());
+	gsize length;
+	const void *data = g_bytes_get_data(body, &length);
+	GBytes *shared = aub_platform.without_keys(data, length);
+
+	EXPECT_TRUE(g_bytes_equal(shared, body));
+	EXPECT_EQ(aub_platform.without_keys("garbage", 7), nullptr);
+	g_bytes_unref(shared);
+	g_bytes_unref(body);
+}
