placement: an upstream that refuses with free slots is not full

Ruled out: quotas (the upstreams of the other service, same workspaces, had no queue) and interference (slowdown 185% before and after).

--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -122,6 +122,17 @@
 	upstream->slowness = CLAMP(upstream->slowness, 0.5, SLOWNESS_MAX);
 }
 
+/*
+ * Returns whether the upstream says that it has a free slot. If it refused all
+ * the same, the reason is another one, which waiting doesn't end: a pause would
+ * keep slots from use while requests queue for them.
+ */
+static bool reports_free_slot(const struct aub_load *load)
+{
+	return load->running >= 0 && load->waiting <= 0 &&
+	       load->running < load->slots;
+}
+
 /* Updates the health of the upstream by the result of a grant. */
 static void apply_result(struct aub_placement *placement,
 			 struct aub_placement_upstream *upstream,
@@ -140,7 +151,8 @@
 		break;
 	case AUB_GRANT_REFUSED:
 		aub_placement_upstream_update_failures(upstream, 0.5, now_us);
-		upstream->full_until_us = now_us + REFUSED_PAUSE_US;
+		if (!reports_free_slot(&report->load))
+			upstream->full_until_us = now_us + REFUSED_PAUSE_US;
 		break;
 	case AUB_GRANT_TIMEOUT:
 		aub_placement_upstream_update_failures(upstream, 1.0, now_us);
--- a/tests/test_placement_load.cc
+++ b/tests/test_placement_load.cc
@@ -125,9 +125,10 @@
 class SheddingLoad
 {
       public:
-	static constexpr int UPSTREAMS = 40;
+	int upstreams = 40;
+	gint64 work_ms = 220;
+	bool reports_load = false; /* refusals state the upstream's load */
 	static constexpr double SHED_SHARE = 0.55;
-	static constexpr gint64 WORK_MS = 220;
 	static constexpr gint64 TARGET_MS = 600;
 	static constexpr int RETRIES_MAX = 2; /* per caller, after a refusal */
 	static constexpr guint32 SEED = 3;
@@ -139,7 +140,7 @@
 	/* Returns the share of callers with a response within their target. */
 	double run()
 	{
-		for (int i = 0; i < UPSTREAMS; i++)
+		for (int i = 0; i < upstreams; i++)
 			fixture.add_healthy("u" + std::to_string(i));
 		for (gint64 ms = 0; ms < 10000; ms++) {
 			if (ms % 10 == 0 && ms < 9000)
@@ -185,13 +186,28 @@
 						   caller.retries + 1 } });
 		} else if (g_rand_double(random) >= SHED_SHARE) {
 			finish_times.insert(
-				{ ms + WORK_MS, { decision.ticket, caller } });
+				{ ms + work_ms, { decision.ticket, caller } });
 		} else {
-			fixture.report(decision.ticket, AUB_GRANT_REFUSED,
-				       3 * US_PER_MS);
+			refuse(decision.ticket);
 			attempt(caller, true, ms);
 		}
 	}
+	void refuse(guint64 ticket)
+	{
+		struct aub_grant_report report = {};
+
+		report.ticket = ticket;
+		report.end = AUB_GRANT_REFUSED;
+		report.elapsed_us = 3 * US_PER_MS;
+		report.load = AUB_LOAD_UNKNOWN;
+		if (reports_load) {
+			report.load.running = 0;
+			report.load.waiting = 0;
+			report.load.slots = 2;
+		}
+		aub_placement_report(fixture.placement, &report,
+				     fixture.now_us);
+	}
 	void submit(const Caller &caller, gint64 ms)
 	{
 		callers++;
@@ -207,7 +223,7 @@
 
 			finish_times.erase(finish_times.begin());
 			fixture.report(finished.ticket, AUB_GRANT_OK,
-				       WORK_MS * US_PER_MS);
+				       work_ms * US_PER_MS);
 			on_time += ms - finished.caller.since_ms <= TARGET_MS;
 		}
 		while (!retries.empty() && retries.begin()->first <= ms) {
@@ -235,3 +251,18 @@
 	EXPECT_GT(SheddingLoad().run(),
 		  1 - SheddingLoad::SHED_SHARE * SheddingLoad::SHED_SHARE);
 }
+
+/*
+ * Guards against queues beside free slots: upstreams that refuse although they
+ * say that they are idle were left out for as long as full ones.
+ */
+TEST(PlacementLoad, KeepsUsingIdleUpstreamsThatShed)
+{
+	SheddingLoad load;
+
+	load.upstreams = 5;
+	load.work_ms = 60;
+	load.reports_load = true;
+	EXPECT_GT(load.run(),
+		  1 - SheddingLoad::SHED_SHARE * SheddingLoad::SHED_SHARE);
+}
