placement: callers refused for the retry budget may return after 20 ms

Cause: with upstreams that refuse at random, a caller that is refused for the retry budget alone was sent away for 100 ms, a third of what the shortest target allows, although its own retry has the same chance at once. Only while no request has to wait for a slot.

--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #define RETRY_AFTER_MIN_MS 700
-#define RETRY_AFTER_BUDGET_MS 100 /* only the retry budget is exhausted */
+#define RETRY_AFTER_BUDGET_MS 20 /* only the retry budget is exhausted */
 /* Granted share of the slots below which no request has to wait. */
 #define LOW_UTILIZATION_PERCENT 75
 #define RETRY_AFTER_MAX_MS 5000
