soak: workspaces with keys and quotas

Callers bear keys of four workspaces, no key, unknown ones and names of workspaces of their own; keys are rotated, quotas change, two workspaces ask for many times theirs, beside the faults there are. Checked from what upstreams execute: workspace by key, no key, removed keys, quotas in sliding windows; from answers: valid keys and the workspace that keeps to its quota are not refused.

--- a/tools/soak.c
+++ b/tools/soak.c
@@ -14,14 +14,18 @@
  *   REFUSED  a request was reported as "not run" but was executed,
  *            before or after the report
  *   MIXED    an answer belongs to another request or is incomplete
- *   DENIED   a valid request was rejected
+ *   DENIED   a valid request was rejected, or one within its quota
  *   DRAIN    an upstream got a new request seconds after it began to drain,
  *            or after it said so in an answer
  *   ROUTE    a version got requests without its rollout order, or after
- *            its roll-back
+ *            its roll-back; or a request without a valid API key was executed
  *   EXPOSURE a faulty version got more than its share of requests
  *   VERDICT  the rollout of a faulty version was completed
  *   LIMIT    an upstream got more than its limit from gateways that knew it
+ *   QUOTA    more requests of a workspace were executed than its quota allows
+ *   UNASKED  an upstream got a caller's API key or another workspace than
+ *            that of the key
+ *   CONFIG   a removed API key opened something
  *   BUDGET   an upstream got requests in the rest that it asked a gateway for
  *   RECOVER  requests are not served after the faults have ended
  */
@@ -49,6 +53,10 @@
 		options->soak.rollouts = true;
 		return 0;
 	}
+	if (key == 'w') {
+		options->soak.workspaces = true;
+		return 0;
+	}
 	if (key == 'l') {
 		options->soak.notices = SOAK_NOTICE_ALL;
 		return 0;
@@ -78,6 +86,8 @@
 		{ "notices", 'l', NULL, 0,
 		  "upstreams name limits, ask for rest or say that they leave",
 		  0 },
+		{ "workspaces", 'w', NULL, 0,
+		  "callers have API keys, and their workspaces have quotas", 0 },
 		{ 0 },
 	};
 	const struct argp argp = {
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -32,6 +32,8 @@
 struct notices;
 struct rollout;
 struct soak;
+struct soak_key;
+struct soak_workspaces;
 
 struct gateway {
 	struct soak *soak;
@@ -64,6 +66,8 @@
 	guint executions;
 	guint gateway; /* that it was sent to */
 	gint64 sent_us;
+	/* The valid API key that it bears; NULL: none, or an unknown one. */
+	const struct soak_key *key;
 	/* The upstream that answered last, and its generation; or NULL. */
 	const struct upstream *answered_by;
 	guint answered_generation;
@@ -86,6 +90,7 @@
 	GRand *random;
 	struct rollout *rollout; /* NULL without a rollout */
 	struct notices *notices; /* NULL without notices */
+	struct soak_workspaces *workspaces; /* NULL without workspaces */
 	struct aub_timer_service *timers;
 	struct aub_poller *poller;
 	struct platform_store *store;
@@ -176,6 +181,33 @@
 /* Prints one line with counts. */
 void soak_notices_report(const struct notices *notices);
 
+/*
+ * Workspaces with keys and quotas, which change at random by `seed` during the
+ * faults.
+ */
+struct soak_workspaces *soak_workspaces_new(struct soak *soak, guint32 seed);
+void soak_workspaces_free(struct soak_workspaces *workspaces);
+void soak_workspaces_step(struct soak_workspaces *workspaces, gint64 now_us);
+/* Appends the table of workspaces to a configuration, JSON. */
+void soak_workspaces_append_table(const struct soak_workspaces *workspaces,
+				  GString *config);
+/* Chooses the key of a new request and appends its headers. */
+void soak_workspaces_choose_key(struct soak_workspaces *workspaces,
+				struct request *request, GString *headers);
+/* Checks a request that starts at `upstream`. */
+void soak_workspaces_on_request(struct soak_workspaces *workspaces,
+				const struct upstream *upstream,
+				const struct request *request, const char *id);
+/*
+ * Checks the status of an answer. Returns whether it refuses the request for
+ * its key or its quota.
+ */
+bool soak_workspaces_check_answer(struct soak_workspaces *workspaces,
+				  const struct request *request, guint status,
+				  const char *id);
+/* Prints one line with counts. */
+void soak_workspaces_report(const struct soak_workspaces *workspaces);
+
 /*
  * A rollout that takes place during the faults. The parity of `seed` determines
  * whether the new version is good (even) or faulty (odd). The rollout owns the
--- a/tools/soak/soak_callers.c
+++ b/tools/soak/soak_callers.c
@@ -55,11 +55,16 @@
 	caller->body_bytes += length;
 }
 
-static void check_answer_rules(struct caller *caller)
+/* Returns whether the answer refuses the call for its key or its quota. */
+static bool check_answer_rules(struct caller *caller)
 {
 	struct soak *soak = caller->soak;
 	struct request *request =
 		g_hash_table_lookup(soak->requests, caller->id);
+	bool is_refused =
+		soak->workspaces &&
+		soak_workspaces_check_answer(soak->workspaces, request,
+					     caller->status, caller->id);
 
 	if (!caller->is_own_answer)
 		soak_report_violation(soak, "MIXED (answer to another request)",
@@ -68,28 +73,30 @@
 		soak_report_violation(soak, "MIXED (incomplete answer)",
 				      caller->id);
 	if (caller->status / 100 == 4 && caller->status != 408 &&
-	    caller->status != 421 && caller->status != 429)
+	    caller->status != 421 && !is_refused)
 		soak_report_violation(soak, "DENIED", caller->id);
-	if (caller->status == 503) {
+	if (caller->status == 503 || caller->status == 429) {
 		request->reported_not_run = request->at_most_once;
 		if (request->at_most_once && request->executions)
 			soak_report_violation(soak,
 					      "REFUSED (already executed)",
 					      caller->id);
 	}
+	return is_refused;
 }
 
 static void on_complete(void *context)
 {
 	struct caller *caller = context;
+	bool is_refused;
 
 	if (!caller->start_us) {
 		soak_report_violation(caller->soak,
 				      "MIXED (answer without a request)", "-");
 		return;
 	}
-	check_answer_rules(caller);
-	finish_call(caller, caller->status == 200);
+	is_refused = check_answer_rules(caller);
+	finish_call(caller, caller->status == 200 || is_refused);
 	aub_http_stream_resume(caller->stream);
 }
 
@@ -129,7 +136,7 @@
 {
 	struct soak *soak = caller->soak;
 	struct request *request = g_new0(struct request, 1);
-	char *text;
+	GString *text = g_string_new(NULL);
 
 	request->at_most_once = g_rand_boolean(soak->random);
 	caller->id = g_strdup_printf("%x", ++soak->last_request_id);
@@ -138,17 +145,20 @@
 	request->gateway = caller->gateway->number;
 	request->sent_us = caller->start_us;
 	g_hash_table_insert(soak->requests, g_strdup(caller->id), request);
-	text = g_strdup_printf("%s /%s/%s HTTP/1.1\r\nHost: site\r\n"
+	g_string_append_printf(text, "%s /%s/%s HTTP/1.1\r\nHost: site\r\n"
 			       "Request-Id: %s\r\nDeadline-Remaining-Ms: %d\r\n"
-			       "%s\r\n",
+			       "%s",
 			       request->at_most_once ? "POST" : "GET",
 			       request->at_most_once ? "once" : "safe",
 			       caller->id, caller->id, CALL_DEADLINE_MS,
 			       request->at_most_once ? "Content-Length: 0\r\n" :
 						       "");
-	aub_http_stream_write(caller->stream, text, strlen(text));
+	if (soak->workspaces)
+		soak_workspaces_choose_key(soak->workspaces, request, text);
+	g_string_append(text, "\r\n");
+	aub_http_stream_write(caller->stream, text->str, text->len);
 	aub_http_stream_flush(caller->stream);
-	g_free(text);
+	g_string_free(text, TRUE);
 }
 
 void soak_caller_step(struct caller *caller, gint64 now_us)
--- a/tools/soak/soak_run.c
+++ b/tools/soak/soak_run.c
@@ -33,6 +33,8 @@
 		soak_rollout_step(soak->rollout, now_us);
 	if (soak->notices)
 		soak_notices_step(soak->notices, now_us);
+	if (soak->workspaces)
+		soak_workspaces_step(soak->workspaces, now_us);
 	if (soak->zone_evacuated && now_us >= soak->faults_end_us)
 		soak_end_evacuation(soak);
 	if (now_us >= soak->next_fault_us && now_us < soak->faults_end_us)
@@ -56,6 +58,8 @@
 		soak->rollout = soak_rollout_new(soak, seed);
 	if (options->notices)
 		soak->notices = soak_notices_new(soak, seed, options->notices);
+	if (options->workspaces)
+		soak->workspaces = soak_workspaces_new(soak, seed);
 	soak_configure(soak);
 	for (guint i = 0; i < UPSTREAM_COUNT; i++) {
 		soak->upstreams[i].soak = soak;
@@ -95,6 +99,8 @@
 		soak_rollout_report(soak->rollout);
 	if (soak->notices)
 		soak_notices_report(soak->notices);
+	if (soak->workspaces)
+		soak_workspaces_report(soak->workspaces);
 	if (soak->violations)
 		g_print("logs are kept in %s\n", soak->folder);
 	return soak->violations == 0;
@@ -118,6 +124,7 @@
 		g_rmdir(soak->folder);
 	soak_rollout_free(soak->rollout);
 	soak_notices_free(soak->notices);
+	soak_workspaces_free(soak->workspaces);
 }
 
 bool soak_run(guint32 seed, const struct soak_options *options,
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -19,6 +19,7 @@
 	guint seconds; /* duration of the faults */
 	bool rollouts; /* with a rollout */
 	guint notices; /* kinds of notices; 0: none */
+	bool workspaces; /* with API keys and quotas */
 };
 
 struct soak_result {
--- a/tools/soak/soak_upstreams.c
+++ b/tools/soak/soak_upstreams.c
@@ -28,6 +28,9 @@
 		return;
 	if (soak->rollout)
 		soak_rollout_on_request(soak->rollout, upstream, id);
+	if (soak->workspaces)
+		soak_workspaces_on_request(soak->workspaces, upstream, request,
+					   id);
 	request->executions++;
 	if (request->at_most_once && request->executions > 1)
 		soak_report_violation(soak, "TWICE", id);
@@ -115,7 +118,10 @@
 
 void soak_configure(struct soak *soak)
 {
-	char *text = g_strdup_printf(
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(
+		text,
 		"{\"version\":%u,\"routes\":{\"columns\":[\"name\",\"host\","
 		"\"path_prefix\",\"kind\",\"timeout_ms\",\"target_latency_ms\","
 		"\"priority\",\"traffic_split\",\"max_attempts\",\"service\"],"
@@ -126,9 +132,11 @@
 		"\"warmup_s\",\"warmup_per_s\"],\"rows\":[[\"svc\","
 		"\"/health\",220,\"h1\",false,3.0,20.0]]},\"limits\":{"
 		"\"max_header_bytes\":4096,\"max_body_bytes\":1048576,"
-		"\"header_timeout_ms\":1000,\"idle_timeout_ms\":3000}}",
+		"\"header_timeout_ms\":1000,\"idle_timeout_ms\":3000}",
 		++soak->config_version);
-
-	platform_store_put(soak->store, "config", "main", text);
-	g_free(text);
+	if (soak->workspaces)
+		soak_workspaces_append_table(soak->workspaces, text);
+	g_string_append_c(text, '}');
+	platform_store_put(soak->store, "config", "main", text->str);
+	g_string_free(text, TRUE);
 }
