--- a/include/auburnstile/internal/node_internal.h
+++ b/include/auburnstile/internal/node_internal.h
@@ -20,6 +20,8 @@
 	struct aub_placer *placer;
 	struct aub_store_sync *store;
 	struct aub_gateway *gateway;
+	GHashTable *exported_quotas; /* set of handles with series of their own
+				      */
 	struct aub_http_listener *directory;
 	struct aub_http_listener *readiness;
 	struct aub_http_listener *metrics_service;
--- a/include/auburnstile/internal/placer.h
+++ b/include/auburnstile/internal/placer.h
@@ -120,6 +120,9 @@
 void aub_placer_visit(struct aub_placer *placer, aub_placement_visitor *visit,
 		      void *context);
 
+/* Returns this gateway's copy of the quotas of workspaces. Borrowed. */
+struct aub_quotas *aub_placer_quotas(struct aub_placer *placer);
+
 struct aub_placer_counts {
 	guint64 requested; /* placement requests of this gateway */
 	guint64 placed_here; /* as placer, for any gateway */
--- a/include/auburnstile/internal/quota.h
+++ b/include/auburnstile/internal/quota.h
@@ -87,10 +87,13 @@
 	double credit;
 	guint64 used; /* granted by this process */
 	guint64 refused; /* by this process */
+	double share; /* of the quota that this process may grant */
 };
 /* Returns false if there is no quota with the handle. */
 bool aub_quota_get_stats(struct aub_quotas *quotas, guint quota, gint64 now_us,
 			 struct aub_quota_stats *stats);
+/* Returns the refusals by this process since the last call. */
+guint64 aub_quota_take_refusals(struct aub_quotas *quotas, guint quota);
 /* Handles are 1 to this number. */
 guint aub_quotas_count(const struct aub_quotas *quotas);
 
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -90,6 +90,8 @@
 	aub_log_begin(AUB_LOG_NOT_PLACED);
 	aub_log_text("id", request->id);
 	aub_log_text("service", request->service);
+	if (request->workspace)
+		aub_log_text("workspace", request->workspace->name);
 	aub_log_text("verdict", aub_verdict_name(result->verdict));
 	aub_log_text("placer", result->placer);
 	aub_log_number("waited_ms", result->waited_us / AUB_MS);
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -256,6 +256,7 @@
 	node->poller = aub_poller_new();
 	node->client = aub_http_client_new(node->poller, node->timers);
 	node->metrics = aub_metrics_new();
+	node->exported_quotas = g_hash_table_new(NULL, NULL);
 	node->pending_contacts = g_ptr_array_new_with_free_func(g_free);
 	node->rollouts_enabled = settings->rollout_share > 0;
 	aub_node_rollouts_init(node);
@@ -300,6 +301,7 @@
 	aub_peers_free(node->peers);
 	aub_http_client_free(node->client);
 	aub_metrics_free(node->metrics);
+	g_hash_table_unref(node->exported_quotas);
 	g_ptr_array_unref(node->pending_contacts);
 	aub_poller_free(node->poller);
 	g_free(node->zone);
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -3,11 +3,13 @@
  * latency are counted when they end (gateway.c).
  *
  * Label sets are bounded by services, kinds and states, never by routes,
- * upstreams or callers.
+ * upstreams or callers. Of the workspaces, the first with the most requests
+ * have series of their own.
  */
 #include <auburnstile/internal/decision_log.h>
 #include <auburnstile/internal/node_internal.h>
 
+#include <string.h>
 #include <sys/resource.h>
 
 /* A metric without labels. */
@@ -288,6 +290,82 @@
 		   (gint64)counts->cross_zone_bytes);
 }
 
+/* Workspaces with series of their own. */
+#define EXPORTED_QUOTAS_MAX 32
+
+static void export_quota(struct aub_node *node,
+			 const struct aub_quota_stats *stats)
+{
+	const char *workspace = stats->workspace;
+
+	set_series(node, false, "auburnstile_quota_used",
+		   aub_metrics_labels("workspace", workspace, NULL),
+		   "requests granted here and not given back, since the start",
+		   (gint64)stats->used);
+	set_series(node, true, "auburnstile_quota_refused_total",
+		   aub_metrics_labels("workspace", workspace, NULL),
+		   "requests refused here as over quota",
+		   (gint64)stats->refused);
+	if (workspace[0])
+		set_series(node, false, "auburnstile_quota_credit",
+			   aub_metrics_labels("workspace", workspace, NULL),
+			   "requests that the quota has room for at present",
+			   (gint64)stats->credit);
+}
+
+/*
+ * Chooses further workspaces for series of their own, those with the most
+ * requests here first, until there are EXPORTED_QUOTAS_MAX. A choice is final,
+ * so that the number of series stays bounded.
+ */
+static void choose_exported_quotas(struct aub_node *node, gint64 now_us)
+{
+	struct aub_quotas *quotas = aub_placer_quotas(node->placer);
+
+	while (g_hash_table_size(node->exported_quotas) < EXPORTED_QUOTAS_MAX) {
+		guint64 most = 0;
+		guint chosen = 0;
+
+		for (guint i = 1; i <= aub_quotas_count(quotas); i++) {
+			struct aub_quota_stats stats;
+
+			aub_quota_get_stats(quotas, i, now_us, &stats);
+			if (stats.used + stats.refused <= most ||
+			    g_hash_table_contains(node->exported_quotas,
+						  GUINT_TO_POINTER(i)))
+				continue;
+			most = stats.used + stats.refused;
+			chosen = i;
+		}
+		if (!chosen)
+			return;
+		g_hash_table_add(node->exported_quotas,
+				 GUINT_TO_POINTER(chosen));
+	}
+}
+
+static void export_quotas(struct aub_node *node)
+{
+	struct aub_quotas *quotas = aub_placer_quotas(node->placer);
+	gint64 now = aub_timer_now(node->timers);
+	struct aub_quota_stats others = { .workspace = "" };
+	struct aub_quota_stats stats;
+
+	choose_exported_quotas(node, now);
+	for (guint i = 1; i <= aub_quotas_count(quotas); i++) {
+		aub_quota_get_stats(quotas, i, now, &stats);
+		if (g_hash_table_contains(node->exported_quotas,
+					  GUINT_TO_POINTER(i))) {
+			export_quota(node, &stats);
+			continue;
+		}
+		others.used += stats.used;
+		others.refused += stats.refused;
+	}
+	if (others.used || others.refused)
+		export_quota(node, &others);
+}
+
 static void export_log(struct aub_node *node)
 {
 	static const char *const names[AUB_LOG_CLASS_COUNT] = {
@@ -321,6 +399,7 @@
 	for (guint i = 0; i < AUB_STORE_KINDS; i++)
 		export_store_kind(node, (enum aub_store_kind)i);
 	export_peer_traffic(node);
+	export_quotas(node);
 	export_log(node);
 	aub_placer_visit(node->placer, export_placement, node);
 	if (node->rollouts_enabled)
--- a/src/coordination/placer_quota.c
+++ b/src/coordination/placer_quota.c
@@ -7,6 +7,7 @@
  * The second-ranked gateway of each service is told as well, so that it can
  * take over without a gap in its counts.
  */
+#include <auburnstile/internal/decision_log.h>
 #include <auburnstile/internal/placer_internal.h>
 
 #include <string.h>
@@ -17,6 +18,8 @@
 #define ROWS_MAX 512
 /* The placer and the one that takes over if it fails. */
 #define INFORMED_PER_SERVICE 2
+/* Workspaces with a log line of their own in a second. */
+#define LOGGED_MAX 16
 /* A process that has placed within this time may do so again. */
 #define PLACED_RECENTLY_US (2000 * AUB_MS)
 
@@ -192,6 +195,51 @@
 	return (aub_peers_count_alive(peers) + 1.0) / MAX(known, 1);
 }
 
+static void log_refusals(struct aub_placer *placer, guint quota,
+			 guint64 refused, gint64 now_us)
+{
+	struct aub_quota_stats stats;
+
+	if (!aub_quota_get_stats(placer->quotas, quota, now_us, &stats))
+		return;
+	aub_log_begin(AUB_LOG_QUOTA);
+	aub_log_text("workspace", stats.workspace);
+	aub_log_number("refused", (gint64)refused);
+	aub_log_number("granted", (gint64)stats.used);
+	aub_log_number("credit", (gint64)stats.credit);
+	aub_log_number("rate_per_1000_s", (gint64)(1000 * stats.rate_per_s));
+	aub_log_number("burst", (gint64)stats.burst);
+	aub_log_number("share_percent", (gint64)(100 * stats.share));
+	aub_log_end();
+}
+
+/* Logs each workspace with refusals in the last second. */
+static void log_all_refusals(struct aub_placer *placer, gint64 now_us)
+{
+	guint64 others = 0;
+	guint logged = 0;
+
+	for (guint i = 1; i <= aub_quotas_count(placer->quotas); i++) {
+		guint64 refused = aub_quota_take_refusals(placer->quotas, i);
+
+		if (refused && logged++ < LOGGED_MAX)
+			log_refusals(placer, i, refused, now_us);
+		else
+			others += refused;
+	}
+	if (!others)
+		return;
+	aub_log_begin(AUB_LOG_QUOTA);
+	aub_log_text("workspace", "");
+	aub_log_number("refused", (gint64)others);
+	aub_log_end();
+}
+
+struct aub_quotas *aub_placer_quotas(struct aub_placer *placer)
+{
+	return placer->quotas;
+}
+
 void aub_placer_refresh_quotas(struct aub_placer *placer, gint64 now_us)
 {
 	guint known = aub_peers_all(placer->options.peers)->len;
@@ -203,6 +251,7 @@
 	aub_quotas_set_share(placer->quotas, granted_share(placer), now_us);
 	aub_quotas_set_share(placer->fallback_quotas, 1.0 / MAX(known, 1),
 			     now_us);
+	log_all_refusals(placer, now_us);
 }
 
 void aub_placer_forget_quota_use(struct aub_placer *placer, guint64 incarnation)
--- a/src/state/log_events.c
+++ b/src/state/log_events.c
@@ -47,6 +47,7 @@
 	  false },
 	{ "upstream-leaving", AUB_EVENT_UPSTREAM, "upstream", NULL, NULL, NULL,
 	  false },
+	{ "quota", AUB_EVENT_REFUSED, NULL, NULL, NULL, "refused", false },
 	{ "rollout", AUB_EVENT_CONFIG, NULL, NULL, NULL, "exposed", false },
 	{ "rollout-stored", AUB_EVENT_STORE, NULL, NULL, NULL, "revision",
 	  false },
--- a/src/state/quota.c
+++ b/src/state/quota.c
@@ -29,6 +29,7 @@
 	guint64 used;
 	guint64 used_sent; /* `used` as last sent */
 	guint64 refused;
+	guint64 refused_taken; /* part of `refused` */
 	guint sends_left;
 };
 
@@ -419,10 +420,23 @@
 		.credit = quota->credit,
 		.used = quota->used,
 		.refused = quota->refused,
+		.share = quotas->share,
 	};
 	return true;
 }
 
+guint64 aub_quota_take_refusals(struct aub_quotas *quotas, guint handle)
+{
+	struct quota *quota = get(quotas, handle);
+	guint64 refusals;
+
+	if (!quota)
+		return 0;
+	refusals = quota->refused - quota->refused_taken;
+	quota->refused_taken = quota->refused;
+	return refusals;
+}
+
 guint aub_quotas_count(const struct aub_quotas *quotas)
 {
 	return quotas->list->len;
--- a/src/state/request_trace.c
+++ b/src/state/request_trace.c
@@ -164,6 +164,8 @@
 	    !strcmp(event, "upstream-rest") ||
 	    !strcmp(event, "upstream-leaving"))
 		return field_is_in_trace(trace, object, "service");
+	if (!strcmp(event, "quota"))
+		return field_is_in_trace(trace, object, "workspace");
 	return field_is_in_trace(trace, object, "node") &&
 	       strcmp(event, "peer-heard") != 0;
 }
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -88,7 +88,7 @@
 			tail -n 30 "$log"
 		fi
 	fi
-	grep '^seed \|^order\|^notices' "$log"
+	grep '^seed \|^order\|^notices\|^workspaces' "$log"
 }
 # Short runs with fixed seeds. Seeds 15 and 117 guard against violations that
 # the soak itself would cause. With seed 15, an upstream drains while no gateway
@@ -106,5 +106,9 @@
 for seed in 11 13; do
 	soak notices-$seed --notices --seed $seed --seconds 14
 done
+# Callers with API keys, and workspaces with quotas.
+for seed in 21 22; do
+	soak workspaces-$seed --workspaces --seed $seed --seconds 14
+done
 echo "$passed passed, $failed failed"
 exit $exit_status
--- a/tests/test_placer_quota.cc
+++ b/tests/test_placer_quota.cc
@@ -108,8 +108,8 @@
 {
 	start_with_quota({ "a", "b" }, 2, 6);
 	ASSERT_TRUE(wait_for_credit(*find_placer(), 6));
-	guint granted = granted_of(*gateways[0], 8) +
-			granted_of(*gateways[1], 8);
+	guint granted =
+		granted_of(*gateways[0], 8) + granted_of(*gateways[1], 8);
 
 	EXPECT_GE(granted, 6u);
 	EXPECT_LE(granted, 8u);
@@ -135,8 +135,7 @@
 {
 	start_with_full_quota({ "a", "b", "c", "d" }, 0.5, 4);
 	/* the third and the fourth are told nothing */
-	const GPtrArray *ranked =
-		aub_peers_ranked(gateways[0]->peers, "svc");
+	const GPtrArray *ranked = aub_peers_ranked(gateways[0]->peers, "svc");
 	std::string third =
 		((const struct aub_peer *)g_ptr_array_index(ranked, 2))->name;
 	for (auto &gateway : gateways)
--- a/tests/test_platform_codec.cc
+++ b/tests/test_platform_codec.cc
@@ -479,11 +479,12 @@
 
 TEST(PlatformCodec, DecodesWorkspaces)
 {
-	struct aub_store_page *page = decode(
-		AUB_STORE_ROUTING,
-		list(item("main", config_with_workspaces(
-					  "[\"w1\",[\"k1\",\"k2\"],1,2.5,7],"
-					  "[\"w2\",[],null,null,null]"))));
+	struct aub_store_page *page =
+		decode(AUB_STORE_ROUTING,
+		       list(item("main",
+				 config_with_workspaces(
+					 "[\"w1\",[\"k1\",\"k2\"],1,2.5,7],"
+					 "[\"w2\",[],null,null,null]"))));
 	const struct aub_routing *routing = record_at(page, 0)->routing;
 
 	ASSERT_NE(routing, nullptr) << record_at(page, 0)->problem;
@@ -522,8 +523,8 @@
 	for (const auto &entry : invalid) {
 		struct aub_store_page *page =
 			decode(AUB_STORE_ROUTING,
-			       list(item("main", config_with_workspaces(
-							 entry.first))));
+			       list(item("main",
+					 config_with_workspaces(entry.first))));
 		const struct aub_record *record = record_at(page, 0);
 
 		EXPECT_EQ(record->routing, nullptr) << entry.first;
@@ -540,9 +541,10 @@
 /* Failure: a datagram between gateways shows the keys of callers. */
 TEST(PlatformCodec, SharedConfigurationHasDigestsInPlaceOfKeys)
 {
-	std::string text = list(item(
-		"main", config_with_workspaces("[\"w1\",[\"hidden1\"],1,2.5,7],"
-					       "[\"w2\",[\"hidden2\"],0,0,0]")));
+	std::string text =
+		list(item("main", config_with_workspaces(
+					  "[\"w1\",[\"hidden1\"],1,2.5,7],"
+					  "[\"w2\",[\"hidden2\"],0,0,0]")));
 	GBytes *body = platform_body_pack(text.data(), text.size());
 	gsize length;
 	const void *data = g_bytes_get_data(body, &length);
@@ -550,8 +552,9 @@
 	const void *shared_data = g_bytes_get_data(shared, &length);
 
 	EXPECT_EQ(memmem(shared_data, length, "hidden", 6), nullptr);
-	struct aub_store_page *page = aub_platform.decode_page(
-		AUB_STORE_ROUTING, shared_data, length, NULL);
+	struct aub_store_page *page =
+		aub_platform.decode_page(AUB_STORE_ROUTING, shared_data, length,
+					 NULL);
 	ASSERT_NE(page, nullptr);
 	const struct aub_routing *routing = record_at(page, 0)->routing;
 	ASSERT_NE(routing, nullptr) << record_at(page, 0)->problem;
@@ -567,9 +570,10 @@
 
 TEST(PlatformCodec, SharedConfigurationWithoutWorkspacesIsUnchanged)
 {
-	std::string text = list(item(
-		"main", config("[\"r\",\"h\",\"/x/\",\"safe\",2000,600,2,null,"
-			       "2,\"a\"]")));
+	std::string text = list(
+		item("main",
+		     config("[\"r\",\"h\",\"/x/\",\"safe\",2000,600,2,null,"
+			    "2,\"a\"]")));
 	GBytes *body = platform_body_pack(text.data(), text.size());
 	gsize length;
 	const void *data = g_bytes_get_data(body, &length);
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -87,7 +87,8 @@
 		  "upstreams name limits, ask for rest or say that they leave",
 		  0 },
 		{ "workspaces", 'w', NULL, 0,
-		  "callers have API keys, and their workspaces have quotas", 0 },
+		  "callers have API keys, and their workspaces have quotas",
+		  0 },
 		{ 0 },
 	};
 	const struct argp argp = {
--- a/tools/soak/soak_callers.c
+++ b/tools/soak/soak_callers.c
@@ -145,7 +145,8 @@
 	request->gateway = caller->gateway->number;
 	request->sent_us = caller->start_us;
 	g_hash_table_insert(soak->requests, g_strdup(caller->id), request);
-	g_string_append_printf(text, "%s /%s/%s HTTP/1.1\r\nHost: site\r\n"
+	g_string_append_printf(text,
+			       "%s /%s/%s HTTP/1.1\r\nHost: site\r\n"
 			       "Request-Id: %s\r\nDeadline-Remaining-Ms: %d\r\n"
 			       "%s",
 			       request->at_most_once ? "POST" : "GET",
--- a/tools/soak/soak_workspaces.c
+++ b/tools/soak/soak_workspaces.c
@@ -114,8 +114,8 @@
 		struct soak_workspace *workspace = &workspaces->list[i];
 
 		g_queue_init(&workspace->keys);
-		workspace->periods = g_array_new(FALSE, FALSE,
-						 sizeof(struct quota_period));
+		workspace->periods =
+			g_array_new(FALSE, FALSE, sizeof(struct quota_period));
 		workspace->executions =
 			g_array_new(FALSE, FALSE, sizeof(gint64));
 		set_quota(workspaces, i, 1.0);
@@ -168,8 +168,8 @@
 /* Rotates a key, or changes a quota. */
 static void change(struct soak_workspaces *workspaces, gint64 now_us)
 {
-	guint i = (guint)g_rand_int_range(workspaces->random, 0,
-					  WORKSPACE_COUNT);
+	guint i =
+		(guint)g_rand_int_range(workspaces->random, 0, WORKSPACE_COUNT);
 	struct soak_workspace *workspace = &workspaces->list[i];
 
 	if (g_rand_int_range(workspaces->random, 0, 3)) {
@@ -191,9 +191,9 @@
 	    now_us >= workspaces->soak->faults_end_us)
 		return;
 	workspaces->next_change_us =
-		now_us + g_rand_int_range(workspaces->random, 1,
-					  2 * CHANGE_MEAN_MS) *
-				 AUB_MS;
+		now_us +
+		g_rand_int_range(workspaces->random, 1, 2 * CHANGE_MEAN_MS) *
+			AUB_MS;
 	change(workspaces, now_us);
 }
 
@@ -224,9 +224,10 @@
 		g_string_append(headers, "Authorization: Token w0-unknown\r\n");
 		return;
 	}
-	request->key = g_queue_peek_nth(
-		&workspace->keys,
-		(guint)g_rand_int_range(workspaces->random, 0, (gint)count));
+	request->key =
+		g_queue_peek_nth(&workspace->keys,
+				 (guint)g_rand_int_range(workspaces->random, 0,
+							 (gint)count));
 	workspace->calls++;
 	g_string_append_printf(headers, "Authorization: Token %s\r\n",
 			       request->key->text);
@@ -263,16 +264,17 @@
 	g_array_remove_range(workspace->executions, 0, expired);
 	/* The highest limit that may have been in force in the window. */
 	for (guint i = 0; i < workspace->periods->len; i++) {
-		const struct quota_period *period = &g_array_index(
-			workspace->periods, struct quota_period, i);
+		const struct quota_period *period =
+			&g_array_index(workspace->periods, struct quota_period,
+				       i);
 
 		if (!period->rate_per_s)
 			return;
 		if (period->until_us &&
 		    now - period->until_us > WINDOW_US + APPLY_US)
 			continue;
-		allowed = MAX(allowed, (period->rate_per_s *
-						(double)WINDOW_US / AUB_SECOND +
+		allowed = MAX(allowed, (period->rate_per_s * (double)WINDOW_US /
+						AUB_SECOND +
 					period->burst) *
 						       (1 + QUOTA_OVERAGE) +
 					       QUOTA_SLACK_REQUESTS);
@@ -321,8 +323,7 @@
 		if (!specs[key->workspace].rate_per_s)
 			soak_report_violation(soak, "DENIED (no quota)", id);
 		if (key->workspace == WITHIN_QUOTA &&
-		    soak_now(soak) >
-			    soak->faults_end_us + RECOVERY_MS * AUB_MS)
+		    soak_now(soak) > soak->faults_end_us + RECOVERY_MS * AUB_MS)
 			soak_report_violation(soak, "DENIED (within quota)",
 					      id);
 		return true;
@@ -332,8 +333,8 @@
 
 void soak_workspaces_report(const struct soak_workspaces *workspaces)
 {
-	g_print("workspaces: %u changes, %u unauthorized",
-		workspaces->changes, workspaces->unauthorized);
+	g_print("workspaces: %u changes, %u unauthorized", workspaces->changes,
+		workspaces->unauthorized);
 	for (guint i = 0; i < WORKSPACE_COUNT; i++)
 		g_print("; %s: %u calls, %u executed, %u over quota",
 			specs[i].name, workspaces->list[i].calls,
