placement: slots are shared by workspace within a priority

Cause: an overload by one workspace was an overload of all: the queue knew priorities and times, not who asks.

Workspaces without a limit weigh as the largest limit. Without workspaces the order is as it was.

The order stands in a file of its own.

--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -130,6 +130,7 @@
 	GHashTable *by_id; /* id -> index + 1 */
 	GHashTable *zones_out; /* set of names */
 	GHashTable *grants; /* &ticket -> struct aub_grant */
+	GHashTable *recent_grants; /* quota -> struct aub_recent_grants */
 	GPtrArray *queue; /* of struct aub_queued_request, by priority */
 	struct aub_saturation saturation;
 	struct aub_load_trend interference; /* from its upstreams' reports */
@@ -235,6 +236,29 @@
 		     const struct aub_grant *grant,
 		     const struct aub_grant_report *report);
 
+/* Grants to a workspace, of which older ones count less. */
+struct aub_recent_grants {
+	double count; /* at `counted_us` */
+	gint64 counted_us;
+};
+void aub_placement_count_grant_of_quota(struct aub_placement *placement,
+					guint quota, gint64 now_us);
+
+/* The next queued requests to serve, all of one workspace. */
+struct aub_queue_ends {
+	gint largest_share; /* index of the one that used up most, or -1 */
+	gint smallest_share; /* index of the one that used up least, or -1 */
+	bool newest_first; /* serve smallest_share first */
+};
+/* Finds them among those that can be on time or, if `late`, the others. */
+void aub_placement_find_queue_ends(const struct aub_placement *placement,
+				   bool late, gint64 now_us,
+				   struct aub_queue_ends *ends);
+/* Returns the number of queued requests to be served before a new one. */
+guint aub_placement_count_ahead(const struct aub_placement *placement,
+				const struct aub_placement_request *request,
+				gint64 now_us);
+
 /* Returns the index of `ticket` in the queue, or -1. */
 gint aub_placement_find_queued(const struct aub_placement *placement,
 			       guint64 ticket);
--- a/include/auburnstile/internal/quota.h
+++ b/include/auburnstile/internal/quota.h
@@ -54,6 +54,11 @@
  */
 guint aub_quota_retry_after_ms(struct aub_quotas *quotas, guint quota,
 			       gint64 now_us);
+/*
+ * Returns the part of scarce slots that the workspace may use, relative to
+ * others: its rate, or the highest rate of all for one without a limit.
+ */
+double aub_quota_weight(const struct aub_quotas *quotas, guint quota);
 /* Counts a granted request, or takes it back: no upstream has run it. */
 void aub_quota_take(struct aub_quotas *quotas, guint quota, gint64 now_us);
 void aub_quota_give_back(struct aub_quotas *quotas, guint quota, gint64 now_us);
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -77,6 +77,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	placement->grants = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  NULL, g_free);
+	placement->recent_grants =
+		g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	placement->queue = g_ptr_array_new_with_free_func(queued_free);
 	placement->health_path = g_strdup("/");
 	return placement;
@@ -88,6 +90,7 @@
 		return;
 	g_ptr_array_unref(placement->queue);
 	g_hash_table_unref(placement->grants);
+	g_hash_table_unref(placement->recent_grants);
 	g_hash_table_unref(placement->zones_out);
 	g_hash_table_unref(placement->by_id);
 	g_ptr_array_unref(placement->upstreams);
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -57,6 +57,7 @@
 		aub_quota_take(grant->quotas, grant->quota, now_us);
 	g_hash_table_replace(placement->grants, &grant->ticket, grant);
 	upstream->granted++;
+	aub_placement_count_grant_of_quota(placement, grant->quota, now_us);
 	aub_upstream_limit_count_grant(&upstream->limit, now_us);
 	if (grant->cold) {
 		placement->cold_grants++;
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -1,11 +1,9 @@
 /*
- * The queue of requests that wait for a slot: order of service and refusals.
+ * The queue of requests that wait for a slot: admission and refusals. Its order
+ * is that of placement_order.c.
  */
 #include <auburnstile/internal/placement_internal.h>
 
-#include <math.h>
-#include <string.h>
-
 #define RETRY_AFTER_MIN_MS 700
 #define RETRY_AFTER_BUDGET_MS 20 /* only the retry budget is exhausted */
 /* Granted share of the slots below which no request has to wait. */
@@ -14,12 +12,6 @@
 /* Upstreams that are down are probed twice in this time. */
 #define RETRY_AFTER_NO_UPSTREAM_MS 500
 
-/*
- * A share of the time in which a request can be on time. Once a queued request
- * has used up more of its own, the newest goes first.
- */
-#define NEWEST_FIRST_WAIT_SHARE 0.3
-
 /* Returns the wait for a slot behind `ahead` other requests, in ms. */
 static guint wait_ms(const struct aub_placement *placement, guint ahead,
 		     const struct aub_placement_capacity *capacity,
@@ -88,93 +80,6 @@
 	g_ptr_array_insert(placement->queue, (gint)position, queued);
 }
 
-/*
- * The next requests to serve. Those that can still be on time go first, by
- * priority. Among equals it is the one that has used up the largest share of
- * the time in which it can be on time, or, once that share is large, the
- * smallest.
- *
- * If all requests waited equally long in an overload, all responses would be
- * late although most could have been on time; and where classes with different
- * targets compete for slots, only those with the longest target would be
- * served. With this order the requests served have waited only for a small
- * share of their own limit, and the others get the remaining slots.
- */
-struct queue_ends {
-	gint largest_share; /* index of the one that used up most, or -1 */
-	gint smallest_share; /* index of the one that used up least, or -1 */
-	bool newest_first; /* serve smallest_share first */
-};
-
-/*
- * Returns the share used up of the time in which it can be on time or, if it is
- * late, of its maximum wait.
- */
-static double wait_share(const struct aub_queued_request *queued, gint64 now_us)
-{
-	gint64 end_us = queued->on_time_until_us > now_us ?
-				queued->on_time_until_us :
-				queued->expires_us;
-
-	return (double)(now_us - queued->queued_us) /
-	       (double)MAX(end_us - queued->queued_us, 1);
-}
-
-static void find_queue_ends(const struct aub_placement *placement, bool late,
-			    gint64 now_us, struct queue_ends *ends)
-{
-	double max_share = -1;
-	double min_share = INFINITY;
-	guint priority = 0;
-
-	*ends = (struct queue_ends){ .largest_share = -1,
-				     .smallest_share = -1 };
-	for (guint i = 0; i < placement->queue->len; i++) {
-		const struct aub_queued_request *queued =
-			g_ptr_array_index(placement->queue, i);
-		double share;
-
-		if ((queued->on_time_until_us <= now_us) != late)
-			continue;
-		if (ends->largest_share >= 0 && queued->priority != priority)
-			break;
-		priority = queued->priority;
-		share = wait_share(queued, now_us);
-		if (share > max_share) {
-			max_share = share;
-			ends->largest_share = (gint)i;
-		}
-		if (share <= min_share) {
-			min_share = share;
-			ends->smallest_share = (gint)i;
-		}
-	}
-	ends->newest_first = max_share > NEWEST_FIRST_WAIT_SHARE;
-}
-
-/* Returns the number of requests that would be served before a new one. */
-static guint count_ahead(const struct aub_placement *placement, guint priority,
-			 bool late, gint64 now_us)
-{
-	struct queue_ends ends;
-	guint ahead = 0;
-
-	find_queue_ends(placement, false, now_us, &ends);
-	for (guint i = 0; i < placement->queue->len; i++) {
-		const struct aub_queued_request *queued =
-			g_ptr_array_index(placement->queue, i);
-		bool other_late = queued->on_time_until_us <= now_us;
-
-		if (other_late != late)
-			ahead += late;
-		else if (ends.newest_first && !late)
-			ahead += queued->priority < priority;
-		else
-			ahead += queued->priority <= priority;
-	}
-	return ahead;
-}
-
 gint aub_placement_find_queued(const struct aub_placement *placement,
 			       guint64 ticket)
 {
@@ -328,8 +233,7 @@
 		refuse_retry(placement, request, now_us, decision);
 		return;
 	}
-	ahead = count_ahead(placement, request->priority,
-			    !request->on_time_wait_ms, now_us);
+	ahead = aub_placement_count_ahead(placement, request, now_us);
 	index = aub_placement_choose(placement, request, now_us, &capacity);
 	if (index >= 0 && !ahead) {
 		grant_slot(placement, (guint)index, request, now_us, decision);
@@ -439,15 +343,15 @@
 bool aub_placement_next_decision(struct aub_placement *placement, gint64 now_us,
 				 struct aub_placement_decision *decision)
 {
-	struct queue_ends ends;
+	struct aub_queue_ends ends;
 
-	find_queue_ends(placement, false, now_us, &ends);
+	aub_placement_find_queue_ends(placement, false, now_us, &ends);
 	if (ends.newest_first &&
 	    grant_queued(placement, ends.smallest_share, now_us, decision))
 		return true;
 	if (grant_queued(placement, ends.largest_share, now_us, decision))
 		return true;
-	find_queue_ends(placement, true, now_us, &ends);
+	aub_placement_find_queue_ends(placement, true, now_us, &ends);
 	if (grant_queued(placement, ends.largest_share, now_us, decision))
 		return true;
 	return expire_queued(placement, now_us, decision);
--- a/src/state/quota.c
+++ b/src/state/quota.c
@@ -45,6 +45,7 @@
 	GHashTable *used_by_origin; /* struct origin_key -> guint64 */
 	GArray *unsent; /* of guint: handles with sends left */
 	double share;
+	double rate_max; /* of all workspaces */
 	bool configured;
 	bool send_urgent;
 };
@@ -83,6 +84,7 @@
 				      g_free);
 	quotas->unsent = g_array_new(FALSE, FALSE, sizeof(guint));
 	quotas->share = 1.0;
+	quotas->rate_max = 1.0;
 	return quotas;
 }
 
@@ -187,10 +189,12 @@
 	guint count = workspaces ? aub_workspaces_count(workspaces) : 0;
 	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
 
+	quotas->rate_max = count ? 0.0 : 1.0;
 	for (guint i = 0; i < count; i++) {
 		const struct aub_workspace *workspace =
 			aub_workspaces_get(workspaces, i);
 
+		quotas->rate_max = MAX(quotas->rate_max, workspace->rate_per_s);
 		configure_quota(quotas, workspace, now_us);
 		g_hash_table_add(names, workspace->name);
 	}
@@ -200,6 +204,8 @@
 		if (!g_hash_table_contains(names, quota->workspace))
 			quota->rate_per_s = 0;
 	}
+	if (quotas->rate_max <= 0)
+		quotas->rate_max = 1.0;
 	g_hash_table_unref(names);
 	quotas->configured = true;
 }
@@ -289,6 +295,14 @@
 			  RETRY_AFTER_MIN_MS);
 }
 
+double aub_quota_weight(const struct aub_quotas *quotas, guint handle)
+{
+	const struct quota *quota = get(quotas, handle);
+
+	return quota && quota->rate_per_s > 0 ? quota->rate_per_s :
+						quotas->rate_max;
+}
+
 static double unsent_max(const struct quota *quota)
 {
 	return MAX(UNSENT_MAX_SHARE * (quota->rate_per_s + quota->burst),
