platform: what is shared without keys is valid only if the original is

Cause, found by the new fuzz target in its first second: a table of workspaces without columns or rows became none in the copy for other gateways, so that these would have needed no keys at all; keys that are no list, or no UTF-8, were left out or hashed there and refused in the original. Zones would have followed different configurations.

--- a/fuzz/fuzz.h
+++ b/fuzz/fuzz.h
@@ -15,6 +15,7 @@
 int fuzz_pack(const guint8 *data, gsize size);
 int fuzz_assignments(const guint8 *data, gsize size);
 int fuzz_config(const guint8 *data, gsize size);
+int fuzz_store_page(const guint8 *data, gsize size);
 #else
 int LLVMFuzzerTestOneInput(const guint8 *data, gsize size);
 #endif
--- a/tests/test_corpus.cc
+++ b/tests/test_corpus.cc
@@ -51,3 +51,8 @@
 {
 	EXPECT_GT(replay("fuzz_assignments", fuzz_assignments), 0);
 }
+
+TEST(Corpus, StorePageInputsPass)
+{
+	EXPECT_GT(replay("fuzz_store_page", fuzz_store_page), 0);
+}
--- a/tests/test_placement_order.cc
+++ b/tests/test_placement_order.cc
@@ -43,6 +43,7 @@
 		for (const PlayedWorkspace &played_workspace : workspaces) {
 			const struct aub_workspace workspace = {
 				.name = (char *)played_workspace.name,
+				.priority = 0,
 				.rate_per_s = played_workspace.rate_per_s,
 				.burst = played_workspace.rate_per_s,
 			};
--- a/tests/test_placer_quota.cc
+++ b/tests/test_placer_quota.cc
@@ -19,6 +19,7 @@
 	{
 		const struct aub_workspace workspace = {
 			.name = (char *)"w",
+			.priority = 0,
 			.rate_per_s = rate,
 			.burst = burst,
 		};
--- a/tests/test_platform_codec.cc
+++ b/tests/test_platform_codec.cc
@@ -584,3 +584,33 @@
 	g_bytes_unref(shared);
 	g_bytes_unref(body);
 }
+
+/* Failure: gateways that get an invalid table from others need no keys. */
+TEST(PlatformCodec, SharedInvalidTableOfWorkspacesRemainsInvalid)
+{
+	for (const char *table :
+	     { "7", "{}", "{\"columns\":[\"name\"]}", "{\"rows\":[]}", "[]",
+	       "{\"columns\":[\"name\",\"api_keys\"],\"rows\":[[\"w\",1]]}",
+	       "{\"columns\":[\"name\",\"api_keys\"],\"rows\":[[\"w\",[1]]]}" }) {
+		std::string spec = config("[\"r\",\"h\",\"/x/\",\"safe\",2000,"
+					  "600,2,null,2,\"a\"]");
+
+		spec.pop_back();
+		std::string text = list(
+			item("main", spec + ",\"tenants\":" + table + "}"));
+		GBytes *body = platform_body_pack(text.data(), text.size());
+		gsize length;
+		const void *data = g_bytes_get_data(body, &length);
+		GBytes *shared = aub_platform.without_keys(data, length);
+		const void *shared_data = g_bytes_get_data(shared, &length);
+		struct aub_store_page *page =
+			aub_platform.decode_page(AUB_STORE_ROUTING, shared_data,
+						 length, NULL);
+
+		ASSERT_NE(page, nullptr) << table;
+		EXPECT_EQ(record_at(page, 0)->routing, nullptr) << table;
+		aub_store_page_free(page);
+		g_bytes_unref(shared);
+		g_bytes_unref(body);
+	}
+}
--- a/tests/test_quota.cc
+++ b/tests/test_quota.cc
@@ -38,6 +38,7 @@
 		struct aub_workspaces *workspaces = aub_workspaces_new(NULL);
 		const struct aub_workspace workspace = {
 			.name = (char *)"w",
+			.priority = 0,
 			.rate_per_s = rate,
 			.burst = burst,
 		};
--- a/tests/test_workspaces.cc
+++ b/tests/test_workspaces.cc
@@ -102,7 +102,12 @@
 	guint8 secret[AUB_KEY_SECRET_BYTES] = { 1, 2, 3 };
 	guint8 digest[AUB_KEY_DIGEST_BYTES];
 	struct aub_workspaces *copy = aub_workspaces_new(secret);
-	const struct aub_workspace workspace = { .name = (char *)"w1" };
+	const struct aub_workspace workspace = {
+		.name = (char *)"w1",
+		.priority = 0,
+		.rate_per_s = 0,
+		.burst = 0,
+	};
 
 	aub_key_digest(secret, "key", 3, digest);
 	aub_workspaces_add(copy, &workspace, NULL);
