--- a/include/auburnstile/internal/quota.h
+++ b/include/auburnstile/internal/quota.h
@@ -71,11 +71,13 @@
 };
 /*
  * Copies up to `limit` entries to `list` that the others don't know of for
- * sure, and counts them as told. Returns their number.
+ * sure, and counts them as told. Those that are to be told again come last the
+ * next time. Returns their number.
  */
 guint aub_quotas_take_unsent(struct aub_quotas *quotas,
 			     struct aub_quota_use *list, guint limit);
-bool aub_quotas_has_unsent(const struct aub_quotas *quotas);
+/* Returns the number of entries that are left. */
+guint aub_quotas_count_unsent(const struct aub_quotas *quotas);
 /* Returns whether so much is unsent that the others should know at once. */
 bool aub_quotas_is_send_urgent(const struct aub_quotas *quotas);
 /* Applies what process `origin` has granted. */
--- a/src/coordination/gateway_workspace.c
+++ b/src/coordination/gateway_workspace.c
@@ -42,7 +42,7 @@
 	return request->workspace ? NULL : "key-unknown";
 }
 
-/* The most urgent level of routes that is told apart. */
+/* Routes with a larger number rank like this one. */
 #define ROUTE_PRIORITY_MAX 1023
 
 guint aub_request_priority(const struct aub_request *request)
--- a/src/coordination/placer_quota.c
+++ b/src/coordination/placer_quota.c
@@ -14,8 +14,8 @@
 
 /* How long grants may remain unknown to other placers. */
 #define SEND_PERIOD_US (100 * AUB_MS)
-/* Rows of one message; the rest follows with the next one. */
-#define ROWS_MAX 512
+/* Rows of one message, which has to fit into a datagram. */
+#define ROWS_MAX 160
 /* The placer and the one that takes over if it fails. */
 #define INFORMED_PER_SERVICE 2
 /* Workspaces with a log line of their own in a second. */
@@ -86,15 +86,13 @@
 	request->quota = aub_quotas_find(request->quotas, request->workspace);
 }
 
-static void send_use(struct aub_placer *placer, struct aub_quotas *quotas,
-		     guint64 origin, const GPtrArray *peers)
+static void send_rows(struct aub_placer *placer, struct aub_quotas *quotas,
+		      guint64 origin, const GPtrArray *peers)
 {
 	struct aub_quota_use list[ROWS_MAX];
 	guint count = aub_quotas_take_unsent(quotas, list, ROWS_MAX);
 	struct aub_quota_use_message *message;
 
-	if (!count)
-		return;
 	message = (struct aub_quota_use_message *)aub_message_new(
 		AUB_MESSAGE_QUOTA_USE);
 	message->origin = origin;
@@ -112,6 +110,15 @@
 	aub_message_free(&message->base);
 }
 
+static void send_use(struct aub_placer *placer, struct aub_quotas *quotas,
+		     guint64 origin, const GPtrArray *peers)
+{
+	guint count = aub_quotas_count_unsent(quotas);
+
+	for (guint sent = 0; sent < count; sent += ROWS_MAX)
+		send_rows(placer, quotas, origin, peers);
+}
+
 /* Grants of the local fallback are counted apart, under an origin of their own.
  */
 static guint64 fallback_origin(guint64 incarnation)
@@ -142,8 +149,8 @@
 
 static bool has_unsent(const struct aub_placer *placer)
 {
-	return aub_quotas_has_unsent(placer->quotas) ||
-	       aub_quotas_has_unsent(placer->fallback_quotas);
+	return aub_quotas_count_unsent(placer->quotas) ||
+	       aub_quotas_count_unsent(placer->fallback_quotas);
 }
 
 void aub_placer_send_quota_use(struct aub_placer *placer)
--- a/src/state/quota.c
+++ b/src/state/quota.c
@@ -347,36 +347,31 @@
 guint aub_quotas_take_unsent(struct aub_quotas *quotas,
 			     struct aub_quota_use *list, guint limit)
 {
-	guint count = 0;
-	guint kept = 0;
+	guint count = MIN(quotas->unsent->len, limit);
 
 	quotas->send_urgent = false;
-	for (guint i = 0; i < quotas->unsent->len; i++) {
+	for (guint i = 0; i < count; i++) {
 		guint handle = g_array_index(quotas->unsent, guint, i);
 		struct quota *quota = get(quotas, handle);
-
-		if (count < limit) {
-			gint64 recent =
-				(gint64)(quota->used - quota->used_sent);
-
-			list[count++] = (struct aub_quota_use){
-				.workspace = quota->workspace,
-				.used = quota->used,
-				.recent = (guint)MAX(recent, 0),
-			};
-			quota->used_sent = quota->used;
-			quota->sends_left--;
-		}
+		gint64 recent = (gint64)(quota->used - quota->used_sent);
+
+		list[i] = (struct aub_quota_use){
+			.workspace = quota->workspace,
+			.used = quota->used,
+			.recent = (guint)MAX(recent, 0),
+		};
+		quota->used_sent = quota->used;
+		quota->sends_left--;
 		if (quota->sends_left)
-			g_array_index(quotas->unsent, guint, kept++) = handle;
+			g_array_append_val(quotas->unsent, handle);
 	}
-	g_array_set_size(quotas->unsent, kept);
+	g_array_remove_range(quotas->unsent, 0, count);
 	return count;
 }
 
-bool aub_quotas_has_unsent(const struct aub_quotas *quotas)
+guint aub_quotas_count_unsent(const struct aub_quotas *quotas)
 {
-	return quotas->unsent->len > 0;
+	return quotas->unsent->len;
 }
 
 bool aub_quotas_is_send_urgent(const struct aub_quotas *quotas)
--- a/tests/test_quota.cc
+++ b/tests/test_quota.cc
@@ -8,6 +8,7 @@
 
 #include <cmath>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -101,7 +102,7 @@
 	Process process(1, 0, 0, 0);
 
 	EXPECT_EQ(process.admit_all(1000, 0), 1000u);
-	EXPECT_FALSE(aub_quotas_has_unsent(process.quotas));
+	EXPECT_EQ(aub_quotas_count_unsent(process.quotas), 0u);
 	EXPECT_EQ(aub_quotas_find(process.quotas, ""), 0u);
 	EXPECT_EQ(aub_quotas_find(process.quotas, NULL), 0u);
 	process.quota = 0;
@@ -258,7 +259,41 @@
 	EXPECT_EQ(aub_quotas_take_unsent(one.quotas, lost, 4), 1u);
 	one.tell(two, now); /* each count is sent more than once */
 	EXPECT_NEAR(two.credit(now), 35, 1e-6);
-	EXPECT_FALSE(aub_quotas_has_unsent(one.quotas));
+	EXPECT_EQ(aub_quotas_count_unsent(one.quotas), 0u);
+}
+
+/* Failure: with many workspaces, some are never told of. */
+TEST(Quota, TellsOfEachWorkspaceBeforeItRepeatsAny)
+{
+	struct aub_quotas *quotas = aub_quotas_new();
+	struct aub_workspaces *workspaces = aub_workspaces_new(NULL);
+	struct aub_quota_use list[30];
+
+	for (int i = 0; i < 100; i++) {
+		std::string name = "w" + std::to_string(i);
+		const struct aub_workspace workspace = {
+			.name = (char *)name.c_str(),
+			.priority = 0,
+			.rate_per_s = 1,
+			.burst = 1,
+		};
+
+		aub_workspaces_add(workspaces, &workspace, NULL);
+	}
+	aub_quotas_configure(quotas, workspaces, 0);
+	for (guint i = 1; i <= 100; i++)
+		aub_quota_take(quotas, i, 0);
+	std::map<std::string, int> told;
+	for (int batch = 0; batch < 4; batch++) {
+		guint count = aub_quotas_take_unsent(quotas, list, 30);
+
+		for (guint i = 0; i < count; i++)
+			told[list[i].workspace]++;
+	}
+	EXPECT_EQ(told.size(), 100u);
+	EXPECT_EQ(aub_quotas_count_unsent(quotas), 80u);
+	aub_workspaces_free(workspaces);
+	aub_quotas_free(quotas);
 }
 
 TEST(Quota, RepeatedMessageCountsOnce)
