gateway: a header name with a space is an error

Cause: the parser takes "Authorization : Token k" for a header of another name; it was passed on as it stood, and an upstream that ignores the space reads a key, or a workspace that the caller chose. Found by trying spellings by hand; RFC 9112 (5.1) asks for 400.

--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -501,10 +501,32 @@
 		start_placement(request);
 }
 
+/*
+ * Returns whether all header names are tokens (RFC 9110, 5.6.2). The parser
+ * accepts a space before the colon, and an upstream that ignores it would read
+ * a header that is withheld from it under its proper name.
+ */
+static bool header_names_are_valid(const struct aub_http_head *head)
+{
+	for (guint i = 0; i < head->headers->len; i++) {
+		const char *name =
+			g_array_index(head->headers, struct aub_http_header, i)
+				.name;
+
+		for (const char *c = name; *c; c++)
+			if (!g_ascii_isalnum(*c) &&
+			    !strchr("!#$%&'*+-.^_`|~", *c))
+				return false;
+	}
+	return true;
+}
+
 /* Returns why the request can't be served; NULL if it can. */
 static const char *head_problem(const struct aub_http_head *head,
 				const struct aub_platform *platform)
 {
+	if (!header_names_are_valid(head))
+		return "invalid-header-name";
 	if (aub_http_head_count(head, "Host") != 1)
 		return "one-host-expected";
 	if (head->target[0] != '/')
--- a/tests/test_gateway_workspaces.cc
+++ b/tests/test_gateway_workspaces.cc
@@ -142,6 +142,35 @@
 	EXPECT_EQ(platform_upstream_arrivals(upstream), 0u);
 }
 
+/*
+ * Failure: an upstream that ignores the space reads a workspace that the caller
+ * named, or a key.
+ */
+TEST_F(GatewayWorkspacesTest, PassesOnNoNameWithSpaceBeforeColon)
+{
+	start_with_two_workspaces();
+	for (const char *line :
+	     { "Tenant : w2", "Tenant\t: w2", " Tenant: w2", "\tTenant: w2",
+	       "X-Own: a\r\n Tenant: w2", "Authorization : Token k3" }) {
+		guint arrivals = platform_upstream_arrivals(upstream);
+		guint status = status_of("/safe/a", key("k1") + line + "\r\n");
+
+		if (platform_upstream_arrivals(upstream) == arrivals) {
+			/* A folded line is part of the key before it. */
+			EXPECT_TRUE(status == 400 || status == 401) << line;
+			continue;
+		}
+		EXPECT_STREQ(platform_upstream_header(upstream, "Tenant"), "w1")
+			<< line;
+		for (const char *name :
+		     { "Tenant ", "Tenant\t", " Tenant", "\tTenant",
+		       "Authorization ", "Authorization" })
+			EXPECT_EQ(platform_upstream_header(upstream, name),
+				  nullptr)
+				<< line;
+	}
+}
+
 TEST_F(GatewayWorkspacesTest, OpenRouteNeedsNoKeyButNoWrongOneEither)
 {
 	start_with_two_workspaces();
