placer: log health changes that reports of attempts cause

A report of an attempt that was unreachable or lost marks its upstream down, and no line said so: of an outage that begins at the gateways' own links, the lines could not tell which marks come from the placer's probes and which from failed attempts of other gateways. `health` is now also written where a report changes the state, with the attempt's end and the gateway that reported it.

No decision changes.

--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -184,6 +184,15 @@
 				 const struct aub_grant_report *report,
 				 gint64 now_us);
 
+/* Who holds a grant, and of which upstream; the id is borrowed. */
+struct aub_grant_view {
+	guint64 holder;
+	const char *upstream;
+};
+/* Returns false if `ticket` has no grant. */
+bool aub_placement_find_grant(const struct aub_placement *placement,
+			      guint64 ticket, struct aub_grant_view *view);
+
 /*
  * Applies what an answer of upstream `id` says of the upstream itself, apart
  * from its load. The request was sent at `sent_us`.
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -409,16 +409,46 @@
 	aub_message_free(&message->base);
 }
 
+/* Logs that a report has changed the health of an upstream. */
+static void log_health(const struct aub_placer *placer,
+		       const struct aub_placement *placement,
+		       const struct aub_grant_view *grant,
+		       const char *health_before, enum aub_grant_result end)
+{
+	const char *health_now =
+		aub_placement_health_name(placement, grant->upstream);
+
+	if (!strcmp(health_before, health_now))
+		return;
+	aub_log_begin(AUB_LOG_HEALTH);
+	aub_log_text("upstream", grant->upstream);
+	aub_log_text("service", aub_placement_service(placement));
+	aub_log_text("was", health_before);
+	aub_log_text("now", health_now);
+	aub_log_text("end", aub_grant_result_name(end));
+	aub_log_text("peer", peer_name(placer, grant->holder));
+	aub_log_end();
+}
+
 void aub_placer_apply_report(struct aub_placer *placer, const char *service,
 			     const struct aub_grant_report *report)
 {
 	struct aub_placement *placement = aub_placer_placement(placer, service);
-	const char *upstream =
-		aub_placement_report(placement, report,
-				     aub_timer_now(placer->options.timers));
+	gint64 now = aub_timer_now(placer->options.timers);
+	struct aub_grant_view grant;
+
+	if (aub_placement_find_grant(placement, report->ticket, &grant)) {
+		const char *health_before =
+			aub_placement_health_name(placement, grant.upstream);
 
-	if (upstream)
-		aub_placer_log_notices(placement, upstream, "peer", "");
+		aub_placement_report(placement, report, now);
+		log_health(placer, placement, &grant, health_before,
+			   report->end);
+		aub_placer_log_notices(placement, grant.upstream, "peer", "");
+	} else {
+		/* It may still be queued. */
+		aub_placement_report(placement, report, now);
+	}
 	aub_placer_drain_queue(placer, placement);
 }
 
--- a/src/core/decision_log.c
+++ b/src/core/decision_log.c
@@ -54,7 +54,7 @@
 	[AUB_LOG_PLACEMENT] = { "placement", AUB_LOG_STATE,
 				"a service's placer refused requests in the last second" },
 	[AUB_LOG_HEALTH] = { "health", AUB_LOG_STATE,
-			     "a probe changed the state of an upstream" },
+			     "a probe or a failed attempt changed the state of an upstream" },
 	[AUB_LOG_UPSTREAM_LIMIT] = { "upstream-limit", AUB_LOG_STATE,
 				     "an upstream names, changes or lifts a limit on its requests" },
 	[AUB_LOG_UPSTREAM_REST] = { "upstream-rest", AUB_LOG_STATE,
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -181,6 +181,21 @@
 	       end == AUB_GRANT_UNREACHABLE || end == AUB_GRANT_UNUSED;
 }
 
+bool aub_placement_find_grant(const struct aub_placement *placement,
+			      guint64 ticket, struct aub_grant_view *view)
+{
+	const struct aub_grant *grant =
+		g_hash_table_lookup(placement->grants, &ticket);
+
+	if (!grant)
+		return false;
+	view->holder = grant->holder;
+	view->upstream =
+		aub_placement_get_upstream(placement, grant->upstream_index)
+			->id;
+	return true;
+}
+
 const char *aub_placement_report(struct aub_placement *placement,
 				 const struct aub_grant_report *report,
 				 gint64 now_us)
