--- a/include/auburnstile/internal/http_client.h
+++ b/include/auburnstile/internal/http_client.h
@@ -54,6 +54,11 @@
 struct aub_http_client *aub_http_client_new(struct aub_poller *poller,
 					    struct aub_timer_service *timers);
 void aub_http_client_free(struct aub_http_client *client);
+/*
+ * Sets the local IP of new connections; "" or NULL leaves the choice to the
+ * kernel.
+ */
+void aub_http_client_set_source(struct aub_http_client *client, const char *ip);
 
 /*
  * Closes pooled connections that have been idle for too long. Must be called
--- a/include/auburnstile/internal/node.h
+++ b/include/auburnstile/internal/node.h
@@ -19,6 +19,7 @@
 	char *peers; /* address for datagrams of other gateways */
 	char *metrics; /* listening address of the metrics export */
 	char *store; /* address of the platform's store */
+	char *source_ip; /* local IP of connections it opens; "": any */
 	char **seeds; /* possible gateways; only their IPs are used */
 	double grace_s; /* seconds from SIGTERM to SIGKILL */
 	gint64 retry_percent; /* retries per hundred first attempts */
--- a/include/auburnstile/internal/tcp.h
+++ b/include/auburnstile/internal/tcp.h
@@ -26,6 +26,9 @@
 
 /* Starts a connection. Returns -1 and sets `error` if it fails immediately. */
 int aub_tcp_connect(const char *address, GError **error);
+/* The same from the local IP `source`; NULL leaves the choice to the kernel. */
+int aub_tcp_connect_from(const char *source, const char *address,
+			 GError **error);
 
 /* Accepts one connection. Returns -1 if none is pending. */
 int aub_tcp_accept(int listener);
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -8,6 +8,7 @@
 #include <auburnstile/internal/node_internal.h>
 #include <auburnstile/internal/problems.h>
 
+#include <arpa/inet.h>
 #include <string.h>
 
 /*
@@ -245,16 +246,32 @@
 	return true;
 }
 
+static bool check_source_ip(const char *ip, GError **error)
+{
+	struct in_addr parsed;
+
+	if (!ip || !*ip || inet_pton(AF_INET, ip, &parsed) == 1)
+		return true;
+	aub_error_set(error, AUB_ERROR_INVALID, "settings", "source_ip",
+		      "\"%s\" is not an IPv4 address", ip);
+	return false;
+}
+
 struct aub_node *aub_node_new(const struct aub_node_settings *settings,
 			      const struct aub_platform *platform,
 			      struct aub_timer_service *timers, GError **error)
 {
-	struct aub_node *node = g_new0(struct aub_node, 1);
+	struct aub_node *node;
+
+	if (!check_source_ip(settings->source_ip, error))
+		return NULL;
+	node = g_new0(struct aub_node, 1);
 
 	node->platform = platform;
 	node->timers = timers;
 	node->poller = aub_poller_new();
 	node->client = aub_http_client_new(node->poller, node->timers);
+	aub_http_client_set_source(node->client, settings->source_ip);
 	node->metrics = aub_metrics_new();
 	node->exported_quotas = g_hash_table_new(NULL, NULL);
 	node->pending_contacts = g_ptr_array_new_with_free_func(g_free);
--- a/src/coordination/node_settings.c
+++ b/src/coordination/node_settings.c
@@ -44,6 +44,12 @@
 	  .offset = FIELD(store),
 	  .required = true,
 	  .help = "address of the platform's store" },
+	{ .key = "source_ip",
+	  .type = AUB_SETTING_STRING,
+	  .offset = FIELD(source_ip),
+	  .default_value = "",
+	  .help = "local IP of connections to upstreams and to the store; empty: "
+		  "as the system chooses" },
 	{ .key = "seeds",
 	  .type = AUB_SETTING_STRINGS,
 	  .offset = FIELD(seeds),
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -21,6 +21,7 @@
 	struct aub_poller *poller;
 	struct aub_timer_service *timers;
 	GHashTable *pools; /* "address pool_name" -> GQueue of connections */
+	char *source; /* local IP of new connections; NULL: any */
 	guint64 connections_opened;
 };
 
@@ -122,9 +123,16 @@
 	if (!client)
 		return;
 	g_hash_table_unref(client->pools);
+	g_free(client->source);
 	g_free(client);
 }
 
+void aub_http_client_set_source(struct aub_http_client *client, const char *ip)
+{
+	g_free(client->source);
+	client->source = ip && *ip ? g_strdup(ip) : NULL;
+}
+
 struct aub_timer_service *aub_http_client_timers(
 	const struct aub_http_client *client)
 {
@@ -348,7 +356,8 @@
 {
 	struct aub_timer_service *timers = exchange->client->timers;
 	gint64 timeout_us = CONNECT_TIMEOUT_MS * AUB_MS;
-	int fd = aub_tcp_connect(options->address, NULL);
+	int fd = aub_tcp_connect_from(exchange->client->source,
+				      options->address, NULL);
 
 	exchange->client->connections_opened++;
 	if (fd >= 0)
--- a/src/transport/tcp.c
+++ b/src/transport/tcp.c
@@ -114,7 +114,28 @@
 	return bind_socket(address, SOCK_DGRAM, "bind", error);
 }
 
+/*
+ * The port is chosen when the socket connects: a port that bind() chooses can't
+ * be shared by connections to different peers.
+ */
+static bool bind_source(int fd, const char *source)
+{
+	const int on = 1;
+	struct sockaddr_in socket_address = { .sin_family = AF_INET };
+
+	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+	return inet_pton(AF_INET, source, &socket_address.sin_addr) == 1 &&
+	       !bind(fd, (struct sockaddr *)&socket_address,
+		     sizeof(socket_address));
+}
+
 int aub_tcp_connect(const char *address, GError **error)
+{
+	return aub_tcp_connect_from(NULL, address, error);
+}
+
+int aub_tcp_connect_from(const char *source, const char *address,
+			 GError **error)
 {
 	struct sockaddr_in socket_address;
 	int fd;
@@ -128,6 +149,8 @@
 	if (fd < 0)
 		return fail_with_errno(fd, "connect", address, error);
 	set_options(fd);
+	if (source && !bind_source(fd, source))
+		return fail_with_errno(fd, "bind", source, error);
 	if (connect(fd, (struct sockaddr *)&socket_address,
 		    sizeof(socket_address)) < 0 &&
 	    errno != EINPROGRESS)
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -29,6 +29,25 @@
 	aub_settings_clear(aub_node_settings_table, &settings);
 }
 
+TEST(NodeSettings, NameSourceAddressThatIsInvalid)
+{
+	struct aub_timer_service *timers = aub_timer_service_new(NULL);
+	struct aub_node_settings settings = {};
+	GError *error = NULL;
+
+	settings.source_ip = g_strdup("10.0.0.300");
+	EXPECT_EQ(aub_node_new(&settings, &aub_platform, timers, &error),
+		  nullptr);
+	ASSERT_NE(error, nullptr);
+	EXPECT_NE(strstr(error->message, "source_ip"), nullptr)
+		<< error->message;
+	EXPECT_NE(strstr(error->message, "10.0.0.300"), nullptr)
+		<< error->message;
+	g_error_free(error);
+	aub_settings_clear(aub_node_settings_table, &settings);
+	aub_timer_service_free(timers);
+}
+
 TEST_F(GatewayTest, SendsNothingNewToDrainingUpstream)
 {
 	struct platform_upstream *first_upstream = add_upstream("u1");
--- a/tools/platform/upstream.c
+++ b/tools/platform/upstream.c
@@ -3,6 +3,7 @@
 
 #include <auburnstile/internal/tcp.h>
 
+#include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -40,11 +41,15 @@
 	platform_upstream_answer_callback *on_answer;
 	void *on_answer_context;
 	GHashTable *headers; /* of the last request, names in lower case */
+	GHashTable *partitions; /* source IP -> enum platform_partition */
 };
 
 struct connection {
 	struct platform_upstream *upstream;
 	struct aub_http_stream *stream;
+	char *source; /* IP of the client */
+	bool silent; /* nothing is read or sent */
+	bool answer_held; /* to be sent when the connection is not silent */
 	char *request_id;
 	char *expected;
 	enum platform_answer answer; /* to the request that is executing */
@@ -65,6 +70,7 @@
 	g_ptr_array_remove_fast(upstream->connections, connection);
 	aub_timer_cancel(upstream->timers, connection->timer);
 	aub_http_stream_free(connection->stream);
+	g_free(connection->source);
 	g_free(connection->request_id);
 	g_free(connection->expected);
 	g_free(connection);
@@ -235,6 +241,10 @@
 	struct connection *connection = context;
 
 	connection->timer = 0;
+	if (connection->silent) {
+		connection->answer_held = true;
+		return;
+	}
 	connection->running = false;
 	if (!write_answer(connection, connection->answer))
 		return;
@@ -362,6 +372,53 @@
 	.ended = on_ended,
 };
 
+static enum platform_partition partition_of(
+	const struct platform_upstream *upstream, const char *source)
+{
+	return (enum platform_partition)GPOINTER_TO_INT(
+		g_hash_table_lookup(upstream->partitions, source));
+}
+
+static void set_silent(struct connection *connection, bool silent)
+{
+	connection->silent = silent;
+	aub_http_stream_pause_reading(connection->stream, silent);
+	if (!silent && connection->answer_held) {
+		connection->answer_held = false;
+		on_service_done(connection, 0);
+	}
+}
+
+static void apply_partition(struct connection *connection, bool is_new)
+{
+	switch (partition_of(connection->upstream, connection->source)) {
+	case PLATFORM_PARTITION_NONE:
+		set_silent(connection, false);
+		break;
+	case PLATFORM_PARTITION_SILENT:
+		set_silent(connection, true);
+		break;
+	case PLATFORM_PARTITION_RESET:
+		reset_connection(connection);
+		break;
+	case PLATFORM_PARTITION_REFUSE_NEW:
+		if (is_new)
+			reset_connection(connection);
+		break;
+	}
+}
+
+static char *source_of(int fd)
+{
+	struct sockaddr_in peer = { 0 };
+	socklen_t length = sizeof(peer);
+	char ip[INET_ADDRSTRLEN] = "";
+
+	getpeername(fd, (struct sockaddr *)&peer, &length);
+	inet_ntop(AF_INET, &peer.sin_addr, ip, sizeof(ip));
+	return g_strdup(ip);
+}
+
 static void on_connections_waiting(void *context, guint events)
 {
 	struct platform_upstream *upstream = context;
@@ -372,11 +429,29 @@
 
 		upstream->accepted++;
 		connection->upstream = upstream;
+		connection->source = source_of(fd);
 		connection->stream =
 			aub_http_stream_new(upstream->poller, fd, HTTP_REQUEST,
 					    false, HEAD_BYTES_MAX, &callbacks,
 					    connection);
 		g_ptr_array_add(upstream->connections, connection);
+		apply_partition(connection, true);
+	}
+}
+
+void platform_upstream_partition(struct platform_upstream *upstream,
+				 const char *source,
+				 enum platform_partition partition)
+{
+	g_hash_table_insert(upstream->partitions, g_strdup(source),
+			    GINT_TO_POINTER((gint)partition));
+	/* Resetting a connection moves the last one into its place. */
+	for (guint i = upstream->connections->len; i > 0; i--) {
+		struct connection *connection =
+			g_ptr_array_index(upstream->connections, i - 1);
+
+		if (!strcmp(connection->source, source))
+			apply_partition(connection, false);
 	}
 }
 
@@ -402,6 +477,8 @@
 	upstream->connections = g_ptr_array_new();
 	upstream->headers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	upstream->partitions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	upstream->listener = aub_tcp_listen_loopback(&upstream->address);
 	watch_listener(upstream);
 	return upstream;
@@ -430,6 +507,7 @@
 	close_listener_and_connections(upstream);
 	g_ptr_array_unref(upstream->connections);
 	g_hash_table_unref(upstream->headers);
+	g_hash_table_unref(upstream->partitions);
 	g_free(upstream->address);
 	g_free(upstream->limit);
 	g_free(upstream->leaving);
--- a/tools/platform/upstream.h
+++ b/tools/platform/upstream.h
@@ -81,6 +81,21 @@
  */
 void platform_upstream_set_down(struct platform_upstream *upstream, bool down);
 
+/* How an upstream and the gateways at one IP are cut off from each other. */
+enum platform_partition {
+	PLATFORM_PARTITION_NONE,
+	/* Open connections are reset, and new ones as soon as they open. */
+	PLATFORM_PARTITION_RESET,
+	/* Nothing is read or sent until the partition ends. */
+	PLATFORM_PARTITION_SILENT,
+	/* Open connections live on; new ones are reset. */
+	PLATFORM_PARTITION_REFUSE_NEW
+};
+/* Applies to connections from the IP `source`, open and new. */
+void platform_upstream_partition(struct platform_upstream *upstream,
+				 const char *source,
+				 enum platform_partition partition);
+
 /*
  * Set callbacks that are called with the Request-Id whenever a request starts
  * to execute, arrives whether it will be executed or not, or is answered.
