--- a/include/auburnstile/internal/gateway.h
+++ b/include/auburnstile/internal/gateway.h
@@ -20,6 +20,9 @@
 	struct aub_timer_service *timers;
 	struct aub_http_client *client;
 	struct aub_placer *placer;
+	struct aub_peers *peers;
+	struct aub_egress_monitor *egress; /* this gateway's own links */
+	const char *relay_address; /* listening address for other gateways */
 	struct aub_metrics *metrics;
 	/*
 	 * Called when upstreams have crashed while running a request, so that
@@ -44,6 +47,16 @@
 void aub_gateway_add_reported_crashes(struct aub_gateway *gateway,
 				      guint64 fingerprint, guint crash_count);
 
+/* Called when the state of this gateway's own links has changed. */
+void aub_gateway_on_egress_state(struct aub_gateway *gateway,
+				 enum aub_egress_state state);
+/*
+ * Called when recent failures are explained, by this gateway's own links or
+ * not.
+ */
+void aub_gateway_on_failures_resolved(struct aub_gateway *gateway,
+				      bool own_links);
+
 /*
  * Begins a planned stop: answers close their connections, but new connections
  * are still accepted.
--- a/include/auburnstile/internal/gateway_internal.h
+++ b/include/auburnstile/internal/gateway_internal.h
@@ -4,6 +4,7 @@
 
 #include <auburnstile/internal/crash_counts.h>
 #include <auburnstile/internal/gateway.h>
+#include <auburnstile/internal/peer_relay.h>
 
 G_BEGIN_DECLS
 
@@ -20,6 +21,9 @@
  */
 #define AUB_WRITE_QUEUE_HIGH_BYTES (128u << 10)
 
+/* A connection that is refused fails within a round trip. */
+#define AUB_QUICK_FAILURE_US (50 * AUB_MS)
+
 struct aub_caller; /* a caller's connection */
 struct aub_request;
 
@@ -38,7 +42,14 @@
 	struct aub_routing *routing; /* NULL until a configuration is known */
 	int listener;
 	struct aub_poll_watch *watch;
+	int relay_listener; /* for other gateways */
+	struct aub_poll_watch *relay_watch;
 	struct aub_crash_counts *crash_counts;
+	/* crashes that this gateway's own links may explain */
+	GArray *unconfirmed_crashes; /* of struct aub_unconfirmed_crash */
+	guint relay_turn; /* spreads requests over the peers that relay */
+	guint link_outages; /* times that the own links were found down */
+	bool links_were_down; /* and have not been up since */
 	guint sweep_timer;
 	GQueue callers; /* of struct aub_caller */
 	guint active_requests;
@@ -46,6 +57,14 @@
 	bool listener_closed;
 	guint attempts_counter; /* handle in the metrics */
 	guint retries_counter; /* likewise */
+	guint relayed_counter; /* likewise: for other gateways */
+	guint relay_attempts_counter; /* likewise: by other gateways */
+};
+
+struct aub_unconfirmed_crash {
+	guint64 fingerprint;
+	char *upstream;
+	gint64 started_ms; /* of its incarnation */
 };
 
 struct aub_caller {
@@ -58,6 +77,7 @@
 	/* an answer has announced the end of the connection */
 	bool close_after_answer;
 	bool shutting_down; /* no further answers are sent */
+	bool is_peer; /* another gateway, whose requests are relayed */
 	bool input_rejected; /* the input after the last request is malformed */
 	enum aub_stream_end_reason rejection; /* reason for `input_rejected` */
 };
@@ -66,8 +86,12 @@
 struct aub_upstream_attempt {
 	struct aub_request *request;
 	struct aub_exchange *exchange;
-	guint64 ticket; /* of the grant */
+	guint64 ticket; /* of the grant; 0: none, or already reported */
 	char *upstream; /* id of the upstream's incarnation */
+	char *address; /* of the upstream */
+	guint64 relay; /* incarnation of the gateway that relays; 0: none */
+	guint relays_tried;
+	enum aub_relay_failure relay_failure; /* as the relay reports */
 	gint64 sent_us; /* start of the attempt */
 	guint status; /* HTTP status of the answer; 0: none yet */
 	bool not_run; /* the upstream states that it did not run it */
@@ -88,6 +112,12 @@
 	char *upstream;
 };
 
+/* A request that is relayed for another gateway. */
+struct aub_relayed {
+	char *upstream; /* that it is to be sent to; NULL: none was named */
+	char *service;
+};
+
 struct aub_request {
 	struct aub_gateway *gateway;
 	struct aub_caller *caller;
@@ -97,6 +127,8 @@
 	const char *service; /* borrowed from `routing` */
 	/* borrowed from `routing`; NULL: the caller is anonymous */
 	const struct aub_workspace *workspace;
+	struct aub_relayed *relay; /* NULL: it is a caller's */
+	guint link_outage; /* the last one that was dealt with */
 	char *id; /* request ID; "" if the caller sent none */
 	char *host;
 	char *request_line; /* "METHOD target HTTP/1.1" */
@@ -185,6 +217,11 @@
 /* Return whether it is the oldest or the newest request of its connection. */
 bool aub_request_is_first(const struct aub_request *request);
 bool aub_request_is_last(const struct aub_request *request);
+/*
+ * Returns whether the request may be sent once more although an attempt may
+ * have run it.
+ */
+bool aub_request_may_send_again(const struct aub_request *request);
 /* Called when all earlier requests of the connection have been answered. */
 void aub_request_on_became_first(struct aub_request *request);
 
@@ -202,6 +239,55 @@
 			      const char *data, gsize length);
 void aub_request_on_upstream_writable(struct aub_request *request);
 
+/*
+ * Returns whether a request can be sent to `upstream`, directly or through
+ * another gateway.
+ */
+bool aub_gateway_has_path(struct aub_gateway *gateway, const char *upstream);
+bool aub_gateway_links_are_up(const struct aub_gateway *gateway);
+/*
+ * Deals with an attempt that was in progress when this gateway lost its links.
+ * `silent`: none of its connections is likely to be answered any more. May free
+ * the attempt and its request.
+ */
+void aub_attempt_on_links_down(struct aub_upstream_attempt *attempt,
+			       bool silent);
+
+/* Crashes; see gateway_crashes.c. */
+GArray *aub_unconfirmed_crashes_new(void);
+/*
+ * Records that the connection to `upstream` broke while it ran the request,
+ * whose body is complete.
+ */
+void aub_request_record_crash(struct aub_request *request, const char *upstream,
+			      bool sent_directly);
+bool aub_request_is_known_to_crash(const struct aub_request *request);
+/* Called when an upstream has answered the request. */
+void aub_request_clear_crashes(const struct aub_request *request);
+/*
+ * Counts the crashes that were not counted before; with `only_restarted` those
+ * whose upstream has started anew since.
+ */
+void aub_gateway_confirm_crashes(struct aub_gateway *gateway,
+				 bool only_restarted);
+
+/* Requests that are relayed for other gateways. */
+/*
+ * Prepares a relayed request. Returns false if it has been answered instead.
+ */
+bool aub_relay_accept(struct aub_request *request,
+		      const struct aub_http_head *head);
+/* Sends it to its upstream. */
+void aub_relay_start(struct aub_request *request);
+/* Ends it without an answer of the upstream. */
+void aub_relay_fail(struct aub_request *request,
+		    enum aub_relay_failure failure);
+enum aub_relay_failure aub_relay_failure_of(const struct aub_request *request,
+					    enum aub_grant_result end);
+void aub_relay_log(const struct aub_request *request, guint status,
+		   const char *reason);
+void aub_relayed_free(struct aub_relayed *relay);
+
 /* Starts to send the request to `upstream` under the grant `ticket`. */
 struct aub_upstream_attempt *aub_attempt_start(struct aub_request *request,
 					       guint64 ticket,
@@ -215,8 +301,12 @@
 		       enum aub_grant_result end);
 void aub_attempt_free(struct aub_upstream_attempt *attempt);
 
-/* Starts to read requests from `fd`, which is owned by the new connection. */
-void aub_caller_new(struct aub_gateway *gateway, int fd, guint header_bytes);
+/*
+ * Starts to read requests from `fd`, which is owned by the new connection.
+ * `is_peer`: of another gateway, which asks to relay them.
+ */
+void aub_caller_new(struct aub_gateway *gateway, int fd, guint header_bytes,
+		    bool is_peer);
 /* Frees the connection; its requests end as if the caller had closed it. */
 void aub_caller_free(struct aub_caller *caller);
 bool aub_caller_has_timed_out(const struct aub_caller *caller, gint64 now_us);
--- a/include/auburnstile/internal/http_client.h
+++ b/include/auburnstile/internal/http_client.h
@@ -113,6 +113,7 @@
 	const char *address;
 	const char *pool_name;
 	const char *path;
+	const char *headers; /* further lines, each with its end; NULL: none */
 	GBytes *body; /* NULL for none */
 	const char *content_type; /* of the body */
 	guint timeout_ms;
--- a/include/auburnstile/internal/node_internal.h
+++ b/include/auburnstile/internal/node_internal.h
@@ -18,6 +18,7 @@
 	struct aub_metrics *metrics;
 	struct aub_peers *peers;
 	struct aub_placer *placer;
+	struct aub_egress_monitor *egress;
 	struct aub_store_sync *store;
 	struct aub_gateway *gateway;
 	GHashTable *exported_quotas; /* set of handles with series of their own
--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -39,6 +39,11 @@
 	bool stopping;
 	bool store_current; /* the store was reachable recently */
 	bool store_reachable; /* the store is reachable now */
+	bool egress_down; /* it reaches no upstream itself */
+	/* requests that it should have relayed failed: none until then */
+	gint64 relay_failed_until_us;
+	/* upstream -> gint64 *: it doesn't reach it either, until then */
+	GHashTable *no_path_until_us;
 	bool alive; /* heartbeats arrive in time */
 	bool self; /* it is this process */
 };
@@ -83,6 +88,8 @@
 	bool store_current;
 	/* the store is reachable now: the process may watch it for others */
 	bool store_reachable;
+	/* it reaches no upstream: it should not place for others */
+	bool egress_down;
 	gint64 config_version;
 	/* store revision of the last known change, by kind */
 	gint64 revisions[AUB_STORE_KINDS];
@@ -100,9 +107,9 @@
 
 /*
  * Returns the gateways that may place for `service`, in order of preference.
- * These are alive and ready; the order is by recent contact with the store,
- * then by CPU capacity, then by a hash of both names. Borrowed; valid until the
- * liveness or readiness of a peer changes.
+ * These are alive and ready; the order is by links to the upstreams, then by
+ * recent contact with the store, then by CPU capacity, then by a hash of both
+ * names. Borrowed; valid until the liveness or readiness of a peer changes.
  */
 const GPtrArray *aub_peers_ranked(struct aub_peers *peers, const char *service);
 /*
@@ -114,6 +121,20 @@
 	const GPtrArray *ranked, guint per_zone_max,
 	bool (*is_eligible)(const struct aub_peer *peer));
 
+/*
+ * Returns a gateway that can send a request to `upstream` for this one, which
+ * has lost its own links; NULL if there is none. Consecutive values of `turn`
+ * spread the requests. Borrowed.
+ */
+struct aub_peer *aub_peers_pick_relay(const struct aub_peers *peers,
+				      const char *upstream, guint turn,
+				      gint64 now_us);
+/* Records that `peer` could not be reached for that purpose. */
+void aub_peer_set_relay_failed(struct aub_peer *peer, gint64 now_us);
+/* Records that `peer` does not reach `upstream` either. */
+void aub_peer_set_no_path(struct aub_peer *peer, const char *upstream,
+			  gint64 now_us);
+
 /*
  * Returns whether this process is one of the store watchers of its zone. The
  * others learn of changes from the watchers' heartbeats.
--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -74,7 +74,13 @@
 	AUB_GRANT_LOST, /* connection or response broke: may have executed */
 	AUB_GRANT_TIMEOUT, /* may have executed */
 	AUB_GRANT_ABANDONED, /* caller disconnected or another attempt won */
-	AUB_GRANT_UNUSED /* never sent */
+	AUB_GRANT_UNUSED, /* never sent */
+	/*
+	 * The gateway lost its own links meanwhile: may have executed, and says
+	 * nothing of the upstream.
+	 */
+	AUB_GRANT_LINK_LOST,
+	AUB_GRANT_RESULT_COUNT
 };
 
 struct aub_grant_report {
@@ -103,6 +109,14 @@
 			    const struct aub_upstream_record *record,
 			    gint64 now_us);
 
+/*
+ * Sets `address`, borrowed, and when the incarnation started. Returns false if
+ * upstream `id` is not registered.
+ */
+bool aub_placement_find_registered(const struct aub_placement *placement,
+				   const char *id, const char **address,
+				   gint64 *started_ms);
+
 /* Sets whether `zone` is out: its upstreams get no new requests. */
 void aub_placement_set_zone_out(struct aub_placement *placement,
 				const char *zone, bool out, gint64 now_us);
@@ -302,6 +316,26 @@
 				  const char *id, enum aub_probe_result result,
 				  const struct aub_load *load, gint64 now_us);
 
+/*
+ * Ends a probe whose failure is due to this gateway's own links, so that it
+ * says nothing of the upstream.
+ */
+void aub_placement_probe_withheld(struct aub_placement *placement,
+				  const char *id);
+/*
+ * Sets `target` to an upstream that is not among `used` (of char *) and that a
+ * health check may be sent to: with `likely` to one that answers, as far as is
+ * known. Consecutive calls return different ones. Returns false if there is
+ * none.
+ */
+bool aub_placement_check_target(struct aub_placement *placement,
+				const GPtrArray *used, bool likely,
+				gint64 now_us, struct aub_probe *target);
+/* The same for upstream `id`. */
+bool aub_placement_check_target_by_id(struct aub_placement *placement,
+				      const char *id, gint64 now_us,
+				      struct aub_probe *target);
+
 /*
  * Applies the result of a probe by a gateway in the upstream's zone, which
  * postpones the local one.
--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -146,6 +146,7 @@
 	guint probing; /* upstreams with a probe in progress */
 	guint next_probe_index; /* at which the search for the next starts */
 	guint search_start; /* index, rotated to break ties round-robin */
+	guint next_check_index; /* at which the search for a target starts */
 };
 
 /* Returns the upstream at `index`, owned by `placement`. */
--- a/include/auburnstile/internal/placer.h
+++ b/include/auburnstile/internal/placer.h
@@ -9,6 +9,7 @@
 #ifndef AUBURNSTILE_INTERNAL_PLACER_H
 #define AUBURNSTILE_INTERNAL_PLACER_H
 
+#include <auburnstile/internal/egress_monitor.h>
 #include <auburnstile/internal/http_client.h>
 #include <auburnstile/internal/peers.h>
 #include <auburnstile/internal/placement.h>
@@ -34,6 +35,8 @@
 	struct aub_peers *peers;
 	struct aub_http_client *client;
 	struct aub_timer_service *timers;
+	/* this gateway's own links; NULL: they are taken for granted */
+	struct aub_egress_monitor *egress;
 	guint64 incarnation;
 	const char *zone;
 	struct aub_placement_limits limits; /* fleet-wide */
@@ -113,6 +116,29 @@
 void aub_placer_observe_answer(struct aub_placer *placer, const char *service,
 			       const struct aub_upstream_answer *answer);
 
+/*
+ * Picks an upstream to check this gateway's links with; see
+ * aub_egress_monitor_options.
+ */
+bool aub_placer_pick_check_target(struct aub_placer *placer, const char *id,
+				  const GPtrArray *used,
+				  struct aub_check_target *target);
+/* Applies the answer to such a check, which may ask this gateway for rest. */
+void aub_placer_observe_check(struct aub_placer *placer,
+			      const struct aub_check_target *target,
+			      const struct aub_http_head *head);
+
+/* An upstream as it is registered. Borrowed until the next change. */
+struct aub_known_upstream {
+	const char *service;
+	const char *address;
+	gint64 started_ms; /* of its incarnation */
+	bool may_send; /* this gateway may send it new requests */
+};
+/* Returns false if no upstream `id` is registered. */
+bool aub_placer_find_upstream(struct aub_placer *placer, const char *id,
+			      struct aub_known_upstream *upstream);
+
 /* Calls `visit` for each placement of this gateway, for the metrics. */
 typedef void aub_placement_visitor(const char *service,
 				   const struct aub_placement_stats *state,
--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -70,6 +70,8 @@
 	guint quota_timer; /* 0: nothing to tell */
 	guint probe_timer;
 	guint report_timer; /* sends queued probe results */
+	guint relay_turn; /* spreads relayed probes over the peers */
+	guint check_turn; /* spreads checks over the services */
 	struct aub_placer_counts counts;
 };
 
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -18,7 +18,7 @@
 
 G_BEGIN_DECLS
 
-#define AUB_PROTOCOL_VERSION 3
+#define AUB_PROTOCOL_VERSION 4
 #define AUB_FRAME_BYTES_MAX (9u << 20) /* an 8 MiB body with its headers */
 
 enum aub_message_type {
@@ -303,6 +303,7 @@
 	bool store_reachable; /* the sender currently reaches the store */
 	/* Store revision of the sender's data, by kind of object. */
 	guint64 revisions[AUB_HEARTBEAT_REVISION_COUNT];
+	bool egress_down; /* the sender reaches no upstream itself */
 };
 
 /* Addresses of the other gateways. */
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -11,6 +11,8 @@
 /* maximum delay in closing a connection that has timed out */
 #define SWEEP_PERIOD_US (500 * AUB_MS)
 #define ACCEPTS_PER_WAKEUP 32
+/* What another gateway adds to a caller's head. */
+#define RELAY_HEADER_BYTES 1024u
 
 /* Used until a configuration is known. */
 #define HEADER_BYTES_DEFAULT (16u << 10)
@@ -27,12 +29,14 @@
 				  HEADER_BYTES_DEFAULT;
 }
 
-static void on_listener_readable(void *context, guint events)
+static void accept_connections(struct aub_gateway *gateway, int listener,
+			       bool are_peers)
 {
-	struct aub_gateway *gateway = context;
+	guint header_bytes = max_header_bytes(gateway) +
+			     (are_peers ? RELAY_HEADER_BYTES : 0);
 
 	for (guint i = 0; i < ACCEPTS_PER_WAKEUP; i++) {
-		int fd = aub_tcp_accept(gateway->listener);
+		int fd = aub_tcp_accept(listener);
 
 		if (fd < 0)
 			return;
@@ -40,10 +44,24 @@
 			close(fd);
 			continue;
 		}
-		aub_caller_new(gateway, fd, max_header_bytes(gateway));
+		aub_caller_new(gateway, fd, header_bytes, are_peers);
 	}
 }
 
+static void on_listener_readable(void *context, guint events)
+{
+	struct aub_gateway *gateway = context;
+
+	accept_connections(gateway, gateway->listener, false);
+}
+
+static void on_relay_listener_readable(void *context, guint events)
+{
+	struct aub_gateway *gateway = context;
+
+	accept_connections(gateway, gateway->relay_listener, true);
+}
+
 static void on_sweep(void *context, gint64 now_us)
 {
 	struct aub_gateway *gateway = context;
@@ -69,6 +87,13 @@
 	gateway->retries_counter =
 		aub_metrics_counter(metrics, "auburnstile_retries_total", NULL,
 				    "attempts after a failed one");
+	gateway->relayed_counter = aub_metrics_counter(
+		metrics, "auburnstile_relayed_total", NULL,
+		"requests sent to an upstream for another gateway");
+	gateway->relay_attempts_counter =
+		aub_metrics_counter(metrics, "auburnstile_relay_attempts_total",
+				    NULL,
+				    "attempts sent through another gateway");
 }
 
 /*
@@ -113,23 +138,45 @@
 {
 	int listener = aub_tcp_listen(options->address, error);
 	struct aub_gateway *gateway;
+	int relay_listener;
 
 	if (listener < 0)
 		return NULL;
+	relay_listener = aub_tcp_listen(options->relay_address, error);
+	if (relay_listener < 0) {
+		close(listener);
+		return NULL;
+	}
 	gateway = g_new0(struct aub_gateway, 1);
 	gateway->options = *options;
 	gateway->listener = listener;
+	gateway->relay_listener = relay_listener;
+	gateway->unconfirmed_crashes = aub_unconfirmed_crashes_new();
 	g_queue_init(&gateway->callers);
 	gateway->crash_counts = aub_crash_counts_new();
 	register_metrics(gateway);
 	gateway->watch = aub_poller_add(options->poller, listener, EPOLLIN,
 					on_listener_readable, gateway);
+	gateway->relay_watch =
+		aub_poller_add(options->poller, relay_listener, EPOLLIN,
+			       on_relay_listener_readable, gateway);
 	gateway->sweep_timer =
 		aub_timer_every(options->timers, "sweep", SWEEP_PERIOD_US,
 				on_sweep, gateway);
 	return gateway;
 }
 
+static void close_listeners(struct aub_gateway *gateway)
+{
+	if (gateway->listener_closed)
+		return;
+	gateway->listener_closed = true;
+	aub_poll_watch_remove(gateway->watch);
+	aub_poll_watch_remove(gateway->relay_watch);
+	close(gateway->listener);
+	close(gateway->relay_listener);
+}
+
 void aub_gateway_free(struct aub_gateway *gateway)
 {
 	if (!gateway)
@@ -141,10 +188,8 @@
 		link = link->next;
 		aub_caller_free(caller);
 	}
-	if (!gateway->listener_closed) {
-		aub_poll_watch_remove(gateway->watch);
-		close(gateway->listener);
-	}
+	close_listeners(gateway);
+	g_array_unref(gateway->unconfirmed_crashes);
 	aub_crash_counts_free(gateway->crash_counts);
 	aub_routing_unref(gateway->routing);
 	g_free(gateway);
@@ -172,11 +217,7 @@
 
 void aub_gateway_stop_accepting(struct aub_gateway *gateway)
 {
-	if (!gateway->listener_closed) {
-		gateway->listener_closed = true;
-		aub_poll_watch_remove(gateway->watch);
-		close(gateway->listener);
-	}
+	close_listeners(gateway);
 	for (GList *link = gateway->callers.head; link; link = link->next) {
 		struct aub_caller *caller = link->data;
 
--- a/src/coordination/gateway_answer.c
+++ b/src/coordination/gateway_answer.c
@@ -31,6 +31,7 @@
 	g_free(request->request_line);
 	g_free(request->host);
 	g_free(request->id);
+	aub_relayed_free(request->relay);
 	aub_routing_unref(request->routing);
 	g_free(request);
 }
@@ -193,6 +194,10 @@
 	struct aub_gateway *gateway = request->gateway;
 	gint64 now = aub_timer_now(gateway->options.timers);
 
+	if (request->relay) {
+		aub_relay_log(request, status, reason);
+		return;
+	}
 	aub_gateway_count_request(gateway, request->service, outcome, reason,
 				  now - request->start_us);
 	aub_log_begin(outcome == AUB_REQUEST_ANSWERED && status < 500 ?
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -20,6 +20,10 @@
 
 #define STATUS_MISDIRECTED 421
 
+/* Gateways that are asked to relay one attempt, and for how long. */
+#define RELAYS_MAX 5
+#define RELAY_SEARCH_US (300 * AUB_MS)
+
 void aub_attempt_free(struct aub_upstream_attempt *attempt)
 {
 	attempt->request->attempt = NULL;
@@ -27,9 +31,29 @@
 		g_string_free(attempt->head, TRUE);
 	g_byte_array_unref(attempt->buffered_body);
 	g_free(attempt->upstream);
+	g_free(attempt->address);
 	g_free(attempt);
 }
 
+static struct aub_egress_monitor *egress_of(
+	const struct aub_upstream_attempt *attempt)
+{
+	return attempt->request->gateway->options.egress;
+}
+
+static struct aub_peer *relay_of(const struct aub_upstream_attempt *attempt)
+{
+	return aub_peers_by_incarnation(
+		attempt->request->gateway->options.peers, attempt->relay);
+}
+
+static const char *relay_name(const struct aub_upstream_attempt *attempt)
+{
+	const struct aub_peer *peer = relay_of(attempt);
+
+	return peer ? peer->name : "";
+}
+
 static void log_attempt(const struct aub_upstream_attempt *attempt,
 			enum aub_grant_result end, gint64 elapsed_us)
 {
@@ -37,6 +61,8 @@
 	aub_log_text("id", attempt->request->id);
 	aub_log_text("upstream", attempt->upstream);
 	aub_log_text("end", aub_grant_result_name(end));
+	if (attempt->relay)
+		aub_log_text("relay", relay_name(attempt));
 	aub_log_number("status", attempt->status);
 	aub_log_number("ms", elapsed_us / AUB_MS);
 	aub_log_number("load", attempt->load.running);
@@ -52,16 +78,27 @@
 
 	if (end != AUB_GRANT_OK)
 		log_attempt(attempt, end, now - attempt->sent_us);
-	aub_placer_report(gateway->options.placer, attempt->ticket, end,
-			  now - attempt->sent_us, &attempt->load);
+	if (attempt->ticket)
+		aub_placer_report(gateway->options.placer, attempt->ticket, end,
+				  now - attempt->sent_us, &attempt->load);
 	attempt->ticket = 0;
 }
 
-void aub_attempt_abort(struct aub_upstream_attempt *attempt,
-		       enum aub_grant_result end)
+/* Closes the connection; nothing more is heard of the exchange. */
+static void cancel_exchange(struct aub_upstream_attempt *attempt)
 {
+	if (!attempt->exchange)
+		return;
 	aub_exchange_cancel(attempt->exchange);
 	attempt->exchange = NULL;
+	if (!attempt->relay)
+		aub_egress_monitor_on_ended(egress_of(attempt));
+}
+
+void aub_attempt_abort(struct aub_upstream_attempt *attempt,
+		       enum aub_grant_result end)
+{
+	cancel_exchange(attempt);
 	report_attempt_end(attempt, end);
 	aub_attempt_free(attempt);
 }
@@ -84,6 +121,9 @@
 
 	if (attempt->not_run)
 		return true;
+	/* A relayed probe has no id, and its answer no stamp. */
+	if (attempt->request->relay && !*attempt->request->id)
+		return true;
 	if (!aub_http_head_find(head, platform->request_id))
 		return false;
 	return head->status / 100 != 2 ||
@@ -111,7 +151,10 @@
 			.request_id = attempt->request->id,
 			.load = attempt->load,
 			.sent_us = attempt->sent_us,
-			.rest_us = aub_http_head_retry_after_us(head),
+			/* A rest is asked of the gateway that connects. */
+			.rest_us = attempt->relay ?
+					   0 :
+					   aub_http_head_retry_after_us(head),
 		});
 }
 
@@ -121,6 +164,14 @@
 	const struct aub_platform *platform =
 		attempt->request->gateway->options.platform;
 
+	if (!attempt->relay)
+		aub_egress_monitor_on_answer(egress_of(attempt),
+					     attempt->upstream);
+	else
+		attempt->relay_failure = aub_relay_failure_parse(
+			aub_http_head_find(head, AUB_RELAY_FAILURE_HEADER));
+	if (attempt->relay_failure)
+		return;
 	if (is_for_other_request(attempt, head)) {
 		aub_exchange_discard_response(attempt->exchange);
 		return;
@@ -150,8 +201,12 @@
 {
 	struct aub_upstream_attempt *attempt = context;
 
-	if (attempt->not_run || attempt->malformed)
+	if (attempt->malformed || attempt->relay_failure ||
+	    (attempt->not_run && !attempt->request->relay))
 		return;
+	if (!attempt->relay)
+		aub_egress_monitor_on_answer(egress_of(attempt),
+					     attempt->upstream);
 	if (attempt->streaming) {
 		aub_request_stream_bytes(attempt->request, attempt, data,
 					 length);
@@ -163,15 +218,50 @@
 		aub_request_begin_streaming(attempt->request, attempt);
 }
 
+/* The end of an attempt that another gateway could not relay. */
+static enum aub_grant_result classify_relay_failure(
+	enum aub_relay_failure failure)
+{
+	switch (failure) {
+	case AUB_RELAY_NO_PATH:
+	case AUB_RELAY_UNREACHABLE:
+		return AUB_GRANT_UNREACHABLE;
+	case AUB_RELAY_TIMEOUT:
+		return AUB_GRANT_TIMEOUT;
+	case AUB_RELAY_LINK_LOST:
+		return AUB_GRANT_LINK_LOST;
+	default:
+		return AUB_GRANT_LOST;
+	}
+}
+
+/* The end of an attempt whose connection broke before the answer began. */
+static enum aub_grant_result classify_break(
+	const struct aub_upstream_attempt *attempt)
+{
+	if (attempt->relay ||
+	    !aub_gateway_links_are_up(attempt->request->gateway))
+		return AUB_GRANT_LINK_LOST;
+	return AUB_GRANT_LOST;
+}
+
 static enum aub_grant_result classify_attempt(
 	const struct aub_upstream_attempt *attempt,
 	enum aub_exchange_result end)
 {
 	if (end == AUB_EXCHANGE_UNREACHABLE)
 		return AUB_GRANT_UNREACHABLE;
-	if (end != AUB_EXCHANGE_COMPLETE || attempt->malformed ||
-	    !attempt->status)
+	if (attempt->relay_failure)
+		return classify_relay_failure(attempt->relay_failure);
+	if (end != AUB_EXCHANGE_COMPLETE && !attempt->status)
+		return classify_break(attempt);
+	if (end != AUB_EXCHANGE_COMPLETE)
+		return attempt->relay ? AUB_GRANT_LINK_LOST : AUB_GRANT_LOST;
+	if (attempt->malformed || !attempt->status)
 		return AUB_GRANT_LOST;
+	/* The other gateway judges the answer. */
+	if (attempt->request->relay)
+		return AUB_GRANT_OK;
 	if (attempt->status == STATUS_MISDIRECTED)
 		return AUB_GRANT_WRONG_UPSTREAM;
 	if (attempt->not_run)
@@ -179,6 +269,68 @@
 	return attempt->status >= 500 ? AUB_GRANT_FAILED : AUB_GRANT_OK;
 }
 
+/* Feeds the end into what is known of the ways to the upstream. */
+static void observe_path(const struct aub_upstream_attempt *attempt,
+			 enum aub_exchange_result end)
+{
+	struct aub_egress_monitor *egress = egress_of(attempt);
+	gint64 now = aub_timer_now(attempt->request->gateway->options.timers);
+	struct aub_peer *relay;
+
+	if (!attempt->relay) {
+		aub_egress_monitor_on_ended(egress);
+		if (end != AUB_EXCHANGE_COMPLETE && !attempt->status)
+			aub_egress_monitor_on_failure(
+				egress, attempt->upstream,
+				end == AUB_EXCHANGE_UNREACHABLE ?
+					AUB_EGRESS_UNREACHABLE :
+					AUB_EGRESS_RESET);
+		return;
+	}
+	relay = relay_of(attempt);
+	if (relay && end != AUB_EXCHANGE_COMPLETE)
+		aub_peer_set_relay_failed(relay, now);
+	else if (relay && attempt->relay_failure == AUB_RELAY_NO_PATH)
+		aub_peer_set_no_path(relay, attempt->upstream, now);
+}
+
+/* Returns whether nothing of the request has reached the upstream. */
+static bool was_not_sent(const struct aub_upstream_attempt *attempt,
+			 enum aub_exchange_result end)
+{
+	return end == AUB_EXCHANGE_UNREACHABLE ||
+	       attempt->relay_failure == AUB_RELAY_NO_PATH;
+}
+
+/* Returns whether `end` says nothing of the upstream. */
+static bool is_own_failure(const struct aub_upstream_attempt *attempt,
+			   enum aub_exchange_result end)
+{
+	return was_not_sent(attempt, end) &&
+	       (attempt->relay ||
+		!aub_gateway_links_are_up(attempt->request->gateway));
+}
+
+static bool send_through_other_gateway(struct aub_upstream_attempt *attempt);
+
+/*
+ * A connection that is refused at once costs nothing, and another gateway tells
+ * whether the upstream is gone. One that times out has cost too much to be
+ * tried again, unless this gateway's links are at fault.
+ */
+static bool should_try_other_gateway(const struct aub_upstream_attempt *attempt,
+				     enum aub_exchange_result end)
+{
+	const struct aub_gateway *gateway = attempt->request->gateway;
+	gint64 elapsed_us =
+		aub_timer_now(gateway->options.timers) - attempt->sent_us;
+
+	return was_not_sent(attempt, end) &&
+	       (attempt->relay || elapsed_us < AUB_QUICK_FAILURE_US ||
+		aub_egress_is_in_doubt(
+			aub_egress_monitor_state(gateway->options.egress)));
+}
+
 static void on_ended(enum aub_exchange_result exchange_end, void *context)
 {
 	struct aub_upstream_attempt *attempt = context;
@@ -186,7 +338,13 @@
 	enum aub_grant_result end = classify_attempt(attempt, exchange_end);
 
 	attempt->exchange = NULL;
-	report_attempt_end(attempt, end);
+	observe_path(attempt, exchange_end);
+	if (should_try_other_gateway(attempt, exchange_end) &&
+	    send_through_other_gateway(attempt))
+		return;
+	report_attempt_end(attempt, is_own_failure(attempt, exchange_end) ?
+					    AUB_GRANT_UNUSED :
+					    end);
 	if (end == AUB_GRANT_OK || end == AUB_GRANT_FAILED)
 		aub_request_on_attempt_complete(request, attempt);
 	else
@@ -259,6 +417,83 @@
 	aub_exchange_mark_request_complete(attempt->exchange);
 }
 
+/* Returns for how long a connection to the upstream may have been idle. */
+static gint64 pooled_idle_max_us(const struct aub_request *request)
+{
+	bool is_retry =
+		request->tried_upstreams->len > 1 || request->connect_failures;
+
+	if (is_retry)
+		return 0;
+	return request->route && request->route->idempotent ?
+		       POOLED_IDLE_IDEMPOTENT_MAX_US :
+		       POOLED_IDLE_AT_MOST_ONCE_MAX_US;
+}
+
+/* Opens the exchange, with another gateway if `relay` is not NULL. */
+static void send_request(struct aub_upstream_attempt *attempt,
+			 const struct aub_peer *relay)
+{
+	struct aub_request *request = attempt->request;
+	struct aub_gateway *gateway = request->gateway;
+	const struct aub_exchange_options options = {
+		.address = relay ? relay->address : attempt->address,
+		.pool_name = relay ? "relay" : attempt->upstream,
+		.idle_max_us = relay ? POOLED_IDLE_AT_MOST_ONCE_MAX_US :
+				       pooled_idle_max_us(request),
+		.is_head = request->is_head,
+	};
+
+	attempt->relay = relay ? relay->incarnation : 0;
+	attempt->relay_failure = AUB_RELAY_NO_FAILURE;
+	if (relay) {
+		attempt->relays_tried++;
+		aub_metrics_add(gateway->options.metrics,
+				gateway->relay_attempts_counter, 1);
+	} else {
+		aub_egress_monitor_on_sent(gateway->options.egress);
+	}
+	attempt->exchange = aub_exchange_new(gateway->options.client, &options,
+					     &exchange_callbacks, attempt);
+	write_head(attempt);
+	aub_attempt_write_body(attempt, (const char *)request->body->data,
+			       request->body->len);
+	if (request->body_complete)
+		aub_attempt_end_body(attempt);
+	aub_exchange_flush(attempt->exchange);
+}
+
+static struct aub_peer *pick_relay(const struct aub_upstream_attempt *attempt)
+{
+	struct aub_gateway *gateway = attempt->request->gateway;
+
+	/* A request is relayed one time only. */
+	if (attempt->request->relay)
+		return NULL;
+	return aub_peers_pick_relay(gateway->options.peers, attempt->upstream,
+				    gateway->relay_turn++,
+				    aub_timer_now(gateway->options.timers));
+}
+
+/* Returns false if there is no other gateway, or too many have been tried. */
+static bool send_through_other_gateway(struct aub_upstream_attempt *attempt)
+{
+	struct aub_peer *relay;
+	gint64 elapsed_us =
+		aub_timer_now(attempt->request->gateway->options.timers) -
+		attempt->sent_us;
+
+	if (attempt->request->body_discarded ||
+	    attempt->relays_tried >= RELAYS_MAX ||
+	    (attempt->relays_tried && elapsed_us > RELAY_SEARCH_US))
+		return false;
+	relay = pick_relay(attempt);
+	if (!relay)
+		return false;
+	send_request(attempt, relay);
+	return true;
+}
+
 struct aub_upstream_attempt *aub_attempt_start(struct aub_request *request,
 					       guint64 ticket,
 					       const char *upstream,
@@ -267,33 +502,45 @@
 	struct aub_gateway *gateway = request->gateway;
 	struct aub_upstream_attempt *attempt =
 		g_new0(struct aub_upstream_attempt, 1);
-	bool is_retry =
-		request->tried_upstreams->len > 1 || request->connect_failures;
-	const struct aub_exchange_options options = {
-		.address = address,
-		.pool_name = upstream,
-		.idle_max_us = is_retry ? 0 :
-			       request->route->idempotent ?
-					  POOLED_IDLE_IDEMPOTENT_MAX_US :
-					  POOLED_IDLE_AT_MOST_ONCE_MAX_US,
-		.is_head = request->is_head,
-	};
+	const struct aub_peer *relay = NULL;
 
 	attempt->request = request;
 	attempt->ticket = ticket;
 	attempt->upstream = g_strdup(upstream);
+	attempt->address = g_strdup(address);
 	attempt->sent_us = aub_timer_now(gateway->options.timers);
 	attempt->buffered_body = g_byte_array_new();
 	attempt->load = (struct aub_load)AUB_LOAD_UNKNOWN;
 	request->attempt = attempt;
 	aub_metrics_add(gateway->options.metrics, gateway->attempts_counter, 1);
-	attempt->exchange = aub_exchange_new(gateway->options.client, &options,
-					     &exchange_callbacks, attempt);
-	write_head(attempt);
-	aub_attempt_write_body(attempt, (const char *)request->body->data,
-			       request->body->len);
-	if (request->body_complete)
-		aub_attempt_end_body(attempt);
-	aub_exchange_flush(attempt->exchange);
+	if (aub_egress_monitor_needs_relay(gateway->options.egress, upstream))
+		relay = pick_relay(attempt);
+	send_request(attempt, relay);
 	return attempt;
 }
+
+void aub_attempt_on_links_down(struct aub_upstream_attempt *attempt,
+			       bool silent)
+{
+	struct aub_request *request = attempt->request;
+
+	if (attempt->relay || attempt->status)
+		return;
+	if (!aub_exchange_may_have_sent(attempt->exchange)) {
+		cancel_exchange(attempt);
+		if (send_through_other_gateway(attempt))
+			return;
+		report_attempt_end(attempt, AUB_GRANT_UNUSED);
+		aub_request_on_attempt_failed(request, attempt,
+					      AUB_GRANT_UNREACHABLE);
+		return;
+	}
+	if (!silent)
+		return;
+	/* The upstream has finished, or soon will: its slot is free. */
+	report_attempt_end(attempt, AUB_GRANT_LINK_LOST);
+	if (!aub_request_may_send_again(request))
+		return;
+	cancel_exchange(attempt);
+	aub_request_on_attempt_failed(request, attempt, AUB_GRANT_LINK_LOST);
+}
--- a/src/coordination/gateway_caller.c
+++ b/src/coordination/gateway_caller.c
@@ -239,11 +239,13 @@
 	.ended = on_ended,
 };
 
-void aub_caller_new(struct aub_gateway *gateway, int fd, guint header_bytes)
+void aub_caller_new(struct aub_gateway *gateway, int fd, guint header_bytes,
+		    bool is_peer)
 {
 	struct aub_caller *caller = g_new0(struct aub_caller, 1);
 
 	caller->gateway = gateway;
+	caller->is_peer = is_peer;
 	caller->state_since_us = aub_timer_now(gateway->options.timers);
 	g_queue_init(&caller->requests);
 	g_queue_push_tail(&gateway->callers, caller);
--- a/src/coordination/gateway_headers.c
+++ b/src/coordination/gateway_headers.c
@@ -45,7 +45,7 @@
 			      enum aub_headers_kind kind, const char *name)
 {
 	if (kind == AUB_HEADERS_OF_ANSWER)
-		return false;
+		return !g_ascii_strcasecmp(name, AUB_RELAY_FAILURE_HEADER);
 	if (!g_ascii_strcasecmp(name, platform->deadline_ms) ||
 	    !g_ascii_strcasecmp(name, platform->target_upstream))
 		return true;
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -28,6 +28,8 @@
 
 #define CRASH_RETRY_AFTER_MS 60000 /* lifetime of a crash count */
 #define NOT_READY_RETRY_AFTER_MS 1000 /* typical start-up time */
+/* Links come back after seconds, and are found up at once. */
+#define NO_LINKS_RETRY_AFTER_MS 1000
 
 static gint64 request_now_us(const struct aub_request *request)
 {
@@ -122,6 +124,12 @@
 				  result->placer, result->retry_after_ms);
 		return;
 	}
+	if (!aub_gateway_has_path(gateway, result->upstream)) {
+		aub_placer_cancel(gateway->options.placer, request->ticket);
+		finish_unanswered(request, HTTP_STATUS_BAD_GATEWAY, "no-links",
+				  result->upstream, NO_LINKS_RETRY_AFTER_MS);
+		return;
+	}
 	aub_metrics_add(gateway->options.metrics, gateway->retries_counter,
 			request->tried_upstreams->len ? 1 : 0);
 	g_ptr_array_add(request->tried_upstreams, g_strdup(result->upstream));
@@ -219,37 +227,10 @@
 	       request->route->idempotent;
 }
 
-/*
- * Returns the key under which the crashes of a request are counted. A request
- * may crash each upstream that runs it while its caller keeps resending it, so
- * that the service would lose one upstream after the other. After three crashes
- * in a row, counted over all gateways, the request is refused everywhere.
- */
-static guint64 request_fingerprint(const struct aub_request *request)
+bool aub_request_may_send_again(const struct aub_request *request)
 {
-	return aub_crash_fingerprint(request->request_line, request->host,
-				     request->body->data, request->body->len);
-}
-
-static void record_crash(struct aub_request *request)
-{
-	struct aub_gateway *gateway = request->gateway;
-	guint64 fingerprint = request_fingerprint(request);
-	guint crash_count =
-		aub_crash_counts_add(gateway->crash_counts, fingerprint,
-				     request_now_us(request));
-
-	if (gateway->options.on_crash && crash_count > 1)
-		gateway->options.on_crash(fingerprint, crash_count,
-					  gateway->options.context);
-}
-
-static bool is_known_to_crash(const struct aub_request *request)
-{
-	return request->body_complete &&
-	       aub_crash_counts_is_blocked(request->gateway->crash_counts,
-					   request_fingerprint(request),
-					   request_now_us(request));
+	return !request->relay && request->route->idempotent &&
+	       may_retry(request, AUB_GRANT_LINK_LOST);
 }
 
 /* Retry-After for a service whose upstream refused or was not reachable. */
@@ -260,20 +241,28 @@
 				   enum aub_grant_result end)
 {
 	bool streaming = attempt->streaming;
+	bool sent_directly = !attempt->relay;
 	char *upstream = g_strdup(attempt->upstream);
 
 	aub_attempt_free(attempt);
+	if (request->relay && !streaming) {
+		aub_relay_fail(request, aub_relay_failure_of(request, end));
+		g_free(upstream);
+		return;
+	}
 	if (end == AUB_GRANT_UNREACHABLE)
 		request->connect_failures++;
-	if (end == AUB_GRANT_LOST || end == AUB_GRANT_TIMEOUT)
+	if (end == AUB_GRANT_LOST || end == AUB_GRANT_TIMEOUT ||
+	    end == AUB_GRANT_LINK_LOST)
 		request->may_have_run = true;
-	if (end == AUB_GRANT_LOST && request->body_complete)
-		record_crash(request);
+	if (end == AUB_GRANT_LOST && request->body_complete && !request->relay)
+		aub_request_record_crash(request, upstream, sent_directly);
 	if (streaming) {
 		aub_request_log(request, AUB_REQUEST_TRUNCATED, 0,
 				"upstream-broke", upstream);
 		aub_caller_abort(request->caller);
-	} else if (may_retry(request, end) && !is_known_to_crash(request)) {
+	} else if (may_retry(request, end) &&
+		   !aub_request_is_known_to_crash(request)) {
 		request_placement(request);
 	} else {
 		finish_unanswered(request, HTTP_STATUS_BAD_GATEWAY,
@@ -374,7 +363,8 @@
 {
 	bool failed = attempt->status >= 500;
 
-	if (failed && !attempt->streaming && request->route->idempotent &&
+	if (failed && !request->relay && !attempt->streaming &&
+	    request->route->idempotent &&
 	    may_retry(request, AUB_GRANT_FAILED)) {
 		/*
 		 * A complete error answer of one upstream; another may succeed.
@@ -392,9 +382,8 @@
 		aub_request_write_answer(request, attempt->head,
 					 attempt->buffered_body);
 	}
-	if (request->body_complete && !request->body_discarded)
-		aub_crash_counts_reset(request->gateway->crash_counts,
-				       request_fingerprint(request));
+	if (!request->relay)
+		aub_request_clear_crashes(request);
 	aub_request_log(request, AUB_REQUEST_ANSWERED, attempt->status, "",
 			attempt->upstream);
 	aub_attempt_free(attempt);
@@ -426,7 +415,8 @@
 	gsize queued = 0;
 
 	request->body_read += length;
-	if (request->body_read > request->routing->limits.body_bytes) {
+	if (!request->relay &&
+	    request->body_read > request->routing->limits.body_bytes) {
 		if (request->attempt)
 			aub_attempt_abort(request->attempt,
 					  AUB_GRANT_ABANDONED);
@@ -463,7 +453,9 @@
 
 static void start_placement(struct aub_request *request)
 {
-	if (is_known_to_crash(request))
+	if (request->relay)
+		aub_relay_start(request);
+	else if (aub_request_is_known_to_crash(request))
 		aub_request_refuse(request, "crashes-upstreams",
 				   CRASH_RETRY_AFTER_MS);
 	else
@@ -607,7 +599,8 @@
 				head->target);
 	request->headers = g_string_new(NULL);
 	aub_headers_forward(request->headers, head, platform,
-			    request->routing && request->routing->workspaces ?
+			    !request->caller->is_peer && request->routing &&
+					    request->routing->workspaces ?
 				    AUB_HEADERS_OF_KEYED_REQUEST :
 				    AUB_HEADERS_OF_REQUEST);
 	request->is_head = head->method == HTTP_HEAD;
@@ -635,6 +628,13 @@
 	if (gateway->routing)
 		request->routing = aub_routing_ref(gateway->routing);
 	copy_head(request, head);
+	if (caller->is_peer) {
+		if (!aub_relay_accept(request, head))
+			return NULL;
+		if (!needs_complete_body(request))
+			aub_relay_start(request);
+		return request;
+	}
 	if (!find_route(request, head))
 		return NULL;
 	request->service = aub_route_pick_service(request->route);
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -63,6 +63,7 @@
 		.store_current = is_store_current(node),
 		.store_reachable = node->store &&
 				   !aub_store_sync_unavailable_us(node->store),
+		.egress_down = aub_egress_monitor_is_demoted(node->egress),
 		.config_version = node->config_version,
 	};
 
@@ -134,6 +135,52 @@
 		aub_placer_on_peer_lost(node->placer, incarnation);
 }
 
+static bool pick_check_target(const char *id, const GPtrArray *used,
+			      struct aub_check_target *target, void *context)
+{
+	struct aub_node *node = context;
+
+	return aub_placer_pick_check_target(node->placer, id, used, target);
+}
+
+static void on_check_answer(const struct aub_check_target *target,
+			    const struct aub_http_head *head, void *context)
+{
+	struct aub_node *node = context;
+
+	aub_placer_observe_check(node->placer, target, head);
+}
+
+static void on_egress_state(enum aub_egress_state state, void *context)
+{
+	struct aub_node *node = context;
+
+	aub_node_publish_state(node);
+	aub_gateway_on_egress_state(node->gateway, state);
+}
+
+static void on_failures_resolved(bool own_links, void *context)
+{
+	struct aub_node *node = context;
+
+	aub_gateway_on_failures_resolved(node->gateway, own_links);
+}
+
+static void start_egress_monitor(struct aub_node *node)
+{
+	const struct aub_egress_monitor_options options = {
+		.timers = node->timers,
+		.client = node->client,
+		.pick_target = pick_check_target,
+		.on_check_answer = on_check_answer,
+		.on_state = on_egress_state,
+		.on_resolved = on_failures_resolved,
+		.context = node,
+	};
+
+	node->egress = aub_egress_monitor_new(&options);
+}
+
 static void placement_limits_of(const struct aub_node_settings *settings,
 				struct aub_placement_limits *limits)
 {
@@ -173,6 +220,9 @@
 		.timers = node->timers,
 		.client = node->client,
 		.placer = node->placer,
+		.peers = node->peers,
+		.egress = node->egress,
+		.relay_address = settings->peers,
 		.metrics = node->metrics,
 		.on_crash = on_crashed,
 		.context = node,
@@ -229,6 +279,7 @@
 		.platform = node->platform,
 		.client = node->client,
 		.timers = node->timers,
+		.egress = node->egress,
 		.incarnation = incarnation,
 		.zone = node->zone,
 		.rollouts = { .share = settings->rollout_share,
@@ -282,6 +333,7 @@
 	aub_address_parse(settings->peers, &node->ip, NULL);
 	node->address_ms = (guint)settings->address_ms;
 	node->grace_ms = (guint)(settings->grace_s * 1000);
+	start_egress_monitor(node);
 	if (!start_peers(node, settings, error) ||
 	    !start_listeners(node, settings, error)) {
 		aub_node_free(node);
@@ -315,6 +367,7 @@
 	aub_http_listener_free(node->readiness);
 	aub_http_listener_free(node->metrics_service);
 	aub_placer_free(node->placer);
+	aub_egress_monitor_free(node->egress);
 	aub_peers_free(node->peers);
 	aub_http_client_free(node->client);
 	aub_metrics_free(node->metrics);
--- a/src/coordination/peers.c
+++ b/src/coordination/peers.c
@@ -105,7 +105,8 @@
 	state_changed = !peer->alive || peer->ready != heartbeat->ready ||
 			peer->stopping != heartbeat->stopping ||
 			peer->store_current != heartbeat->store_current ||
-			peer->store_reachable != heartbeat->store_reachable;
+			peer->store_reachable != heartbeat->store_reachable ||
+			peer->egress_down != heartbeat->egress_down;
 	if (!peer->alive || (heartbeat->ready && !peer->ready))
 		peers->last_join_us = now;
 	if (strcmp(peer->name, heartbeat->name) != 0)
@@ -119,6 +120,7 @@
 	peer->stopping = heartbeat->stopping;
 	peer->store_current = heartbeat->store_current;
 	peer->store_reachable = heartbeat->store_reachable;
+	peer->egress_down = heartbeat->egress_down;
 	peer->last_heartbeat_us = now;
 	announce_revisions(peers, heartbeat);
 	if (state_changed) {
@@ -495,7 +497,8 @@
 	struct aub_peer *self = aub_peers_self(peers);
 	bool role_changed = self->ready != state->ready ||
 			    self->stopping != state->stopping ||
-			    self->store_current != state->store_current;
+			    self->store_current != state->store_current ||
+			    self->egress_down != state->egress_down;
 	bool reachability_changed =
 		self->store_reachable != state->store_reachable;
 	bool changed = set_revisions(peers->heartbeat, state);
@@ -504,10 +507,12 @@
 	self->stopping = state->stopping;
 	self->store_current = state->store_current;
 	self->store_reachable = state->store_reachable;
+	self->egress_down = state->egress_down;
 	peers->heartbeat->ready = state->ready;
 	peers->heartbeat->stopping = state->stopping;
 	peers->heartbeat->store_current = state->store_current;
 	peers->heartbeat->store_reachable = state->store_reachable;
+	peers->heartbeat->egress_down = state->egress_down;
 	peers->heartbeat->config_version = (guint64)state->config_version;
 	if (role_changed || reachability_changed)
 		aub_peers_invalidate_ranks(peers);
--- a/src/coordination/peers_rank.c
+++ b/src/coordination/peers_rank.c
@@ -82,6 +82,10 @@
 }
 
 /*
+ * A placer that reaches no upstream can't probe: it sees neither which
+ * upstreams are up nor how cold they are. Gateways without links rank last, but
+ * as long as all are without links, one of them places.
+ *
  * A placer that is partitioned from the store grants upstreams that are no
  * longer there, and each such grant has to be requested again. Gateways with
  * recent contact to the store therefore rank first.
@@ -96,6 +100,8 @@
 	guint left_class = capacity_class(left->peer);
 	guint right_class = capacity_class(right->peer);
 
+	if (left->peer->egress_down != right->peer->egress_down)
+		return left->peer->egress_down ? 1 : -1;
 	if (left->peer->store_current != right->peer->store_current)
 		return left->peer->store_current ? -1 : 1;
 	if (left_class != right_class)
--- a/src/coordination/peers_table.c
+++ b/src/coordination/peers_table.c
@@ -14,6 +14,7 @@
 	g_free(peer->address);
 	g_free(peer->callers_address);
 	g_hash_table_unref(peer->rank_keys);
+	g_hash_table_unref(peer->no_path_until_us);
 	g_free(peer);
 }
 
@@ -27,6 +28,8 @@
 	peer->address = g_strdup(address);
 	aub_socket_address_parse(address, &peer->socket_address);
 	peer->added_us = now_us;
+	peer->no_path_until_us =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	peer->rank_keys =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return peer;
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -238,7 +238,7 @@
 	GHashTableIter iter;
 	void *placement;
 
-	if (message->end > AUB_GRANT_UNUSED)
+	if (message->end >= AUB_GRANT_RESULT_COUNT)
 		return;
 	/* Grants that were returned unused name no service. */
 	if (message->service[0]) {
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -1,5 +1,6 @@
 /* Health probes of the upstreams that this gateway places for. */
 #include <auburnstile/internal/decision_log.h>
+#include <auburnstile/internal/peer_relay.h>
 #include <auburnstile/internal/placer_internal.h>
 
 #include <string.h>
@@ -11,12 +12,16 @@
 /* Batches the results of probes that were sent together. */
 #define REPORT_DELAY_US (4 * AUB_MS)
 #define PROBE_CONNECTION_IDLE_US (8 * AUB_SECOND)
+#define RELAY_CONNECTION_IDLE_US (1500 * AUB_MS)
 
 struct probe {
 	struct aub_placer *placer;
 	struct aub_http_call *call;
 	char *service;
 	char *upstream;
+	char *address;
+	char *path;
+	guint64 relay; /* incarnation of the gateway that relays; 0: none */
 };
 
 static void probe_free(struct probe *probe)
@@ -24,6 +29,8 @@
 	g_ptr_array_remove_fast(probe->placer->probes, probe);
 	g_free(probe->service);
 	g_free(probe->upstream);
+	g_free(probe->address);
+	g_free(probe->path);
 	g_free(probe);
 }
 
@@ -32,11 +39,12 @@
 {
 	const char *id;
 
-	if (!head)
+	if (!head || aub_http_head_find(head, AUB_RELAY_FAILURE_HEADER))
 		return AUB_PROBE_NO_RESPONSE;
 	id = aub_http_head_find(head,
 				probe->placer->options.platform->upstream_id);
-	if (id && strcmp(id, probe->upstream) != 0)
+	if ((id && strcmp(id, probe->upstream) != 0) ||
+	    (probe->relay && head->status == HTTP_STATUS_MISDIRECTED_REQUEST))
 		return AUB_PROBE_WRONG_UPSTREAM;
 	return head->status == 200 ? AUB_PROBE_HEALTHY : AUB_PROBE_UNHEALTHY;
 }
@@ -147,21 +155,141 @@
 	aub_placer_drain_queue(placer, placement);
 }
 
+/* Feeds the result into what is known of this gateway's own links. */
+static void observe_links(const struct probe *probe, bool answered)
+{
+	struct aub_egress_monitor *egress = probe->placer->options.egress;
+
+	if (!egress || probe->relay)
+		return;
+	aub_egress_monitor_on_ended(egress);
+	if (answered)
+		aub_egress_monitor_on_answer(egress, probe->upstream);
+	else
+		aub_egress_monitor_on_failure(egress, probe->upstream,
+					      AUB_EGRESS_UNREACHABLE);
+}
+
+/*
+ * Returns whether the gateway that was to relay the probe does not reach the
+ * upstream either.
+ */
+static bool has_no_path(const struct probe *probe,
+			const struct aub_http_head *head)
+{
+	struct aub_peers *peers = probe->placer->options.peers;
+	struct aub_peer *relay;
+
+	if (!probe->relay || !head ||
+	    aub_relay_failure_parse(
+		    aub_http_head_find(head, AUB_RELAY_FAILURE_HEADER)) !=
+		    AUB_RELAY_NO_PATH)
+		return false;
+	relay = aub_peers_by_incarnation(peers, probe->relay);
+	if (relay)
+		aub_peer_set_no_path(relay, probe->upstream,
+				     aub_timer_now(
+					     probe->placer->options.timers));
+	return true;
+}
+
+static bool are_links_up(const struct aub_placer *placer)
+{
+	const struct aub_egress_monitor *egress = placer->options.egress;
+
+	return !egress ||
+	       aub_egress_monitor_state(egress)->state == AUB_EGRESS_UP;
+}
+
+static struct aub_peer *pick_relay(struct aub_placer *placer,
+				   const char *upstream)
+{
+	if (!placer->options.egress)
+		return NULL;
+	return aub_peers_pick_relay(placer->options.peers, upstream,
+				    placer->relay_turn++,
+				    aub_timer_now(placer->options.timers));
+}
+
 static void on_probed(enum aub_exchange_result end,
 		      const struct aub_http_head *head, const char *body,
-		      gsize length, void *context)
+		      gsize length, void *context);
+
+static void send_directly(struct probe *probe)
+{
+	struct aub_placer *placer = probe->placer;
+	const struct aub_http_call_options options = {
+		.method = "GET",
+		.address = probe->address,
+		.pool_name = "probe",
+		.path = probe->path,
+		.timeout_ms = PROBE_TIMEOUT_MS,
+		.idle_max_us = PROBE_CONNECTION_IDLE_US,
+	};
+
+	if (placer->options.egress)
+		aub_egress_monitor_on_sent(placer->options.egress);
+	probe->call = aub_http_call_new(placer->options.client, &options,
+					on_probed, probe);
+}
+
+static void send_through(struct probe *probe, const struct aub_peer *relay)
+{
+	struct aub_placer *placer = probe->placer;
+	const struct aub_platform *platform = placer->options.platform;
+	char *headers =
+		g_strdup_printf("%s: %s\r\n%s: %d\r\n",
+				platform->target_upstream, probe->upstream,
+				platform->deadline_ms, PROBE_TIMEOUT_MS);
+	const struct aub_http_call_options options = {
+		.method = "GET",
+		.address = relay->address,
+		.pool_name = "relay",
+		.path = probe->path,
+		.headers = headers,
+		.timeout_ms = PROBE_TIMEOUT_MS,
+		.idle_max_us = RELAY_CONNECTION_IDLE_US,
+	};
+
+	probe->relay = relay->incarnation;
+	probe->call = aub_http_call_new(placer->options.client, &options,
+					on_probed, probe);
+	g_free(headers);
+}
+
+/*
+ * A probe that failed at an upstream taken for healthy is sent once more
+ * through another gateway. If that one is answered, the fault lies with this
+ * gateway's own link, and the other gateways can go on using the upstream.
+ */
+static bool ask_other_gateway(struct probe *probe,
+			      const struct aub_placement *placement)
+{
+	struct aub_peer *relay;
+
+	if (probe->relay ||
+	    !strcmp(aub_placement_health_name(placement, probe->upstream),
+		    "down"))
+		return false;
+	relay = pick_relay(probe->placer, probe->upstream);
+	if (!relay)
+		return false;
+	send_through(probe, relay);
+	return true;
+}
+
+static void apply_probe(struct probe *probe, struct aub_placement *placement,
+			enum aub_probe_result result,
+			const struct aub_http_head *head)
 {
-	struct probe *probe = context;
 	struct aub_placer *placer = probe->placer;
-	struct aub_placement *placement =
-		aub_placer_placement(placer, probe->service);
-	enum aub_probe_result result = classify_probe(probe, head);
 	struct aub_load load = AUB_LOAD_UNKNOWN;
 	const char *health_before;
 
-	if (head) {
+	if (result != AUB_PROBE_NO_RESPONSE) {
 		placer->options.platform->decode_load(head, &load);
-		if (result != AUB_PROBE_WRONG_UPSTREAM)
+		/* A rest is asked of the gateway that connects. */
+		if (result != AUB_PROBE_WRONG_UPSTREAM && !probe->relay)
 			aub_placer_begin_rest(
 				placer, probe->service, probe->upstream,
 				aub_http_head_retry_after_us(head), NULL);
@@ -174,6 +302,30 @@
 		   result, &load);
 	aub_placer_log_notices(placement, probe->upstream, "probe", "");
 	queue_probe_result(placer, probe, result, &load);
+}
+
+static void on_probed(enum aub_exchange_result end,
+		      const struct aub_http_head *head, const char *body,
+		      gsize length, void *context)
+{
+	struct probe *probe = context;
+	struct aub_placer *placer = probe->placer;
+	struct aub_placement *placement =
+		aub_placer_placement(placer, probe->service);
+	enum aub_probe_result result = classify_probe(probe, head);
+	bool inconclusive = has_no_path(probe, head);
+
+	observe_links(probe, head != NULL);
+	if (inconclusive ||
+	    (result == AUB_PROBE_NO_RESPONSE && !are_links_up(placer))) {
+		aub_placement_probe_withheld(placement, probe->upstream);
+		probe_free(probe);
+		return;
+	}
+	if (result == AUB_PROBE_NO_RESPONSE &&
+	    ask_other_gateway(probe, placement))
+		return;
+	apply_probe(probe, placement, result, head);
 	probe_free(probe);
 	aub_placer_drain_queue(placer, placement);
 }
@@ -182,22 +334,23 @@
 			const struct aub_probe *due)
 {
 	struct probe *probe = g_new0(struct probe, 1);
-	const struct aub_http_call_options options = {
-		.method = "GET",
-		.address = due->address,
-		.pool_name = "probe",
-		.path = due->path,
-		.timeout_ms = PROBE_TIMEOUT_MS,
-		.idle_max_us = PROBE_CONNECTION_IDLE_US,
-	};
+	struct aub_egress_monitor *egress = placer->options.egress;
+	const struct aub_peer *relay = NULL;
 
 	placer->counts.probes_sent++;
 	probe->placer = placer;
 	probe->service = g_strdup(service);
 	probe->upstream = g_strdup(due->upstream);
+	probe->address = g_strdup(due->address);
+	probe->path = g_strdup(due->path);
 	g_ptr_array_add(placer->probes, probe);
-	probe->call = aub_http_call_new(placer->options.client, &options,
-					on_probed, probe);
+	if (are_links_up(placer) && egress &&
+	    aub_egress_monitor_needs_relay(egress, due->upstream))
+		relay = pick_relay(placer, due->upstream);
+	if (relay)
+		send_through(probe, relay);
+	else
+		send_directly(probe);
 }
 
 static void on_probe_tick(void *context, gint64 now_us)
@@ -294,6 +447,8 @@
 		struct probe *probe = g_ptr_array_index(placer->probes, i - 1);
 
 		aub_http_call_cancel(probe->call);
+		if (!probe->relay && placer->options.egress)
+			aub_egress_monitor_on_ended(placer->options.egress);
 		probe_free(probe);
 	}
 	g_ptr_array_unref(placer->probes);
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -363,6 +363,7 @@
 	U64(aub_heartbeat, revisions[1]),
 	U64(aub_heartbeat, revisions[2]),
 	U64(aub_heartbeat, revisions[3]),
+	BOOL(aub_heartbeat, egress_down),
 	END,
 };
 
--- a/src/state/log_events.c
+++ b/src/state/log_events.c
@@ -41,6 +41,7 @@
 	  false },
 	{ "placement", AUB_EVENT_REFUSED, NULL, NULL, NULL, "refused", false },
 	{ "health", AUB_EVENT_UPSTREAM, "upstream", NULL, NULL, NULL, false },
+	{ "egress", AUB_EVENT_UPSTREAM, NULL, NULL, NULL, "failed", false },
 	{ "upstream-limit", AUB_EVENT_UPSTREAM, "upstream", NULL, NULL, "now",
 	  false },
 	{ "upstream-rest", AUB_EVENT_UPSTREAM, "upstream", NULL, NULL, "ms",
@@ -56,6 +57,8 @@
 	{ "not-placed", AUB_EVENT_REFUSED, NULL, NULL, "placer", NULL, true },
 	{ "attempt", AUB_EVENT_ANSWERED, "upstream", NULL, NULL, "status",
 	  true },
+	{ "relayed", AUB_EVENT_ANSWERED, "upstream", NULL, NULL, "status",
+	  true },
 	{ "log-dropped", AUB_EVENT_FAILED, NULL, NULL, NULL, "lines", false },
 };
 
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -305,6 +305,20 @@
 			    now_us + record->warmup_left_ms * AUB_US_PER_MS);
 }
 
+bool aub_placement_find_registered(const struct aub_placement *placement,
+				   const char *id, const char **address,
+				   gint64 *started_ms)
+{
+	const struct aub_placement_upstream *upstream =
+		aub_placement_upstream_by_id(placement, id);
+
+	if (!upstream || !upstream->registered)
+		return false;
+	*address = upstream->address;
+	*started_ms = upstream->started_ms;
+	return true;
+}
+
 /*
  * The upstreams of a zone that is back in service are cold, and its share of
  * the load would bring them down. Each is unknown, and so gets no requests,
@@ -555,6 +569,7 @@
 		[AUB_GRANT_TIMEOUT] = "timeout",
 		[AUB_GRANT_ABANDONED] = "abandoned",
 		[AUB_GRANT_UNUSED] = "unused",
+		[AUB_GRANT_LINK_LOST] = "link-lost",
 	};
 
 	return names[result];
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -166,6 +166,8 @@
 		break;
 	case AUB_GRANT_ABANDONED:
 	case AUB_GRANT_UNUSED:
+	case AUB_GRANT_LINK_LOST:
+	case AUB_GRANT_RESULT_COUNT:
 		break;
 	}
 	aub_placement_upstream_update_load(placement, upstream, &report->load,
--- a/src/state/placement_probe.c
+++ b/src/state/placement_probe.c
@@ -3,6 +3,8 @@
  */
 #include <auburnstile/internal/placement_internal.h>
 
+#include <string.h>
+
 /* Short enough to notice interference bursts of some hundred milliseconds. */
 #define PROBE_INTERVAL_US (100 * AUB_US_PER_MS)
 /* A cold upstream can handle few requests. */
@@ -147,6 +149,87 @@
 					     now_us - PROBE_AGE_MAX_US, now_us);
 }
 
+void aub_placement_probe_withheld(struct aub_placement *placement,
+				  const char *id)
+{
+	struct aub_placement_upstream *upstream =
+		aub_placement_upstream_by_id(placement, id);
+
+	if (upstream)
+		aub_placement_upstream_set_probing(placement, upstream, false);
+}
+
+/* Upstreams with a limit or in rest are spared. */
+static bool may_check(const struct aub_placement_upstream *upstream,
+		      gint64 now_us)
+{
+	return upstream->registered &&
+	       !aub_placement_upstream_is_leaving(upstream) &&
+	       !aub_placement_upstream_is_resting(upstream, now_us) &&
+	       !aub_upstream_limit_is_set(&upstream->limit);
+}
+
+static bool is_likely_to_answer(const struct aub_placement_upstream *upstream,
+				gint64 now_us)
+{
+	return upstream->state == AUB_PLACEMENT_UPSTREAM_UP &&
+	       !aub_placement_upstream_is_cold(upstream, now_us);
+}
+
+static bool is_used(const GPtrArray *used, const char *id)
+{
+	for (guint i = 0; i < used->len; i++)
+		if (!strcmp(g_ptr_array_index(used, i), id))
+			return true;
+	return false;
+}
+
+static void set_target(const struct aub_placement *placement,
+		       const struct aub_placement_upstream *upstream,
+		       struct aub_probe *target)
+{
+	*target = (struct aub_probe){
+		.upstream = upstream->id,
+		.address = upstream->address,
+		.path = placement->health_path,
+	};
+}
+
+bool aub_placement_check_target(struct aub_placement *placement,
+				const GPtrArray *used, bool likely,
+				gint64 now_us, struct aub_probe *target)
+{
+	guint count = placement->upstreams->len;
+
+	for (guint n = 0; n < count; n++) {
+		guint i = (placement->next_check_index + n) % count;
+		const struct aub_placement_upstream *upstream =
+			aub_placement_get_upstream(placement, i);
+
+		if (!may_check(upstream, now_us) ||
+		    (likely && !is_likely_to_answer(upstream, now_us)) ||
+		    is_used(used, upstream->id))
+			continue;
+		placement->next_check_index = i + 1;
+		set_target(placement, upstream, target);
+		return true;
+	}
+	return false;
+}
+
+bool aub_placement_check_target_by_id(struct aub_placement *placement,
+				      const char *id, gint64 now_us,
+				      struct aub_probe *target)
+{
+	const struct aub_placement_upstream *upstream =
+		aub_placement_upstream_by_id(placement, id);
+
+	if (!upstream || !may_check(upstream, now_us))
+		return false;
+	set_target(placement, upstream, target);
+	return true;
+}
+
 void aub_placement_probe_received(struct aub_placement *placement,
 				  const char *id, enum aub_probe_result result,
 				  const struct aub_load *load, gint64 now_us)
--- a/src/state/placement_rollout.c
+++ b/src/state/placement_rollout.c
@@ -267,10 +267,12 @@
 	case AUB_GRANT_LOST:
 	case AUB_GRANT_TIMEOUT:
 	case AUB_GRANT_ABANDONED:
+	case AUB_GRANT_LINK_LOST:
 		return true;
 	case AUB_GRANT_WRONG_UPSTREAM:
 	case AUB_GRANT_UNREACHABLE:
 	case AUB_GRANT_UNUSED:
+	case AUB_GRANT_RESULT_COUNT:
 		break;
 	}
 	return false;
--- a/src/transport/http_call.c
+++ b/src/transport/http_call.c
@@ -80,6 +80,8 @@
 	g_string_append_printf(text, "%s %s HTTP/1.1\r\nHost: %s\r\n",
 			       options->method, options->path,
 			       options->address);
+	if (options->headers)
+		g_string_append(text, options->headers);
 	if (options->body)
 		g_string_append_printf(text,
 				       "Content-Type: %s\r\n"
