tcp: no user timeout overrides keep-alive probes or cuts off slow callers

Which connections TCP_USER_TIMEOUT (2 s, on all) ended, and when: - idle ones, or with a request that runs for more than 2 s (long work, a watch of the store), at 3 s after ONE lost keep-alive probe: with a user timeout the kernel ignores TCP_KEEPCNT and gives up once the time is over and a probe is out. Callers lost the connection or, behind an upstream, got 502; - callers that do not read for 2 s with a full window, though they acknowledge every window probe: the rest of their answer was cut off (ETIMEDOUT); - upstreams that pause for 2 s while they read a long body: 502 to the caller; - connections with data that nobody acknowledges, at 2 s: what it is for.

Now probes go out after 1 and 2 s of idling and the connection ends after 3 s, so that one may be lost; the user timeout is that same time, derived from them, on connections that are opened here, and is off while a long body is sent. Accepted connections have none: requests have deadlines, idle connections a limit. A silent pooled connection is found out after 3 s in place of 2 s when it has unacknowledged data, after 3 s as before when idle.

--- a/include/auburnstile/internal/gateway_internal.h
+++ b/include/auburnstile/internal/gateway_internal.h
@@ -217,6 +217,9 @@
 /* Return whether it is the oldest or the newest request of its connection. */
 bool aub_request_is_first(const struct aub_request *request);
 bool aub_request_is_last(const struct aub_request *request);
+/* Returns whether the body is sent on as it arrives, not when it is complete.
+ */
+bool aub_request_has_long_body(const struct aub_request *request);
 /*
  * Returns whether the request may be sent once more although an attempt may
  * have run it.
--- a/include/auburnstile/internal/http_client.h
+++ b/include/auburnstile/internal/http_client.h
@@ -42,6 +42,7 @@
 	const char *pool_name; /* connections are pooled by address and name */
 	gint64 idle_max_us; /* of a pooled connection; 0: use a new one */
 	bool is_head; /* the response has no body */
+	bool patient; /* the peer may pause while it reads a long body */
 };
 
 /*
--- a/include/auburnstile/internal/http_stream.h
+++ b/include/auburnstile/internal/http_stream.h
@@ -117,6 +117,9 @@
 void aub_http_stream_expect_no_body(struct aub_http_stream *stream,
 				    bool no_body);
 
+/* See aub_tcp_set_patient(). */
+void aub_http_stream_set_patient(struct aub_http_stream *stream, bool patient);
+
 /* Pauses or resumes reading from the socket (back pressure). */
 void aub_http_stream_pause_reading(struct aub_http_stream *stream, bool paused);
 
--- a/include/auburnstile/internal/tcp.h
+++ b/include/auburnstile/internal/tcp.h
@@ -30,6 +30,13 @@
 int aub_tcp_connect_from(const char *source, const char *address,
 			 GError **error);
 
+/*
+ * Sets whether a connection that was opened here lasts while its peer reads
+ * nothing. Otherwise it ends a few seconds after data was sent that the peer
+ * neither acknowledges nor has room for.
+ */
+void aub_tcp_set_patient(int fd, bool patient);
+
 /* Accepts one connection. Returns -1 if none is pending. */
 int aub_tcp_accept(int listener);
 
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -442,6 +442,7 @@
 		.idle_max_us = relay ? POOLED_IDLE_AT_MOST_ONCE_MAX_US :
 				       pooled_idle_max_us(request),
 		.is_head = request->is_head,
+		.patient = aub_request_has_long_body(request),
 	};
 
 	attempt->relay = relay ? relay->incarnation : 0;
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -451,6 +451,11 @@
 	       request->body_length <= SMALL_BODY_MAX_BYTES;
 }
 
+bool aub_request_has_long_body(const struct aub_request *request)
+{
+	return request->body_length && !needs_complete_body(request);
+}
+
 static void start_placement(struct aub_request *request)
 {
 	if (request->relay)
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -394,9 +394,11 @@
 	} else {
 		stream_open(exchange, options);
 	}
-	if (exchange->stream)
+	if (exchange->stream) {
 		aub_http_stream_expect_no_body(exchange->stream,
 					       options->is_head);
+		aub_http_stream_set_patient(exchange->stream, options->patient);
+	}
 	return exchange;
 }
 
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -5,6 +5,7 @@
  * the memory is freed when the outermost call returns.
  */
 #include <auburnstile/internal/http_stream.h>
+#include <auburnstile/internal/tcp.h>
 
 #include <errno.h>
 #include <string.h>
@@ -40,6 +41,7 @@
 	guint64 sent_bytes;
 	guint callback_depth;
 	bool connecting;
+	bool patient;
 	bool reading_paused;
 	bool awaiting_resume; /* complete message; parsing is suspended */
 	bool in_message;
@@ -517,6 +519,14 @@
 	stream->no_body = no_body;
 }
 
+void aub_http_stream_set_patient(struct aub_http_stream *stream, bool patient)
+{
+	if (stream->patient == patient)
+		return;
+	stream->patient = patient;
+	aub_tcp_set_patient(stream->fd, patient);
+}
+
 void aub_http_stream_pause_reading(struct aub_http_stream *stream, bool paused)
 {
 	if (stream->reading_paused == paused)
--- a/src/transport/tcp.c
+++ b/src/transport/tcp.c
@@ -14,17 +14,22 @@
 #define LISTEN_BACKLOG 512
 
 /*
- * If a network path fails or a peer loses power, requests on a pooled
- * connection would wait until their deadline. A connection whose data is
- * not acknowledged within this time is closed; round trips take 20 ms.
+ * If a network path fails or a peer loses power, idle connections end by
+ * keep-alive probes, of which one may be lost.
  */
-#define USER_TIMEOUT_MS 2000u
-
-/* TCP keep-alive detects the same fault on idle connections. */
-#define KEEPALIVE_IDLE_S 2
+#define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES_MAX 2
 
+/*
+ * Requests on a pooled connection would wait until their deadline for the same
+ * fault, so a connection also ends if its data is not acknowledged in this
+ * time. Any shorter time would override the number of keep-alive probes.
+ */
+#define USER_TIMEOUT_MS \
+	(1000u *        \
+	 (KEEPALIVE_IDLE_S + KEEPALIVE_INTERVAL_S * KEEPALIVE_PROBES_MAX))
+
 bool aub_socket_address_parse(const char *address,
 			      struct sockaddr_in *socket_address)
 {
@@ -48,7 +53,6 @@
 	const int idle_s = KEEPALIVE_IDLE_S;
 	const int interval_s = KEEPALIVE_INTERVAL_S;
 	const int probes_max = KEEPALIVE_PROBES_MAX;
-	const unsigned int user_timeout_ms = USER_TIMEOUT_MS;
 
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
@@ -57,6 +61,12 @@
 		   sizeof(interval_s));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes_max,
 		   sizeof(probes_max));
+}
+
+void aub_tcp_set_patient(int fd, bool patient)
+{
+	const unsigned int user_timeout_ms = patient ? 0 : USER_TIMEOUT_MS;
+
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
 		   sizeof(user_timeout_ms));
 }
@@ -149,6 +159,7 @@
 	if (fd < 0)
 		return fail_with_errno(fd, "connect", address, error);
 	set_options(fd);
+	aub_tcp_set_patient(fd, false);
 	if (source && !bind_source(fd, source))
 		return fail_with_errno(fd, "bind", source, error);
 	if (connect(fd, (struct sockaddr *)&socket_address,
@@ -158,6 +169,10 @@
 	return fd;
 }
 
+/*
+ * Accepted connections have no user timeout: it would also end one whose peer
+ * is slow to read. Requests have deadlines, and idle connections are limited.
+ */
 int aub_tcp_accept(int listener)
 {
 	int fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -387,6 +387,25 @@
 	EXPECT_TRUE(caller->truncated);
 }
 
+/* Guards against answers that are cut off because their caller reads slowly. */
+TEST_F(GatewayTest, SendsWholeAnswerToSlowCaller)
+{
+	configure();
+	auto upstream = add_upstream("u1");
+	const size_t bytes = 12 << 20; /* more than socket buffers hold */
+	platform_upstream_set_body_bytes(upstream, bytes);
+	start_and_wait_until_ready();
+	auto caller = send_request("GET", "/safe/a", "r1",
+				   "Connection: close\r\n", 8000);
+	ASSERT_TRUE(run_until([&] { return caller->status == 200; }, 3000));
+	caller->set_reading_paused(true);
+	run_for(2700);
+	caller->set_reading_paused(false);
+	ASSERT_TRUE(wait_for_answer(caller, 5000));
+	ASSERT_EQ(caller->answers, 1u);
+	EXPECT_EQ(caller->body.size(), bytes);
+}
+
 TEST_F(GatewayTest, StreamsLargeRequestBodyWithBackPressure)
 {
 	/*
