tests, soak: gateways without links, with real programs

More cases in test_partition: a part of the upstreams, twice within seconds, and requests on connections that break together, which are no crashes (this one fails, 503 at all gateways, with the confirmation of crashes switched off).

Even seeds: no other faults, and callers' first tries count at gateways without links and at the others; odd seeds: beside all other faults, rules only.

Metrics auburnstile_links_down, _link_checks_total, _link_outages_total.

--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -75,6 +75,21 @@
 	return (gint64)aub_placer_get_counts(node->placer)->probes_sent;
 }
 
+static gint64 read_links_down(const struct aub_node *node)
+{
+	return aub_egress_monitor_state(node->egress)->state == AUB_EGRESS_DOWN;
+}
+
+static gint64 read_link_checks(const struct aub_node *node)
+{
+	return (gint64)aub_egress_monitor_counts(node->egress)->checks;
+}
+
+static gint64 read_link_outages(const struct aub_node *node)
+{
+	return (gint64)aub_egress_monitor_counts(node->egress)->outages;
+}
+
 static gint64 read_peers(const struct aub_node *node)
 {
 	return aub_peers_count_alive(node->peers);
@@ -131,6 +146,13 @@
 	{ "auburnstile_placer_suspected_total",
 	  "placers that did not answer in time", true, read_placers_suspected },
 	{ "auburnstile_probes_total", "sent", true, read_probes_sent },
+	{ "auburnstile_links_down",
+	  "1: no upstream answers this gateway; 0: some do", false,
+	  read_links_down },
+	{ "auburnstile_link_checks_total",
+	  "health checks of this gateway's own links", true, read_link_checks },
+	{ "auburnstile_link_outages_total",
+	  "times that the own links were found down", true, read_link_outages },
 	{ "auburnstile_peers_alive", "other gateways with recent heartbeats",
 	  false, read_peers },
 	{ "auburnstile_peer_datagrams_refused_total",
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include <auburnstile/internal/node.h>
+#include <auburnstile/internal/peer_relay.h>
 #include <auburnstile/internal/tcp.h>
 #include <platform/body.h>
 #include <platform/store.h>
@@ -53,6 +54,8 @@
 	std::vector<std::string> request_ids; /* of all answers, in order */
 	std::vector<size_t> body_lengths; /* of all answers, in order */
 	std::string retry_after;
+	std::string relay_failure; /* of a gateway that relays */
+	bool not_run = false;
 	bool keep_alive = false;
 	bool ended = false;
 	bool truncated = false;
@@ -113,6 +116,10 @@
 		self->last_request_id = id ? id : "";
 		self->request_ids.push_back(self->last_request_id);
 		self->retry_after = after ? after : "";
+		const char *failure =
+			aub_http_head_find(head, AUB_RELAY_FAILURE_HEADER);
+		self->relay_failure = failure ? failure : "";
+		self->not_run = aub_http_head_find(head, "Not-Executed");
 		self->body.clear();
 	}
 	static void on_body(const char *data, gsize length, void *context)
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -88,7 +88,7 @@
 			tail -n 30 "$log"
 		fi
 	fi
-	grep '^seed \|^order\|^notices\|^workspaces' "$log"
+	grep '^seed \|^order\|^notices\|^workspaces\|^partitions' "$log"
 }
 # Short runs with fixed seeds. Seeds 15 and 117 guard against violations that
 # the soak itself would cause. With seed 15, an upstream drains while no gateway
@@ -110,5 +110,10 @@
 for seed in 21 22; do
 	soak workspaces-$seed --workspaces --seed $seed --seconds 14
 done
+# Gateways that lose their links to all upstreams: alone, and beside all other
+# faults.
+for seed in 2 3; do
+	soak partitions-$seed --partitions --seed $seed --seconds 14
+done
 echo "$passed passed, $failed failed"
 exit $exit_status
--- a/tests/test_partition.cc
+++ b/tests/test_partition.cc
@@ -304,6 +304,86 @@
 	expect_served_as_others(GATEWAYS - 1, true, PLATFORM_PARTITION_RESET);
 }
 
+/* Guards against a placer that is cut off from a part of the upstreams. */
+TEST_F(PartitionTest, ServesCallersWhilePartOfTheUpstreamsIsCutOff)
+{
+	Tries cut, others;
+
+	start_fleet();
+	int placer = find_placer();
+	for (int i : { placer, (placer + 1) % GATEWAYS }) {
+		gateways[i].cut_off = true;
+		for (int j = 0; j < UPSTREAMS / 2; j++)
+			platform_upstream_partition(upstreams[j],
+						    gateways[i].ip.c_str(),
+						    PLATFORM_PARTITION_RESET);
+	}
+	wait_for_detection();
+	send_tries(2000, cut, others);
+	EXPECT_GE(others.share(), 0.98);
+	EXPECT_GE(cut.share(), 0.95 * others.share());
+	expect_rules_kept();
+}
+
+/* Guards against a cut whose end and return are not noticed in time. */
+TEST_F(PartitionTest, ServesCallersWhileLinksAreLostTwiceWithinSeconds)
+{
+	Tries cut, others;
+
+	start_fleet();
+	for (int i = 0; i < 2; i++) {
+		cut_off(CUT_OFF, true,
+			i ? PLATFORM_PARTITION_SILENT :
+			    PLATFORM_PARTITION_RESET);
+		wait_for_detection();
+		send_tries(500, cut, others);
+		heal();
+		run_for(300);
+	}
+	EXPECT_GE(others.share(), 0.95);
+	EXPECT_GE(cut.share(), 0.95 * others.share());
+	expect_rules_kept();
+}
+
+/*
+ * Guards against a popular request that is refused everywhere, because the
+ * connections on which it was sent broke together.
+ */
+TEST_F(PartitionTest, RequestsOnConnectionsThatBreakTogetherAreNotCrashes)
+{
+	start_fleet();
+	for (auto upstream : upstreams)
+		platform_upstream_set_service_time(upstream, 200);
+	std::vector<std::unique_ptr<Caller>> callers;
+	for (int i = 0; i < 6; i++) {
+		callers.emplace_back(
+			new Caller(poller, address(gateways[1], 0)));
+		callers.back()->send("GET /safe/popular HTTP/1.1\r\nHost: site"
+				     "\r\nRequest-Id: p" +
+				     std::to_string(i) +
+				     "\r\nDeadline-Remaining-Ms: 2000\r\n\r\n");
+	}
+	run_for(100);
+	partition(gateways[1], PLATFORM_PARTITION_RESET);
+	run_until(
+		[&] {
+			for (auto &caller : callers)
+				if (!caller->done())
+					return false;
+			return true;
+		},
+		2500);
+	for (auto &gateway : gateways) {
+		Caller caller(poller, address(gateway, 0));
+
+		caller.send("GET /safe/popular HTTP/1.1\r\nHost: site\r\n"
+			    "Request-Id: q\r\nDeadline-Remaining-Ms: 2000"
+			    "\r\n\r\n");
+		run_until([&] { return caller.done(); }, 2500);
+		EXPECT_EQ(caller.status, 200u) << gateway.ip;
+	}
+}
+
 /* Guards against requests that wait although no gateway reaches an upstream. */
 TEST_F(PartitionTest, RefusesAtOnceWhileAllGatewaysAreCutOff)
 {
--- a/tools/proxy/proxy.c
+++ b/tools/proxy/proxy.c
@@ -43,7 +43,9 @@
 	GSocket *ends[PROXY_DIRECTION_COUNT];
 	struct flow flows[PROXY_DIRECTION_COUNT];
 	GSource *connect_source;
-	bool blackhole; /* set by silence_open; stays set */
+	char *client; /* its IP */
+	/* Set by silence_open and by partitions; stays set. */
+	bool blackhole[PROXY_DIRECTION_COUNT];
 };
 
 static void source_clear(GSource **source)
@@ -71,6 +73,7 @@
 		g_socket_close(pair->ends[direction], NULL);
 		g_object_unref(pair->ends[direction]);
 	}
+	g_free(pair->client);
 	g_free(pair);
 }
 
@@ -86,7 +89,7 @@
 
 static bool is_blackholed(const struct flow *flow)
 {
-	return flow->pair->blackhole ||
+	return flow->pair->blackhole[flow->direction] ||
 	       flow->pair->route->fault.blackhole[flow->direction];
 }
 
@@ -300,6 +303,51 @@
 	g_source_attach(pair->connect_source, NULL);
 }
 
+static char *client_ip(GSocket *accepted)
+{
+	GSocketAddress *address = g_socket_get_remote_address(accepted, NULL);
+	char *ip = NULL;
+
+	if (address)
+		ip = g_inet_address_to_string(g_inet_socket_address_get_address(
+			G_INET_SOCKET_ADDRESS(address)));
+	g_clear_object(&address);
+	return ip ? ip : g_strdup("");
+}
+
+/* Returns false if the pair has been closed. */
+static bool pair_apply_partition(struct proxy_pair *pair, bool is_new)
+{
+	enum proxy_partition partition = (enum proxy_partition)GPOINTER_TO_INT(
+		g_hash_table_lookup(pair->route->partitions, pair->client));
+
+	if (partition == PROXY_PARTITION_RESET ||
+	    (partition == PROXY_PARTITION_REFUSE_NEW && is_new)) {
+		pair_close(pair, true);
+		return false;
+	}
+	if (partition == PROXY_PARTITION_SILENT)
+		pair->blackhole[PROXY_UP] = true;
+	if (partition == PROXY_PARTITION_SILENT ||
+	    partition == PROXY_PARTITION_ONE_WAY)
+		pair->blackhole[PROXY_DOWN] = true;
+	return true;
+}
+
+void proxy_route_partition(struct proxy_route *route, const char *ip,
+			   enum proxy_partition partition)
+{
+	g_hash_table_replace(route->partitions, g_strdup(ip),
+			     GINT_TO_POINTER((gint)partition));
+	/* Closing a pair moves the last one into its place. */
+	for (guint i = route->pairs->len; i > 0; i--) {
+		struct proxy_pair *pair = route->pairs->pdata[i - 1];
+
+		if (!strcmp(pair->client, ip))
+			pair_apply_partition(pair, false);
+	}
+}
+
 static void pair_start(struct proxy_route *route, GSocket *accepted)
 {
 	struct proxy_pair *pair = g_new0(struct proxy_pair, 1);
@@ -307,6 +355,7 @@
 	int direction;
 
 	pair->route = route;
+	pair->client = client_ip(accepted);
 	pair->ends[PROXY_UP] = accepted;
 	pair->ends[PROXY_DOWN] =
 		g_socket_new(g_socket_address_get_family(route->target_address),
@@ -323,7 +372,8 @@
 				    TCP_NODELAY, 1, NULL);
 	}
 	g_ptr_array_add(route->pairs, pair);
-	pair_connect(pair);
+	if (pair_apply_partition(pair, true))
+		pair_connect(pair);
 }
 
 static gboolean on_connection_ready(GSocket *socket, GIOCondition condition,
@@ -384,6 +434,8 @@
 	struct proxy_route *route = g_new0(struct proxy_route, 1);
 
 	route->pairs = g_ptr_array_new_with_free_func(pair_free);
+	route->partitions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	route->fault.truncate_bytes[PROXY_UP] = -1;
 	route->fault.truncate_bytes[PROXY_DOWN] = -1;
 	route->listen_address = tool_address_parse(listen_address, error);
@@ -402,6 +454,7 @@
 
 	route_stop_listening(route);
 	g_ptr_array_unref(route->pairs);
+	g_hash_table_unref(route->partitions);
 	g_clear_object(&route->listen_address);
 	g_clear_object(&route->target_address);
 	g_free(route);
@@ -422,7 +475,8 @@
 
 	for (i = 0; i < route->pairs->len; i++) {
 		pair = route->pairs->pdata[i];
-		pair->blackhole = true;
+		pair->blackhole[PROXY_UP] = true;
+		pair->blackhole[PROXY_DOWN] = true;
 	}
 }
 
--- a/tools/proxy/proxy.h
+++ b/tools/proxy/proxy.h
@@ -24,6 +24,18 @@
 	bool refuse; /* refuse new connections */
 };
 
+/* How clients at one IP are cut off from the target. */
+enum proxy_partition {
+	PROXY_PARTITION_NONE,
+	PROXY_PARTITION_RESET, /* open connections, and new ones at once */
+	/* Nothing arrives, and open connections stay silent for good. */
+	PROXY_PARTITION_SILENT,
+	/* The same, but requests still reach the target. */
+	PROXY_PARTITION_ONE_WAY,
+	PROXY_PARTITION_REFUSE_NEW, /* open connections live on */
+	PROXY_PARTITION_COUNT
+};
+
 struct proxy_route {
 	GSocketAddress *listen_address;
 	GSocketAddress *target_address;
@@ -32,6 +44,7 @@
 	GSource *accept_source;
 	GPtrArray *pairs; /* of struct proxy_pair, owned */
 	struct proxy_fault fault;
+	GHashTable *partitions; /* client's IP -> enum proxy_partition */
 	guint64 accepted; /* connections */
 	guint64 bytes[PROXY_DIRECTION_COUNT]; /* queued for forwarding */
 };
@@ -44,6 +57,10 @@
 				    const char *target_address, GError **error);
 void proxy_route_free(void *route);
 
+/* Applies to connections of the client at `ip`, open and new. */
+void proxy_route_partition(struct proxy_route *route, const char *ip,
+			   enum proxy_partition partition);
+
 /*
  * Changes faults according to a JSON object; absent members keep their values:
  *   delay_ms, throttle (bytes per second), refuse,
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -27,7 +27,9 @@
  *            that of the key
  *   CONFIG   a removed API key opened something
  *   BUDGET   an upstream got requests in the rest that it asked a gateway for
- *   RECOVER  requests are not served after the faults have ended
+ *   RECOVER  requests are not served after the faults have ended; or, with
+ *            partitions and no other faults, gateways without links to the
+ *            upstreams serve less than the others, or these serve less
  */
 #include "common/child.h"
 #include "soak/soak_run.h"
@@ -57,6 +59,10 @@
 		options->soak.workspaces = true;
 		return 0;
 	}
+	if (key == 'p') {
+		options->soak.partitions = true;
+		return 0;
+	}
 	if (key == 'l') {
 		options->soak.notices = SOAK_NOTICE_ALL;
 		return 0;
@@ -89,6 +95,10 @@
 		{ "workspaces", 'w', NULL, 0,
 		  "callers have API keys, and their workspaces have quotas",
 		  0 },
+		{ "partitions", 'p', NULL, 0,
+		  "gateways lose their links to all upstreams; other faults "
+		  "only with odd seeds",
+		  0 },
 		{ 0 },
 	};
 	const struct argp argp = {
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -30,11 +30,20 @@
 #define DRAIN_LIMIT_US (3 * AUB_SECOND)
 
 struct notices;
+struct soak_partitions;
 struct rollout;
 struct soak;
 struct soak_key;
 struct soak_workspaces;
 
+/* The gateways that calls are counted for while some have lost their links. */
+enum soak_link_group {
+	SOAK_LINKS_NOT_COUNTED, /* none is cut off, or not for long enough */
+	SOAK_LINKS_LOST,
+	SOAK_LINKS_KEPT,
+	SOAK_LINK_GROUPS
+};
+
 struct gateway {
 	struct soak *soak;
 	guint number;
@@ -65,6 +74,7 @@
 	bool reported_not_run;
 	guint executions;
 	guint gateway; /* that it was sent to */
+	enum soak_link_group link_group;
 	gint64 sent_us;
 	/* The valid API key that it bears; NULL: none, or an unknown one. */
 	const struct soak_key *key;
@@ -91,6 +101,7 @@
 	struct rollout *rollout; /* NULL without a rollout */
 	struct notices *notices; /* NULL without notices */
 	struct soak_workspaces *workspaces; /* NULL without workspaces */
+	struct soak_partitions *partitions; /* NULL without partitions */
 	struct aub_timer_service *timers;
 	struct aub_poller *poller;
 	struct platform_store *store;
@@ -208,6 +219,22 @@
 /* Prints one line with counts. */
 void soak_workspaces_report(const struct soak_workspaces *workspaces);
 
+/* Gateways that lose their links to all upstreams, at random by `seed`. */
+struct soak_partitions *soak_partitions_new(struct soak *soak, guint32 seed);
+void soak_partitions_free(struct soak_partitions *partitions);
+void soak_partitions_step(struct soak_partitions *partitions, gint64 now_us);
+/* Cuts a new incarnation of an upstream off from the same gateways. */
+void soak_partitions_apply(const struct soak_partitions *partitions,
+			   struct upstream *upstream);
+/* Returns what a call that starts now at `gateway` counts for. */
+enum soak_link_group soak_partitions_group(
+	const struct soak_partitions *partitions,
+	const struct gateway *gateway);
+void soak_partitions_count(struct soak_partitions *partitions,
+			   enum soak_link_group group, bool served);
+/* Prints one line with counts, and checks how calls were served. */
+void soak_partitions_report(struct soak_partitions *partitions);
+
 /*
  * A rollout that takes place during the faults. The parity of `seed` determines
  * whether the new version is good (even) or faulty (odd). The rollout owns the
--- a/tools/soak/soak_callers.c
+++ b/tools/soak/soak_callers.c
@@ -18,6 +18,12 @@
 
 	soak->calls++;
 	soak->served += served;
+	if (soak->partitions)
+		soak_partitions_count(soak->partitions,
+				      ((struct request *)g_hash_table_lookup(
+					       soak->requests, caller->id))
+					      ->link_group,
+				      served);
 	if (now > soak->faults_end_us + RECOVERY_MS * AUB_MS) {
 		soak->recovered_calls++;
 		soak->recovered_served += served;
@@ -144,6 +150,9 @@
 	caller->status = 0;
 	request->gateway = caller->gateway->number;
 	request->sent_us = caller->start_us;
+	if (soak->partitions)
+		request->link_group = soak_partitions_group(soak->partitions,
+							    caller->gateway);
 	g_hash_table_insert(soak->requests, g_strdup(caller->id), request);
 	g_string_append_printf(text,
 			       "%s /%s/%s HTTP/1.1\r\nHost: site\r\n"
--- a/tools/soak/soak_run.c
+++ b/tools/soak/soak_run.c
@@ -35,6 +35,8 @@
 		soak_notices_step(soak->notices, now_us);
 	if (soak->workspaces)
 		soak_workspaces_step(soak->workspaces, now_us);
+	if (soak->partitions)
+		soak_partitions_step(soak->partitions, now_us);
 	if (soak->zone_evacuated && now_us >= soak->faults_end_us)
 		soak_end_evacuation(soak);
 	if (now_us >= soak->next_fault_us && now_us < soak->faults_end_us)
@@ -60,6 +62,8 @@
 		soak->notices = soak_notices_new(soak, seed, options->notices);
 	if (options->workspaces)
 		soak->workspaces = soak_workspaces_new(soak, seed);
+	if (options->partitions)
+		soak->partitions = soak_partitions_new(soak, seed);
 	soak_configure(soak);
 	for (guint i = 0; i < UPSTREAM_COUNT; i++) {
 		soak->upstreams[i].soak = soak;
@@ -82,6 +86,8 @@
 		soak->callers[i].next_call_us = now + AUB_SECOND;
 	}
 	soak->next_fault_us = now + 2 * AUB_SECOND;
+	if (options->partitions && seed % 2 == 0)
+		soak->next_fault_us = G_MAXINT64;
 	soak->faults_end_us = now + options->seconds * AUB_SECOND;
 }
 
@@ -90,6 +96,8 @@
 	if (soak->recovered_served < SERVED_MIN_SHARE * soak->recovered_calls ||
 	    !soak->recovered_calls)
 		soak_report_violation(soak, "RECOVER", "-");
+	if (soak->partitions)
+		soak_partitions_report(soak->partitions);
 	g_print("seed %u: %u faults, %u calls, %u served; after the faults "
 		"%u of %u; %u broken\n",
 		seed, soak->faults, soak->calls, soak->served,
@@ -125,6 +133,7 @@
 	soak_rollout_free(soak->rollout);
 	soak_notices_free(soak->notices);
 	soak_workspaces_free(soak->workspaces);
+	soak_partitions_free(soak->partitions);
 }
 
 bool soak_run(guint32 seed, const struct soak_options *options,
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -20,6 +20,9 @@
 	bool rollouts; /* with a rollout */
 	guint notices; /* kinds of notices; 0: none */
 	bool workspaces; /* with API keys and quotas */
+	/* gateways lose their links to all upstreams; other faults only with
+	   odd seeds */
+	bool partitions;
 };
 
 struct soak_result {
--- a/tools/soak/soak_upstreams.c
+++ b/tools/soak/soak_upstreams.c
@@ -105,6 +105,8 @@
 				&error);
 	if (!upstream->route)
 		g_error("proxy: %s", error->message);
+	if (soak->partitions)
+		soak_partitions_apply(soak->partitions, upstream);
 	soak_upstream_register(upstream, "ready");
 }
 
