--- a/include/auburnstile/internal/gateway_internal.h
+++ b/include/auburnstile/internal/gateway_internal.h
@@ -127,7 +127,7 @@
 	const char *service; /* borrowed from `routing` */
 	/* borrowed from `routing`; NULL: the caller is anonymous */
 	const struct aub_workspace *workspace;
-	struct aub_relayed *relay; /* NULL: it is a caller's */
+	struct aub_relayed *relayed; /* NULL: it is a caller's */
 	guint link_outage; /* the last one that was dealt with */
 	char *id; /* request ID; "" if the caller sent none */
 	char *host;
@@ -163,6 +163,17 @@
 	bool answer_started; /* answer bytes have been sent to the caller */
 };
 
+#define AUB_NOT_READY_RETRY_AFTER_MS 1000 /* typical start-up time */
+
+/* The head of a new request; see gateway_head.c. */
+void aub_request_copy_head(struct aub_request *request,
+			   const struct aub_http_head *head);
+/* Routes the request. Returns false if it has been answered instead. */
+bool aub_request_find_route(struct aub_request *request,
+			    const struct aub_http_head *head);
+void aub_request_read_deadlines(struct aub_request *request,
+				const struct aub_http_head *head);
+
 /* Events of the caller's connection. */
 struct aub_request *aub_request_new(struct aub_caller *caller,
 				    const struct aub_http_head *head);
@@ -291,6 +302,9 @@
 		   const char *reason);
 void aub_relayed_free(struct aub_relayed *relay);
 
+/* HTTP: another server has the address (RFC 9110, 15.5.20). */
+#define AUB_STATUS_MISDIRECTED 421
+
 /* Starts to send the request to `upstream` under the grant `ticket`. */
 struct aub_upstream_attempt *aub_attempt_start(struct aub_request *request,
 					       guint64 ticket,
@@ -299,6 +313,22 @@
 void aub_attempt_write_body(struct aub_upstream_attempt *attempt,
 			    const char *data, gsize length);
 void aub_attempt_end_body(struct aub_upstream_attempt *attempt);
+/* The gateway that relays the attempt; NULL: none, or it is gone. Borrowed. */
+struct aub_peer *aub_attempt_relay(const struct aub_upstream_attempt *attempt);
+
+/* The result of an attempt, as far as the request is concerned. */
+enum aub_grant_result aub_attempt_classify(
+	const struct aub_upstream_attempt *attempt,
+	enum aub_exchange_result end);
+/* Feeds the end into what is known of the ways to the upstream. */
+void aub_attempt_observe_path(const struct aub_upstream_attempt *attempt,
+			      enum aub_exchange_result end);
+/* Returns whether nothing of the request has reached the upstream. */
+bool aub_attempt_was_not_sent(const struct aub_upstream_attempt *attempt,
+			      enum aub_exchange_result end);
+/* Returns whether `end` says nothing of the upstream. */
+bool aub_attempt_is_own_failure(const struct aub_upstream_attempt *attempt,
+				enum aub_exchange_result end);
 /* Aborts the attempt, reports `end` to the placer and frees the attempt. */
 void aub_attempt_abort(struct aub_upstream_attempt *attempt,
 		       enum aub_grant_result end);
--- a/src/coordination/gateway_answer.c
+++ b/src/coordination/gateway_answer.c
@@ -31,7 +31,7 @@
 	g_free(request->request_line);
 	g_free(request->host);
 	g_free(request->id);
-	aub_relayed_free(request->relay);
+	aub_relayed_free(request->relayed);
 	aub_routing_unref(request->routing);
 	g_free(request);
 }
@@ -194,7 +194,7 @@
 	struct aub_gateway *gateway = request->gateway;
 	gint64 now = aub_timer_now(gateway->options.timers);
 
-	if (request->relay) {
+	if (request->relayed) {
 		aub_relay_log(request, status, reason);
 		return;
 	}
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -18,8 +18,6 @@
 #define POOLED_IDLE_IDEMPOTENT_MAX_US (8 * AUB_SECOND)
 #define POOLED_IDLE_AT_MOST_ONCE_MAX_US (1500 * AUB_MS)
 
-#define STATUS_MISDIRECTED 421
-
 /* Gateways that are asked to relay one attempt, and for how long. */
 #define RELAYS_MAX 5
 #define RELAY_SEARCH_US (300 * AUB_MS)
@@ -41,7 +39,7 @@
 	return attempt->request->gateway->options.egress;
 }
 
-static struct aub_peer *relay_of(const struct aub_upstream_attempt *attempt)
+struct aub_peer *aub_attempt_relay(const struct aub_upstream_attempt *attempt)
 {
 	return aub_peers_by_incarnation(
 		attempt->request->gateway->options.peers, attempt->relay);
@@ -49,7 +47,7 @@
 
 static const char *relay_name(const struct aub_upstream_attempt *attempt)
 {
-	const struct aub_peer *peer = relay_of(attempt);
+	const struct aub_peer *peer = aub_attempt_relay(attempt);
 
 	return peer ? peer->name : "";
 }
@@ -122,7 +120,7 @@
 	if (attempt->not_run)
 		return true;
 	/* A relayed probe has no id, and its answer no stamp. */
-	if (attempt->request->relay && !*attempt->request->id)
+	if (attempt->request->relayed && !*attempt->request->id)
 		return true;
 	if (!aub_http_head_find(head, platform->request_id))
 		return false;
@@ -139,7 +137,7 @@
 {
 	struct aub_gateway *gateway = attempt->request->gateway;
 
-	if (attempt->malformed || attempt->status == STATUS_MISDIRECTED)
+	if (attempt->malformed || attempt->status == AUB_STATUS_MISDIRECTED)
 		return;
 	gateway->options.platform->decode_load(head, &attempt->load);
 	if (attempt->not_run && attempt->load.limit == AUB_LIMIT_NOT_NAMED)
@@ -178,7 +176,7 @@
 	}
 	attempt->status = head->status;
 	attempt->not_run = aub_http_head_find(head, platform->not_run) ||
-			   head->status == STATUS_MISDIRECTED;
+			   head->status == AUB_STATUS_MISDIRECTED;
 	attempt->malformed = !is_well_formed(attempt, head);
 	attempt->content_length = attempt->request->is_head ? 0 :
 				  head->chunked		    ? -1 :
@@ -202,7 +200,7 @@
 	struct aub_upstream_attempt *attempt = context;
 
 	if (attempt->malformed || attempt->relay_failure ||
-	    (attempt->not_run && !attempt->request->relay))
+	    (attempt->not_run && !attempt->request->relayed))
 		return;
 	if (!attempt->relay)
 		aub_egress_monitor_on_answer(egress_of(attempt),
@@ -218,99 +216,6 @@
 		aub_request_begin_streaming(attempt->request, attempt);
 }
 
-/* The end of an attempt that another gateway could not relay. */
-static enum aub_grant_result classify_relay_failure(
-	enum aub_relay_failure failure)
-{
-	switch (failure) {
-	case AUB_RELAY_NO_PATH:
-	case AUB_RELAY_UNREACHABLE:
-		return AUB_GRANT_UNREACHABLE;
-	case AUB_RELAY_TIMEOUT:
-		return AUB_GRANT_TIMEOUT;
-	case AUB_RELAY_LINK_LOST:
-		return AUB_GRANT_LINK_LOST;
-	default:
-		return AUB_GRANT_LOST;
-	}
-}
-
-/* The end of an attempt whose connection broke before the answer began. */
-static enum aub_grant_result classify_break(
-	const struct aub_upstream_attempt *attempt)
-{
-	if (attempt->relay ||
-	    !aub_gateway_links_are_up(attempt->request->gateway))
-		return AUB_GRANT_LINK_LOST;
-	return AUB_GRANT_LOST;
-}
-
-static enum aub_grant_result classify_attempt(
-	const struct aub_upstream_attempt *attempt,
-	enum aub_exchange_result end)
-{
-	if (end == AUB_EXCHANGE_UNREACHABLE)
-		return AUB_GRANT_UNREACHABLE;
-	if (attempt->relay_failure)
-		return classify_relay_failure(attempt->relay_failure);
-	if (end != AUB_EXCHANGE_COMPLETE && !attempt->status)
-		return classify_break(attempt);
-	if (end != AUB_EXCHANGE_COMPLETE)
-		return attempt->relay ? AUB_GRANT_LINK_LOST : AUB_GRANT_LOST;
-	if (attempt->malformed || !attempt->status)
-		return AUB_GRANT_LOST;
-	/* The other gateway judges the answer. */
-	if (attempt->request->relay)
-		return AUB_GRANT_OK;
-	if (attempt->status == STATUS_MISDIRECTED)
-		return AUB_GRANT_WRONG_UPSTREAM;
-	if (attempt->not_run)
-		return AUB_GRANT_REFUSED;
-	return attempt->status >= 500 ? AUB_GRANT_FAILED : AUB_GRANT_OK;
-}
-
-/* Feeds the end into what is known of the ways to the upstream. */
-static void observe_path(const struct aub_upstream_attempt *attempt,
-			 enum aub_exchange_result end)
-{
-	struct aub_egress_monitor *egress = egress_of(attempt);
-	gint64 now = aub_timer_now(attempt->request->gateway->options.timers);
-	struct aub_peer *relay;
-
-	if (!attempt->relay) {
-		aub_egress_monitor_on_ended(egress);
-		if (end != AUB_EXCHANGE_COMPLETE && !attempt->status)
-			aub_egress_monitor_on_failure(
-				egress, attempt->upstream,
-				end == AUB_EXCHANGE_UNREACHABLE ?
-					AUB_EGRESS_UNREACHABLE :
-					AUB_EGRESS_RESET);
-		return;
-	}
-	relay = relay_of(attempt);
-	if (relay && end != AUB_EXCHANGE_COMPLETE)
-		aub_peer_set_relay_failed(relay, now);
-	else if (relay && attempt->relay_failure == AUB_RELAY_NO_PATH)
-		aub_peer_set_no_path(relay, attempt->upstream, now);
-}
-
-/* Returns whether nothing of the request has reached the upstream. */
-static bool was_not_sent(const struct aub_upstream_attempt *attempt,
-			 enum aub_exchange_result end)
-{
-	return end == AUB_EXCHANGE_UNREACHABLE ||
-	       attempt->relay_failure == AUB_RELAY_NO_PATH;
-}
-
-/* Returns whether `end` says nothing of the upstream. */
-static bool is_own_failure(const struct aub_upstream_attempt *attempt,
-			   enum aub_exchange_result end)
-{
-	return was_not_sent(attempt, end) &&
-	       (attempt->relay ||
-		!aub_gateway_links_are_up(attempt->request->gateway));
-}
-
 static bool send_through_other_gateway(struct aub_upstream_attempt *attempt);
 
 /*
@@ -325,7 +230,7 @@
 	gint64 elapsed_us =
 		aub_timer_now(gateway->options.timers) - attempt->sent_us;
 
-	return was_not_sent(attempt, end) &&
+	return aub_attempt_was_not_sent(attempt, end) &&
 	       (attempt->relay || elapsed_us < AUB_QUICK_FAILURE_US ||
 		aub_egress_is_in_doubt(
 			aub_egress_monitor_state(gateway->options.egress)));
@@ -335,16 +240,17 @@
 {
 	struct aub_upstream_attempt *attempt = context;
 	struct aub_request *request = attempt->request;
-	enum aub_grant_result end = classify_attempt(attempt, exchange_end);
+	enum aub_grant_result end = aub_attempt_classify(attempt, exchange_end);
 
 	attempt->exchange = NULL;
-	observe_path(attempt, exchange_end);
+	aub_attempt_observe_path(attempt, exchange_end);
 	if (should_try_other_gateway(attempt, exchange_end) &&
 	    send_through_other_gateway(attempt))
 		return;
-	report_attempt_end(attempt, is_own_failure(attempt, exchange_end) ?
-					    AUB_GRANT_UNUSED :
-					    end);
+	report_attempt_end(attempt,
+			   aub_attempt_is_own_failure(attempt, exchange_end) ?
+				   AUB_GRANT_UNUSED :
+				   end);
 	if (end == AUB_GRANT_OK || end == AUB_GRANT_FAILED)
 		aub_request_on_attempt_complete(request, attempt);
 	else
@@ -470,7 +376,7 @@
 	struct aub_gateway *gateway = attempt->request->gateway;
 
 	/* A request is relayed one time only. */
-	if (attempt->request->relay)
+	if (attempt->request->relayed)
 		return NULL;
 	return aub_peers_pick_relay(gateway->options.peers, attempt->upstream,
 				    gateway->relay_turn++,
--- a/src/coordination/gateway_relay.c
+++ b/src/coordination/gateway_relay.c
@@ -23,7 +23,7 @@
 
 	aub_request_log(request, AUB_REQUEST_FAILED, 0,
 			aub_relay_failure_name(failure),
-			request->relay->upstream);
+			request->relayed->upstream);
 	aub_request_write(request, text, strlen(text));
 	g_free(text);
 	aub_request_finish(request);
@@ -66,7 +66,7 @@
 
 	aub_log_begin(status ? AUB_LOG_RELAYED : AUB_LOG_RELAY_FAILED);
 	aub_log_text("id", request->id);
-	aub_log_text("upstream", request->relay->upstream);
+	aub_log_text("upstream", request->relayed->upstream);
 	aub_log_number("status", status);
 	aub_log_text("reason", reason);
 	aub_log_number("ms", (now - request->start_us) / AUB_MS);
@@ -76,7 +76,7 @@
 void aub_relay_start(struct aub_request *request)
 {
 	struct aub_gateway *gateway = request->gateway;
-	const struct aub_relayed *relay = request->relay;
+	const struct aub_relayed *relay = request->relayed;
 	struct aub_known_upstream upstream;
 
 	/* The body may have taken a while to arrive. */
@@ -117,15 +117,15 @@
 	struct aub_known_upstream upstream;
 
 	aub_metrics_add(gateway->options.metrics, gateway->relayed_counter, 1);
-	request->relay = g_new0(struct aub_relayed, 1);
-	request->relay->upstream = g_strdup(id);
+	request->relayed = g_new0(struct aub_relayed, 1);
+	request->relayed->upstream = g_strdup(id);
 	if (!id || !request->routing ||
 	    !aub_placer_find_upstream(gateway->options.placer, id, &upstream)) {
 		aub_relay_fail(request, AUB_RELAY_NO_PATH);
 		return false;
 	}
-	request->relay->service = g_strdup(upstream.service);
-	request->service = request->relay->service;
+	request->relayed->service = g_strdup(upstream.service);
+	request->service = request->relayed->service;
 	(void)aub_header_parse_number(aub_http_head_find(head,
 							 platform->deadline_ms),
 				      &remaining_ms);
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -27,7 +27,6 @@
 #define SMALL_BODY_MAX_BYTES (16u << 10)
 
 #define CRASH_RETRY_AFTER_MS 60000 /* lifetime of a crash count */
-#define NOT_READY_RETRY_AFTER_MS 1000 /* typical start-up time */
 /* Links come back after seconds, and are found up at once. */
 #define NO_LINKS_RETRY_AFTER_MS 1000
 
@@ -81,7 +80,7 @@
 	if (request->attempt)
 		abort_timed_out_attempt(request, request->attempt);
 	finish_unanswered(request, HTTP_STATUS_GATEWAY_TIMEOUT, "timeout", NULL,
-			  NOT_READY_RETRY_AFTER_MS);
+			  AUB_NOT_READY_RETRY_AFTER_MS);
 }
 
 static void request_placement(struct aub_request *request);
@@ -229,7 +228,7 @@
 
 bool aub_request_may_send_again(const struct aub_request *request)
 {
-	return !request->relay && request->route->idempotent &&
+	return !request->relayed && request->route->idempotent &&
 	       may_retry(request, AUB_GRANT_LINK_LOST);
 }
 
@@ -245,7 +244,7 @@
 	char *upstream = g_strdup(attempt->upstream);
 
 	aub_attempt_free(attempt);
-	if (request->relay && !streaming) {
+	if (request->relayed && !streaming) {
 		aub_relay_fail(request, aub_relay_failure_of(request, end));
 		g_free(upstream);
 		return;
@@ -255,7 +254,8 @@
 	if (end == AUB_GRANT_LOST || end == AUB_GRANT_TIMEOUT ||
 	    end == AUB_GRANT_LINK_LOST)
 		request->may_have_run = true;
-	if (end == AUB_GRANT_LOST && request->body_complete && !request->relay)
+	if (end == AUB_GRANT_LOST && request->body_complete &&
+	    !request->relayed)
 		aub_request_record_crash(request, upstream, sent_directly);
 	if (streaming) {
 		aub_request_log(request, AUB_REQUEST_TRUNCATED, 0,
@@ -363,7 +363,7 @@
 {
 	bool failed = attempt->status >= 500;
 
-	if (failed && !request->relay && !attempt->streaming &&
+	if (failed && !request->relayed && !attempt->streaming &&
 	    request->route->idempotent &&
 	    may_retry(request, AUB_GRANT_FAILED)) {
 		/*
@@ -382,7 +382,7 @@
 		aub_request_write_answer(request, attempt->head,
 					 attempt->buffered_body);
 	}
-	if (!request->relay)
+	if (!request->relayed)
 		aub_request_clear_crashes(request);
 	aub_request_log(request, AUB_REQUEST_ANSWERED, attempt->status, "",
 			attempt->upstream);
@@ -415,7 +415,7 @@
 	gsize queued = 0;
 
 	request->body_read += length;
-	if (!request->relay &&
+	if (!request->relayed &&
 	    request->body_read > request->routing->limits.body_bytes) {
 		if (request->attempt)
 			aub_attempt_abort(request->attempt,
@@ -458,7 +458,7 @@
 
 static void start_placement(struct aub_request *request)
 {
-	if (request->relay)
+	if (request->relayed)
 		aub_relay_start(request);
 	else if (aub_request_is_known_to_crash(request))
 		aub_request_refuse(request, "crashes-upstreams",
@@ -498,123 +498,6 @@
 		start_placement(request);
 }
 
-/*
- * Returns whether all header names are tokens (RFC 9110, 5.6.2). The parser
- * accepts a space before the colon, and an upstream that ignores it would read
- * a header that is withheld from it under its proper name.
- */
-static bool header_names_are_valid(const struct aub_http_head *head)
-{
-	for (guint i = 0; i < head->headers->len; i++) {
-		const char *name =
-			g_array_index(head->headers, struct aub_http_header, i)
-				.name;
-
-		for (const char *c = name; *c; c++)
-			if (!g_ascii_isalnum(*c) &&
-			    !strchr("!#$%&'*+-.^_`|~", *c))
-				return false;
-	}
-	return true;
-}
-
-/* Returns why the request can't be served; NULL if it can. */
-static const char *head_problem(const struct aub_http_head *head,
-				const struct aub_platform *platform)
-{
-	if (!header_names_are_valid(head))
-		return "invalid-header-name";
-	if (aub_http_head_count(head, "Host") != 1)
-		return "one-host-expected";
-	if (head->target[0] != '/')
-		return "target-must-be-a-path";
-	if (aub_http_head_count(head, platform->request_id) > 1)
-		return "one-request-id-expected";
-	return NULL;
-}
-
-static void read_deadlines(struct aub_request *request,
-			   const struct aub_http_head *head)
-{
-	const char *text = aub_http_head_find(
-		head, request->gateway->options.platform->deadline_ms);
-	gint64 timeout_us = request->route->timeout_ms * AUB_MS;
-	gint64 remaining_ms;
-
-	request->effective_deadline_us = request->start_us + timeout_us;
-	request->deadline_us = request->effective_deadline_us;
-	if (aub_header_parse_number(text, &remaining_ms))
-		request->deadline_us =
-			request->start_us + remaining_ms * AUB_MS;
-	aub_caller_wait_observe(&request->route->caller_wait,
-				(request->deadline_us - request->start_us) /
-					AUB_MS);
-	request->effective_deadline_us =
-		MIN(request->effective_deadline_us, request->deadline_us);
-}
-
-/* Routes the request. Returns false if it has been answered instead. */
-static bool find_route(struct aub_request *request,
-		       const struct aub_http_head *head)
-{
-	struct aub_gateway *gateway = request->gateway;
-	const char *error = head_problem(head, gateway->options.platform);
-
-	if (!request->routing) {
-		aub_request_refuse(request, "no-configuration",
-				   NOT_READY_RETRY_AFTER_MS);
-		return false;
-	}
-	if (error) {
-		aub_request_deny(request, 400, error);
-		return false;
-	}
-	request->route = aub_routing_find(request->routing,
-					  aub_http_head_find(head, "Host"),
-					  head->target);
-	if (!request->route) {
-		aub_request_deny(request, 404, "no-route");
-		return false;
-	}
-	error = aub_request_find_workspace(request, head);
-	if (error) {
-		aub_request_deny(request, 401, error);
-		return false;
-	}
-	if (head->length > 0 &&
-	    (guint64)head->length > request->routing->limits.body_bytes) {
-		aub_request_deny(request, 413, "body-too-large");
-		return false;
-	}
-	return true;
-}
-
-static void copy_head(struct aub_request *request,
-		      const struct aub_http_head *head)
-{
-	const struct aub_platform *platform =
-		request->gateway->options.platform;
-	const char *id = aub_http_head_find(head, platform->request_id);
-
-	request->id = g_strdup(id ? id : "");
-	request->host = g_strdup(aub_http_head_find(head, "Host"));
-	request->request_line =
-		g_strdup_printf("%s %s HTTP/1.1\r\n",
-				http_method_str((enum http_method)head->method),
-				head->target);
-	request->headers = g_string_new(NULL);
-	aub_headers_forward(request->headers, head, platform,
-			    !request->caller->is_peer && request->routing &&
-					    request->routing->workspaces ?
-				    AUB_HEADERS_OF_KEYED_REQUEST :
-				    AUB_HEADERS_OF_REQUEST);
-	request->is_head = head->method == HTTP_HEAD;
-	request->body_length = head->chunked	? -1 :
-			       head->length > 0 ? head->length :
-						  0;
-	request->body_complete = request->body_length == 0;
-}
-
 struct aub_request *aub_request_new(struct aub_caller *caller,
 				    const struct aub_http_head *head)
 {
@@ -632,7 +515,7 @@
 	request->tried_upstreams = g_ptr_array_new_with_free_func(g_free);
 	if (gateway->routing)
 		request->routing = aub_routing_ref(gateway->routing);
-	copy_head(request, head);
+	aub_request_copy_head(request, head);
 	if (caller->is_peer) {
 		if (!aub_relay_accept(request, head))
 			return NULL;
@@ -640,10 +523,10 @@
 			aub_relay_start(request);
 		return request;
 	}
-	if (!find_route(request, head))
+	if (!aub_request_find_route(request, head))
 		return NULL;
 	request->service = aub_route_pick_service(request->route);
-	read_deadlines(request, head);
+	aub_request_read_deadlines(request, head);
 	request->timer = aub_timer_at(gateway->options.timers, "request",
 				      request->effective_deadline_us,
 				      on_deadline, request);
