proofs: callers of gateways without links, by kind of cut

links-lost with resets, silence, silence in one direction, and refused new connections: five gateway processes behind proxies, callers' first tries.

--- a/tools/proofs.c
+++ b/tools/proofs.c
@@ -23,6 +23,7 @@
 	proofs_upstream_leaves,
 	proofs_probe_budget,
 	proofs_upstream_notices,
+	proofs_links_lost,
 };
 
 struct options {
--- a/tools/proofs/proof.h
+++ b/tools/proofs/proof.h
@@ -39,6 +39,7 @@
 extern const struct proof proofs_upstream_leaves[];
 extern const struct proof proofs_probe_budget[];
 extern const struct proof proofs_upstream_notices[];
+extern const struct proof proofs_links_lost[];
 
 /* The state of one check while it runs. */
 struct proof_run {
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -219,8 +219,15 @@
 /* Prints one line with counts. */
 void soak_workspaces_report(const struct soak_workspaces *workspaces);
 
-/* Gateways that lose their links to all upstreams, at random by `seed`. */
-struct soak_partitions *soak_partitions_new(struct soak *soak, guint32 seed);
+/*
+ * Gateways that lose their links to all upstreams, at random by `seed`; with
+ * `only_kind` always in that way.
+ */
+struct soak_partitions *soak_partitions_new(struct soak *soak, guint32 seed,
+					    enum proxy_partition only_kind);
+/* Sets the counts of cuts and of calls. */
+void soak_partitions_get_counts(const struct soak_partitions *partitions,
+				struct soak_result *result);
 void soak_partitions_free(struct soak_partitions *partitions);
 void soak_partitions_step(struct soak_partitions *partitions, gint64 now_us);
 /* Cuts a new incarnation of an upstream off from the same gateways. */
--- a/tools/soak/soak_partitions.c
+++ b/tools/soak/soak_partitions.c
@@ -21,6 +21,7 @@
 	GRand *random;
 	bool cut_off[GATEWAY_COUNT];
 	enum proxy_partition kind;
+	enum proxy_partition only_kind; /* NONE: any */
 	gint64 start_us; /* of the present cut; 0: none */
 	gint64 end_us;
 	gint64 next_us;
@@ -62,11 +63,13 @@
 	apply(partitions, upstream, partitions->start_us != 0);
 }
 
-struct soak_partitions *soak_partitions_new(struct soak *soak, guint32 seed)
+struct soak_partitions *soak_partitions_new(struct soak *soak, guint32 seed,
+					    enum proxy_partition only_kind)
 {
 	struct soak_partitions *partitions = g_new0(struct soak_partitions, 1);
 
 	partitions->soak = soak;
+	partitions->only_kind = only_kind;
 	partitions->random = g_rand_new_with_seed(seed + 1);
 	partitions->only_faults = seed % 2 == 0;
 	partitions->next_us = soak_now(soak) + 3 * AUB_SECOND;
@@ -124,6 +127,8 @@
 		partitions->kind = (enum proxy_partition)g_rand_int_range(
 			partitions->random, PROXY_PARTITION_RESET,
 			PROXY_PARTITION_COUNT);
+		if (partitions->only_kind)
+			partitions->kind = partitions->only_kind;
 	}
 	partitions->flaps_left =
 		g_rand_int_range(partitions->random, 0, 5) ? 0 : FLAPS;
@@ -177,6 +182,13 @@
 	partitions->served[group] += served;
 }
 
+void soak_partitions_get_counts(const struct soak_partitions *partitions,
+				struct soak_result *result)
+{
+	result->cuts = partitions->cuts;
+	result->calls_without_links = partitions->calls[SOAK_LINKS_LOST];
+}
+
 static double served_share(const struct soak_partitions *partitions,
 			   enum soak_link_group group)
 {
--- a/tools/soak/soak_run.c
+++ b/tools/soak/soak_run.c
@@ -63,7 +63,9 @@
 	if (options->workspaces)
 		soak->workspaces = soak_workspaces_new(soak, seed);
 	if (options->partitions)
-		soak->partitions = soak_partitions_new(soak, seed);
+		soak->partitions = soak_partitions_new(
+			soak, seed,
+			(enum proxy_partition)options->partition_kind);
 	soak_configure(soak);
 	for (guint i = 0; i < UPSTREAM_COUNT; i++) {
 		soak->upstreams[i].soak = soak;
@@ -153,6 +155,8 @@
 	*result = (struct soak_result){ .violations = soak.violations };
 	if (soak.notices)
 		soak_notices_count(soak.notices, result);
+	if (soak.partitions)
+		soak_partitions_get_counts(soak.partitions, result);
 	soak_stop(&soak);
 	return good;
 }
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -23,12 +23,15 @@
 	/* gateways lose their links to all upstreams; other faults only with
 	   odd seeds */
 	bool partitions;
+	guint partition_kind; /* enum proxy_partition; 0: any, at random */
 };
 
 struct soak_result {
 	guint notices; /* said by upstreams */
 	guint notice_checks; /* requests that arrived while one bound a sender
 			      */
+	guint cuts; /* of gateways from the upstreams */
+	guint calls_without_links; /* to gateways that were cut off */
 	guint violations;
 };
 
