egress: checks close their connections; relays are picked in different order

Found while reading: a check on a new connection left it idle in the pool, up to 8 s at an upstream whose connections are limited; it now asks to close. Gateways that lose their links together began with the same peer. aub_egress_on_answer() had an argument that it didn't use.

--- a/include/auburnstile/internal/egress.h
+++ b/include/auburnstile/internal/egress.h
@@ -49,9 +49,8 @@
 /* A request is sent to an upstream, and has ended in whatever way. */
 void aub_egress_on_sent(struct aub_egress *egress, gint64 now_us);
 void aub_egress_on_ended(struct aub_egress *egress);
-/* Bytes of an answer arrived from `upstream`. */
-void aub_egress_on_answer(struct aub_egress *egress, const char *upstream,
-			  gint64 now_us);
+/* Bytes of an answer arrived from some upstream. */
+void aub_egress_on_answer(struct aub_egress *egress, gint64 now_us);
 void aub_egress_on_failure(struct aub_egress *egress, const char *upstream,
 			   enum aub_egress_failure failure, gint64 now_us);
 
--- a/include/auburnstile/internal/egress_monitor.h
+++ b/include/auburnstile/internal/egress_monitor.h
@@ -62,8 +62,7 @@
 /* Events of requests and probes that are sent to upstreams directly. */
 void aub_egress_monitor_on_sent(struct aub_egress_monitor *monitor);
 void aub_egress_monitor_on_ended(struct aub_egress_monitor *monitor);
-void aub_egress_monitor_on_answer(struct aub_egress_monitor *monitor,
-				  const char *upstream);
+void aub_egress_monitor_on_answer(struct aub_egress_monitor *monitor);
 void aub_egress_monitor_on_failure(struct aub_egress_monitor *monitor,
 				   const char *upstream,
 				   enum aub_egress_failure failure);
--- a/src/coordination/egress_monitor.c
+++ b/src/coordination/egress_monitor.c
@@ -115,6 +115,7 @@
 		.address = target->address,
 		.pool_name = "check",
 		.path = target->path,
+		.headers = "Connection: close\r\n",
 		.timeout_ms = CHECK_TIMEOUT_MS,
 		.idle_max_us = 0,
 	};
@@ -259,12 +260,11 @@
 	aub_egress_on_ended(&monitor->egress);
 }
 
-void aub_egress_monitor_on_answer(struct aub_egress_monitor *monitor,
-				  const char *upstream)
+void aub_egress_monitor_on_answer(struct aub_egress_monitor *monitor)
 {
 	gint64 now = aub_timer_now(monitor->options.timers);
 
-	aub_egress_on_answer(&monitor->egress, upstream, now);
+	aub_egress_on_answer(&monitor->egress, now);
 	if (monitor->in_doubt)
 		report(monitor, monitor->egress.state, now);
 }
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -152,6 +152,9 @@
 	gateway->listener = listener;
 	gateway->relay_listener = relay_listener;
 	gateway->unconfirmed_crashes = aub_unconfirmed_crashes_new();
+	/* Gateways that lose their links together begin with different ones. */
+	gateway->relay_turn =
+		(guint)aub_peers_self(options->peers)->incarnation;
 	g_queue_init(&gateway->callers);
 	gateway->crash_counts = aub_crash_counts_new();
 	register_metrics(gateway);
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -163,8 +163,7 @@
 		attempt->request->gateway->options.platform;
 
 	if (!attempt->relay)
-		aub_egress_monitor_on_answer(egress_of(attempt),
-					     attempt->upstream);
+		aub_egress_monitor_on_answer(egress_of(attempt));
 	else
 		attempt->relay_failure = aub_relay_failure_parse(
 			aub_http_head_find(head, AUB_RELAY_FAILURE_HEADER));
@@ -203,8 +202,7 @@
 	    (attempt->not_run && !attempt->request->relayed))
 		return;
 	if (!attempt->relay)
-		aub_egress_monitor_on_answer(egress_of(attempt),
-					     attempt->upstream);
+		aub_egress_monitor_on_answer(egress_of(attempt));
 	if (attempt->streaming) {
 		aub_request_stream_bytes(attempt->request, attempt, data,
 					 length);
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -164,7 +164,7 @@
 		return;
 	aub_egress_monitor_on_ended(egress);
 	if (answered)
-		aub_egress_monitor_on_answer(egress, probe->upstream);
+		aub_egress_monitor_on_answer(egress);
 	else
 		aub_egress_monitor_on_failure(egress, probe->upstream,
 					      AUB_EGRESS_UNREACHABLE);
--- a/src/state/egress.c
+++ b/src/state/egress.c
@@ -76,8 +76,7 @@
 		egress->silent_since_us = 0;
 }
 
-void aub_egress_on_answer(struct aub_egress *egress, const char *upstream,
-			  gint64 now_us)
+void aub_egress_on_answer(struct aub_egress *egress, gint64 now_us)
 {
 	egress->heard_us = now_us;
 	if (egress->outstanding)
@@ -230,7 +229,7 @@
 			       bool answered, bool in_round, gint64 now_us)
 {
 	if (answered) {
-		aub_egress_on_answer(egress, upstream, now_us);
+		aub_egress_on_answer(egress, now_us);
 		g_hash_table_remove(egress->failed, upstream);
 		if (egress->state == AUB_EGRESS_DOWN)
 			g_hash_table_replace(egress->reached,
--- a/tests/test_egress.cc
+++ b/tests/test_egress.cc
@@ -24,10 +24,10 @@
 		now += AUB_MS;
 		aub_egress_on_failure(&egress, upstream, failure, now);
 	}
-	void answer(const char *upstream)
+	void answer()
 	{
 		now += AUB_MS;
-		aub_egress_on_answer(&egress, upstream, now);
+		aub_egress_on_answer(&egress, now);
 	}
 	/* Starts the round that is due; `answered` of its checks are. */
 	guint run_round(guint answered)
@@ -59,7 +59,7 @@
 {
 	for (int i = 0; i < 20; i++) {
 		aub_egress_on_sent(&egress, now);
-		answer("u1");
+		answer();
 		aub_egress_on_ended(&egress);
 		now += 100 * AUB_MS;
 		EXPECT_EQ(aub_egress_checks_due(&egress, now), 0u);
@@ -136,14 +136,14 @@
 TEST_F(EgressTest, AnswersOnOpenConnectionsDoNotEndSuspicion)
 {
 	fail("u1");
-	answer("u2");
+	answer();
 	fail("u3");
 	guint due = aub_egress_checks_due(&egress, now);
 	ASSERT_EQ(due, 1u);
 	aub_egress_begin_round(&egress, due, now);
 	aub_egress_on_check_ended(&egress, "u4", false, true, now);
 	EXPECT_EQ(egress.state, AUB_EGRESS_SUSPECT);
-	answer("u2");
+	answer();
 	EXPECT_EQ(egress.state, AUB_EGRESS_SUSPECT);
 	run_round(0);
 	EXPECT_EQ(egress.state, AUB_EGRESS_DOWN);
