gateway: a connection that times out isn't tried through others while links are up

What callers saw: where a zone lost power, or an upstream went silent, an attempt took 400 ms more: its connection timed out, another gateway's timed out as well, and only then another upstream was chosen.

Cause: meant for links in doubt, but the failed attempt itself had just put them in doubt, so it held always. Now only the state counts: suspect or down. Connections that are refused at once are tried through others as before.

No unit test: a connection that hangs can't be had on loopback by source address.

--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -230,8 +230,7 @@
 
 	return aub_attempt_was_not_sent(attempt, end) &&
 	       (attempt->relay || elapsed_us < AUB_QUICK_FAILURE_US ||
-		aub_egress_is_in_doubt(
-			aub_egress_monitor_state(gateway->options.egress)));
+		!aub_gateway_links_are_up(gateway));
 }
 
 static void on_ended(enum aub_exchange_result exchange_end, void *context)
