peers: one predicate for gateways that serve callers

peers_relay.c repeated the test of node_endpoints.c (alive, ready, not stopping, a heartbeat within 4 s), with a constant of its own. aub_peer_is_serving() serves both. No change of behaviour; test_peers and test_node hold.

--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -121,6 +121,12 @@
 	const GPtrArray *ranked, guint per_zone_max,
 	bool (*is_eligible)(const struct aub_peer *peer));
 
+/*
+ * Returns whether `peer` serves callers, by its heartbeats: the last one is
+ * recent, and it is ready and does not stop.
+ */
+bool aub_peer_is_serving(const struct aub_peer *peer, gint64 now_us);
+
 /*
  * Returns a gateway that can send a request to `upstream` for this one, which
  * has lost its own links; NULL if there is none. Consecutive values of `turn`
--- a/src/coordination/node_endpoints.c
+++ b/src/coordination/node_endpoints.c
@@ -9,9 +9,6 @@
 /* Callers in a zone with fewer live VMs also get addresses of other zones. */
 #define OWN_ZONE_ADDRESSES_MIN 2
 
-/* Gateways without a heartbeat for longer are not listed. */
-#define HEARTBEAT_AGE_MAX_US (4000 * AUB_MS)
-
 #define ADDRESSES_MAX 64
 
 bool aub_node_is_ready(const struct aub_node *node)
@@ -34,9 +31,7 @@
 	for (guint i = 0; i < all->len && list->len < ADDRESSES_MAX; i++) {
 		const struct aub_peer *peer = g_ptr_array_index(all, i);
 
-		if (peer->alive && peer->ready && !peer->stopping &&
-		    (peer->self ||
-		     now - peer->last_heartbeat_us < HEARTBEAT_AGE_MAX_US) &&
+		if (aub_peer_is_serving(peer, now) &&
 		    (!zone || !strcmp(zone, peer->zone)))
 			g_ptr_array_add(list, peer->callers_address);
 	}
--- a/src/coordination/peers_relay.c
+++ b/src/coordination/peers_relay.c
@@ -4,8 +4,6 @@
  */
 #include <auburnstile/internal/peers_internal.h>
 
-/* Later heartbeats may say more than those that have arrived. */
-#define HEARTBEAT_AGE_MAX_US (4000 * AUB_MS)
 #define RELAY_FAILED_PAUSE_US (1000 * AUB_MS)
 #define NO_PATH_VALID_US (2000 * AUB_MS)
 /*
@@ -46,9 +44,8 @@
 
 static bool may_relay(const struct aub_peer *peer, gint64 now_us)
 {
-	return !peer->self && peer->alive && peer->ready && !peer->stopping &&
-	       !peer->egress_down && peer->relay_failed_until_us <= now_us &&
-	       now_us - peer->last_heartbeat_us < HEARTBEAT_AGE_MAX_US;
+	return !peer->self && aub_peer_is_serving(peer, now_us) &&
+	       !peer->egress_down && peer->relay_failed_until_us <= now_us;
 }
 
 /* Counts this process among those without links, whatever its state. */
--- a/src/coordination/peers_table.c
+++ b/src/coordination/peers_table.c
@@ -5,6 +5,12 @@
 #include <auburnstile/internal/peers_internal.h>
 #include <auburnstile/internal/tcp.h>
 
+/*
+ * A gateway of another zone that has ended counts as alive for longer than
+ * callers may be sent to it.
+ */
+#define HEARTBEAT_AGE_MAX_US (4000 * AUB_MS)
+
 void aub_peer_free(void *data)
 {
 	struct aub_peer *peer = data;
@@ -35,6 +41,13 @@
 	return peer;
 }
 
+bool aub_peer_is_serving(const struct aub_peer *peer, gint64 now_us)
+{
+	return peer->alive && peer->ready && !peer->stopping &&
+	       (peer->self ||
+		now_us - peer->last_heartbeat_us < HEARTBEAT_AGE_MAX_US);
+}
+
 struct aub_peer *aub_peers_by_address(const struct aub_peers *peers,
 				      const char *address)
 {
