gateway, egress: dead state, constants that stood twice, a callback with one use

- 421 has a name in http-parser; ours is gone.
- The pool and the idle time of connections to a relay stood in gateway_attempt.c and placer_probes.c; now in peer_relay.h.
- on_resolved(own_links) did nothing where own_links was true: on_links_cleared().
- egress: state_since_us was written and never read; a comment told how a number of checks was worked out. struct unconfirmed_crash is private to its file; placer_quota.c included <string.h> for nothing.
No change of behaviour; the modules' tests and test_partition hold, sanitizer build.

--- a/include/auburnstile/internal/egress.h
+++ b/include/auburnstile/internal/egress.h
@@ -29,7 +29,6 @@
 
 struct aub_egress {
 	enum aub_egress_state state;
-	gint64 state_since_us;
 	guint outstanding; /* requests sent directly that have not ended */
 	/* when the present silence began; 0: nothing is outstanding */
 	gint64 silent_since_us;
--- a/include/auburnstile/internal/egress_monitor.h
+++ b/include/auburnstile/internal/egress_monitor.h
@@ -37,11 +37,8 @@
 				void *context);
 	/* Called when the state has changed. */
 	void (*on_state)(enum aub_egress_state state, void *context);
-	/*
-	 * Called when failures so far are explained: by single upstreams, or by
-	 * this gateway's own links.
-	 */
-	void (*on_resolved)(bool own_links, void *context);
+	/* Called when failures so far are not due to this gateway's links. */
+	void (*on_links_cleared)(void *context);
 	void *context;
 };
 
--- a/include/auburnstile/internal/gateway.h
+++ b/include/auburnstile/internal/gateway.h
@@ -50,12 +50,8 @@
 /* Called when the state of this gateway's own links has changed. */
 void aub_gateway_on_egress_state(struct aub_gateway *gateway,
 				 enum aub_egress_state state);
-/*
- * Called when recent failures are explained, by this gateway's own links or
- * not.
- */
-void aub_gateway_on_failures_resolved(struct aub_gateway *gateway,
-				      bool own_links);
+/* Called when recent failures are not due to this gateway's own links. */
+void aub_gateway_on_links_cleared(struct aub_gateway *gateway);
 
 /*
  * Begins a planned stop: answers close their connections, but new connections
--- a/include/auburnstile/internal/gateway_internal.h
+++ b/include/auburnstile/internal/gateway_internal.h
@@ -46,7 +46,7 @@
 	struct aub_poll_watch *relay_watch;
 	struct aub_crash_counts *crash_counts;
 	/* crashes that this gateway's own links may explain */
-	GArray *unconfirmed_crashes; /* of struct aub_unconfirmed_crash */
+	GArray *unconfirmed_crashes; /* see gateway_crashes.c */
 	guint relay_turn; /* spreads requests over the peers that relay */
 	guint link_outages; /* times that the own links were found down */
 	bool links_were_down; /* and have not been up since */
@@ -61,12 +61,6 @@
 	guint relay_attempts_counter; /* likewise: by other gateways */
 };
 
-struct aub_unconfirmed_crash {
-	guint64 fingerprint;
-	char *upstream;
-	gint64 started_ms; /* of its incarnation */
-};
-
 struct aub_caller {
 	struct aub_gateway *gateway;
 	GList *callers_link; /* in gateway->callers */
@@ -302,9 +296,6 @@
 		   const char *reason);
 void aub_relayed_free(struct aub_relayed *relay);
 
-/* HTTP: another server has the address (RFC 9110, 15.5.20). */
-#define AUB_STATUS_MISDIRECTED 421
-
 /* Starts to send the request to `upstream` under the grant `ticket`. */
 struct aub_upstream_attempt *aub_attempt_start(struct aub_request *request,
 					       guint64 ticket,
--- a/include/auburnstile/internal/peer_relay.h
+++ b/include/auburnstile/internal/peer_relay.h
@@ -11,12 +11,19 @@
 #ifndef AUBURNSTILE_INTERNAL_PEER_RELAY_H
 #define AUBURNSTILE_INTERNAL_PEER_RELAY_H
 
-#include <glib.h>
+#include <auburnstile/timer.h>
 
 G_BEGIN_DECLS
 
 #define AUB_RELAY_FAILURE_HEADER "Auburnstile-Relay-Failure"
 
+/*
+ * Connections to a relay are shared by requests and probes. A request that may
+ * run at most once may be sent on any of them, so none is idle for long.
+ */
+#define AUB_RELAY_POOL_NAME "relay"
+#define AUB_RELAY_IDLE_MAX_US (1500 * AUB_MS)
+
 enum aub_relay_failure {
 	AUB_RELAY_NO_FAILURE,
 	AUB_RELAY_NO_PATH, /* not sent: the relay doesn't reach it either */
--- a/src/coordination/egress_monitor.c
+++ b/src/coordination/egress_monitor.c
@@ -76,12 +76,11 @@
 		monitor->counts.outages += egress->state == AUB_EGRESS_DOWN;
 		options->on_state(egress->state, options->context);
 	}
-	if (egress->state == AUB_EGRESS_DOWN && monitor->in_doubt) {
+	if (egress->state == AUB_EGRESS_DOWN) {
 		monitor->in_doubt = false;
-		options->on_resolved(true, options->context);
-	} else if (!aub_egress_is_in_doubt(egress) && monitor->in_doubt) {
+	} else if (monitor->in_doubt && !aub_egress_is_in_doubt(egress)) {
 		monitor->in_doubt = false;
-		options->on_resolved(false, options->context);
+		options->on_links_cleared(options->context);
 	}
 	arm_timer(monitor);
 }
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -137,7 +137,8 @@
 {
 	struct aub_gateway *gateway = attempt->request->gateway;
 
-	if (attempt->malformed || attempt->status == AUB_STATUS_MISDIRECTED)
+	if (attempt->malformed ||
+	    attempt->status == HTTP_STATUS_MISDIRECTED_REQUEST)
 		return;
 	gateway->options.platform->decode_load(head, &attempt->load);
 	if (attempt->not_run && attempt->load.limit == AUB_LIMIT_NOT_NAMED)
@@ -175,7 +176,7 @@
 	}
 	attempt->status = head->status;
 	attempt->not_run = aub_http_head_find(head, platform->not_run) ||
-			   head->status == AUB_STATUS_MISDIRECTED;
+			   head->status == HTTP_STATUS_MISDIRECTED_REQUEST;
 	attempt->malformed = !is_well_formed(attempt, head);
 	attempt->content_length = attempt->request->is_head ? 0 :
 				  head->chunked		    ? -1 :
@@ -342,8 +343,8 @@
 	struct aub_gateway *gateway = request->gateway;
 	const struct aub_exchange_options options = {
 		.address = relay ? relay->address : attempt->address,
-		.pool_name = relay ? "relay" : attempt->upstream,
-		.idle_max_us = relay ? POOLED_IDLE_AT_MOST_ONCE_MAX_US :
+		.pool_name = relay ? AUB_RELAY_POOL_NAME : attempt->upstream,
+		.idle_max_us = relay ? AUB_RELAY_IDLE_MAX_US :
 				       pooled_idle_max_us(request),
 		.is_head = request->is_head,
 		.patient = aub_request_has_long_body(request),
--- a/src/coordination/gateway_crashes.c
+++ b/src/coordination/gateway_crashes.c
@@ -14,15 +14,21 @@
 
 #define UNCONFIRMED_MAX 256
 
+struct unconfirmed_crash {
+	guint64 fingerprint;
+	char *upstream;
+	gint64 started_ms; /* of its incarnation */
+};
+
 static void unconfirmed_clear(void *data)
 {
-	g_free(((struct aub_unconfirmed_crash *)data)->upstream);
+	g_free(((struct unconfirmed_crash *)data)->upstream);
 }
 
 GArray *aub_unconfirmed_crashes_new(void)
 {
 	GArray *crashes =
-		g_array_new(FALSE, FALSE, sizeof(struct aub_unconfirmed_crash));
+		g_array_new(FALSE, FALSE, sizeof(struct unconfirmed_crash));
 
 	g_array_set_clear_func(crashes, unconfirmed_clear);
 	return crashes;
@@ -50,7 +56,7 @@
 {
 	struct aub_gateway *gateway = request->gateway;
 	struct aub_known_upstream known = { 0 };
-	struct aub_unconfirmed_crash crash = {
+	struct unconfirmed_crash crash = {
 		.fingerprint = request_fingerprint(request),
 	};
 
@@ -85,7 +91,7 @@
 }
 
 static bool has_restarted(const struct aub_gateway *gateway,
-			  const struct aub_unconfirmed_crash *crash)
+			  const struct unconfirmed_crash *crash)
 {
 	struct aub_known_upstream known;
 
@@ -100,9 +106,8 @@
 	GArray *crashes = gateway->unconfirmed_crashes;
 
 	for (guint i = 0; i < crashes->len; i++) {
-		const struct aub_unconfirmed_crash *crash =
-			&g_array_index(crashes, struct aub_unconfirmed_crash,
-				       i);
+		const struct unconfirmed_crash *crash =
+			&g_array_index(crashes, struct unconfirmed_crash, i);
 
 		if (!only_restarted || has_restarted(gateway, crash))
 			count_crash(gateway, crash->fingerprint);
--- a/src/coordination/gateway_links.c
+++ b/src/coordination/gateway_links.c
@@ -73,9 +73,7 @@
 	}
 }
 
-void aub_gateway_on_failures_resolved(struct aub_gateway *gateway,
-				      bool own_links)
+void aub_gateway_on_links_cleared(struct aub_gateway *gateway)
 {
-	if (!own_links)
-		aub_gateway_confirm_crashes(gateway, false);
+	aub_gateway_confirm_crashes(gateway, false);
 }
--- a/src/coordination/gateway_result.c
+++ b/src/coordination/gateway_result.c
@@ -48,7 +48,7 @@
 	/* The other gateway judges the answer. */
 	if (attempt->request->relayed)
 		return AUB_GRANT_OK;
-	if (attempt->status == AUB_STATUS_MISDIRECTED)
+	if (attempt->status == HTTP_STATUS_MISDIRECTED_REQUEST)
 		return AUB_GRANT_WRONG_UPSTREAM;
 	if (attempt->not_run)
 		return AUB_GRANT_REFUSED;
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -159,11 +159,11 @@
 	aub_gateway_on_egress_state(node->gateway, state);
 }
 
-static void on_failures_resolved(bool own_links, void *context)
+static void on_links_cleared(void *context)
 {
 	struct aub_node *node = context;
 
-	aub_gateway_on_failures_resolved(node->gateway, own_links);
+	aub_gateway_on_links_cleared(node->gateway);
 }
 
 static void start_egress_monitor(struct aub_node *node)
@@ -174,7 +174,7 @@
 		.pick_target = pick_check_target,
 		.on_check_answer = on_check_answer,
 		.on_state = on_egress_state,
-		.on_resolved = on_failures_resolved,
+		.on_links_cleared = on_links_cleared,
 		.context = node,
 	};
 
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -12,7 +12,6 @@
 /* Batches the results of probes that were sent together. */
 #define REPORT_DELAY_US (4 * AUB_MS)
 #define PROBE_CONNECTION_IDLE_US (8 * AUB_SECOND)
-#define RELAY_CONNECTION_IDLE_US (1500 * AUB_MS)
 
 struct probe {
 	struct aub_placer *placer;
@@ -244,11 +243,11 @@
 	const struct aub_http_call_options options = {
 		.method = "GET",
 		.address = relay->address,
-		.pool_name = "relay",
+		.pool_name = AUB_RELAY_POOL_NAME,
 		.path = probe->path,
 		.headers = headers,
 		.timeout_ms = PROBE_TIMEOUT_MS,
-		.idle_max_us = RELAY_CONNECTION_IDLE_US,
+		.idle_max_us = AUB_RELAY_IDLE_MAX_US,
 	};
 
 	probe->relay = relay->incarnation;
--- a/src/coordination/placer_quota.c
+++ b/src/coordination/placer_quota.c
@@ -10,8 +10,6 @@
 #include <auburnstile/internal/decision_log.h>
 #include <auburnstile/internal/placer_internal.h>
 
-#include <string.h>
-
 /* How long grants may remain unknown to other placers. */
 #define SEND_PERIOD_US (100 * AUB_MS)
 /* Rows of one message, which has to fit into a datagram. */
--- a/src/state/egress.c
+++ b/src/state/egress.c
@@ -18,9 +18,7 @@
 #define REACHED_VALID_US (1000 * AUB_MS)
 
 #define CHECKS_FIRST 1
-/*
- * With 5% packet loss one check in five fails; all four in one of 600 cases.
- */
+/* A lost packet fails one check; that it fails all of them is unlikely. */
 #define CHECKS_SUSPECT 3
 #define CHECKS_DOWN 2
 /* Failures at so many upstreams since the last answer are no coincidence. */
@@ -58,7 +56,6 @@
 	if (egress->state == AUB_EGRESS_DOWN)
 		g_hash_table_remove_all(egress->failed);
 	egress->state = state;
-	egress->state_since_us = now_us;
 	egress->next_round_us = now_us;
 	g_hash_table_remove_all(egress->reached);
 }
