--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -228,31 +228,38 @@
 				   platform_upstream_id(upstream), text);
 		g_free(text);
 	}
+	/* `addresses` are its listeners, in the order of the settings. */
+	void fill_settings(struct aub_node_settings &own,
+			   const std::string &name, const std::string &zone,
+			   const std::vector<std::string> &addresses)
+	{
+		own.name = g_strdup(name.c_str());
+		own.zone = g_strdup(zone.c_str());
+		own.callers = g_strdup(addresses[0].c_str());
+		own.directory = g_strdup(addresses[1].c_str());
+		own.readiness = g_strdup(addresses[2].c_str());
+		own.peers = g_strdup(addresses[3].c_str());
+		own.metrics = g_strdup(addresses[4].c_str());
+		own.store = g_strdup(platform_store_address(store));
+		if (!seed.empty()) {
+			own.seeds = g_new0(char *, 2);
+			own.seeds[0] = g_strdup(seed.c_str());
+		}
+		own.grace_s = 2;
+		own.retry_percent = 20;
+		own.retry_slack = 50;
+		own.retry_window_s = 10;
+		own.address_ms = 300;
+		own.rollout_share = rollout_share;
+		own.rollout_slack = 50;
+	}
 	void start_node()
 	{
 		GError *error = NULL;
 
 		for (int i = 0; i < 5; i++)
 			listen_addresses.push_back(free_address());
-		settings.name = g_strdup("g1");
-		settings.zone = g_strdup("z1");
-		settings.callers = g_strdup(listen_addresses[0].c_str());
-		settings.directory = g_strdup(listen_addresses[1].c_str());
-		settings.readiness = g_strdup(listen_addresses[2].c_str());
-		settings.peers = g_strdup(listen_addresses[3].c_str());
-		settings.metrics = g_strdup(listen_addresses[4].c_str());
-		settings.store = g_strdup(platform_store_address(store));
-		if (!seed.empty()) {
-			settings.seeds = g_new0(char *, 2);
-			settings.seeds[0] = g_strdup(seed.c_str());
-		}
-		settings.grace_s = 2;
-		settings.retry_percent = 20;
-		settings.retry_slack = 50;
-		settings.retry_window_s = 10;
-		settings.address_ms = 300;
-		settings.rollout_share = rollout_share;
-		settings.rollout_slack = 50;
+		fill_settings(settings, "g1", "z1", listen_addresses);
 		node = aub_node_new(&settings, &aub_platform, timers, &error);
 		ASSERT_NE(node, nullptr) << error->message;
 	}
--- a/tests/test_partition.cc
+++ b/tests/test_partition.cc
@@ -70,23 +70,14 @@
 		struct aub_node_settings &own = gateway.settings;
 		GError *error = NULL;
 
+		std::vector<std::string> addresses;
+
 		gateway.ip = "127.0.3." + std::to_string(10 + number);
-		own.name = g_strdup_printf("g%d", number);
-		own.zone = g_strdup_printf("z%d", number % 2 + 1);
-		own.callers = g_strdup(address(gateway, 0).c_str());
-		own.directory = g_strdup(address(gateway, 1).c_str());
-		own.readiness = g_strdup(address(gateway, 2).c_str());
-		own.peers = g_strdup(address(gateway, 3).c_str());
-		own.metrics = g_strdup(address(gateway, 4).c_str());
-		own.store = g_strdup(platform_store_address(store));
+		for (size_t i = 0; i < listen_addresses.size(); i++)
+			addresses.push_back(address(gateway, i));
+		fill_settings(own, "g" + std::to_string(number),
+			      "z" + std::to_string(number % 2 + 1), addresses);
 		own.source_ip = g_strdup(gateway.ip.c_str());
-		own.seeds = g_new0(char *, 2);
-		own.seeds[0] = g_strdup("127.0.3.10:1");
-		own.grace_s = 2;
-		own.retry_percent = 20;
-		own.retry_slack = 50;
-		own.retry_window_s = 10;
-		own.address_ms = 300;
 		own.processor_share = 1;
 		own.processor_cores = 1;
 		gateway.node =
@@ -97,6 +88,7 @@
 	{
 		for (int i = 0; i < 5; i++)
 			listen_addresses.push_back(free_address());
+		seed = "127.0.3.10:1";
 		timeout_ms = 2000;
 		configure();
 		for (int i = 0; i < UPSTREAMS; i++) {
