soak: the faults of a run have a log of their own

A run that broke a rule left the gateways' logs, but not what had been done to them: whether the store was silent, lost answers or had only dropped its history could be guessed from the gateways' lines at best.

Each fault, each repair of the store and each change of the operator now writes a line to faults.log in the run's folder, with the clock of the gateways' logs. It is kept where these are kept.

--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -11,6 +11,8 @@
 #include <auburnstile/internal/http_stream.h>
 #include <auburnstile/timer.h>
 
+#include <stdio.h>
+
 G_BEGIN_DECLS
 
 #define GATEWAY_COUNT 5
@@ -110,6 +112,7 @@
 	struct caller callers[CALLER_COUNT];
 	GHashTable *requests; /* id -> struct request */
 	char *folder;
+	FILE *fault_log;
 	guint16 ports[GATEWAY_PORT_COUNT];
 	guint last_request_id;
 	guint config_version;
@@ -155,6 +158,19 @@
 /* Returns the address of listener `port` of a gateway. Freed with g_free(). */
 char *soak_gateway_address(const struct gateway *gateway, guint port);
 
+/*
+ * The log of the faults, in the run's folder. Each function writes a line with
+ * what began, where, and for how long.
+ */
+void soak_log_open(struct soak *soak);
+void soak_log_close(struct soak *soak, bool keep);
+void soak_log_gateway_fault(struct gateway *gateway, const char *fault,
+			    gint64 until_us);
+void soak_log_upstream_fault(struct upstream *upstream, const char *fault);
+void soak_log_store_fault(struct soak *soak, const char *fault);
+/* `number` is the version of the configuration, or 0. */
+void soak_log_change(struct soak *soak, const char *change, guint number);
+
 /* Injects a random fault of any kind. */
 void soak_inject_fault(struct soak *soak);
 /* Ends the faults that are due. */
--- a/tools/soak/soak_faults.c
+++ b/tools/soak/soak_faults.c
@@ -16,26 +16,42 @@
 	case 0:
 		child_signal(gateway->child, SIGKILL);
 		gateway->restart_us = soak_random_time(soak, 50, 1500);
+		soak_log_gateway_fault(gateway, "kill", gateway->restart_us);
 		break;
 	case 1:
 		child_signal(gateway->child, SIGTERM);
 		gateway->restart_us = soak_random_time(soak, 3100, 4000);
+		soak_log_gateway_fault(gateway, "stop", gateway->restart_us);
 		break;
 	case 2:
 		child_signal(gateway->child, SIGSTOP);
 		gateway->resume_us = soak_random_time(soak, 100, 2000);
+		soak_log_gateway_fault(gateway, "pause", gateway->resume_us);
 		break;
 	default:
 		child_signal(gateway->child, SIGHUP);
+		soak_log_gateway_fault(gateway, "reload", 0);
 		break;
 	}
 }
 
 static void inject_store_fault(struct soak *soak)
 {
+	static const char *const names[] = {
+		[PLATFORM_STORE_UNAVAILABLE] = "unavailable",
+		[PLATFORM_STORE_RATE_LIMITED] = "rate-limited",
+		[PLATFORM_STORE_RESET] = "reset",
+		[PLATFORM_STORE_UNRESPONSIVE] = "unresponsive",
+		[PLATFORM_STORE_LOSE_ANSWERS] = "lose-answers",
+		[PLATFORM_STORE_MALFORMED] = "malformed",
+	};
+	const char *name = "delay";
+	enum platform_store_fault fault;
+
 	switch (g_rand_int_range(soak->random, 0, 4)) {
 	case 0:
 		platform_store_compact(soak->store);
+		soak_log_store_fault(soak, "compact");
 		return;
 	case 1:
 		platform_store_set_delay(soak->store,
@@ -43,20 +59,22 @@
 								 10, 300));
 		break;
 	default:
-		platform_store_set_fault(
-			soak->store,
-			(enum platform_store_fault)g_rand_int_range(
-				soak->random, PLATFORM_STORE_UNAVAILABLE,
-				PLATFORM_STORE_MALFORMED + 1));
+		fault = (enum platform_store_fault)g_rand_int_range(
+			soak->random, PLATFORM_STORE_UNAVAILABLE,
+			PLATFORM_STORE_MALFORMED + 1);
+		name = names[fault];
+		platform_store_set_fault(soak->store, fault);
 		break;
 	}
 	if (!soak->store_repair_us)
 		soak->store_faulty_us = soak_now(soak);
 	soak->store_repair_us = soak_random_time(soak, 300, 3000);
+	soak_log_store_fault(soak, name);
 }
 
 static void inject_upstream_fault(struct soak *soak)
 {
+	const char *name = "answer";
 	struct upstream *upstream =
 		&soak->upstreams[g_rand_int_range(soak->random, 0,
 						  UPSTREAM_COUNT)];
@@ -70,17 +88,22 @@
 	case 0:
 		upstream->route->fault.delay_ms =
 			(guint)g_rand_int_range(soak->random, 5, 400);
+		name = "delay";
 		break;
 	case 1:
+		name = "blackhole-requests";
 		upstream->route->fault.blackhole[PROXY_UP] = true;
 		break;
 	case 2:
+		name = "blackhole-answers";
 		upstream->route->fault.blackhole[PROXY_DOWN] = true;
 		break;
 	case 3:
+		name = "down";
 		platform_upstream_set_down(upstream->server, true);
 		break;
 	case 4:
+		name = "draining";
 		upstream->draining_us = soak_now(soak);
 		upstream->repair_us = soak_random_time(soak, 4000, 6000);
 		soak_upstream_register(upstream, "draining");
@@ -92,6 +115,7 @@
 				soak->random, 0, PLATFORM_ANSWER_EARLY_ERROR));
 		break;
 	}
+	soak_log_upstream_fault(upstream, name);
 }
 
 static void replace_upstream(struct soak *soak, guint number)
@@ -107,6 +131,7 @@
 void soak_end_evacuation(struct soak *soak)
 {
 	platform_store_remove(soak->store, "evacuations", "z1");
+	soak_log_change(soak, "zone-in", 0);
 	soak->zone_evacuated = false;
 }
 
@@ -121,6 +146,7 @@
 		return;
 	}
 	platform_store_put(soak->store, "evacuations", "z1", "{}");
+	soak_log_change(soak, "zone-out", 0);
 	soak->zone_evacuated = true;
 }
 
@@ -144,6 +170,7 @@
 	platform_store_set_fault(soak->store, PLATFORM_STORE_NO_FAULT);
 	platform_store_set_delay(soak->store, 0);
 	soak->store_repair_us = 0;
+	soak_log_store_fault(soak, "repaired");
 	soak->store_healthy_us = soak_now(soak);
 }
 
--- a/tools/soak/soak_partitions.c
+++ b/tools/soak/soak_partitions.c
@@ -117,6 +117,10 @@
 			random_time(partitions, DURATION_MIN_MS,
 				    DURATION_MAX_MS);
 	apply_to_all(partitions, true);
+	for (guint i = 0; i < GATEWAY_COUNT; i++)
+		if (partitions->cut_off[i])
+			soak_log_gateway_fault(&partitions->soak->gateways[i],
+					       "links-cut", partitions->end_us);
 }
 
 static void start_new_cut(struct soak_partitions *partitions)
--- a/tools/soak/soak_run.c
+++ b/tools/soak/soak_run.c
@@ -56,6 +56,7 @@
 	soak->requests =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	soak->folder = g_dir_make_tmp("auburnstile-soak-XXXXXX", NULL);
+	soak_log_open(soak);
 	if (options->rollouts)
 		soak->rollout = soak_rollout_new(soak, seed);
 	if (options->notices)
@@ -130,6 +131,7 @@
 		}
 		g_free(log);
 	}
+	soak_log_close(soak, soak->violations > 0);
 	if (!soak->violations)
 		g_rmdir(soak->folder);
 	soak_rollout_free(soak->rollout);
--- a/tools/soak/soak_upstreams.c
+++ b/tools/soak/soak_upstreams.c
@@ -140,5 +140,6 @@
 		soak_workspaces_append_table(soak->workspaces, text);
 	g_string_append_c(text, '}');
 	platform_store_put(soak->store, "config", "main", text->str);
+	soak_log_change(soak, "configuration", soak->config_version);
 	g_string_free(text, TRUE);
 }
