store: watches of all zones end at different times

What callers saw: after a change, 401 to valid API keys that were added since, for up to 5 s after the store had answered again; in the same way requests to upstreams and zones that had been taken out, and roll-out orders noticed up to 16.5 s late.

Cause: each change ends the watches of all watchers of all zones, and all of them call again within 250 ms (primaries) or 1 s (standbys). If the store stops answering right then, it has accepted all these calls and answers none of them; a watch that will never be answered looks like one without changes until its time is over, 4.5 or 8.5 s. Nobody knew of changes, so heartbeats announced nothing. Afterwards all waits ended together again.

The change: the first watch after a change or a failure waits for the position of its process among the watchers, times (apply_ms - 500) / 2; the later ones for the number of watchers times that. A watch that timed out is repeated at once. apply_ms is what a change may take, from the platform's settings.

Ruled out: renewing the open watches of all kinds once one kind works again doesn't mend it alone (two of four kinds still late), and costs up to three calls a watcher and recovery. Shorter waits for all cost more calls.

The check of the soak, its bound and its excuses are as they were.

--- a/include/auburnstile/internal/node.h
+++ b/include/auburnstile/internal/node.h
@@ -29,6 +29,8 @@
 	double rollout_share;
 	double rollout_slack; /* requests beyond that share, per order */
 	gint64 address_ms; /* how long callers may cache an address list */
+	/* how long a change in the store may take until it is in force */
+	double apply_ms;
 	double processor_share; /* usable share of each core, 0 to 1 */
 	double processor_cores;
 	char *log_level; /* least severe level that is logged */
--- a/include/auburnstile/internal/peers.h
+++ b/include/auburnstile/internal/peers.h
@@ -148,9 +148,10 @@
 bool aub_peers_self_is_watcher(struct aub_peers *peers);
 /*
  * Returns whether this process watches the store: as the primary, or as a
- * standby if another watcher of its zone ranks before it.
+ * standby if another watcher of its zone ranks before it; and its position
+ * among the watchers of all zones.
  */
-enum aub_watch_duty aub_peers_watch_duty(struct aub_peers *peers);
+struct aub_watch_role aub_peers_watch_role(struct aub_peers *peers);
 
 /*
  * Datagrams sent since the start. Those between zones are counted apart, since
--- a/include/auburnstile/internal/peers_internal.h
+++ b/include/auburnstile/internal/peers_internal.h
@@ -28,6 +28,7 @@
 	GHashTable *ranked; /* service -> GPtrArray; cleared on changes */
 	guint64 rank_hashes_computed; /* since the start */
 	GPtrArray *watchers; /* cached; NULL after a change */
+	struct aub_watch_role watch_role; /* valid while `watchers` is */
 	struct aub_peers_counts counts;
 };
 
--- a/include/auburnstile/internal/platform.h
+++ b/include/auburnstile/internal/platform.h
@@ -29,6 +29,14 @@
 	AUB_WATCH_PRIMARY /* watches and announces changes to the others */
 };
 
+/* A process among the store's watchers of all zones. */
+struct aub_watch_role {
+	enum aub_watch_duty duty;
+	guint index; /* 0 to count - 1; primaries come first */
+	guint count; /* watchers of all zones, including this process */
+	guint primary_count; /* of these: primaries */
+};
+
 struct aub_upstream_record {
 	char *service;
 	char *address; /* "ip:port" */
--- a/include/auburnstile/internal/store_sync.h
+++ b/include/auburnstile/internal/store_sync.h
@@ -34,9 +34,11 @@
 		      const char *body, gsize length, void *context);
 	/*
 	 * Returns whether this process watches the store or receives changes
-	 * from gateways that do.
+	 * from gateways that do, and its position among those that watch.
 	 */
-	enum aub_watch_duty (*watch_duty)(void *context);
+	struct aub_watch_role (*watch_role)(void *context);
+	/* How long a change may take until it is in force, ms. */
+	guint apply_ms;
 	/* Returns the number of other processes that share the store. */
 	guint (*fleet_size)(void *context);
 	/* Called when the first full listing of a kind has been read. */
@@ -71,10 +73,10 @@
 				 enum aub_store_kind kind, gint64 after,
 				 gint64 until, const char *body, gsize length);
 /*
- * Must be called when the watch duty may have changed; starts watching if this
+ * Must be called when the watch role may have changed; starts watching if this
  * process has the duty now.
  */
-void aub_store_sync_check_watch_duty(struct aub_store_sync *sync);
+void aub_store_sync_check_watch_role(struct aub_store_sync *sync);
 /* Returns the store's revision at the last change known here. */
 gint64 aub_store_sync_known_revision(const struct aub_store_sync *sync,
 				     enum aub_store_kind kind);
--- a/include/auburnstile/internal/store_sync_internal.h
+++ b/include/auburnstile/internal/store_sync_internal.h
@@ -52,6 +52,12 @@
 	bool listing_unconfirmed;
 	guint announced_timer;
 	bool fetching; /* the open call does not wait for changes */
+	/*
+	 * The last watch waited without receiving changes: its end is spaced
+	 * from those of the other watchers, and the next one keeps the
+	 * distance.
+	 */
+	bool staggered;
 	bool failing;
 	gint64 failing_since_us; /* start of the current failure */
 	gint64 call_started_us; /* start of the last call */
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -79,7 +79,7 @@
 	struct aub_node *node = context;
 
 	aub_node_publish_state(node);
-	aub_store_sync_check_watch_duty(node->store);
+	aub_store_sync_check_watch_role(node->store);
 }
 
 static void apply_reported_crashes(struct aub_node *node,
--- a/src/coordination/node_store.c
+++ b/src/coordination/node_store.c
@@ -135,14 +135,15 @@
 	}
 }
 
-static enum aub_watch_duty watch_duty(void *context)
+static struct aub_watch_role watch_role(void *context)
 {
 	struct aub_node *node = context;
+	struct aub_watch_role role = aub_peers_watch_role(node->peers);
 	bool knows_no_peers = aub_peers_all(node->peers)->len == 1;
 
 	if (!knows_no_peers && !node->startup_grace_over)
-		return AUB_WATCH_NONE;
-	return aub_peers_watch_duty(node->peers);
+		role.duty = AUB_WATCH_NONE;
+	return role;
 }
 
 static guint count_other_gateways(void *context)
@@ -281,7 +282,7 @@
 
 	node->startup_grace_timer = 0;
 	node->startup_grace_over = true;
-	aub_store_sync_check_watch_duty(node->store);
+	aub_store_sync_check_watch_role(node->store);
 	add_pending_contacts(node);
 	if (g_str_hash(node->ip) % record_interval == 0)
 		aub_store_sync_register(node->store, node->ip, &member);
@@ -301,7 +302,8 @@
 		.changed = on_changed,
 		.batch_done = on_changes_applied,
 		.share = on_share,
-		.watch_duty = watch_duty,
+		.watch_role = watch_role,
+		.apply_ms = (guint)settings->apply_ms,
 		.fleet_size = count_other_gateways,
 		.listed = on_listed,
 		.context = node,
--- a/src/coordination/peers_rank.c
+++ b/src/coordination/peers_rank.c
@@ -181,16 +181,9 @@
 					  WATCHERS_PER_ZONE, reaches_store);
 }
 
-const GPtrArray *aub_peers_watchers(struct aub_peers *peers)
-{
-	if (!peers->watchers)
-		peers->watchers = find_watchers(peers);
-	return peers->watchers;
-}
-
-enum aub_watch_duty aub_peers_watch_duty(struct aub_peers *peers)
+static enum aub_watch_duty find_watch_duty(struct aub_peers *peers,
+					   const GPtrArray *watchers)
 {
-	const GPtrArray *watchers = aub_peers_watchers(peers);
 	guint own_zone_watchers = 0;
 
 	if (!aub_peers_self(peers)->store_reachable)
@@ -209,7 +202,72 @@
 						       AUB_WATCH_NONE;
 }
 
+static bool is_primary(const GPtrArray *watchers, guint index)
+{
+	const struct aub_peer *peer = g_ptr_array_index(watchers, index);
+
+	for (guint i = 0; i < index; i++) {
+		const struct aub_peer *earlier = g_ptr_array_index(watchers, i);
+
+		if (!strcmp(earlier->zone, peer->zone))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * A process that watches without being on the list counts as the last one of
+ * its kind.
+ */
+static struct aub_watch_role find_watch_role(struct aub_peers *peers,
+					     const GPtrArray *watchers)
+{
+	struct aub_watch_role role = {
+		.duty = find_watch_duty(peers, watchers),
+	};
+	guint counts[] = {
+		[AUB_WATCH_STANDBY] = 0,
+		[AUB_WATCH_PRIMARY] = 0,
+	};
+	bool listed = false;
+
+	for (guint i = 0; i < watchers->len; i++) {
+		const struct aub_peer *peer = g_ptr_array_index(watchers, i);
+		enum aub_watch_duty duty = is_primary(watchers, i) ?
+						   AUB_WATCH_PRIMARY :
+						   AUB_WATCH_STANDBY;
+
+		if (peer->self) {
+			listed = true;
+			role.index = counts[duty];
+		}
+		counts[duty]++;
+	}
+	if (!listed && role.duty != AUB_WATCH_NONE)
+		role.index = counts[role.duty]++;
+	if (role.duty == AUB_WATCH_STANDBY)
+		role.index += counts[AUB_WATCH_PRIMARY];
+	role.primary_count = counts[AUB_WATCH_PRIMARY];
+	role.count = role.primary_count + counts[AUB_WATCH_STANDBY];
+	return role;
+}
+
+const GPtrArray *aub_peers_watchers(struct aub_peers *peers)
+{
+	if (!peers->watchers) {
+		peers->watchers = find_watchers(peers);
+		peers->watch_role = find_watch_role(peers, peers->watchers);
+	}
+	return peers->watchers;
+}
+
+struct aub_watch_role aub_peers_watch_role(struct aub_peers *peers)
+{
+	aub_peers_watchers(peers);
+	return peers->watch_role;
+}
+
 bool aub_peers_self_is_watcher(struct aub_peers *peers)
 {
-	return aub_peers_watch_duty(peers) != AUB_WATCH_NONE;
+	return aub_peers_watch_role(peers).duty != AUB_WATCH_NONE;
 }
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -14,8 +14,9 @@
  * A watch whose connection became half-open ends by this time limit at the
  * latest; heartbeats of other gateways report earlier what it missed.
  */
-#define WATCH_WAIT_MS 4000
+#define WATCH_WAIT_MAX_MS 8000
 #define WATCH_TIMEOUT_MARGIN_MS 500
+#define WATCH_INTERVAL_MIN_MS 100
 #define FETCH_WAIT_MS 1 /* returns what is available immediately */
 /* Pause before the next call, which collects changes that occur together. */
 #define BATCH_PAUSE_US (250 * AUB_MS)
@@ -26,7 +27,6 @@
  * just shared. The second watcher therefore calls a quarter as often, and
  * becomes the first one as soon as the other no longer reaches the store.
  */
-#define STANDBY_WATCH_WAIT_MS 8000
 #define STANDBY_BATCH_PAUSE_US (1000 * AUB_MS)
 /*
  * A process that learns of a later revision waits this long for the changes to
@@ -40,7 +40,7 @@
  * Rollout orders are rare. One that is noticed late loses that part of its
  * time.
  */
-#define ROLLOUTS_WATCH_WAIT_MS 16000
+#define ROLLOUTS_WATCH_INTERVAL_MS 2000
 
 #define RETRY_PER_GATEWAY_US (10 * AUB_MS) /* per gateway of the fleet */
 #define RETRY_LARGE_FLEET_MAX_US (3000 * AUB_MS)
@@ -194,18 +194,18 @@
 
 static void await_announced(struct aub_store_sync_task *task);
 
-static enum aub_watch_duty duty(const struct aub_store_sync_task *task)
+static struct aub_watch_role watch_role(const struct aub_store_sync_task *task)
 {
 	const struct aub_store_sync_options *options = &task->sync->options;
 
-	return options->watch_duty(options->context);
+	return options->watch_role(options->context);
 }
 
 /* Changes that occur close together are collected before the next call. */
 static void schedule_next_watch(struct aub_store_sync_task *task, guint changes)
 {
 	bool behind = task->overdue_revision > task->known_revision;
-	bool standby = duty(task) == AUB_WATCH_STANDBY;
+	bool standby = watch_role(task).duty == AUB_WATCH_STANDBY;
 	gint64 pause_us =
 		standby && !behind ? STANDBY_BATCH_PAUSE_US : BATCH_PAUSE_US;
 
@@ -213,8 +213,9 @@
 	schedule_task(task, changes || behind ? pause_us : 0);
 }
 
-static void apply_page(struct aub_store_sync_task *task, const char *body,
-		       gsize length)
+/* `watched` tells that the call was a watch, which waits for changes. */
+static void apply_page(struct aub_store_sync_task *task, bool watched,
+		       const char *body, gsize length)
 {
 	const struct aub_store_sync_options *options = &task->sync->options;
 	gint64 now_us = aub_timer_now(options->timers);
@@ -244,6 +245,7 @@
 				       task->changed_revision, body, length,
 				       options->context);
 		task->listing_unconfirmed = false;
+		task->staggered = watched && !page->records->len;
 		schedule_next_watch(task, page->records->len);
 	}
 	options->batch_done(options->context);
@@ -256,17 +258,24 @@
 {
 	struct aub_store_sync_task *task = context;
 	enum aub_store_result result = aub_store_result_from_head(end, head);
+	bool watched = !task->fetching;
 
 	task->call = NULL;
 	task->fetching = false;
+	task->staggered = false;
 	if (result == AUB_STORE_ANSWERED) {
-		apply_page(task, body, length); /* counts the result as well */
+		/* counts the result as well */
+		apply_page(task, watched, body, length);
 		return;
 	}
 	aub_store_count_result(task->sync, task->kind, result);
 	if (result == AUB_STORE_NO_ANSWER) {
 		store_failed(task, end == AUB_EXCHANGE_TIMEOUT ? "timeout" :
 								 "connection");
+		/* It was lost when it began: the store may be back already. */
+		if (watched && end == AUB_EXCHANGE_TIMEOUT &&
+		    is_recovery_probe(task))
+			schedule_task(task, 0);
 	} else if (result == AUB_STORE_NO_HISTORY) {
 		log_store_event(task, AUB_LOG_STORE_HISTORY_LOST, "", 0);
 		aub_store_relist(task);
@@ -293,19 +302,56 @@
  */
 static bool may_watch(const struct aub_store_sync_task *task)
 {
-	enum aub_watch_duty watch_duty = duty(task);
+	enum aub_watch_duty duty = watch_role(task).duty;
 
 	if (task->kind == AUB_STORE_ROLLOUTS)
-		return is_followed(task) && watch_duty == AUB_WATCH_PRIMARY;
-	return is_followed(task) && watch_duty != AUB_WATCH_NONE;
+		return is_followed(task) && duty == AUB_WATCH_PRIMARY;
+	return is_followed(task) && duty != AUB_WATCH_NONE;
 }
 
-static guint watch_ms(const struct aub_store_sync_task *task)
+/*
+ * Returns the time in which one of all watchers should begin a call. Even if
+ * one such call is lost, the next one ends within the time that a change may
+ * take.
+ */
+static guint watch_interval_ms(const struct aub_store_sync_task *task,
+			       guint watchers)
 {
+	guint apply_ms = task->sync->options.apply_ms;
+	guint interval_ms = WATCH_INTERVAL_MIN_MS;
+
 	if (task->kind == AUB_STORE_ROLLOUTS)
-		return ROLLOUTS_WATCH_WAIT_MS;
-	return duty(task) == AUB_WATCH_STANDBY ? STANDBY_WATCH_WAIT_MS :
-						 WATCH_WAIT_MS;
+		interval_ms = ROLLOUTS_WATCH_INTERVAL_MS;
+	else if (apply_ms > WATCH_TIMEOUT_MARGIN_MS)
+		interval_ms = MAX((apply_ms - WATCH_TIMEOUT_MARGIN_MS) / 2,
+				  WATCH_INTERVAL_MIN_MS);
+	return MIN(interval_ms, WATCH_WAIT_MAX_MS / watchers);
+}
+
+/*
+ * A watch that the store has accepted and never answers can't be told from one
+ * without changes until it times out. Each change ends the watches of all
+ * gateways, so a short outage after it can hit all those that follow, and the
+ * whole fleet would miss changes until they time out. The watches therefore end
+ * one after the other: the first one after a change by the position of its
+ * process among the watchers, the later ones with the same distance. What one
+ * of them receives is announced to the others.
+ */
+static guint watch_ms(const struct aub_store_sync_task *task)
+{
+	struct aub_watch_role role = watch_role(task);
+	bool primaries_only = task->kind == AUB_STORE_ROLLOUTS;
+	guint watchers =
+		MAX(primaries_only ? role.primary_count : role.count, 1);
+	guint interval_ms = watch_interval_ms(task, watchers);
+	gint64 paused_us = aub_timer_now(task->sync->options.timers) -
+			   task->answered_us - BATCH_PAUSE_US;
+	gint64 wait_ms = (gint64)interval_ms * (role.index + 1);
+
+	if (task->staggered)
+		return interval_ms * watchers;
+	return (guint)CLAMP(wait_ms - paused_us / AUB_MS, interval_ms,
+			    WATCH_WAIT_MAX_MS);
 }
 
 static void run_task(struct aub_store_sync_task *task)
@@ -492,7 +538,7 @@
 	sync->options.batch_done(sync->options.context);
 }
 
-void aub_store_sync_check_watch_duty(struct aub_store_sync *sync)
+void aub_store_sync_check_watch_role(struct aub_store_sync *sync)
 {
 	for (guint i = 0; i < AUB_STORE_KINDS; i++) {
 		struct aub_store_sync_task *task = &sync->tasks[i];
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -110,6 +110,10 @@
 for seed in 21 22; do
 	soak workspaces-$seed --workspaces --seed $seed --seconds 14
 done
+# The store accepts the watches of all gateways and never answers them.
+for seed in 118 2; do
+	soak silences-$seed --silences --seed $seed --seconds 14
+done
 # Gateways that lose their links to all upstreams: alone (2: flapping; 4: for
 # seconds, where callers are counted), and beside all other
 # faults.
--- a/tests/test_peers.cc
+++ b/tests/test_peers.cc
@@ -201,6 +201,51 @@
 	EXPECT_EQ(watching[1], 2);
 }
 
+/* Watches that end at the same time miss the same changes. */
+TEST_F(PeersTest, WatchersHaveDistinctPositions)
+{
+	std::vector<guint> primaries;
+	std::vector<guint> standbys;
+
+	for (int i = 0; i < 9; i++)
+		start_gateway("g" + std::to_string(i),
+			      "z" + std::to_string(i % 3));
+	connect_all();
+	for (auto &gateway : gateways) {
+		struct aub_watch_role role =
+			aub_peers_watch_role(gateway->peers);
+
+		EXPECT_EQ(role.count, 6u);
+		EXPECT_EQ(role.primary_count, 3u);
+		if (role.duty == AUB_WATCH_PRIMARY)
+			primaries.push_back(role.index);
+		else if (role.duty == AUB_WATCH_STANDBY)
+			standbys.push_back(role.index);
+	}
+	std::sort(primaries.begin(), primaries.end());
+	std::sort(standbys.begin(), standbys.end());
+	EXPECT_EQ(primaries, (std::vector<guint>{ 0, 1, 2 }));
+	EXPECT_EQ(standbys, (std::vector<guint>{ 3, 4, 5 }));
+}
+
+/* One that lost the store tries to reach it, and is in nobody's way. */
+TEST_F(PeersTest, WatcherWithoutStoreComesAfterTheOthers)
+{
+	for (int i = 0; i < 3; i++)
+		start_gateway("g" + std::to_string(i));
+	connect_all();
+	struct aub_peers_self_state state = {};
+	state.ready = true;
+	state.store_reachable = false;
+	aub_peers_publish_state(gateways[0]->peers, &state);
+
+	struct aub_watch_role role = aub_peers_watch_role(gateways[0]->peers);
+	EXPECT_EQ(role.duty, AUB_WATCH_PRIMARY);
+	EXPECT_EQ(role.index, 1u);
+	EXPECT_EQ(role.primary_count, 2u);
+	EXPECT_EQ(role.count, 3u);
+}
+
 TEST_F(PeersTest, ReplaceWatcherThatLosesTheStore)
 {
 	/*
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -67,10 +67,12 @@
 			.changed = on_changed,
 			.batch_done = [](void *) {},
 			.share = on_share,
-			.watch_duty =
+			.watch_role =
 				[](void *context) {
-					return ((StoreSyncTest *)context)->duty;
+					return ((StoreSyncTest *)context)
+						->role();
 				},
+			.apply_ms = 2000,
 			.fleet_size =
 				[](void *context) {
 					return ((StoreSyncTest *)context)
@@ -82,6 +84,11 @@
 
 		sync = aub_store_sync_new(&options);
 	}
+	/* The first of its duty among the watchers of five zones. */
+	struct aub_watch_role role() const
+	{
+		return { duty, duty == AUB_WATCH_STANDBY ? 5u : 0u, 10, 5 };
+	}
 	void put_upstream(const std::string &id)
 	{
 		std::string text =
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -63,6 +63,11 @@
 		options->soak.partitions = true;
 		return 0;
 	}
+	if (key == 'q') {
+		options->soak.workspaces = true;
+		options->soak.silences = true;
+		return 0;
+	}
 	if (key == 'l') {
 		options->soak.notices = SOAK_NOTICE_ALL;
 		return 0;
@@ -99,6 +104,10 @@
 		  "gateways lose their links to all upstreams; other faults "
 		  "only with odd seeds",
 		  0 },
+		{ "silences", 'q', NULL, 0,
+		  "as --workspaces, but the only fault is that the store stops "
+		  "answering right after changes",
+		  0 },
 		{ 0 },
 	};
 	const struct argp argp = {
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -122,6 +122,8 @@
 	/* Start of the last fault of the store. */
 	gint64 store_faulty_us;
 	gint64 next_fault_us;
+	/* The next silence may begin then; G_MAXINT64: none does. */
+	gint64 next_silence_us;
 	gint64 faults_end_us; /* no fault starts later */
 	bool zone_evacuated;
 	guint faults;
@@ -171,6 +173,11 @@
 /* `number` is the version of the configuration, or 0. */
 void soak_log_change(struct soak *soak, const char *change, guint number);
 
+/*
+ * Makes the store accept calls without answering them for a while, if the run
+ * has such faults and the last one was some seconds ago.
+ */
+void soak_silence_store(struct soak *soak);
 /* Injects a random fault of any kind. */
 void soak_inject_fault(struct soak *soak);
 /* Ends the faults that are due. */
--- a/tools/soak/soak_faults.c
+++ b/tools/soak/soak_faults.c
@@ -3,6 +3,10 @@
 
 #include <signal.h>
 
+/* The store accepts calls without answering, and the time between two such. */
+#define SILENCE_US (1200 * AUB_MS)
+#define SILENCE_INTERVAL_US (6 * AUB_SECOND)
+
 static void inject_gateway_fault(struct soak *soak)
 {
 	struct gateway *gateway =
@@ -165,6 +169,20 @@
 		soak_random_time(soak, 1, 2 * FAULT_INTERVAL_MEAN_MS);
 }
 
+void soak_silence_store(struct soak *soak)
+{
+	gint64 now_us = soak_now(soak);
+
+	if (now_us < soak->next_silence_us)
+		return;
+	soak->next_silence_us = now_us + SILENCE_INTERVAL_US;
+	soak->store_faulty_us = now_us;
+	soak->store_repair_us = now_us + SILENCE_US;
+	platform_store_set_fault(soak->store, PLATFORM_STORE_UNRESPONSIVE);
+	soak->faults++;
+	soak_log_store_fault(soak, "unresponsive");
+}
+
 static void repair_store(struct soak *soak)
 {
 	platform_store_set_fault(soak->store, PLATFORM_STORE_NO_FAULT);
--- a/tools/soak/soak_run.c
+++ b/tools/soak/soak_run.c
@@ -89,8 +89,9 @@
 		soak->callers[i].next_call_us = now + AUB_SECOND;
 	}
 	soak->next_fault_us = now + 2 * AUB_SECOND;
-	if (options->partitions && seed % 2 == 0)
+	if (options->silences || (options->partitions && seed % 2 == 0))
 		soak->next_fault_us = G_MAXINT64;
+	soak->next_silence_us = options->silences ? now : G_MAXINT64;
 	soak->faults_end_us = now + options->seconds * AUB_SECOND;
 }
 
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -24,6 +24,9 @@
 	   odd seeds */
 	bool partitions;
 	guint partition_kind; /* enum proxy_partition; 0: any, at random */
+	/* the store is silent right after changes of workspaces; no other
+	   faults */
+	bool silences;
 };
 
 struct soak_result {
--- a/tools/soak/soak_workspaces.c
+++ b/tools/soak/soak_workspaces.c
@@ -183,6 +183,7 @@
 	}
 	workspaces->changes++;
 	soak_configure(workspaces->soak);
+	soak_silence_store(workspaces->soak);
 }
 
 void soak_workspaces_step(struct soak_workspaces *workspaces, gint64 now_us)
