store: an announced change is fetched a second after a failed call

What callers saw: in a fleet of more than 100 gateways, one that the store had just refused kept an old configuration for up to 3.25 s although others had announced a newer one and the store was back.

Cause: an announced revision that isn't received within 700 ms is fetched unless a retry is due soon; every retry counted as due soon within a second of the last call, also one that is 3 s away, and the announcement was not looked at again. docs/PLATFORM.md says "once a second for what others announce".

Found by reading, not seen in a run.

Why it works: the retry that is too far off is brought forward to a second after the last call. RetriesLessOftenInALargeFleet passes as before: without announcements the store isn't called more often.

--- a/include/auburnstile/internal/store_sync_internal.h
+++ b/include/auburnstile/internal/store_sync_internal.h
@@ -19,7 +19,8 @@
 	enum aub_store_kind kind;
 	enum aub_store_step step;
 	struct aub_http_call *call;
-	guint timer;
+	guint timer; /* of the next call; 0: none */
+	gint64 timer_due_us;
 	gint64 revision;
 	char *next_page; /* token for the next page of a listing */
 	GHashTable *existing_names; /* names that exist */
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -104,9 +104,9 @@
 	struct aub_timer_service *timers = task->sync->options.timers;
 
 	aub_timer_cancel(timers, task->timer);
-	task->timer =
-		aub_timer_at(timers, "store", aub_timer_now(timers) + in_us,
-			     on_task_timer, task);
+	task->timer_due_us = aub_timer_now(timers) + in_us;
+	task->timer = aub_timer_at(timers, "store", task->timer_due_us,
+				   on_task_timer, task);
 }
 
 static void log_store_event(const struct aub_store_sync_task *task,
@@ -471,6 +471,7 @@
 static void on_announced_overdue(void *context, gint64 now_us)
 {
 	struct aub_store_sync_task *task = context;
+	gint64 retry_us = task->call_started_us + AUB_STORE_RETRY_MAX_US;
 
 	task->announced_timer = 0;
 	if (task->awaited_revision <= task->known_revision) {
@@ -480,10 +481,14 @@
 	task->overdue_revision = task->awaited_revision;
 	if (!task->listed || task->step != AUB_STORE_WATCH || task->fetching)
 		return;
+	if (task->timer && !task->failing)
+		return;
 	/* A retry that is due soon suffices; one that is far off does not. */
-	if (task->timer && (!task->failing || now_us - task->call_started_us <
-						      AUB_STORE_RETRY_MAX_US))
+	if (task->timer && now_us < retry_us) {
+		if (retry_us < task->timer_due_us)
+			schedule_task(task, retry_us - now_us);
 		return;
+	}
 	aub_timer_cancel(task->sync->options.timers, task->timer);
 	task->timer = 0;
 	aub_http_call_cancel(task->call);
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -162,6 +162,34 @@
 	EXPECT_TRUE(has_upstreams(2, 900));
 }
 
+/* The same, where the last call failed right before the announcement. */
+TEST_F(StoreSyncTest, FetchesAnnouncedRevisionSoonAfterAFailedCall)
+{
+	guint64 calls;
+	gint64 revision;
+
+	fleet_size = 300;
+	platform_store_put(store, "config", "main", "{\"n\":1}");
+	start();
+	run_for(300);
+	platform_store_set_fault(store, PLATFORM_STORE_UNAVAILABLE);
+	run_for(5000);
+	calls = platform_store_call_count(store);
+	ASSERT_TRUE(run_until(
+		[&] { return platform_store_call_count(store) > calls; },
+		4000));
+	run_for(20);
+	platform_store_set_fault(store, PLATFORM_STORE_NO_FAULT);
+	revision = platform_store_put(store, "config", "main", "{\"n\":2}");
+	aub_store_sync_announce(sync, AUB_STORE_ROUTING, revision);
+	EXPECT_TRUE(run_until(
+		[&] {
+			return aub_store_sync_known_revision(
+				       sync, AUB_STORE_ROUTING) >= revision;
+		},
+		1500));
+}
+
 TEST_F(StoreSyncTest, ListsAllPagesAndWatches)
 {
 	for (int i = 0; i < 7; i++)
