gateway: metrics say whether this gateway watches the store

auburnstile_store_age_ms tells since when nothing was heard, but not whether anything should have been: most gateways never call.

watch_ms(): the same value, with a name for each step.

--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -45,6 +45,11 @@
 	return aub_store_sync_unavailable_us(node->store) / AUB_MS;
 }
 
+static gint64 read_store_watcher(const struct aub_node *node)
+{
+	return aub_peers_self_is_watcher(node->peers);
+}
+
 static gint64 read_placement_requests(const struct aub_node *node)
 {
 	return (gint64)aub_placer_get_counts(node->placer)->requested;
@@ -132,6 +137,9 @@
 	{ "auburnstile_store_lost_ms",
 	  "time since the store stopped answering; 0: it answers", false,
 	  read_store_outage_ms },
+	{ "auburnstile_store_watcher",
+	  "1: this gateway watches the store for its zone", false,
+	  read_store_watcher },
 	{ "auburnstile_placer_asked_total",
 	  "placement requests of this gateway", true, read_placement_requests },
 	{ "auburnstile_placer_decided_total",
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -344,14 +344,15 @@
 	guint watchers =
 		MAX(primaries_only ? role.primary_count : role.count, 1);
 	guint interval_ms = watch_interval_ms(task, watchers);
-	gint64 paused_us = aub_timer_now(task->sync->options.timers) -
-			   task->answered_us - BATCH_PAUSE_US;
+	gint64 paused_us =
+		aub_timer_now(task->sync->options.timers) - task->answered_us;
 	gint64 wait_ms = (gint64)interval_ms * (role.index + 1);
 
 	if (task->staggered)
 		return interval_ms * watchers;
-	return (guint)CLAMP(wait_ms - paused_us / AUB_MS, interval_ms,
-			    WATCH_WAIT_MAX_MS);
+	/* Standbys pause longer before they call, but keep their positions. */
+	wait_ms -= (paused_us - BATCH_PAUSE_US) / AUB_MS;
+	return (guint)CLAMP(wait_ms, interval_ms, WATCH_WAIT_MAX_MS);
 }
 
 static void run_task(struct aub_store_sync_task *task)
