--- a/tests/test_peers.cc
+++ b/tests/test_peers.cc
@@ -228,7 +228,7 @@
 	EXPECT_EQ(standbys, (std::vector<guint>{ 3, 4, 5 }));
 }
 
-/* One that lost the store tries to reach it, and is in nobody's way. */
+/* A gateway that lost the store tries to reach it, in no other's position. */
 TEST_F(PeersTest, WatcherWithoutStoreComesAfterTheOthers)
 {
 	for (int i = 0; i < 3; i++)
--- a/tests/test_store_watchers.cc
+++ b/tests/test_store_watchers.cc
@@ -190,7 +190,7 @@
 			lose_watches(object);
 }
 
-/* Calls cost; at the same times, idle watchers call in turn. */
+/* Calls cost: idle watchers take turns, one call per interval and kind. */
 TEST_F(StoreWatchersTest, CallOncePerIntervalWhenIdle)
 {
 	const guint interval_ms = 750; /* half of APPLY_MS less the margin */
--- a/tools/soak/soak_faults.c
+++ b/tools/soak/soak_faults.c
@@ -3,7 +3,7 @@
 
 #include <signal.h>
 
-/* The store accepts calls without answering, and the time between two such. */
+/* Duration of a silence of the store, and the least time between two. */
 #define SILENCE_US (1200 * AUB_MS)
 #define SILENCE_INTERVAL_US (6 * AUB_SECOND)
 
