placement: refusals despite free slots are compared between upstreams

Each refusal counted as half a failure, so that all upstreams cost more than LATE_COST, and the few below it had no room: answers with 200 of that service had waited up to 180 ms at the placer while a third of the slots was in use.

Ruled out: the pause of a full upstream (not set where a free slot is reported), and Retry-After (20 ms in its place changed nothing).

Change: a refusal despite a free slot is counted for the upstream and for its service. Only what exceeds the service's share beyond chance adds to the cost of an upstream; one that always refuses is left out as before.

Refusals of full upstreams count as before.

--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -4,6 +4,7 @@
 #ifndef AUBURNSTILE_INTERNAL_PLACEMENT_INTERNAL_H
 #define AUBURNSTILE_INTERNAL_PLACEMENT_INTERNAL_H
 
+#include <auburnstile/internal/refusal_rate.h>
 #include <auburnstile/internal/saturation.h>
 #include <auburnstile/internal/load_trend.h>
 #include <auburnstile/internal/placement.h>
@@ -77,6 +78,7 @@
 	double slowness; /* actual over expected response time, smoothed */
 	double failures; /* share of its responses that failed, smoothed */
 	gint64 failures_us; /* time of the last update of `failures` */
+	struct aub_refusal_rate refusals; /* although it had a free slot */
 	gint64 last_ok_us; /* time of its last successful response */
 	bool probing;
 	bool unhealthy; /* reported by its last probe */
@@ -122,6 +124,7 @@
 	char *service;
 	struct aub_placement_limits limits;
 	struct aub_retry_budget budget;
+	struct aub_refusal_rate refusals; /* by upstreams with free slots */
 	char *health_path;
 	guint warmup_ms;
 	double warmup_per_s;
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -248,6 +248,10 @@
 			    slowdown(choice, upstream);
 
 	total_cost += FAILURE_COST * failure_rate(upstream, choice->now_us);
+	total_cost += FAILURE_COST *
+		      aub_refusal_rate_excess(&upstream->refusals,
+					      &choice->placement->refusals,
+					      choice->now_us);
 	if (g_strcmp0(upstream->zone, request->zone) != 0)
 		total_cost += CROSS_ZONE_COST;
 	if (upstream->unhealthy)
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -134,6 +134,24 @@
 	       load->running < load->slots;
 }
 
+/*
+ * Counts whether the upstream accepted the request. One that refuses it with a
+ * free slot is compared with its peers; one without is left out for a while.
+ */
+static void observe_refusal(struct aub_placement *placement,
+			    struct aub_placement_upstream *upstream,
+			    const struct aub_load *load, bool refused,
+			    gint64 now_us)
+{
+	if (refused && !reports_free_slot(load)) {
+		aub_placement_upstream_update_failures(upstream, 0.5, now_us);
+		upstream->full_until_us = now_us + REFUSED_PAUSE_US;
+		return;
+	}
+	aub_refusal_rate_observe(&upstream->refusals, refused, now_us);
+	aub_refusal_rate_observe(&placement->refusals, refused, now_us);
+}
+
 /* Updates the health of the upstream by the result of a grant. */
 static void apply_result(struct aub_placement *placement,
 			 struct aub_placement_upstream *upstream,
@@ -143,17 +161,20 @@
 	switch (report->end) {
 	case AUB_GRANT_OK:
 		upstream->last_ok_us = now_us;
+		observe_refusal(placement, upstream, &report->load, false,
+				now_us);
 		aub_placement_upstream_update_failures(upstream, 0.0, now_us);
 		update_times(placement, upstream, grant, report->elapsed_us,
 			     now_us);
 		break;
 	case AUB_GRANT_FAILED:
 		aub_placement_upstream_update_failures(upstream, 1.0, now_us);
+		observe_refusal(placement, upstream, &report->load, false,
+				now_us);
 		break;
 	case AUB_GRANT_REFUSED:
-		aub_placement_upstream_update_failures(upstream, 0.5, now_us);
-		if (!reports_free_slot(&report->load))
-			upstream->full_until_us = now_us + REFUSED_PAUSE_US;
+		observe_refusal(placement, upstream, &report->load, true,
+				now_us);
 		break;
 	case AUB_GRANT_TIMEOUT:
 		aub_placement_upstream_update_failures(upstream, 1.0, now_us);
--- /dev/null
+++ b/src/state/refusal_rate.c
@@ -0,0 +1,57 @@
+/* Refusal rates with exponential decay and a prior. */
+#include <auburnstile/internal/refusal_rate.h>
+
+#include <math.h>
+
+/* An observation counts half after this time. */
+#define HALF_LIFE_US (2000 * G_GINT64_CONSTANT(1000))
+/*
+ * Weight of the service's share, in requests, in the estimate for an upstream
+ * of which little is known.
+ */
+#define PRIOR_REQUESTS 4.0
+
+static double decay(const struct aub_refusal_rate *rate, gint64 now_us)
+{
+	return exp2(-(double)MAX(now_us - rate->updated_us, 0) / HALF_LIFE_US);
+}
+
+void aub_refusal_rate_observe(struct aub_refusal_rate *rate, bool refused,
+			      gint64 now_us)
+{
+	double factor = decay(rate, now_us);
+
+	rate->refused = rate->refused * factor + (refused ? 1.0 : 0.0);
+	rate->answered = rate->answered * factor + 1.0;
+	rate->updated_us = MAX(rate->updated_us, now_us);
+}
+
+/* The share, given that `prior` is what to expect without observations. */
+static double share_with_prior(const struct aub_refusal_rate *rate,
+			       double prior, gint64 now_us)
+{
+	double factor = decay(rate, now_us);
+
+	return (rate->refused * factor + prior * PRIOR_REQUESTS) /
+	       (rate->answered * factor + PRIOR_REQUESTS);
+}
+
+double aub_refusal_rate_share(const struct aub_refusal_rate *rate,
+			      gint64 now_us)
+{
+	return share_with_prior(rate, 0.0, now_us);
+}
+
+double aub_refusal_rate_excess(const struct aub_refusal_rate *upstream,
+			       const struct aub_refusal_rate *service,
+			       gint64 now_us)
+{
+	double expected = aub_refusal_rate_share(service, now_us);
+	double requests =
+		upstream->answered * decay(upstream, now_us) + PRIOR_REQUESTS;
+	double standard_error = sqrt(expected * (1 - expected) / requests);
+
+	return MAX(share_with_prior(upstream, expected, now_us) - expected -
+			   standard_error,
+		   0.0);
+}
