placement: retries go to callers that will not return, spread over an outage

Cause: the fleet's retries were given first come, first served. In an outage the slack was gone within the first second, and retries went to requests that could not be on time any more and to callers that would have come back by themselves, whose next request costs no budget.

Change: - retry_admission.c: a token bucket in the sliding window. Each request earns its share of a retry; half of the slack is saved for bursts. While claims exceed it: on time before late, priority, callers that will not return before those that will, workspaces with few recent retries first. Nothing is spent while fewer than one attempt in ten is accepted. - caller_returns.c: recognizes requests that return by a fingerprint (eight bytes of each placement request), and learns how often callers return. - A grant says when the caller may return if the upstream refuses: in 20 to 40 ms while a quarter of the slots is free, else as before. - A placer spends 0.9 of the budget's ratio instead of 0.7, since each request is counted by the placer that decides on it; the slack share stays 0.4, is divided among gateways that place for themselves, and by the gateways that are heard if the store is not reached. Placers tell their deputies once a second what they counted.

--- a/include/auburnstile/internal/gateway_internal.h
+++ b/include/auburnstile/internal/gateway_internal.h
@@ -153,6 +153,8 @@
 	guint connect_failures; /* attempts that never connected */
 	guint64 ticket; /* ticket of the placement request; 0: none */
 	bool placement_pending;
+	/* if the upstream in use refuses it; 0: no estimate */
+	guint refused_retry_after_ms;
 	bool may_have_run; /* an upstream may have run it */
 	bool answer_started; /* answer bytes have been sent to the caller */
 };
@@ -263,6 +265,11 @@
 
 /* Crashes; see gateway_crashes.c. */
 GArray *aub_unconfirmed_crashes_new(void);
+/*
+ * Returns the fingerprint of a request whose body is complete. It is the same
+ * when its caller sends it again.
+ */
+guint64 aub_gateway_fingerprint(const struct aub_request *request);
 /*
  * Records that the connection to `upstream` broke while it ran the request,
  * whose body is complete.
--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -32,6 +32,8 @@
 	AUB_VERDICT_NO_BUDGET, /* a retry beyond the fleet's budget */
 	AUB_VERDICT_LIMITED, /* as OVERLOAD; all name limits of their own */
 	AUB_VERDICT_OVER_QUOTA, /* its workspace has no credit left */
+	AUB_VERDICT_RETRY_RESERVED, /* the budget is kept for other retries */
+	AUB_VERDICT_RETRY_FUTILE, /* nearly all attempts are refused */
 	AUB_VERDICT_COUNT
 };
 
@@ -46,6 +48,9 @@
 	guint max_wait_ms; /* longest useful wait for a slot */
 	bool retry; /* it was sent to an upstream before */
 	bool local_fallback; /* placed locally, for lack of a placer */
+	/* share of the retry slack that is left to other processes */
+	double retry_slack_withheld;
+	guint64 fingerprint; /* the same when its caller repeats it; 0: none */
 	guint32 route; /* key of its route: versions are judged by route */
 	const char *workspace; /* of its caller; "" or NULL: none */
 	/* where it counts; must outlive the grant; NULL: nowhere */
@@ -61,7 +66,11 @@
 	enum aub_verdict verdict;
 	const char *upstream; /* if granted; valid until the next call */
 	const char *address;
-	guint retry_after_ms; /* if refused: when to retry */
+	/*
+	 * If refused: when the caller may retry. If granted: the same in case
+	 * the upstream refuses the request; 0: no estimate.
+	 */
+	guint retry_after_ms;
 };
 
 /* The result of a granted request. */
@@ -377,6 +386,22 @@
 			      const struct aub_upstream_health *health,
 			      gint64 now_us);
 
+/* Requests and retries that a placement has counted. */
+struct aub_retry_use {
+	guint requests;
+	guint retries;
+};
+/*
+ * Sets `use` to what was counted since the last call. Returns false if there is
+ * nothing to tell other placers.
+ */
+bool aub_placement_take_retry_use(struct aub_placement *placement,
+				  struct aub_retry_use *use);
+/* Counts what another placer of the service has told. */
+void aub_placement_apply_retry_use(struct aub_placement *placement,
+				   const struct aub_retry_use *use,
+				   gint64 now_us);
+
 /* A snapshot of a placement, for logs and metrics. */
 struct aub_placement_stats {
 	guint up; /* upstreams by state */
@@ -390,6 +415,14 @@
 	guint granted;
 	guint queued;
 	guint64 refused; /* since the start */
+	guint64 retries_admitted; /* likewise */
+	guint64 retries_exhausted; /* refused: the budget was used up */
+	guint64 retries_reserved; /* refused: kept for other requests */
+	guint64 retries_futile; /* refused: nearly all are refused */
+	gint retry_credit; /* retries that may be granted at once */
+	guint refusal_percent; /* of attempts at upstreams with free slots */
+	guint return_percent; /* of refused callers that come back, learned */
+	guint callers_awaited; /* refused requests that may come back */
 	guint64 cold_grants; /* to cold upstreams, since the start */
 	double cold_rate_per_s; /* requests granted to a cold upstream */
 	guint concurrency_limit_percent; /* of an upstream's slots, learned */
--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -4,11 +4,12 @@
 #ifndef AUBURNSTILE_INTERNAL_PLACEMENT_INTERNAL_H
 #define AUBURNSTILE_INTERNAL_PLACEMENT_INTERNAL_H
 
+#include <auburnstile/internal/caller_returns.h>
 #include <auburnstile/internal/refusal_rate.h>
 #include <auburnstile/internal/saturation.h>
 #include <auburnstile/internal/load_trend.h>
 #include <auburnstile/internal/placement.h>
-#include <auburnstile/internal/retry_budget.h>
+#include <auburnstile/internal/retry_admission.h>
 #include <auburnstile/internal/service_versions.h>
 #include <auburnstile/internal/service_times.h>
 #include <auburnstile/internal/upstream_limit.h>
@@ -90,10 +91,12 @@
 struct aub_grant {
 	guint64 ticket;
 	guint64 holder;
+	guint64 fingerprint; /* of the request; 0: unknown */
 	guint upstream_index;
 	guint concurrency; /* at the upstream, including this one, at grant */
 	double slowdown; /* expected at grant for other reasons than that */
 	guint target_ms;
+	guint retry_after_ms; /* told to its caller if the upstream refuses */
 	guint32 route;
 	struct aub_quotas *quotas; /* NULL: it counts nowhere */
 	guint quota;
@@ -113,6 +116,7 @@
 	struct aub_quotas *quotas; /* NULL: it counts nowhere */
 	guint quota;
 	bool retry;
+	guint64 fingerprint; /* 0: unknown */
 	bool local_fallback; /* no placer reachable: no cold or down upstream */
 	gint64 queued_us;
 	gint64 on_time_until_us; /* granted later, it is late for certain */
@@ -123,7 +127,9 @@
 struct aub_placement {
 	char *service;
 	struct aub_placement_limits limits;
-	struct aub_retry_budget budget;
+	struct aub_retry_admission retries;
+	struct aub_retry_use untold; /* to other placers of the service */
+	struct aub_caller_returns *returns;
 	struct aub_refusal_rate refusals; /* by upstreams with free slots */
 	char *health_path;
 	guint warmup_ms;
--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -194,6 +194,25 @@
 void aub_placer_send_to_zones(struct aub_placer *placer, const char *service,
 			      struct aub_message *message, bool *relay);
 
+/*
+ * Returns the share of what the fleet may grant that this process may grant. If
+ * it reaches neither the store nor part of the gateways, these may go on
+ * without it, and both sides together must not grant more than there is.
+ */
+double aub_placer_granted_share(const struct aub_placer *placer);
+
+/* Retry budgets. */
+/*
+ * Returns the share of the retry slack that is left to other processes, for a
+ * request placed here or, in `fallback`, by this gateway for itself.
+ */
+double aub_placer_slack_withheld(const struct aub_placer *placer,
+				 bool fallback);
+/* Tells the placers of `service` what was counted here since the last call. */
+void aub_placer_send_retry_use(struct aub_placer *placer, const char *service);
+void aub_placer_apply_retry_use(struct aub_placer *placer,
+				const struct aub_retry_use_message *message);
+
 /* Quotas of workspaces. */
 /*
  * Called before a request is placed here, by this gateway for all or, in
--- a/src/coordination/gateway_crashes.c
+++ b/src/coordination/gateway_crashes.c
@@ -34,7 +34,7 @@
 	return crashes;
 }
 
-static guint64 request_fingerprint(const struct aub_request *request)
+guint64 aub_gateway_fingerprint(const struct aub_request *request)
 {
 	return aub_crash_fingerprint(request->request_line, request->host,
 				     request->body->data, request->body->len);
@@ -57,7 +57,7 @@
 	struct aub_gateway *gateway = request->gateway;
 	struct aub_known_upstream known = { 0 };
 	struct unconfirmed_crash crash = {
-		.fingerprint = request_fingerprint(request),
+		.fingerprint = aub_gateway_fingerprint(request),
 	};
 
 	if (!sent_directly || !aub_egress_is_in_doubt(aub_egress_monitor_state(
@@ -79,7 +79,7 @@
 	return request->body_complete &&
 	       aub_crash_counts_is_blocked(
 		       request->gateway->crash_counts,
-		       request_fingerprint(request),
+		       aub_gateway_fingerprint(request),
 		       aub_timer_now(request->gateway->options.timers));
 }
 
@@ -87,7 +87,7 @@
 {
 	if (request->body_complete && !request->body_discarded)
 		aub_crash_counts_reset(request->gateway->crash_counts,
-				       request_fingerprint(request));
+				       aub_gateway_fingerprint(request));
 }
 
 static bool has_restarted(const struct aub_gateway *gateway,
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -135,6 +135,7 @@
 	}
 	aub_metrics_add(gateway->options.metrics, gateway->retries_counter,
 			request->tried_upstreams->len ? 1 : 0);
+	request->refused_retry_after_ms = result->retry_after_ms;
 	g_ptr_array_add(request->tried_upstreams, g_strdup(result->upstream));
 	attempt = aub_attempt_start(request, request->ticket, result->upstream,
 				    result->address);
@@ -194,6 +195,9 @@
 		.retry = request->tried_upstreams->len >
 			 request->connect_failures,
 		.route = request->route->key,
+		.fingerprint = request->body_complete ?
+				       aub_gateway_fingerprint(request) :
+				       0,
 		.avoid = (const char *const *)request->tried_upstreams->pdata,
 		.avoid_count = request->tried_upstreams->len,
 	};
@@ -236,9 +240,20 @@
 	       may_retry(request, AUB_GRANT_LINK_LOST);
 }
 
-/* Retry-After for a service whose upstream refused or was not reachable. */
+/*
+ * Retry-After if an upstream refused or was not reachable and the placer had no
+ * estimate.
+ */
 #define UPSTREAM_REFUSED_RETRY_AFTER_MS 300
 
+static guint retry_after_attempt_ms(const struct aub_request *request,
+				    enum aub_grant_result end)
+{
+	return end == AUB_GRANT_REFUSED && request->refused_retry_after_ms ?
+		       request->refused_retry_after_ms :
+		       UPSTREAM_REFUSED_RETRY_AFTER_MS;
+}
+
 void aub_request_on_attempt_failed(struct aub_request *request,
 				   struct aub_upstream_attempt *attempt,
 				   enum aub_grant_result end)
@@ -271,7 +286,7 @@
 	} else {
 		finish_unanswered(request, HTTP_STATUS_BAD_GATEWAY,
 				  aub_grant_result_name(end), upstream,
-				  UPSTREAM_REFUSED_RETRY_AFTER_MS);
+				  retry_after_attempt_ms(request, end));
 	}
 	g_free(upstream);
 }
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -13,9 +13,11 @@
 
 /*
  * Shares of the fleet's retry budget that one placer spends. Two gateways may
- * place for a service concurrently for a while, so neither spends all of it.
+ * place for a service concurrently for a while, so neither spends all of the
+ * slack. Retries per request are counted by the one that decides on the
+ * request; a few requests are decided on by both.
  */
-#define RETRY_BUDGET_SHARE 0.7
+#define RETRY_BUDGET_SHARE 0.9
 #define RETRY_SLACK_SHARE 0.4
 
 /*
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -248,6 +248,42 @@
 			   state->interference_ms);
 }
 
+static void export_retries(const char *service,
+			   const struct aub_placement_stats *state,
+			   void *context)
+{
+	const struct {
+		const char *result;
+		guint64 count;
+	} results[] = {
+		{ "admitted", state->retries_admitted },
+		{ "exhausted", state->retries_exhausted },
+		{ "reserved", state->retries_reserved },
+		{ "futile", state->retries_futile },
+	};
+	struct aub_node *node = context;
+
+	for (guint i = 0; i < G_N_ELEMENTS(results); i++)
+		set_series(node, true, "auburnstile_retries_total",
+			   aub_metrics_labels("service", service, "result",
+					      results[i].result, NULL),
+			   "retries asked for here by result",
+			   (gint64)results[i].count);
+	set_service_series(node, false, "auburnstile_retry_credit", service,
+			   "retries that may be admitted at once",
+			   state->retry_credit);
+	set_service_series(
+		node, false, "auburnstile_refusal_percent", service,
+		"attempts that upstreams with free slots refuse, learned",
+		state->refusal_percent);
+	set_service_series(node, false, "auburnstile_return_percent", service,
+			   "refused callers that come back, learned",
+			   state->return_percent);
+	set_service_series(node, false, "auburnstile_callers_awaited", service,
+			   "refused requests whose callers may come back",
+			   state->callers_awaited);
+}
+
 static void export_rollout(const char *service,
 			   const struct aub_placement_stats *state,
 			   void *context)
@@ -432,6 +468,7 @@
 	export_quotas(node);
 	export_log(node);
 	aub_placer_visit(node->placer, export_placement, node);
+	aub_placer_visit(node->placer, export_retries, node);
 	if (node->rollouts_enabled)
 		aub_placer_visit(node->placer, export_rollout, node);
 	reply->status = 200;
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -118,6 +118,9 @@
 		.retry = message->retry,
 		.route = message->route,
 		.workspace = message->workspace,
+		.fingerprint = message->fingerprint,
+		.retry_slack_withheld =
+			aub_placer_slack_withheld(placer, false),
 	};
 	struct aub_placement_decision decision;
 	struct aub_peer *holder =
@@ -276,6 +279,10 @@
 		aub_placer_apply_quota_use(
 			placer, (struct aub_quota_use_message *)message);
 		break;
+	case AUB_MESSAGE_RETRY_USE:
+		aub_placer_apply_retry_use(
+			placer, (struct aub_retry_use_message *)message);
+		break;
 	case AUB_MESSAGE_PLACE_HEALTH:
 		aub_placer_apply_health(placer,
 					(struct aub_place_health *)message);
--- a/src/coordination/placer_periodic.c
+++ b/src/coordination/placer_periodic.c
@@ -164,6 +164,11 @@
 	aub_log_number("full_percent", state.concurrency_limit_percent);
 	aub_log_number("slowdown_percent", state.slowdown_percent);
 	aub_log_number("burst_ms", state.interference_ms);
+	aub_log_number("refusal_percent", state.refusal_percent);
+	aub_log_number("return_percent", state.return_percent);
+	aub_log_number("awaited", state.callers_awaited);
+	aub_log_number("retry_credit", state.retry_credit);
+	aub_log_number("retries", (gint64)state.retries_admitted);
 	aub_log_end();
 	probed_service->refused_logged = state.refused;
 }
@@ -202,6 +207,7 @@
 		const char *service = key;
 
 		aub_placement_admit_versions(placement, now_us);
+		aub_placer_send_retry_use(placer, service);
 
 		if (aub_placer_peer_for(placer, service, now_us)) {
 			send_outstanding(placer, service, now_us);
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -172,6 +172,8 @@
 
 	fill_request(placer, ticket, &request);
 	request.local_fallback = is_fallback;
+	request.retry_slack_withheld =
+		aub_placer_slack_withheld(placer, is_fallback);
 	if (is_fallback)
 		placer->counts.placed_in_fallback++;
 	else
@@ -222,6 +224,7 @@
 	message->retry = ticket->request.retry;
 	message->route = ticket->request.route;
 	aub_string_set(&message->workspace, ticket->workspace);
+	message->fingerprint = ticket->request.fingerprint;
 	message->forward = ranks_first(placer, ticket->service, peer);
 	ticket->forwardable = message->forward;
 	for (guint i = 0; i < ticket->avoid->len; i++)
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -64,7 +64,8 @@
 
 	placement->service = g_strdup(service);
 	placement->limits = *limits;
-	aub_retry_budget_init(&placement->budget, limits->window_us);
+	aub_retry_admission_init(&placement->retries, limits->window_us);
+	placement->returns = aub_caller_returns_new();
 	aub_saturation_init(&placement->saturation);
 	aub_load_trend_init(&placement->interference);
 	aub_service_versions_init(&placement->versions);
@@ -89,6 +90,8 @@
 	if (!placement)
 		return;
 	g_ptr_array_unref(placement->queue);
+	aub_retry_admission_clear(&placement->retries);
+	aub_caller_returns_free(placement->returns);
 	g_hash_table_unref(placement->grants);
 	g_hash_table_unref(placement->recent_grants);
 	g_hash_table_unref(placement->zones_out);
@@ -118,8 +121,11 @@
 void aub_placement_set_limits(struct aub_placement *placement,
 			      const struct aub_placement_limits *limits)
 {
-	if (limits->window_us != placement->limits.window_us)
-		aub_retry_budget_init(&placement->budget, limits->window_us);
+	if (limits->window_us != placement->limits.window_us) {
+		aub_retry_admission_clear(&placement->retries);
+		aub_retry_admission_init(&placement->retries,
+					 limits->window_us);
+	}
 	placement->limits = *limits;
 }
 
@@ -467,10 +473,25 @@
 void aub_placement_get_stats(const struct aub_placement *placement,
 			     gint64 now_us, struct aub_placement_stats *stats)
 {
+	const guint64 *retry_verdicts = placement->retries.verdicts;
+
 	*stats = (struct aub_placement_stats){
 		.granted = g_hash_table_size(placement->grants),
 		.queued = placement->queue->len,
 		.refused = placement->refused,
+		.retries_admitted = retry_verdicts[AUB_RETRY_ADMITTED],
+		.retries_exhausted = retry_verdicts[AUB_RETRY_EXHAUSTED],
+		.retries_reserved = retry_verdicts[AUB_RETRY_RESERVED],
+		.retries_futile = retry_verdicts[AUB_RETRY_FUTILE],
+		.retry_credit = (gint)placement->retries.credit,
+		.refusal_percent =
+			(guint)(100 *
+				aub_refusal_rate_share(&placement->refusals,
+						       now_us)),
+		.return_percent =
+			(guint)(100 * aub_caller_returns_probability(
+					      placement->returns, 0, now_us)),
+		.callers_awaited = aub_caller_returns_count(placement->returns),
 		.cold_grants = placement->cold_grants,
 		.cold_rate_per_s = aub_placement_cold_rate_per_s(placement),
 		.concurrency_limit_percent =
@@ -550,6 +571,8 @@
 		[AUB_VERDICT_NO_UPSTREAM] = "no-upstream",
 		[AUB_VERDICT_OVERLOAD] = "overload",
 		[AUB_VERDICT_NO_BUDGET] = "no-budget",
+		[AUB_VERDICT_RETRY_RESERVED] = "retry-reserved",
+		[AUB_VERDICT_RETRY_FUTILE] = "retry-futile",
 		[AUB_VERDICT_LIMITED] = "limited",
 		[AUB_VERDICT_OVER_QUOTA] = "over-quota",
 	};
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -43,6 +43,7 @@
 
 	grant->ticket = request->ticket;
 	grant->holder = request->holder;
+	grant->fingerprint = request->fingerprint;
 	grant->upstream_index = index;
 	grant->concurrency = upstream->granted + 1;
 	grant->slowdown =
@@ -163,6 +164,8 @@
 		upstream->last_ok_us = now_us;
 		observe_refusal(placement, upstream, &report->load, false,
 				now_us);
+		aub_caller_returns_served(placement->returns,
+					  grant->fingerprint);
 		aub_placement_upstream_update_failures(upstream, 0.0, now_us);
 		update_times(placement, upstream, grant, report->elapsed_us,
 			     now_us);
@@ -175,6 +178,9 @@
 	case AUB_GRANT_REFUSED:
 		observe_refusal(placement, upstream, &report->load, true,
 				now_us);
+		aub_caller_returns_refused(placement->returns,
+					   grant->fingerprint,
+					   grant->retry_after_ms, now_us);
 		break;
 	case AUB_GRANT_TIMEOUT:
 		aub_placement_upstream_update_failures(upstream, 1.0, now_us);
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -5,10 +5,17 @@
 #include <auburnstile/internal/placement_internal.h>
 
 #define RETRY_AFTER_MIN_MS 700
-#define RETRY_AFTER_BUDGET_MS 20 /* only the retry budget is exhausted */
+/*
+ * Upstreams have room and refuse all the same: the caller may return at once,
+ * and those that were refused together return within some time.
+ */
+#define RETRY_AFTER_ROOM_MS 20
+#define RETRY_AFTER_ROOM_SPREAD_MS 20
 /* Granted share of the slots below which no request has to wait. */
 #define LOW_UTILIZATION_PERCENT 75
 #define RETRY_AFTER_MAX_MS 5000
+/* Probability from which a refused caller is expected to come back. */
+#define LIKELY_RETURN 0.5
 /* Upstreams that are down are probed twice in this time. */
 #define RETRY_AFTER_NO_UPSTREAM_MS 500
 
@@ -35,14 +42,27 @@
 	return capacity->slots ? AUB_VERDICT_OVERLOAD : AUB_VERDICT_LIMITED;
 }
 
-static void refuse(struct aub_placement *placement,
-		   struct aub_placement_decision *decision,
-		   enum aub_verdict verdict, guint after_ms)
+/* Refuses a request; its caller may return after exactly `after_ms`. */
+static void refuse_for(struct aub_placement *placement,
+		       const struct aub_placement_request *request,
+		       enum aub_verdict verdict, guint after_ms, gint64 now_us,
+		       struct aub_placement_decision *decision)
 {
 	placement->refused++;
 	decision->verdict = verdict;
-	decision->retry_after_ms =
-		CLAMP(after_ms, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+	decision->retry_after_ms = after_ms;
+	aub_caller_returns_refused(placement->returns, request->fingerprint,
+				   after_ms, now_us);
+}
+
+static void refuse(struct aub_placement *placement,
+		   const struct aub_placement_request *request,
+		   enum aub_verdict verdict, guint after_ms, gint64 now_us,
+		   struct aub_placement_decision *decision)
+{
+	refuse_for(placement, request, verdict,
+		   CLAMP(after_ms, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS),
+		   now_us, decision);
 }
 
 static void enqueue(struct aub_placement *placement,
@@ -61,6 +81,7 @@
 	queued->quotas = request->quotas;
 	queued->quota = request->quota;
 	queued->retry = request->retry;
+	queued->fingerprint = request->fingerprint;
 	queued->local_fallback = request->local_fallback;
 	queued->queued_us = now_us;
 	queued->on_time_until_us =
@@ -117,25 +138,129 @@
 }
 
 /*
- * Refuses a retry beyond the budget of the fleet, as when many attempts fail
- * although upstreams have room.
+ * Returns when a caller whose request upstreams with room refuse may return, or
+ * 0 if they have none to spare.
  *
- * If callers had to wait until the queue has drained, they would be
- * late although no request waits. If there is room now, the caller may retry
- * almost immediately: it is then a request of its own.
+ * If it had to wait until a queue has drained, it would be late although no
+ * request waits. Its next request is one of its own to the retry budget. While
+ * most slots are in use, or nearly all attempts are refused, returning at once
+ * would only add load.
  */
+static guint retry_after_with_room_ms(
+	const struct aub_placement *placement,
+	const struct aub_placement_request *request,
+	const struct aub_placement_capacity *capacity, gint64 now_us)
+{
+	guint granted = g_hash_table_size(placement->grants);
+
+	if (100 * granted >= LOW_UTILIZATION_PERCENT * capacity->slots ||
+	    aub_retry_is_futile(
+		    1 - aub_refusal_rate_share(&placement->refusals, now_us)))
+		return 0;
+	return RETRY_AFTER_ROOM_MS +
+	       (guint)(request->ticket % RETRY_AFTER_ROOM_SPREAD_MS);
+}
+
+static enum aub_verdict retry_refusal(enum aub_retry_verdict verdict)
+{
+	switch (verdict) {
+	case AUB_RETRY_RESERVED:
+		return AUB_VERDICT_RETRY_RESERVED;
+	case AUB_RETRY_FUTILE:
+		return AUB_VERDICT_RETRY_FUTILE;
+	default:
+		return AUB_VERDICT_NO_BUDGET;
+	}
+}
+
 static void refuse_retry(struct aub_placement *placement,
 			 const struct aub_placement_request *request,
-			 gint64 now_us, struct aub_placement_decision *decision)
+			 enum aub_verdict verdict, gint64 now_us,
+			 struct aub_placement_decision *decision)
 {
-	guint granted = g_hash_table_size(placement->grants);
 	struct aub_placement_capacity capacity;
+	guint after_ms;
 
 	(void)aub_placement_choose(placement, request, now_us, &capacity);
-	refuse(placement, decision, AUB_VERDICT_NO_BUDGET,
-	       RETRY_AFTER_NO_UPSTREAM_MS);
-	if (100 * granted < LOW_UTILIZATION_PERCENT * capacity.slots)
-		decision->retry_after_ms = RETRY_AFTER_BUDGET_MS;
+	after_ms =
+		retry_after_with_room_ms(placement, request, &capacity, now_us);
+	if (after_ms)
+		refuse_for(placement, request, verdict, after_ms, now_us,
+			   decision);
+	else
+		refuse(placement, request, verdict, RETRY_AFTER_NO_UPSTREAM_MS,
+		       now_us, decision);
+}
+
+static struct aub_retry_bounds retry_bounds(
+	const struct aub_placement *placement,
+	const struct aub_placement_request *request)
+{
+	return (struct aub_retry_bounds){
+		.ratio = placement->limits.retry_ratio,
+		.slack = placement->limits.retry_slack *
+			 (1 - request->retry_slack_withheld),
+	};
+}
+
+/* Counts a request, or decides whether it may be retried. */
+static enum aub_retry_verdict admit(struct aub_placement *placement,
+				    const struct aub_placement_request *request,
+				    gint64 now_us)
+{
+	const struct aub_retry_bounds bounds = retry_bounds(placement, request);
+	struct aub_retry_claim claim;
+	enum aub_retry_verdict verdict;
+
+	if (!request->retry) {
+		(void)aub_caller_returns_arrived(placement->returns,
+						 request->fingerprint, now_us);
+		aub_retry_admission_add_request(&placement->retries, &bounds,
+						now_us);
+		placement->untold.requests++;
+		return AUB_RETRY_ADMITTED;
+	}
+	aub_caller_returns_retried(placement->returns, request->fingerprint);
+	claim = (struct aub_retry_claim){
+		.late = !request->on_time_wait_ms,
+		.priority = request->priority,
+		.returns =
+			aub_caller_returns_probability(placement->returns,
+						       request->fingerprint,
+						       now_us) > LIKELY_RETURN,
+		.success = 1 -
+			   aub_refusal_rate_share(&placement->refusals, now_us),
+		.workspace = request->quotas ? request->quota : 0,
+		.weight = request->quotas && request->quota ?
+				  aub_quota_weight(request->quotas,
+						   request->quota) :
+				  0,
+	};
+	verdict = aub_retry_admission_decide(&placement->retries, &bounds,
+					     &claim, now_us);
+	placement->untold.retries += verdict == AUB_RETRY_ADMITTED;
+	return verdict;
+}
+
+bool aub_placement_take_retry_use(struct aub_placement *placement,
+				  struct aub_retry_use *use)
+{
+	*use = placement->untold;
+	placement->untold = (struct aub_retry_use){ 0 };
+	return use->requests || use->retries;
+}
+
+void aub_placement_apply_retry_use(struct aub_placement *placement,
+				   const struct aub_retry_use *use,
+				   gint64 now_us)
+{
+	const struct aub_retry_bounds bounds = {
+		.ratio = placement->limits.retry_ratio,
+		.slack = placement->limits.retry_slack,
+	};
+
+	aub_retry_admission_add_remote(&placement->retries, &bounds,
+				       use->requests, use->retries, now_us);
 }
 
 static guint count_queued_of_quota(const struct aub_placement *placement,
@@ -193,12 +318,17 @@
 
 static void grant_slot(struct aub_placement *placement, guint index,
 		       const struct aub_placement_request *request,
+		       const struct aub_placement_capacity *capacity,
 		       gint64 now_us, struct aub_placement_decision *decision)
 {
+	struct aub_grant *grant;
+
 	aub_placement_grant(placement, index, request, now_us, decision);
-	aub_grant_count_canary(placement,
-			       g_hash_table_lookup(placement->grants,
-						   &request->ticket),
+	grant = g_hash_table_lookup(placement->grants, &request->ticket);
+	grant->retry_after_ms =
+		retry_after_with_room_ms(placement, request, capacity, now_us);
+	decision->retry_after_ms = grant->retry_after_ms;
+	aub_grant_count_canary(placement, grant,
 			       aub_placement_get_upstream(placement, index));
 }
 
@@ -208,6 +338,7 @@
 			  struct aub_placement_decision *decision)
 {
 	struct aub_placement_capacity capacity;
+	enum aub_retry_verdict verdict;
 	guint ahead;
 	gint index;
 
@@ -224,26 +355,24 @@
 						 request->quota, now_us);
 		return;
 	}
-	if (!request->retry) {
-		aub_retry_budget_add_request(&placement->budget, now_us);
-	} else if (!aub_retry_budget_take_retry(&placement->budget,
-						placement->limits.retry_ratio,
-						placement->limits.retry_slack,
-						now_us)) {
-		refuse_retry(placement, request, now_us, decision);
+	verdict = admit(placement, request, now_us);
+	if (verdict != AUB_RETRY_ADMITTED) {
+		refuse_retry(placement, request, retry_refusal(verdict), now_us,
+			     decision);
 		return;
 	}
 	ahead = aub_placement_count_ahead(placement, request, now_us);
 	index = aub_placement_choose(placement, request, now_us, &capacity);
 	if (index >= 0 && !ahead) {
-		grant_slot(placement, (guint)index, request, now_us, decision);
+		grant_slot(placement, (guint)index, request, &capacity, now_us,
+			   decision);
 		return;
 	}
 	if (!aub_placement_capacity_exists(&capacity) &&
 	    (request->retry || request->local_fallback ||
 	     !is_any_unknown(placement))) {
-		refuse(placement, decision, AUB_VERDICT_NO_UPSTREAM,
-		       RETRY_AFTER_NO_UPSTREAM_MS);
+		refuse(placement, request, AUB_VERDICT_NO_UPSTREAM,
+		       RETRY_AFTER_NO_UPSTREAM_MS, now_us, decision);
 		return;
 	}
 	/*
@@ -253,8 +382,9 @@
 	if (aub_placement_capacity_exists(&capacity) &&
 	    wait_ms(placement, ahead, &capacity, now_us) >
 		    request->max_wait_ms) {
-		refuse(placement, decision, overload_verdict(&capacity),
-		       wait_ms(placement, ahead, &capacity, now_us));
+		refuse(placement, request, overload_verdict(&capacity),
+		       wait_ms(placement, ahead, &capacity, now_us), now_us,
+		       decision);
 		return;
 	}
 	enqueue(placement, request, now_us);
@@ -276,6 +406,7 @@
 		.quotas = queued->quotas,
 		.quota = queued->quota,
 		.retry = queued->retry,
+		.fingerprint = queued->fingerprint,
 		.local_fallback = queued->local_fallback,
 		.on_time_wait_ms = (guint)((on_time_us + AUB_US_PER_MS - 1) /
 					   AUB_US_PER_MS),
@@ -303,7 +434,8 @@
 		.ticket = request.ticket,
 		.holder = request.holder,
 	};
-	grant_slot(placement, (guint)index, &request, now_us, decision);
+	grant_slot(placement, (guint)index, &request, &capacity, now_us,
+		   decision);
 	g_ptr_array_remove_index(placement->queue, (guint)i);
 	return true;
 }
@@ -328,12 +460,13 @@
 		(void)aub_placement_choose(placement, &request, now_us,
 					   &capacity);
 		if (aub_placement_capacity_exists(&capacity))
-			refuse(placement, decision, overload_verdict(&capacity),
+			refuse(placement, &request, overload_verdict(&capacity),
 			       wait_ms(placement, placement->queue->len,
-				       &capacity, now_us));
+				       &capacity, now_us),
+			       now_us, decision);
 		else
-			refuse(placement, decision, AUB_VERDICT_NO_UPSTREAM,
-			       RETRY_AFTER_NO_UPSTREAM_MS);
+			refuse(placement, &request, AUB_VERDICT_NO_UPSTREAM,
+			       RETRY_AFTER_NO_UPSTREAM_MS, now_us, decision);
 		g_ptr_array_remove_index(placement->queue, i);
 		return true;
 	}
--- a/src/state/retry_budget.c
+++ b/src/state/retry_budget.c
@@ -29,26 +29,51 @@
 	}
 }
 
+gint64 aub_retry_budget_window_us(const struct aub_retry_budget *budget)
+{
+	return budget->bucket_us * (AUB_RETRY_BUDGET_BUCKETS - 1);
+}
+
+void aub_retry_budget_add(struct aub_retry_budget *budget, guint requests,
+			  guint retries, gint64 now_us)
+{
+	guint newest;
+
+	advance(budget, now_us);
+	newest = (guint)(budget->newest_bucket % AUB_RETRY_BUDGET_BUCKETS);
+	budget->requests[newest] += requests;
+	budget->retries[newest] += retries;
+}
+
 void aub_retry_budget_add_request(struct aub_retry_budget *budget,
 				  gint64 now_us)
+{
+	aub_retry_budget_add(budget, 1, 0, now_us);
+}
+
+static guint sum(const guint *buckets)
+{
+	guint total = 0;
+
+	for (guint i = 0; i < AUB_RETRY_BUDGET_BUCKETS; i++)
+		total += buckets[i];
+	return total;
+}
+
+double aub_retry_budget_size(struct aub_retry_budget *budget, double ratio,
+			     double slack, gint64 now_us)
 {
 	advance(budget, now_us);
-	budget->requests[budget->newest_bucket % AUB_RETRY_BUDGET_BUCKETS]++;
+	return ratio * sum(budget->requests) + slack;
 }
 
 bool aub_retry_budget_take_retry(struct aub_retry_budget *budget, double ratio,
-				 guint slack, gint64 now_us)
+				 double slack, gint64 now_us)
 {
-	guint requests = 0;
-	guint retries = 0;
+	double size = aub_retry_budget_size(budget, ratio, slack, now_us);
 
-	advance(budget, now_us);
-	for (guint i = 0; i < AUB_RETRY_BUDGET_BUCKETS; i++) {
-		requests += budget->requests[i];
-		retries += budget->retries[i];
-	}
-	if (retries + 1 > ratio * requests + slack)
+	if (sum(budget->retries) + 1 > size)
 		return false;
-	budget->retries[budget->newest_bucket % AUB_RETRY_BUDGET_BUCKETS]++;
+	aub_retry_budget_add(budget, 0, 1, now_us);
 	return true;
 }
--- a/tests/placement_load.h
+++ b/tests/placement_load.h
@@ -29,6 +29,9 @@
 	guint target_ms = 300;
 	guint seconds = 60;
 	guint seed = 1;
+	/* bounds of the retry budget */
+	double retry_ratio = 0.2;
+	guint retry_slack = 10;
 };
 
 struct LoadResult {
@@ -36,6 +39,7 @@
 	guint on_time = 0;
 	guint late = 0;
 	guint refused = 0;
+	guint64 decisions = 0; /* checksum of all decisions */
 
 	void add(const LoadResult &other)
 	{
@@ -55,7 +59,8 @@
 {
       public:
 	explicit PlacementLoad(const LoadSpec &spec)
-	    : spec(spec), random(spec.seed)
+	    : spec(spec), random(spec.seed),
+	      fixture(spec.retry_ratio, spec.retry_slack)
 	{
 		for (guint i = 0; i < spec.upstreams; i++) {
 			Upstream upstream;
@@ -172,6 +177,12 @@
 	void handle_decision(const struct aub_placement_decision &decision,
 			     gint64 ms)
 	{
+		result.decisions = 31 * result.decisions +
+				   100 * (guint64)decision.verdict +
+				   (guint64)ms +
+				   (decision.verdict == AUB_VERDICT_GRANTED ?
+					    index[decision.upstream] :
+					    decision.retry_after_ms);
 		if (decision.verdict == AUB_VERDICT_GRANTED)
 			start(decision, ms);
 		else if (decision.verdict != AUB_VERDICT_QUEUED)
--- a/tests/test_placement_load.cc
+++ b/tests/test_placement_load.cc
@@ -118,6 +118,30 @@
 	}
 }
 
+/*
+ * Without refusals by upstreams and without retries, who gets retries and when
+ * refused callers return changes no decision.
+ */
+TEST(PlacementLoad, RetryBoundsChangeNothingWithoutRefusals)
+{
+	LoadSpec spec;
+
+	for (double requests_per_s : { 70.0, 260.0, 500.0 }) {
+		spec.requests_per_s = requests_per_s;
+		spec.seconds = 20;
+		spec.retry_ratio = 0;
+		spec.retry_slack = 0;
+		LoadResult without = PlacementLoad(spec).run();
+
+		spec.retry_ratio = 0.2;
+		spec.retry_slack = 10;
+		LoadResult with = PlacementLoad(spec).run();
+
+		EXPECT_EQ(with.decisions, without.decisions);
+		EXPECT_EQ(with.on_time, without.on_time);
+	}
+}
+
 /*
  * Simulates callers of upstreams that refuse a share of the requests although
  * they have room.
