gateway: an attempt at a silent upstream is replaced where a retry is left

Cause: a safe request at an upstream that is stuck, or cut off in silence while others are reached, waited for three seconds or to its deadline (504). No second attempt was made while the first one was in progress.

Change: with a grant the placer says after what time without an answer the upstream is stuck: four times the learned service time with the slowdowns expected at the grant, and not below one and a half targets. Then the gateway asks for a slot elsewhere. The claim ranks after all others, and is refused while three quarters of the slots are in use. The first connection is closed before the second attempt is sent; where no retry is left the first one goes on. Requests that may run only once are never replaced.

Ruled out: two attempts side by side (twice the load, and a loser to cancel), a fixed quantile (a service-wide slowdown would move all requests at once).

Test: test_gateway_replacement; before, SendsIdempotentRequestToAnotherUpstream waits for 3 s and gets 504.

--- a/include/auburnstile/internal/gateway_internal.h
+++ b/include/auburnstile/internal/gateway_internal.h
@@ -57,6 +57,7 @@
 	bool listener_closed;
 	guint attempts_counter; /* handle in the metrics */
 	guint retries_counter; /* likewise */
+	guint replacements_counter; /* likewise */
 	guint relayed_counter; /* likewise: for other gateways */
 	guint relay_attempts_counter; /* likewise: by other gateways */
 };
@@ -153,6 +154,8 @@
 	guint connect_failures; /* attempts that never connected */
 	guint64 ticket; /* ticket of the placement request; 0: none */
 	bool placement_pending;
+	guint silence_timer; /* fires if the upstream in use is stuck */
+	bool replacing; /* the placement request is for a replacement */
 	/* if the upstream in use refuses it; 0: no estimate */
 	guint refused_retry_after_ms;
 	bool may_have_run; /* an upstream may have run it */
@@ -263,6 +266,24 @@
 void aub_attempt_on_links_down(struct aub_upstream_attempt *attempt,
 			       bool silent);
 
+/*
+ * Watches the request's attempt, which has just started, for an upstream that
+ * does not answer; see gateway_replacement.c.
+ */
+void aub_request_watch_silence(struct aub_request *request, guint after_ms);
+/* Ends the watch, and withdraws a placement request for a replacement. */
+void aub_request_end_replacement(struct aub_request *request);
+/*
+ * Returns whether the request's attempt may be replaced by another one: it is
+ * idempotent, and nothing of an answer has arrived.
+ */
+bool aub_request_is_replaceable(const struct aub_request *request);
+/* Asks for an upstream slot; `replaces` is true while an attempt goes on. */
+void aub_request_place(struct aub_request *request, bool replaces);
+/* Returns whether the request may be sent again after `end`. */
+bool aub_request_may_retry(const struct aub_request *request,
+			   enum aub_grant_result end);
+
 /* Crashes; see gateway_crashes.c. */
 GArray *aub_unconfirmed_crashes_new(void);
 /*
--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -47,6 +47,7 @@
 				  late */
 	guint max_wait_ms; /* longest useful wait for a slot */
 	bool retry; /* it was sent to an upstream before */
+	bool replaces; /* a retry, while that upstream has not answered */
 	bool local_fallback; /* placed locally, for lack of a placer */
 	/* share of the retry slack that is left to other processes */
 	double retry_slack_withheld;
@@ -71,6 +72,8 @@
 	 * the upstream refuses the request; 0: no estimate.
 	 */
 	guint retry_after_ms;
+	/* if granted: an upstream that is silent for longer is stuck */
+	guint silent_after_ms;
 };
 
 /* The result of a granted request. */
--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -116,6 +116,7 @@
 	struct aub_quotas *quotas; /* NULL: it counts nowhere */
 	guint quota;
 	bool retry;
+	bool replaces;
 	guint64 fingerprint; /* 0: unknown */
 	bool local_fallback; /* no placer reachable: no cold or down upstream */
 	gint64 queued_us;
--- a/include/auburnstile/internal/placer.h
+++ b/include/auburnstile/internal/placer.h
@@ -24,6 +24,7 @@
 	const char *upstream;
 	const char *address;
 	guint retry_after_ms;
+	guint silent_after_ms; /* see struct aub_placement_decision */
 	const char *placer; /* name of the gateway that decided */
 	gint64 waited_us; /* from the placement request to the decision */
 };
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -349,6 +349,7 @@
 	guint32 on_time_ms;
 	guint32 max_wait_ms;
 	bool retry;
+	bool replaces;
 	bool forward; /* the receiver may forward it to a better placer */
 	char *address; /* the holder's datagram address if forwarded, else "" */
 	guint32 route; /* key of the request's route */
@@ -366,6 +367,7 @@
 	char *upstream;
 	char *address;
 	guint32 retry_after_ms;
+	guint32 silent_after_ms;
 };
 
 /* Load reported by an upstream. Each value is plus one; 0: not reported. */
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -87,6 +87,10 @@
 	gateway->retries_counter =
 		aub_metrics_counter(metrics, "auburnstile_retries_total", NULL,
 				    "attempts after a failed one");
+	gateway->replacements_counter = aub_metrics_counter(
+		metrics, "auburnstile_attempts_replaced_total", NULL,
+		"attempts cancelled for another one since the upstream was "
+		"silent");
 	gateway->relayed_counter = aub_metrics_counter(
 		metrics, "auburnstile_relayed_total", NULL,
 		"requests sent to an upstream for another gateway");
--- a/src/coordination/gateway_answer.c
+++ b/src/coordination/gateway_answer.c
@@ -16,6 +16,7 @@
 	struct aub_gateway *gateway = request->gateway;
 
 	aub_timer_cancel(gateway->options.timers, request->timer);
+	aub_request_end_replacement(request);
 	if (request->placement_pending)
 		aub_placer_cancel(gateway->options.placer, request->ticket);
 	if (request->attempt)
@@ -55,6 +56,7 @@
 		caller->close_after_answer = true;
 	if (!aub_request_is_first(request)) {
 		request->answered = true;
+		aub_request_end_replacement(request);
 		aub_timer_cancel(request->gateway->options.timers,
 				 request->timer);
 		request->timer = 0;
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -87,8 +87,6 @@
 				  AUB_NOT_READY_RETRY_AFTER_MS);
 }
 
-static void request_placement(struct aub_request *request);
-
 static void log_not_placed(const struct aub_request *request,
 			   const struct aub_placement_result *result)
 {
@@ -105,13 +103,37 @@
 	aub_log_end();
 }
 
+/* Returns whether a decision on a replacement needs no further action. */
+static bool replacement_is_settled(struct aub_request *request,
+				   const struct aub_placement_result *result)
+{
+	struct aub_gateway *gateway = request->gateway;
+
+	if (result->verdict != AUB_VERDICT_GRANTED) {
+		log_not_placed(request, result);
+		return true;
+	}
+	if (!aub_request_is_replaceable(request)) {
+		aub_placer_cancel(gateway->options.placer, request->ticket);
+		return true;
+	}
+	aub_metrics_add(gateway->options.metrics, gateway->replacements_counter,
+			1);
+	abort_timed_out_attempt(request, request->attempt);
+	return false;
+}
+
 static void on_placed(const struct aub_placement_result *result, void *context)
 {
 	struct aub_request *request = context;
 	struct aub_gateway *gateway = request->gateway;
 	struct aub_upstream_attempt *attempt;
+	bool replacing = request->replacing;
 
 	request->placement_pending = false;
+	request->replacing = false;
+	if (replacing && replacement_is_settled(request, result))
+		return;
 	request->slot_wait_us += result->waited_us;
 	if (result->verdict != AUB_VERDICT_GRANTED) {
 		log_not_placed(request, result);
@@ -139,6 +161,7 @@
 	g_ptr_array_add(request->tried_upstreams, g_strdup(result->upstream));
 	attempt = aub_attempt_start(request, request->ticket, result->upstream,
 				    result->address);
+	aub_request_watch_silence(request, result->silent_after_ms);
 	if (request->body_length && !request->body_complete)
 		aub_http_stream_pause_reading(
 			request->caller->stream,
@@ -182,7 +205,7 @@
 		   (guint)MAX(late_wait_ms, 0));
 }
 
-static void request_placement(struct aub_request *request)
+void aub_request_place(struct aub_request *request, bool replaces)
 {
 	struct aub_gateway *gateway = request->gateway;
 	gint64 now = request_now_us(request);
@@ -194,6 +217,7 @@
 		.max_wait_ms = max_wait_ms(request, now),
 		.retry = request->tried_upstreams->len >
 			 request->connect_failures,
+		.replaces = replaces,
 		.route = request->route->key,
 		.fingerprint = request->body_complete ?
 				       aub_gateway_fingerprint(request) :
@@ -203,18 +227,15 @@
 	};
 
 	request->placement_pending = true;
+	request->replacing = replaces;
 	request->ticket = aub_placer_new_ticket(gateway->options.placer);
 	aub_placer_request(gateway->options.placer, request->service,
 			   &placement_request, request->ticket, on_placed,
 			   request);
 }
 
-/*
- * Returns whether the request may be sent again after an attempt that ended
- * with `end`.
- */
-static bool may_retry(const struct aub_request *request,
-		      enum aub_grant_result end)
+bool aub_request_may_retry(const struct aub_request *request,
+			   enum aub_grant_result end)
 {
 	gint64 remaining_us =
 		request->effective_deadline_us - request_now_us(request);
@@ -237,7 +258,7 @@
 bool aub_request_may_send_again(const struct aub_request *request)
 {
 	return !request->relayed && request->route->idempotent &&
-	       may_retry(request, AUB_GRANT_LINK_LOST);
+	       aub_request_may_retry(request, AUB_GRANT_LINK_LOST);
 }
 
 /*
@@ -263,6 +284,7 @@
 	char *upstream = g_strdup(attempt->upstream);
 
 	aub_attempt_free(attempt);
+	aub_request_end_replacement(request);
 	if (request->relayed && !streaming) {
 		aub_relay_fail(request, aub_relay_failure_of(request, end));
 		g_free(upstream);
@@ -280,9 +302,9 @@
 		aub_request_log(request, AUB_REQUEST_TRUNCATED, 0,
 				"upstream-broke", upstream);
 		aub_caller_abort(request->caller);
-	} else if (may_retry(request, end) &&
+	} else if (aub_request_may_retry(request, end) &&
 		   !aub_request_is_known_to_crash(request)) {
-		request_placement(request);
+		aub_request_place(request, false);
 	} else {
 		finish_unanswered(request, HTTP_STATUS_BAD_GATEWAY,
 				  aub_grant_result_name(end), upstream,
@@ -384,7 +406,7 @@
 
 	if (failed && !request->relayed && !attempt->streaming &&
 	    request->route->idempotent &&
-	    may_retry(request, AUB_GRANT_FAILED)) {
+	    aub_request_may_retry(request, AUB_GRANT_FAILED)) {
 		/*
 		 * A complete error answer of one upstream; another may succeed.
 		 */
@@ -483,7 +505,7 @@
 		aub_request_refuse(request, "crashes-upstreams",
 				   CRASH_RETRY_AFTER_MS);
 	else
-		request_placement(request);
+		aub_request_place(request, false);
 }
 
 void aub_request_on_body_end(struct aub_request *request)
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -264,7 +264,7 @@
 	struct aub_node *node = context;
 
 	for (guint i = 0; i < G_N_ELEMENTS(results); i++)
-		set_series(node, true, "auburnstile_retries_total",
+		set_series(node, true, "auburnstile_retry_claims_total",
 			   aub_metrics_labels("service", service, "result",
 					      results[i].result, NULL),
 			   "retries asked for here by result",
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -49,6 +49,7 @@
 	message->placer = placer->options.incarnation;
 	message->verdict = decision->verdict;
 	message->retry_after_ms = decision->retry_after_ms;
+	message->silent_after_ms = decision->silent_after_ms;
 	if (decision->verdict == AUB_VERDICT_GRANTED) {
 		aub_string_set(&message->upstream, decision->upstream);
 		aub_string_set(&message->address, decision->address);
@@ -116,6 +117,7 @@
 		.on_time_wait_ms = message->on_time_ms,
 		.max_wait_ms = message->max_wait_ms,
 		.retry = message->retry,
+		.replaces = message->replaces,
 		.route = message->route,
 		.workspace = message->workspace,
 		.fingerprint = message->fingerprint,
@@ -199,6 +201,7 @@
 		.upstream = message->upstream,
 		.address = message->address,
 		.retry_after_ms = message->retry_after_ms,
+		.silent_after_ms = message->silent_after_ms,
 	};
 
 	if (message->verdict >= AUB_VERDICT_COUNT)
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -135,6 +135,7 @@
 		.upstream = decision->upstream,
 		.address = decision->address,
 		.retry_after_ms = retry_after_ms(placer, ticket, decision),
+		.silent_after_ms = decision->silent_after_ms,
 		.placer = peer_name(placer, from),
 		.waited_us = now - ticket->start_us,
 	};
@@ -222,6 +223,7 @@
 	message->on_time_ms = ticket->request.on_time_wait_ms;
 	message->max_wait_ms = ticket->request.max_wait_ms;
 	message->retry = ticket->request.retry;
+	message->replaces = ticket->request.replaces;
 	message->route = ticket->request.route;
 	aub_string_set(&message->workspace, ticket->workspace);
 	message->fingerprint = ticket->request.fingerprint;
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -403,6 +403,7 @@
 	U32(aub_place_request, route),
 	STRING(aub_place_request, workspace, WORKSPACE_BYTES_MAX),
 	U64(aub_place_request, fingerprint),
+	BOOL(aub_place_request, replaces),
 	END,
 };
 
@@ -413,6 +414,7 @@
 	STRING(aub_place_decision, upstream, NAME_BYTES_MAX),
 	STRING(aub_place_decision, address, ADDRESS_BYTES_MAX),
 	U32(aub_place_decision, retry_after_ms),
+	U32(aub_place_decision, silent_after_ms),
 	END,
 };
 
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -14,6 +14,12 @@
 /* Granted share of the slots below which no request has to wait. */
 #define LOW_UTILIZATION_PERCENT 75
 #define RETRY_AFTER_MAX_MS 5000
+/*
+ * A request in progress for longer than this is not explained by its kind's
+ * service times, of which interference and chance are a part.
+ */
+#define SILENT_SERVICE_TIMES 4
+#define SILENT_TARGETS 1.5
 /* Probability from which a refused caller is expected to come back. */
 #define LIKELY_RETURN 0.5
 /* Upstreams that are down are probed twice in this time. */
@@ -81,6 +87,7 @@
 	queued->quotas = request->quotas;
 	queued->quota = request->quota;
 	queued->retry = request->retry;
+	queued->replaces = request->replaces;
 	queued->fingerprint = request->fingerprint;
 	queued->local_fallback = request->local_fallback;
 	queued->queued_us = now_us;
@@ -137,6 +144,14 @@
 	return true;
 }
 
+static bool has_spare_slots(const struct aub_placement *placement,
+			    const struct aub_placement_capacity *capacity)
+{
+	guint granted = g_hash_table_size(placement->grants);
+
+	return 100 * granted < LOW_UTILIZATION_PERCENT * capacity->slots;
+}
+
 /*
  * Returns when a caller whose request upstreams with room refuse may return, or
  * 0 if they have none to spare.
@@ -151,9 +166,7 @@
 	const struct aub_placement_request *request,
 	const struct aub_placement_capacity *capacity, gint64 now_us)
 {
-	guint granted = g_hash_table_size(placement->grants);
-
-	if (100 * granted >= LOW_UTILIZATION_PERCENT * capacity->slots ||
+	if (!has_spare_slots(placement, capacity) ||
 	    aub_retry_is_futile(
 		    1 - aub_refusal_rate_share(&placement->refusals, now_us)))
 		return 0;
@@ -181,6 +194,11 @@
 	struct aub_placement_capacity capacity;
 	guint after_ms;
 
+	/* Its first attempt goes on: the caller is told nothing. */
+	if (request->replaces) {
+		decision->verdict = verdict;
+		return;
+	}
 	(void)aub_placement_choose(placement, request, now_us, &capacity);
 	after_ms =
 		retry_after_with_room_ms(placement, request, &capacity, now_us);
@@ -203,6 +221,20 @@
 	};
 }
 
+/*
+ * While most slots are in use, slow answers are those of an overload, which
+ * requests that run twice would only make worse.
+ */
+static bool may_replace(struct aub_placement *placement,
+			const struct aub_placement_request *request,
+			gint64 now_us)
+{
+	struct aub_placement_capacity capacity;
+
+	(void)aub_placement_choose(placement, request, now_us, &capacity);
+	return has_spare_slots(placement, &capacity);
+}
+
 /* Counts a request, or decides whether it may be retried. */
 static enum aub_retry_verdict admit(struct aub_placement *placement,
 				    const struct aub_placement_request *request,
@@ -220,9 +252,13 @@
 		placement->untold.requests++;
 		return AUB_RETRY_ADMITTED;
 	}
-	aub_caller_returns_retried(placement->returns, request->fingerprint);
+	if (request->replaces && !may_replace(placement, request, now_us))
+		return AUB_RETRY_RESERVED;
+	if (!request->replaces)
+		aub_caller_returns_retried(placement->returns,
+					   request->fingerprint);
 	claim = (struct aub_retry_claim){
-		.late = !request->on_time_wait_ms,
+		.late = request->replaces || !request->on_time_wait_ms,
 		.priority = request->priority,
 		.returns =
 			aub_caller_returns_probability(placement->returns,
@@ -316,6 +352,19 @@
 	return false;
 }
 
+/* Returns after what time without an answer an upstream is stuck, in ms. */
+static guint silent_after_ms(const struct aub_placement *placement,
+			     const struct aub_grant *grant)
+{
+	double expected_ms =
+		aub_service_times_mean_ms(&placement->service_times,
+					  grant->target_ms) *
+		grant->slowdown;
+
+	return (guint)MAX(SILENT_SERVICE_TIMES * expected_ms,
+			  SILENT_TARGETS * grant->target_ms);
+}
+
 static void grant_slot(struct aub_placement *placement, guint index,
 		       const struct aub_placement_request *request,
 		       const struct aub_placement_capacity *capacity,
@@ -325,6 +374,7 @@
 
 	aub_placement_grant(placement, index, request, now_us, decision);
 	grant = g_hash_table_lookup(placement->grants, &request->ticket);
+	decision->silent_after_ms = silent_after_ms(placement, grant);
 	grant->retry_after_ms =
 		retry_after_with_room_ms(placement, request, capacity, now_us);
 	decision->retry_after_ms = grant->retry_after_ms;
@@ -406,6 +456,7 @@
 		.quotas = queued->quotas,
 		.quota = queued->quota,
 		.retry = queued->retry,
+		.replaces = queued->replaces,
 		.fingerprint = queued->fingerprint,
 		.local_fallback = queued->local_fallback,
 		.on_time_wait_ms = (guint)((on_time_us + AUB_US_PER_MS - 1) /
