--- a/tests/run.sh
+++ b/tests/run.sh
@@ -88,7 +88,7 @@
 			tail -n 30 "$log"
 		fi
 	fi
-	grep '^seed \|^order\|^notices\|^workspaces\|^partitions' "$log"
+	grep '^seed \|^order\|^notices\|^workspaces\|^partitions\|^refusals' "$log"
 }
 # Short runs with fixed seeds. Seeds 15 and 117 guard against violations that
 # the soak itself would cause. With seed 15, an upstream drains while no gateway
@@ -120,5 +120,9 @@
 for seed in 2 3 4; do
 	soak partitions-$seed --partitions --seed $seed --seconds 14
 done
+# All upstreams refuse most requests for seconds, beside all other faults.
+for seed in 1 2; do
+	soak refusals-$seed --refusals --seed $seed --seconds 14
+done
 echo "$passed passed, $failed failed"
 exit $exit_status
--- a/tools/platform/upstream.c
+++ b/tools/platform/upstream.c
@@ -27,6 +27,7 @@
 	char *limit; /* value of Server-Limit; NULL: none */
 	bool limit_in_probes;
 	char *leaving; /* value of Server-Leaving; NULL: none */
+	char *refusal_load; /* value of Instance-Load with 503; NULL: none */
 	char *retry_after; /* value of Retry-After with 503; NULL: none */
 	guint arrivals;
 	guint runs;
@@ -156,6 +157,9 @@
 	write_format(connection,
 		     "HTTP/1.1 %u X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n",
 		     status, connection->request_id);
+	if (connection->upstream->refusal_load)
+		write_format(connection, "Instance-Load: %s\r\n",
+			     connection->upstream->refusal_load);
 	write_notices(connection, status);
 	if (status == 503 && connection->upstream->retry_after)
 		write_format(connection, "Retry-After: %s\r\n",
@@ -511,6 +515,7 @@
 	g_free(upstream->address);
 	g_free(upstream->limit);
 	g_free(upstream->leaving);
+	g_free(upstream->refusal_load);
 	g_free(upstream->retry_after);
 	g_free(upstream->id);
 	g_free(upstream);
@@ -576,6 +581,12 @@
 	set_header(&upstream->leaving, text);
 }
 
+void platform_upstream_set_refusal_load(struct platform_upstream *upstream,
+					const char *load)
+{
+	set_header(&upstream->refusal_load, load);
+}
+
 void platform_upstream_set_retry_after(struct platform_upstream *upstream,
 				       const char *text)
 {
--- a/tools/platform/upstream.h
+++ b/tools/platform/upstream.h
@@ -46,6 +46,12 @@
 /* Sets the answer to all requests from now on. */
 void platform_upstream_set_answer(struct platform_upstream *upstream,
 				  enum platform_answer answer);
+/*
+ * Sets the load that refusals state, in the header's form; NULL: none. Copies
+ * the text.
+ */
+void platform_upstream_set_refusal_load(struct platform_upstream *upstream,
+					const char *load);
 /* Sets the answer to the next request only. */
 void platform_upstream_set_next_answer(struct platform_upstream *upstream,
 				       enum platform_answer answer);
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -26,7 +26,8 @@
  *   UNASKED  an upstream got a caller's API key or another workspace than
  *            that of the key
  *   CONFIG   a removed API key opened something
- *   BUDGET   an upstream got requests in the rest that it asked a gateway for
+ *   BUDGET   an upstream got requests in the rest that it asked a gateway for,
+ *            or the upstreams got more retries than the fleet may send
  *   RECOVER  requests are not served after the faults have ended; or, with
  *            partitions and no other faults, gateways without links to the
  *            upstreams serve less than the others, or these serve less
@@ -68,6 +69,10 @@
 		options->soak.silences = true;
 		return 0;
 	}
+	if (key == 'f') {
+		options->soak.refusals = true;
+		return 0;
+	}
 	if (key == 'l') {
 		options->soak.notices = SOAK_NOTICE_ALL;
 		return 0;
@@ -104,6 +109,10 @@
 		  "gateways lose their links to all upstreams; other faults "
 		  "only with odd seeds",
 		  0 },
+		{ "refusals", 'f', NULL, 0,
+		  "upstreams refuse many requests although they have free "
+		  "slots",
+		  0 },
 		{ "silences", 'q', NULL, 0,
 		  "as --workspaces, but the only fault is that the store stops "
 		  "answering right after changes",
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -33,6 +33,7 @@
 
 struct notices;
 struct soak_partitions;
+struct soak_refusals;
 struct rollout;
 struct soak;
 struct soak_key;
@@ -75,6 +76,7 @@
 	/* The caller was told that the request was not run. */
 	bool reported_not_run;
 	guint executions;
+	guint arrivals; /* at upstreams; counted in runs with refusals */
 	guint gateway; /* that it was sent to */
 	enum soak_link_group link_group;
 	gint64 sent_us;
@@ -104,6 +106,7 @@
 	struct notices *notices; /* NULL without notices */
 	struct soak_workspaces *workspaces; /* NULL without workspaces */
 	struct soak_partitions *partitions; /* NULL without partitions */
+	struct soak_refusals *refusals; /* NULL without refusals */
 	struct aub_timer_service *timers;
 	struct aub_poller *poller;
 	struct platform_store *store;
@@ -265,6 +268,25 @@
 /* Prints one line with counts, and checks how calls were served. */
 void soak_partitions_report(struct soak_partitions *partitions);
 
+/*
+ * Phases, at random by `seed`, in which all upstreams refuse a share of the
+ * requests although they have free slots.
+ */
+struct soak_refusals *soak_refusals_new(struct soak *soak, guint32 seed);
+void soak_refusals_free(struct soak_refusals *refusals);
+void soak_refusals_step(struct soak_refusals *refusals, gint64 now_us);
+/* Called when a caller sends a request. */
+void soak_refusals_on_sent(struct soak_refusals *refusals);
+/*
+ * Counts and checks a request that arrives at `upstream`. Makes the upstream
+ * refuse it at random.
+ */
+void soak_refusals_on_arrival(struct soak_refusals *refusals,
+			      struct upstream *upstream,
+			      struct request *request, const char *id);
+/* Prints one line with counts. */
+void soak_refusals_report(const struct soak_refusals *refusals);
+
 /*
  * A rollout that takes place during the faults. The parity of `seed` determines
  * whether the new version is good (even) or faulty (odd). The rollout owns the
--- a/tools/soak/soak_callers.c
+++ b/tools/soak/soak_callers.c
@@ -150,6 +150,8 @@
 	caller->status = 0;
 	request->gateway = caller->gateway->number;
 	request->sent_us = caller->start_us;
+	if (soak->refusals)
+		soak_refusals_on_sent(soak->refusals);
 	if (soak->partitions)
 		request->link_group = soak_partitions_group(soak->partitions,
 							    caller->gateway);
--- a/tools/soak/soak_run.c
+++ b/tools/soak/soak_run.c
@@ -37,6 +37,8 @@
 		soak_workspaces_step(soak->workspaces, now_us);
 	if (soak->partitions)
 		soak_partitions_step(soak->partitions, now_us);
+	if (soak->refusals)
+		soak_refusals_step(soak->refusals, now_us);
 	if (soak->zone_evacuated && now_us >= soak->faults_end_us)
 		soak_end_evacuation(soak);
 	if (now_us >= soak->next_fault_us && now_us < soak->faults_end_us)
@@ -67,6 +69,8 @@
 		soak->partitions = soak_partitions_new(
 			soak, seed,
 			(enum proxy_partition)options->partition_kind);
+	if (options->refusals)
+		soak->refusals = soak_refusals_new(soak, seed);
 	soak_configure(soak);
 	for (guint i = 0; i < UPSTREAM_COUNT; i++) {
 		soak->upstreams[i].soak = soak;
@@ -113,6 +117,8 @@
 		soak_notices_report(soak->notices);
 	if (soak->workspaces)
 		soak_workspaces_report(soak->workspaces);
+	if (soak->refusals)
+		soak_refusals_report(soak->refusals);
 	if (soak->violations)
 		g_print("logs are kept in %s\n", soak->folder);
 	return soak->violations == 0;
@@ -139,6 +145,7 @@
 	soak_notices_free(soak->notices);
 	soak_workspaces_free(soak->workspaces);
 	soak_partitions_free(soak->partitions);
+	soak_refusals_free(soak->refusals);
 }
 
 bool soak_run(guint32 seed, const struct soak_options *options,
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -27,6 +27,7 @@
 	/* the store is silent right after changes of workspaces; no other
 	   faults */
 	bool silences;
+	bool refusals; /* upstreams refuse requests despite free slots */
 };
 
 struct soak_result {
--- a/tools/soak/soak_upstreams.c
+++ b/tools/soak/soak_upstreams.c
@@ -44,11 +44,14 @@
 static void on_request_arrived(const char *id, void *context)
 {
 	struct upstream *upstream = context;
-	const struct request *request =
-		g_hash_table_lookup(upstream->soak->requests, id);
+	struct soak *soak = upstream->soak;
+	struct request *request = g_hash_table_lookup(soak->requests, id);
 
-	if (request)
-		soak_notices_on_arrival(upstream, request, id);
+	if (!request)
+		return;
+	soak_notices_on_arrival(upstream, request, id);
+	if (soak->refusals)
+		soak_refusals_on_arrival(soak->refusals, upstream, request, id);
 }
 
 static void on_request_answered(const char *id, guint status, void *context)
@@ -93,6 +96,9 @@
 		platform_upstream_new(soak->poller, soak->timers, upstream->id);
 	platform_upstream_set_body_bytes(upstream->server, ANSWER_BYTES);
 	platform_upstream_set_service_time(upstream->server, SERVICE_TIME_MS);
+	if (soak->refusals)
+		platform_upstream_set_refusal_load(upstream->server,
+						   "0,0,4,100");
 	platform_upstream_set_run_callback(upstream->server, on_request_started,
 					   upstream);
 	platform_upstream_set_arrival_callback(upstream->server,
