--- a/include/auburnstile/internal/retry_admission.h
+++ b/include/auburnstile/internal/retry_admission.h
@@ -80,6 +80,9 @@
 	struct aub_retry_admission *admission,
 	const struct aub_retry_bounds *bounds,
 	const struct aub_retry_claim *claim, gint64 now_us);
+/* Takes back a retry that was just admitted and found no upstream. */
+void aub_retry_admission_take_back(struct aub_retry_admission *admission,
+				   gint64 now_us);
 
 G_END_DECLS
 
--- a/include/auburnstile/internal/retry_budget.h
+++ b/include/auburnstile/internal/retry_budget.h
@@ -28,6 +28,9 @@
 /* Counts requests and retries that were not decided here. */
 void aub_retry_budget_add(struct aub_retry_budget *budget, guint requests,
 			  guint retries, gint64 now_us);
+/* Returns a retry that was just taken and is not sent. */
+void aub_retry_budget_return_retry(struct aub_retry_budget *budget,
+				   gint64 now_us);
 /* Returns how many retries the window may have in all. */
 double aub_retry_budget_size(struct aub_retry_budget *budget, double ratio,
 			     double slack, gint64 now_us);
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -278,6 +278,18 @@
 	return verdict;
 }
 
+/* Takes back an admitted retry, for which no attempt is made. */
+static void take_back_retry(struct aub_placement *placement,
+			    const struct aub_placement_request *request,
+			    gint64 now_us)
+{
+	if (!request->retry)
+		return;
+	aub_retry_admission_take_back(&placement->retries, now_us);
+	if (placement->untold.retries)
+		placement->untold.retries--;
+}
+
 bool aub_placement_take_retry_use(struct aub_placement *placement,
 				  struct aub_retry_use *use)
 {
@@ -421,6 +433,7 @@
 	if (!aub_placement_capacity_exists(&capacity) &&
 	    (request->retry || request->local_fallback ||
 	     !is_any_unknown(placement))) {
+		take_back_retry(placement, request, now_us);
 		refuse(placement, request, AUB_VERDICT_NO_UPSTREAM,
 		       RETRY_AFTER_NO_UPSTREAM_MS, now_us, decision);
 		return;
@@ -432,6 +445,7 @@
 	if (aub_placement_capacity_exists(&capacity) &&
 	    wait_ms(placement, ahead, &capacity, now_us) >
 		    request->max_wait_ms) {
+		take_back_retry(placement, request, now_us);
 		refuse(placement, request, overload_verdict(&capacity),
 		       wait_ms(placement, ahead, &capacity, now_us), now_us,
 		       decision);
--- a/src/state/retry_admission.c
+++ b/src/state/retry_admission.c
@@ -280,3 +280,11 @@
 	admission->verdicts[verdict]++;
 	return verdict;
 }
+
+void aub_retry_admission_take_back(struct aub_retry_admission *admission,
+				   gint64 now_us)
+{
+	aub_retry_budget_return_retry(&admission->budget, now_us);
+	admission->credit += 1;
+	admission->verdicts[AUB_RETRY_ADMITTED]--;
+}
--- a/src/state/retry_budget.c
+++ b/src/state/retry_budget.c
@@ -77,3 +77,15 @@
 	aub_retry_budget_add(budget, 0, 1, now_us);
 	return true;
 }
+
+void aub_retry_budget_return_retry(struct aub_retry_budget *budget,
+				   gint64 now_us)
+{
+	guint *retries;
+
+	advance(budget, now_us);
+	retries = &budget->retries[budget->newest_bucket %
+				   AUB_RETRY_BUDGET_BUCKETS];
+	if (*retries)
+		(*retries)--;
+}
