--- a/tests/test_gateway_replacement.cc
+++ b/tests/test_gateway_replacement.cc
@@ -23,8 +23,8 @@
 	{
 		for (int i = 0; i < 50; i++) {
 			guint before = platform_upstream_arrivals(silent);
-			auto caller = send_request(
-				method, path, "r" + std::to_string(i));
+			auto caller = send_request(method, path,
+						   "r" + std::to_string(i));
 
 			run_until(
 				[&] {
