placement: a refused replacement is no refusal of its caller

The request goes on with its first attempt. Counting it as refused would lower the learned share of callers that return. Two tests: the count, and that nothing is replaced while most slots are in use.

--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -57,6 +57,9 @@
 	placement->refused++;
 	decision->verdict = verdict;
 	decision->retry_after_ms = after_ms;
+	/* The caller of a replacement still waits for the first attempt. */
+	if (request->replaces)
+		return;
 	aub_caller_returns_refused(placement->returns, request->fingerprint,
 				   after_ms, now_us);
 }
--- a/tests/test_retry_load.cc
+++ b/tests/test_retry_load.cc
@@ -302,3 +302,36 @@
 	EXPECT_GE(told.size(), 10u);
 	EXPECT_LE(told.rbegin()->first, 50u);
 }
+
+/* Guards against callers that count as refused though their request goes on. */
+TEST(RetryLoad, RefusedReplacementIsNoRefusalOfItsCaller)
+{
+	PlacementFixture fixture;
+
+	for (int i = 0; i < 2; i++) {
+		struct aub_placement_request request = fixture.new_request();
+
+		request.retry = true;
+		request.replaces = true;
+		request.fingerprint = 5;
+		EXPECT_NE(fixture.submit(request).verdict, AUB_VERDICT_GRANTED);
+	}
+	EXPECT_EQ(aub_caller_returns_count(fixture.placement->returns), 0u);
+}
+
+/* Guards against requests that run twice while their upstreams are busy. */
+TEST(RetryLoad, NothingIsReplacedWhileMostSlotsAreInUse)
+{
+	PlacementFixture fixture;
+	struct aub_placement_request replacement = fixture.new_request();
+
+	fixture.add_healthy("u1", 4);
+	replacement.retry = true;
+	replacement.replaces = true;
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ(fixture.submit().verdict, AUB_VERDICT_GRANTED);
+	EXPECT_EQ(fixture.submit(replacement).verdict,
+		  AUB_VERDICT_RETRY_RESERVED);
+	fixture.add_healthy("u2", 4);
+	EXPECT_EQ(fixture.submit(replacement).verdict, AUB_VERDICT_GRANTED);
+}
