--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -97,6 +97,7 @@
 	double slowdown; /* expected at grant for other reasons than that */
 	guint target_ms;
 	guint retry_after_ms; /* told to its caller if the upstream refuses */
+	guint silent_after_ms; /* without an answer for longer, it is stuck */
 	guint32 route;
 	struct aub_quotas *quotas; /* NULL: it counts nowhere */
 	guint quota;
@@ -300,6 +301,31 @@
 			  gint64 now_us,
 			  struct aub_placement_capacity *capacity);
 
+/*
+ * Returns when a caller whose request upstreams with room refuse may return, or
+ * 0 if they have none to spare.
+ *
+ * If it had to wait until a queue has drained, it would be late although no
+ * request waits. Its next request is one of its own to the retry budget. While
+ * most slots are in use, or nearly all attempts are refused, returning at once
+ * would only add load.
+ */
+guint aub_placement_retry_after_ms(
+	const struct aub_placement *placement,
+	const struct aub_placement_request *request,
+	const struct aub_placement_capacity *capacity, gint64 now_us);
+/* Returns after what time without an answer an upstream is stuck, in ms. */
+guint aub_placement_silent_after_ms(const struct aub_placement *placement,
+				    const struct aub_grant *grant);
+/* Counts a request, or decides whether it may be retried. */
+enum aub_retry_verdict aub_placement_admit(
+	struct aub_placement *placement,
+	const struct aub_placement_request *request, gint64 now_us);
+/* Takes back an admitted retry, for which no attempt is made. */
+void aub_placement_take_back_retry(struct aub_placement *placement,
+				   const struct aub_placement_request *request,
+				   gint64 now_us);
+
 G_END_DECLS
 
 #endif
--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -201,6 +201,12 @@
  */
 double aub_placer_granted_share(const struct aub_placer *placer);
 
+/*
+ * Gateways that are told what is granted of a service: the placer, and the one
+ * that takes over if it fails.
+ */
+#define AUB_INFORMED_PER_SERVICE 2
+
 /* Retry budgets. */
 /*
  * Returns the share of the retry slack that is left to other processes, for a
--- a/src/coordination/placer_quota.c
+++ b/src/coordination/placer_quota.c
@@ -14,8 +14,6 @@
 #define SEND_PERIOD_US (100 * AUB_MS)
 /* Rows of one message, which has to fit into a datagram. */
 #define ROWS_MAX 160
-/* The placer and the one that takes over if it fails. */
-#define INFORMED_PER_SERVICE 2
 /* Workspaces with a log line of their own in a second. */
 #define LOGGED_MAX 16
 /* A process that has placed within this time may do so again. */
@@ -43,8 +41,8 @@
 		const GPtrArray *ranked =
 			aub_peers_ranked(placer->options.peers, service);
 
-		for (guint i = 0; i < ranked->len && i < INFORMED_PER_SERVICE;
-		     i++) {
+		for (guint i = 0;
+		     i < ranked->len && i < AUB_INFORMED_PER_SERVICE; i++) {
 			struct aub_peer *peer = g_ptr_array_index(ranked, i);
 
 			if (peer->self)
--- a/src/coordination/placer_retries.c
+++ b/src/coordination/placer_retries.c
@@ -9,9 +9,6 @@
  */
 #include <auburnstile/internal/placer_internal.h>
 
-/* The placer and the one that takes over if it fails. */
-#define INFORMED_PER_SERVICE 2
-
 double aub_placer_slack_withheld(const struct aub_placer *placer, bool fallback)
 {
 	const struct aub_peers *peers = placer->options.peers;
@@ -37,7 +34,8 @@
 	aub_string_set(&message->service, service);
 	message->requests = use.requests;
 	message->retries = use.retries;
-	for (guint i = 0; i < ranked->len && i < INFORMED_PER_SERVICE; i++) {
+	for (guint i = 0; i < ranked->len && i < AUB_INFORMED_PER_SERVICE;
+	     i++) {
 		const struct aub_peer *peer = g_ptr_array_index(ranked, i);
 
 		if (!peer->self)
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -5,23 +5,7 @@
 #include <auburnstile/internal/placement_internal.h>
 
 #define RETRY_AFTER_MIN_MS 700
-/*
- * Upstreams have room and refuse all the same: the caller may return at once,
- * and those that were refused together return within some time.
- */
-#define RETRY_AFTER_ROOM_MS 20
-#define RETRY_AFTER_ROOM_SPREAD_MS 20
-/* Granted share of the slots below which no request has to wait. */
-#define LOW_UTILIZATION_PERCENT 75
 #define RETRY_AFTER_MAX_MS 5000
-/*
- * A request in progress for longer than this is not explained by its kind's
- * service times, of which interference and chance are a part.
- */
-#define SILENT_SERVICE_TIMES 4
-#define SILENT_TARGETS 1.5
-/* Probability from which a refused caller is expected to come back. */
-#define LIKELY_RETURN 0.5
 /* Upstreams that are down are probed twice in this time. */
 #define RETRY_AFTER_NO_UPSTREAM_MS 500
 
@@ -139,6 +123,8 @@
 		decision->verdict = AUB_VERDICT_GRANTED;
 		decision->upstream = upstream->id;
 		decision->address = upstream->address;
+		decision->retry_after_ms = grant->retry_after_ms;
+		decision->silent_after_ms = grant->silent_after_ms;
 		return true;
 	}
 	if (aub_placement_find_queued(placement, request->ticket) < 0)
@@ -147,36 +133,6 @@
 	return true;
 }
 
-static bool has_spare_slots(const struct aub_placement *placement,
-			    const struct aub_placement_capacity *capacity)
-{
-	guint granted = g_hash_table_size(placement->grants);
-
-	return 100 * granted < LOW_UTILIZATION_PERCENT * capacity->slots;
-}
-
-/*
- * Returns when a caller whose request upstreams with room refuse may return, or
- * 0 if they have none to spare.
- *
- * If it had to wait until a queue has drained, it would be late although no
- * request waits. Its next request is one of its own to the retry budget. While
- * most slots are in use, or nearly all attempts are refused, returning at once
- * would only add load.
- */
-static guint retry_after_with_room_ms(
-	const struct aub_placement *placement,
-	const struct aub_placement_request *request,
-	const struct aub_placement_capacity *capacity, gint64 now_us)
-{
-	if (!has_spare_slots(placement, capacity) ||
-	    aub_retry_is_futile(
-		    1 - aub_refusal_rate_share(&placement->refusals, now_us)))
-		return 0;
-	return RETRY_AFTER_ROOM_MS +
-	       (guint)(request->ticket % RETRY_AFTER_ROOM_SPREAD_MS);
-}
-
 static enum aub_verdict retry_refusal(enum aub_retry_verdict verdict)
 {
 	switch (verdict) {
@@ -203,8 +159,8 @@
 		return;
 	}
 	(void)aub_placement_choose(placement, request, now_us, &capacity);
-	after_ms =
-		retry_after_with_room_ms(placement, request, &capacity, now_us);
+	after_ms = aub_placement_retry_after_ms(placement, request, &capacity,
+						now_us);
 	if (after_ms)
 		refuse_for(placement, request, verdict, after_ms, now_us,
 			   decision);
@@ -213,107 +169,6 @@
 		       now_us, decision);
 }
 
-static struct aub_retry_bounds retry_bounds(
-	const struct aub_placement *placement,
-	const struct aub_placement_request *request)
-{
-	return (struct aub_retry_bounds){
-		.ratio = placement->limits.retry_ratio,
-		.slack = placement->limits.retry_slack *
-			 (1 - request->retry_slack_withheld),
-	};
-}
-
-/*
- * While most slots are in use, slow answers are those of an overload, which
- * requests that run twice would only make worse.
- */
-static bool may_replace(struct aub_placement *placement,
-			const struct aub_placement_request *request,
-			gint64 now_us)
-{
-	struct aub_placement_capacity capacity;
-
-	(void)aub_placement_choose(placement, request, now_us, &capacity);
-	return has_spare_slots(placement, &capacity);
-}
-
-/* Counts a request, or decides whether it may be retried. */
-static enum aub_retry_verdict admit(struct aub_placement *placement,
-				    const struct aub_placement_request *request,
-				    gint64 now_us)
-{
-	const struct aub_retry_bounds bounds = retry_bounds(placement, request);
-	struct aub_retry_claim claim;
-	enum aub_retry_verdict verdict;
-
-	if (!request->retry) {
-		(void)aub_caller_returns_arrived(placement->returns,
-						 request->fingerprint, now_us);
-		aub_retry_admission_add_request(&placement->retries, &bounds,
-						now_us);
-		placement->untold.requests++;
-		return AUB_RETRY_ADMITTED;
-	}
-	if (request->replaces && !may_replace(placement, request, now_us))
-		return AUB_RETRY_RESERVED;
-	if (!request->replaces)
-		aub_caller_returns_retried(placement->returns,
-					   request->fingerprint);
-	claim = (struct aub_retry_claim){
-		.late = request->replaces || !request->on_time_wait_ms,
-		.priority = request->priority,
-		.returns =
-			aub_caller_returns_probability(placement->returns,
-						       request->fingerprint,
-						       now_us) > LIKELY_RETURN,
-		.success = 1 -
-			   aub_refusal_rate_share(&placement->refusals, now_us),
-		.workspace = request->quotas ? request->quota : 0,
-		.weight = request->quotas && request->quota ?
-				  aub_quota_weight(request->quotas,
-						   request->quota) :
-				  0,
-	};
-	verdict = aub_retry_admission_decide(&placement->retries, &bounds,
-					     &claim, now_us);
-	placement->untold.retries += verdict == AUB_RETRY_ADMITTED;
-	return verdict;
-}
-
-/* Takes back an admitted retry, for which no attempt is made. */
-static void take_back_retry(struct aub_placement *placement,
-			    const struct aub_placement_request *request,
-			    gint64 now_us)
-{
-	if (!request->retry)
-		return;
-	aub_retry_admission_take_back(&placement->retries, now_us);
-	if (placement->untold.retries)
-		placement->untold.retries--;
-}
-
-bool aub_placement_take_retry_use(struct aub_placement *placement,
-				  struct aub_retry_use *use)
-{
-	*use = placement->untold;
-	placement->untold = (struct aub_retry_use){ 0 };
-	return use->requests || use->retries;
-}
-
-void aub_placement_apply_retry_use(struct aub_placement *placement,
-				   const struct aub_retry_use *use,
-				   gint64 now_us)
-{
-	const struct aub_retry_bounds bounds = {
-		.ratio = placement->limits.retry_ratio,
-		.slack = placement->limits.retry_slack,
-	};
-
-	aub_retry_admission_add_remote(&placement->retries, &bounds,
-				       use->requests, use->retries, now_us);
-}
-
 static guint count_queued_of_quota(const struct aub_placement *placement,
 				   const struct aub_quotas *quotas, guint quota)
 {
@@ -367,19 +222,6 @@
 	return false;
 }
 
-/* Returns after what time without an answer an upstream is stuck, in ms. */
-static guint silent_after_ms(const struct aub_placement *placement,
-			     const struct aub_grant *grant)
-{
-	double expected_ms =
-		aub_service_times_mean_ms(&placement->service_times,
-					  grant->target_ms) *
-		grant->slowdown;
-
-	return (guint)MAX(SILENT_SERVICE_TIMES * expected_ms,
-			  SILENT_TARGETS * grant->target_ms);
-}
-
 static void grant_slot(struct aub_placement *placement, guint index,
 		       const struct aub_placement_request *request,
 		       const struct aub_placement_capacity *capacity,
@@ -389,9 +231,11 @@
 
 	aub_placement_grant(placement, index, request, now_us, decision);
 	grant = g_hash_table_lookup(placement->grants, &request->ticket);
-	decision->silent_after_ms = silent_after_ms(placement, grant);
-	grant->retry_after_ms =
-		retry_after_with_room_ms(placement, request, capacity, now_us);
+	grant->silent_after_ms =
+		aub_placement_silent_after_ms(placement, grant);
+	grant->retry_after_ms = aub_placement_retry_after_ms(placement, request,
+							     capacity, now_us);
+	decision->silent_after_ms = grant->silent_after_ms;
 	decision->retry_after_ms = grant->retry_after_ms;
 	aub_grant_count_canary(placement, grant,
 			       aub_placement_get_upstream(placement, index));
@@ -420,7 +264,7 @@
 						 request->quota, now_us);
 		return;
 	}
-	verdict = admit(placement, request, now_us);
+	verdict = aub_placement_admit(placement, request, now_us);
 	if (verdict != AUB_RETRY_ADMITTED) {
 		refuse_retry(placement, request, retry_refusal(verdict), now_us,
 			     decision);
@@ -436,7 +280,7 @@
 	if (!aub_placement_capacity_exists(&capacity) &&
 	    (request->retry || request->local_fallback ||
 	     !is_any_unknown(placement))) {
-		take_back_retry(placement, request, now_us);
+		aub_placement_take_back_retry(placement, request, now_us);
 		refuse(placement, request, AUB_VERDICT_NO_UPSTREAM,
 		       RETRY_AFTER_NO_UPSTREAM_MS, now_us, decision);
 		return;
@@ -448,7 +292,7 @@
 	if (aub_placement_capacity_exists(&capacity) &&
 	    wait_ms(placement, ahead, &capacity, now_us) >
 		    request->max_wait_ms) {
-		take_back_retry(placement, request, now_us);
+		aub_placement_take_back_retry(placement, request, now_us);
 		refuse(placement, request, overload_verdict(&capacity),
 		       wait_ms(placement, ahead, &capacity, now_us), now_us,
 		       decision);
--- a/tests/test_retry_load.cc
+++ b/tests/test_retry_load.cc
@@ -335,3 +335,20 @@
 	fixture.add_healthy("u2", 4);
 	EXPECT_EQ(fixture.submit(replacement).verdict, AUB_VERDICT_GRANTED);
 }
+
+/* Guards against a lost decision after which a gateway knows less. */
+TEST(RetryLoad, RepeatedDecisionSaysTheSame)
+{
+	PlacementFixture fixture;
+	struct aub_placement_request request = fixture.new_request();
+
+	fixture.add_healthy("u1", 4);
+	struct aub_placement_decision first = fixture.submit(request);
+	struct aub_placement_decision second = fixture.submit(request);
+
+	EXPECT_EQ(second.verdict, AUB_VERDICT_GRANTED);
+	EXPECT_GT(first.silent_after_ms, 0u);
+	EXPECT_EQ(second.silent_after_ms, first.silent_after_ms);
+	EXPECT_GT(first.retry_after_ms, 0u);
+	EXPECT_EQ(second.retry_after_ms, first.retry_after_ms);
+}
