--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -12,6 +12,7 @@
 #define AUBURNSTILE_INTERNAL_PLACEMENT_H
 
 #include <auburnstile/internal/quota.h>
+#include <auburnstile/internal/retry_admission.h>
 #include <auburnstile/internal/upstream_limit.h>
 
 G_BEGIN_DECLS
@@ -418,10 +419,7 @@
 	guint granted;
 	guint queued;
 	guint64 refused; /* since the start */
-	guint64 retries_admitted; /* likewise */
-	guint64 retries_exhausted; /* refused: the budget was used up */
-	guint64 retries_reserved; /* refused: kept for other requests */
-	guint64 retries_futile; /* refused: nearly all are refused */
+	guint64 retry_verdicts[AUB_RETRY_VERDICT_COUNT]; /* likewise */
 	gint retry_credit; /* retries that may be granted at once */
 	guint refusal_percent; /* of attempts at upstreams with free slots */
 	guint return_percent; /* of refused callers that come back, learned */
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -484,7 +484,8 @@
 	GPtrArray *rows; /* of struct aub_quota_use_row */
 };
 
-/* Requests and retries of a service that the sender has counted since its last
+/*
+ * Requests and retries of a service that the sender has counted since its last
  * message; see struct aub_retry_use.
  */
 struct aub_retry_use_message {
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -252,23 +252,16 @@
 			   const struct aub_placement_stats *state,
 			   void *context)
 {
-	const struct {
-		const char *result;
-		guint64 count;
-	} results[] = {
-		{ "admitted", state->retries_admitted },
-		{ "exhausted", state->retries_exhausted },
-		{ "reserved", state->retries_reserved },
-		{ "futile", state->retries_futile },
-	};
 	struct aub_node *node = context;
 
-	for (guint i = 0; i < G_N_ELEMENTS(results); i++)
+	for (guint i = 0; i < AUB_RETRY_VERDICT_COUNT; i++)
 		set_series(node, true, "auburnstile_retry_claims_total",
 			   aub_metrics_labels("service", service, "result",
-					      results[i].result, NULL),
+					      aub_retry_verdict_name((
+						      enum aub_retry_verdict)i),
+					      NULL),
 			   "retries asked for here by result",
-			   (gint64)results[i].count);
+			   (gint64)state->retry_verdicts[i]);
 	set_service_series(node, false, "auburnstile_retry_credit", service,
 			   "retries that may be admitted at once",
 			   state->retry_credit);
--- a/src/coordination/placer_periodic.c
+++ b/src/coordination/placer_periodic.c
@@ -168,7 +168,8 @@
 	aub_log_number("return_percent", state.return_percent);
 	aub_log_number("awaited", state.callers_awaited);
 	aub_log_number("retry_credit", state.retry_credit);
-	aub_log_number("retries", (gint64)state.retries_admitted);
+	aub_log_number("retries",
+		       (gint64)state.retry_verdicts[AUB_RETRY_ADMITTED]);
 	aub_log_end();
 	probed_service->refused_logged = state.refused;
 }
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -473,16 +473,10 @@
 void aub_placement_get_stats(const struct aub_placement *placement,
 			     gint64 now_us, struct aub_placement_stats *stats)
 {
-	const guint64 *retry_verdicts = placement->retries.verdicts;
-
 	*stats = (struct aub_placement_stats){
 		.granted = g_hash_table_size(placement->grants),
 		.queued = placement->queue->len,
 		.refused = placement->refused,
-		.retries_admitted = retry_verdicts[AUB_RETRY_ADMITTED],
-		.retries_exhausted = retry_verdicts[AUB_RETRY_EXHAUSTED],
-		.retries_reserved = retry_verdicts[AUB_RETRY_RESERVED],
-		.retries_futile = retry_verdicts[AUB_RETRY_FUTILE],
 		.retry_credit = (gint)placement->retries.credit,
 		.refusal_percent =
 			(guint)(100 *
@@ -506,6 +500,8 @@
 		.judged_answers = placement->rollout.judge.answers,
 		.bad_answers = placement->rollout.judge.bad,
 	};
+	memcpy(stats->retry_verdicts, placement->retries.verdicts,
+	       sizeof(stats->retry_verdicts));
 	for (guint i = 0; i < placement->upstreams->len; i++) {
 		const struct aub_placement_upstream *upstream =
 			aub_placement_get_upstream(placement, i);
