placement: only attempts that no slowdown explains are replaced

Cause: four service times are what a neighbour's burst alone makes of a request that was granted on a report from before it, so that attempts which would have been answered soon were replaced; an upstream that is slow by itself was taken for stuck.

Change: eight service times, and the upstream's own slowness, learned from its answers, is among the slowdowns.

--- a/src/state/placement_retries.c
+++ b/src/state/placement_retries.c
@@ -14,9 +14,10 @@
 #define LOW_UTILIZATION_PERCENT 75
 /*
  * A request in progress for longer than this is not explained by its kind's
- * service times, of which interference and chance are a part.
+ * service times, even if a neighbour's burst that makes work take four times as
+ * long began just after the last report, and the work is twice the mean.
  */
-#define SILENT_SERVICE_TIMES 4
+#define SILENT_SERVICE_TIMES 8
 #define SILENT_TARGETS 1.5
 /* Probability from which a refused caller is expected to come back. */
 #define LIKELY_RETURN 0.5
@@ -45,10 +46,12 @@
 guint aub_placement_silent_after_ms(const struct aub_placement *placement,
 				    const struct aub_grant *grant)
 {
+	const struct aub_placement_upstream *upstream =
+		aub_placement_get_upstream(placement, grant->upstream_index);
 	double expected_ms =
 		aub_service_times_mean_ms(&placement->service_times,
 					  grant->target_ms) *
-		grant->slowdown;
+		MAX(grant->slowdown, upstream->slowness);
 
 	return (guint)MAX(SILENT_SERVICE_TIMES * expected_ms,
 			  SILENT_TARGETS * grant->target_ms);
