retry admission: a small fleet's burst of failures gets its retries at once

Cause: at once there were half of the slack or a twentieth of the window's budget: five retries where the window had 70.

Change: up to 20 at once, if these are no more than a quarter of the window's budget. Large fleets are as before, since half of their slack or a twentieth of their budget is more.

Test: AdmitsBurstOfFailuresInSmallFleet failed before (5 of 15).

--- a/src/state/retry_admission.c
+++ b/src/state/retry_admission.c
@@ -17,6 +17,12 @@
 #define BURST_SLACK_SHARE 0.5
 /* In a large fleet: share of the whole budget of a window. */
 #define BURST_BUDGET_SHARE 0.05
+/*
+ * In a small fleet, an upstream that ends takes a large part of the requests
+ * with it: so many at once, if they are no more than a quarter of the budget.
+ */
+#define BURST_SMALL_RETRIES 20
+#define BURST_SMALL_BUDGET_SHARE 0.25
 
 /* Credit is kept back for claims of a higher rank in this time. */
 #define RESERVE_S 0.2
@@ -80,8 +86,12 @@
 	double budget = aub_retry_budget_size(&admission->budget, bounds->ratio,
 					      bounds->slack, now_us);
 
-	return MAX(BURST_BUDGET_SHARE * budget,
-		   BURST_SLACK_SHARE * bounds->slack);
+	double small =
+		MIN(BURST_SMALL_BUDGET_SHARE * budget, BURST_SMALL_RETRIES);
+
+	return MAX(MAX(BURST_BUDGET_SHARE * budget,
+		       BURST_SLACK_SHARE * bounds->slack),
+		   small);
 }
 
 /* Adds the part of the slack that is spread over the window. */
--- a/tests/test_retry_admission.cc
+++ b/tests/test_retry_admission.cc
@@ -102,6 +102,19 @@
 	EXPECT_EQ(admitted, 25);
 }
 
+/* Guards against callers refused when one upstream of a small fleet ends. */
+TEST(RetryAdmission, AdmitsBurstOfFailuresInSmallFleet)
+{
+	Admission admission(0.2, 10);
+	int admitted = 0;
+
+	for (int i = 0; i < 300; i++)
+		admission.add_request(US_PER_S + i * US_PER_MS);
+	for (int i = 0; i < 15; i++)
+		admitted += admission.claim(likely_claim(), 2 * US_PER_S);
+	EXPECT_EQ(admitted, 15);
+}
+
 /*
  * Two kinds of claims compete for 45 retries a second: 40 claims a second of
  * the first kind, and 80 of the second. Returns the shares admitted.
