gateway: the fingerprint of a request is computed once

The second of these came with the recognition of callers. The body does not change once it is complete, so that the first result is kept.

--- a/include/auburnstile/internal/gateway_internal.h
+++ b/include/auburnstile/internal/gateway_internal.h
@@ -146,6 +146,7 @@
 	bool body_complete;
 	bool body_discarded; /* part of the sent body is not buffered */
 	GByteArray *body; /* buffered so that it can be sent again */
+	guint64 digest; /* see aub_request_digest(); 0: not computed yet */
 	struct aub_upstream_attempt *attempt; /* in progress; or NULL */
 	/* of char *: upstreams that it was sent to */
 	GPtrArray *tried_upstreams;
@@ -287,19 +288,19 @@
 /* Crashes; see gateway_crashes.c. */
 GArray *aub_unconfirmed_crashes_new(void);
 /*
- * Returns the fingerprint of a request whose body is complete. It is the same
- * when its caller sends it again.
+ * Returns the fingerprint of a request whose body is complete, which is
+ * computed only once. It is the same when its caller sends it again.
  */
-guint64 aub_gateway_fingerprint(const struct aub_request *request);
+guint64 aub_request_digest(struct aub_request *request);
 /*
  * Records that the connection to `upstream` broke while it ran the request,
  * whose body is complete.
  */
 void aub_request_record_crash(struct aub_request *request, const char *upstream,
 			      bool sent_directly);
-bool aub_request_is_known_to_crash(const struct aub_request *request);
+bool aub_request_is_known_to_crash(struct aub_request *request);
 /* Called when an upstream has answered the request. */
-void aub_request_clear_crashes(const struct aub_request *request);
+void aub_request_clear_crashes(struct aub_request *request);
 /*
  * Counts the crashes that were not counted before; with `only_restarted` those
  * whose upstream has started anew since.
--- a/src/coordination/gateway_crashes.c
+++ b/src/coordination/gateway_crashes.c
@@ -34,10 +34,14 @@
 	return crashes;
 }
 
-guint64 aub_gateway_fingerprint(const struct aub_request *request)
+guint64 aub_request_digest(struct aub_request *request)
 {
-	return aub_crash_fingerprint(request->request_line, request->host,
-				     request->body->data, request->body->len);
+	if (!request->digest)
+		request->digest = aub_crash_fingerprint(request->request_line,
+							request->host,
+							request->body->data,
+							request->body->len);
+	return request->digest;
 }
 
 static void count_crash(struct aub_gateway *gateway, guint64 fingerprint)
@@ -57,7 +61,7 @@
 	struct aub_gateway *gateway = request->gateway;
 	struct aub_known_upstream known = { 0 };
 	struct unconfirmed_crash crash = {
-		.fingerprint = aub_gateway_fingerprint(request),
+		.fingerprint = aub_request_digest(request),
 	};
 
 	if (!sent_directly || !aub_egress_is_in_doubt(aub_egress_monitor_state(
@@ -74,20 +78,20 @@
 	g_array_append_val(gateway->unconfirmed_crashes, crash);
 }
 
-bool aub_request_is_known_to_crash(const struct aub_request *request)
+bool aub_request_is_known_to_crash(struct aub_request *request)
 {
 	return request->body_complete &&
 	       aub_crash_counts_is_blocked(
 		       request->gateway->crash_counts,
-		       aub_gateway_fingerprint(request),
+		       aub_request_digest(request),
 		       aub_timer_now(request->gateway->options.timers));
 }
 
-void aub_request_clear_crashes(const struct aub_request *request)
+void aub_request_clear_crashes(struct aub_request *request)
 {
 	if (request->body_complete && !request->body_discarded)
 		aub_crash_counts_reset(request->gateway->crash_counts,
-				       aub_gateway_fingerprint(request));
+				       aub_request_digest(request));
 }
 
 static bool has_restarted(const struct aub_gateway *gateway,
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -220,7 +220,7 @@
 		.replaces = replaces,
 		.route = request->route->key,
 		.fingerprint = request->body_complete ?
-				       aub_gateway_fingerprint(request) :
+				       aub_request_digest(request) :
 				       0,
 		.avoid = (const char *const *)request->tried_upstreams->pdata,
 		.avoid_count = request->tried_upstreams->len,
