state: one decay and one decayed share for all that is learned

exp2(-age / half-life) stood five times, in refusal_rate.c, caller_returns.c, retry_admission.c, placement_order.c and placement_choose.c, and the first two each had a share of decayed counts with a prior: decayed_share.c.

--- a/include/auburnstile/internal/refusal_rate.h
+++ b/include/auburnstile/internal/refusal_rate.h
@@ -9,16 +9,15 @@
 #ifndef AUBURNSTILE_INTERNAL_REFUSAL_RATE_H
 #define AUBURNSTILE_INTERNAL_REFUSAL_RATE_H
 
-#include <glib.h>
+#include <auburnstile/internal/decayed_share.h>
+
 #include <stdbool.h>
 
 G_BEGIN_DECLS
 
 /* Zero-initialized: nothing observed. */
 struct aub_refusal_rate {
-	double refused; /* decayed counts, at `updated_us` */
-	double answered; /* including those refused */
-	gint64 updated_us;
+	struct aub_decayed_share attempts; /* hits: those refused */
 };
 
 void aub_refusal_rate_observe(struct aub_refusal_rate *rate, bool refused,
--- a/src/state/caller_returns.c
+++ b/src/state/caller_returns.c
@@ -3,8 +3,7 @@
  * returned, by how often they had been refused.
  */
 #include <auburnstile/internal/caller_returns.h>
-
-#include <math.h>
+#include <auburnstile/internal/decayed_share.h>
 
 #define US_PER_MS G_GINT64_CONSTANT(1000)
 
@@ -30,15 +29,10 @@
 	gint64 expires_us;
 };
 
-struct return_share {
-	double returned; /* decayed, at `updated_us` */
-	double results;
-	gint64 updated_us;
-};
-
 struct aub_caller_returns {
 	GHashTable *requests; /* &fingerprint -> struct refused_request */
-	struct return_share shares[REFUSALS_MAX]; /* by earlier refusals */
+	/* of refusals, by earlier ones; hits: the caller returned */
+	struct aub_decayed_share shares[REFUSALS_MAX];
 	gint64 swept_us;
 };
 
@@ -60,23 +54,14 @@
 	g_free(returns);
 }
 
-static double decay(const struct return_share *share, gint64 now_us)
-{
-	return exp2(-(double)MAX(now_us - share->updated_us, 0) /
-		    RESULT_HALF_LIFE_US);
-}
-
 /* Records the result of `count` refusals, each the one after `refusals`. */
 static void observe(struct aub_caller_returns *returns, guint refusals,
 		    guint count, bool returned, gint64 now_us)
 {
-	struct return_share *share =
-		&returns->shares[MIN(refusals, REFUSALS_MAX) - 1];
-	double factor = decay(share, now_us);
+	guint index = MIN(refusals, REFUSALS_MAX) - 1;
 
-	share->returned = share->returned * factor + (returned ? count : 0);
-	share->results = share->results * factor + count;
-	share->updated_us = now_us;
+	aub_decayed_share_observe(&returns->shares[index], returned ? count : 0,
+				  count, RESULT_HALF_LIFE_US, now_us);
 }
 
 static void sweep(struct aub_caller_returns *returns, gint64 now_us)
@@ -175,12 +160,11 @@
 	guint refusals =
 		request ? request->refusals - MIN(request->awaited, 1) : 0;
 	guint index = MIN(refusals, REFUSALS_MAX - 1);
-	const struct return_share *share = &returns->shares[index];
-	double factor = decay(share, now_us);
 
-	return (share->returned * factor +
-		(index ? PRIOR_LATER : PRIOR_FIRST) * PRIOR_RESULTS) /
-	       (share->results * factor + PRIOR_RESULTS);
+	return aub_decayed_share_value(&returns->shares[index],
+				       index ? PRIOR_LATER : PRIOR_FIRST,
+				       PRIOR_RESULTS, RESULT_HALF_LIFE_US,
+				       now_us);
 }
 
 guint aub_caller_returns_count(const struct aub_caller_returns *returns)
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -4,6 +4,7 @@
  * Costs are in units of the latency target of the request, so that expected
  * lateness and failures are compared on one scale.
  */
+#include <auburnstile/internal/decayed_share.h>
 #include <auburnstile/internal/placement_internal.h>
 
 #include <math.h>
@@ -233,10 +234,8 @@
 static double failure_rate(const struct aub_placement_upstream *upstream,
 			   gint64 now_us)
 {
-	double half_lives = (double)(now_us - upstream->failures_us) /
-			    AUB_FAILURE_HALF_LIFE_US;
-
-	return upstream->failures * exp2(-half_lives);
+	return upstream->failures * aub_decay(now_us - upstream->failures_us,
+					      AUB_FAILURE_HALF_LIFE_US);
 }
 
 static double cost(const struct choice *choice,
--- a/src/state/placement_order.c
+++ b/src/state/placement_order.c
@@ -8,6 +8,7 @@
  * Load: an overload in which one workspace sends many times its usual. Without
  * shares by workspace, all would be refused alike.
  */
+#include <auburnstile/internal/decayed_share.h>
 #include <auburnstile/internal/placement_internal.h>
 
 #include <math.h>
@@ -24,8 +25,8 @@
 static double recent_count(const struct aub_recent_grants *recent,
 			   gint64 now_us)
 {
-	return recent->count * exp2(-(double)(now_us - recent->counted_us) /
-				    RECENT_HALF_LIFE_US);
+	return recent->count *
+	       aub_decay(now_us - recent->counted_us, RECENT_HALF_LIFE_US);
 }
 
 void aub_placement_count_grant_of_quota(struct aub_placement *placement,
--- a/src/state/refusal_rate.c
+++ b/src/state/refusal_rate.c
@@ -11,29 +11,19 @@
  */
 #define PRIOR_REQUESTS 4.0
 
-static double decay(const struct aub_refusal_rate *rate, gint64 now_us)
-{
-	return exp2(-(double)MAX(now_us - rate->updated_us, 0) / HALF_LIFE_US);
-}
-
 void aub_refusal_rate_observe(struct aub_refusal_rate *rate, bool refused,
 			      gint64 now_us)
 {
-	double factor = decay(rate, now_us);
-
-	rate->refused = rate->refused * factor + (refused ? 1.0 : 0.0);
-	rate->answered = rate->answered * factor + 1.0;
-	rate->updated_us = MAX(rate->updated_us, now_us);
+	aub_decayed_share_observe(&rate->attempts, refused, 1, HALF_LIFE_US,
+				  now_us);
 }
 
 /* The share, given that `prior` is what to expect without observations. */
 static double share_with_prior(const struct aub_refusal_rate *rate,
 			       double prior, gint64 now_us)
 {
-	double factor = decay(rate, now_us);
-
-	return (rate->refused * factor + prior * PRIOR_REQUESTS) /
-	       (rate->answered * factor + PRIOR_REQUESTS);
+	return aub_decayed_share_value(&rate->attempts, prior, PRIOR_REQUESTS,
+				       HALF_LIFE_US, now_us);
 }
 
 double aub_refusal_rate_share(const struct aub_refusal_rate *rate,
@@ -47,8 +37,9 @@
 			       gint64 now_us)
 {
 	double expected = aub_refusal_rate_share(service, now_us);
-	double requests =
-		upstream->answered * decay(upstream, now_us) + PRIOR_REQUESTS;
+	double requests = aub_decayed_share_events(&upstream->attempts,
+						   HALF_LIFE_US, now_us) +
+			  PRIOR_REQUESTS;
 	double standard_error = sqrt(expected * (1 - expected) / requests);
 
 	return MAX(share_with_prior(upstream, expected, now_us) - expected -
--- a/src/state/retry_admission.c
+++ b/src/state/retry_admission.c
@@ -7,6 +7,7 @@
  * by priority, callers that will not return before those that will, workspaces
  * with few recent retries before those with many.
  */
+#include <auburnstile/internal/decayed_share.h>
 #include <auburnstile/internal/retry_admission.h>
 
 #include <math.h>
@@ -75,17 +76,11 @@
 	g_clear_pointer(&admission->workspaces, g_hash_table_unref);
 }
 
-static double decay(gint64 age_us, gint64 half_life_us)
-{
-	return exp2(-(double)MAX(age_us, 0) / (double)half_life_us);
-}
-
 static double credit_max(struct aub_retry_admission *admission,
 			 const struct aub_retry_bounds *bounds, gint64 now_us)
 {
 	double budget = aub_retry_budget_size(&admission->budget, bounds->ratio,
 					      bounds->slack, now_us);
-
 	double small =
 		MIN(BURST_SMALL_BUDGET_SHARE * budget, BURST_SMALL_RETRIES);
 
@@ -137,7 +132,7 @@
 static double retries_of(const struct workspace_retries *retries, gint64 now_us)
 {
 	return retries->count *
-	       decay(now_us - retries->updated_us, WORKSPACE_HALF_LIFE_US);
+	       aub_decay(now_us - retries->updated_us, WORKSPACE_HALF_LIFE_US);
 }
 
 static void update_mean(struct aub_retry_admission *admission, gint64 now_us)
@@ -213,7 +208,7 @@
 static double claims_per_s(const struct aub_retry_rank *rank, gint64 now_us)
 {
 	return rank->claims_per_s *
-	       decay(now_us - rank->updated_us, CLAIMS_HALF_LIFE_US);
+	       aub_decay(now_us - rank->updated_us, CLAIMS_HALF_LIFE_US);
 }
 
 static void count_claim(struct aub_retry_admission *admission, guint64 order,
