--- a/include/auburnstile/internal/refusal_rate.h
+++ b/include/auburnstile/internal/refusal_rate.h
@@ -26,12 +26,11 @@
 double aub_refusal_rate_share(const struct aub_refusal_rate *rate,
 			      gint64 now_us);
 /*
- * Returns by how much the share of `upstream` exceeds that of its `service`,
- * beyond what chance explains; 0 if it does not.
+ * Returns by how much the share of `upstream` exceeds `expected`, that of its
+ * service, beyond what chance explains; 0 if it does not.
  */
 double aub_refusal_rate_excess(const struct aub_refusal_rate *upstream,
-			       const struct aub_refusal_rate *service,
-			       gint64 now_us);
+			       double expected, gint64 now_us);
 
 G_END_DECLS
 
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -48,6 +48,7 @@
 	const struct aub_placement_request *request;
 	gint64 now_us;
 	double service_time_ms; /* mean of its class */
+	double refusal_share; /* of the service, despite free slots */
 	enum aub_version_traffic traffic; /* of the upstreams considered */
 	bool judging; /* canary requests that judge a version */
 	bool filling; /* fill one upstream after the other, not evenly */
@@ -247,10 +248,10 @@
 			    slowdown(choice, upstream);
 
 	total_cost += FAILURE_COST * failure_rate(upstream, choice->now_us);
-	total_cost += FAILURE_COST *
-		      aub_refusal_rate_excess(&upstream->refusals,
-					      &choice->placement->refusals,
-					      choice->now_us);
+	total_cost +=
+		FAILURE_COST * aub_refusal_rate_excess(&upstream->refusals,
+						       choice->refusal_share,
+						       choice->now_us);
 	if (g_strcmp0(upstream->zone, request->zone) != 0)
 		total_cost += CROSS_ZONE_COST;
 	if (upstream->unhealthy)
@@ -419,6 +420,8 @@
 		.service_time_ms =
 			aub_service_times_mean_ms(&placement->service_times,
 						  request->target_ms),
+		.refusal_share =
+			aub_refusal_rate_share(&placement->refusals, now_us),
 		.traffic = AUB_VERSION_CANARY,
 	};
 	enum aub_canary_choice canary =
--- a/src/state/refusal_rate.c
+++ b/src/state/refusal_rate.c
@@ -33,15 +33,18 @@
 }
 
 double aub_refusal_rate_excess(const struct aub_refusal_rate *upstream,
-			       const struct aub_refusal_rate *service,
-			       gint64 now_us)
+			       double expected, gint64 now_us)
 {
-	double expected = aub_refusal_rate_share(service, now_us);
-	double requests = aub_decayed_share_events(&upstream->attempts,
-						   HALF_LIFE_US, now_us) +
-			  PRIOR_REQUESTS;
-	double standard_error = sqrt(expected * (1 - expected) / requests);
+	double requests;
+	double standard_error;
 
+	/* The usual case, for each upstream of each choice. */
+	if (upstream->attempts.hits <= 0)
+		return 0;
+	requests = aub_decayed_share_events(&upstream->attempts, HALF_LIFE_US,
+					    now_us) +
+		   PRIOR_REQUESTS;
+	standard_error = sqrt(expected * (1 - expected) / requests);
 	return MAX(share_with_prior(upstream, expected, now_us) - expected -
 			   standard_error,
 		   0.0);
--- a/tests/test_refusal_rate.cc
+++ b/tests/test_refusal_rate.cc
@@ -5,6 +5,14 @@
 
 #define US_PER_MS ((gint64)1000)
 
+static double excess(const struct aub_refusal_rate *upstream,
+		     const struct aub_refusal_rate *service)
+{
+	return aub_refusal_rate_excess(upstream,
+				       aub_refusal_rate_share(service, 1000),
+				       1000);
+}
+
 static void observe(struct aub_refusal_rate *rate, int refused, int accepted,
 		    gint64 now_us)
 {
@@ -22,7 +30,7 @@
 	observe(&service, 110, 90, 1000);
 	observe(&upstream, 6, 4, 1000);
 	EXPECT_NEAR(aub_refusal_rate_share(&service, 1000), 0.55, 0.02);
-	EXPECT_EQ(aub_refusal_rate_excess(&upstream, &service, 1000), 0);
+	EXPECT_EQ(excess(&upstream, &service), 0);
 }
 
 /* Guards against sending on to one upstream that refuses everything. */
@@ -33,7 +41,7 @@
 
 	observe(&service, 10, 190, 1000);
 	observe(&upstream, 8, 0, 1000);
-	EXPECT_GT(aub_refusal_rate_excess(&upstream, &service, 1000), 0.5);
+	EXPECT_GT(excess(&upstream, &service), 0.5);
 }
 
 TEST(RefusalRate, OneRefusalSaysLittle)
@@ -43,7 +51,7 @@
 
 	observe(&service, 2, 198, 1000);
 	observe(&upstream, 1, 3, 1000);
-	EXPECT_LT(aub_refusal_rate_excess(&upstream, &service, 1000), 0.15);
+	EXPECT_LT(excess(&upstream, &service), 0.15);
 }
 
 TEST(RefusalRate, DecaysWithinSeconds)
