--- a/include/auburnstile/internal/retry_admission.h
+++ b/include/auburnstile/internal/retry_admission.h
@@ -25,7 +25,7 @@
 
 enum aub_retry_verdict {
 	AUB_RETRY_ADMITTED,
-	AUB_RETRY_EXHAUSTED, /* the budget of the window is used up */
+	AUB_RETRY_EXHAUSTED, /* no credit is left, or the window is used up */
 	AUB_RETRY_RESERVED, /* what is left is kept for other requests */
 	AUB_RETRY_FUTILE, /* it would almost certainly be refused again */
 	AUB_RETRY_VERDICT_COUNT
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -205,6 +205,32 @@
 		   "upstreams by state, in this gateway's view", count);
 }
 
+static void export_retries(struct aub_node *node, const char *service,
+			   const struct aub_placement_stats *state)
+{
+	for (guint i = 0; i < AUB_RETRY_VERDICT_COUNT; i++)
+		set_series(node, true, "auburnstile_retry_claims_total",
+			   aub_metrics_labels("service", service, "result",
+					      aub_retry_verdict_name((
+						      enum aub_retry_verdict)i),
+					      NULL),
+			   "retries asked for here by result",
+			   (gint64)state->retry_verdicts[i]);
+	set_service_series(node, false, "auburnstile_retry_credit", service,
+			   "retries that may be admitted at once",
+			   state->retry_credit);
+	set_service_series(
+		node, false, "auburnstile_refusal_percent", service,
+		"attempts that upstreams with free slots refuse, learned",
+		state->refusal_percent);
+	set_service_series(node, false, "auburnstile_return_percent", service,
+			   "refused callers that come back, learned",
+			   state->return_percent);
+	set_service_series(node, false, "auburnstile_callers_awaited", service,
+			   "refused requests whose callers may come back",
+			   state->callers_awaited);
+}
+
 static void export_placement(const char *service,
 			     const struct aub_placement_stats *state,
 			     void *context)
@@ -246,35 +272,7 @@
 			   service,
 			   "learned length of interference bursts at upstreams",
 			   state->interference_ms);
-}
-
-static void export_retries(const char *service,
-			   const struct aub_placement_stats *state,
-			   void *context)
-{
-	struct aub_node *node = context;
-
-	for (guint i = 0; i < AUB_RETRY_VERDICT_COUNT; i++)
-		set_series(node, true, "auburnstile_retry_claims_total",
-			   aub_metrics_labels("service", service, "result",
-					      aub_retry_verdict_name((
-						      enum aub_retry_verdict)i),
-					      NULL),
-			   "retries asked for here by result",
-			   (gint64)state->retry_verdicts[i]);
-	set_service_series(node, false, "auburnstile_retry_credit", service,
-			   "retries that may be admitted at once",
-			   state->retry_credit);
-	set_service_series(
-		node, false, "auburnstile_refusal_percent", service,
-		"attempts that upstreams with free slots refuse, learned",
-		state->refusal_percent);
-	set_service_series(node, false, "auburnstile_return_percent", service,
-			   "refused callers that come back, learned",
-			   state->return_percent);
-	set_service_series(node, false, "auburnstile_callers_awaited", service,
-			   "refused requests whose callers may come back",
-			   state->callers_awaited);
+	export_retries(node, service, state);
 }
 
 static void export_rollout(const char *service,
@@ -461,7 +459,6 @@
 	export_quotas(node);
 	export_log(node);
 	aub_placer_visit(node->placer, export_placement, node);
-	aub_placer_visit(node->placer, export_retries, node);
 	if (node->rollouts_enabled)
 		aub_placer_visit(node->placer, export_rollout, node);
 	reply->status = 200;
