--- a/tests/placer_fixture.h
+++ b/tests/placer_fixture.h
@@ -146,6 +146,17 @@
 		connect_all();
 		return upstream;
 	}
+	/* Starts gateways that know four upstreams, not yet connected. */
+	void start_with_upstreams(std::initializer_list<const char *> names)
+	{
+		for (const char *id : { "u1", "u2", "u3", "u4" })
+			add_upstream(id);
+		for (auto name : names)
+			start_gateway(name);
+		for (auto &gateway : gateways)
+			for (auto upstream : upstreams)
+				register_upstream(*gateway, upstream);
+	}
 	/* Waits until all gateways are ready and know each other. */
 	void connect_all()
 	{
--- a/tests/test_placer_quota.cc
+++ b/tests/test_placer_quota.cc
@@ -36,13 +36,7 @@
 	void start_with_quota(std::initializer_list<const char *> names,
 			      double rate, double burst)
 	{
-		for (const char *id : { "u1", "u2", "u3", "u4" })
-			add_upstream(id);
-		for (auto name : names)
-			start_gateway(name);
-		for (auto &gateway : gateways)
-			for (auto upstream : upstreams)
-				register_upstream(*gateway, upstream);
+		start_with_upstreams(names);
 		configure_quota(rate, burst);
 		connect_all();
 	}
