gateway: counts of requests and retries that tell where an excess comes from

The log could not tell the hypotheses of the incident apart: it had neither the requests that were counted for the budget, nor the attempts sent by first and further ones, by service and process. Each process now counts the requests of its own callers, requests counted here and told by others, retries admitted, attempts and further attempts; a line retry-counts says so for each second with retries, and the same are metrics. No decision reads them.

--- a/include/auburnstile/internal/gateway_internal.h
+++ b/include/auburnstile/internal/gateway_internal.h
@@ -154,6 +154,7 @@
 	struct aub_retained_answer retained_answer;
 	guint connect_failures; /* attempts that never connected */
 	guint64 ticket; /* ticket of the placement request; 0: none */
+	bool placed; /* a placement has been requested before */
 	bool placement_pending;
 	guint silence_timer; /* fires if the upstream in use is stuck */
 	bool replacing; /* the placement request is for a replacement */
--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -47,6 +47,7 @@
 	guint on_time_wait_ms; /* granted within this, it can be on time; 0:
 				  late */
 	guint max_wait_ms; /* longest useful wait for a slot */
+	bool first; /* it has not been placed before */
 	bool retry; /* it was sent to an upstream before */
 	bool replaces; /* a retry, while that upstream has not answered */
 	bool local_fallback; /* placed locally, for lack of a placer */
@@ -406,6 +407,24 @@
 				   const struct aub_retry_use *use,
 				   gint64 now_us);
 
+/*
+ * What this process has counted of a service's retries since its start. Over
+ * all processes, `counted` is not more than `requests`, and `further` not more
+ * than `admitted`.
+ */
+struct aub_retry_counts {
+	guint64 requests; /* of this gateway's callers */
+	guint64 counted; /* requests counted here for the retry budget */
+	guint64 told; /* requests that other processes told of */
+	guint64 admitted; /* retries, by this process */
+	guint64 attempts; /* sent by this gateway */
+	guint64 further; /* of these: not the first of their request */
+};
+/* Counts a request of this gateway's callers when it is placed first. */
+void aub_placement_count_request(struct aub_placement *placement);
+/* Counts an attempt that this gateway sends. */
+void aub_placement_count_attempt(struct aub_placement *placement, bool further);
+
 /* A snapshot of a placement, for logs and metrics. */
 struct aub_placement_stats {
 	guint up; /* upstreams by state */
@@ -420,6 +439,7 @@
 	guint queued;
 	guint64 refused; /* since the start */
 	guint64 retry_verdicts[AUB_RETRY_VERDICT_COUNT]; /* likewise */
+	struct aub_retry_counts retry_counts;
 	gint retry_credit; /* retries that may be granted at once */
 	guint refusal_percent; /* of attempts at upstreams with free slots */
 	guint return_percent; /* of refused callers that come back, learned */
--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -131,6 +131,7 @@
 	struct aub_placement_limits limits;
 	struct aub_retry_admission retries;
 	struct aub_retry_use untold; /* to other placers of the service */
+	struct aub_retry_counts retry_counts;
 	struct aub_caller_returns *returns;
 	struct aub_refusal_rate refusals; /* by upstreams with free slots */
 	char *health_path;
--- a/include/auburnstile/internal/placer.h
+++ b/include/auburnstile/internal/placer.h
@@ -95,6 +95,12 @@
 void aub_placer_request(struct aub_placer *placer, const char *service,
 			const struct aub_placement_request *request, guint64 id,
 			aub_placement_result_callback *callback, void *context);
+/*
+ * Counts an attempt that this gateway sends; `further`: an upstream has had the
+ * request before.
+ */
+void aub_placer_count_attempt(struct aub_placer *placer, const char *service,
+			      bool further);
 /* Cancels a request whose caller has disconnected before the decision. */
 void aub_placer_cancel(struct aub_placer *placer, guint64 ticket);
 /* Reports the outcome of a granted request and invalidates the ticket. */
--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -48,6 +48,8 @@
 	GHashTable *evacuated_zones; /* set */
 	GHashTable *tickets; /* &id -> struct aub_ticket */
 	GHashTable *probed_services; /* service -> struct aub_probed_service */
+	GHashTable
+		*retry_counts_logged; /* service -> struct aub_retry_counts */
 	/* set of services whose placer was sent a non-empty list of grants */
 	GHashTable *outstanding_reported;
 	GPtrArray *probes; /* of struct probe, in progress */
@@ -218,6 +220,9 @@
 void aub_placer_send_retry_use(struct aub_placer *placer, const char *service);
 void aub_placer_apply_retry_use(struct aub_placer *placer,
 				const struct aub_retry_use_message *message);
+/* Logs what was counted of the retries of `service` since the last call. */
+void aub_placer_log_retry_counts(struct aub_placer *placer, const char *service,
+				 gint64 now_us);
 
 /* Quotas of workspaces. */
 /*
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -157,6 +157,9 @@
 	}
 	aub_metrics_add(gateway->options.metrics, gateway->retries_counter,
 			request->tried_upstreams->len ? 1 : 0);
+	aub_placer_count_attempt(gateway->options.placer, request->service,
+				 request->tried_upstreams->len >
+					 request->connect_failures);
 	request->refused_retry_after_ms = result->retry_after_ms;
 	g_ptr_array_add(request->tried_upstreams, g_strdup(result->upstream));
 	attempt = aub_attempt_start(request, request->ticket, result->upstream,
@@ -215,6 +218,7 @@
 		.target_ms = request->route->target_ms,
 		.on_time_wait_ms = on_time_wait_ms(request, now),
 		.max_wait_ms = max_wait_ms(request, now),
+		.first = !request->placed,
 		.retry = request->tried_upstreams->len >
 			 request->connect_failures,
 		.replaces = replaces,
@@ -226,6 +230,7 @@
 		.avoid_count = request->tried_upstreams->len,
 	};
 
+	request->placed = true;
 	request->placement_pending = true;
 	request->replacing = replaces;
 	request->ticket = aub_placer_new_ticket(gateway->options.placer);
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -231,6 +231,34 @@
 			   state->callers_awaited);
 }
 
+/* Sums over all gateways tell where retries beyond the budget come from. */
+static void export_retry_counts(struct aub_node *node, const char *service,
+				const struct aub_retry_counts *counts)
+{
+	const struct {
+		const char *name;
+		const char *help;
+		guint64 value;
+	} series[] = {
+		{ "auburnstile_retry_requests_total",
+		  "requests of this gateway's callers", counts->requests },
+		{ "auburnstile_retry_requests_counted_total",
+		  "requests counted here for the retry budget",
+		  counts->counted },
+		{ "auburnstile_retry_requests_told_total",
+		  "requests that other gateways told of", counts->told },
+		{ "auburnstile_retry_attempts_total",
+		  "attempts sent by this gateway", counts->attempts },
+		{ "auburnstile_retry_attempts_further_total",
+		  "attempts that were not the first of their request",
+		  counts->further },
+	};
+
+	for (gsize i = 0; i < G_N_ELEMENTS(series); i++)
+		set_service_series(node, true, series[i].name, service,
+				   series[i].help, (gint64)series[i].value);
+}
+
 static void export_placement(const char *service,
 			     const struct aub_placement_stats *state,
 			     void *context)
@@ -273,6 +301,7 @@
 			   "learned length of interference bursts at upstreams",
 			   state->interference_ms);
 	export_retries(node, service, state);
+	export_retry_counts(node, service, &state->retry_counts);
 }
 
 static void export_rollout(const char *service,
--- a/src/coordination/placer_retries.c
+++ b/src/coordination/placer_retries.c
@@ -7,6 +7,7 @@
  * placer tells its deputy what it has counted, so that a takeover does not
  * start with an account that is full although most of it has been spent.
  */
+#include <auburnstile/internal/decision_log.h>
 #include <auburnstile/internal/placer_internal.h>
 
 double aub_placer_slack_withheld(const struct aub_placer *placer, bool fallback)
@@ -57,3 +58,48 @@
 				      &use,
 				      aub_timer_now(placer->options.timers));
 }
+
+void aub_placer_count_attempt(struct aub_placer *placer, const char *service,
+			      bool further)
+{
+	aub_placement_count_attempt(aub_placer_placement(placer, service),
+				    further);
+}
+
+static struct aub_retry_counts *logged_counts(struct aub_placer *placer,
+					      const char *service)
+{
+	struct aub_retry_counts *logged =
+		g_hash_table_lookup(placer->retry_counts_logged, service);
+
+	if (logged)
+		return logged;
+	logged = g_new0(struct aub_retry_counts, 1);
+	g_hash_table_insert(placer->retry_counts_logged, g_strdup(service),
+			    logged);
+	return logged;
+}
+
+void aub_placer_log_retry_counts(struct aub_placer *placer, const char *service,
+				 gint64 now_us)
+{
+	struct aub_retry_counts *logged = logged_counts(placer, service);
+	struct aub_placement_stats stats;
+	const struct aub_retry_counts *now = &stats.retry_counts;
+
+	aub_placement_get_stats(aub_placer_placement(placer, service), now_us,
+				&stats);
+	if (now->admitted == logged->admitted &&
+	    now->further == logged->further)
+		return;
+	aub_log_begin(AUB_LOG_RETRY_COUNTS);
+	aub_log_text("service", service);
+	aub_log_number("requests", (gint64)(now->requests - logged->requests));
+	aub_log_number("counted", (gint64)(now->counted - logged->counted));
+	aub_log_number("told", (gint64)(now->told - logged->told));
+	aub_log_number("admitted", (gint64)(now->admitted - logged->admitted));
+	aub_log_number("attempts", (gint64)(now->attempts - logged->attempts));
+	aub_log_number("further", (gint64)(now->further - logged->further));
+	aub_log_end();
+	*logged = *now;
+}
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -387,6 +387,9 @@
 		g_ptr_array_add(ticket->avoid, g_strdup(request->avoid[i]));
 	g_hash_table_insert(placer->tickets, &ticket->id, ticket);
 	placer->counts.requested++;
+	if (request->first)
+		aub_placement_count_request(
+			aub_placer_placement(placer, service));
 	ticket_request(placer, ticket);
 	aub_placer_arm_tick(placer);
 }
--- a/src/core/decision_log.c
+++ b/src/core/decision_log.c
@@ -65,6 +65,8 @@
 				       "an upstream's answers say that it leaves" },
 	[AUB_LOG_QUOTA] = { "quota", AUB_LOG_STATE,
 			    "requests of a workspace were refused here as over its quota in the last second" },
+	[AUB_LOG_RETRY_COUNTS] = { "retry-counts", AUB_LOG_STATE,
+				   "retries of a service were admitted or sent here in the last second" },
 	[AUB_LOG_ROLLOUT] = { "rollout", AUB_LOG_STATE,
 			      "an order to change versions is another one, or further" },
 	[AUB_LOG_ROLLOUT_STORED] = { "rollout-stored", AUB_LOG_STATE,
--- a/src/state/log_events.c
+++ b/src/state/log_events.c
@@ -49,6 +49,8 @@
 	{ "upstream-leaving", AUB_EVENT_UPSTREAM, "upstream", NULL, NULL, NULL,
 	  false },
 	{ "quota", AUB_EVENT_REFUSED, NULL, NULL, NULL, "refused", false },
+	{ "retry-counts", AUB_EVENT_RETRIED, NULL, NULL, NULL, "admitted",
+	  false },
 	{ "rollout", AUB_EVENT_CONFIG, NULL, NULL, NULL, "exposed", false },
 	{ "rollout-stored", AUB_EVENT_STORE, NULL, NULL, NULL, "revision",
 	  false },
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -500,6 +500,9 @@
 		.judged_answers = placement->rollout.judge.answers,
 		.bad_answers = placement->rollout.judge.bad,
 	};
+	stats->retry_counts = placement->retry_counts;
+	stats->retry_counts.admitted =
+		placement->retries.verdicts[AUB_RETRY_ADMITTED];
 	memcpy(stats->retry_verdicts, placement->retries.verdicts,
 	       sizeof(stats->retry_verdicts));
 	for (guint i = 0; i < placement->upstreams->len; i++) {
--- a/src/state/placement_retries.c
+++ b/src/state/placement_retries.c
@@ -113,6 +113,7 @@
 					 request->fingerprint, now_us);
 	aub_retry_admission_add_request(&placement->retries, bounds, now_us);
 	placement->untold.requests++;
+	placement->retry_counts.counted++;
 }
 
 enum aub_retry_verdict aub_placement_admit(
@@ -167,6 +168,18 @@
 		.slack = placement->limits.retry_slack,
 	};
 
+	placement->retry_counts.told += use->requests;
 	aub_retry_admission_add_remote(&placement->retries, &bounds,
 				       use->requests, use->retries, now_us);
 }
+
+void aub_placement_count_request(struct aub_placement *placement)
+{
+	placement->retry_counts.requests++;
+}
+
+void aub_placement_count_attempt(struct aub_placement *placement, bool further)
+{
+	placement->retry_counts.attempts++;
+	placement->retry_counts.further += further;
+}
