retries: credit is handed over with requests, once, by the gateway that earns it

Cause: the account of each placer was made from what it had seen itself. A request that a slow placer read late was counted there, at the next placer that had been asked after 50 ms, and in the local fallback, and each count earned a share of a retry; since the last landing counts were told to deputies and earned there again. Every process that took over began with a part of the slack of its own. Class: a bound on a sum that is kept by each part's view of the whole.

Now credit has one source: the gateway that took the request from its caller earns a share of a retry the first time it asks, and its part of the slack over time; it hands both over in the message, never twice. Whoever admits retries spends what it was handed within the window. The sum over any number of placers is bounded by what was earned, whatever is paused, killed or cut off; a lost message loses credit. A reserve of the slack stays at the gateways for retries, so that a new placer gets it with the first ones. The message to deputies goes.

With nothing counted twice, the shares of ratio and slack that are used rise from 0.9 and 0.4 to 0.95 and 0.9. A process that has just started earns from then on; only at the first start of the fleet (new setting bootstrap) has it earned before. Gateways speak version 6.

Tests: the fixtures hand credit over as gateways do.

--- a/include/auburnstile/internal/node.h
+++ b/include/auburnstile/internal/node.h
@@ -21,6 +21,7 @@
 	char *store; /* address of the platform's store */
 	char *source_ip; /* local IP of connections it opens; "": any */
 	char **seeds; /* possible gateways; only their IPs are used */
+	bool bootstrap; /* the whole fleet starts for the first time */
 	double grace_s; /* seconds from SIGTERM to SIGKILL */
 	gint64 retry_percent; /* retries per hundred first attempts */
 	double retry_slack; /* retries beyond that percentage, per window */
--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -21,7 +21,7 @@
 
 struct aub_placement_limits {
 	double retry_ratio; /* retries per request, fleet-wide */
-	guint retry_slack; /* retries beyond that, in the window */
+	double retry_slack; /* retries beyond that, in the window, likewise */
 	gint64 window_us;
 };
 
@@ -51,8 +51,8 @@
 	bool retry; /* it was sent to an upstream before */
 	bool replaces; /* a retry, while that upstream has not answered */
 	bool local_fallback; /* placed locally, for lack of a placer */
-	/* share of the retry slack that is left to other processes */
-	double retry_slack_withheld;
+	/* handed over with it, in thousandths of a retry */
+	guint32 retry_credit;
 	guint64 fingerprint; /* the same when its caller repeats it; 0: none */
 	guint32 route; /* key of its route: versions are judged by route */
 	const char *workspace; /* of its caller; "" or NULL: none */
@@ -391,37 +391,25 @@
 			      const struct aub_upstream_health *health,
 			      gint64 now_us);
 
-/* Requests and retries that a placement has counted. */
-struct aub_retry_use {
-	guint requests;
-	guint retries;
-};
-/*
- * Sets `use` to what was counted since the last call. Returns false if there is
- * nothing to tell other placers.
- */
-bool aub_placement_take_retry_use(struct aub_placement *placement,
-				  struct aub_retry_use *use);
-/* Counts what another placer of the service has told. */
-void aub_placement_apply_retry_use(struct aub_placement *placement,
-				   const struct aub_retry_use *use,
-				   gint64 now_us);
-
 /*
  * What this process has counted of a service's retries since its start. Over
- * all processes, `counted` is not more than `requests`, and `further` not more
+ * all processes, `received` is not more than `issued`, and `further` not more
  * than `admitted`.
  */
 struct aub_retry_counts {
 	guint64 requests; /* of this gateway's callers */
-	guint64 counted; /* requests counted here for the retry budget */
-	guint64 told; /* requests that other processes told of */
+	guint64 issued; /* credit handed over, in thousandths of a retry */
+	guint64 received; /* likewise, by this or other gateways */
 	guint64 admitted; /* retries, by this process */
 	guint64 attempts; /* sent by this gateway */
 	guint64 further; /* of these: not the first of their request */
 };
-/* Counts a request of this gateway's callers when it is placed first. */
-void aub_placement_count_request(struct aub_placement *placement);
+/*
+ * Counts the credit that this gateway hands over with a placement request;
+ * `first`: the request was not placed before.
+ */
+void aub_placement_count_earnings(struct aub_placement *placement, bool first,
+				  guint32 thousandths);
 /* Counts an attempt that this gateway sends. */
 void aub_placement_count_attempt(struct aub_placement *placement, bool further);
 
--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -130,7 +130,6 @@
 	char *service;
 	struct aub_placement_limits limits;
 	struct aub_retry_admission retries;
-	struct aub_retry_use untold; /* to other placers of the service */
 	struct aub_retry_counts retry_counts;
 	struct aub_caller_returns *returns;
 	struct aub_refusal_rate refusals; /* by upstreams with free slots */
@@ -318,7 +317,11 @@
 /* Returns after what time without an answer an upstream is stuck, in ms. */
 guint aub_placement_silent_after_ms(const struct aub_placement *placement,
 				    const struct aub_grant *grant);
-/* Counts a request, or decides whether it may be retried. */
+/* Adds the credit that comes with a placement request. */
+void aub_placement_receive_retry_credit(
+	struct aub_placement *placement,
+	const struct aub_placement_request *request, gint64 now_us);
+/* Admits a request, or decides whether it may be retried. */
 enum aub_retry_verdict aub_placement_admit(
 	struct aub_placement *placement,
 	const struct aub_placement_request *request, gint64 now_us);
--- a/include/auburnstile/internal/placer.h
+++ b/include/auburnstile/internal/placer.h
@@ -40,6 +40,7 @@
 	struct aub_egress_monitor *egress;
 	guint64 incarnation;
 	const char *zone;
+	bool bootstrap; /* the whole fleet starts for the first time */
 	struct aub_placement_limits limits; /* fleet-wide */
 	struct aub_rollout_limits rollouts; /* fleet-wide */
 	/*
--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -3,6 +3,7 @@
 #define AUBURNSTILE_INTERNAL_PLACER_INTERNAL_H
 
 #include <auburnstile/internal/placer.h>
+#include <auburnstile/internal/retry_earnings.h>
 
 G_BEGIN_DECLS
 
@@ -48,8 +49,9 @@
 	GHashTable *evacuated_zones; /* set */
 	GHashTable *tickets; /* &id -> struct aub_ticket */
 	GHashTable *probed_services; /* service -> struct aub_probed_service */
-	GHashTable
-		*retry_counts_logged; /* service -> struct aub_retry_counts */
+	/* by service: struct aub_retry_earnings, struct aub_retry_counts */
+	GHashTable *retry_earnings;
+	GHashTable *retry_counts_logged;
 	/* set of services whose placer was sent a non-empty list of grants */
 	GHashTable *outstanding_reported;
 	GPtrArray *probes; /* of struct probe, in progress */
@@ -211,15 +213,11 @@
 
 /* Retry budgets. */
 /*
- * Returns the share of the retry slack that is left to other processes, for a
- * request placed here or, in `fallback`, by this gateway for itself.
+ * Returns the credit that goes with the next message about `ticket`, in
+ * thousandths of a retry. It is handed over to the receiver of that message.
  */
-double aub_placer_slack_withheld(const struct aub_placer *placer,
-				 bool fallback);
-/* Tells the placers of `service` what was counted here since the last call. */
-void aub_placer_send_retry_use(struct aub_placer *placer, const char *service);
-void aub_placer_apply_retry_use(struct aub_placer *placer,
-				const struct aub_retry_use_message *message);
+guint32 aub_placer_hand_over_retry_credit(struct aub_placer *placer,
+					  struct aub_ticket *ticket);
 /* Logs what was counted of the retries of `service` since the last call. */
 void aub_placer_log_retry_counts(struct aub_placer *placer, const char *service,
 				 gint64 now_us);
--- a/include/auburnstile/internal/retry_admission.h
+++ b/include/auburnstile/internal/retry_admission.h
@@ -48,7 +48,6 @@
 struct aub_retry_admission {
 	struct aub_retry_budget budget; /* bounds all retries */
 	double credit; /* retries that may be admitted now */
-	gint64 credit_us; /* time of the last update; 0: none yet */
 	struct aub_retry_rank ranks[AUB_RETRY_RANKS];
 	GHashTable *workspaces; /* handle -> struct workspace_retries */
 	double mean_retries; /* of a workspace, for each unit of weight */
@@ -56,29 +55,16 @@
 	guint64 verdicts[AUB_RETRY_VERDICT_COUNT]; /* since the start */
 };
 
-/* The bounds of this process; see struct aub_placement_limits. */
-struct aub_retry_bounds {
-	double ratio;
-	double slack;
-};
-
 void aub_retry_admission_init(struct aub_retry_admission *admission,
 			      gint64 window_us);
 void aub_retry_admission_clear(struct aub_retry_admission *admission);
 
-/* Counts a request that is not a retry. */
-void aub_retry_admission_add_request(struct aub_retry_admission *admission,
-				     const struct aub_retry_bounds *bounds,
-				     gint64 now_us);
-/* Counts requests and retries that another placer has handled. */
-void aub_retry_admission_add_remote(struct aub_retry_admission *admission,
-				    const struct aub_retry_bounds *bounds,
-				    guint requests, guint retries,
-				    gint64 now_us);
+/* Adds credit that a gateway has handed over, in retries. */
+void aub_retry_admission_add_credit(struct aub_retry_admission *admission,
+				    double credit, gint64 now_us);
 /* Decides on a claim, and counts the retry if it is admitted. */
 enum aub_retry_verdict aub_retry_admission_decide(
 	struct aub_retry_admission *admission,
-	const struct aub_retry_bounds *bounds,
 	const struct aub_retry_claim *claim, gint64 now_us);
 /* Takes back a retry that was just admitted and found no upstream. */
 void aub_retry_admission_take_back(struct aub_retry_admission *admission,
--- a/include/auburnstile/message.h
+++ b/include/auburnstile/message.h
@@ -18,7 +18,7 @@
 
 G_BEGIN_DECLS
 
-#define AUB_PROTOCOL_VERSION 5
+#define AUB_PROTOCOL_VERSION 6
 #define AUB_FRAME_BYTES_MAX (9u << 20) /* an 8 MiB body with its headers */
 
 enum aub_message_type {
@@ -49,7 +49,6 @@
 	AUB_MESSAGE_PLACE_ROLLOUT, /* placer -> gateways: rollout progress */
 	AUB_MESSAGE_PLACE_PROBE_RESULTS, /* a zone's prober -> placer */
 	AUB_MESSAGE_QUOTA_USE, /* placer -> placers: grants by workspace */
-	AUB_MESSAGE_RETRY_USE, /* placer -> placers of the service */
 	AUB_MESSAGE_TYPE_COUNT
 };
 
@@ -355,6 +354,8 @@
 	guint32 route; /* key of the request's route */
 	char *workspace; /* "": none */
 	guint64 fingerprint; /* of the request; 0: unknown */
+	guint32 retry_credit; /* handed over with it, in thousandths of a retry
+			       */
 	GPtrArray *avoid; /* of struct aub_name */
 	GPtrArray *limits; /* of struct aub_place_limit, known to the holder */
 };
@@ -484,17 +485,6 @@
 	GPtrArray *rows; /* of struct aub_quota_use_row */
 };
 
-/*
- * Requests and retries of a service that the sender has counted since its last
- * message; see struct aub_retry_use.
- */
-struct aub_retry_use_message {
-	struct aub_message base;
-	char *service;
-	guint32 requests;
-	guint32 retries;
-};
-
 struct aub_name {
 	char *name;
 };
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -12,13 +12,12 @@
 #include <string.h>
 
 /*
- * Shares of the fleet's retry budget that one placer spends. Two gateways may
- * place for a service concurrently for a while, so neither spends all of the
- * slack. Retries per request are counted by the one that decides on the
- * request; a few requests are decided on by both.
+ * Shares of the fleet's retry budget that the gateways earn. The rest is for
+ * retries that arrive later than they were admitted, and for gateways that are
+ * not known to the others yet.
  */
-#define RETRY_BUDGET_SHARE 0.9
-#define RETRY_SLACK_SHARE 0.4
+#define RETRY_BUDGET_SHARE 0.95
+#define RETRY_SLACK_SHARE 0.9
 
 /*
  * Callers cache addresses, some for three times as long as they should
@@ -189,8 +188,7 @@
 	*limits = (struct aub_placement_limits){
 		.retry_ratio = RETRY_BUDGET_SHARE *
 			       (double)settings->retry_percent / 100,
-		.retry_slack =
-			(guint)(RETRY_SLACK_SHARE * settings->retry_slack),
+		.retry_slack = RETRY_SLACK_SHARE * settings->retry_slack,
 		.window_us = (gint64)(settings->retry_window_s * AUB_SECOND),
 	};
 }
@@ -284,6 +282,7 @@
 		.egress = node->egress,
 		.incarnation = incarnation,
 		.zone = node->zone,
+		.bootstrap = settings->bootstrap,
 		.rollouts = { .share = settings->rollout_share,
 			      .slack = settings->rollout_slack },
 		.store_rollout_state = aub_node_store_rollout_state,
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -241,6 +241,8 @@
 				      aub_probed_service_free);
 	placer->outstanding_reported =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	placer->retry_earnings =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	placer->retry_counts_logged =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	placer->probes = g_ptr_array_new();
@@ -275,6 +277,7 @@
 	g_hash_table_unref(placer->service_by_upstream);
 	g_hash_table_unref(placer->evacuated_zones);
 	g_hash_table_unref(placer->probed_services);
+	g_hash_table_unref(placer->retry_earnings);
 	g_hash_table_unref(placer->retry_counts_logged);
 	g_free(placer->zone);
 	g_free(placer);
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -121,8 +121,7 @@
 		.route = message->route,
 		.workspace = message->workspace,
 		.fingerprint = message->fingerprint,
-		.retry_slack_withheld =
-			aub_placer_slack_withheld(placer, false),
+		.retry_credit = message->retry_credit,
 	};
 	struct aub_placement_decision decision;
 	struct aub_peer *holder =
@@ -282,10 +281,6 @@
 		aub_placer_apply_quota_use(
 			placer, (struct aub_quota_use_message *)message);
 		break;
-	case AUB_MESSAGE_RETRY_USE:
-		aub_placer_apply_retry_use(
-			placer, (struct aub_retry_use_message *)message);
-		break;
 	case AUB_MESSAGE_PLACE_HEALTH:
 		aub_placer_apply_health(placer,
 					(struct aub_place_health *)message);
--- a/src/coordination/placer_retries.c
+++ b/src/coordination/placer_retries.c
@@ -1,62 +1,63 @@
 /*
- * The retry budget of a service, across its placers.
- *
- * The budget binds the sum over all gateways. Each placer counts the requests
- * that it decides on, which earn the share of retries that depends on them;
- * the slack is divided among processes that may place at the same time. A
- * placer tells its deputy what it has counted, so that a takeover does not
- * start with an account that is full although most of it has been spent.
+ * The retry budget of a service: the credit that this gateway hands over to
+ * placers, and what is logged of it.
  */
 #include <auburnstile/internal/decision_log.h>
 #include <auburnstile/internal/placer_internal.h>
 
-double aub_placer_slack_withheld(const struct aub_placer *placer, bool fallback)
+static struct aub_retry_earnings *earnings_of(struct aub_placer *placer,
+					      const char *service)
 {
-	const struct aub_peers *peers = placer->options.peers;
-	guint known = MAX(aub_peers_all(peers)->len, 1);
+	const struct aub_placer_options *options = &placer->options;
+	struct aub_retry_earnings *earnings =
+		g_hash_table_lookup(placer->retry_earnings, service);
 
-	if (fallback)
-		return 1 - 1.0 / known;
-	return 1 - aub_placer_granted_share(placer);
+	if (earnings)
+		return earnings;
+	earnings = g_new(struct aub_retry_earnings, 1);
+	aub_retry_earnings_init(earnings,
+				options->bootstrap ?
+					placer->start_us -
+						options->limits.window_us :
+					placer->start_us);
+	g_hash_table_insert(placer->retry_earnings, g_strdup(service),
+			    earnings);
+	return earnings;
 }
 
-void aub_placer_send_retry_use(struct aub_placer *placer, const char *service)
+/*
+ * The slack is divided among all gateways that are known, whether they live or
+ * not. A process that has just started knows too few of them.
+ */
+static struct aub_retry_terms terms_of(const struct aub_placer *placer)
 {
-	struct aub_peers *peers = placer->options.peers;
-	const GPtrArray *ranked = aub_peers_ranked(peers, service);
-	struct aub_retry_use use;
-	struct aub_retry_use_message *message;
+	const struct aub_placement_limits *limits = &placer->options.limits;
+	guint known = aub_peers_all(placer->options.peers)->len;
+	double slack = aub_placer_startup_is_over(placer) ?
+			       limits->retry_slack / MAX(known, 1) :
+			       0;
 
-	if (!aub_placement_take_retry_use(aub_placer_placement(placer, service),
-					  &use))
-		return;
-	message = (struct aub_retry_use_message *)aub_message_new(
-		AUB_MESSAGE_RETRY_USE);
-	aub_string_set(&message->service, service);
-	message->requests = use.requests;
-	message->retries = use.retries;
-	for (guint i = 0; i < ranked->len && i < AUB_INFORMED_PER_SERVICE;
-	     i++) {
-		const struct aub_peer *peer = g_ptr_array_index(ranked, i);
-
-		if (!peer->self)
-			aub_peers_send(peers, peer, &message->base);
-	}
-	aub_message_free(&message->base);
+	return (struct aub_retry_terms){
+		.ratio = limits->retry_ratio,
+		.slack = slack,
+		.window_us = limits->window_us,
+	};
 }
 
-void aub_placer_apply_retry_use(struct aub_placer *placer,
-				const struct aub_retry_use_message *message)
+guint32 aub_placer_hand_over_retry_credit(struct aub_placer *placer,
+					  struct aub_ticket *ticket)
 {
-	const struct aub_retry_use use = {
-		.requests = message->requests,
-		.retries = message->retries,
-	};
+	const struct aub_retry_terms terms = terms_of(placer);
+	guint32 credit = aub_retry_earnings_hand_over(
+		earnings_of(placer, ticket->service), &terms,
+		ticket->request.first, ticket->request.retry,
+		aub_timer_now(placer->options.timers));
 
-	aub_placement_apply_retry_use(aub_placer_placement(placer,
-							   message->service),
-				      &use,
-				      aub_timer_now(placer->options.timers));
+	aub_placement_count_earnings(aub_placer_placement(placer,
+							  ticket->service),
+				     ticket->request.first, credit);
+	ticket->request.first = false;
+	return credit;
 }
 
 void aub_placer_count_attempt(struct aub_placer *placer, const char *service,
@@ -95,8 +96,8 @@
 	aub_log_begin(AUB_LOG_RETRY_COUNTS);
 	aub_log_text("service", service);
 	aub_log_number("requests", (gint64)(now->requests - logged->requests));
-	aub_log_number("counted", (gint64)(now->counted - logged->counted));
-	aub_log_number("told", (gint64)(now->told - logged->told));
+	aub_log_number("issued", (gint64)(now->issued - logged->issued));
+	aub_log_number("received", (gint64)(now->received - logged->received));
 	aub_log_number("admitted", (gint64)(now->admitted - logged->admitted));
 	aub_log_number("attempts", (gint64)(now->attempts - logged->attempts));
 	aub_log_number("further", (gint64)(now->further - logged->further));
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -173,8 +173,8 @@
 
 	fill_request(placer, ticket, &request);
 	request.local_fallback = is_fallback;
-	request.retry_slack_withheld =
-		aub_placer_slack_withheld(placer, is_fallback);
+	request.retry_credit =
+		aub_placer_hand_over_retry_credit(placer, ticket);
 	if (is_fallback)
 		placer->counts.placed_in_fallback++;
 	else
@@ -227,6 +227,8 @@
 	message->route = ticket->request.route;
 	aub_string_set(&message->workspace, ticket->workspace);
 	message->fingerprint = ticket->request.fingerprint;
+	message->retry_credit =
+		aub_placer_hand_over_retry_credit(placer, ticket);
 	message->forward = ranks_first(placer, ticket->service, peer);
 	ticket->forwardable = message->forward;
 	for (guint i = 0; i < ticket->avoid->len; i++)
@@ -387,9 +389,6 @@
 		g_ptr_array_add(ticket->avoid, g_strdup(request->avoid[i]));
 	g_hash_table_insert(placer->tickets, &ticket->id, ticket);
 	placer->counts.requested++;
-	if (request->first)
-		aub_placement_count_request(
-			aub_placer_placement(placer, service));
 	ticket_request(placer, ticket);
 	aub_placer_arm_tick(placer);
 }
--- a/src/protocol/message_fields.c
+++ b/src/protocol/message_fields.c
@@ -404,6 +404,7 @@
 	STRING(aub_place_request, workspace, WORKSPACE_BYTES_MAX),
 	U64(aub_place_request, fingerprint),
 	BOOL(aub_place_request, replaces),
+	U32(aub_place_request, retry_credit),
 	END,
 };
 
@@ -484,13 +485,6 @@
 	END,
 };
 
-static const struct aubi_field retry_use_fields[] = {
-	STRING(aub_retry_use_message, service, NAME_BYTES_MAX),
-	U32(aub_retry_use_message, requests),
-	U32(aub_retry_use_message, retries),
-	END,
-};
-
 static const struct aubi_layout layouts[AUB_MESSAGE_TYPE_COUNT] = {
 	[AUB_MESSAGE_HELLO] = LAYOUT("hello", aub_hello, hello_fields),
 	[AUB_MESSAGE_PING] = LAYOUT("ping", aub_ping, ping_fields),
@@ -537,8 +531,6 @@
 					     place_rollout_fields),
 	[AUB_MESSAGE_QUOTA_USE] =
 		LAYOUT("quota use", aub_quota_use_message, quota_use_fields),
-	[AUB_MESSAGE_RETRY_USE] =
-		LAYOUT("retry use", aub_retry_use_message, retry_use_fields),
 };
 
 const struct aubi_layout *aubi_message_layout(guint64 type)
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -255,6 +255,7 @@
 		.ticket = request->ticket,
 		.holder = request->holder,
 	};
+	aub_placement_receive_retry_credit(placement, request, now_us);
 	if (find_decided(placement, request, decision))
 		return;
 	if (is_over_quota(placement, request, now_us)) {
--- a/src/state/placement_retries.c
+++ b/src/state/placement_retries.c
@@ -57,17 +57,6 @@
 			  SILENT_TARGETS * grant->target_ms);
 }
 
-static struct aub_retry_bounds retry_bounds(
-	const struct aub_placement *placement,
-	const struct aub_placement_request *request)
-{
-	return (struct aub_retry_bounds){
-		.ratio = placement->limits.retry_ratio,
-		.slack = placement->limits.retry_slack *
-			 (1 - request->retry_slack_withheld),
-	};
-}
-
 /*
  * While most slots are in use, slow answers are those of an overload, which
  * requests that run twice would only make worse.
@@ -105,27 +94,26 @@
 	return claim;
 }
 
-static void count_request(struct aub_placement *placement,
-			  const struct aub_placement_request *request,
-			  const struct aub_retry_bounds *bounds, gint64 now_us)
+void aub_placement_receive_retry_credit(
+	struct aub_placement *placement,
+	const struct aub_placement_request *request, gint64 now_us)
 {
-	(void)aub_caller_returns_arrived(placement->returns,
-					 request->fingerprint, now_us);
-	aub_retry_admission_add_request(&placement->retries, bounds, now_us);
-	placement->untold.requests++;
-	placement->retry_counts.counted++;
+	if (!request->retry_credit)
+		return;
+	placement->retry_counts.received += request->retry_credit;
+	aub_retry_admission_add_credit(&placement->retries,
+				       request->retry_credit / 1000.0, now_us);
 }
 
 enum aub_retry_verdict aub_placement_admit(
 	struct aub_placement *placement,
 	const struct aub_placement_request *request, gint64 now_us)
 {
-	const struct aub_retry_bounds bounds = retry_bounds(placement, request);
 	struct aub_retry_claim claim;
-	enum aub_retry_verdict verdict;
 
 	if (!request->retry) {
-		count_request(placement, request, &bounds, now_us);
+		(void)aub_caller_returns_arrived(placement->returns,
+						 request->fingerprint, now_us);
 		return AUB_RETRY_ADMITTED;
 	}
 	if (request->replaces && !may_replace(placement, request, now_us))
@@ -134,10 +122,7 @@
 		aub_caller_returns_retried(placement->returns,
 					   request->fingerprint);
 	claim = claim_of(placement, request, now_us);
-	verdict = aub_retry_admission_decide(&placement->retries, &bounds,
-					     &claim, now_us);
-	placement->untold.retries += verdict == AUB_RETRY_ADMITTED;
-	return verdict;
+	return aub_retry_admission_decide(&placement->retries, &claim, now_us);
 }
 
 void aub_placement_take_back_retry(struct aub_placement *placement,
@@ -147,35 +132,13 @@
 	if (!request->retry)
 		return;
 	aub_retry_admission_take_back(&placement->retries, now_us);
-	if (placement->untold.retries)
-		placement->untold.retries--;
-}
-
-bool aub_placement_take_retry_use(struct aub_placement *placement,
-				  struct aub_retry_use *use)
-{
-	*use = placement->untold;
-	placement->untold = (struct aub_retry_use){ 0 };
-	return use->requests || use->retries;
-}
-
-void aub_placement_apply_retry_use(struct aub_placement *placement,
-				   const struct aub_retry_use *use,
-				   gint64 now_us)
-{
-	const struct aub_retry_bounds bounds = {
-		.ratio = placement->limits.retry_ratio,
-		.slack = placement->limits.retry_slack,
-	};
-
-	placement->retry_counts.told += use->requests;
-	aub_retry_admission_add_remote(&placement->retries, &bounds,
-				       use->requests, use->retries, now_us);
 }
 
-void aub_placement_count_request(struct aub_placement *placement)
+void aub_placement_count_earnings(struct aub_placement *placement, bool first,
+				  guint32 thousandths)
 {
-	placement->retry_counts.requests++;
+	placement->retry_counts.requests += first;
+	placement->retry_counts.issued += thousandths;
 }
 
 void aub_placement_count_attempt(struct aub_placement *placement, bool further)
--- a/src/state/retry_admission.c
+++ b/src/state/retry_admission.c
@@ -1,7 +1,7 @@
 /*
- * A token bucket inside the sliding window of the retry budget. Each request
- * adds its share of a retry, so that retries are spread over the window as the
- * requests are; what has been saved up is for bursts of failures.
+ * A token bucket inside the sliding window of the retry budget. Credit arrives
+ * with the requests, so that retries are spread over the window as these are;
+ * what has been saved up is for bursts of failures.
  *
  * While claims exceed the budget they are served by rank: on time before late,
  * by priority, callers that will not return before those that will, workspaces
@@ -14,16 +14,23 @@
 
 #define US_PER_S (1000 * G_GINT64_CONSTANT(1000))
 
-/* Share of the slack that is available at once, for bursts of failures. */
-#define BURST_SLACK_SHARE 0.5
-/* In a large fleet: share of the whole budget of a window. */
+/*
+ * If as much flowed as the window allows, a burst would use the window up, and
+ * claims would then be admitted by chance and not by rank.
+ */
+#define FLOW_SHARE 0.96
+
+/* In a large fleet, for bursts of failures: share of a window's budget. */
 #define BURST_BUDGET_SHARE 0.05
 /*
  * In a small fleet, an upstream that ends takes a large part of the requests
- * with it: so many at once, if they are no more than a quarter of the budget.
+ * with it: so many at once, if they are no more than this share of the budget.
  */
-#define BURST_SMALL_RETRIES 20
-#define BURST_SMALL_BUDGET_SHARE 0.25
+#define BURST_SMALL_RETRIES 30
+#define BURST_SMALL_BUDGET_SHARE 0.3
+/* Likewise with few requests, or soon after a start. */
+#define BURST_LEAST_RETRIES 8
+#define BURST_LEAST_BUDGET_SHARE 0.5
 
 /* Credit is kept back for claims of a higher rank in this time. */
 #define RESERVE_S 0.2
@@ -76,57 +83,25 @@
 	g_clear_pointer(&admission->workspaces, g_hash_table_unref);
 }
 
-static double credit_max(struct aub_retry_admission *admission,
-			 const struct aub_retry_bounds *bounds, gint64 now_us)
+static double credit_max(double budget)
 {
-	double budget = aub_retry_budget_size(&admission->budget, bounds->ratio,
-					      bounds->slack, now_us);
 	double small =
 		MIN(BURST_SMALL_BUDGET_SHARE * budget, BURST_SMALL_RETRIES);
+	double least =
+		MIN(BURST_LEAST_BUDGET_SHARE * budget, BURST_LEAST_RETRIES);
 
-	return MAX(MAX(BURST_BUDGET_SHARE * budget,
-		       BURST_SLACK_SHARE * bounds->slack),
-		   small);
-}
-
-/* Adds the part of the slack that is spread over the window. */
-static void refill(struct aub_retry_admission *admission,
-		   const struct aub_retry_bounds *bounds, gint64 now_us)
-{
-	double per_us = (1 - BURST_SLACK_SHARE) * bounds->slack /
-			(double)aub_retry_budget_window_us(&admission->budget);
-
-	if (!admission->credit_us)
-		admission->credit = credit_max(admission, bounds, now_us);
-	else
-		admission->credit +=
-			per_us * (double)MAX(now_us - admission->credit_us, 0);
-	admission->credit_us = now_us;
-}
-
-static void cap_credit(struct aub_retry_admission *admission,
-		       const struct aub_retry_bounds *bounds, gint64 now_us)
-{
-	admission->credit =
-		MIN(admission->credit, credit_max(admission, bounds, now_us));
+	return MAX(BURST_BUDGET_SHARE * budget, MAX(small, least));
 }
 
-void aub_retry_admission_add_request(struct aub_retry_admission *admission,
-				     const struct aub_retry_bounds *bounds,
-				     gint64 now_us)
+void aub_retry_admission_add_credit(struct aub_retry_admission *admission,
+				    double credit, gint64 now_us)
 {
-	aub_retry_admission_add_remote(admission, bounds, 1, 0, now_us);
-}
+	double budget;
 
-void aub_retry_admission_add_remote(struct aub_retry_admission *admission,
-				    const struct aub_retry_bounds *bounds,
-				    guint requests, guint retries,
-				    gint64 now_us)
-{
-	refill(admission, bounds, now_us);
-	aub_retry_budget_add(&admission->budget, requests, retries, now_us);
-	admission->credit += bounds->ratio * requests - retries;
-	cap_credit(admission, bounds, now_us);
+	aub_retry_budget_add_credit(&admission->budget, credit, now_us);
+	budget = aub_retry_budget_size(&admission->budget, now_us);
+	admission->credit = MIN(admission->credit + FLOW_SHARE * credit,
+				credit_max(budget));
 }
 
 static double retries_of(const struct workspace_retries *retries, gint64 now_us)
@@ -234,9 +209,8 @@
 }
 
 /* Returns the credit that is kept for claims of a higher rank. */
-static double reserve(struct aub_retry_admission *admission,
-		      const struct aub_retry_bounds *bounds, guint64 order,
-		      gint64 now_us)
+static double reserve(struct aub_retry_admission *admission, double saved_max,
+		      guint64 order, gint64 now_us)
 {
 	double claims = 0;
 
@@ -246,28 +220,27 @@
 		if (rank->updated_us && rank->order < order)
 			claims += claims_per_s(rank, now_us);
 	}
-	return MIN(RESERVE_S * claims,
-		   RESERVE_MAX_SHARE * credit_max(admission, bounds, now_us));
+	return MIN(RESERVE_S * claims, RESERVE_MAX_SHARE * saved_max);
 }
 
 static enum aub_retry_verdict decide(struct aub_retry_admission *admission,
-				     const struct aub_retry_bounds *bounds,
 				     const struct aub_retry_claim *claim,
 				     gint64 now_us)
 {
 	guint64 order = order_of(admission, claim, now_us);
+	double saved_max =
+		credit_max(aub_retry_budget_size(&admission->budget, now_us));
 
-	refill(admission, bounds, now_us);
-	cap_credit(admission, bounds, now_us);
+	admission->credit = MIN(admission->credit, saved_max);
 	count_claim(admission, order, now_us);
 	if (aub_retry_is_futile(claim->success))
 		return AUB_RETRY_FUTILE;
 	if (admission->credit < 1)
 		return AUB_RETRY_EXHAUSTED;
-	if (admission->credit < 1 + reserve(admission, bounds, order, now_us))
+	if (admission->credit <
+	    1 + reserve(admission, saved_max, order, now_us))
 		return AUB_RETRY_RESERVED;
-	if (!aub_retry_budget_take_retry(&admission->budget, bounds->ratio,
-					 bounds->slack, now_us))
+	if (!aub_retry_budget_take_retry(&admission->budget, now_us))
 		return AUB_RETRY_EXHAUSTED;
 	admission->credit -= 1;
 	count_of_workspace(admission, claim, now_us);
@@ -276,11 +249,9 @@
 
 enum aub_retry_verdict aub_retry_admission_decide(
 	struct aub_retry_admission *admission,
-	const struct aub_retry_bounds *bounds,
 	const struct aub_retry_claim *claim, gint64 now_us)
 {
-	enum aub_retry_verdict verdict =
-		decide(admission, bounds, claim, now_us);
+	enum aub_retry_verdict verdict = decide(admission, claim, now_us);
 
 	admission->verdicts[verdict]++;
 	return verdict;
@@ -289,7 +260,7 @@
 void aub_retry_admission_take_back(struct aub_retry_admission *admission,
 				   gint64 now_us)
 {
-	aub_retry_budget_return_retry(&admission->budget, now_us);
+	aub_retry_budget_return_retry(&admission->budget, now_us, now_us);
 	admission->credit += 1;
 	admission->verdicts[AUB_RETRY_ADMITTED]--;
 }
--- a/src/state/retry_budget.c
+++ b/src/state/retry_budget.c
@@ -1,7 +1,8 @@
 /*
- * Implements the sliding window as a ring of buckets. The current bucket counts
- * in full, so that no interval of the length of the window contains more
- * retries than allowed.
+ * Implements the sliding window as a ring of buckets, of which one more is kept
+ * than fit into the window. All of them count for retries, which are so counted
+ * for the length of the window at least, and all but the oldest for credit,
+ * which counts for no longer than that.
  */
 #include <auburnstile/internal/retry_budget.h>
 
@@ -13,6 +14,11 @@
 	budget->bucket_us = MAX(window_us / (AUB_RETRY_BUDGET_BUCKETS - 1), 1);
 }
 
+static guint index_of(gint64 bucket_number)
+{
+	return (guint)(bucket_number % AUB_RETRY_BUDGET_BUCKETS);
+}
+
 static void advance(struct aub_retry_budget *budget, gint64 now_us)
 {
 	gint64 bucket_number = now_us / budget->bucket_us;
@@ -21,71 +27,59 @@
 		budget->newest_bucket =
 			bucket_number - AUB_RETRY_BUDGET_BUCKETS;
 	while (budget->newest_bucket < bucket_number) {
-		guint i = (guint)(++budget->newest_bucket %
-				  AUB_RETRY_BUDGET_BUCKETS);
+		guint i = index_of(++budget->newest_bucket);
 
-		budget->requests[i] = 0;
+		budget->credit[i] = 0;
 		budget->retries[i] = 0;
 	}
 }
 
-gint64 aub_retry_budget_window_us(const struct aub_retry_budget *budget)
+void aub_retry_budget_add_credit(struct aub_retry_budget *budget, double credit,
+				 gint64 now_us)
 {
-	return budget->bucket_us * (AUB_RETRY_BUDGET_BUCKETS - 1);
+	advance(budget, now_us);
+	budget->credit[index_of(budget->newest_bucket)] += credit;
 }
 
-void aub_retry_budget_add(struct aub_retry_budget *budget, guint requests,
-			  guint retries, gint64 now_us)
+double aub_retry_budget_size(struct aub_retry_budget *budget, gint64 now_us)
 {
-	guint newest;
+	double size = 0;
+	guint oldest;
 
 	advance(budget, now_us);
-	newest = (guint)(budget->newest_bucket % AUB_RETRY_BUDGET_BUCKETS);
-	budget->requests[newest] += requests;
-	budget->retries[newest] += retries;
-}
-
-void aub_retry_budget_add_request(struct aub_retry_budget *budget,
-				  gint64 now_us)
-{
-	aub_retry_budget_add(budget, 1, 0, now_us);
+	oldest = index_of(budget->newest_bucket + 1);
+	for (guint i = 0; i < AUB_RETRY_BUDGET_BUCKETS; i++)
+		size += i == oldest ? 0 : budget->credit[i];
+	return size;
 }
 
-static guint sum(const guint *buckets)
+static guint count_retries(const struct aub_retry_budget *budget)
 {
-	guint total = 0;
+	guint count = 0;
 
 	for (guint i = 0; i < AUB_RETRY_BUDGET_BUCKETS; i++)
-		total += buckets[i];
-	return total;
-}
-
-double aub_retry_budget_size(struct aub_retry_budget *budget, double ratio,
-			     double slack, gint64 now_us)
-{
-	advance(budget, now_us);
-	return ratio * sum(budget->requests) + slack;
+		count += budget->retries[i];
+	return count;
 }
 
-bool aub_retry_budget_take_retry(struct aub_retry_budget *budget, double ratio,
-				 double slack, gint64 now_us)
+bool aub_retry_budget_take_retry(struct aub_retry_budget *budget, gint64 now_us)
 {
-	double size = aub_retry_budget_size(budget, ratio, slack, now_us);
-
-	if (sum(budget->retries) + 1 > size)
+	if (count_retries(budget) + 1 > aub_retry_budget_size(budget, now_us))
 		return false;
-	aub_retry_budget_add(budget, 0, 1, now_us);
+	budget->retries[index_of(budget->newest_bucket)]++;
 	return true;
 }
 
 void aub_retry_budget_return_retry(struct aub_retry_budget *budget,
-				   gint64 now_us)
+				   gint64 taken_us, gint64 now_us)
 {
+	gint64 bucket_number = taken_us / budget->bucket_us;
 	guint *retries;
 
 	advance(budget, now_us);
-	retries = &budget->retries[budget->newest_bucket %
-				   AUB_RETRY_BUDGET_BUCKETS];
+	if (budget->newest_bucket - bucket_number >= AUB_RETRY_BUDGET_BUCKETS)
+		return;
+	retries = &budget->retries[index_of(bucket_number)];
 	if (*retries)
 		(*retries)--;
 }
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -245,6 +245,7 @@
 			own.seeds = g_new0(char *, 2);
 			own.seeds[0] = g_strdup(seed.c_str());
 		}
+		own.bootstrap = true;
 		own.grace_s = 2;
 		own.retry_percent = 20;
 		own.retry_slack = 50;
