--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -105,6 +105,7 @@
 	bool canary; /* counts as exposure of a new version */
 	bool judged_early; /* counted as slow before it ended */
 	gint64 granted_us;
+	gint64 retry_admitted_us; /* counts as a retry then; 0: it is none */
 };
 
 struct aub_queued_request {
@@ -121,6 +122,7 @@
 	guint64 fingerprint; /* 0: unknown */
 	bool local_fallback; /* no placer reachable: no cold or down upstream */
 	gint64 queued_us;
+	gint64 retry_admitted_us; /* 0: it is no retry */
 	gint64 on_time_until_us; /* granted later, it is late for certain */
 	gint64 expires_us; /* end of its maximum wait */
 	GPtrArray *avoid; /* of char * */
@@ -275,6 +277,10 @@
 gint aub_placement_find_queued(const struct aub_placement *placement,
 			       guint64 ticket);
 
+/* Removes a request from the queue that gets no slot any more. */
+void aub_placement_remove_queued(struct aub_placement *placement, guint i,
+				 gint64 now_us);
+
 /* Grants `request` a slot of the upstream at `index` and sets `decision`. */
 void aub_placement_grant(struct aub_placement *placement, guint index,
 			 const struct aub_placement_request *request,
@@ -325,10 +331,12 @@
 enum aub_retry_verdict aub_placement_admit(
 	struct aub_placement *placement,
 	const struct aub_placement_request *request, gint64 now_us);
-/* Takes back an admitted retry, for which no attempt is made. */
+/*
+ * Takes back a retry for which no attempt is made. Does nothing if
+ * `admitted_us` is 0, as it is for first attempts.
+ */
 void aub_placement_take_back_retry(struct aub_placement *placement,
-				   const struct aub_placement_request *request,
-				   gint64 now_us);
+				   gint64 admitted_us, gint64 now_us);
 
 G_END_DECLS
 
--- a/include/auburnstile/internal/retry_admission.h
+++ b/include/auburnstile/internal/retry_admission.h
@@ -66,9 +66,12 @@
 enum aub_retry_verdict aub_retry_admission_decide(
 	struct aub_retry_admission *admission,
 	const struct aub_retry_claim *claim, gint64 now_us);
-/* Takes back a retry that was just admitted and found no upstream. */
+/* A retry that was admitted at `admitted_us` has waited, and is sent now. */
+void aub_retry_admission_postpone(struct aub_retry_admission *admission,
+				  gint64 admitted_us, gint64 now_us);
+/* Takes back a retry that was admitted at `admitted_us` and is not sent. */
 void aub_retry_admission_take_back(struct aub_retry_admission *admission,
-				   gint64 now_us);
+				   gint64 admitted_us, gint64 now_us);
 
 G_END_DECLS
 
--- a/include/auburnstile/internal/retry_budget.h
+++ b/include/auburnstile/internal/retry_budget.h
@@ -28,6 +28,9 @@
 /* Takes one retry out of the budget. Returns false if it is exhausted. */
 bool aub_retry_budget_take_retry(struct aub_retry_budget *budget,
 				 gint64 now_us);
+/* Counts a retry that was taken at `taken_us` as taken now. */
+void aub_retry_budget_postpone_retry(struct aub_retry_budget *budget,
+				     gint64 taken_us, gint64 now_us);
 /* Returns a retry that was taken at `taken_us` and is not sent. */
 void aub_retry_budget_return_retry(struct aub_retry_budget *budget,
 				   gint64 taken_us, gint64 now_us);
--- a/src/state/placement_grants.c
+++ b/src/state/placement_grants.c
@@ -54,6 +54,7 @@
 	grant->quota = request->quota;
 	grant->cold = aub_placement_upstream_is_cold(upstream, now_us);
 	grant->granted_us = now_us;
+	grant->retry_admitted_us = request->retry ? now_us : 0;
 	if (grant->quotas)
 		aub_quota_take(grant->quotas, grant->quota, now_us);
 	g_hash_table_replace(placement->grants, &grant->ticket, grant);
@@ -238,14 +239,17 @@
 			aub_placement_find_queued(placement, report->ticket);
 
 		if (index >= 0)
-			g_ptr_array_remove_index(placement->queue,
-						 (guint)index);
+			aub_placement_remove_queued(placement, (guint)index,
+						    now_us);
 		return NULL;
 	}
 	upstream = aub_placement_get_upstream(placement, grant->upstream_index);
 	upstream->granted--;
 	if (grant->quotas && is_not_run(report->end))
 		aub_quota_give_back(grant->quotas, grant->quota, now_us);
+	if (report->end == AUB_GRANT_UNUSED)
+		aub_placement_take_back_retry(placement,
+					      grant->retry_admitted_us, now_us);
 	apply_result(placement, upstream, grant, report, now_us);
 	aub_grant_judge(placement, upstream, grant, report);
 	g_hash_table_remove(placement->grants, &report->ticket);
@@ -308,7 +312,7 @@
 			g_ptr_array_index(placement->queue, i);
 
 		if (queued->holder == holder)
-			g_ptr_array_remove_index(placement->queue, i);
+			aub_placement_remove_queued(placement, i, now_us);
 		else
 			i++;
 	}
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -78,6 +78,7 @@
 	queued->fingerprint = request->fingerprint;
 	queued->local_fallback = request->local_fallback;
 	queued->queued_us = now_us;
+	queued->retry_admitted_us = request->retry ? now_us : 0;
 	queued->on_time_until_us =
 		now_us + request->on_time_wait_ms * AUB_US_PER_MS;
 	queued->expires_us = now_us + request->max_wait_ms * AUB_US_PER_MS;
@@ -108,6 +109,17 @@
 	return -1;
 }
 
+void aub_placement_remove_queued(struct aub_placement *placement, guint i,
+				 gint64 now_us)
+{
+	const struct aub_queued_request *queued =
+		g_ptr_array_index(placement->queue, i);
+
+	aub_placement_take_back_retry(placement, queued->retry_admitted_us,
+				      now_us);
+	g_ptr_array_remove_index(placement->queue, i);
+}
+
 static bool find_decided(const struct aub_placement *placement,
 			 const struct aub_placement_request *request,
 			 struct aub_placement_decision *decision)
@@ -281,7 +293,9 @@
 	if (!aub_placement_capacity_exists(&capacity) &&
 	    (request->retry || request->local_fallback ||
 	     !is_any_unknown(placement))) {
-		aub_placement_take_back_retry(placement, request, now_us);
+		aub_placement_take_back_retry(placement,
+					      request->retry ? now_us : 0,
+					      now_us);
 		refuse(placement, request, AUB_VERDICT_NO_UPSTREAM,
 		       RETRY_AFTER_NO_UPSTREAM_MS, now_us, decision);
 		return;
@@ -293,7 +307,9 @@
 	if (aub_placement_capacity_exists(&capacity) &&
 	    wait_ms(placement, ahead, &capacity, now_us) >
 		    request->max_wait_ms) {
-		aub_placement_take_back_retry(placement, request, now_us);
+		aub_placement_take_back_retry(placement,
+					      request->retry ? now_us : 0,
+					      now_us);
 		refuse(placement, request, overload_verdict(&capacity),
 		       wait_ms(placement, ahead, &capacity, now_us), now_us,
 		       decision);
@@ -347,6 +363,9 @@
 		.ticket = request.ticket,
 		.holder = request.holder,
 	};
+	if (queued->retry_admitted_us)
+		aub_retry_admission_postpone(&placement->retries,
+					     queued->retry_admitted_us, now_us);
 	grant_slot(placement, (guint)index, &request, &capacity, now_us,
 		   decision);
 	g_ptr_array_remove_index(placement->queue, (guint)i);
@@ -380,7 +399,7 @@
 		else
 			refuse(placement, &request, AUB_VERDICT_NO_UPSTREAM,
 			       RETRY_AFTER_NO_UPSTREAM_MS, now_us, decision);
-		g_ptr_array_remove_index(placement->queue, i);
+		aub_placement_remove_queued(placement, i, now_us);
 		return true;
 	}
 	return false;
--- a/src/state/placement_retries.c
+++ b/src/state/placement_retries.c
@@ -126,12 +126,11 @@
 }
 
 void aub_placement_take_back_retry(struct aub_placement *placement,
-				   const struct aub_placement_request *request,
-				   gint64 now_us)
+				   gint64 admitted_us, gint64 now_us)
 {
-	if (!request->retry)
-		return;
-	aub_retry_admission_take_back(&placement->retries, now_us);
+	if (admitted_us)
+		aub_retry_admission_take_back(&placement->retries, admitted_us,
+					      now_us);
 }
 
 void aub_placement_count_earnings(struct aub_placement *placement, bool first,
--- a/src/state/retry_admission.c
+++ b/src/state/retry_admission.c
@@ -257,10 +257,17 @@
 	return verdict;
 }
 
+void aub_retry_admission_postpone(struct aub_retry_admission *admission,
+				  gint64 admitted_us, gint64 now_us)
+{
+	aub_retry_budget_postpone_retry(&admission->budget, admitted_us,
+					now_us);
+}
+
 void aub_retry_admission_take_back(struct aub_retry_admission *admission,
-				   gint64 now_us)
+				   gint64 admitted_us, gint64 now_us)
 {
-	aub_retry_budget_return_retry(&admission->budget, now_us, now_us);
+	aub_retry_budget_return_retry(&admission->budget, admitted_us, now_us);
 	admission->credit += 1;
 	admission->verdicts[AUB_RETRY_ADMITTED]--;
 }
--- a/src/state/retry_budget.c
+++ b/src/state/retry_budget.c
@@ -83,3 +83,10 @@
 	if (*retries)
 		(*retries)--;
 }
+
+void aub_retry_budget_postpone_retry(struct aub_retry_budget *budget,
+				     gint64 taken_us, gint64 now_us)
+{
+	aub_retry_budget_return_retry(budget, taken_us, now_us);
+	budget->retries[index_of(budget->newest_bucket)]++;
+}
--- a/tests/test_placement_retries.cc
+++ b/tests/test_placement_retries.cc
@@ -110,3 +110,71 @@
 	retry.retry = true;
 	EXPECT_EQ(fixture.submit(retry).verdict, AUB_VERDICT_GRANTED);
 }
+
+/* A placement whose only slot is in use, and a retry that waits for it. */
+struct WaitingRetry {
+	PlacementFixture fixture{ 0, 3 };
+	guint64 running;
+	struct aub_placement_request retry;
+
+	WaitingRetry()
+	{
+		fixture.add_healthy("u1", 1);
+		running = fixture.submit().ticket;
+		retry = fixture.new_request();
+		retry.retry = true;
+		EXPECT_EQ(fixture.submit(retry).verdict, AUB_VERDICT_QUEUED);
+		EXPECT_EQ(retries_in_window(), 1u);
+	}
+	guint retries_in_window()
+	{
+		struct aub_retry_budget *budget =
+			&fixture.placement->retries.budget;
+		guint count = 0;
+
+		/* Drops what is older than the window. */
+		(void)aub_retry_budget_size(budget, fixture.now_us);
+		for (guint retries : budget->retries)
+			count += retries;
+		return count;
+	}
+};
+
+/* Guards against retries that arrive when their charge has nearly expired. */
+TEST(PlacementRetries, RetryThatWaitedCountsFromItsGrant)
+{
+	WaitingRetry waiting;
+	struct aub_placement_decision decision;
+
+	waiting.fixture.now_us += 290 * US_PER_MS;
+	waiting.fixture.report(waiting.running);
+	ASSERT_TRUE(waiting.fixture.next_decision(&decision));
+	ASSERT_EQ(decision.verdict, AUB_VERDICT_GRANTED);
+	waiting.fixture.now_us += 9990 * US_PER_MS;
+	EXPECT_EQ(waiting.retries_in_window(), 1u);
+	waiting.fixture.now_us += 300 * US_PER_MS;
+	EXPECT_EQ(waiting.retries_in_window(), 0u);
+}
+
+/* Guards against a budget that is used up by retries that nobody sent. */
+TEST(PlacementRetries, RetryThatIsNotSentCostsNoBudget)
+{
+	WaitingRetry expired;
+	WaitingRetry cancelled;
+	WaitingRetry returned;
+	struct aub_placement_decision decision;
+
+	expired.fixture.now_us += 400 * US_PER_MS;
+	ASSERT_TRUE(expired.fixture.next_decision(&decision));
+	ASSERT_NE(decision.verdict, AUB_VERDICT_GRANTED);
+	EXPECT_EQ(expired.retries_in_window(), 0u);
+
+	cancelled.fixture.report(cancelled.retry.ticket, AUB_GRANT_UNUSED);
+	EXPECT_EQ(cancelled.retries_in_window(), 0u);
+
+	returned.fixture.report(returned.running);
+	ASSERT_TRUE(returned.fixture.next_decision(&decision));
+	EXPECT_EQ(returned.retries_in_window(), 1u);
+	returned.fixture.report(returned.retry.ticket, AUB_GRANT_UNUSED);
+	EXPECT_EQ(returned.retries_in_window(), 0u);
+}
