--- a/tests/run.sh
+++ b/tests/run.sh
@@ -124,5 +124,9 @@
 for seed in 1 2; do
 	soak refusals-$seed --refusals --seed $seed --seconds 14
 done
+# The same while gateways run only a part of the time and are killed.
+for seed in 1 2; do
+	soak pauses-$seed --refusals --pauses --gateways 12 --seed $seed --seconds 14
+done
 echo "$passed passed, $failed failed"
 exit $exit_status
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -49,6 +49,7 @@
 	guint *number_target = key == 's' ? &options->seed :
 			       key == 't' ? &options->soak.seconds :
 			       key == 'n' ? &options->runs :
+			       key == 'g' ? &options->soak.gateways :
 					    NULL;
 	guint64 number;
 
@@ -73,6 +74,10 @@
 		options->soak.refusals = true;
 		return 0;
 	}
+	if (key == 'z') {
+		options->soak.pauses = true;
+		return 0;
+	}
 	if (key == 'l') {
 		options->soak.notices = SOAK_NOTICE_ALL;
 		return 0;
@@ -113,6 +118,11 @@
 		  "upstreams refuse many requests although they have free "
 		  "slots",
 		  0 },
+		{ "pauses", 'z', NULL, 0,
+		  "gateways are paused for a part of each period, and killed",
+		  0 },
+		{ "gateways", 'g', "N", 0, "number of gateways (5; 60 at most)",
+		  0 },
 		{ "silences", 'q', NULL, 0,
 		  "as --workspaces, but the only fault is that the store stops "
 		  "answering right after changes",
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -15,7 +15,8 @@
 
 G_BEGIN_DECLS
 
-#define GATEWAY_COUNT 5
+#define GATEWAY_COUNT 5 /* unless another number is asked for */
+#define GATEWAY_MAX 60
 #define FIRST_HOST_NUMBER 10 /* last byte of the first gateway address */
 #define GATEWAY_PORT_COUNT 5 /* listeners of a gateway */
 #define UPSTREAM_COUNT 8
@@ -33,6 +34,7 @@
 
 struct notices;
 struct soak_partitions;
+struct soak_pauses;
 struct soak_refusals;
 struct rollout;
 struct soak;
@@ -107,10 +109,12 @@
 	struct soak_workspaces *workspaces; /* NULL without workspaces */
 	struct soak_partitions *partitions; /* NULL without partitions */
 	struct soak_refusals *refusals; /* NULL without refusals */
+	struct soak_pauses *pauses; /* NULL without pauses */
 	struct aub_timer_service *timers;
 	struct aub_poller *poller;
 	struct platform_store *store;
-	struct gateway gateways[GATEWAY_COUNT];
+	struct gateway gateways[GATEWAY_MAX];
+	guint gateway_count;
 	struct upstream upstreams[UPSTREAM_COUNT];
 	struct caller callers[CALLER_COUNT];
 	GHashTable *requests; /* id -> struct request */
@@ -268,6 +272,15 @@
 /* Prints one line with counts, and checks how calls were served. */
 void soak_partitions_report(struct soak_partitions *partitions);
 
+/* The slack of the gateways' retry budget, as in their settings. */
+guint soak_retry_slack(const struct soak *soak);
+
+/* Gateways that run only a part of the time. */
+struct soak_pauses *soak_pauses_new(struct soak *soak, guint32 seed);
+void soak_pauses_free(struct soak_pauses *pauses);
+/* Pauses, continues and kills gateways; called at each step. */
+void soak_pauses_step(struct soak_pauses *pauses, gint64 now_us);
+
 /*
  * Phases, at random by `seed`, in which all upstreams refuse a share of the
  * requests although they have free slots.
--- a/tools/soak/soak_callers.c
+++ b/tools/soak/soak_callers.c
@@ -127,8 +127,9 @@
 	struct soak *soak = caller->soak;
 	int fd;
 
-	caller->gateway = &soak->gateways[g_rand_int_range(soak->random, 0,
-							   GATEWAY_COUNT)];
+	caller->gateway =
+		&soak->gateways[g_rand_int_range(soak->random, 0,
+						 (gint32)soak->gateway_count)];
 	fd = aub_tcp_connect(caller->gateway->callers_address, NULL);
 	if (fd < 0)
 		return false;
--- a/tools/soak/soak_faults.c
+++ b/tools/soak/soak_faults.c
@@ -11,7 +11,7 @@
 {
 	struct gateway *gateway =
 		&soak->gateways[g_rand_int_range(soak->random, 0,
-						 GATEWAY_COUNT)];
+						 (gint32)soak->gateway_count)];
 
 	if (gateway->restart_us || gateway->resume_us)
 		return;
@@ -201,7 +201,7 @@
 		    soak->upstreams[i].repair_us &&
 		    soak->upstreams[i].repair_us <= now_us)
 			replace_upstream(soak, i);
-	for (guint i = 0; i < GATEWAY_COUNT; i++) {
+	for (guint i = 0; i < soak->gateway_count; i++) {
 		struct gateway *gateway = &soak->gateways[i];
 
 		if (gateway->resume_us && gateway->resume_us <= now_us) {
--- a/tools/soak/soak_gateways.c
+++ b/tools/soak/soak_gateways.c
@@ -25,11 +25,12 @@
 		"name = \"g%u\"\nzone = \"z%u\"\nstore = \"%s\"\n"
 		"seeds = [\"127.0.1.%u:1\",\"127.0.1.%u:1\"]\n"
 		"grace_s = 3\naddress_ms = 300\nretry_percent = 20\n"
-		"retry_slack = 50\nrollout_share = %s\n"
+		"retry_slack = %u\nrollout_share = %s\n"
 		"rollout_slack = 50\nsource_ip = \"127.0.1.%u\"\n",
 		gateway->number, gateway->number % 2,
 		platform_store_address(gateway->soak->store), FIRST_HOST_NUMBER,
-		FIRST_HOST_NUMBER + 1, gateway->soak->rollout ? "0.1" : "0",
+		FIRST_HOST_NUMBER + 1, soak_retry_slack(gateway->soak),
+		gateway->soak->rollout ? "0.1" : "0",
 		FIRST_HOST_NUMBER + gateway->number);
 	for (guint i = 0; i < GATEWAY_PORT_COUNT; i++) {
 		char *address = soak_gateway_address(gateway, i);
--- a/tools/soak/soak_notices.c
+++ b/tools/soak/soak_notices.c
@@ -43,8 +43,8 @@
 	double previous_limit_per_s;
 	gint64 changed_us; /* when `previous_limit_per_s` ended */
 	gint64 named_us; /* first answer with a limit; 0: none */
-	gint64 told_us[GATEWAY_COUNT]; /* first such answer passed on; 0: none
-					*/
+	gint64 told_us[GATEWAY_MAX]; /* first such answer passed on; 0: none
+				      */
 	GArray *arrivals; /* of gint64, times from bound gateways */
 	double rest_s;
 	GArray *rests; /* of struct rest */
@@ -251,7 +251,7 @@
 	struct soak *soak = notices->soak;
 	struct gateway *gateway =
 		&soak->gateways[g_rand_int_range(notices->random, 0,
-						 GATEWAY_COUNT)];
+						 (gint32)soak->gateway_count)];
 
 	notices->next_kill_us =
 		now_us + random_delay_us(notices, 1, 2 * KILL_PAUSE_MEAN_MS);
--- a/tools/soak/soak_partitions.c
+++ b/tools/soak/soak_partitions.c
@@ -19,7 +19,7 @@
 struct soak_partitions {
 	struct soak *soak;
 	GRand *random;
-	bool cut_off[GATEWAY_COUNT];
+	bool cut_off[GATEWAY_MAX];
 	enum proxy_partition kind;
 	enum proxy_partition only_kind; /* NONE: any */
 	gint64 start_us; /* of the present cut; 0: none */
@@ -40,7 +40,7 @@
 static void apply(const struct soak_partitions *partitions,
 		  struct upstream *upstream, bool cut)
 {
-	for (guint i = 0; i < GATEWAY_COUNT; i++) {
+	for (guint i = 0; i < partitions->soak->gateway_count; i++) {
 		char *ip = gateway_ip(i);
 
 		proxy_route_partition(upstream->route, ip,
@@ -95,12 +95,12 @@
 static void choose_gateways(struct soak_partitions *partitions)
 {
 	gint shape = g_rand_int_range(partitions->random, 0, 3);
-	guint first =
-		(guint)g_rand_int_range(partitions->random, 0, GATEWAY_COUNT);
-	guint second =
-		(guint)g_rand_int_range(partitions->random, 0, GATEWAY_COUNT);
+	guint first = (guint)g_rand_int_range(
+		partitions->random, 0, (gint32)partitions->soak->gateway_count);
+	guint second = (guint)g_rand_int_range(
+		partitions->random, 0, (gint32)partitions->soak->gateway_count);
 
-	for (guint i = 0; i < GATEWAY_COUNT; i++)
+	for (guint i = 0; i < partitions->soak->gateway_count; i++)
 		partitions->cut_off[i] = shape == 0 ?
 						 i == first || i == second :
 					 shape == 1 ? i % 2 == first % 2 :
@@ -117,7 +117,7 @@
 			random_time(partitions, DURATION_MIN_MS,
 				    DURATION_MAX_MS);
 	apply_to_all(partitions, true);
-	for (guint i = 0; i < GATEWAY_COUNT; i++)
+	for (guint i = 0; i < partitions->soak->gateway_count; i++)
 		if (partitions->cut_off[i])
 			soak_log_gateway_fault(&partitions->soak->gateways[i],
 					       "links-cut", partitions->end_us);
--- a/tools/soak/soak_refusals.c
+++ b/tools/soak/soak_refusals.c
@@ -11,9 +11,9 @@
 #define DURATION_MAX_MS 6000
 #define SHARE_MIN 0.3 /* of the requests that are refused */
 #define SHARE_MAX 0.8
-/* As in the settings of the gateways. */
+/* As in the settings of the gateways; see soak_retry_slack(). */
 #define RETRY_RATIO 0.2
-#define RETRY_SLACK 50
+
 #define WINDOW_US (10 * AUB_SECOND)
 
 struct soak_refusals {
@@ -24,6 +24,7 @@
 	GArray *requests; /* times of requests and of retries, in us */
 	GArray *retries;
 	guint refused;
+	double largest_share; /* of the retries that a window may have */
 };
 
 struct soak_refusals *soak_refusals_new(struct soak *soak, guint32 seed)
@@ -95,7 +96,12 @@
 	guint before =
 		count_between(refusals->requests, from_us - WINDOW_US, from_us);
 
-	if (retries > RETRY_RATIO * MAX(requests, before) + RETRY_SLACK)
+	double allowed = RETRY_RATIO * MAX(requests, before) +
+			 soak_retry_slack(refusals->soak);
+
+	refusals->largest_share =
+		MAX(refusals->largest_share, retries / allowed);
+	if (retries > allowed)
 		soak_report_violation(refusals->soak, "BUDGET (retries)", id);
 }
 
@@ -125,6 +131,8 @@
 
 void soak_refusals_report(const struct soak_refusals *refusals)
 {
-	g_print("refusals: %u by upstreams with free slots, %u retries\n",
-		refusals->refused, refusals->retries->len);
+	g_print("refusals: %u by upstreams with free slots, %u retries, in a "
+		"window %.2f of what is allowed\n",
+		refusals->refused, refusals->retries->len,
+		refusals->largest_share);
 }
--- a/tools/soak/soak_rollout.c
+++ b/tools/soak/soak_rollout.c
@@ -105,7 +105,7 @@
 
 	if (!rollout->is_submitted && now_us >= rollout->order_us)
 		submit_order(rollout);
-	for (guint i = 0; i < GATEWAY_COUNT; i++)
+	for (guint i = 0; i < soak->gateway_count; i++)
 		if (soak->gateways[i].resume_us)
 			rollout->last_paused_us = now_us;
 	if (!rollout->is_submitted || rollout->is_completed)
--- a/tools/soak/soak_run.c
+++ b/tools/soak/soak_run.c
@@ -39,6 +39,8 @@
 		soak_partitions_step(soak->partitions, now_us);
 	if (soak->refusals)
 		soak_refusals_step(soak->refusals, now_us);
+	if (soak->pauses)
+		soak_pauses_step(soak->pauses, now_us);
 	if (soak->zone_evacuated && now_us >= soak->faults_end_us)
 		soak_end_evacuation(soak);
 	if (now_us >= soak->next_fault_us && now_us < soak->faults_end_us)
@@ -52,6 +54,9 @@
 {
 	gint64 now;
 
+	soak->gateway_count = options->gateways ?
+				      MIN(options->gateways, GATEWAY_MAX) :
+				      GATEWAY_COUNT;
 	soak->timers = aub_timer_service_new(NULL);
 	soak->poller = aub_poller_new();
 	soak->store = platform_store_new(soak->poller, soak->timers);
@@ -71,6 +76,8 @@
 			(enum proxy_partition)options->partition_kind);
 	if (options->refusals)
 		soak->refusals = soak_refusals_new(soak, seed);
+	if (options->pauses)
+		soak->pauses = soak_pauses_new(soak, seed);
 	soak_configure(soak);
 	for (guint i = 0; i < UPSTREAM_COUNT; i++) {
 		soak->upstreams[i].soak = soak;
@@ -79,7 +86,7 @@
 	}
 	for (guint i = 0; i < GATEWAY_PORT_COUNT; i++)
 		soak->ports[i] = child_pick_free_port();
-	for (guint i = 0; i < GATEWAY_COUNT; i++) {
+	for (guint i = 0; i < soak->gateway_count; i++) {
 		soak->gateways[i].soak = soak;
 		soak->gateways[i].number = i;
 		soak->gateways[i].callers_address =
@@ -128,7 +135,7 @@
 {
 	for (guint i = 0; i < CALLER_COUNT; i++)
 		soak_caller_disconnect(&soak->callers[i]);
-	for (guint i = 0; i < GATEWAY_COUNT; i++) {
+	for (guint i = 0; i < soak->gateway_count; i++) {
 		char *log = g_strdup_printf("%s/g%u.log", soak->folder, i);
 
 		child_free(soak->gateways[i].child);
@@ -146,6 +153,7 @@
 	soak_workspaces_free(soak->workspaces);
 	soak_partitions_free(soak->partitions);
 	soak_refusals_free(soak->refusals);
+	soak_pauses_free(soak->pauses);
 }
 
 bool soak_run(guint32 seed, const struct soak_options *options,
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -28,6 +28,8 @@
 	   faults */
 	bool silences;
 	bool refusals; /* upstreams refuse requests despite free slots */
+	bool pauses; /* gateways run only a part of the time */
+	guint gateways; /* their number; 0: the usual one */
 };
 
 struct soak_result {
