deploy: the retry ratio comes from the platform's settings

The template for the gateways' settings said retry_percent = 20 whatever the platform's bounds said: on a platform with a smaller ratio all gateways would have exceeded the budget together, on one with a larger ratio callers would have got fewer retries. Found while looking for what else counts towards the budget. New setting retry_ratio, a fraction as the platform gives it, which replaces retry_percent. TemplateTakesRetryBoundsFromThePlatform failed with the template as it was.

--- a/include/auburnstile/internal/node.h
+++ b/include/auburnstile/internal/node.h
@@ -24,6 +24,7 @@
 	bool bootstrap; /* the whole fleet starts for the first time */
 	double grace_s; /* seconds from SIGTERM to SIGKILL */
 	gint64 retry_percent; /* retries per hundred first attempts */
+	double retry_ratio; /* the same per first attempt; -1: not set */
 	double retry_slack; /* retries beyond that percentage, per window */
 	double retry_window_s;
 	/* share of requests to a new version; 0: rollouts are off */
@@ -39,6 +40,9 @@
 
 extern const struct aub_setting aub_node_settings_table[];
 
+/* Returns the retries per first attempt that the settings allow. */
+double aub_node_settings_retry_ratio(const struct aub_node_settings *settings);
+
 /*
  * Returns a new gateway process. `timers` is borrowed and must outlive it.
  * Returns NULL and sets an error that names the address or setting.
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -187,7 +187,7 @@
 {
 	*limits = (struct aub_placement_limits){
 		.retry_ratio = RETRY_BUDGET_SHARE *
-			       (double)settings->retry_percent / 100,
+			       aub_node_settings_retry_ratio(settings),
 		.retry_slack = RETRY_SLACK_SHARE * settings->retry_slack,
 		.window_us = (gint64)(settings->retry_window_s * AUB_SECOND),
 	};
--- a/src/coordination/node_settings.c
+++ b/src/coordination/node_settings.c
@@ -73,6 +73,13 @@
 	  .maximum = 100,
 	  .default_value = "10",
 	  .help = "retries per hundred first attempts, fleet-wide" },
+	{ .key = "retry_ratio",
+	  .type = AUB_SETTING_REAL,
+	  .offset = FIELD(retry_ratio),
+	  .minimum = -1,
+	  .maximum = 1,
+	  .default_value = "-1",
+	  .help = "retries per first attempt, fleet-wide; replaces retry_percent unless negative" },
 	{ .key = "retry_slack",
 	  .type = AUB_SETTING_REAL,
 	  .offset = FIELD(retry_slack),
@@ -138,3 +145,10 @@
 	  .help = "error, warning, message, info or debug" },
 	{ 0 },
 };
+
+double aub_node_settings_retry_ratio(const struct aub_node_settings *settings)
+{
+	return settings->retry_ratio >= 0 ?
+		       settings->retry_ratio :
+		       (double)settings->retry_percent / 100;
+}
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -248,6 +248,7 @@
 		own.bootstrap = true;
 		own.grace_s = 2;
 		own.retry_percent = 20;
+		own.retry_ratio = -1;
 		own.retry_slack = 50;
 		own.retry_window_s = 10;
 		own.address_ms = 300;
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -29,6 +29,33 @@
 	aub_settings_clear(aub_node_settings_table, &settings);
 }
 
+/* Guards against a budget that the platform's settings do not allow. */
+TEST(NodeSettings, RetryRatioReplacesRetryPercent)
+{
+	struct aub_node_settings settings = {};
+
+	settings.retry_percent = 20;
+	settings.retry_ratio = -1;
+	EXPECT_EQ(aub_node_settings_retry_ratio(&settings), 0.2);
+	settings.retry_ratio = 0.075;
+	EXPECT_EQ(aub_node_settings_retry_ratio(&settings), 0.075);
+}
+
+/* Guards against a bound of the platform that is a constant in the template. */
+TEST(NodeSettings, TemplateTakesRetryBoundsFromThePlatform)
+{
+	char *text = NULL;
+
+	ASSERT_TRUE(g_file_get_contents("deploy/gateway.toml.in", &text, NULL,
+					NULL));
+	for (const char *line :
+	     { "\nretry_ratio = {{bounds.retry_budget_ratio}}\n",
+	       "\nretry_slack = {{bounds.retry_budget_slack}}\n",
+	       "\nretry_window_s = {{bounds.budget_window_s}}\n" })
+		EXPECT_NE(strstr(text, line), nullptr) << line;
+	g_free(text);
+}
+
 TEST(NodeSettings, NameSourceAddressThatIsInvalid)
 {
 	struct aub_timer_service *timers = aub_timer_service_new(NULL);
