retries: a process may always save up one retry

What may be saved up for a burst was a share of the window's budget. A gateway that places for itself, while no placer answers, has a budget of one or two retries, of which the share is less than one: its callers never got a retry that they had earned.

At least one may be saved up; the window bounds it as before. The new test failed without this (no-budget).

--- a/src/state/retry_admission.c
+++ b/src/state/retry_admission.c
@@ -90,7 +90,7 @@
 	double least =
 		MIN(BURST_LEAST_BUDGET_SHARE * budget, BURST_LEAST_RETRIES);
 
-	return MAX(BURST_BUDGET_SHARE * budget, MAX(small, least));
+	return MAX(MAX(BURST_BUDGET_SHARE * budget, 1.0), MAX(small, least));
 }
 
 void aub_retry_admission_add_credit(struct aub_retry_admission *admission,
--- a/tests/test_placement_retries.cc
+++ b/tests/test_placement_retries.cc
@@ -178,3 +178,18 @@
 	returned.fixture.report(returned.retry.ticket, AUB_GRANT_UNUSED);
 	EXPECT_EQ(returned.retries_in_window(), 0u);
 }
+
+/* Guards against gateways on their own whose few requests never earn a retry.
+ */
+TEST(PlacementRetries, SingleRetryIsAdmittedOnceItIsEarned)
+{
+	PlacementFixture fixture(0.2, 0);
+
+	fixture.add_healthy("u1", 10);
+	for (int i = 0; i < 6; i++)
+		(void)fixture.submit();
+	struct aub_placement_request retry = fixture.new_request();
+
+	retry.retry = true;
+	EXPECT_EQ(fixture.submit(retry).verdict, AUB_VERDICT_GRANTED);
+}
--- a/tests/test_retry_fleet.cc
+++ b/tests/test_retry_fleet.cc
@@ -17,6 +17,23 @@
 	}
 }
 
+/* Guards against credit that is lost with the placers that are asked in vain.
+ */
+TEST(RetryFleet, SpendsMostOfItsBudgetWhilePlacersAreSlow)
+{
+	for (guint seed = 1; seed <= 10; seed++) {
+		RetryFleetSpec spec;
+
+		spec.seed = seed;
+		spec.paused_share = 0.05 * (seed + 1);
+		RetryFleet fleet(spec);
+		fleet.run(25 * US_PER_S);
+		EXPECT_GE(fleet.further_in_all,
+			  0.8 * RetryFleet::RATIO * fleet.requests_in_all)
+			<< "seed " << seed;
+	}
+}
+
 /* Guards against a slack that each new placer spends once more. */
 TEST(RetryFleet, KeepsBudgetWhilePlacersAreKilled)
 {
