retries: counts are read without the rest of a placement's statistics

The line retry-counts asked for all statistics of a placement, which walk its upstreams, once a second at every gateway. The share that a process may grant is used by quotas only and moves there. No decision changes.

--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -412,6 +412,8 @@
 				  guint32 thousandths);
 /* Counts an attempt that this gateway sends. */
 void aub_placement_count_attempt(struct aub_placement *placement, bool further);
+void aub_placement_get_retry_counts(const struct aub_placement *placement,
+				    struct aub_retry_counts *counts);
 
 /* A snapshot of a placement, for logs and metrics. */
 struct aub_placement_stats {
--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -198,13 +198,6 @@
 void aub_placer_send_to_zones(struct aub_placer *placer, const char *service,
 			      struct aub_message *message, bool *relay);
 
-/*
- * Returns the share of what the fleet may grant that this process may grant. If
- * it reaches neither the store nor part of the gateways, these may go on
- * without it, and both sides together must not grant more than there is.
- */
-double aub_placer_granted_share(const struct aub_placer *placer);
-
 /*
  * Gateways that are told what is granted of a service: the placer, and the one
  * that takes over if it fails.
@@ -219,8 +212,8 @@
 guint32 aub_placer_hand_over_retry_credit(struct aub_placer *placer,
 					  struct aub_ticket *ticket);
 /* Logs what was counted of the retries of `service` since the last call. */
-void aub_placer_log_retry_counts(struct aub_placer *placer, const char *service,
-				 gint64 now_us);
+void aub_placer_log_retry_counts(struct aub_placer *placer,
+				 const char *service);
 
 /* Quotas of workspaces. */
 /*
--- a/src/coordination/placer_periodic.c
+++ b/src/coordination/placer_periodic.c
@@ -208,7 +208,7 @@
 		const char *service = key;
 
 		aub_placement_admit_versions(placement, now_us);
-		aub_placer_log_retry_counts(placer, service, now_us);
+		aub_placer_log_retry_counts(placer, service);
 
 		if (aub_placer_peer_for(placer, service, now_us)) {
 			send_outstanding(placer, service, now_us);
--- a/src/coordination/placer_quota.c
+++ b/src/coordination/placer_quota.c
@@ -183,7 +183,12 @@
 	}
 }
 
-double aub_placer_granted_share(const struct aub_placer *placer)
+/*
+ * Returns the share of what the fleet may grant that this process may grant. If
+ * it reaches neither the store nor part of the gateways, these may go on
+ * without it, and both sides together must not grant more than there is.
+ */
+static double granted_share(const struct aub_placer *placer)
 {
 	const struct aub_peers *peers = placer->options.peers;
 	guint known = aub_peers_all(peers)->len;
@@ -246,8 +251,7 @@
 	g_ptr_array_unref(informed_peers(placer, &is_told));
 	set_informed(placer, is_told || has_placed_recently(placer, now_us),
 		     now_us);
-	aub_quotas_set_share(placer->quotas, aub_placer_granted_share(placer),
-			     now_us);
+	aub_quotas_set_share(placer->quotas, granted_share(placer), now_us);
 	aub_quotas_set_share(placer->fallback_quotas, 1.0 / MAX(known, 1),
 			     now_us);
 	log_all_refusals(placer, now_us);
--- a/src/coordination/placer_retries.c
+++ b/src/coordination/placer_retries.c
@@ -81,26 +81,23 @@
 	return logged;
 }
 
-void aub_placer_log_retry_counts(struct aub_placer *placer, const char *service,
-				 gint64 now_us)
+void aub_placer_log_retry_counts(struct aub_placer *placer, const char *service)
 {
 	struct aub_retry_counts *logged = logged_counts(placer, service);
-	struct aub_placement_stats stats;
-	const struct aub_retry_counts *now = &stats.retry_counts;
+	struct aub_retry_counts now;
 
-	aub_placement_get_stats(aub_placer_placement(placer, service), now_us,
-				&stats);
-	if (now->admitted == logged->admitted &&
-	    now->further == logged->further)
+	aub_placement_get_retry_counts(aub_placer_placement(placer, service),
+				       &now);
+	if (now.admitted == logged->admitted && now.further == logged->further)
 		return;
 	aub_log_begin(AUB_LOG_RETRY_COUNTS);
 	aub_log_text("service", service);
-	aub_log_number("requests", (gint64)(now->requests - logged->requests));
-	aub_log_number("issued", (gint64)(now->issued - logged->issued));
-	aub_log_number("received", (gint64)(now->received - logged->received));
-	aub_log_number("admitted", (gint64)(now->admitted - logged->admitted));
-	aub_log_number("attempts", (gint64)(now->attempts - logged->attempts));
-	aub_log_number("further", (gint64)(now->further - logged->further));
+	aub_log_number("requests", (gint64)(now.requests - logged->requests));
+	aub_log_number("issued", (gint64)(now.issued - logged->issued));
+	aub_log_number("received", (gint64)(now.received - logged->received));
+	aub_log_number("admitted", (gint64)(now.admitted - logged->admitted));
+	aub_log_number("attempts", (gint64)(now.attempts - logged->attempts));
+	aub_log_number("further", (gint64)(now.further - logged->further));
 	aub_log_end();
-	*logged = *now;
+	*logged = now;
 }
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -500,9 +500,7 @@
 		.judged_answers = placement->rollout.judge.answers,
 		.bad_answers = placement->rollout.judge.bad,
 	};
-	stats->retry_counts = placement->retry_counts;
-	stats->retry_counts.admitted =
-		placement->retries.verdicts[AUB_RETRY_ADMITTED];
+	aub_placement_get_retry_counts(placement, &stats->retry_counts);
 	memcpy(stats->retry_verdicts, placement->retries.verdicts,
 	       sizeof(stats->retry_verdicts));
 	for (guint i = 0; i < placement->upstreams->len; i++) {
--- a/src/state/placement_retries.c
+++ b/src/state/placement_retries.c
@@ -140,6 +140,13 @@
 	placement->retry_counts.issued += thousandths;
 }
 
+void aub_placement_get_retry_counts(const struct aub_placement *placement,
+				    struct aub_retry_counts *counts)
+{
+	*counts = placement->retry_counts;
+	counts->admitted = placement->retries.verdicts[AUB_RETRY_ADMITTED];
+}
+
 void aub_placement_count_attempt(struct aub_placement *placement, bool further)
 {
 	placement->retry_counts.attempts++;
--- a/tests/test_retry_fleet.cc
+++ b/tests/test_retry_fleet.cc
@@ -3,8 +3,12 @@
  */
 #include "retry_fleet.h"
 
-/* Guards against requests that several placers count after a slow one. */
-TEST(RetryFleet, KeepsBudgetWhilePlacersAreSlow)
+#include <functional>
+
+/* Calls `check` for fleets whose gateways are paused for ever more of the time.
+ */
+static void with_slow_placers(
+	const std::function<void(const RetryFleet &fleet)> &check)
 {
 	for (guint seed = 1; seed <= 10; seed++) {
 		RetryFleetSpec spec;
@@ -13,25 +17,28 @@
 		spec.paused_share = 0.05 * (seed + 1);
 		RetryFleet fleet(spec);
 		fleet.run(25 * US_PER_S);
-		EXPECT_LE(fleet.largest_share, 1.0) << "seed " << seed;
+		check(fleet);
 	}
 }
 
+/* Guards against requests that several placers count after a slow one. */
+TEST(RetryFleet, KeepsBudgetWhilePlacersAreSlow)
+{
+	with_slow_placers([](const RetryFleet &fleet) {
+		EXPECT_LE(fleet.largest_share, 1.0)
+			<< "seed " << fleet.spec.seed;
+	});
+}
+
 /* Guards against credit that is lost with the placers that are asked in vain.
  */
 TEST(RetryFleet, SpendsMostOfItsBudgetWhilePlacersAreSlow)
 {
-	for (guint seed = 1; seed <= 10; seed++) {
-		RetryFleetSpec spec;
-
-		spec.seed = seed;
-		spec.paused_share = 0.05 * (seed + 1);
-		RetryFleet fleet(spec);
-		fleet.run(25 * US_PER_S);
+	with_slow_placers([](const RetryFleet &fleet) {
 		EXPECT_GE(fleet.further_in_all,
 			  0.8 * RetryFleet::RATIO * fleet.requests_in_all)
-			<< "seed " << seed;
-	}
+			<< "seed " << fleet.spec.seed;
+	});
 }
 
 /* Guards against a slack that each new placer spends once more. */
