--- a/tests/retry_fleet.h
+++ b/tests/placement_fleet.h
@@ -1,10 +1,9 @@
 /*
- * A fleet of gateways in virtual time that place requests for one service whose
- * upstreams refuse most of them, while gateways are paused and killed. Counts
- * each arrival at an upstream.
+ * A fleet of gateways in virtual time that place requests for one service while
+ * gateways are paused and killed. Counts each arrival at an upstream.
  */
-#ifndef TESTS_RETRY_FLEET_H
-#define TESTS_RETRY_FLEET_H
+#ifndef TESTS_PLACEMENT_FLEET_H
+#define TESTS_PLACEMENT_FLEET_H
 
 #include "placement_fixture.h"
 
@@ -16,7 +15,7 @@
 
 #define US_PER_S (1000 * US_PER_MS)
 
-struct RetryFleetSpec {
+struct PlacementFleetSpec {
 	guint gateways = 12;
 	double requests_per_s = 200;
 	double refused = 0.7; /* share of the attempts that are refused */
@@ -27,10 +26,12 @@
 	gint64 kill_period_us = 0; /* 0: none is killed */
 	/* The load falls to a third at this time; 0: it does not. */
 	gint64 load_falls_us = 0;
+	guint slots = 400; /* of each of four upstreams */
+	bool cold_upstream = false; /* one more, in warm-up throughout */
 	guint seed = 1;
 };
 
-class RetryFleet
+class PlacementFleet
 {
       public:
 	static constexpr gint64 STEP_US = 2 * US_PER_MS;
@@ -39,7 +40,7 @@
 	static constexpr gint64 WAIT_MAX_US = 2 * US_PER_S;
 	static constexpr double RATIO = 0.2;
 
-	RetryFleetSpec spec;
+	PlacementFleetSpec spec;
 	gint64 now_us = 100 * US_PER_S;
 	gint64 start_us = now_us;
 	guint64 requests_in_all = 0;
@@ -47,8 +48,10 @@
 	guint64 served_in_all = 0;
 	/* Most further arrivals in a window for what is allowed. */
 	double largest_share = 0;
+	/* Most arrivals at the cold upstream in a second. */
+	gsize cold_arrivals_most = 0;
 
-	explicit RetryFleet(const RetryFleetSpec &fleet_spec)
+	explicit PlacementFleet(const PlacementFleetSpec &fleet_spec)
 	    : spec(fleet_spec), random(g_rand_new_with_seed(spec.seed))
 	{
 		for (guint i = 0; i < spec.gateways; i++) {
@@ -56,11 +59,11 @@
 			restart(i);
 		}
 	}
-	~RetryFleet()
+	~PlacementFleet()
 	{
 		g_rand_free(random);
 	}
-	RetryFleet(const RetryFleet &) = delete;
+	PlacementFleet(const PlacementFleet &) = delete;
 
 	void run(gint64 duration_us)
 	{
@@ -113,6 +116,7 @@
 	std::map<guint64, Placed> queued; /* ticket -> where it waits */
 	std::deque<gint64> requests;
 	std::deque<gint64> further;
+	std::deque<gint64> cold_arrivals;
 	GRand *random;
 	double due = 0;
 	guint64 serial = 0;
@@ -128,7 +132,11 @@
 		for (int u = 0; u < 4; u++) {
 			std::string id = "u" + std::to_string(u);
 
-			process.fixture->add_healthy(id, 400);
+			process.fixture->add_healthy(id, spec.slots);
+		}
+		if (spec.cold_upstream) {
+			process.fixture->register_upstream("cold");
+			process.fixture->finish_probe("cold", 600000);
 		}
 		process.incarnation = ++serial;
 		process.pause_phase_us =
@@ -318,6 +326,8 @@
 		request->waiting = false;
 		if (!granted)
 			return;
+		if (!strcmp(decision.upstream, "cold"))
+			count_cold_arrival();
 		if (++request->arrivals > 1) {
 			further.push_back(now_us);
 			further_in_all++;
@@ -328,6 +338,14 @@
 				 { request, i, processes[i]->incarnation,
 				   decision.ticket, refused } });
 	}
+	void count_cold_arrival()
+	{
+		cold_arrivals.push_back(now_us);
+		while (cold_arrivals.front() <= now_us - US_PER_S)
+			cold_arrivals.pop_front();
+		cold_arrivals_most =
+			MAX(cold_arrivals_most, cold_arrivals.size());
+	}
 	void report(guint i, guint64 ticket, enum aub_grant_result end)
 	{
 		struct aub_grant_report report = {};
--- a/tests/test_retry_fleet.cc
+++ b/tests/test_retry_fleet.cc
@@ -1,21 +1,21 @@
 /*
  * The retry budget over the sum of all gateways, whatever happens to them.
  */
-#include "retry_fleet.h"
+#include "placement_fleet.h"
 
 #include <functional>
 
 /* Calls `check` for fleets whose gateways are paused for ever more of the time.
  */
 static void with_slow_placers(
-	const std::function<void(const RetryFleet &fleet)> &check)
+	const std::function<void(const PlacementFleet &fleet)> &check)
 {
 	for (guint seed = 1; seed <= 10; seed++) {
-		RetryFleetSpec spec;
+		PlacementFleetSpec spec;
 
 		spec.seed = seed;
 		spec.paused_share = 0.05 * (seed + 1);
-		RetryFleet fleet(spec);
+		PlacementFleet fleet(spec);
 		fleet.run(25 * US_PER_S);
 		check(fleet);
 	}
@@ -24,7 +24,7 @@
 /* Guards against requests that several placers count after a slow one. */
 TEST(RetryFleet, KeepsBudgetWhilePlacersAreSlow)
 {
-	with_slow_placers([](const RetryFleet &fleet) {
+	with_slow_placers([](const PlacementFleet &fleet) {
 		EXPECT_LE(fleet.largest_share, 1.0)
 			<< "seed " << fleet.spec.seed;
 	});
@@ -34,9 +34,9 @@
  */
 TEST(RetryFleet, SpendsMostOfItsBudgetWhilePlacersAreSlow)
 {
-	with_slow_placers([](const RetryFleet &fleet) {
+	with_slow_placers([](const PlacementFleet &fleet) {
 		EXPECT_GE(fleet.further_in_all,
-			  0.8 * RetryFleet::RATIO * fleet.requests_in_all)
+			  0.8 * PlacementFleet::RATIO * fleet.requests_in_all)
 			<< "seed " << fleet.spec.seed;
 	});
 }
@@ -45,13 +45,13 @@
 TEST(RetryFleet, KeepsBudgetWhilePlacersAreKilled)
 {
 	for (guint seed = 1; seed <= 10; seed++) {
-		RetryFleetSpec spec;
+		PlacementFleetSpec spec;
 
 		spec.seed = seed;
 		spec.slack = 200;
 		spec.requests_per_s = 100;
 		spec.kill_period_us = (200 + 100 * seed) * US_PER_MS;
-		RetryFleet fleet(spec);
+		PlacementFleet fleet(spec);
 		fleet.run(25 * US_PER_S);
 		EXPECT_LE(fleet.largest_share, 1.0) << "seed " << seed;
 	}
@@ -61,12 +61,12 @@
 TEST(RetryFleet, KeepsBudgetWhenLoadFalls)
 {
 	for (guint seed = 1; seed <= 5; seed++) {
-		RetryFleetSpec spec;
+		PlacementFleetSpec spec;
 
 		spec.seed = seed;
 		spec.load_falls_us = 15 * US_PER_S;
 		spec.paused_share = seed % 2 ? 0.4 : 0;
-		RetryFleet fleet(spec);
+		PlacementFleet fleet(spec);
 		fleet.run(30 * US_PER_S);
 		EXPECT_LE(fleet.largest_share, 1.0) << "seed " << seed;
 	}
@@ -77,7 +77,7 @@
 {
 	for (guint seed = 1; seed <= 25; seed++) {
 		GRand *random = g_rand_new_with_seed(1000 + seed);
-		RetryFleetSpec spec;
+		PlacementFleetSpec spec;
 
 		spec.seed = seed;
 		spec.gateways = g_rand_int_range(random, 4, 40);
@@ -89,7 +89,7 @@
 			g_rand_int_range(random, 100, 3000) * US_PER_MS;
 		spec.kill_period_us =
 			g_rand_int_range(random, 200, 4000) * US_PER_MS;
-		RetryFleet fleet(spec);
+		PlacementFleet fleet(spec);
 		fleet.run(25 * US_PER_S);
 		EXPECT_LE(fleet.largest_share, 1.0) << "seed " << seed;
 		g_rand_free(random);
