store: a removal that only a listing shows is announced to the fleet

Six gateways listed anew and saw that the evacuation had gone. A removed object is not in a listing, so that the revision these announced did not rise, and the others never asked. The revision of a listing that lacks known objects is now announced, as that of an answer with removals is. The others each ask once; it happens only where the history was lost and something was removed in the gap.

RemovalFoundByListingIsAnnounced failed before (revision 4, as before the removal).

--- a/src/coordination/store_changes.c
+++ b/src/coordination/store_changes.c
@@ -99,7 +99,18 @@
 	options->listed(task->kind, options->context);
 }
 
+static void mark_changed(struct aub_store_sync_task *task, gint64 revision)
+{
+	task->changed_revision = MAX(task->changed_revision, revision);
+	task->known_revision =
+		MAX(task->known_revision, task->changed_revision);
+}
+
 /*
+ * Objects that have gone while the history was lost are only missing from the
+ * listing. Its revision is announced for them, or the gateways that still have
+ * the history would never ask for the change.
+ *
  * Cached listings cost a tenth of a call. They contain the revision they are
  * from: processes that watch receive all later changes, and the others learn
  * from heartbeats that they are behind.
@@ -116,6 +127,8 @@
 	for (guint i = 0; i < missing->len; i++)
 		apply_removal(task, g_ptr_array_index(missing, i),
 			      is_mass_expiry(task, missing->len), now_us);
+	if (missing->len)
+		mark_changed(task, task->revision);
 	g_ptr_array_unref(missing);
 	g_hash_table_remove_all(task->listed_names);
 	task->step = AUB_STORE_WATCH;
@@ -142,11 +155,8 @@
 		gint64 revision =
 			record->removed ? page->revision : record->revision;
 
-		task->changed_revision = MAX(task->changed_revision,
-					     MIN(revision, max_revision));
+		mark_changed(task, MIN(revision, max_revision));
 	}
-	task->known_revision =
-		MAX(task->known_revision, task->changed_revision);
 }
 
 /*
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -265,6 +265,29 @@
 	EXPECT_TRUE(has_upstreams(5, 1500));
 }
 
+/*
+ * Guards against gateways that never learn of a removal, because the one that
+ * lists anew after the store has forgotten its history announces nothing.
+ */
+TEST_F(StoreSyncTest, RemovalFoundByListingIsAnnounced)
+{
+	for (const char *id : { "u1", "u2", "u3", "u4" })
+		put_upstream(id);
+	start();
+	ASSERT_TRUE(has_upstreams(4));
+	gint64 before =
+		aub_store_sync_known_revision(sync, AUB_STORE_UPSTREAMS);
+
+	platform_store_set_fault(store, PLATFORM_STORE_UNAVAILABLE);
+	run_for(300);
+	platform_store_remove(store, "servers", "u4");
+	platform_store_compact(store);
+	platform_store_set_fault(store, PLATFORM_STORE_NO_FAULT);
+	ASSERT_TRUE(has_upstreams(3, 5000));
+	EXPECT_GT(aub_store_sync_known_revision(sync, AUB_STORE_UPSTREAMS),
+		  before);
+}
+
 TEST_F(StoreSyncTest, FetchesOnceForAnAnnouncedRevision)
 {
 	put_upstream("u1");
