metrics: retries that were taken back are counted apart

Since a retry may be taken back seconds after it was admitted, the counter of admitted claims fell at times, which a reader of metrics takes for a restart. No decision reads them.

--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -393,14 +393,15 @@
 
 /*
  * What this process has counted of a service's retries since its start. Over
- * all processes, `received` is not more than `issued`, and `further` not more
- * than `admitted`.
+ * all processes, `received` is not more than `issued`,  and `further` not more
+ * than `admitted` less `taken_back`.
  */
 struct aub_retry_counts {
 	guint64 requests; /* of this gateway's callers */
 	guint64 issued; /* credit handed over, in thousandths of a retry */
 	guint64 received; /* likewise, by this or other gateways */
 	guint64 admitted; /* retries, by this process */
+	guint64 taken_back; /* of these: not sent */
 	guint64 attempts; /* sent by this gateway */
 	guint64 further; /* of these: not the first of their request */
 };
--- a/include/auburnstile/internal/retry_admission.h
+++ b/include/auburnstile/internal/retry_admission.h
@@ -53,6 +53,7 @@
 	double mean_retries; /* of a workspace, for each unit of weight */
 	gint64 mean_us; /* time at which it was computed */
 	guint64 verdicts[AUB_RETRY_VERDICT_COUNT]; /* since the start */
+	guint64 taken_back; /* of those admitted, since the start */
 };
 
 void aub_retry_admission_init(struct aub_retry_admission *admission,
--- a/src/coordination/placer_retries.c
+++ b/src/coordination/placer_retries.c
@@ -88,7 +88,9 @@
 
 	aub_placement_get_retry_counts(aub_placer_placement(placer, service),
 				       &now);
-	if (now.admitted == logged->admitted && now.further == logged->further)
+	if (now.admitted == logged->admitted &&
+	    now.taken_back == logged->taken_back &&
+	    now.further == logged->further)
 		return;
 	aub_log_begin(AUB_LOG_RETRY_COUNTS);
 	aub_log_text("service", service);
@@ -96,6 +98,8 @@
 	aub_log_number("issued", (gint64)(now.issued - logged->issued));
 	aub_log_number("received", (gint64)(now.received - logged->received));
 	aub_log_number("admitted", (gint64)(now.admitted - logged->admitted));
+	aub_log_number("taken_back",
+		       (gint64)(now.taken_back - logged->taken_back));
 	aub_log_number("attempts", (gint64)(now.attempts - logged->attempts));
 	aub_log_number("further", (gint64)(now.further - logged->further));
 	aub_log_end();
--- a/src/state/placement_retries.c
+++ b/src/state/placement_retries.c
@@ -145,6 +145,7 @@
 {
 	*counts = placement->retry_counts;
 	counts->admitted = placement->retries.verdicts[AUB_RETRY_ADMITTED];
+	counts->taken_back = placement->retries.taken_back;
 }
 
 void aub_placement_count_attempt(struct aub_placement *placement, bool further)
--- a/src/state/retry_admission.c
+++ b/src/state/retry_admission.c
@@ -269,5 +269,5 @@
 {
 	aub_retry_budget_return_retry(&admission->budget, admitted_us, now_us);
 	admission->credit += 1;
-	admission->verdicts[AUB_RETRY_ADMITTED]--;
+	admission->taken_back++;
 }
