--- a/src/state/retry_earnings.c
+++ b/src/state/retry_earnings.c
@@ -9,7 +9,7 @@
 /* Shares of the gateway's part of the slack. */
 #define FLOW_SHARE 0.7 /* earned in a window */
 #define HELD_MAX_SHARE 0.3 /* held at most */
-#define RESERVE_SHARE 0.2 /* of that, held back for retries */
+#define RESERVE_SHARE 0.2 /* held back for retries */
 
 void aub_retry_earnings_init(struct aub_retry_earnings *earnings,
 			     gint64 since_us)
