--- a/review/cases.h
+++ b/review/cases.h
@@ -222,7 +222,12 @@
 #define CASE3_BEGUN_BYTES 8000
 #define CASE3_BODY_BYTES (8u << 20)
 
+/* One of eight crashes: 0.125 of the service. */
+#define CASE3_BACKENDS 8
+
 static char case3_answer[CASE3_ANSWER_BYTES];
+/* By which a backend's process says that it has begun its answer. */
+static int case3_begun[2];
 
 static bool case3_run(struct backend *backend, struct wire *wire,
 		      struct message *request, const char *id,
@@ -240,6 +245,9 @@
 	g_free(head);
 	note("backend %s: has sent %u of %u bytes of its answer to %s",
 	     backend->id, CASE3_BEGUN_BYTES, CASE3_ANSWER_BYTES, id);
+	if (write(case3_begun[1], &(char){ (char)(backend - backends) }, 1) !=
+	    1)
+		return false;
 	sleep_ms(1500);
 	if (!open)
 		return false;
@@ -256,7 +264,10 @@
 	for (guint i = 0; i < CASE3_ANSWER_BYTES; i++)
 		case3_answer[i] = (char)('a' + i % 26);
 	run_request = case3_run;
-	start_backend("import", 2, true);
+	if (pipe(case3_begun))
+		exit(2);
+	for (guint i = 0; i < CASE3_BACKENDS; i++)
+		start_backend("import", 2, true);
 	routes[0] = (struct route){ "import", "unsafe", "import", 8000, 1500 };
 	route_count = 1;
 }
@@ -280,16 +291,20 @@
 	struct case3_upload upload = { .wire = client_connect(0) };
 	struct message message = { 0 };
 	pthread_t sender;
+	char number;
 	bool complete;
 	char *stamp;
 	int result;
 
 	new_id(upload.id);
 	pthread_create(&sender, NULL, case3_send, &upload);
+	if (read(case3_begun[0], &number, 1) != 1)
+		return 2;
 	sleep_ms(700);
 	if (trouble) {
-		note("the backend crashes (SIGKILL)");
-		kill(backends[0].process, SIGKILL);
+		note("backend %s crashes (SIGKILL)",
+		     backends[(guint)number].id);
+		kill(backends[(guint)number].process, SIGKILL);
 	}
 	complete = client_read(upload.wire, &message);
 	stamp = message.head ? header(message.head, "Response-Stamp") : NULL;
