placer: a grant of the gateway's own placer is returned at once

Cause: a queued request of a gateway that places for the service itself is granted an upstream that has asked this gateway for rest while it was queued (other gateways may use it, so placement_choose.c allows it for 500 ms after a probe). reject_stale_grant() returned the grant by a datagram to itself and placed the request again in the same call. The datagram had not arrived, so that aub_placement_submit() found the same grant, which was rejected again, until the stack was full.

Ruled out: the recursion through aub_placer_drain_queue(), which the trace doesn't show.

Test: PlacerReturnsItsOwnGrantOfUpstreamThatAskedForRest brings the order of events about without running the main loop in between.

The fix holds since the grant is gone before the request is placed again, and the request avoids the upstream from then on: each rejection takes one upstream from the choice. The slot isn't handed to the next queued request inside the call, so that the depth does not grow with the queue either.

--- a/include/auburnstile/internal/placer.h
+++ b/include/auburnstile/internal/placer.h
@@ -163,6 +163,7 @@
 	/* placed locally because no placer answered */
 	guint64 placed_in_fallback;
 	guint64 placers_suspected; /* placers that did not answer in time */
+	guint64 grants_rejected; /* own requests' grants known to be stale */
 	guint64 forwarded; /* requests passed on to a higher-ranked gateway */
 	guint64 probes_sent;
 };
--- a/src/coordination/node_metrics.c
+++ b/src/coordination/node_metrics.c
@@ -70,6 +70,11 @@
 	return (gint64)aub_placer_get_counts(node->placer)->forwarded;
 }
 
+static gint64 read_grants_rejected(const struct aub_node *node)
+{
+	return (gint64)aub_placer_get_counts(node->placer)->grants_rejected;
+}
+
 static gint64 read_placers_suspected(const struct aub_node *node)
 {
 	return (gint64)aub_placer_get_counts(node->placer)->placers_suspected;
@@ -153,6 +158,9 @@
 	  read_requests_forwarded },
 	{ "auburnstile_placer_suspected_total",
 	  "placers that did not answer in time", true, read_placers_suspected },
+	{ "auburnstile_placer_grants_rejected_total",
+	  "grants returned because this gateway knew more of the upstream",
+	  true, read_grants_rejected },
 	{ "auburnstile_probes_total", "sent", true, read_probes_sent },
 	{ "auburnstile_links_down",
 	  "1: no upstream answers this gateway; 0: some do", false,
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -69,6 +69,33 @@
 	return peer ? peer->name : "";
 }
 
+/*
+ * Returns a grant that is not used to the placer `from`. A grant of this
+ * gateway's own placer is returned at once: a datagram would arrive after the
+ * next placement request, which would find the same grant again.
+ */
+static void return_unused_grant(struct aub_placer *placer,
+				struct aub_ticket *ticket, guint64 from)
+{
+	const struct aub_grant_report unused = {
+		.ticket = ticket->id,
+		.end = AUB_GRANT_UNUSED,
+		.load = AUB_LOAD_UNKNOWN,
+	};
+
+	placer->counts.grants_rejected++;
+	if (from == placer->options.incarnation) {
+		aub_placement_report(aub_placer_placement(placer,
+							  ticket->service),
+				     &unused,
+				     aub_timer_now(placer->options.timers));
+		return;
+	}
+	ticket->granted_by = from;
+	aub_ticket_send_report(placer, ticket, &unused);
+	ticket->granted_by = 0;
+}
+
 /*
  * If the placer doesn't know yet that an upstream or a zone is leaving and this
  * process does, the upstream would get new requests for too long; and a queued
@@ -81,12 +108,6 @@
 			       const struct aub_placement_decision *decision,
 			       guint64 from)
 {
-	const struct aub_grant_report unused = {
-		.ticket = ticket->id,
-		.end = AUB_GRANT_UNUSED,
-		.load = AUB_LOAD_UNKNOWN,
-	};
-
 	if (decision->verdict != AUB_VERDICT_GRANTED ||
 	    aub_placement_may_send(aub_placer_placement(placer,
 							ticket->service),
@@ -94,9 +115,7 @@
 				   aub_timer_now(placer->options.timers)))
 		return false;
 	g_ptr_array_add(ticket->avoid, g_strdup(decision->upstream));
-	ticket->granted_by = from;
-	aub_ticket_send_report(placer, ticket, &unused);
-	ticket->granted_by = 0;
+	return_unused_grant(placer, ticket, from);
 	ticket_request(placer, ticket);
 	return true;
 }
--- a/tests/test_placer_notices.cc
+++ b/tests/test_placer_notices.cc
@@ -79,6 +79,43 @@
 		load.limit = AUB_LIMIT_NOT_NAMED;
 		return load;
 	}
+	/* A probe by `gateway` finds the upstream idle. */
+	void report_idle(TestGateway *gateway, const char *id)
+	{
+		struct aub_load load = AUB_LOAD_UNKNOWN;
+
+		load.running = 0;
+		load.waiting = 0;
+		load.slots = 2;
+		aub_placement_probe_received(
+			aub_placer_placement(gateway->placer, "svc"), id,
+			AUB_PROBE_HEALTHY, &load, aub_timer_now(timers));
+	}
+	/* Upstream u1 asks `gateway` for rest, in an answer. */
+	void observe_rest(TestGateway *gateway, gint64 rest_us)
+	{
+		const struct aub_upstream_answer answer = {
+			.upstream = "u1",
+			.request_id = "r",
+			.load = AUB_LOAD_UNKNOWN,
+			.sent_us = aub_timer_now(timers),
+			.rest_us = rest_us,
+		};
+
+		aub_placer_observe_answer(gateway->placer, "svc", &answer);
+	}
+	/* Requests slots until a request is queued, which is the last one. */
+	std::vector<std::unique_ptr<PlacementResult>> request_until_queued(
+		TestGateway *gateway)
+	{
+		std::vector<std::unique_ptr<PlacementResult>> results;
+
+		do {
+			results.emplace_back(new PlacementResult);
+			request_placement(*gateway, results.back().get(), 5000);
+		} while (results.back()->done);
+		return results;
+	}
 	/* Starts gateways that all know two upstreams, u1 and u2. */
 	void start_with_two_upstreams(std::initializer_list<const char *> names)
 	{
@@ -348,6 +385,37 @@
 	EXPECT_LE(queued.retry_after_ms, 3000u);
 }
 
+/*
+ * Guards against endless recursion when a gateway rejects a grant of its own
+ * placer.
+ */
+TEST_F(PlacerNoticesTest, PlacerReturnsItsOwnGrantOfUpstreamThatAskedForRest)
+{
+	std::vector<PlacementResult> others(20);
+
+	start_all({ "a" });
+	TestGateway *gateway = gateways[0].get();
+	report_idle(gateway, "u1");
+	auto results = request_until_queued(gateway);
+	ASSERT_GE(results.size(), 2u);
+	for (PlacementResult &other : others)
+		request_placement(*gateway, &other, 5000);
+	/* Other gateways may use the upstream in its rest: it was probed. */
+	report_idle(gateway, "u1");
+	observe_rest(gateway, 3 * AUB_SECOND);
+	aub_placer_report(gateway->placer, results[0]->ticket, AUB_GRANT_OK,
+			  5000, NULL);
+	EXPECT_EQ(results.back()->verdict, AUB_VERDICT_NO_UPSTREAM);
+	EXPECT_GE(results.back()->retry_after_ms, 2000u);
+	for (PlacementResult &other : others)
+		EXPECT_EQ(other.verdict, AUB_VERDICT_NO_UPSTREAM);
+	struct aub_placement_stats stats;
+	aub_placement_get_stats(aub_placer_placement(gateway->placer, "svc"),
+				aub_timer_now(timers), &stats);
+	EXPECT_EQ(stats.granted, results.size() - 2);
+	EXPECT_EQ(stats.queued, 0u);
+}
+
 /* Guards against a gateway that learns of a leaving upstream from the store. */
 TEST_F(PlacerNoticesTest, NoGatewayUsesUpstreamThatSaysItLeaves)
 {
