placer: a request that leaves the own placer takes others' decisions

A request whose local grant was returned stayed marked as placed locally. If another gateway ranked first by then, its decision was ignored and the slot returned; after 50 ms a second placer was asked, then the request was placed in local fallback, and the caller waited for it or was refused.

Cause: ticket->placed_locally was set and never reset.

--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -291,6 +291,7 @@
 		place_locally(placer, ticket, !peer);
 		return;
 	}
+	ticket->placed_locally = false;
 	ticket->placers_asked++;
 	ticket->sends_to_placer = 1;
 	ticket->asked_placer = peer->incarnation;
--- a/tests/test_placer_notices.cc
+++ b/tests/test_placer_notices.cc
@@ -416,6 +416,35 @@
 	EXPECT_EQ(stats.queued, 0u);
 }
 
+/*
+ * Guards against decisions of another placer that are ignored after a grant of
+ * the own placer was returned.
+ */
+TEST_F(PlacerNoticesTest, AcceptsOtherPlacersDecisionAfterItsOwnStaleGrant)
+{
+	start_with_two_upstreams({ "a", "b" });
+	TestGateway *first = find_placer();
+	TestGateway *second = other_gateway(first);
+	/* The gateway places for itself while it suspects the other one. */
+	struct aub_peer *peer =
+		aub_peers_by_incarnation(second->peers, first->incarnation);
+	peer->suspected_until_us = G_MAXINT64;
+	report_idle(second, "u1");
+	report_idle(second, "u2");
+	auto results = request_until_queued(second);
+	peer->suspected_until_us = 0;
+	report_idle(second, "u1");
+	observe_rest(second, 3 * AUB_SECOND);
+	for (auto &result : results)
+		if (result->upstream == "u1")
+			aub_placer_report(second->placer, result->ticket,
+					  AUB_GRANT_OK, 5000, NULL);
+	EXPECT_EQ(aub_placer_get_counts(second->placer)->grants_rejected, 1u);
+	ASSERT_TRUE(run_until([&] { return results.back()->done; }, 1000));
+	EXPECT_EQ(results.back()->verdict, AUB_VERDICT_GRANTED);
+	EXPECT_EQ(results.back()->upstream, "u2");
+}
+
 /* Guards against a gateway that learns of a leaving upstream from the store. */
 TEST_F(PlacerNoticesTest, NoGatewayUsesUpstreamThatSaysItLeaves)
 {
