placement: a request that avoids its grant returns it

Related path of the same shape, between two gateways: a rejected grant is returned by one datagram, and the next one asks again. If the first is lost or comes later, the placer found the grant and repeated it; the gateway rejected it again, for as long as datagrams are lost, and the slot stayed in use meanwhile.

The request itself says that it doesn't want the upstream, so the placer needs no report to know that the grant is unused.

Left: a report that arrives after the new grant takes that one out of the placer's account, since reports name the request and not the upstream.

--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -297,6 +297,10 @@
 bool aub_placement_capacity_exists(
 	const struct aub_placement_capacity *capacity);
 
+/* Returns whether `request` is not to be granted the upstream `id`. */
+bool aub_placement_request_avoids(const struct aub_placement_request *request,
+				  const char *id);
+
 /*
  * Returns the index of the best upstream with room for `request`, or -1. Sets
  * `capacity` to that of the upstreams that may serve it, whether they have room
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -33,8 +33,8 @@
 /* Times the target; a request in progress for longer is stuck. */
 #define STUCK_TARGET_RATIO 1.5
 
-static bool was_tried(const struct aub_placement_request *request,
-		      const char *id)
+bool aub_placement_request_avoids(const struct aub_placement_request *request,
+				  const char *id)
 {
 	for (guint i = 0; i < request->avoid_count; i++)
 		if (!strcmp(request->avoid[i], id))
@@ -90,9 +90,9 @@
 		return !aub_placement_upstream_is_cold(upstream,
 						       choice->now_us) &&
 		       !aub_upstream_limit_is_set(&upstream->limit) &&
-		       !was_tried(request, upstream->id);
+		       !aub_placement_request_avoids(request, upstream->id);
 	return upstream->state == AUB_PLACEMENT_UPSTREAM_UP &&
-	       !was_tried(request, upstream->id);
+	       !aub_placement_request_avoids(request, upstream->id);
 }
 
 static guint busy_slots(const struct aub_placement_upstream *upstream,
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -120,6 +120,28 @@
 	g_ptr_array_remove_index(placement->queue, i);
 }
 
+/*
+ * Returns the grant of a request that avoids the granted upstream: its holder
+ * has rejected it. The report that says so may be lost or arrive later, and the
+ * request would be granted the same upstream again.
+ */
+static void return_avoided_grant(struct aub_placement *placement,
+				 const struct aub_placement_request *request,
+				 gint64 now_us)
+{
+	const struct aub_grant_report unused = {
+		.ticket = request->ticket,
+		.end = AUB_GRANT_UNUSED,
+		.load = AUB_LOAD_UNKNOWN,
+	};
+	struct aub_grant_view grant;
+
+	if (request->avoid_count &&
+	    aub_placement_find_grant(placement, request->ticket, &grant) &&
+	    aub_placement_request_avoids(request, grant.upstream))
+		aub_placement_report(placement, &unused, now_us);
+}
+
 static bool find_decided(const struct aub_placement *placement,
 			 const struct aub_placement_request *request,
 			 struct aub_placement_decision *decision)
@@ -268,6 +290,7 @@
 		.holder = request->holder,
 	};
 	aub_placement_receive_retry_credit(placement, request, now_us);
+	return_avoided_grant(placement, request, now_us);
 	if (find_decided(placement, request, decision))
 		return;
 	if (is_over_quota(placement, request, now_us)) {
--- a/tests/test_placement_queue.cc
+++ b/tests/test_placement_queue.cc
@@ -183,3 +183,24 @@
 	EXPECT_EQ(decision.verdict, AUB_VERDICT_NO_BUDGET);
 	EXPECT_GE(decision.retry_after_ms, 700u);
 }
+
+/*
+ * Guards against a placer that repeats a grant its requester has rejected, when
+ * the report that returns it is lost or late.
+ */
+TEST(Placement, RequestThatAvoidsItsGrantReturnsIt)
+{
+	const char *const avoid[] = { "u1" };
+	PlacementFixture fixture;
+
+	fixture.add_healthy("u1", 1);
+	struct aub_placement_request request = fixture.new_request();
+	ASSERT_EQ(fixture.submit(request).verdict, AUB_VERDICT_GRANTED);
+	EXPECT_STREQ(fixture.submit(request).upstream, "u1");
+	fixture.add_healthy("u2", 1);
+	request.avoid = avoid;
+	request.avoid_count = 1;
+	EXPECT_STREQ(fixture.submit(request).upstream, "u2");
+	EXPECT_EQ(fixture.upstream("u1")->granted, 0u);
+	EXPECT_EQ(fixture.upstream("u2")->granted, 1u);
+}
