gateway: an answered request has nothing pending any more

Cause: a request that isn't the first one of its connection is kept after its answer, until the earlier ones are answered. aub_request_finish() ended only its timer and its replacement; its placement stayed pending. When the slot was granted later, on_placed() started an attempt or wrote a refusal, which was appended to the bytes of the first answer. The caller read two answers for one request, and all later ones were shifted.

The slot is occupied while the deadline ends, whatever the clock does.

The fix holds for every way to answer, since all of them end in aub_request_finish(): one function cancels timer, replacement, placement and attempt, there and when a request is freed.

--- a/src/coordination/gateway_answer.c
+++ b/src/coordination/gateway_answer.c
@@ -11,16 +11,30 @@
 	g_free(retained->upstream);
 }
 
-void aub_request_free(struct aub_request *request)
+/*
+ * Ends all that is still in progress for a request that has been answered. A
+ * slot that is granted later would be used, and its answer would follow the
+ * first one, in the place of another request's.
+ */
+static void cancel_pending(struct aub_request *request)
 {
 	struct aub_gateway *gateway = request->gateway;
 
 	aub_timer_cancel(gateway->options.timers, request->timer);
+	request->timer = 0;
 	aub_request_end_replacement(request);
 	if (request->placement_pending)
 		aub_placer_cancel(gateway->options.placer, request->ticket);
+	request->placement_pending = false;
 	if (request->attempt)
 		aub_attempt_abort(request->attempt, AUB_GRANT_ABANDONED);
+}
+
+void aub_request_free(struct aub_request *request)
+{
+	struct aub_gateway *gateway = request->gateway;
+
+	cancel_pending(request);
 	gateway->active_requests--;
 	g_queue_remove(&request->caller->requests, request);
 	g_byte_array_unref(request->pending_output);
@@ -56,10 +70,7 @@
 		caller->close_after_answer = true;
 	if (!aub_request_is_first(request)) {
 		request->answered = true;
-		aub_request_end_replacement(request);
-		aub_timer_cancel(request->gateway->options.timers,
-				 request->timer);
-		request->timer = 0;
+		cancel_pending(request);
 		return;
 	}
 	aub_request_free(request);
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -157,6 +157,8 @@
 	std::vector<std::string> listen_addresses;
 	int max_attempts = 2;
 	int timeout_ms = 1000;
+	int brief_timeout_ms = 150;
+	int max_body_bytes = 1048576;
 	int version = 1;
 	double rollout_share = 0; /* share of requests to a new version */
 	std::string seed; /* another gateway's address; empty: none */
@@ -177,7 +179,10 @@
 		aub_poller_free(poller);
 		aub_timer_service_free(timers);
 	}
-	/* Routes /safe/ and /once/ of host "site" to service "svc". */
+	/*
+	 * Routes /safe/, /once/ and /brief/, with a timeout below its target,
+	 * of host "site" to service "svc".
+	 */
 	void configure()
 	{
 		char *text = g_strdup_printf(
@@ -187,15 +192,17 @@
 			"\"max_attempts\",\"service\"],\"rows\":["
 			"[\"r1\",\"site\",\"/safe/\",\"safe\",%d,600,2,null,%d,"
 			"\"svc\"],[\"r2\",\"site\",\"/once/\",\"unsafe\",%d,600,"
-			"1,null,%d,\"svc\"]]},\"services\":{\"columns\":["
+			"1,null,%d,\"svc\"],[\"r3\",\"site\",\"/brief/\",\"safe\","
+			"%d,600,2,null,%d,\"svc\"]]},\"services\":{\"columns\":["
 			"\"name\",\"health_path\",\"max_conns\",\"protocol\","
 			"\"tls\",\"warmup_s\",\"warmup_per_s\"],\"rows\":[["
 			"\"svc\",\"/health\",220,\"h1\",false,3.0,2.1]]},"
 			"\"limits\":{\"max_header_bytes\":4096,"
-			"\"max_body_bytes\":1048576,\"header_timeout_ms\":1000,"
+			"\"max_body_bytes\":%d,\"header_timeout_ms\":1000,"
 			"\"idle_timeout_ms\":3000}}",
 			version++, timeout_ms, max_attempts, timeout_ms,
-			max_attempts);
+			max_attempts, brief_timeout_ms, max_attempts,
+			max_body_bytes);
 
 		platform_store_put(store, "config", "main", text);
 		g_free(text);
--- a/tests/test_gateway_caller.cc
+++ b/tests/test_gateway_caller.cc
@@ -1,10 +1,11 @@
 /* A caller's connection with pipelined requests. */
 #include "gateway_fixture.h"
 
-static std::string request(const std::string &line, const std::string &id)
+static std::string request(const std::string &line, const std::string &id,
+			   const std::string &extra = "")
 {
 	return line + " HTTP/1.1\r\nHost: site\r\nRequest-Id: " + id +
-	       "\r\nDeadline-Remaining-Ms: 3000\r\n\r\n";
+	       "\r\nDeadline-Remaining-Ms: 3000\r\n" + extra + "\r\n";
 }
 
 static std::vector<std::string> names(std::initializer_list<const char *> list)
@@ -28,6 +29,25 @@
 		configure();
 		start_and_wait_until_ready();
 	}
+	/*
+	 * Occupies both slots of an upstream: one by request "p1" of `caller`,
+	 * for 1500 ms, and one by another caller's, for 250 ms.
+	 */
+	void occupy_slots(Caller &caller)
+	{
+		caller.send(request("GET /safe/a", "p1"));
+		ASSERT_TRUE(run_until([&] { return runs() == 1; }, 1000));
+		platform_upstream_set_service_time(upstreams[0], 250);
+		other_caller = send_request("GET", "/safe/other", "other");
+		ASSERT_TRUE(run_until([&] { return runs() == 2; }, 1000));
+		platform_upstream_set_service_time(upstreams[0], 20);
+	}
+	void TearDown() override
+	{
+		other_caller.reset();
+		GatewayTest::TearDown();
+	}
+	std::unique_ptr<Caller> other_caller;
 	guint runs() const
 	{
 		guint sum = 0;
@@ -171,3 +191,38 @@
 	ASSERT_TRUE(run_until([&] { return caller.answers == 60; }, 5000));
 	EXPECT_EQ(caller.request_ids, expected);
 }
+
+/* Guards against a second answer when a slot is granted after the deadline. */
+TEST_F(CallerTest, AnswersRequestOnceWhoseDeadlineEndsBeforeItsGrant)
+{
+	timeout_ms = 3000;
+	start_with_upstreams(1, 1500);
+	Caller caller(poller, listen_addresses[0]);
+	occupy_slots(caller);
+	caller.send(request("GET /brief/b", "late") +
+		    request("GET /safe/c", "p3"));
+	ASSERT_TRUE(run_until([&] { return caller.answers == 3; }, 3000));
+	run_for(200);
+	EXPECT_EQ(caller.request_ids, names({ "p1", "late", "p3" }));
+}
+
+/* Guards against a slot in use, and a second answer, for a denied request. */
+TEST_F(CallerTest, TakesNoSlotForRequestThatIsDeniedBeforeItsGrant)
+{
+	timeout_ms = 3000;
+	max_body_bytes = 100000;
+	start_with_upstreams(1, 1500);
+	Caller caller(poller, listen_addresses[0]);
+	occupy_slots(caller);
+	caller.send(request("POST /safe/b", "large",
+			    "Transfer-Encoding: chunked\r\n") +
+		    "1d4c0\r\n" + std::string(120000, 'x') + "\r\n0\r\n\r\n");
+	ASSERT_TRUE(wait_for_answer(other_caller));
+	other_caller = send_request("GET", "/safe/c", "next");
+	ASSERT_TRUE(wait_for_answer(other_caller));
+	EXPECT_EQ(other_caller->status, 200u);
+	EXPECT_EQ(caller.answers, 0u);
+	ASSERT_TRUE(run_until([&] { return caller.ended; }, 3000));
+	EXPECT_EQ(caller.request_ids, names({ "p1", "large" }));
+	EXPECT_EQ(caller.status, 413u);
+}
