gateway: a request waits for a slot no longer than it lasts

Cause: on_time_wait_ms() took its share of the target only. It is now a share of the time in which the answer is of use, the smaller of both. Requests that last longer than their target are placed as before.

--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -185,12 +185,21 @@
 						 remaining_us / AUB_MS);
 }
 
+/*
+ * Returns the time in which the request is useful to its caller: its target
+ * latency, or less if it ends before.
+ */
+static gint64 useful_time_us(const struct aub_request *request)
+{
+	return MIN(request->route->target_ms * AUB_MS,
+		   request->effective_deadline_us - request->start_us);
+}
+
 /* Returns how long the request may wait for a slot to be answered on time. */
 static guint on_time_wait_ms(const struct aub_request *request, gint64 now_us)
 {
 	gint64 remaining_us = (gint64)(MAX_WAIT_TARGET_SHARE *
-				       (double)request->route->target_ms) *
-				      AUB_MS -
+				       (double)useful_time_us(request)) -
 			      caller_age_us(request, now_us);
 
 	return (guint)(MAX(remaining_us, 0) / AUB_MS);
--- a/tests/test_gateway_caller.cc
+++ b/tests/test_gateway_caller.cc
@@ -226,3 +226,17 @@
 	EXPECT_EQ(caller.request_ids, names({ "p1", "large" }));
 	EXPECT_EQ(caller.status, 413u);
 }
+
+/* Guards against a wait for a slot that lasts longer than the request. */
+TEST_F(CallerTest, WaitsForSlotNoLongerThanItsTimeout)
+{
+	timeout_ms = 3000;
+	start_with_upstreams(1, 1500);
+	Caller caller(poller, listen_addresses[0]);
+	occupy_slots(caller);
+	auto brief = send_request("GET", "/brief/b", "brief");
+	ASSERT_TRUE(wait_for_answer(brief));
+	EXPECT_EQ(brief->status, 503u);
+	EXPECT_NE(brief->body.find("overload"), std::string::npos)
+		<< brief->body;
+}
