http: a reset that a send reports is not the end of a body

The upstream had begun an answer without a length before it had read the whole request, and crashed.

Cause: the kernel reports a reset once, to the next call on the socket. aub_http_stream_flush() ignored the result of send(), in the belief that the next read would report it. recv() then returned 0, which ends a body that has no length: the answer was complete.

ResponseIsCompleteThatEndedBeforeReset, which held before, keeps the answer of an upstream that ends its output and then resets: Linux reports that as EPIPE, as the peer's end has been received.

The fix holds since every failed send on these connections is remembered, and the end of input is reported as a reset then. Bytes that arrived before are still read, so that an answer with a length that is complete is delivered. Same for time-outs of unacknowledged data.

--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -49,6 +49,7 @@
 	bool rejected; /* invalid input: nothing more is read */
 	bool closing;
 	bool write_shut;
+	bool send_failed; /* the connection is broken; see stream_read() */
 	bool freed;
 	bool end_reported; /* `ended` was called */
 };
@@ -351,6 +352,14 @@
 			stream_end(stream, AUB_STREAM_RESET);
 		return;
 	}
+	/*
+	 * Only the first call after a reset reports it. If that was a send, the
+	 * end of input looks like the end of a body without Content-Length.
+	 */
+	if (stream->send_failed) {
+		stream_end(stream, AUB_STREAM_RESET);
+		return;
+	}
 	/*
 	 * A body without Content-Length ends here; `complete` is called before
 	 * `ended`.
@@ -472,6 +481,16 @@
 		stream->callbacks.drained(stream->context);
 }
 
+/*
+ * Returns whether a failed send means that the connection broke. EPIPE doesn't:
+ * the peer has ended its output before, and all of that can still be read.
+ */
+static bool is_broken(int send_error)
+{
+	return send_error != EAGAIN && send_error != EINTR &&
+	       send_error != EPIPE;
+}
+
 void aub_http_stream_flush(struct aub_http_stream *stream)
 {
 	gsize length = aub_http_stream_queued_bytes(stream);
@@ -483,13 +502,15 @@
 	stream->callback_depth++;
 	sent = send(stream->fd, stream->output->data + stream->out_sent_bytes,
 		    length, MSG_NOSIGNAL);
+	/* Input that arrived before is read first; the end is reported then. */
+	if (sent < 0 && is_broken(errno))
+		stream->send_failed = true;
 	if (sent > 0) {
 		stream->sent_bytes += (guint64)sent;
 		stream->out_sent_bytes += (gsize)sent;
 		if (stream->out_sent_bytes == stream->output->len)
 			on_output_drained(stream);
 	}
-	/* A send error is reported as a reset by the next read. */
 	watch_update(stream);
 	stream->callback_depth--;
 	stream_release(stream);
--- a/tests/test_http_stream.cc
+++ b/tests/test_http_stream.cc
@@ -60,6 +60,16 @@
 			(in_message ? " midway;" : ";");
 	}
 	void open(enum http_parser_type type)
+	{
+		int fds[2];
+
+		ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0,
+				     fds),
+			  0);
+		peer = fds[1];
+		open_on(fds[0], type);
+	}
+	void open_on(int fd, enum http_parser_type type)
 	{
 		static const struct aub_http_callbacks callbacks = {
 			.connected = NULL,
@@ -70,15 +80,34 @@
 			.rejected = on_rejected,
 			.ended = on_ended,
 		};
-		int fds[2];
-
-		ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0,
-				     fds),
-			  0);
-		peer = fds[1];
-		stream = aub_http_stream_new(poller, fds[0], type, false, 200,
+		stream = aub_http_stream_new(poller, fd, type, false, 200,
 					     &callbacks, this);
 	}
+	/* Opens the stream over TCP, which unlike a socket pair can be reset.
+	 */
+	void open_tcp(enum http_parser_type type)
+	{
+		char *address = NULL;
+		int listener = aub_tcp_listen_loopback(&address);
+		int fd = aub_tcp_connect(address, NULL);
+
+		g_free(address);
+		ASSERT_TRUE(run_until(
+			[&] {
+				if (peer < 0)
+					peer = aub_tcp_accept(listener);
+				return peer >= 0;
+			},
+			1000));
+		close(listener);
+		open_on(fd, type);
+	}
+	/* Closes the other end with bytes that it has not read: a reset. */
+	void reset_peer()
+	{
+		close(peer);
+		peer = -1;
+	}
 	void send_and_run(const std::string &text)
 	{
 		ASSERT_EQ(::send(peer, text.data(), text.size(), 0),
@@ -136,6 +165,55 @@
 	EXPECT_EQ(log, "head  -1;complete;eof;");
 }
 
+/* Guards against a truncated response that looks complete after a reset. */
+TEST_F(HttpStream, ResponseWithoutLengthIsNotCompleteAfterReset)
+{
+	/* more than the buffers of both sockets take */
+	const std::string request(16 << 20, 'r');
+
+	for (bool sends_after_reset : { false, true }) {
+		open_tcp(HTTP_RESPONSE);
+		aub_http_stream_write(stream, request.data(), request.size());
+		aub_http_stream_flush(stream);
+		send_and_run("HTTP/1.1 200 OK\r\n\r\nabc");
+		reset_peer();
+		/* A send reports the reset in place of the next read. */
+		if (sends_after_reset) {
+			aub_http_stream_write(stream, "more", 4);
+			aub_http_stream_flush(stream);
+		}
+		run_for(5);
+		EXPECT_EQ(log, "head  -1;reset midway;");
+		EXPECT_EQ(body, "abc");
+		TearDown();
+		log.clear();
+		body.clear();
+		stream = NULL;
+		SetUp();
+	}
+}
+
+/* Guards against a complete response that is dropped for a later reset. */
+TEST_F(HttpStream, ResponseIsCompleteThatEndedBeforeReset)
+{
+	const std::string part(1000, 'r');
+
+	open_tcp(HTTP_RESPONSE);
+	send_and_run("HTTP/1.1 200 OK\r\n\r\nabc");
+	aub_http_stream_pause_reading(stream, true);
+	ASSERT_EQ(::send(peer, "def", 3, 0), 3);
+	close(peer);
+	peer = -1;
+	/* The other end resets the connection after its end. */
+	for (int i = 0; i < 2; i++) {
+		aub_http_stream_write(stream, part.data(), part.size());
+		aub_http_stream_flush(stream);
+	}
+	run_for(5);
+	EXPECT_EQ(log, "head  -1;complete;eof;");
+	EXPECT_EQ(body, "abcdef");
+}
+
 TEST_F(HttpStream, ReportsTruncatedResponse)
 {
 	open(HTTP_RESPONSE);
