http: what precedes a head is bounded, and tests of bytes without end

Callers of an upstream that sends interim answers (1xx) without end waited until their deadline, and got 504, though another upstream was free for what may be repeated; 64 MB a second were read meanwhile.

Cause: each interim answer begins a new head, whose bytes are counted anew. What is read before the final head is now bounded as well, by twice the limit of a head, for requests of callers too (empty lines).

What ends an answer of the caller's own that doesn't end is its caller's deadline; it never looks complete, and no more is read than its caller reads. A caller that names no deadline has the route's time-out.

--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -14,6 +14,11 @@
 
 /* Bytes per read; limits the data handled per iteration of the main loop. */
 #define READ_MAX_BYTES (64u << 10)
+/*
+ * Limit of what is read before the head of a message is complete, as a multiple
+ * of the limit of the head: empty lines and interim answers may precede it.
+ */
+#define PREAMBLE_MAX_HEADS 2
 /* Limit of input that was received before the owner called resume. */
 #define UNPARSED_MAX_BYTES (64u << 10)
 
@@ -33,8 +38,10 @@
 	GArray *offsets; /* of struct header_offsets */
 	guint head_bytes;
 	guint head_max_bytes;
+	gsize preamble_bytes; /* read since the last message, up to the head */
 	bool in_value; /* the last header callback was for a value */
 	bool head_done; /* header fields that follow are trailers: discarded */
+	bool final_head_seen; /* of the current message; no interim answer's */
 	GByteArray *unparsed; /* received but not parsed */
 	GByteArray *output;
 	gsize out_sent_bytes; /* bytes of `output` already sent */
@@ -200,6 +207,7 @@
 	head->keep_alive = http_should_keep_alive(parser);
 	if (parser->type == HTTP_RESPONSE && head->status < 200)
 		return 0;
+	stream->final_head_seen = true;
 	stream->callbacks.head(head, stream->context);
 	if (stream->freed)
 		return 2;
@@ -283,6 +291,19 @@
 	stream->callbacks.rejected(reason, stream->context);
 }
 
+/*
+ * Returns whether a peer sends without end what is no message: interim answers
+ * and empty lines would be read for as long as the owner waits.
+ */
+static bool preamble_is_too_large(struct aub_http_stream *stream, gsize parsed)
+{
+	if (stream->final_head_seen)
+		return false;
+	stream->preamble_bytes += parsed;
+	return stream->preamble_bytes >
+	       (gsize)PREAMBLE_MAX_HEADS * stream->head_max_bytes;
+}
+
 /* Parses `length` bytes; returns how many were consumed. */
 static gsize stream_parse(struct aub_http_stream *stream, const char *data,
 			  gsize length)
@@ -311,6 +332,8 @@
 
 		stream_reject(stream, large ? AUB_STREAM_HEAD_TOO_LARGE :
 					      AUB_STREAM_MALFORMED);
+	} else if (preamble_is_too_large(stream, parsed)) {
+		stream_reject(stream, AUB_STREAM_HEAD_TOO_LARGE);
 	}
 	return length;
 }
@@ -523,6 +546,8 @@
 	if (!stream->awaiting_resume || stream->freed)
 		return;
 	stream->awaiting_resume = false;
+	stream->final_head_seen = false;
+	stream->preamble_bytes = 0;
 	if (!stream->unparsed->len)
 		return;
 	unparsed = stream->unparsed;
--- a/tools/platform/upstream.c
+++ b/tools/platform/upstream.c
@@ -9,6 +9,9 @@
 #include <unistd.h>
 
 #define HEAD_BYTES_MAX (64u << 10)
+/* Of an answer without end: written when all before it has been sent. */
+#define ENDLESS_PIECE_BYTES (64u << 10)
+#define ENDLESS_PERIOD_US (1 * AUB_MS)
 
 struct platform_upstream {
 	struct aub_poller *poller;
@@ -29,6 +32,10 @@
 	char *leaving; /* value of Server-Leaving; NULL: none */
 	char *refusal_load; /* value of Instance-Load with 503; NULL: none */
 	char *retry_after; /* value of Retry-After with 503; NULL: none */
+	char *endless_start; /* of an answer without end; NULL: none */
+	char *endless_unit;
+	bool endless_in_probes;
+	guint64 endless_bytes;
 	guint arrivals;
 	guint runs;
 	guint cancelled;
@@ -232,6 +239,44 @@
 	return true;
 }
 
+static void on_endless_due(void *context, gint64 now_us)
+{
+	struct connection *connection = context;
+	struct platform_upstream *upstream = connection->upstream;
+	gsize length = strlen(upstream->endless_unit);
+
+	connection->timer = 0;
+	if (!length)
+		return;
+	if (!aub_http_stream_queued_bytes(connection->stream))
+		for (gsize bytes = 0; bytes < ENDLESS_PIECE_BYTES;
+		     bytes += length) {
+			aub_http_stream_write(connection->stream,
+					      upstream->endless_unit, length);
+			upstream->endless_bytes += length;
+		}
+	aub_http_stream_flush(connection->stream);
+	connection->timer = aub_timer_at(upstream->timers, "endless",
+					 now_us + ENDLESS_PERIOD_US,
+					 on_endless_due, connection);
+}
+
+/* Begins an answer that ends only with the connection. */
+static void begin_endless(struct connection *connection)
+{
+	struct platform_upstream *upstream = connection->upstream;
+	GString *start = g_string_new(upstream->endless_start);
+
+	g_string_replace(start, "$ID", connection->request_id, 0);
+	g_string_replace(start, "$UPSTREAM", upstream->id, 0);
+	aub_http_stream_write(connection->stream, start->str, start->len);
+	aub_http_stream_flush(connection->stream);
+	g_string_free(start, TRUE);
+	connection->timer = aub_timer_at(upstream->timers, "endless",
+					 aub_timer_now(upstream->timers),
+					 on_endless_due, connection);
+}
+
 static enum platform_answer take_answer(struct platform_upstream *upstream)
 {
 	if (!upstream->has_next_answer)
@@ -243,6 +288,7 @@
 static void on_service_done(void *context, gint64 now_us)
 {
 	struct connection *connection = context;
+	struct platform_upstream *upstream = connection->upstream;
 
 	connection->timer = 0;
 	if (connection->silent) {
@@ -250,6 +296,10 @@
 		return;
 	}
 	connection->running = false;
+	if (upstream->endless_start && !upstream->endless_in_probes) {
+		begin_endless(connection);
+		return;
+	}
 	if (!write_answer(connection, connection->answer))
 		return;
 	aub_http_stream_flush(connection->stream);
@@ -271,6 +321,10 @@
 	struct platform_upstream *upstream = connection->upstream;
 
 	upstream->probes++;
+	if (upstream->endless_start && upstream->endless_in_probes) {
+		begin_endless(connection);
+		return;
+	}
 	write_format(
 		connection,
 		"HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nInstance-Load: 0,0,2,100\r\n",
@@ -517,6 +571,8 @@
 	g_free(upstream->leaving);
 	g_free(upstream->refusal_load);
 	g_free(upstream->retry_after);
+	g_free(upstream->endless_start);
+	g_free(upstream->endless_unit);
 	g_free(upstream->id);
 	g_free(upstream);
 }
@@ -544,6 +600,29 @@
 	upstream->has_next_answer = true;
 }
 
+void platform_upstream_set_endless(struct platform_upstream *upstream,
+				   const char *start, const char *unit,
+				   bool in_probes)
+{
+	g_free(upstream->endless_start);
+	g_free(upstream->endless_unit);
+	upstream->endless_start = g_strdup(start);
+	upstream->endless_unit = g_strdup(unit ? unit : "");
+	upstream->endless_in_probes = in_probes;
+}
+
+guint64 platform_upstream_endless_bytes(
+	const struct platform_upstream *upstream)
+{
+	return upstream->endless_bytes;
+}
+
+guint platform_upstream_open_connections(
+	const struct platform_upstream *upstream)
+{
+	return upstream->connections->len;
+}
+
 void platform_upstream_set_service_time(struct platform_upstream *upstream,
 					guint ms)
 {
--- a/tools/platform/upstream.h
+++ b/tools/platform/upstream.h
@@ -81,6 +81,21 @@
  */
 void platform_upstream_set_retry_after(struct platform_upstream *upstream,
 				       const char *text);
+/*
+ * Answers all requests, or with `in_probes` all probes, with `start` and then
+ * `unit` over and over until the client closes the connection. "$ID" in
+ * `start` stands for the Request-Id, "$UPSTREAM" for the upstream's id. Copies
+ * the texts; NULL ends it. An empty unit leaves the connection silent.
+ */
+void platform_upstream_set_endless(struct platform_upstream *upstream,
+				   const char *start, const char *unit,
+				   bool in_probes);
+/* Returns the number of bytes that were written without end. */
+guint64 platform_upstream_endless_bytes(
+	const struct platform_upstream *upstream);
+/* Returns the number of connections that are open. */
+guint platform_upstream_open_connections(
+	const struct platform_upstream *upstream);
 /*
  * Closes all connections and refuses new ones, as after a crash, or accepts
  * connections again.
