http: what is skipped of other requests' answers is bounded

An upstream that answers for other requests without end (one long body, or one answer after the other) held a request that runs at most once until its deadline: 504 after 2 s in the test, for each of both forms, 3 of 3 runs before. Requests that may be repeated were replaced, as nothing of their own had arrived.

Cause: the exchange skips what bears another id, however much it is. A doubled answer is one too many; eight, or 64 KB, are now as far as it goes, and the connection counts as lost.

Test: PromisesNothingForRequestThatGotBytesThatAreNoAnswer, its second part.

--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -16,6 +16,12 @@
 #define KEEP_ALIVE_FRACTION 0.7 /* of the idle limit sent by the peer */
 #define POOLED_PER_KEY_MAX 32
 #define RETRY_AFTER_MAX_S 3600.0
+/*
+ * Limits of what is discarded of other requests' responses. An upstream that
+ * answers twice sends one too many.
+ */
+#define DISCARDED_RESPONSES_MAX 8
+#define DISCARDED_BYTES_MAX (64u << 10)
 
 struct aub_http_client {
 	struct aub_poller *poller;
@@ -47,6 +53,8 @@
 	bool keep_alive;
 	bool discarding; /* the current response belongs to another request */
 	bool not_reusable; /* a response was discarded: do not pool */
+	guint discarded_responses;
+	gsize discarded_bytes; /* of the bodies of these */
 };
 
 static void pooled_connection_free(struct pooled_connection *pooled)
@@ -275,8 +283,13 @@
 {
 	struct aub_exchange *exchange = context;
 
-	if (!exchange->discarding)
+	if (!exchange->discarding) {
 		exchange->callbacks.body(data, length, exchange->context);
+		return;
+	}
+	exchange->discarded_bytes += length;
+	if (exchange->discarded_bytes > DISCARDED_BYTES_MAX)
+		exchange_finish(exchange, AUB_EXCHANGE_CONNECTION_LOST);
 }
 
 static bool may_pool(const struct aub_exchange *exchange)
@@ -292,7 +305,8 @@
 	struct aub_exchange *exchange = context;
 
 	if (exchange->discarding) {
-		if (!exchange->keep_alive) {
+		if (!exchange->keep_alive ||
+		    exchange->discarded_responses > DISCARDED_RESPONSES_MAX) {
 			exchange_finish(exchange, AUB_EXCHANGE_CONNECTION_LOST);
 			return;
 		}
@@ -431,6 +445,7 @@
 {
 	exchange->discarding = true;
 	exchange->not_reusable = true;
+	exchange->discarded_responses++;
 }
 
 void aub_exchange_pause_reading(struct aub_exchange *exchange, bool paused)
--- a/tests/test_gateway_endless.cc
+++ b/tests/test_gateway_endless.cc
@@ -25,6 +25,15 @@
 	{ "a reason", "HTTP/1.1 200 ", "x" },
 };
 
+/* Answers of other requests, which are skipped. */
+static const struct EndlessBytes endless_foreign_answers[] = {
+	{ "another request's body",
+	  "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n", "x" },
+	{ "other requests' answers", "",
+	  "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+	  "Content-Length: 0\r\n\r\n" },
+};
+
 /* An answer of the caller's own that doesn't end. */
 static const struct EndlessBytes endless_bodies[] = {
 	{ "no length", STAMPED "\r\n", "x" },
@@ -147,6 +156,8 @@
 	start();
 	for (const struct EndlessBytes &bytes : endless_heads)
 		expect_answer_of_other(bytes);
+	for (const struct EndlessBytes &bytes : endless_foreign_answers)
+		expect_answer_of_other(bytes);
 }
 
 /* Guards against a promise "not run" after bytes that are no answer. */
@@ -155,6 +166,8 @@
 	start();
 	for (const struct EndlessBytes &bytes : endless_heads)
 		expect_early_failure(bytes);
+	for (const struct EndlessBytes &bytes : endless_foreign_answers)
+		expect_early_failure(bytes);
 }
 
 /* Guards against an endless answer that looks complete, or is never ended. */
