gateway: an answer that is not forwarded is decided by its head

A refusal ("not run") or an answer without a stamp whose body doesn't end, or stops, held its request until the deadline: callers got 504 after 2 s, though another upstream was free.

Cause: the attempt waited for the whole answer, also where the head alone decides and the body is dropped. It now waits for 50 ms and for 64 KB at most, so that connections of short refusals are still used again, and closes the connection then. The answer counts as if it had been complete: its head was.

--- a/include/auburnstile/internal/gateway_internal.h
+++ b/include/auburnstile/internal/gateway_internal.h
@@ -94,6 +94,8 @@
 	gint64 content_length; /* of the answer's body; -1: unknown */
 	GString *head; /* status line and headers, without framing */
 	GByteArray *buffered_body; /* the part that is not yet forwarded */
+	gsize ignored_bytes; /* of a body that is not forwarded */
+	guint ignored_body_timer; /* fires if that body has not ended */
 	struct aub_load load;
 	bool streaming; /* the answer is forwarded as it arrives */
 	bool chunked_to_caller; /* framing towards the caller */
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -18,12 +18,22 @@
 #define POOLED_IDLE_IDEMPOTENT_MAX_US (8 * AUB_SECOND)
 #define POOLED_IDLE_AT_MOST_ONCE_MAX_US (1500 * AUB_MS)
 
+/*
+ * For how long, and up to which size, the body of an answer is read that is not
+ * forwarded. Nearly all of these are short, and their connections can be used
+ * again.
+ */
+#define IGNORED_BODY_TIMEOUT_US (50 * AUB_MS)
+#define IGNORED_BODY_MAX_BYTES (64u << 10)
+
 /* Gateways that are asked to relay one attempt, and for how long. */
 #define RELAYS_MAX 5
 #define RELAY_SEARCH_US (300 * AUB_MS)
 
 void aub_attempt_free(struct aub_upstream_attempt *attempt)
 {
+	aub_timer_cancel(attempt->request->gateway->options.timers,
+			 attempt->ignored_body_timer);
 	attempt->request->attempt = NULL;
 	if (attempt->head)
 		g_string_free(attempt->head, TRUE);
@@ -157,6 +167,46 @@
 		});
 }
 
+/* Returns whether the head alone decides what becomes of the request. */
+static bool ignores_body(const struct aub_upstream_attempt *attempt)
+{
+	return attempt->malformed || attempt->relay_failure ||
+	       (attempt->not_run && !attempt->request->relayed);
+}
+
+static void on_ended(enum aub_exchange_result exchange_end, void *context);
+
+/*
+ * Ends an attempt whose answer is not forwarded, though its body has not ended:
+ * it may never do, and would hold the request until its deadline.
+ */
+static void end_at_head(struct aub_upstream_attempt *attempt)
+{
+	struct aub_exchange *exchange = g_steal_pointer(&attempt->exchange);
+
+	aub_exchange_cancel(exchange);
+	on_ended(AUB_EXCHANGE_COMPLETE, attempt);
+}
+
+static void on_ignored_body_timeout(void *context, gint64 now_us)
+{
+	struct aub_upstream_attempt *attempt = context;
+
+	attempt->ignored_body_timer = 0;
+	end_at_head(attempt);
+}
+
+static void watch_ignored_body(struct aub_upstream_attempt *attempt)
+{
+	struct aub_timer_service *timers =
+		attempt->request->gateway->options.timers;
+
+	attempt->ignored_body_timer =
+		aub_timer_at(timers, "ignored body",
+			     aub_timer_now(timers) + IGNORED_BODY_TIMEOUT_US,
+			     on_ignored_body_timeout, attempt);
+}
+
 static void on_head(const struct aub_http_head *head, void *context)
 {
 	struct aub_upstream_attempt *attempt = context;
@@ -168,8 +218,10 @@
 	else
 		attempt->relay_failure = aub_relay_failure_parse(
 			aub_http_head_find(head, AUB_RELAY_FAILURE_HEADER));
-	if (attempt->relay_failure)
+	if (attempt->relay_failure) {
+		watch_ignored_body(attempt);
 		return;
+	}
 	if (is_for_other_request(attempt, head)) {
 		aub_exchange_discard_response(attempt->exchange);
 		return;
@@ -181,6 +233,8 @@
 	attempt->content_length = attempt->request->is_head ? 0 :
 				  head->chunked		    ? -1 :
 							      head->length;
+	if (ignores_body(attempt))
+		watch_ignored_body(attempt);
 	read_load(attempt, head);
 	attempt->head = g_string_new(NULL);
 	g_string_append_printf(attempt->head, "HTTP/1.1 %u %s\r\n",
@@ -199,9 +253,12 @@
 {
 	struct aub_upstream_attempt *attempt = context;
 
-	if (attempt->malformed || attempt->relay_failure ||
-	    (attempt->not_run && !attempt->request->relayed))
+	if (ignores_body(attempt)) {
+		attempt->ignored_bytes += length;
+		if (attempt->ignored_bytes > IGNORED_BODY_MAX_BYTES)
+			end_at_head(attempt);
 		return;
+	}
 	if (!attempt->relay)
 		aub_egress_monitor_on_answer(egress_of(attempt));
 	if (attempt->streaming) {
@@ -241,6 +298,9 @@
 	enum aub_grant_result end = aub_attempt_classify(attempt, exchange_end);
 
 	attempt->exchange = NULL;
+	aub_timer_cancel(request->gateway->options.timers,
+			 attempt->ignored_body_timer);
+	attempt->ignored_body_timer = 0;
 	aub_attempt_observe_path(attempt, exchange_end);
 	if (should_try_other_gateway(attempt, exchange_end) &&
 	    send_through_other_gateway(attempt))
--- a/tests/test_gateway_endless.cc
+++ b/tests/test_gateway_endless.cc
@@ -7,6 +7,7 @@
 #define STAMPED                                  \
 	"HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n" \
 	"Response-Stamp: stamp\r\n"
+#define NOT_RUN "HTTP/1.1 503 X\r\nRequest-Id: $ID\r\nNot-Executed: 1\r\n"
 
 struct EndlessBytes {
 	const char *name;
@@ -25,6 +26,17 @@
 	{ "a reason", "HTTP/1.1 200 ", "x" },
 };
 
+/* The head of these says that the answer is not the caller's. */
+static const struct EndlessBytes endless_ignored_bodies[] = {
+	{ "no stamp", "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n\r\n", "x" },
+	{ "not run", NOT_RUN "\r\n", "x" },
+	{ "not run, a length", NOT_RUN "Content-Length: 99999999999\r\n\r\n",
+	  "x" },
+	{ "not run, chunks", NOT_RUN "Transfer-Encoding: chunked\r\n\r\n",
+	  "5\r\nhello\r\n" },
+	{ "not run, then silence", NOT_RUN "Content-Length: 5\r\n\r\n", "" },
+};
+
 /* Answers of other requests, which are skipped. */
 static const struct EndlessBytes endless_foreign_answers[] = {
 	{ "another request's body",
@@ -170,6 +182,14 @@
 		expect_early_failure(bytes);
 }
 
+/* Guards against a slot that is held by a body which nobody wants. */
+TEST_F(EndlessTest, SendsRequestElsewhereWhoseAnswerIsNotForwarded)
+{
+	start();
+	for (const struct EndlessBytes &bytes : endless_ignored_bodies)
+		expect_answer_of_other(bytes);
+}
+
 /* Guards against an endless answer that looks complete, or is never ended. */
 TEST_F(EndlessTest, EndsAnswerWithoutEndAtDeadline)
 {
