http: a response beyond its limit fails the call

A health check whose body doesn't end read as much as the link carries for 400 ms, 12 MB a probe in the test, and kept up to 8 MiB of it for each of the probes in flight. Besides, a piece that would have passed the limit was dropped and the call went on: a listing of the store with a hole would have been taken for whole.

The call now fails at its limit. Health checks have one of 16 KB, since their head says what they have to say; the store keeps 8 MiB.

Left: the error of a store's listing beyond 8 MiB doesn't name the limit.

--- a/include/auburnstile/internal/http_client.h
+++ b/include/auburnstile/internal/http_client.h
@@ -109,6 +109,9 @@
 				    const struct aub_http_head *head,
 				    const char *body, gsize length,
 				    void *context);
+/* The answer to a health check says what it has to say in its head. */
+#define AUB_HEALTH_BODY_MAX_BYTES (16u << 10)
+
 struct aub_http_call_options {
 	const char *method; /* "GET" */
 	const char *address;
@@ -119,6 +122,8 @@
 	const char *content_type; /* of the body */
 	guint timeout_ms;
 	gint64 idle_max_us;
+	/* of the response; a larger one fails the call; 0: 8 MiB */
+	gsize body_max_bytes;
 };
 struct aub_http_call;
 struct aub_http_call *aub_http_call_new(
--- a/src/coordination/egress_monitor.c
+++ b/src/coordination/egress_monitor.c
@@ -116,6 +116,7 @@
 		.path = target->path,
 		.headers = "Connection: close\r\n",
 		.timeout_ms = CHECK_TIMEOUT_MS,
+		.body_max_bytes = AUB_HEALTH_BODY_MAX_BYTES,
 		.idle_max_us = 0,
 	};
 
--- a/src/coordination/placer_probes.c
+++ b/src/coordination/placer_probes.c
@@ -223,6 +223,7 @@
 		.pool_name = "probe",
 		.path = probe->path,
 		.timeout_ms = PROBE_TIMEOUT_MS,
+		.body_max_bytes = AUB_HEALTH_BODY_MAX_BYTES,
 		.idle_max_us = PROBE_CONNECTION_IDLE_US,
 	};
 
@@ -247,6 +248,7 @@
 		.path = probe->path,
 		.headers = headers,
 		.timeout_ms = PROBE_TIMEOUT_MS,
+		.body_max_bytes = AUB_HEALTH_BODY_MAX_BYTES,
 		.idle_max_us = AUB_RELAY_IDLE_MAX_US,
 	};
 
--- a/src/transport/http_call.c
+++ b/src/transport/http_call.c
@@ -6,7 +6,8 @@
 
 #include <string.h>
 
-#define BODY_MAX_BYTES (8u << 20) /* a page of the store has about 1 MB */
+/* a page of the store has about 1 MB */
+#define BODY_MAX_BYTES_DEFAULT (8u << 20)
 
 struct aub_http_call {
 	struct aub_timer_service *timers;
@@ -15,6 +16,7 @@
 	void *context;
 	const struct aub_http_head *head; /* owned by the stream */
 	GByteArray *body;
+	gsize body_max_bytes;
 	guint timer;
 };
 
@@ -32,15 +34,6 @@
 	call->head = head;
 }
 
-static void on_body(const char *data, gsize length, void *context)
-{
-	struct aub_http_call *call = context;
-
-	if (call->body->len + length <= BODY_MAX_BYTES)
-		g_byte_array_append(call->body, (const guint8 *)data,
-				    (guint)length);
-}
-
 static void call_finish(struct aub_http_call *call,
 			enum aub_exchange_result result)
 {
@@ -52,6 +45,22 @@
 	call_free(call);
 }
 
+/*
+ * A response that exceeds the limit fails the call: a part of it would be taken
+ * for the whole.
+ */
+static void on_body(const char *data, gsize length, void *context)
+{
+	struct aub_http_call *call = context;
+
+	if (call->body->len + length > call->body_max_bytes) {
+		aub_exchange_cancel(call->exchange);
+		call_finish(call, AUB_EXCHANGE_CONNECTION_LOST);
+		return;
+	}
+	g_byte_array_append(call->body, (const guint8 *)data, (guint)length);
+}
+
 static void on_ended(enum aub_exchange_result result, void *context)
 {
 	call_finish(context, result);
@@ -114,6 +123,9 @@
 	call->ended = ended;
 	call->context = context;
 	call->body = g_byte_array_new();
+	call->body_max_bytes = options->body_max_bytes ?
+				       options->body_max_bytes :
+				       BODY_MAX_BYTES_DEFAULT;
 	call->timer = aub_timer_at(call->timers, "call",
 				   aub_timer_now(call->timers) +
 					   options->timeout_ms * AUB_MS,
--- a/tests/test_gateway_endless.cc
+++ b/tests/test_gateway_endless.cc
@@ -4,6 +4,12 @@
  */
 #include "gateway_fixture.h"
 
+/*
+ * What a probe may cost its upstream: the bound of a head, and what the buffers
+ * of the sockets hold when the connection is closed.
+ */
+#define PROBE_BYTES_MAX (1u << 20)
+
 #define STAMPED                                  \
 	"HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n" \
 	"Response-Stamp: stamp\r\n"
@@ -245,3 +251,48 @@
 		EXPECT_EQ(caller->answers, 1u);
 	}
 }
+
+/* Guards against probes that read without end, and against their answers. */
+TEST_F(EndlessTest, EndsProbesWhoseAnswerHasNoEnd)
+{
+	static const struct EndlessBytes probes[] = {
+		{ "garbage", "", "\001garbage" },
+		{ "empty lines", "", "\r\n" },
+		{ "interim answers", "", "HTTP/1.1 102 X\r\n\r\n" },
+		{ "header fields", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n" },
+		{ "a body", "HTTP/1.1 200 OK\r\nInstance-Id: $UPSTREAM\r\n\r\n",
+		  "x" },
+		{ "chunks",
+		  "HTTP/1.1 200 OK\r\nInstance-Id: $UPSTREAM\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n",
+		  "5\r\nhello\r\n" },
+		{ "a length",
+		  "HTTP/1.1 200 OK\r\nInstance-Id: $UPSTREAM\r\n"
+		  "Content-Length: 99999999999\r\n\r\n",
+		  "x" },
+	};
+
+	start();
+	for (const struct EndlessBytes &bytes : probes) {
+		SCOPED_TRACE(bytes.name);
+		set_endless(bytes, true);
+		guint probed = platform_upstream_probes(faulty);
+		guint64 bytes_before = platform_upstream_endless_bytes(faulty);
+		guint connections = platform_upstream_open_connections(faulty);
+		/* Requests keep the placer probing. */
+		for (int i = 0; i < 20; i++) {
+			auto caller = send_request("GET", "/safe/a", "r");
+			ASSERT_TRUE(wait_for_answer(caller));
+			EXPECT_EQ(caller->status, 200u);
+			run_for(20);
+		}
+		EXPECT_GT(platform_upstream_probes(faulty), probed);
+		EXPECT_LE(platform_upstream_open_connections(faulty),
+			  connections + 2);
+		EXPECT_LE(platform_upstream_endless_bytes(faulty) -
+				  bytes_before,
+			  (platform_upstream_probes(faulty) - probed) *
+				  PROBE_BYTES_MAX);
+		wait_until_up();
+	}
+}
