http: reading stops while much input waits, instead of the connection's end

Cause: what follows a request in progress is kept unparsed, and stream_receive() ended the connection at 64 KB. Now nothing more is read until the owner resumes; the peer's window closes. A client's end is still noticed while nothing is read (EPOLLRDHUP), also while an upload is paused, as far as the kernel has received it: behind more bytes than the window holds it hasn't.

--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -19,8 +19,11 @@
  * of the limit of the head: empty lines and interim answers may precede it.
  */
 #define PREAMBLE_MAX_HEADS 2
-/* Limit of input that was received before the owner called resume. */
-#define UNPARSED_MAX_BYTES (64u << 10)
+/*
+ * Input that was received before the owner called resume, beyond which no more
+ * is read.
+ */
+#define UNPARSED_HIGH_BYTES (64u << 10)
 
 struct header_offsets {
 	guint name; /* offsets into `text` */
@@ -256,14 +259,33 @@
 	g_free(stream);
 }
 
+static bool reading_is_stopped(const struct aub_http_stream *stream)
+{
+	return stream->reading_paused ||
+	       (stream->awaiting_resume &&
+		stream->unparsed->len >= UNPARSED_HIGH_BYTES);
+}
+
+/*
+ * A client that leaves while nothing is read from it is noticed by the end of
+ * its output. A server's end waits until its response has been read.
+ */
+static bool watches_end_only(const struct aub_http_stream *stream)
+{
+	return !stream->connecting && reading_is_stopped(stream) &&
+	       stream->parser.type == HTTP_REQUEST;
+}
+
 static void watch_update(struct aub_http_stream *stream)
 {
 	guint events = 0;
 
 	if (stream->freed || !stream->watch)
 		return;
-	if (!stream->reading_paused && !stream->connecting)
+	if (!stream->connecting && !reading_is_stopped(stream))
 		events |= EPOLLIN;
+	if (watches_end_only(stream))
+		events |= EPOLLRDHUP;
 	if (stream->connecting || stream->output->len > stream->out_sent_bytes)
 		events |= EPOLLOUT;
 	aub_poll_watch_set_events(stream->watch, events);
@@ -344,10 +366,6 @@
 	if (stream->closing || stream->rejected)
 		return;
 	if (stream->awaiting_resume) {
-		if (stream->unparsed->len + length > UNPARSED_MAX_BYTES) {
-			stream_end(stream, AUB_STREAM_MALFORMED);
-			return;
-		}
 		g_byte_array_append(stream->unparsed, (const guint8 *)data,
 				    (guint)length);
 		/*
@@ -424,6 +442,9 @@
 		if (!stream->freed && !stream->end_reported &&
 		    (events & (EPOLLIN | EPOLLERR | EPOLLHUP)))
 			stream_read(stream);
+		else if (!stream->freed && (events & EPOLLRDHUP) &&
+			 watches_end_only(stream))
+			stream_end(stream, AUB_STREAM_EOF);
 	}
 	watch_update(stream);
 	stream->callback_depth--;
@@ -554,6 +575,7 @@
 	stream->unparsed = g_byte_array_new();
 	stream->callback_depth++;
 	stream_parse(stream, (const char *)unparsed->data, unparsed->len);
+	watch_update(stream);
 	stream->callback_depth--;
 	g_byte_array_unref(unparsed);
 	stream_release(stream);
--- a/tests/test_gateway_caller.cc
+++ b/tests/test_gateway_caller.cc
@@ -240,3 +240,25 @@
 	EXPECT_NE(brief->body.find("overload"), std::string::npos)
 		<< brief->body;
 }
+
+/* Guards against an answer that is lost for what is sent ahead of it. */
+TEST_F(CallerTest, AnswersRequestsWithMuchSentAheadOfThem)
+{
+	const std::string body(40000, 'x');
+	std::vector<std::string> expected;
+	std::string text;
+
+	start_with_upstreams(2, 100);
+	Caller caller(poller, listen_addresses[0]);
+	for (int i = 0; i < 8; i++) {
+		expected.push_back("n" + std::to_string(i));
+		text += request("POST /safe/a", expected.back(),
+				"Content-Length: 40000\r\n") +
+			body;
+	}
+	caller.send(text);
+	run_until([&] { return caller.answers == 8 || caller.ended; }, 5000);
+	EXPECT_EQ(caller.request_ids, expected);
+	EXPECT_EQ(caller.status, 200u);
+	EXPECT_EQ(runs(), 8u);
+}
--- a/tests/test_http_stream.cc
+++ b/tests/test_http_stream.cc
@@ -145,6 +145,48 @@
 	EXPECT_EQ(log, "head /1 -1;complete;head /2 -1;complete;");
 }
 
+/* Guards against a connection that ends since much is sent ahead on it. */
+TEST_F(HttpStream, StopsReadingWhileMuchIsUnparsed)
+{
+	const std::string text = "POST /1 HTTP/1.1\r\nContent-Length: 300000"
+				 "\r\n\r\n" +
+				 std::string(300000, 'x');
+	std::string expected;
+	std::string sent;
+	size_t at = 0;
+
+	open_tcp(HTTP_REQUEST);
+	for (int i = 0; i < 20; i++) {
+		expected += "head /1 300000;complete;";
+		sent += text;
+	}
+	for (int i = 0; i < 2000 && log != expected; i++) {
+		ssize_t count =
+			::send(peer, sent.data() + at, sent.size() - at, 0);
+
+		at += (size_t)MAX(count, 0);
+		run_for(1);
+		/* The owner is slow: it resumes in each tenth round. */
+		if (i % 10 == 9)
+			aub_http_stream_resume(stream);
+	}
+	EXPECT_EQ(log, expected);
+	EXPECT_EQ(body.size(), 20 * 300000u);
+}
+
+/* Guards against work for a peer that has left while nothing is read. */
+TEST_F(HttpStream, NoticesEndOfPeerWhileReadingIsStopped)
+{
+	const std::string ahead(150000, 'x');
+
+	open_tcp(HTTP_REQUEST);
+	send_and_run("GET /1 HTTP/1.1\r\n\r\n" + ahead);
+	EXPECT_EQ(log, "head /1 -1;complete;");
+	shutdown(peer, SHUT_WR);
+	run_for(5);
+	EXPECT_EQ(log, "head /1 -1;complete;eof;");
+}
+
 TEST_F(HttpStream, DiscardsTrailers)
 {
 	open(HTTP_REQUEST);
