gateway: reading goes on when a body is complete

Cause: aub_request_on_body() pauses reading for a piece that passes the limit. It was resumed only while the body is incomplete, so that the pause outlasted the request if that piece was the last one. The same for a last piece that leaves much queued for a slow upstream.

The end of the body now always ends the pause; what follows is bounded by the stream. Related pauses, by reading: answers for a slow caller end with the exchange, whose connection is read again when it is pooled.

--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -525,6 +525,8 @@
 void aub_request_on_body_end(struct aub_request *request)
 {
 	request->body_complete = true;
+	/* Its last piece may have paused reading; the next request follows. */
+	aub_http_stream_pause_reading(request->caller->stream, false);
 	if (request->placement_deferred)
 		return;
 	if (needs_complete_body(request)) {
--- a/tests/test_gateway_caller.cc
+++ b/tests/test_gateway_caller.cc
@@ -262,3 +262,25 @@
 	EXPECT_EQ(caller.status, 200u);
 	EXPECT_EQ(runs(), 8u);
 }
+
+/* Guards against a connection that is never read again after an upload. */
+TEST_F(CallerTest, ReadsNextRequestAfterUploadThatWaitedForSlot)
+{
+	const std::string half(50000, 'x');
+
+	timeout_ms = 3000;
+	start_with_upstreams(1, 1500);
+	Caller first(poller, listen_addresses[0]);
+	occupy_slots(first);
+	Caller caller(poller, listen_addresses[0]);
+	caller.send(request("POST /safe/b", "upload",
+			    "Content-Length: 100000\r\n") +
+		    half);
+	run_for(20);
+	caller.send(half);
+	ASSERT_TRUE(run_until([&] { return caller.answers == 1; }, 3000));
+	EXPECT_EQ(caller.status, 200u);
+	caller.send(request("GET /safe/c", "next"));
+	ASSERT_TRUE(run_until([&] { return caller.answers == 2; }, 3000));
+	EXPECT_EQ(caller.request_ids, names({ "upload", "next" }));
+}
