--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -412,6 +412,50 @@
 		stream_end(stream, AUB_STREAM_EOF);
 }
 
+static void on_output_drained(struct aub_http_stream *stream)
+{
+	g_byte_array_set_size(stream->output, 0);
+	stream->out_sent_bytes = 0;
+	if (stream->closing && !stream->write_shut) {
+		stream->write_shut = true;
+		shutdown(stream->fd, SHUT_WR);
+	}
+	if (stream->callbacks.drained && !stream->end_reported)
+		stream->callbacks.drained(stream->context);
+}
+
+/*
+ * Returns whether a failed send means that the connection broke. EPIPE doesn't:
+ * the peer has ended its output before, and all of that can still be read.
+ */
+static bool is_broken(int send_error)
+{
+	return send_error != EAGAIN && send_error != EINTR &&
+	       send_error != EPIPE;
+}
+
+/* Sends what is queued. Its callback may free the stream. */
+static void send_output(struct aub_http_stream *stream)
+{
+	gsize length = aub_http_stream_queued_bytes(stream);
+	ssize_t sent;
+
+	if (stream->freed || stream->connecting || stream->end_reported ||
+	    !length)
+		return;
+	sent = send(stream->fd, stream->output->data + stream->out_sent_bytes,
+		    length, MSG_NOSIGNAL);
+	/* Input that arrived before is read first; the end is reported then. */
+	if (sent < 0 && is_broken(errno))
+		stream->send_failed = true;
+	if (sent <= 0)
+		return;
+	stream->sent_bytes += (guint64)sent;
+	stream->out_sent_bytes += (gsize)sent;
+	if (stream->out_sent_bytes == stream->output->len)
+		on_output_drained(stream);
+}
+
 static void on_connected(struct aub_http_stream *stream)
 {
 	int error = 0;
@@ -425,8 +469,7 @@
 	stream->connecting = false;
 	if (stream->callbacks.connected)
 		stream->callbacks.connected(stream->context);
-	if (!stream->freed)
-		aub_http_stream_flush(stream);
+	send_output(stream);
 }
 
 static void on_socket_event(void *context, guint events)
@@ -438,7 +481,7 @@
 		on_connected(stream);
 	} else {
 		if (events & EPOLLOUT)
-			aub_http_stream_flush(stream);
+			send_output(stream);
 		if (!stream->freed && !stream->end_reported &&
 		    (events & (EPOLLIN | EPOLLERR | EPOLLHUP)))
 			stream_read(stream);
@@ -513,48 +556,10 @@
 	return stream->sent_bytes;
 }
 
-static void on_output_drained(struct aub_http_stream *stream)
-{
-	g_byte_array_set_size(stream->output, 0);
-	stream->out_sent_bytes = 0;
-	if (stream->closing && !stream->write_shut) {
-		stream->write_shut = true;
-		shutdown(stream->fd, SHUT_WR);
-	}
-	if (stream->callbacks.drained && !stream->end_reported)
-		stream->callbacks.drained(stream->context);
-}
-
-/*
- * Returns whether a failed send means that the connection broke. EPIPE doesn't:
- * the peer has ended its output before, and all of that can still be read.
- */
-static bool is_broken(int send_error)
-{
-	return send_error != EAGAIN && send_error != EINTR &&
-	       send_error != EPIPE;
-}
-
 void aub_http_stream_flush(struct aub_http_stream *stream)
 {
-	gsize length = aub_http_stream_queued_bytes(stream);
-	ssize_t sent;
-
-	if (stream->freed || stream->connecting || stream->end_reported ||
-	    !length)
-		return;
 	stream->callback_depth++;
-	sent = send(stream->fd, stream->output->data + stream->out_sent_bytes,
-		    length, MSG_NOSIGNAL);
-	/* Input that arrived before is read first; the end is reported then. */
-	if (sent < 0 && is_broken(errno))
-		stream->send_failed = true;
-	if (sent > 0) {
-		stream->sent_bytes += (guint64)sent;
-		stream->out_sent_bytes += (gsize)sent;
-		if (stream->out_sent_bytes == stream->output->len)
-			on_output_drained(stream);
-	}
+	send_output(stream);
 	watch_update(stream);
 	stream->callback_depth--;
 	stream_release(stream);
