soak: callers that send requests ahead; gateways that end by themselves

`--ahead` has ten such callers on connections that they keep until the gateway closes them, with bursts of one to six requests of 0 to 40,000 bytes and uploads in two halves; half of the upstreams refuse with Retry-After in phases; the time-out of the routes changes with the configuration. Checked: each answer in its place, complete and within the deadline, no connection that a gateway without faults of its own closes with unanswered requests, and in all runs that no gateway ends by itself.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -88,7 +88,7 @@
 			tail -n 30 "$log"
 		fi
 	fi
-	grep '^seed \|^order\|^notices\|^workspaces\|^partitions\|^refusals' "$log"
+	grep '^seed \|^order\|^notices\|^workspaces\|^partitions\|^refusals\|^ahead' "$log"
 }
 # Short runs with fixed seeds. Seeds 15 and 117 guard against violations that
 # the soak itself would cause. With seed 15, an upstream drains while no gateway
@@ -128,5 +128,10 @@
 for seed in 1 2; do
 	soak pauses-$seed --refusals --pauses --gateways 12 --seed $seed --seconds 14
 done
+# Callers that send requests ahead on connections that they keep, with uploads,
+# while upstreams refuse with Retry-After and time-outs are short.
+for seed in 2 4; do
+	soak ahead-$seed --ahead --seed $seed --seconds 14
+done
 echo "$passed passed, $failed failed"
 exit $exit_status
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -25,9 +25,13 @@
  *   QUOTA    more requests of a workspace were executed than its quota allows
  *   UNASKED  an upstream got a caller's API key or another workspace than
  *            that of the key
- *   CONFIG   a removed API key opened something
+ *   CONFIG   a removed API key opened something, or a request had no answer
+ *            half a second after its deadline
  *   BUDGET   an upstream got requests in the rest that it asked a gateway for,
  *            or the upstreams got more retries than the fleet may send
+ *   LOST     a gateway without faults of its own closed a connection with
+ *            requests that had no answer
+ *   ENDED    a gateway ended by itself
  *   RECOVER  requests are not served after the faults have ended; or, with
  *            partitions and no other faults, gateways without links to the
  *            upstreams serve less than the others, or these serve less
@@ -74,6 +78,10 @@
 		options->soak.refusals = true;
 		return 0;
 	}
+	if (key == 'a') {
+		options->soak.ahead = true;
+		return 0;
+	}
 	if (key == 'z') {
 		options->soak.pauses = true;
 		return 0;
@@ -121,6 +129,10 @@
 		{ "pauses", 'z', NULL, 0,
 		  "gateways are paused for a part of each period, and killed",
 		  0 },
+		{ "ahead", 'a', NULL, 0,
+		  "callers send requests ahead and uploads, upstreams refuse "
+		  "with Retry-After, and time-outs are short",
+		  0 },
 		{ "gateways", 'g', "N", 0, "number of gateways (5; 60 at most)",
 		  0 },
 		{ "silences", 'q', NULL, 0,
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -33,6 +33,7 @@
 #define DRAIN_LIMIT_US (3 * AUB_SECOND)
 
 struct notices;
+struct soak_ahead;
 struct soak_partitions;
 struct soak_pauses;
 struct soak_refusals;
@@ -110,6 +111,7 @@
 	struct soak_partitions *partitions; /* NULL without partitions */
 	struct soak_refusals *refusals; /* NULL without refusals */
 	struct soak_pauses *pauses; /* NULL without pauses */
+	struct soak_ahead *ahead; /* NULL without requests sent ahead */
 	struct aub_timer_service *timers;
 	struct aub_poller *poller;
 	struct platform_store *store;
@@ -300,6 +302,18 @@
 /* Prints one line with counts. */
 void soak_refusals_report(const struct soak_refusals *refusals);
 
+/*
+ * Callers that send requests ahead on connections that they keep, at random by
+ * `seed`, until the faults end.
+ */
+struct soak_ahead *soak_ahead_new(struct soak *soak, guint32 seed);
+void soak_ahead_free(struct soak_ahead *ahead);
+void soak_ahead_step(struct soak_ahead *ahead, gint64 now_us);
+/* Returns the time-out of the next version's routes. */
+guint soak_ahead_timeout_ms(struct soak_ahead *ahead);
+/* Prints one line with counts. */
+void soak_ahead_report(const struct soak_ahead *ahead);
+
 /*
  * A rollout that takes place during the faults. The parity of `seed` determines
  * whether the new version is good (even) or faulty (odd). The rollout owns the
--- a/tools/soak/soak_faults.c
+++ b/tools/soak/soak_faults.c
@@ -209,6 +209,10 @@
 			gateway->resume_us = 0;
 			gateway->disturbed_us = now_us;
 		}
+		if (!gateway->restart_us && child_has_exited(gateway->child)) {
+			soak_report_violation(soak, "ENDED (by itself)", "-");
+			soak_gateway_start(gateway);
+		}
 		if (gateway->restart_us && gateway->restart_us <= now_us)
 			soak_gateway_start(gateway);
 	}
--- a/tools/soak/soak_run.c
+++ b/tools/soak/soak_run.c
@@ -41,6 +41,8 @@
 		soak_refusals_step(soak->refusals, now_us);
 	if (soak->pauses)
 		soak_pauses_step(soak->pauses, now_us);
+	if (soak->ahead)
+		soak_ahead_step(soak->ahead, now_us);
 	if (soak->zone_evacuated && now_us >= soak->faults_end_us)
 		soak_end_evacuation(soak);
 	if (now_us >= soak->next_fault_us && now_us < soak->faults_end_us)
@@ -78,6 +80,8 @@
 		soak->refusals = soak_refusals_new(soak, seed);
 	if (options->pauses)
 		soak->pauses = soak_pauses_new(soak, seed);
+	if (options->ahead)
+		soak->ahead = soak_ahead_new(soak, seed);
 	soak_configure(soak);
 	for (guint i = 0; i < UPSTREAM_COUNT; i++) {
 		soak->upstreams[i].soak = soak;
@@ -126,6 +130,8 @@
 		soak_workspaces_report(soak->workspaces);
 	if (soak->refusals)
 		soak_refusals_report(soak->refusals);
+	if (soak->ahead)
+		soak_ahead_report(soak->ahead);
 	if (soak->violations)
 		g_print("logs are kept in %s\n", soak->folder);
 	return soak->violations == 0;
@@ -133,6 +139,7 @@
 
 static void soak_stop(struct soak *soak)
 {
+	soak_ahead_free(soak->ahead);
 	for (guint i = 0; i < CALLER_COUNT; i++)
 		soak_caller_disconnect(&soak->callers[i]);
 	for (guint i = 0; i < soak->gateway_count; i++) {
--- a/tools/soak/soak_run.h
+++ b/tools/soak/soak_run.h
@@ -29,6 +29,7 @@
 	bool silences;
 	bool refusals; /* upstreams refuse requests despite free slots */
 	bool pauses; /* gateways run only a part of the time */
+	bool ahead; /* callers send requests ahead */
 	guint gateways; /* their number; 0: the usual one */
 };
 
--- a/tools/soak/soak_upstreams.c
+++ b/tools/soak/soak_upstreams.c
@@ -127,13 +127,15 @@
 void soak_configure(struct soak *soak)
 {
 	GString *text = g_string_new(NULL);
+	guint timeout_ms =
+		soak->ahead ? soak_ahead_timeout_ms(soak->ahead) : 1500;
 
 	g_string_append_printf(
 		text,
 		"{\"version\":%u,\"routes\":{\"columns\":[\"name\",\"host\","
 		"\"path_prefix\",\"kind\",\"timeout_ms\",\"target_latency_ms\","
 		"\"priority\",\"traffic_split\",\"max_attempts\",\"service\"],"
-		"\"rows\":[[\"r1\",\"site\",\"/safe/\",\"safe\",1500,300,2,"
+		"\"rows\":[[\"r1\",\"site\",\"/safe/\",\"safe\",%u,300,2,"
 		"null,2,\"svc\"],[\"r2\",\"site\",\"/once/\",\"unsafe\",1500,"
 		"300,1,null,2,\"svc\"]]},\"services\":{\"columns\":[\"name\","
 		"\"health_path\",\"max_conns\",\"protocol\",\"tls\","
@@ -141,7 +143,7 @@
 		"\"/health\",220,\"h1\",false,3.0,20.0]]},\"limits\":{"
 		"\"max_header_bytes\":4096,\"max_body_bytes\":1048576,"
 		"\"header_timeout_ms\":1000,\"idle_timeout_ms\":3000}",
-		++soak->config_version);
+		++soak->config_version, timeout_ms);
 	if (soak->workspaces)
 		soak_workspaces_append_table(soak->workspaces, text);
 	g_string_append_c(text, '}');
