placer: only the gateway that ranks first grants cold upstreams

Cause: each process that is asked to place grants 0.75 of the rate, which is right for two of them. While the first placer is slow, requests go to the second and the third as well, so that three and more did.

A placer now leaves cold upstreams out unless it ranks first by its own list of the living; that list changes when a death is noticed, not with each suspicion. Nothing is sent for it, and local fallback already did the same. While the first one is slow, requests that only cold upstreams could serve are refused by the others at once; these would have served a few a second.

Ruled out: credit that is handed over as for retries. A cold upstream bears a few requests a second, so that a share for each of tens of gateways would come to one request in many seconds from each.

Left: gateways whose lists differ (parts of the fleet that are cut off from each other) have a first one each.

--- a/include/auburnstile/internal/placement.h
+++ b/include/auburnstile/internal/placement.h
@@ -51,6 +51,8 @@
 	bool retry; /* it was sent to an upstream before */
 	bool replaces; /* a retry, while that upstream has not answered */
 	bool local_fallback; /* placed locally, for lack of a placer */
+	/* another placer grants the slots of cold upstreams */
+	bool avoid_cold;
 	/* handed over with it, in thousandths of a retry */
 	guint32 retry_credit;
 	guint64 fingerprint; /* the same when its caller repeats it; 0: none */
--- a/include/auburnstile/internal/placement_internal.h
+++ b/include/auburnstile/internal/placement_internal.h
@@ -121,6 +121,7 @@
 	bool replaces;
 	guint64 fingerprint; /* 0: unknown */
 	bool local_fallback; /* no placer reachable: no cold or down upstream */
+	bool avoid_cold;
 	gint64 queued_us;
 	gint64 retry_admitted_us; /* 0: it is no retry */
 	gint64 on_time_until_us; /* granted later, it is late for certain */
--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -160,6 +160,14 @@
 			    const char *upstream, const char *source,
 			    const char *id);
 
+/*
+ * Returns whether this gateway ranks first for `service`. Each placer counts
+ * the requests of a cold upstream for itself, so that only the first one may
+ * grant its rate: others are asked as well while that one is slow.
+ */
+bool aub_placer_ranks_first(const struct aub_placer *placer,
+			    const char *service);
+
 /*
  * Records and logs that an upstream asked this gateway for rest. `request_id`
  * is NULL if it answered a probe.
--- a/src/coordination/placer_messages.c
+++ b/src/coordination/placer_messages.c
@@ -147,6 +147,7 @@
 					       ->name);
 	request.avoid = (const char *const *)avoid->pdata;
 	request.avoid_count = avoid->len;
+	request.avoid_cold = !aub_placer_ranks_first(placer, message->service);
 	aub_placer_probe_service(placer, message->service);
 	aub_placer_apply_limits(placer, message->service, message->limits,
 				holder->name);
--- a/src/coordination/placer_periodic.c
+++ b/src/coordination/placer_periodic.c
@@ -29,6 +29,16 @@
 	return NULL;
 }
 
+bool aub_placer_ranks_first(const struct aub_placer *placer,
+			    const char *service)
+{
+	const GPtrArray *ranked =
+		aub_peers_ranked(placer->options.peers, service);
+
+	return ranked->len &&
+	       ((struct aub_peer *)g_ptr_array_index(ranked, 0))->self;
+}
+
 static struct aub_place_outstanding *build_outstanding(
 	struct aub_placer *placer, const char *service)
 {
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -192,6 +192,7 @@
 
 	fill_request(placer, ticket, &request);
 	request.local_fallback = is_fallback;
+	request.avoid_cold = !aub_placer_ranks_first(placer, ticket->service);
 	request.retry_credit =
 		aub_placer_hand_over_retry_credit(placer, ticket);
 	if (is_fallback)
--- a/src/state/placement_choose.c
+++ b/src/state/placement_choose.c
@@ -81,15 +81,14 @@
 		return false;
 	/*
 	 * Cold upstreams are slow, so their responses say little of the
-	 * version.
+	 * version. Their rate is granted by one placer only.
 	 */
-	if (choice->judging &&
+	if ((choice->judging || request->avoid_cold ||
+	     request->local_fallback) &&
 	    aub_placement_upstream_is_cold(upstream, choice->now_us))
 		return false;
 	if (request->local_fallback)
-		return !aub_placement_upstream_is_cold(upstream,
-						       choice->now_us) &&
-		       !aub_upstream_limit_is_set(&upstream->limit) &&
+		return !aub_upstream_limit_is_set(&upstream->limit) &&
 		       !aub_placement_request_avoids(request, upstream->id);
 	return upstream->state == AUB_PLACEMENT_UPSTREAM_UP &&
 	       !aub_placement_request_avoids(request, upstream->id);
--- a/src/state/placement_queue.c
+++ b/src/state/placement_queue.c
@@ -77,6 +77,7 @@
 	queued->replaces = request->replaces;
 	queued->fingerprint = request->fingerprint;
 	queued->local_fallback = request->local_fallback;
+	queued->avoid_cold = request->avoid_cold;
 	queued->queued_us = now_us;
 	queued->retry_admitted_us = request->retry ? now_us : 0;
 	queued->on_time_until_us =
@@ -360,6 +361,7 @@
 		.replaces = queued->replaces,
 		.fingerprint = queued->fingerprint,
 		.local_fallback = queued->local_fallback,
+		.avoid_cold = queued->avoid_cold,
 		.on_time_wait_ms = (guint)((on_time_us + AUB_US_PER_MS - 1) /
 					   AUB_US_PER_MS),
 		.avoid = (const char *const *)queued->avoid->pdata,
--- a/tests/placement_fleet.h
+++ b/tests/placement_fleet.h
@@ -287,9 +287,11 @@
 	void decide(guint i, const Ask &ask)
 	{
 		struct aub_placement_decision decision;
+		struct aub_placement_request request = ask.request;
 
-		aub_placement_submit(placement(i), &ask.request, now_us,
-				     &decision);
+		/* As aub_placer_ranks_first(): gateways rank by number. */
+		request.avoid_cold = i != 0;
+		aub_placement_submit(placement(i), &request, now_us, &decision);
 		if (decision.verdict == AUB_VERDICT_QUEUED)
 			queued[decision.ticket] = { i, ask.of };
 		else
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -191,6 +191,43 @@
 	EXPECT_LT(g_get_monotonic_time() - start_us, 300 * 1000);
 }
 
+/* Guards against a cold upstream's rate that several placers grant. */
+TEST_F(PlacerTest, OnlyFirstPlacerGrantsColdUpstreams)
+{
+	PlacementResult result;
+	struct aub_service_spec spec = {};
+
+	spec.name = (char *)"svc";
+	spec.health_path = (char *)"/health";
+	spec.warmup_ms = 3000;
+	spec.warmup_per_s = 2.0;
+	platform_upstream_set_warmup(add_upstream("u1"), 20000);
+	for (auto name : { "a", "b", "c" }) {
+		TestGateway *gateway = start_gateway(name);
+
+		register_upstream(*gateway, upstreams[0]);
+		aub_placement_configure(aub_placer_placement(gateway->placer,
+							     "svc"),
+					&spec);
+	}
+	connect_all();
+	TestGateway *first = find_placer();
+	TestGateway *other = other_gateway(first);
+	request_placement(*other, &result);
+	ASSERT_TRUE(run_until([&] { return result.done; }, 2000));
+	EXPECT_EQ(result.verdict, AUB_VERDICT_GRANTED);
+	aub_placer_report(other->placer, result.ticket, AUB_GRANT_OK, 1000,
+			  NULL);
+	/* The first placer is slow, and the next one is asked. */
+	first->drops_messages = true;
+	for (int i = 0; i < 5; i++) {
+		request_placement(*other, &result);
+		ASSERT_TRUE(run_until([&] { return result.done; }, 2000));
+		EXPECT_NE(result.verdict, AUB_VERDICT_GRANTED);
+		run_for(200);
+	}
+}
+
 /* Guards against requests that wait for a dead placer in another zone. */
 TEST_F(PlacerTest, BacksOffFromDeadPlacer)
 {
