placer: decisions after an own report are delivered from the main loop

A gateway that ends a request reports to its own placer, and the slot or the queue was drained inside that call. If the next decision refuses the oldest request of the same connection, that one's end writes and frees the answered requests behind it, among them the one that is being ended: a use after free. The same call could make a request with a finished or aborted attempt the first of its connection, whose buffered answer was then begun (read, not run: a null pointer, or a part of an answer before a 504).

Reports of other gateways and probes come from the main loop and drain at once, as before; for its own a gateway sets a timer that is due now, if anything is queued.

Two tests of returned grants now wait for the main loop before they check the same results.

--- a/include/auburnstile/internal/placer_internal.h
+++ b/include/auburnstile/internal/placer_internal.h
@@ -59,6 +59,7 @@
 	gint64 start_us; /* start of this process */
 	bool startup_over; /* the start-up grace is over */
 	guint tick_timer;
+	guint drain_timer; /* processes the queues from the main loop */
 	guint startup_timer;
 	guint round_timer;
 	guint rollout_timer; /* 0: no order is open */
@@ -129,6 +130,8 @@
 /* Decides queued requests of `placement` as far as there are free slots. */
 void aub_placer_drain_queue(struct aub_placer *placer,
 			    struct aub_placement *placement);
+/* Does so for all placements from the main loop, as soon as possible. */
+void aub_placer_schedule_drain(struct aub_placer *placer);
 
 /* Probes all upstreams of `service`, which this gateway was asked to place. */
 void aub_placer_probe_service(struct aub_placer *placer, const char *service);
--- a/src/coordination/placer.c
+++ b/src/coordination/placer.c
@@ -130,6 +130,24 @@
 	return queued;
 }
 
+static void on_drain_due(void *context, gint64 now_us)
+{
+	struct aub_placer *placer = context;
+
+	placer->drain_timer = 0;
+	(void)drain_queues(placer);
+}
+
+void aub_placer_schedule_drain(struct aub_placer *placer)
+{
+	struct aub_timer_service *timers = placer->options.timers;
+
+	if (!placer->drain_timer)
+		placer->drain_timer =
+			aub_timer_at(timers, "drain", aub_timer_now(timers),
+				     on_drain_due, placer);
+}
+
 static bool has_waiting_ticket(const struct aub_placer *placer)
 {
 	GHashTableIter iter;
@@ -263,6 +281,7 @@
 	if (!placer)
 		return;
 	aub_timer_cancel(placer->options.timers, placer->tick_timer);
+	aub_timer_cancel(placer->options.timers, placer->drain_timer);
 	aub_timer_cancel(placer->options.timers, placer->startup_timer);
 	aub_timer_cancel(placer->options.timers, placer->round_timer);
 	aub_timer_cancel(placer->options.timers, placer->rollout_timer);
--- a/src/coordination/placer_tickets.c
+++ b/src/coordination/placer_tickets.c
@@ -458,10 +458,10 @@
 	aub_log_end();
 }
 
-void aub_placer_apply_report(struct aub_placer *placer, const char *service,
-			     const struct aub_grant_report *report)
+static void apply_report(struct aub_placer *placer,
+			 struct aub_placement *placement,
+			 const struct aub_grant_report *report)
 {
-	struct aub_placement *placement = aub_placer_placement(placer, service);
 	gint64 now = aub_timer_now(placer->options.timers);
 	struct aub_grant_view grant;
 
@@ -477,9 +477,32 @@
 		/* It may still be queued. */
 		aub_placement_report(placement, report, now);
 	}
+}
+
+void aub_placer_apply_report(struct aub_placer *placer, const char *service,
+			     const struct aub_grant_report *report)
+{
+	struct aub_placement *placement = aub_placer_placement(placer, service);
+
+	apply_report(placer, placement, report);
 	aub_placer_drain_queue(placer, placement);
 }
 
+/*
+ * A request reports while it ends or proceeds. The decision on another request
+ * of its connection, delivered inside that call, could free it or use it.
+ */
+static void apply_own_report(struct aub_placer *placer, const char *service,
+			     const struct aub_grant_report *report)
+{
+	struct aub_placement *placement = aub_placer_placement(placer, service);
+
+	apply_report(placer, placement, report);
+	aub_placer_send_quota_use(placer);
+	if (aub_placement_queue_length(placement))
+		aub_placer_schedule_drain(placer);
+}
+
 void aub_placer_report(struct aub_placer *placer, guint64 id,
 		       enum aub_grant_result end, gint64 elapsed_us,
 		       const struct aub_load *load)
@@ -497,7 +520,7 @@
 		return;
 	g_hash_table_steal(placer->tickets, &id);
 	if (ticket->placed_locally)
-		aub_placer_apply_report(placer, ticket->service, &report);
+		apply_own_report(placer, ticket->service, &report);
 	else
 		aub_ticket_send_report(placer, ticket, &report);
 	aub_ticket_free(ticket);
--- a/tests/test_gateway_caller.cc
+++ b/tests/test_gateway_caller.cc
@@ -284,3 +284,29 @@
 	ASSERT_TRUE(run_until([&] { return caller.answers == 2; }, 3000));
 	EXPECT_EQ(caller.request_ids, names({ "upload", "next" }));
 }
+
+/* Guards against a request that is freed while its own end is in progress. */
+TEST_F(CallerTest, EndsRequestWhileEarlierOneIsRefused)
+{
+	timeout_ms = 3000;
+	start_with_upstreams(1, 5);
+	/* Slots are in use for a short time, so that requests are queued. */
+	for (int i = 0; i < 3; i++) {
+		other_caller = send_request("GET", "/safe/quick", "quick");
+		ASSERT_TRUE(wait_for_answer(other_caller));
+	}
+	platform_upstream_set_service_time(upstreams[0], 1500);
+	Caller first(poller, listen_addresses[0]);
+	first.send(request("GET /safe/a", "s1") + request("GET /safe/b", "s2"));
+	ASSERT_TRUE(run_until([&] { return runs() == 5; }, 1000));
+	Caller caller(poller, listen_addresses[0]);
+	caller.send(request("GET /safe/c", "waits") +
+		    request("GET /brief/d", "ends"));
+	run_for(30);
+	EXPECT_EQ(caller.answers, 0u);
+	/* Meanwhile both the wait of one and the time of the other end. */
+	g_usleep(600 * 1000);
+	ASSERT_TRUE(run_until([&] { return caller.answers == 2; }, 1000));
+	EXPECT_EQ(caller.request_ids, names({ "waits", "ends" }));
+	EXPECT_EQ(caller.status, 503u);
+}
--- a/tests/test_placer.cc
+++ b/tests/test_placer.cc
@@ -191,6 +191,33 @@
 	EXPECT_LT(g_get_monotonic_time() - start_us, 300 * 1000);
 }
 
+/* Guards against decisions that are delivered inside another request's call. */
+TEST_F(PlacerTest, DeliversDecisionsFromMainLoopAfterOwnReport)
+{
+	PlacementResult running[2];
+	PlacementResult queued;
+
+	start_all({ "a" });
+	TestGateway &gateway = *gateways[0];
+	for (PlacementResult &result : running) {
+		request_placement(gateway, &result);
+		ASSERT_TRUE(run_until([&] { return result.done; }, 1000));
+	}
+	request_placement(gateway, &queued, 5000);
+	ASSERT_FALSE(queued.done);
+	aub_placer_report(gateway.placer, running[0].ticket, AUB_GRANT_OK, 1000,
+			  NULL);
+	EXPECT_FALSE(queued.done);
+	ASSERT_TRUE(run_until([&] { return queued.done; }, 1000));
+	EXPECT_EQ(queued.verdict, AUB_VERDICT_GRANTED);
+	/* A request that is withdrawn reports as well. */
+	request_placement(gateway, &running[0], 5000);
+	ASSERT_FALSE(running[0].done);
+	aub_placer_cancel(gateway.placer, running[1].ticket);
+	EXPECT_FALSE(running[0].done);
+	ASSERT_TRUE(run_until([&] { return running[0].done; }, 1000));
+}
+
 /* Guards against a cold upstream's rate that several placers grant. */
 TEST_F(PlacerTest, OnlyFirstPlacerGrantsColdUpstreams)
 {
--- a/tests/test_placer_notices.cc
+++ b/tests/test_placer_notices.cc
@@ -405,6 +405,7 @@
 	observe_rest(gateway, 3 * AUB_SECOND);
 	aub_placer_report(gateway->placer, results[0]->ticket, AUB_GRANT_OK,
 			  5000, NULL);
+	ASSERT_TRUE(run_until([&] { return others.back().done; }, 1000));
 	EXPECT_EQ(results.back()->verdict, AUB_VERDICT_NO_UPSTREAM);
 	EXPECT_GE(results.back()->retry_after_ms, 2000u);
 	for (PlacementResult &other : others)
@@ -439,8 +440,8 @@
 		if (result->upstream == "u1")
 			aub_placer_report(second->placer, result->ticket,
 					  AUB_GRANT_OK, 5000, NULL);
-	EXPECT_EQ(aub_placer_get_counts(second->placer)->grants_rejected, 1u);
 	ASSERT_TRUE(run_until([&] { return results.back()->done; }, 1000));
+	EXPECT_EQ(aub_placer_get_counts(second->placer)->grants_rejected, 1u);
 	EXPECT_EQ(results.back()->verdict, AUB_VERDICT_GRANTED);
 	EXPECT_EQ(results.back()->upstream, "u2");
 }
