gateway: SIGHUP is ignored until it is handled

Its logs: g9 is started at ...609.206, gets SIGHUP at 609.240 and writes its first line at 609.430, after it was started once more. A reload that comes while the process starts ended it, as SIGHUP does by default.

The signal is now ignored from the first statement on, until its handler is installed.

The time between exec and main() remains.

--- a/programs/auburnstile-gateway.c
+++ b/programs/auburnstile-gateway.c
@@ -104,16 +104,20 @@
 	GError *error = NULL;
 	int status = 1;
 
+	/* Until it is handled: it would end a process that has just started. */
+	signal(SIGHUP, SIG_IGN);
 	mallopt(M_TRIM_THRESHOLD, MALLOC_TRIM_BYTES);
 	process.file = aubi_program_settings_file(
 		argc, argv, "Serves callers on one VM of a platform.");
+	/* Before it is read: a change meanwhile is noticed by the next check.
+	 */
+	file_changed(&process);
 	if (!aub_settings_load(process.file, aub_node_settings_table, &settings,
 			       &error))
 		goto out;
 	if (!aubi_program_log(process.file, settings.name, settings.log_level,
 			      true))
 		goto out;
-	file_changed(&process);
 	process.timers = aub_timer_service_new(NULL);
 	aub_decision_log_start(settings.name, process.timers);
 	process.node =
--- a/tests/test_gateway_process.cc
+++ b/tests/test_gateway_process.cc
@@ -7,7 +7,9 @@
 #include <common/child.h>
 
 #include <glib/gstdio.h>
+#include <fcntl.h>
 #include <signal.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 
 #define START_TIMEOUT_MS 10000
@@ -110,6 +112,30 @@
 	EXPECT_TRUE(returns_ttl("0.900", RELOAD_TIMEOUT_MS));
 }
 
+/* Guards against a process that a reload ends while it starts. */
+TEST_F(GatewayProcessTest, SurvivesSighupWhileItStarts)
+{
+	const char *arguments[] = { "--settings", file.c_str(), NULL };
+
+	add_upstream("u1");
+	configure();
+	write_settings(300);
+	/* A FIFO holds the process where it reads its settings. */
+	std::string fifo = std::string(folder) + "/fifo";
+	ASSERT_EQ(mkfifo(fifo.c_str(), 0600), 0);
+	arguments[1] = fifo.c_str();
+	child = child_start("auburnstile-gateway", arguments, false,
+			    log.c_str(), NULL);
+	ASSERT_NE(child, nullptr);
+	int fd = open(fifo.c_str(), O_WRONLY);
+	ASSERT_GE(fd, 0);
+	EXPECT_TRUE(child_signal(child, SIGHUP));
+	run_for(100);
+	EXPECT_FALSE(child_has_exited(child));
+	close(fd);
+	g_unlink(fifo.c_str());
+}
+
 TEST_F(GatewayProcessTest, ReloadDoesNotInterruptRequests)
 {
 	/*
