--- a/tools/soak/soak_ahead.c
+++ b/tools/soak/soak_ahead.c
@@ -173,6 +173,8 @@
 	request->at_most_once = at_most_once;
 	request->gateway = caller->gateway->number;
 	request->sent_us = soak_now(soak);
+	if (soak->refusals)
+		soak_refusals_on_sent(soak->refusals);
 	g_hash_table_insert(soak->requests, g_strdup(id), request);
 	g_queue_push_tail(&caller->ids, id);
 	aub_http_stream_write(caller->stream, head, strlen(head));
