--- a/review/cases-2.c
+++ b/review/cases-2.c
@@ -422,6 +422,105 @@
 	return twice || refused ? 1 : 0;
 }
 
+#define OTHER_BACKENDS 50
+
+/* The entries of another service, whose names come first in a listing. */
+static void add_other_service(struct world *world)
+{
+	for (guint i = 0; i < OTHER_BACKENDS; i++) {
+		char id[16];
+		struct backend *backend;
+
+		g_snprintf(id, sizeof(id), "a-%02u", i);
+		backend = backend_new(world, id, "z1", 6, 50);
+		g_free(backend->service);
+		backend->service = g_strdup("other");
+		backend_register(backend, "ready", 0);
+	}
+}
+
+/* Counts late runs as count_late_runs(), by machines in touch only. */
+static void count_late_runs_in_touch(struct backend *backend, struct call *call)
+{
+	if (call && call->gateway->in_touch_us &&
+	    call->sent_us >= call->gateway->in_touch_us)
+		count_late_runs(backend, call);
+}
+
+/*
+ * DRAIN: a gateway that starts gets a listing whose second page is older than
+ * its first. It goes on from the revision of the first page, and never learns
+ * what changed in between.
+ */
+static int case_pages(struct world *world)
+{
+	struct gateway *gateways[2];
+	struct backend *leaving;
+	char names[3][16];
+	guint64 late_runs = 0;
+	guint first;
+
+	world->on_run = count_late_runs_in_touch;
+	world->store->page_size = OTHER_BACKENDS;
+	add_other_service(world);
+	add_backends(world, 5, 50);
+	world_configure(world, 7, 16384);
+	pick_names(names);
+	/* The second one places for `svc`. */
+	gateways[0] = gateway_new(world, names[0], "z1");
+	gateways[1] = gateway_new(world, names[2], "z1");
+	gateway_start(gateways[0]);
+	gateway_start(gateways[1]);
+	if (!world_wait_ready(world, 8000))
+		return 2;
+	gateways[0]->in_touch_us = world_now_us(world) + STABLE_MS * AUB_MS;
+	gateways[1]->without_clients = true;
+	world_set_load(world, 400);
+	world_run_for(world, 4000);
+	stop_gateway(gateways[1]);
+	world_run_for(world, 1000);
+	first = world->backends->len;
+	for (guint i = 0; i < 2; i++) {
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "i-new-%u", i + 1);
+		backend_register(backend_new(world, id, "z1", 6, 50), "ready",
+				 0);
+		world_run_for(world, 500);
+		leaving = g_ptr_array_index(world->backends,
+					    OTHER_BACKENDS + i);
+		leaving->draining_us = backend_register(leaving, "draining", 0);
+	}
+	if (world->trouble) {
+		world->store->stale_ms = 3000;
+		world->store->first_page_is_fresh = true;
+		world_note(world, "store: the second page of a listing with "
+				  "stale_ok is 3 s behind");
+	}
+	gateway_start(gateways[1]);
+	gateways[1]->in_touch_us = world_now_us(world) + STABLE_MS * AUB_MS;
+	world_run_for(world, 1500);
+	gateways[1]->without_clients = false;
+	world_run_for(world, 10000);
+	world_set_load(world, 0);
+	world_run_for(world, 3000);
+	note_calls(world);
+	for (guint i = 0; i < 2; i++) {
+		leaving = g_ptr_array_index(world->backends,
+					    OTHER_BACKENDS + i);
+		late_runs += leaving->late_runs;
+		leaving = g_ptr_array_index(world->backends, first + i);
+		world_note(world, "%s ran %" G_GUINT64_FORMAT " requests",
+			   leaving->id, leaving->runs);
+	}
+	world_note(world,
+		   "%" G_GUINT64_FORMAT " requests from machines in touch "
+		   "reached a backend later than %d ms after its drain was "
+		   "acknowledged",
+		   late_runs, DRAIN_MS);
+	return late_runs ? 1 : 0;
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -432,6 +531,7 @@
 		{ "headers", case_headers },
 		{ "forget", case_forget },
 		{ "extra", case_extra },
+		{ "pages", case_pages },
 	};
 	struct world *world;
 
--- a/review/standin-2.c
+++ b/review/standin-2.c
@@ -214,12 +214,37 @@
 	return revision;
 }
 
+static gint by_name(gconstpointer left, gconstpointer right)
+{
+	return strcmp((*(struct change *const *)left)->name,
+		      (*(struct change *const *)right)->name);
+}
+
+/* Leaves one page of the objects. Returns whether more follow. */
+static bool cut_page(GPtrArray *objects, const char *after, guint size)
+{
+	bool more;
+
+	g_ptr_array_sort(objects, by_name);
+	while (after && objects->len &&
+	       strcmp(((struct change *)g_ptr_array_index(objects, 0))->name,
+		      after) <= 0)
+		g_ptr_array_remove_index(objects, 0);
+	more = objects->len > size;
+	if (more)
+		g_ptr_array_set_size(objects, (gint)size);
+	return more;
+}
+
 static void reply_list(struct connection *connection, const char *kind)
 {
 	struct store *store = connection->store;
-	bool stale = strstr(connection->target, "stale_ok=1") != NULL;
+	char *after = aub_http_query_parameter(connection->target, "after");
+	bool stale = strstr(connection->target, "stale_ok=1") &&
+		     (after || !store->first_page_is_fresh);
 	gint64 revision = stale ? stale_revision(store) : store->revision;
 	GPtrArray *objects = objects_at(store, kind, revision);
+	bool more = cut_page(objects, after, store->page_size);
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 
@@ -231,7 +256,11 @@
 	for (guint i = 0; i < objects->len; i++)
 		pack_object(&buffer, &packer, g_ptr_array_index(objects, i));
 	pack_text(&packer, "more");
-	msgpack_pack_false(&packer);
+	if (more)
+		msgpack_pack_true(&packer);
+	else
+		msgpack_pack_false(&packer);
+	g_free(after);
 	pack_text(&packer, "store_revision");
 	msgpack_pack_int64(&packer, revision);
 	store_reply(connection, 200, buffer.data, buffer.size);
@@ -987,8 +1016,12 @@
 	struct gateway *gateway =
 		g_ptr_array_index(world->gateways, turn % world->gateways->len);
 
+	/* The first of three, or the second of two. */
 	if (gateway->without_clients)
-		gateway = g_ptr_array_index(world->gateways, 1 + turn / 3 % 2);
+		gateway = g_ptr_array_index(world->gateways,
+					    world->gateways->len == 2 ?
+						    0 :
+						    1 + turn / 3 % 2);
 	world_send(world, gateway, turn / world->gateways->len % 3 != 0, 0);
 }
 
@@ -1015,7 +1048,8 @@
 		"500,1,\"svc\",2,null]]},\"services\":{\"columns\":[\"name\","
 		"\"health_path\",\"max_conns\",\"protocol\",\"tls\","
 		"\"warmup_s\",\"warmup_per_s\"],\"rows\":[[\"svc\","
-		"\"/health\",260,\"h1\",false,3.0,8.4]]},\"limits\":{"
+		"\"/health\",260,\"h1\",false,3.0,8.4],[\"other\",\"/health\",260,"
+		"\"h1\",false,3.0,8.4]]},\"limits\":{"
 		"\"max_header_bytes\":%u,\"max_body_bytes\":67108864,"
 		"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}",
 		version, header_bytes);
@@ -1054,6 +1088,7 @@
 	store->world = world;
 	store->revision = 100;
 	store->answer_ms = STORE_ANSWER_MS;
+	store->page_size = 500;
 	store->changes = g_ptr_array_new();
 	store->connections = g_ptr_array_new();
 	store->listener = aub_tcp_listen_loopback(&store->address);
--- a/review/standin-2.h
+++ b/review/standin-2.h
@@ -41,6 +41,8 @@
 	gint64 forgotten_revision; /* watches from before it get 410 */
 	guint answer_ms;
 	guint stale_ms; /* by how much "stale_ok" listings are behind */
+	bool first_page_is_fresh; /* only the pages after it are behind */
+	guint page_size; /* objects in a page of a listing */
 	guint64 calls;
 };
 
