--- a/review/cases-2.c
+++ b/review/cases-2.c
@@ -487,8 +487,8 @@
 		backend_register(backend_new(world, id, "z1", 6, 50), "ready",
 				 0);
 		world_run_for(world, 500);
-		leaving = g_ptr_array_index(world->backends,
-					    OTHER_BACKENDS + i);
+		leaving =
+			g_ptr_array_index(world->backends, OTHER_BACKENDS + i);
 		leaving->draining_us = backend_register(leaving, "draining", 0);
 	}
 	if (world->trouble) {
@@ -506,8 +506,8 @@
 	world_run_for(world, 3000);
 	note_calls(world);
 	for (guint i = 0; i < 2; i++) {
-		leaving = g_ptr_array_index(world->backends,
-					    OTHER_BACKENDS + i);
+		leaving =
+			g_ptr_array_index(world->backends, OTHER_BACKENDS + i);
 		late_runs += leaving->late_runs;
 		leaving = g_ptr_array_index(world->backends, first + i);
 		world_note(world, "%s ran %" G_GUINT64_FORMAT " requests",
@@ -521,17 +521,147 @@
 	return late_runs ? 1 : 0;
 }
 
+/*
+ * LOST: with a grace time of 10 s, a gateway takes new requests until 4.5 s
+ * after SIGTERM, and ends 9.8 s after it, whatever is at work.
+ */
+static int case_stop(struct world *world)
+{
+	static const char *const names[] = { "front-1", "front-2", NULL };
+	struct gateway *stopped;
+	guint lost = 0;
+	guint first;
+
+	world->grace_s = 10;
+	world->once_timeout_ms = 6000;
+	world->deadline_ms = 12000;
+	add_backends(world, 4, 5600);
+	world_configure(world, 7, 16384);
+	if (!start_gateways(world, names))
+		return 2;
+	stopped = g_ptr_array_index(world->gateways, 1);
+	world_run_for(world, 4000);
+	if (world->trouble) {
+		world_note(world, "SIGTERM to %s (planned)", stopped->name);
+		kill(stopped->pid, SIGTERM);
+	}
+	world_run_for(world, 4000);
+	first = world->calls->len;
+	/* A client that still has the address, from an answer of before. */
+	for (guint i = 0; i < 8; i++) {
+		world_send(world, stopped, false, 0);
+		world_run_for(world, 50);
+	}
+	world_run_for(world, 10000);
+	note_calls(world);
+	for (guint i = first; i < world->calls->len; i++) {
+		const struct call *call = g_ptr_array_index(world->calls, i);
+
+		if (call->status || !call->runs)
+			continue;
+		lost++;
+		world_note(
+			world,
+			"unsafe request %s, sent at %.3f, was passed on, and "
+			"its connection ended without an answer after %.3f s",
+			call->id,
+			(double)(call->sent_us - world->start_us) / 1e6,
+			(double)(call->answered_us - call->sent_us) / 1e6);
+	}
+	world_note(world, "%u requests lost", lost);
+	return lost ? 1 : 0;
+}
+
+#define OVERTAKEN_GATEWAYS 10
+
+/*
+ * EVAC: a gateway that was suspended reads shared changes from its datagram
+ * socket before an older answer of the store, and applies that one last.
+ */
+static int case_overtaken(struct world *world)
+{
+	struct gateway *gateways[OVERTAKEN_GATEWAYS];
+	char names[3][16];
+	char name[16];
+	guint count = 2;
+	guint64 late_runs = 0;
+	gint64 evacuated_us;
+
+	world->on_run = count_evacuated_runs;
+	pick_names(names);
+	for (guint i = 0; i < 4; i++) {
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "i-%u", i + 1);
+		backend_register(backend_new(world, id, i < 2 ? "z1" : "z2", 4,
+					     50),
+				 "ready", 0);
+	}
+	world_configure(world, 7, 16384);
+	store_put_json(world->store, "evacuations", "z2", "{}");
+	/* The second one places, and is the second to follow the store. */
+	gateways[0] = gateway_new(world, names[0], "z1");
+	gateways[1] = gateway_new(world, names[2], "z1");
+	for (guint i = 1; count < OVERTAKEN_GATEWAYS; i++) {
+		g_snprintf(name, sizeof(name), "front-%u", i);
+		if (rank_of("svc", name) > rank_of("svc", names[2]) &&
+		    rank_of(WATCH_ROLE, name) > rank_of(WATCH_ROLE, names[2]))
+			gateways[count++] = gateway_new(world, name, "z1");
+	}
+	for (guint i = 0; i < OVERTAKEN_GATEWAYS; i++)
+		gateway_start(gateways[i]);
+	if (!world_wait_ready(world, 8000))
+		return 2;
+	world_set_load(world, 130);
+	world_run_for(world, 6000);
+	if (world->trouble) {
+		world_note(world, "SIGSTOP to %s", gateways[1]->name);
+		kill(gateways[1]->pid, SIGSTOP);
+	}
+	world_run_for(world, 50);
+	store_remove(world->store, "evacuations", "z2");
+	world_note(world, "store: evacuations/z2 is removed");
+	world_run_for(world, 450);
+	evacuated_us = store_put_json(world->store, "evacuations", "z2", "{}");
+	world_note(world, "store: evacuations/z2 is there again");
+	for (guint i = 2; i < 4; i++)
+		((struct backend *)g_ptr_array_index(world->backends, i))
+			->draining_us = evacuated_us;
+	world_run_for(world, 2000);
+	if (world->trouble) {
+		kill(gateways[1]->pid, SIGCONT);
+		world_note(world, "SIGCONT to %s", gateways[1]->name);
+	}
+	for (guint i = 0; i < OVERTAKEN_GATEWAYS; i++)
+		gateways[i]->in_touch_us =
+			world_now_us(world) + STABLE_MS * AUB_MS;
+	world_run_for(world, 12000);
+	world_set_load(world, 0);
+	world_run_for(world, 3000);
+	note_calls(world);
+	for (guint i = 0; i < world->backends->len; i++)
+		late_runs +=
+			((struct backend *)g_ptr_array_index(world->backends,
+							     i))
+				->late_runs;
+	world_note(world,
+		   "%" G_GUINT64_FORMAT " requests from machines in touch "
+		   "reached the evacuated zone later than %d ms after the "
+		   "acknowledgement",
+		   late_runs, EVACUATION_MS);
+	return late_runs ? 1 : 0;
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
 		const char *name;
 		int (*play)(struct world *world);
 	} cases[] = {
-		{ "foreign", case_foreign },
-		{ "headers", case_headers },
-		{ "forget", case_forget },
-		{ "extra", case_extra },
-		{ "pages", case_pages },
+		{ "foreign", case_foreign },	 { "headers", case_headers },
+		{ "forget", case_forget },	 { "extra", case_extra },
+		{ "pages", case_pages },	 { "stop", case_stop },
+		{ "overtaken", case_overtaken },
 	};
 	struct world *world;
 
--- a/review/standin-2.c
+++ b/review/standin-2.c
@@ -20,7 +20,6 @@
 #include <unistd.h>
 
 #define HEAD_BYTES_MAX (256u << 10)
-#define CLIENT_DEADLINE_MS 3000
 #define BACKEND_QUEUE 12
 
 /* A connection to the store or to a backend. */
@@ -775,16 +774,6 @@
 	return at_us;
 }
 
-void backend_end(struct backend *backend)
-{
-	backend->down = true;
-	aub_poll_watch_remove(backend->watch);
-	close(backend->listener);
-	while (backend->connections->len)
-		connection_free(g_ptr_array_index(backend->connections, 0));
-	world_note(backend->world, "backend %s has ended", backend->id);
-}
-
 /* Gateways. */
 
 static bool port_is_free(const char *ip, guint16 port)
@@ -843,10 +832,12 @@
 				       i ? "," : "", world->host_block >> 8,
 				       world->host_block & 255, 10 + i,
 				       world->ports[1]);
-	g_string_append(text, "]\nbootstrap = true\ngrace_s = 6\n"
-			      "apply_ms = 2000\nretry_slack = 64\n"
-			      "retry_window_s = 10\nretry_ratio = 0.2\n"
-			      "processor_share = 0.2\nprocessor_cores = 1\n");
+	g_string_append_printf(text,
+			       "]\nbootstrap = true\ngrace_s = %u\n"
+			       "apply_ms = 2000\nretry_slack = 64\n"
+			       "retry_window_s = 10\nretry_ratio = 0.2\n"
+			       "processor_share = 0.2\nprocessor_cores = 1\n",
+			       world->grace_s);
 	if (!g_file_set_contents(gateway->file, text->str, -1, NULL))
 		exit(2);
 	g_string_free(text, TRUE);
@@ -986,9 +977,9 @@
 	g_string_append_printf(text,
 			       "%s /%s/%u HTTP/1.1\r\nHost: site\r\n"
 			       "Request-Id: %s\r\n"
-			       "Deadline-Remaining-Ms: %d\r\n",
+			       "Deadline-Remaining-Ms: %u\r\n",
 			       safe ? "GET" : "DELETE", safe ? "safe" : "once",
-			       world->next_call, call->id, CLIENT_DEADLINE_MS);
+			       world->next_call, call->id, world->deadline_ms);
 	if (filler_bytes) {
 		g_string_append(text, "Cookie: ");
 		for (guint i = 0; i < filler_bytes; i++)
@@ -997,7 +988,7 @@
 	}
 	g_string_append(text, "\r\n");
 	call->timer = aub_timer_at(world->timers, "deadline",
-				   call->sent_us + CLIENT_DEADLINE_MS * AUB_MS,
+				   call->sent_us + world->deadline_ms * AUB_MS,
 				   call_on_deadline, call);
 	call->exchange = aub_exchange_new(world->client, &options,
 					  &call_callbacks, call);
@@ -1044,7 +1035,7 @@
 		"\"path_prefix\",\"kind\",\"timeout_ms\",\"target_latency_ms\","
 		"\"priority\",\"service\",\"max_attempts\",\"traffic_split\"],"
 		"\"rows\":[[\"r1\",\"site\",\"/safe/\",\"safe\",1500,400,2,"
-		"\"svc\",2,null],[\"r2\",\"site\",\"/once/\",\"unsafe\",2000,"
+		"\"svc\",2,null],[\"r2\",\"site\",\"/once/\",\"unsafe\",%u,"
 		"500,1,\"svc\",2,null]]},\"services\":{\"columns\":[\"name\","
 		"\"health_path\",\"max_conns\",\"protocol\",\"tls\","
 		"\"warmup_s\",\"warmup_per_s\"],\"rows\":[[\"svc\","
@@ -1052,7 +1043,7 @@
 		"\"h1\",false,3.0,8.4]]},\"limits\":{"
 		"\"max_header_bytes\":%u,\"max_body_bytes\":67108864,"
 		"\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}",
-		version, header_bytes);
+		version, world->once_timeout_ms, header_bytes);
 
 	store_put_json(world->store, "config", "main", text);
 	world_note(world,
@@ -1073,6 +1064,9 @@
 	world->poller = aub_poller_new();
 	world->client = aub_http_client_new(world->poller, world->timers);
 	world->start_us = world_now_us(world);
+	world->grace_s = 6;
+	world->once_timeout_ms = 2000;
+	world->deadline_ms = 3000;
 	world->backends = g_ptr_array_new();
 	world->gateways = g_ptr_array_new();
 	world->calls = g_ptr_array_new();
--- a/review/standin-2.h
+++ b/review/standin-2.h
@@ -63,7 +63,6 @@
 	guint sequence;
 	char state[16];
 	gint64 draining_us; /* the store acknowledged that it drains */
-	bool down;
 	/*
 	 * After each answer of this number the backend sends the bytes of
 	 * another one, late: where the next answer on the connection is
@@ -123,6 +122,10 @@
 	guint host_block; /* 127.B.C.n are the gateways' addresses */
 	gint64 start_us;
 	bool trouble;
+	/* What differs between deployments. */
+	guint grace_s;
+	guint once_timeout_ms; /* of the route of unsafe requests */
+	guint deadline_ms; /* of clients */
 	guint next_call;
 	guint load_timer;
 	guint load_turn;
@@ -146,7 +149,6 @@
 /* Writes the backend's entry; returns when the store acknowledged it. */
 gint64 backend_register(struct backend *backend, const char *state,
 			guint warmup_ms);
-void backend_end(struct backend *backend);
 struct gateway *gateway_new(struct world *world, const char *name,
 			    const char *zone);
 void gateway_start(struct gateway *gateway);
