--- a/review/cases-2.c
+++ b/review/cases-2.c
@@ -38,18 +38,19 @@
 	return bytes;
 }
 
-/* Counts runs later than DRAIN_MS after the backend's drain was acknowledged.
+/* Counts requests later than DRAIN_MS after the backend's drain was
+ * acknowledged.
  */
-static void count_late_runs(struct backend *backend, struct call *call)
+static void count_late_arrivals(struct backend *backend, struct call *call)
 {
 	gint64 now = world_now_us(backend->world);
 
 	if (!backend->draining_us ||
 	    now - backend->draining_us <= DRAIN_MS * AUB_MS)
 		return;
-	if (!backend->late_runs++)
+	if (!backend->late_arrivals++)
 		world_note(backend->world,
-			   "request %s (%s) runs at %s %.3f s after its drain "
+			   "request %s (%s) reaches %s %.3f s after its drain "
 			   "was acknowledged",
 			   call ? call->id : "?",
 			   call && call->safe ? "safe" : "unsafe", backend->id,
@@ -111,9 +112,9 @@
 	static const char *const names[] = { "front-1", "front-2", NULL };
 	struct backend *leaving;
 	GBytes *entry = foreign_entry();
-	guint64 late_runs = 0;
+	guint64 late_arrivals = 0;
 
-	world->on_run = count_late_runs;
+	world->on_arrival = count_late_arrivals;
 	add_backends(world, 5, 50);
 	world_configure(world, 7, 16384);
 	if (!start_gateways(world, names))
@@ -145,7 +146,7 @@
 	note_calls(world);
 	for (guint i = 0; i < 2; i++) {
 		leaving = g_ptr_array_index(world->backends, i);
-		late_runs += leaving->late_runs;
+		late_arrivals += leaving->late_arrivals;
 	}
 	for (guint i = 5; i < world->backends->len; i++) {
 		leaving = g_ptr_array_index(world->backends, i);
@@ -156,8 +157,8 @@
 		   "%" G_GUINT64_FORMAT
 		   " requests reached a backend later than "
 		   "%d ms after its drain was acknowledged",
-		   late_runs, DRAIN_MS);
-	return late_runs ? 1 : 0;
+		   late_arrivals, DRAIN_MS);
+	return late_arrivals ? 1 : 0;
 }
 
 /*
@@ -258,8 +259,8 @@
 	}
 }
 
-/* Counts runs in zone z2 later than EVACUATION_MS after its evacuation. */
-static void count_evacuated_runs(struct backend *backend, struct call *call)
+/* Counts requests in zone z2 later than EVACUATION_MS after its evacuation. */
+static void count_evacuated_arrivals(struct backend *backend, struct call *call)
 {
 	gint64 now = world_now_us(backend->world);
 
@@ -270,9 +271,9 @@
 	if (!call || !call->gateway->in_touch_us ||
 	    call->sent_us < call->gateway->in_touch_us)
 		return;
-	if (!backend->late_runs++)
+	if (!backend->late_arrivals++)
 		world_note(backend->world,
-			   "request %s, sent to %s, runs at %s of the "
+			   "request %s, sent to %s, reaches %s of the "
 			   "evacuated zone, %.3f s after the acknowledgement",
 			   call->id, call->gateway->name, backend->id,
 			   (double)(now - backend->draining_us) / 1e6);
@@ -296,11 +297,11 @@
 static int case_forget(struct world *world)
 {
 	struct gateway *gateways[3];
-	guint64 late_runs = 0;
+	guint64 late_arrivals = 0;
 	char names[3][16];
 	gint64 evacuated_us;
 
-	world->on_run = count_evacuated_runs;
+	world->on_arrival = count_evacuated_arrivals;
 	pick_names(names);
 	for (guint i = 0; i < 4; i++) {
 		char id[16];
@@ -345,16 +346,16 @@
 	world_run_for(world, 3000);
 	note_calls(world);
 	for (guint i = 0; i < world->backends->len; i++)
-		late_runs +=
+		late_arrivals +=
 			((struct backend *)g_ptr_array_index(world->backends,
 							     i))
-				->late_runs;
+				->late_arrivals;
 	world_note(world,
 		   "%" G_GUINT64_FORMAT " requests from machines in touch "
 		   "reached the evacuated zone later than %d ms after the "
 		   "acknowledgement",
-		   late_runs, EVACUATION_MS);
-	return late_runs ? 1 : 0;
+		   late_arrivals, EVACUATION_MS);
+	return late_arrivals ? 1 : 0;
 }
 
 static void note_second_run(struct backend *backend, struct call *call)
@@ -439,12 +440,13 @@
 	}
 }
 
-/* Counts late runs as count_late_runs(), by machines in touch only. */
-static void count_late_runs_in_touch(struct backend *backend, struct call *call)
+/* Counts as count_late_arrivals(), by machines in touch only. */
+static void count_late_arrivals_in_touch(struct backend *backend,
+					 struct call *call)
 {
 	if (call && call->gateway->in_touch_us &&
 	    call->sent_us >= call->gateway->in_touch_us)
-		count_late_runs(backend, call);
+		count_late_arrivals(backend, call);
 }
 
 /*
@@ -457,10 +459,10 @@
 	struct gateway *gateways[2];
 	struct backend *leaving;
 	char names[3][16];
-	guint64 late_runs = 0;
+	guint64 late_arrivals = 0;
 	guint first;
 
-	world->on_run = count_late_runs_in_touch;
+	world->on_arrival = count_late_arrivals_in_touch;
 	world->store->page_size = OTHER_BACKENDS;
 	add_other_service(world);
 	add_backends(world, 5, 50);
@@ -508,7 +510,7 @@
 	for (guint i = 0; i < 2; i++) {
 		leaving =
 			g_ptr_array_index(world->backends, OTHER_BACKENDS + i);
-		late_runs += leaving->late_runs;
+		late_arrivals += leaving->late_arrivals;
 		leaving = g_ptr_array_index(world->backends, first + i);
 		world_note(world, "%s ran %" G_GUINT64_FORMAT " requests",
 			   leaving->id, leaving->runs);
@@ -517,8 +519,8 @@
 		   "%" G_GUINT64_FORMAT " requests from machines in touch "
 		   "reached a backend later than %d ms after its drain was "
 		   "acknowledged",
-		   late_runs, DRAIN_MS);
-	return late_runs ? 1 : 0;
+		   late_arrivals, DRAIN_MS);
+	return late_arrivals ? 1 : 0;
 }
 
 /*
@@ -584,10 +586,10 @@
 	char names[3][16];
 	char name[16];
 	guint count = 2;
-	guint64 late_runs = 0;
+	guint64 late_arrivals = 0;
 	gint64 evacuated_us;
 
-	world->on_run = count_evacuated_runs;
+	world->on_arrival = count_evacuated_arrivals;
 	pick_names(names);
 	for (guint i = 0; i < 4; i++) {
 		char id[16];
@@ -640,16 +642,16 @@
 	world_run_for(world, 3000);
 	note_calls(world);
 	for (guint i = 0; i < world->backends->len; i++)
-		late_runs +=
+		late_arrivals +=
 			((struct backend *)g_ptr_array_index(world->backends,
 							     i))
-				->late_runs;
+				->late_arrivals;
 	world_note(world,
 		   "%" G_GUINT64_FORMAT " requests from machines in touch "
 		   "reached the evacuated zone later than %d ms after the "
 		   "acknowledgement",
-		   late_runs, EVACUATION_MS);
-	return late_runs ? 1 : 0;
+		   late_arrivals, EVACUATION_MS);
+	return late_arrivals ? 1 : 0;
 }
 
 int main(int argc, char **argv)
--- a/review/standin-2.c
+++ b/review/standin-2.c
@@ -688,6 +688,16 @@
 	}
 }
 
+static void report_arrival(struct connection *connection)
+{
+	struct world *world = connection->backend->world;
+
+	if (world->on_arrival && connection->request_id)
+		world->on_arrival(connection->backend,
+				  g_hash_table_lookup(world->calls_by_id,
+						      connection->request_id));
+}
+
 static void backend_on_complete(void *context)
 {
 	struct connection *connection = context;
@@ -697,10 +707,15 @@
 		backend_answer(connection,
 			       strcmp(backend->state, "ready") ? 503 : 200, "",
 			       0);
-	} else if (connection->expected_id &&
-		   strcmp(connection->expected_id, backend->id) != 0) {
+		return;
+	}
+	if (connection->expected_id &&
+	    strcmp(connection->expected_id, backend->id) != 0) {
 		backend_answer(connection, 421, "", 0);
-	} else if (!connection->request_id) {
+		return;
+	}
+	report_arrival(connection);
+	if (!connection->request_id) {
 		backend_answer(connection, 400, "Not-Executed: 1\r\n", 0);
 	} else if (backend->running < backend->slots) {
 		start_work(connection);
--- a/review/standin-2.h
+++ b/review/standin-2.h
@@ -72,9 +72,7 @@
 	guint64 answers;
 	guint64 extras;
 	guint64 runs;
-	/* of the runs that break the rule of a case */
-	guint64 late_runs;
-	gint64 first_late_us;
+	guint64 late_arrivals; /* that break the rule of a case */
 };
 
 struct gateway {
@@ -129,7 +127,9 @@
 	guint next_call;
 	guint load_timer;
 	guint load_turn;
-	/* Called when a backend begins to run a request; may be NULL. */
+	/* May be NULL: a request that isn't answered 421 reaches a backend. */
+	void (*on_arrival)(struct backend *backend, struct call *call);
+	/* May be NULL: a backend begins to run a request. */
 	void (*on_run)(struct backend *backend, struct call *call);
 };
 
