--- a/review/cases-2.c
+++ b/review/cases-2.c
@@ -341,7 +341,8 @@
 	/* The two that weren't stopped. */
 	gateways[1]->in_touch_us = world_now_us(world) + STABLE_MS * AUB_MS;
 	gateways[2]->in_touch_us = gateways[1]->in_touch_us;
-	world_run_for(world, 12000);
+	world_run_for(world, 11900);
+	world->store->stale_ms = 0;
 	world_set_load(world, 0);
 	world_run_for(world, 3000);
 	note_calls(world);
@@ -384,12 +385,16 @@
 	world_configure(world, 7, 16384);
 	if (!start_gateways(world, names))
 		return 2;
-	world_set_load(world, 250);
+	world_set_load(world, 350);
 	world_run_for(world, 5000);
 	for (guint i = 2; i < 4 && world->trouble; i++)
 		((struct backend *)g_ptr_array_index(world->backends, i))
-			->extra_every = 33;
-	world_run_for(world, 20000);
+			->extra_every = 34;
+	world_run_for(world, 5000);
+	for (guint i = 2; i < 4; i++)
+		((struct backend *)g_ptr_array_index(world->backends, i))
+			->extra_every = 0;
+	world_run_for(world, 2000);
 	world_set_load(world, 0);
 	world_run_for(world, 3000);
 	for (guint i = 0; i < world->backends->len; i++)
@@ -488,7 +493,7 @@
 		g_snprintf(id, sizeof(id), "i-new-%u", i + 1);
 		backend_register(backend_new(world, id, "z1", 6, 50), "ready",
 				 0);
-		world_run_for(world, 500);
+		world_run_for(world, 1000);
 		leaving =
 			g_ptr_array_index(world->backends, OTHER_BACKENDS + i);
 		leaving->draining_us = backend_register(leaving, "draining", 0);
@@ -504,6 +509,7 @@
 	world_run_for(world, 1500);
 	gateways[1]->without_clients = false;
 	world_run_for(world, 10000);
+	world->store->stale_ms = 0;
 	world_set_load(world, 0);
 	world_run_for(world, 3000);
 	note_calls(world);
