gateway: refuse what may outlast a planned stop before it is sent

Cause: what a stopping gateway accepted depended on the time since SIGTERM only (three lifetimes of an address, or half of the grace time). Neither the request's own deadline nor what is left of the grace time was compared. The same held for second attempts, for slots granted late, for bodies that end late and for requests relayed for other gateways; a grace time changed by a reload moved the end of a stop in progress in both directions.

Ruled out: the upstreams (each runs all it gets) and the listener (it closes at 4.5 s).

Change: before each send the gateway asks whether the request ends before the process does (stop_admission.h): by its deadline, or by the longest recent answer time of its route (answer_times.h). Where nothing is known, only an idempotent request is taken, only while callers can't know of the stop, and only if its target leaves room. Others get 503 at once, not run, with a Retry-After of 1 ms. Upstreams get no more time than the process has; what runs at the end gets 504 instead of a closed connection. Why it works: no request is sent that may last longer than the process unless all recent ones of its route were shorter than half of what is left.

Ways weighed: refusing all of unknown length from SIGTERM on (callers of short requests with long time-outs would lose a retry each; breaks PlannedStopFinishesOpenRequests); a shorter accept time (passes the case, refuses short requests, leaves the related paths).

Tests: test_gateway_stop, test_stop_admission, test_answer_times.

--- a/include/auburnstile/internal/gateway.h
+++ b/include/auburnstile/internal/gateway.h
@@ -7,6 +7,7 @@
 
 #include <auburnstile/internal/http_client.h>
 #include <auburnstile/internal/placer.h>
+#include <auburnstile/internal/stop_admission.h>
 #include <auburnstile/metrics.h>
 
 G_BEGIN_DECLS
@@ -55,9 +56,11 @@
 
 /*
  * Begins a planned stop: answers close their connections, but new connections
- * are still accepted.
+ * are still accepted. Requests that `plan` leaves too little time are refused,
+ * and those in progress end by then. May be called again with another plan.
  */
-void aub_gateway_begin_drain(struct aub_gateway *gateway);
+void aub_gateway_begin_drain(struct aub_gateway *gateway,
+			     const struct aub_stop_plan *plan);
 /* Stops accepting connections and shuts down the idle ones gracefully. */
 void aub_gateway_stop_accepting(struct aub_gateway *gateway);
 
--- a/include/auburnstile/internal/gateway_internal.h
+++ b/include/auburnstile/internal/gateway_internal.h
@@ -54,6 +54,7 @@
 	GQueue callers; /* of struct aub_caller */
 	guint active_requests;
 	bool draining;
+	struct aub_stop_plan stop; /* all 0 unless draining */
 	bool listener_closed;
 	guint attempts_counter; /* handle in the metrics */
 	guint retries_counter; /* likewise */
@@ -167,6 +168,8 @@
 };
 
 #define AUB_NOT_READY_RETRY_AFTER_MS 1000 /* typical start-up time */
+/* During a planned stop: another gateway can serve the request at once. */
+#define AUB_STOPPING_RETRY_AFTER_MS 1
 
 /* The head of a new request; see gateway_head.c. */
 void aub_request_copy_head(struct aub_request *request,
@@ -177,6 +180,16 @@
 void aub_request_read_deadlines(struct aub_request *request,
 				const struct aub_http_head *head);
 
+/* Planned stop; see gateway_stop.c. */
+void aub_gateway_close_listeners(struct aub_gateway *gateway);
+/* Returns `deadline_us`, or the end of a planned stop if that is earlier. */
+gint64 aub_request_end_us(const struct aub_request *request,
+			  gint64 deadline_us);
+/* Returns whether a request that is sent now ends before a planned stop. */
+bool aub_request_ends_before_stop(const struct aub_request *request);
+/* Sets the request's timer anew after a planned stop has begun. */
+void aub_request_limit_to_stop(struct aub_request *request);
+
 /* Events of the caller's connection. */
 struct aub_request *aub_request_new(struct aub_caller *caller,
 				    const struct aub_http_head *head);
--- a/include/auburnstile/internal/routing.h
+++ b/include/auburnstile/internal/routing.h
@@ -9,6 +9,7 @@
 #ifndef AUBURNSTILE_INTERNAL_ROUTING_H
 #define AUBURNSTILE_INTERNAL_ROUTING_H
 
+#include <auburnstile/internal/answer_times.h>
 #include <auburnstile/internal/caller_wait.h>
 #include <auburnstile/internal/workspaces.h>
 
@@ -46,7 +47,9 @@
 	GArray *splits; /* of struct aub_split; a single one without a split */
 	double total_weight;
 	double split_phase; /* of the rotation through the splits, 0..1 */
-	struct aub_caller_wait caller_wait; /* learned from its requests */
+	/* learned from its requests */
+	struct aub_caller_wait caller_wait;
+	struct aub_answer_times answer_times;
 };
 
 struct aub_limits {
@@ -90,7 +93,7 @@
 bool aub_routing_build_index(struct aub_routing *routing, GError **error);
 
 /*
- * Copies the wait statistics of routes that are in `old` too, by host and
+ * Copies what was learned of routes that are in `old` too, by host and
  * prefix. `old` may be NULL.
  */
 void aub_routing_copy_caller_waits(struct aub_routing *routing,
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -173,7 +173,7 @@
 	return gateway;
 }
 
-static void close_listeners(struct aub_gateway *gateway)
+void aub_gateway_close_listeners(struct aub_gateway *gateway)
 {
 	if (gateway->listener_closed)
 		return;
@@ -195,7 +195,7 @@
 		link = link->next;
 		aub_caller_free(caller);
 	}
-	close_listeners(gateway);
+	aub_gateway_close_listeners(gateway);
 	g_array_unref(gateway->unconfirmed_crashes);
 	aub_crash_counts_free(gateway->crash_counts);
 	aub_routing_unref(gateway->routing);
@@ -217,22 +217,6 @@
 			       aub_timer_now(gateway->options.timers));
 }
 
-void aub_gateway_begin_drain(struct aub_gateway *gateway)
-{
-	gateway->draining = true;
-}
-
-void aub_gateway_stop_accepting(struct aub_gateway *gateway)
-{
-	close_listeners(gateway);
-	for (GList *link = gateway->callers.head; link; link = link->next) {
-		struct aub_caller *caller = link->data;
-
-		if (aub_caller_is_idle(caller))
-			aub_caller_shutdown(caller);
-	}
-}
-
 guint aub_gateway_active_requests(const struct aub_gateway *gateway)
 {
 	return gateway->active_requests;
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -335,8 +335,9 @@
 	const struct aub_platform *platform =
 		request->gateway->options.platform;
 	GString *text = g_string_new(request->request_line);
-	gint64 left_us = request->effective_deadline_us -
-			 aub_timer_now(request->gateway->options.timers);
+	gint64 left_us =
+		aub_request_end_us(request, request->effective_deadline_us) -
+		aub_timer_now(request->gateway->options.timers);
 
 	g_string_append_len(text, request->headers->str,
 			    (gssize)request->headers->len);
--- a/src/coordination/gateway_relay.c
+++ b/src/coordination/gateway_relay.c
@@ -82,7 +82,7 @@
 	/* The body may have taken a while to arrive. */
 	if (!aub_placer_find_upstream(gateway->options.placer, relay->upstream,
 				      &upstream) ||
-	    !upstream.may_send ||
+	    !upstream.may_send || !aub_request_ends_before_stop(request) ||
 	    aub_egress_monitor_needs_relay(gateway->options.egress,
 					   relay->upstream)) {
 		aub_relay_fail(request, AUB_RELAY_NO_PATH);
@@ -115,6 +115,10 @@
 				      &remaining_ms);
 	request->deadline_us = request->start_us + remaining_ms * AUB_MS;
 	request->effective_deadline_us = request->deadline_us;
+	if (!aub_request_ends_before_stop(request)) {
+		aub_relay_fail(request, AUB_RELAY_NO_PATH);
+		return false;
+	}
 	return true;
 }
 
--- a/src/coordination/gateway_replacement.c
+++ b/src/coordination/gateway_replacement.c
@@ -13,7 +13,8 @@
 	return request->attempt && !request->attempt->status &&
 	       !request->answered && !request->relayed &&
 	       request->route->idempotent &&
-	       aub_request_may_retry(request, AUB_GRANT_TIMEOUT);
+	       aub_request_may_retry(request, AUB_GRANT_TIMEOUT) &&
+	       aub_request_ends_before_stop(request);
 }
 
 static void on_silence(void *context, gint64 now_us)
--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -59,28 +59,54 @@
 	aub_attempt_abort(attempt, AUB_GRANT_TIMEOUT);
 }
 
+static void on_deadline(void *context, gint64 now_us);
+
+/* `deadline_us` is the request's own one; a planned stop may end it earlier. */
+static void start_timer(struct aub_request *request, gint64 deadline_us)
+{
+	request->timer =
+		aub_timer_at(request->gateway->options.timers, "request",
+			     aub_request_end_us(request, deadline_us),
+			     on_deadline, request);
+}
+
+void aub_request_limit_to_stop(struct aub_request *request)
+{
+	if (!request->timer)
+		return;
+	aub_timer_cancel(request->gateway->options.timers, request->timer);
+	start_timer(request, request->effective_deadline_us);
+}
+
+static void truncate_late_answer(struct aub_request *request, gint64 now_us)
+{
+	if (now_us < aub_request_end_us(request, request->deadline_us)) {
+		start_timer(request, request->deadline_us);
+		return;
+	}
+	aub_request_log(request, AUB_REQUEST_TRUNCATED, 0,
+			now_us < request->deadline_us ? "stopping" : "deadline",
+			NULL);
+	aub_caller_abort(request->caller);
+}
+
 static void on_deadline(void *context, gint64 now_us)
 {
 	struct aub_request *request = context;
 
 	request->timer = 0;
 	if (request->answer_started) {
-		if (now_us < request->deadline_us) {
-			request->timer =
-				aub_timer_at(request->gateway->options.timers,
-					     "deadline", request->deadline_us,
-					     on_deadline, request);
-			return;
-		}
-		aub_request_log(request, AUB_REQUEST_TRUNCATED, 0, "deadline",
-				NULL);
-		aub_caller_abort(request->caller);
+		truncate_late_answer(request, now_us);
 		return;
 	}
 	if (request->attempt)
 		abort_timed_out_attempt(request, request->attempt);
 	if (request->relayed)
 		aub_relay_fail(request, AUB_RELAY_TIMEOUT);
+	else if (now_us < request->effective_deadline_us)
+		finish_unanswered(request, HTTP_STATUS_GATEWAY_TIMEOUT,
+				  "stopping", NULL,
+				  AUB_STOPPING_RETRY_AFTER_MS);
 	else
 		finish_unanswered(request, HTTP_STATUS_GATEWAY_TIMEOUT,
 				  "timeout", NULL,
@@ -149,6 +175,13 @@
 				  result->placer, result->retry_after_ms);
 		return;
 	}
+	if (!aub_request_ends_before_stop(request)) {
+		aub_placer_cancel(gateway->options.placer, request->ticket);
+		finish_unanswered(request, HTTP_STATUS_BAD_GATEWAY, "stopping",
+				  result->upstream,
+				  AUB_STOPPING_RETRY_AFTER_MS);
+		return;
+	}
 	if (!aub_gateway_has_path(gateway, result->upstream)) {
 		aub_placer_cancel(gateway->options.placer, request->ticket);
 		finish_unanswered(request, HTTP_STATUS_BAD_GATEWAY, "no-links",
@@ -208,9 +241,10 @@
 /* Returns how long the request may wait for a slot in all. */
 static guint max_wait_ms(const struct aub_request *request, gint64 now_us)
 {
+	gint64 end_us =
+		aub_request_end_us(request, request->effective_deadline_us);
 	gint64 late_wait_ms =
-		(gint64)(MAX_WAIT_REMAINING_SHARE *
-			 (double)(request->effective_deadline_us - now_us)) /
+		(gint64)(MAX_WAIT_REMAINING_SHARE * (double)(end_us - now_us)) /
 		AUB_MS;
 
 	return MAX(on_time_wait_ms(request, now_us),
@@ -252,7 +286,8 @@
 			   enum aub_grant_result end)
 {
 	gint64 remaining_us =
-		request->effective_deadline_us - request_now_us(request);
+		aub_request_end_us(request, request->effective_deadline_us) -
+		request_now_us(request);
 
 	if (request->answer_started || request->body_discarded)
 		return false;
@@ -316,13 +351,16 @@
 		aub_request_log(request, AUB_REQUEST_TRUNCATED, 0,
 				"upstream-broke", upstream);
 		aub_caller_abort(request->caller);
-	} else if (aub_request_may_retry(request, end) &&
-		   !aub_request_is_known_to_crash(request)) {
-		aub_request_place(request, false);
-	} else {
+	} else if (!aub_request_may_retry(request, end) ||
+		   aub_request_is_known_to_crash(request)) {
 		finish_unanswered(request, HTTP_STATUS_BAD_GATEWAY,
 				  aub_grant_result_name(end), upstream,
 				  retry_after_attempt_ms(request, end));
+	} else if (!aub_request_ends_before_stop(request)) {
+		finish_unanswered(request, HTTP_STATUS_BAD_GATEWAY, "stopping",
+				  upstream, AUB_STOPPING_RETRY_AFTER_MS);
+	} else {
+		aub_request_place(request, false);
 	}
 	g_free(upstream);
 }
@@ -437,8 +475,13 @@
 		aub_request_write_answer(request, attempt->head,
 					 attempt->buffered_body);
 	}
-	if (!request->relayed)
+	if (!request->relayed) {
 		aub_request_clear_crashes(request);
+		aub_answer_times_observe(&request->route->answer_times,
+					 request_now_us(request) -
+						 request->start_us,
+					 request_now_us(request));
+	}
 	aub_request_log(request, AUB_REQUEST_ANSWERED, attempt->status, "",
 			attempt->upstream);
 	aub_attempt_free(attempt);
@@ -518,6 +561,9 @@
 	else if (aub_request_is_known_to_crash(request))
 		aub_request_refuse(request, "crashes-upstreams",
 				   CRASH_RETRY_AFTER_MS);
+	else if (!aub_request_ends_before_stop(request))
+		aub_request_refuse(request, "stopping",
+				   AUB_STOPPING_RETRY_AFTER_MS);
 	else
 		aub_request_place(request, false);
 }
@@ -564,6 +610,11 @@
 		return false;
 	request->service = aub_route_pick_service(request->route);
 	aub_request_read_deadlines(request, head);
+	if (!aub_request_ends_before_stop(request)) {
+		aub_request_refuse(request, "stopping",
+				   AUB_STOPPING_RETRY_AFTER_MS);
+		return false;
+	}
 	if (!request->body_complete && aub_http_head_find(head, "Expect"))
 		aub_request_write(request, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 	request->placement_deferred =
@@ -592,9 +643,7 @@
 	if (caller->is_peer ? !aub_relay_accept(request, head) :
 			      !accept_callers_request(request, head))
 		return NULL;
-	request->timer = aub_timer_at(gateway->options.timers, "request",
-				      request->effective_deadline_us,
-				      on_deadline, request);
+	start_timer(request, request->effective_deadline_us);
 	if (!request->placement_deferred && !needs_complete_body(request))
 		start_placement(request);
 	return request;
--- a/src/coordination/node.c
+++ b/src/coordination/node.c
@@ -25,14 +25,17 @@
  * addresses again.
  */
 #define ADDRESS_CACHE_FACTOR 3
-/* Part of the grace time that is reserved for the process exit. */
-#define STOP_RESERVE_MS 200
-
 /*
- * A request accepted late in a planned stop could outlast the process and lose
- * its answer. Nothing new is accepted after half of the grace time; the other
- * half is longer than nearly all service times.
+ * Parts of the grace time that are reserved for the process exit, and before it
+ * for the last answers to reach their callers. A short grace time is not used
+ * up by them.
  */
+#define STOP_RESERVE_MS 200
+#define STOP_ANSWER_MS 100
+#define STOP_RESERVE_MAX_SHARE (1.0 / 12)
+#define STOP_ANSWER_MAX_SHARE (1.0 / 24)
+
+/* No connection is accepted in the rest of the grace time. */
 #define STOP_ACCEPT_SHARE 0.5
 #define STOP_CHECK_PERIOD_US (50 * AUB_MS)
 
@@ -381,6 +384,45 @@
 	g_free(node);
 }
 
+static gint64 stop_reserve_ms(const struct aub_node *node)
+{
+	return MIN(STOP_RESERVE_MS,
+		   (gint64)(STOP_RESERVE_MAX_SHARE * node->grace_ms));
+}
+
+static void drain_gateway(struct aub_node *node)
+{
+	gint64 answers_ms = MIN(STOP_ANSWER_MS, (gint64)(STOP_ANSWER_MAX_SHARE *
+							 node->grace_ms));
+	gint64 until_ms = node->grace_ms - stop_reserve_ms(node) - answers_ms;
+
+	aub_gateway_begin_drain(
+		node->gateway,
+		&(struct aub_stop_plan){
+			.answers_until_us =
+				node->stop_start_us + until_ms * AUB_MS,
+			.addresses_until_us =
+				node->stop_start_us + node->address_ms * AUB_MS,
+		});
+}
+
+/*
+ * The platform ends the process by the grace time that was in force when the
+ * stop began, so that a longer one comes too late for it.
+ */
+static void set_grace_time(struct aub_node *node,
+			   const struct aub_node_settings *settings)
+{
+	guint grace_ms = (guint)(settings->grace_s * 1000);
+
+	if (!node->stopping) {
+		node->grace_ms = grace_ms;
+	} else if (grace_ms < node->grace_ms) {
+		node->grace_ms = grace_ms;
+		drain_gateway(node);
+	}
+}
+
 void aub_node_reload(struct aub_node *node,
 		     const struct aub_node_settings *settings)
 {
@@ -389,7 +431,7 @@
 	placement_limits_of(settings, &limits);
 	aub_placer_set_limits(node->placer, &limits);
 	node->address_ms = (guint)settings->address_ms;
-	node->grace_ms = (guint)(settings->grace_s * 1000);
+	set_grace_time(node, settings);
 	add_seeds(node, settings);
 	aub_log_begin(AUB_LOG_RELOAD);
 	aub_log_end();
@@ -399,7 +441,7 @@
 {
 	struct aub_node *node = context;
 	gint64 elapsed_us = now_us - node->stop_start_us;
-	gint64 exit_us = (node->grace_ms - STOP_RESERVE_MS) * AUB_MS;
+	gint64 exit_us = (node->grace_ms - stop_reserve_ms(node)) * AUB_MS;
 	gint64 accept_us =
 		(gint64)(STOP_ACCEPT_SHARE * node->grace_ms) * AUB_MS;
 	gint64 close_us = MIN(node->address_ms * AUB_MS * ADDRESS_CACHE_FACTOR,
@@ -433,7 +475,7 @@
 	aub_log_begin(AUB_LOG_STOPPING);
 	aub_log_end();
 	aub_node_publish_state(node);
-	aub_gateway_begin_drain(node->gateway);
+	drain_gateway(node);
 	aub_store_sync_deregister(node->store);
 	node->stop_timer =
 		aub_timer_every(node->timers, "stop", STOP_CHECK_PERIOD_US,
--- a/src/state/routing.c
+++ b/src/state/routing.c
@@ -203,8 +203,10 @@
 		struct aub_route *route = g_ptr_array_index(routing->routes, i);
 		const struct aub_route *previous = find_matching(old, route);
 
-		if (previous)
+		if (previous) {
 			route->caller_wait = previous->caller_wait;
+			route->answer_times = previous->answer_times;
+		}
 	}
 }
 
