--- a/include/auburnstile/internal/routing.h
+++ b/include/auburnstile/internal/routing.h
@@ -96,8 +96,8 @@
  * Copies what was learned of routes that are in `old` too, by host and
  * prefix. `old` may be NULL.
  */
-void aub_routing_copy_caller_waits(struct aub_routing *routing,
-				   const struct aub_routing *old);
+void aub_routing_copy_statistics(struct aub_routing *routing,
+				 const struct aub_routing *old);
 
 /*
  * Returns the route of `host` (a port is ignored) with the longest prefix of
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -205,7 +205,7 @@
 void aub_gateway_configure(struct aub_gateway *gateway,
 			   struct aub_routing *routing)
 {
-	aub_routing_copy_caller_waits(routing, gateway->routing);
+	aub_routing_copy_statistics(routing, gateway->routing);
 	aub_routing_unref(gateway->routing);
 	gateway->routing = aub_routing_ref(routing);
 }
--- a/src/state/routing.c
+++ b/src/state/routing.c
@@ -196,8 +196,8 @@
 	return NULL;
 }
 
-void aub_routing_copy_caller_waits(struct aub_routing *routing,
-				   const struct aub_routing *old)
+void aub_routing_copy_statistics(struct aub_routing *routing,
+				 const struct aub_routing *old)
 {
 	for (guint i = 0; old && i < routing->routes->len; i++) {
 		struct aub_route *route = g_ptr_array_index(routing->routes, i);
--- a/tests/test_routing.cc
+++ b/tests/test_routing.cc
@@ -123,14 +123,14 @@
 	ASSERT_TRUE(aub_routing_build_index(after, NULL));
 	aub_caller_wait_observe(
 		&aub_routing_find(before, "one", "/x/y/z")->caller_wait, 4000);
-	aub_routing_copy_caller_waits(after, before);
+	aub_routing_copy_statistics(after, before);
 	EXPECT_EQ(aub_routing_find(after, "one", "/x/y/z")
 			  ->caller_wait.max_timeout_ms,
 		  4000);
 	EXPECT_EQ(aub_routing_find(after, "one", "/x/z")
 			  ->caller_wait.max_timeout_ms,
 		  0);
-	aub_routing_copy_caller_waits(after, NULL);
+	aub_routing_copy_statistics(after, NULL);
 	aub_routing_unref(before);
 	aub_routing_unref(after);
 }
