store copy: refuse a listing that is older than what is known

Cause: after the loss of the store's history a gateway lists with cached results and applied them whatever their revision; only the watch that follows showed that the listing was too old. A gateway that no longer has the duty to watch starts none, and others announce nothing above the revision that it knows already.

Ruled out: the announcements, which come as they should. Where open watches are closed rather than answered with 410, the gateway watches again and the rule held: the stand-in store did only that, and now can do both.

Change: the copy is complete up to a revision, which only rises. A page of a listing from before it is refused, counted and logged, and the listing starts again without the cache; objects keep their revisions, and an older state of an object is ignored. Why it works: the state that a listing may bring back is by definition older than that revision. Members are exempt: their records only add addresses.

Replaced tests: DoesNotFetchChangesThatAreShared and AppliesSharedChangesOnlyWithoutAGap sent bodies whose revisions contradicted the message that carried them (the same old body twenty times; a change that the store had undone). They now use bodies of the revision that they announce and a listing from before the change; what they check is unchanged, and the first also checks that the last change was applied.

--- a/include/auburnstile/internal/store_sync.h
+++ b/include/auburnstile/internal/store_sync.h
@@ -98,6 +98,7 @@
 	AUB_STORE_REFUSED, /* any other status */
 	AUB_STORE_NO_ANSWER, /* no connection, reset or timeout */
 	AUB_STORE_UNREADABLE, /* an answer that cannot be decoded */
+	AUB_STORE_OUTDATED, /* an answer that is older than the copy */
 	AUB_STORE_RESULTS
 };
 /*
--- a/include/auburnstile/internal/store_sync_internal.h
+++ b/include/auburnstile/internal/store_sync_internal.h
@@ -21,9 +21,13 @@
 	struct aub_http_call *call;
 	guint timer; /* of the next call; 0: none */
 	gint64 timer_due_us;
+	/* All changes up to it were received: where the next watch begins. */
 	gint64 revision;
 	char *next_page; /* token for the next page of a listing */
-	GHashTable *existing_names; /* names that exist */
+	gint64 listing_revision; /* of the first page of the listing */
+	gint64 listing_changed; /* revision of the last change in the listing */
+	/* name -> gint64 *: the objects that exist, and their revisions */
+	GHashTable *existing_names;
 	GHashTable *listed_names; /* names in the current listing */
 	/* Names reported as removed, withheld from users. */
 	GHashTable *withheld_removals;
@@ -45,8 +49,8 @@
 	gint64 overdue_revision; /* did not arrive in time: must be fetched */
 	bool listed;
 	/*
-	 * Changes since the last, cached listing were no longer available: list
-	 * without cached results.
+	 * A cached listing was older than the copy, or the changes since it
+	 * were no longer available: list without cached results.
 	 */
 	bool consistent_listing;
 	/* No changes received since a cached listing. */
@@ -75,14 +79,25 @@
 	guint64 results[AUB_STORE_KINDS][AUB_STORE_RESULTS];
 };
 
-/* Apply an answer: a page of a listing, or a page of changes. */
-void aub_store_apply_listing(struct aub_store_sync_task *task,
+/*
+ * Applies a page of a listing. Returns false and applies nothing if it is older
+ * than the copy.
+ */
+bool aub_store_apply_listing(struct aub_store_sync_task *task,
 			     const struct aub_store_page *page, gint64 now_us);
+/* Applies a page of changes. */
 void aub_store_apply_changes(struct aub_store_sync_task *task,
 			     const struct aub_store_page *page, gint64 now_us);
+/* Logs an answer that was refused as older than the copy. */
+void aub_store_log_outdated(const struct aub_store_sync_task *task,
+			    const struct aub_store_page *page,
+			    const char *source);
 
-/* Restarts the listing; the caller runs the task. */
-void aub_store_relist(struct aub_store_sync_task *task);
+/*
+ * Restarts the listing; the caller runs the task. `consistent`: no page may
+ * come from a cache.
+ */
+void aub_store_relist(struct aub_store_sync_task *task, bool consistent);
 
 /* Returns the result of a call as far as the response head shows it. */
 enum aub_store_result aub_store_result_from_head(
--- a/src/coordination/store_changes.c
+++ b/src/coordination/store_changes.c
@@ -1,7 +1,14 @@
 /*
  * Applies the store's answers to the local copy: objects that exist, that were
  * removed, or that only appear to be removed.
+ *
+ * The copy never goes back. Cached listings, later pages of a listing, answers
+ * that were overtaken by shared changes, and shared changes that were delayed
+ * may all be older than the copy. The copy is complete up to a revision: an
+ * answer from before it is refused as a whole, and what an answer says of an
+ * object at or before that revision is ignored.
  */
+#include <auburnstile/internal/decision_log.h>
 #include <auburnstile/internal/store_sync_internal.h>
 
 /*
@@ -74,6 +81,30 @@
 				     report_withheld_removals, task);
 }
 
+/* Returns the revision up to which the copy contains all changes. */
+static gint64 complete_revision(const struct aub_store_sync_task *task)
+{
+	return MAX(task->revision, task->known_revision);
+}
+
+/*
+ * Returns whether the copy contains the object as in `record`, or as it was
+ * later. A removed object has no revision of its own: its last one, or that of
+ * the removal, is compared with a successor of the same name.
+ */
+static bool is_known(const struct aub_store_sync_task *task,
+		     const struct aub_record *record, gint64 complete)
+{
+	const gint64 *known =
+		g_hash_table_lookup(task->existing_names, record->name);
+
+	if (record->revision <= 0)
+		return false;
+	if (record->removed)
+		return known && record->revision < *known;
+	return record->revision <= (known ? *known : complete);
+}
+
 static void apply_record(struct aub_store_sync_task *task,
 			 struct aub_record *record, bool mass_expiry,
 			 gint64 now_us)
@@ -85,7 +116,9 @@
 		return;
 	}
 	g_hash_table_remove(task->withheld_removals, record->name);
-	g_hash_table_add(task->existing_names, g_strdup(record->name));
+	g_hash_table_replace(task->existing_names, g_strdup(record->name),
+			     g_memdup2(&record->revision,
+				       sizeof(record->revision)));
 	options->changed(task->kind, record, options->context);
 }
 
@@ -127,6 +160,8 @@
 	for (guint i = 0; i < missing->len; i++)
 		apply_removal(task, g_ptr_array_index(missing, i),
 			      is_mass_expiry(task, missing->len), now_us);
+	task->revision = task->listing_revision;
+	mark_changed(task, MIN(task->listing_changed, task->revision));
 	if (missing->len)
 		mark_changed(task, task->revision);
 	g_ptr_array_unref(missing);
@@ -141,44 +176,64 @@
  * All gateways have to identify a change by the same revision, the one of the
  * changed object; otherwise each would take the others' revisions for newer
  * ones and query the store. A removed object has no revision of its own, so the
- * answer's revision is used. Revisions above `max_revision` are ignored: later
- * pages of a listing may contain changes that are newer than its first page.
+ * answer's revision is used.
  */
-static void update_revisions(struct aub_store_sync_task *task,
-			     const struct aub_store_page *page,
-			     gint64 max_revision)
+static gint64 last_change(const struct aub_store_page *page)
 {
+	gint64 last = 0;
+
 	for (guint i = 0; i < page->records->len; i++) {
 		const struct aub_record *record =
 			g_ptr_array_index(page->records, i);
 
-		gint64 revision =
-			record->removed ? page->revision : record->revision;
-
-		mark_changed(task, MIN(revision, max_revision));
+		last = MAX(last,
+			   record->removed ? page->revision : record->revision);
 	}
+	return MIN(last, page->revision);
+}
+
+/* Members are read for their addresses only, and an old one does no harm. */
+static bool is_outdated(const struct aub_store_sync_task *task,
+			const struct aub_store_page *page)
+{
+	return task->kind != AUB_STORE_MEMBERS &&
+	       page->revision < complete_revision(task);
 }
 
 /*
  * The revision of a listing is that of its first page; later changes are
  * received by the watch.
  */
-void aub_store_apply_listing(struct aub_store_sync_task *task,
+static void begin_page(struct aub_store_sync_task *task,
+		       const struct aub_store_page *page)
+{
+	bool is_first = !task->next_page;
+
+	if (is_first)
+		task->listing_revision = page->revision;
+	task->listing_changed =
+		MAX(is_first ? 0 : task->listing_changed, last_change(page));
+}
+
+bool aub_store_apply_listing(struct aub_store_sync_task *task,
 			     const struct aub_store_page *page, gint64 now_us)
 {
-	if (!task->next_page)
-		task->revision = page->revision;
-	update_revisions(task, page, task->revision);
+	if (is_outdated(task, page))
+		return false;
+	begin_page(task, page);
 	for (guint i = 0; i < page->records->len; i++) {
 		struct aub_record *record = g_ptr_array_index(page->records, i);
 
 		g_hash_table_add(task->listed_names, g_strdup(record->name));
-		apply_record(task, record, false, now_us);
+		/* The page is no older than the copy: what it has exists. */
+		if (!is_known(task, record, 0))
+			apply_record(task, record, false, now_us);
 	}
 	g_free(task->next_page);
 	task->next_page = page->more ? g_strdup(page->last) : NULL;
 	if (!task->next_page)
 		finish_listing(task, now_us);
+	return true;
 }
 
 static guint count_removed(const struct aub_store_page *page)
@@ -201,7 +256,7 @@
 		apply_record(task, g_ptr_array_index(page->records, i),
 			     mass_expiry, now_us);
 	task->revision = MAX(task->revision, page->revision);
-	update_revisions(task, page, page->revision);
+	mark_changed(task, last_change(page));
 	if (task->announced_revision > task->known_revision &&
 	    page->revision >= task->announced_revision)
 		task->known_revision =
@@ -209,11 +264,23 @@
 			task->announced_revision;
 }
 
-void aub_store_relist(struct aub_store_sync_task *task)
+void aub_store_relist(struct aub_store_sync_task *task, bool consistent)
 {
 	task->step = AUB_STORE_LIST;
-	task->consistent_listing = task->listing_unconfirmed;
+	task->consistent_listing = consistent;
 	task->listing_unconfirmed = false;
 	g_clear_pointer(&task->next_page, g_free);
 	g_hash_table_remove_all(task->listed_names);
 }
+
+void aub_store_log_outdated(const struct aub_store_sync_task *task,
+			    const struct aub_store_page *page,
+			    const char *source)
+{
+	aub_log_begin(AUB_LOG_STORE_OUTDATED);
+	aub_log_text("kind", aub_store_kind_name(task->kind));
+	aub_log_text("source", source);
+	aub_log_number("answer_revision", page->revision);
+	aub_log_number("revision", complete_revision(task));
+	aub_log_end();
+}
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -66,6 +66,7 @@
 		[AUB_STORE_REFUSED] = "refused",
 		[AUB_STORE_NO_ANSWER] = "no-answer",
 		[AUB_STORE_UNREADABLE] = "unreadable",
+		[AUB_STORE_OUTDATED] = "outdated",
 	};
 
 	return names[result];
@@ -213,6 +214,44 @@
 	schedule_task(task, changes || behind ? pause_us : 0);
 }
 
+/*
+ * A cached listing that is older than the copy would undo changes, and a
+ * process that does not watch might never learn of them again. Returns false if
+ * the listing is restarted.
+ */
+static bool apply_listing(struct aub_store_sync_task *task,
+			  const struct aub_store_page *page, gint64 now_us)
+{
+	bool consistent = task->consistent_listing;
+	bool applied = aub_store_apply_listing(task, page, now_us);
+
+	if (!applied) {
+		aub_store_log_outdated(task, page, "listing");
+		aub_store_relist(task, true);
+	}
+	if (!applied && consistent)
+		store_failed(task, "outdated");
+	else
+		run_task(task);
+	return applied;
+}
+
+static void apply_changes(struct aub_store_sync_task *task,
+			  const struct aub_store_page *page, bool watched,
+			  const char *body, gsize length)
+{
+	const struct aub_store_sync_options *options = &task->sync->options;
+	gint64 before = task->changed_revision;
+
+	aub_store_apply_changes(task, page, aub_timer_now(options->timers));
+	if (page->records->len)
+		options->share(task->kind, before, task->changed_revision, body,
+			       length, options->context);
+	task->listing_unconfirmed = false;
+	task->staggered = watched && !page->records->len;
+	schedule_next_watch(task, page->records->len);
+}
+
 /* `watched` tells that the call was a watch, which waits for changes. */
 static void apply_page(struct aub_store_sync_task *task, bool watched,
 		       const char *body, gsize length)
@@ -223,6 +262,7 @@
 	struct aub_store_page *page =
 		options->platform->decode_page(task->kind, body, length,
 					       &error);
+	bool applied = true;
 
 	if (!page) {
 		aub_store_count_result(task->sync, task->kind,
@@ -231,23 +271,14 @@
 		g_error_free(error);
 		return;
 	}
-	aub_store_count_result(task->sync, task->kind, AUB_STORE_ANSWERED);
 	store_answered(task, now_us);
-	if (task->step == AUB_STORE_LIST) {
-		aub_store_apply_listing(task, page, now_us);
-		run_task(task);
-	} else {
-		gint64 before = task->changed_revision;
-
-		aub_store_apply_changes(task, page, now_us);
-		if (page->records->len)
-			options->share(task->kind, before,
-				       task->changed_revision, body, length,
-				       options->context);
-		task->listing_unconfirmed = false;
-		task->staggered = watched && !page->records->len;
-		schedule_next_watch(task, page->records->len);
-	}
+	if (task->step == AUB_STORE_LIST)
+		applied = apply_listing(task, page, now_us);
+	else
+		apply_changes(task, page, watched, body, length);
+	aub_store_count_result(task->sync, task->kind,
+			       applied ? AUB_STORE_ANSWERED :
+					 AUB_STORE_OUTDATED);
 	options->batch_done(options->context);
 	aub_store_page_free(page);
 }
@@ -278,7 +309,7 @@
 			schedule_task(task, 0);
 	} else if (result == AUB_STORE_NO_HISTORY) {
 		log_store_event(task, AUB_LOG_STORE_HISTORY_LOST, "", 0);
-		aub_store_relist(task);
+		aub_store_relist(task, task->listing_unconfirmed);
 		run_task(task);
 	} else {
 		char *why = g_strdup_printf("status %u", head->status);
@@ -409,7 +440,7 @@
 		task->retry_us = AUB_STORE_RETRY_MIN_US;
 		task->existing_names =
 			g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      NULL);
+					      g_free);
 		task->listed_names =
 			g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      NULL);
@@ -452,12 +483,11 @@
 
 	if (task->call || task->timer)
 		return;
-	aub_store_relist(task);
 	/*
 	 * A cached listing always suffices: heartbeats report which members
 	 * exist.
 	 */
-	task->consistent_listing = false;
+	aub_store_relist(task, false);
 	run_task(task);
 }
 
--- a/src/core/decision_log.c
+++ b/src/core/decision_log.c
@@ -41,6 +41,8 @@
 				      "it answers again" },
 	[AUB_LOG_STORE_HISTORY_LOST] = { "store-history-gone", AUB_LOG_STATE,
 					 "the watch has a gap: listing anew" },
+	[AUB_LOG_STORE_OUTDATED] = { "store-outdated", AUB_LOG_STATE,
+				     "an answer was older than what is known" },
 	[AUB_LOG_PEER_ALIVE] = { "peer-heard", AUB_LOG_STATE,
 				 "another gateway is alive" },
 	[AUB_LOG_PEER_LOST] = { "peer-lost", AUB_LOG_STATE,
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -10,10 +10,12 @@
       protected:
 	struct aub_store_sync *sync = NULL;
 	std::set<std::string> present;
+	std::map<std::string, gint64> revisions; /* of those present */
+	bool went_back = false; /* an older state was reported */
 	std::vector<std::string> shared;
 	enum aub_watch_duty duty = AUB_WATCH_PRIMARY;
 	guint fleet_size = 0;
-	int changes = 0;
+	std::map<std::string, int> reports; /* by name */
 
 	void TearDown() override
 	{
@@ -27,11 +29,16 @@
 
 		if (kind != AUB_STORE_UPSTREAMS)
 			return;
-		self->changes++;
-		if (record->removed)
+		self->reports[record->name]++;
+		if (record->removed) {
 			self->present.erase(record->name);
-		else
+			self->revisions.erase(record->name);
+		} else {
+			self->went_back |= record->revision <
+					   self->revisions[record->name];
 			self->present.insert(record->name);
+			self->revisions[record->name] = record->revision;
+		}
 	}
 	static void on_share(enum aub_store_kind kind, gint64 after,
 			     gint64 until, const char *body, gsize length,
@@ -82,6 +89,54 @@
 
 		platform_store_put(store, "servers", id.c_str(), text.c_str());
 	}
+	static std::string event(const std::string &id, gint64 revision,
+				 bool removed = false)
+	{
+		return std::string("{\"removed\":") +
+		       (removed ? "true" : "false") +
+		       ",\"object\":{\"metadata\":{\"name\":\"" + id +
+		       "\",\"revision\":" + std::to_string(revision) +
+		       "},\"spec\":{\"address\":\"127.0.0.1:9\","
+		       "\"details\":{\"service\":\"svc\",\"zone\":\"z\","
+		       "\"version\":\"v\",\"slots\":2},\"status\":{"
+		       "\"state\":\"ready\"},\"born\":1}}}";
+	}
+	/* Returns the body of an answer to a watch. */
+	static std::string changes(gint64 store_revision,
+				   const std::vector<std::string> &events)
+	{
+		std::string text = "{\"events\":[";
+
+		for (size_t i = 0; i < events.size(); i++)
+			text += (i ? "," : "") + events[i];
+		text += "],\"store_revision\":" +
+			std::to_string(store_revision) + "}";
+		GBytes *bytes = platform_body_pack(text.data(), text.size());
+		gsize length;
+		const char *data =
+			(const char *)g_bytes_get_data(bytes, &length);
+		std::string body(data, length);
+		g_bytes_unref(bytes);
+		return body;
+	}
+	void share(gint64 after, gint64 until, const std::string &body)
+	{
+		aub_store_sync_apply_shared(sync, AUB_STORE_UPSTREAMS, after,
+					    until, body.data(), body.size());
+	}
+	int changes_reported(const std::string &id)
+	{
+		return reports[id];
+	}
+	gint64 known() const
+	{
+		return aub_store_sync_known_revision(sync, AUB_STORE_UPSTREAMS);
+	}
+	guint64 outdated() const
+	{
+		return aub_store_sync_calls(sync, AUB_STORE_UPSTREAMS,
+					    AUB_STORE_OUTDATED);
+	}
 	bool has_upstreams(size_t count, int ms = 3000)
 	{
 		return run_until([&] { return present.size() == count; }, ms);
@@ -327,14 +382,18 @@
 	guint64 before = platform_store_call_count(store);
 
 	for (int i = 1; i <= 20; i++) {
+		std::string body =
+			changes(known + i, { event("u2", known + i) });
+
 		aub_store_sync_announce(sync, AUB_STORE_UPSTREAMS,
 					known + i + 1);
 		aub_store_sync_apply_shared(sync, AUB_STORE_UPSTREAMS,
 					    known + i - 1, known + i,
-					    shared[0].data(), shared[0].size());
+					    body.data(), body.size());
 		run_for(100);
 	}
 	EXPECT_EQ(platform_store_call_count(store) - before, 0u);
+	EXPECT_EQ(revisions["u2"], known + 20);
 }
 
 TEST_F(StoreSyncTest, FetchesChangesMadeDuringListing)
@@ -388,14 +447,17 @@
 	ASSERT_TRUE(has_upstreams(1));
 	run_for(100);
 	gint64 known = aub_store_sync_known_revision(sync, AUB_STORE_UPSTREAMS);
+	platform_store_freeze_cache(store, false);
 	put_upstream("u2");
 	ASSERT_TRUE(has_upstreams(2));
 	ASSERT_EQ(shared.size(), 1u);
-	/* Another process, which does not watch, applies the same bytes. */
+	/*
+	 * Another process, which does not watch and whose listing is from
+	 * before the change, applies the same bytes.
+	 */
 	aub_store_sync_free(sync);
 	present.clear();
 	duty = AUB_WATCH_NONE;
-	platform_store_remove(store, "servers", "u2");
 	start();
 	ASSERT_TRUE(has_upstreams(1));
 	run_for(200); /* confirms the listing */
@@ -433,3 +495,29 @@
 		[&] { return platform_store_count(store, "entries") == 0; },
 		2000));
 }
+
+/* Guards against a copy that a cached listing takes back for good. */
+TEST_F(StoreSyncTest, RefusesCachedListingThatIsOlderThanTheCopy)
+{
+	for (const char *id : { "u1", "u2", "u3", "u4" })
+		put_upstream(id);
+	start();
+	ASSERT_TRUE(has_upstreams(4));
+	platform_store_freeze_cache(store, false);
+	platform_store_remove(store, "servers", "u4");
+	put_upstream("u5");
+	ASSERT_TRUE(run_until(
+		[&] { return present.count("u5") && !present.count("u4"); },
+		2000));
+	/* A watch is open; from now on others watch. */
+	run_for(400);
+	duty = AUB_WATCH_NONE;
+	guint64 before = platform_store_call_count(store);
+	platform_store_drop_history(store);
+	run_for(500);
+	EXPECT_EQ(present, (std::set<std::string>{ "u1", "u2", "u3", "u5" }));
+	EXPECT_EQ(outdated(), 1u);
+	EXPECT_FALSE(went_back);
+	/* A cached and a consistent listing of each of three kinds. */
+	EXPECT_LE(platform_store_call_count(store) - before, 6u);
+}
--- a/tools/platform/store.c
+++ b/tools/platform/store.c
@@ -45,6 +45,9 @@
 	gint64 revision;
 	/* Earlier changes have been dropped: watches from before it get 410. */
 	gint64 compacted_revision;
+	GPtrArray *cached_objects; /* what cached listings show; NULL: all */
+	gint64 cached_revision;
+	bool first_page_is_fresh; /* even of a cached listing */
 	enum platform_store_fault fault;
 	guint delay_ms;
 	guint page_size;
@@ -395,16 +398,28 @@
 			     on_watch_timeout, connection);
 }
 
+static bool is_from_cache(const struct connection *connection, bool first_page)
+{
+	const struct platform_store *store = connection->store;
+
+	return store->cached_objects &&
+	       query_number(connection->target, "stale_ok") == 1 &&
+	       !(first_page && store->first_page_is_fresh);
+}
+
 static void handle_list(struct connection *connection, const char *kind)
 {
 	struct platform_store *store = connection->store;
 	char *after = aub_http_query_parameter(connection->target, "after");
+	bool cached = is_from_cache(connection, !after);
+	const GPtrArray *objects =
+		cached ? store->cached_objects : store->objects;
 	GString *text = g_string_new("{\"items\":[");
 	guint count = 0;
 	bool more = false;
 
-	for (guint i = 0; i < store->objects->len && !more; i++) {
-		struct object *object = g_ptr_array_index(store->objects, i);
+	for (guint i = 0; i < objects->len && !more; i++) {
+		struct object *object = g_ptr_array_index(objects, i);
 		char *item;
 
 		if (strcmp(object->kind, kind) != 0 ||
@@ -421,7 +436,9 @@
 	g_string_append_printf(text,
 			       "],\"more\":%s,\"store_revision\":"
 			       "%" G_GINT64_FORMAT "}",
-			       more ? "true" : "false", store->revision);
+			       more ? "true" : "false",
+			       cached ? store->cached_revision :
+					store->revision);
 	g_free(after);
 	reply(connection, 200, g_string_free(text, FALSE));
 }
@@ -635,6 +652,7 @@
 	aub_poll_watch_remove(store->watch);
 	close(store->listener);
 	g_ptr_array_unref(store->connections);
+	platform_store_update_cache(store);
 	g_ptr_array_unref(store->objects);
 	g_ptr_array_unref(store->changes);
 	g_free(store->address);
@@ -673,6 +691,52 @@
 	close_connections(store, true);
 }
 
+void platform_store_drop_history(struct platform_store *store)
+{
+	g_ptr_array_set_size(store->changes, 0);
+	store->compacted_revision = store->revision;
+	for (guint i = 0; i < store->connections->len; i++) {
+		struct connection *connection =
+			g_ptr_array_index(store->connections, i);
+
+		if (!connection->watching)
+			continue;
+		aub_timer_cancel(store->timers, connection->timer);
+		connection->timer = 0;
+		connection->watching = false;
+		reply(connection, 410, g_strdup("{}"));
+	}
+}
+
+static void *object_copy(gconstpointer source, void *context)
+{
+	const struct object *object = source;
+	struct object *copy = g_memdup2(object, sizeof(*object));
+
+	copy->kind = g_strdup(object->kind);
+	copy->name = g_strdup(object->name);
+	copy->spec = g_strdup(object->spec);
+	copy->status = g_strdup(object->status);
+	copy->finalizers = g_strdup(object->finalizers);
+	return copy;
+}
+
+void platform_store_freeze_cache(struct platform_store *store,
+				 bool first_page_is_fresh)
+{
+	platform_store_update_cache(store);
+	store->cached_objects =
+		g_ptr_array_copy(store->objects, object_copy, NULL);
+	g_ptr_array_set_free_func(store->cached_objects, object_free);
+	store->cached_revision = store->revision;
+	store->first_page_is_fresh = first_page_is_fresh;
+}
+
+void platform_store_update_cache(struct platform_store *store)
+{
+	g_clear_pointer(&store->cached_objects, g_ptr_array_unref);
+}
+
 void platform_store_set_page_size(struct platform_store *store, guint objects)
 {
 	store->page_size = objects;
--- a/tools/platform/store.h
+++ b/tools/platform/store.h
@@ -73,6 +73,16 @@
  * connections of waiting ones are closed.
  */
 void platform_store_compact(struct platform_store *store);
+/* Drops the history likewise, and answers waiting watches with 410. */
+void platform_store_drop_history(struct platform_store *store);
+/*
+ * From now on, listings that may come from a cache show the present objects and
+ * revision, whatever changes, until the cache is updated. The first page of
+ * such a listing may be exempt.
+ */
+void platform_store_freeze_cache(struct platform_store *store,
+				 bool first_page_is_fresh);
+void platform_store_update_cache(struct platform_store *store);
 /* Sets the maximum number of objects in a page of a listing. */
 void platform_store_set_page_size(struct platform_store *store, guint objects);
 
