store copy: watch from the oldest page of a listing

Cause: the pages of a cached listing may be of different age. The watch began at the revision of the first page; what had changed between an older second page and the first one is in neither page and in no event after it. The first empty answer then took the higher revision that others announce for one of another kind.

Ruled out: the announcements and the rule for other kinds, which are right for a copy that is complete up to the revision that it names.

Change: a listing is complete up to the revision of its oldest page, and the watch begins there. It returns at once with what was missing, at no further call; events that the newer pages have already are ignored by the objects' revisions. If that history is gone, the listing is repeated without the cache.

--- a/include/auburnstile/internal/store_sync_internal.h
+++ b/include/auburnstile/internal/store_sync_internal.h
@@ -24,7 +24,7 @@
 	/* All changes up to it were received: where the next watch begins. */
 	gint64 revision;
 	char *next_page; /* token for the next page of a listing */
-	gint64 listing_revision; /* of the first page of the listing */
+	gint64 listing_revision; /* of the oldest page of the listing */
 	gint64 listing_changed; /* revision of the last change in the listing */
 	/* name -> gint64 *: the objects that exist, and their revisions */
 	GHashTable *existing_names;
--- a/src/coordination/store_changes.c
+++ b/src/coordination/store_changes.c
@@ -201,16 +201,18 @@
 }
 
 /*
- * The revision of a listing is that of its first page; later changes are
- * received by the watch.
+ * The pages of a listing may be of different age, the later ones also older
+ * than the first. The listing contains all changes up to the oldest one's
+ * revision; the watch from there receives the later changes.
  */
 static void begin_page(struct aub_store_sync_task *task,
 		       const struct aub_store_page *page)
 {
 	bool is_first = !task->next_page;
 
-	if (is_first)
-		task->listing_revision = page->revision;
+	task->listing_revision =
+		is_first ? page->revision :
+			   MIN(task->listing_revision, page->revision);
 	task->listing_changed =
 		MAX(is_first ? 0 : task->listing_changed, last_change(page));
 }
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -521,3 +521,37 @@
 	/* A cached and a consistent listing of each of three kinds. */
 	EXPECT_LE(platform_store_call_count(store) - before, 6u);
 }
+
+/* Guards against changes between the pages of a listing that are lost. */
+TEST_F(StoreSyncTest, ReceivesChangesBetweenPagesOfDifferentAge)
+{
+	for (int i = 0; i < 6; i++)
+		put_upstream("u" + std::to_string(i));
+	platform_store_set_page_size(store, 3);
+	platform_store_freeze_cache(store, true);
+	platform_store_remove(store, "servers", "u5");
+	put_upstream("u6");
+	start();
+	EXPECT_TRUE(run_until(
+		[&] { return present.count("u6") && !present.count("u5"); },
+		1000));
+	EXPECT_EQ(present.size(), 6u);
+	EXPECT_FALSE(went_back);
+}
+
+/* The same, where the history between the pages is gone. */
+TEST_F(StoreSyncTest, ListsAnewWhenHistoryBetweenPagesIsGone)
+{
+	for (int i = 0; i < 6; i++)
+		put_upstream("u" + std::to_string(i));
+	platform_store_set_page_size(store, 3);
+	platform_store_freeze_cache(store, true);
+	platform_store_remove(store, "servers", "u5");
+	put_upstream("u6");
+	platform_store_drop_history(store);
+	start();
+	EXPECT_TRUE(run_until(
+		[&] { return present.count("u6") && !present.count("u5"); },
+		1000));
+	EXPECT_EQ(present.size(), 6u);
+}
