store copy: refuse answers that shared changes have overtaken

Cause: the answer to the gateway's own watch was applied without a look at any revision, although later changes had arrived from another gateway before it. Shared changes that contain older events, and removals of an object that exists again, were applied in the same way.

Ruled out: the shared changes themselves, which are complete between the revisions that they name.

Change: an answer or a shared change from before the revision up to which the copy is complete is refused; of a newer one each event is compared: an object with its own revision, an unknown one with that of the copy, a removal with the object that exists now. Why it works: a copy that is complete up to a revision has nothing to learn from before it.

--- a/include/auburnstile/internal/store_sync_internal.h
+++ b/include/auburnstile/internal/store_sync_internal.h
@@ -80,13 +80,12 @@
 };
 
 /*
- * Applies a page of a listing. Returns false and applies nothing if it is older
- * than the copy.
+ * Apply an answer: a page of a listing, or a page of changes. Return false and
+ * apply nothing if it is older than the copy.
  */
 bool aub_store_apply_listing(struct aub_store_sync_task *task,
 			     const struct aub_store_page *page, gint64 now_us);
-/* Applies a page of changes. */
-void aub_store_apply_changes(struct aub_store_sync_task *task,
+bool aub_store_apply_changes(struct aub_store_sync_task *task,
 			     const struct aub_store_page *page, gint64 now_us);
 /* Logs an answer that was refused as older than the copy. */
 void aub_store_log_outdated(const struct aub_store_sync_task *task,
--- a/src/coordination/store_changes.c
+++ b/src/coordination/store_changes.c
@@ -249,14 +249,20 @@
 	return count;
 }
 
-void aub_store_apply_changes(struct aub_store_sync_task *task,
+bool aub_store_apply_changes(struct aub_store_sync_task *task,
 			     const struct aub_store_page *page, gint64 now_us)
 {
 	bool mass_expiry = is_mass_expiry(task, count_removed(page));
+	gint64 complete = complete_revision(task);
 
-	for (guint i = 0; i < page->records->len; i++)
-		apply_record(task, g_ptr_array_index(page->records, i),
-			     mass_expiry, now_us);
+	if (is_outdated(task, page))
+		return false;
+	for (guint i = 0; i < page->records->len; i++) {
+		struct aub_record *record = g_ptr_array_index(page->records, i);
+
+		if (!is_known(task, record, complete))
+			apply_record(task, record, mass_expiry, now_us);
+	}
 	task->revision = MAX(task->revision, page->revision);
 	mark_changed(task, last_change(page));
 	if (task->announced_revision > task->known_revision &&
@@ -264,6 +270,7 @@
 		task->known_revision =
 			/* The change was of another kind. */
 			task->announced_revision;
+	return true;
 }
 
 void aub_store_relist(struct aub_store_sync_task *task, bool consistent)
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -236,20 +236,25 @@
 	return applied;
 }
 
-static void apply_changes(struct aub_store_sync_task *task,
+/* Returns false if the answer was overtaken by shared changes. */
+static bool apply_changes(struct aub_store_sync_task *task,
 			  const struct aub_store_page *page, bool watched,
 			  const char *body, gsize length)
 {
 	const struct aub_store_sync_options *options = &task->sync->options;
 	gint64 before = task->changed_revision;
+	bool applied = aub_store_apply_changes(task, page,
+					       aub_timer_now(options->timers));
 
-	aub_store_apply_changes(task, page, aub_timer_now(options->timers));
-	if (page->records->len)
+	if (!applied)
+		aub_store_log_outdated(task, page, "watch");
+	else if (page->records->len)
 		options->share(task->kind, before, task->changed_revision, body,
 			       length, options->context);
 	task->listing_unconfirmed = false;
 	task->staggered = watched && !page->records->len;
 	schedule_next_watch(task, page->records->len);
+	return applied;
 }
 
 /* `watched` tells that the call was a watch, which waits for changes. */
@@ -262,7 +267,7 @@
 	struct aub_store_page *page =
 		options->platform->decode_page(task->kind, body, length,
 					       &error);
-	bool applied = true;
+	bool applied;
 
 	if (!page) {
 		aub_store_count_result(task->sync, task->kind,
@@ -275,7 +280,7 @@
 	if (task->step == AUB_STORE_LIST)
 		applied = apply_listing(task, page, now_us);
 	else
-		apply_changes(task, page, watched, body, length);
+		applied = apply_changes(task, page, watched, body, length);
 	aub_store_count_result(task->sync, task->kind,
 			       applied ? AUB_STORE_ANSWERED :
 					 AUB_STORE_OUTDATED);
@@ -565,13 +570,16 @@
 	page = sync->options.platform->decode_page(kind, body, length, NULL);
 	if (!page)
 		return;
-	task->announced_revision = MAX(task->announced_revision, until);
-	aub_store_apply_changes(task, page,
-				aub_timer_now(sync->options.timers));
-	task->changed_revision = MAX(task->changed_revision, until);
-	task->known_revision = MAX(task->known_revision, until);
+	if (aub_store_apply_changes(task, page,
+				    aub_timer_now(sync->options.timers))) {
+		task->announced_revision = MAX(task->announced_revision, until);
+		task->changed_revision = MAX(task->changed_revision, until);
+		task->known_revision = MAX(task->known_revision, until);
+		sync->options.batch_done(sync->options.context);
+	} else {
+		aub_store_log_outdated(task, page, "shared");
+	}
 	aub_store_page_free(page);
-	sync->options.batch_done(sync->options.context);
 }
 
 void aub_store_sync_check_watch_role(struct aub_store_sync *sync)
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -555,3 +555,75 @@
 		1000));
 	EXPECT_EQ(present.size(), 6u);
 }
+
+/* Guards against an answer of the store that shared changes have overtaken. */
+TEST_F(StoreSyncTest, RefusesAnswerThatSharedChangesHaveOvertaken)
+{
+	put_upstream("u1");
+	start();
+	ASSERT_TRUE(has_upstreams(1));
+	run_for(400);
+	gint64 before = known();
+
+	/* Its answer is on the way when u2 is gone again. */
+	platform_store_set_delay(store, 200);
+	put_upstream("u2");
+	run_for(50);
+	platform_store_remove(store, "servers", "u2");
+	share(before, before + 2,
+	      changes(before + 2, { event("u2", before + 1),
+				    event("u2", before + 1, true) }));
+	EXPECT_EQ(present.count("u2"), 0u);
+	run_for(1000);
+	EXPECT_EQ(present.count("u2"), 0u);
+	EXPECT_EQ(outdated(), 1u);
+	/* Later changes arrive. */
+	put_upstream("u3");
+	EXPECT_TRUE(has_upstreams(2));
+	EXPECT_EQ(known(), before + 3);
+}
+
+/* Guards against an old state in an answer that also has newer changes. */
+TEST_F(StoreSyncTest, IgnoresEventsThatAreOlderThanTheCopy)
+{
+	put_upstream("u1");
+	duty = AUB_WATCH_NONE;
+	start();
+	ASSERT_TRUE(has_upstreams(1));
+	run_for(100);
+	gint64 r = known();
+
+	share(r, r + 4,
+	      changes(r + 4, { event("u2", r + 4), event("u3", r + 2),
+			       event("u3", r + 2, true) }));
+	EXPECT_EQ(present, (std::set<std::string>{ "u1", "u2" }));
+	/* From another watcher, which had less before. */
+	share(r, r + 5,
+	      changes(r + 5, { event("u2", r + 1), event("u2", r + 1, true),
+			       event("u3", r + 2), event("u2", r + 4),
+			       event("u4", r + 5) }));
+	EXPECT_EQ(present, (std::set<std::string>{ "u1", "u2", "u4" }));
+	EXPECT_EQ(revisions["u2"], r + 4);
+	EXPECT_EQ(changes_reported("u2"), 1);
+	EXPECT_EQ(changes_reported("u3"), 2); /* there, and gone */
+	EXPECT_FALSE(went_back);
+}
+
+/* Guards against a removed name that is taken for its successor. */
+TEST_F(StoreSyncTest, RemovesOnlyTheObjectThatWasRemoved)
+{
+	put_upstream("u1");
+	duty = AUB_WATCH_NONE;
+	start();
+	ASSERT_TRUE(has_upstreams(1));
+	run_for(100);
+	gint64 r = known();
+
+	share(r, r + 3,
+	      changes(r + 3, { event("u1", r, true), event("u1", r + 3) }));
+	ASSERT_EQ(revisions["u1"], r + 3);
+	share(r + 3, r + 4, changes(r + 4, { event("u1", r, true) }));
+	EXPECT_EQ(present.count("u1"), 1u);
+	share(r + 4, r + 5, changes(r + 5, { event("u1", r + 3, true) }));
+	EXPECT_EQ(present.count("u1"), 0u);
+}
