--- a/tests/test_platform_codec.cc
+++ b/tests/test_platform_codec.cc
@@ -6,6 +6,7 @@
 #include "platform/body.h"
 
 #include <string>
+#include <vector>
 
 static struct aub_store_page *decode(enum aub_store_kind kind,
 				     const std::string &text,
@@ -120,6 +121,108 @@
 	aub_store_page_free(page);
 }
 
+/* Values that make the whole document undecodable. */
+static std::vector<std::string> undecodable_values()
+{
+	std::string many("\xdd\x00\x05\x00\x00", 5);
+
+	many.append(0x50000, '\xc0'); /* more elements than are accepted */
+	return {
+		"\xd6\xff\x6a\x0f\x52\x01", /* a timestamp */
+		"\xc7\x03\x05zzz", /* an extension type */
+		std::string(40, '\x91') + "\xc0", /* nested too deeply */
+		many,
+	};
+}
+
+/* Returns the page with `value` in place of the text "PLACEHOLDER". */
+static std::string page_with(const std::string &text, const std::string &value)
+{
+	const std::string placeholder = "\xabPLACEHOLDER";
+	GBytes *body = platform_body_pack(text.data(), text.size());
+	gsize length;
+	const char *data = (const char *)g_bytes_get_data(body, &length);
+	std::string page(data, length);
+
+	g_bytes_unref(body);
+	return page.replace(page.find(placeholder), placeholder.size(), value);
+}
+
+static struct aub_store_page *decode_raw(const std::string &data)
+{
+	return aub_platform.decode_page(AUB_STORE_UPSTREAMS, data.data(),
+					data.size(), NULL);
+}
+
+/* Guards against an entry of another writer that hides all others. */
+TEST(PlatformCodec, KeepsOtherEntriesBesideOneThatCannotBeDecoded)
+{
+	const std::string foreign =
+		item("foreign", "{\"updated\":\"PLACEHOLDER\"}");
+	const std::string text = list(item("u1", valid_entry) + "," + foreign +
+				      "," + item("u2", valid_entry));
+
+	for (const std::string &value : undecodable_values()) {
+		struct aub_store_page *page =
+			decode_raw(page_with(text, value));
+
+		ASSERT_NE(page, nullptr);
+		EXPECT_EQ(page->revision, 9);
+		EXPECT_TRUE(page->more);
+		EXPECT_STREQ(page->last, "u2");
+		ASSERT_EQ(page->records->len, 3u);
+		EXPECT_NE(record_at(page, 0)->upstream, nullptr);
+		EXPECT_STREQ(record_at(page, 1)->name, "foreign");
+		EXPECT_EQ(record_at(page, 1)->revision, 5);
+		EXPECT_EQ(record_at(page, 1)->upstream, nullptr);
+		EXPECT_NE(record_at(page, 1)->problem, nullptr);
+		EXPECT_NE(record_at(page, 2)->upstream, nullptr);
+		aub_store_page_free(page);
+	}
+}
+
+/* The same for changes, of which one removes such an entry. */
+TEST(PlatformCodec, KeepsOtherChangesBesideOneThatCannotBeDecoded)
+{
+	const std::string foreign =
+		item("foreign", "{\"updated\":\"PLACEHOLDER\"}");
+
+	for (const char *removed : { "false", "true" })
+		for (const std::string &value : undecodable_values()) {
+			struct aub_store_page *page = decode_raw(page_with(
+				"{\"events\":[{\"removed\":" +
+					std::string(removed) +
+					",\"object\":" + foreign +
+					"},{\"removed\":false,\"object\":" +
+					item("u2", valid_entry) +
+					"}],\"store_revision\":12}",
+				value));
+
+			ASSERT_NE(page, nullptr);
+			EXPECT_EQ(page->revision, 12);
+			ASSERT_EQ(page->records->len, 2u);
+			EXPECT_EQ(record_at(page, 0)->removed,
+				  removed == std::string("true"));
+			EXPECT_EQ(!record_at(page, 0)->problem,
+				  record_at(page, 0)->removed);
+			EXPECT_NE(record_at(page, 1)->upstream, nullptr);
+			aub_store_page_free(page);
+		}
+}
+
+/* Guards against a page that was cut off and is taken for a short one. */
+TEST(PlatformCodec, RefusesTruncatedPageWithAnEntryThatCannotBeDecoded)
+{
+	const std::string data =
+		page_with(list(item("u1", valid_entry) + "," +
+			       item("foreign",
+				    "{\"updated\":\"PLACEHOLDER\"}")),
+			  undecodable_values()[0]);
+
+	for (gsize cut = 0; cut < data.size(); cut++)
+		EXPECT_EQ(decode_raw(data.substr(0, cut)), nullptr) << cut;
+}
+
 TEST(PlatformCodec, RejectsMalformedStoreAnswers)
 {
 	for (const char *text :
