--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -230,16 +230,9 @@
 	g_queue_push_tail(queue, pooled);
 }
 
-/*
- * A connection that is closed without an answer still delivers what the network
- * holds up, seconds later, and the server would begin a request that nobody
- * waits for. A reset discards it.
- */
 static void exchange_free(struct aub_exchange *exchange)
 {
 	aub_timer_cancel(exchange->client->timers, exchange->timer);
-	if (exchange->stream)
-		aub_http_stream_reset_on_close(exchange->stream);
 	aub_http_stream_free(exchange->stream);
 	g_free(exchange->pool_key);
 	g_free(exchange);
@@ -325,10 +318,8 @@
 		aub_http_stream_resume(exchange->stream);
 		pool_add(exchange->client, exchange->pool_key, exchange->stream,
 			 exchange->pool_time_us);
-	} else {
-		aub_http_stream_free(exchange->stream);
+		exchange->stream = NULL;
 	}
-	exchange->stream = NULL;
 	exchange_free(exchange);
 }
 
