gateway: apply a new limit of headers to open connections

Cause: the limit was read when a connection was accepted.

Ruled out: the other limits. A body's belongs to the version that its request began with; the times for heads and for idle connections are read whenever they are checked.

Change: a new version sets the limit on each open connection, for the next request; a head that is being read keeps the larger one.

--- a/include/auburnstile/internal/http_stream.h
+++ b/include/auburnstile/internal/http_stream.h
@@ -94,6 +94,13 @@
  */
 void aub_http_stream_free(struct aub_http_stream *stream);
 
+/*
+ * Changes the limit of a message's head, for the next message. The current one
+ * keeps the larger limit.
+ */
+void aub_http_stream_set_head_limit(struct aub_http_stream *stream,
+				    guint head_max_bytes);
+
 void aub_http_stream_set_callbacks(struct aub_http_stream *stream,
 				   const struct aub_http_callbacks *callbacks,
 				   void *context);
--- a/src/coordination/gateway.c
+++ b/src/coordination/gateway.c
@@ -23,17 +23,18 @@
  */
 #define CALLER_CONNECTIONS_MAX 2500
 
-static guint max_header_bytes(const struct aub_gateway *gateway)
+static guint max_header_bytes(const struct aub_gateway *gateway, bool is_peer)
 {
-	return gateway->routing ? gateway->routing->limits.header_bytes :
-				  HEADER_BYTES_DEFAULT;
+	guint limit = gateway->routing ? gateway->routing->limits.header_bytes :
+					 HEADER_BYTES_DEFAULT;
+
+	return limit + (is_peer ? RELAY_HEADER_BYTES : 0);
 }
 
 static void accept_connections(struct aub_gateway *gateway, int listener,
 			       bool are_peers)
 {
-	guint header_bytes = max_header_bytes(gateway) +
-			     (are_peers ? RELAY_HEADER_BYTES : 0);
+	guint header_bytes = max_header_bytes(gateway, are_peers);
 
 	for (guint i = 0; i < ACCEPTS_PER_WAKEUP; i++) {
 		int fd = aub_tcp_accept(listener);
@@ -208,6 +209,13 @@
 	aub_routing_copy_statistics(routing, gateway->routing);
 	aub_routing_unref(gateway->routing);
 	gateway->routing = aub_routing_ref(routing);
+	for (GList *link = gateway->callers.head; link; link = link->next) {
+		const struct aub_caller *caller = link->data;
+
+		aub_http_stream_set_head_limit(
+			caller->stream,
+			max_header_bytes(gateway, caller->is_peer));
+	}
 }
 
 void aub_gateway_add_reported_crashes(struct aub_gateway *gateway,
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -40,7 +40,8 @@
 	GString *text; /* target, names and values, each NUL-terminated */
 	GArray *offsets; /* of struct header_offsets */
 	guint head_bytes;
-	guint head_max_bytes;
+	guint head_max_bytes; /* of the current head */
+	guint next_head_max_bytes;
 	gsize preamble_bytes; /* read since the last message, up to the head */
 	bool in_value; /* the last header callback was for a value */
 	bool head_done; /* header fields that follow are trailers: discarded */
@@ -127,6 +128,7 @@
 	g_array_set_size(stream->offsets, 0);
 	g_array_set_size(stream->head.headers, 0);
 	stream->head_bytes = 0;
+	stream->head_max_bytes = stream->next_head_max_bytes;
 	stream->in_value = true;
 	stream->head_done = false;
 	stream->in_message = true;
@@ -504,6 +506,7 @@
 	stream->fd = fd;
 	stream->connecting = connecting;
 	stream->head_max_bytes = head_max_bytes;
+	stream->next_head_max_bytes = head_max_bytes;
 	stream->callbacks = *callbacks;
 	stream->context = context;
 	stream->text = g_string_new(NULL);
@@ -532,6 +535,13 @@
 	stream_release(stream);
 }
 
+void aub_http_stream_set_head_limit(struct aub_http_stream *stream,
+				    guint head_max_bytes)
+{
+	stream->next_head_max_bytes = head_max_bytes;
+	stream->head_max_bytes = MAX(stream->head_max_bytes, head_max_bytes);
+}
+
 void aub_http_stream_set_callbacks(struct aub_http_stream *stream,
 				   const struct aub_http_callbacks *callbacks,
 				   void *context)
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -159,6 +159,7 @@
 	int timeout_ms = 1000;
 	int brief_timeout_ms = 150;
 	int max_body_bytes = 1048576;
+	int max_header_bytes = 4096;
 	int version = 1;
 	double rollout_share = 0; /* share of requests to a new version */
 	std::string seed; /* another gateway's address; empty: none */
@@ -197,12 +198,12 @@
 			"\"name\",\"health_path\",\"max_conns\",\"protocol\","
 			"\"tls\",\"warmup_s\",\"warmup_per_s\"],\"rows\":[["
 			"\"svc\",\"/health\",220,\"h1\",false,3.0,2.1]]},"
-			"\"limits\":{\"max_header_bytes\":4096,"
+			"\"limits\":{\"max_header_bytes\":%d,"
 			"\"max_body_bytes\":%d,\"header_timeout_ms\":1000,"
 			"\"idle_timeout_ms\":3000}}",
 			version++, timeout_ms, max_attempts, timeout_ms,
 			max_attempts, brief_timeout_ms, max_attempts,
-			max_body_bytes);
+			max_header_bytes, max_body_bytes);
 
 		platform_store_put(store, "config", "main", text);
 		g_free(text);
--- a/tests/test_gateway_caller.cc
+++ b/tests/test_gateway_caller.cc
@@ -310,3 +310,39 @@
 	EXPECT_EQ(caller.request_ids, names({ "waits", "ends" }));
 	EXPECT_EQ(caller.status, 503u);
 }
+
+/* Guards against open connections that keep the limits of their start. */
+TEST_F(CallerTest, NewHeaderLimitAppliesToOpenConnections)
+{
+	auto large = [](const std::string &id) {
+		return "GET /safe/a HTTP/1.1\r\nHost: site\r\nRequest-Id: " +
+		       id + "\r\nDeadline-Remaining-Ms: 3000\r\nX: " +
+		       std::string(6000, 'x') + "\r\n\r\n";
+	};
+	auto limit_to = [this](int bytes) {
+		max_header_bytes = bytes;
+		configure();
+		run_for(500);
+	};
+
+	start_with_upstreams(1, 10);
+	Caller raised(poller, listen_addresses[0]);
+	raised.send(request("GET /safe/a", "a1"));
+	ASSERT_TRUE(run_until([&] { return raised.answers == 1; }, 1000));
+	limit_to(8192);
+	raised.send(large("a2"));
+	ASSERT_TRUE(run_until([&] { return raised.answers == 2; }, 1000));
+	EXPECT_EQ(raised.status, 200u);
+
+	/* A head that is being read keeps the larger limit. */
+	Caller reading(poller, listen_addresses[0]);
+	reading.send(large("b1").substr(0, 3000));
+	run_for(50);
+	limit_to(4096);
+	reading.send(large("b1").substr(3000));
+	ASSERT_TRUE(run_until([&] { return reading.answers == 1; }, 1000));
+	EXPECT_EQ(reading.status, 200u);
+	raised.send(large("a3"));
+	ASSERT_TRUE(run_until([&] { return raised.answers == 3; }, 1000));
+	EXPECT_EQ(raised.status, 431u);
+}
