gateway: don't believe a refusal that names no request

Cause: additional bytes of a faulty upstream, a refusal without a Request-Id, are read as the answer to the next request on the connection. The id of an answer was compared only if there was one, and whatever states "not run" was believed.

Ruled out: bytes that are there before the request is sent (the pool closes such a connection; these arrive after it).

Weighed: what callers lose if such a refusal isn't believed. On a new connection no earlier answer can be under way, and a request that may run twice loses nothing by a wrong belief: there refusals are believed as before.

Change: any other refusal without an id is passed over like the answer to another request, and the request's own answer is awaited.

--- a/include/auburnstile/internal/http_client.h
+++ b/include/auburnstile/internal/http_client.h
@@ -91,6 +91,8 @@
 gsize aub_exchange_queued_bytes(const struct aub_exchange *exchange);
 /* Returns true if part of the request may have reached the peer. */
 bool aub_exchange_may_have_sent(const struct aub_exchange *exchange);
+/* Returns true if its connection has carried an earlier exchange. */
+bool aub_exchange_is_reused(const struct aub_exchange *exchange);
 /*
  * Discards the response whose head has just been reported, because it belongs
  * to another request.
--- a/src/coordination/gateway_attempt.c
+++ b/src/coordination/gateway_attempt.c
@@ -111,14 +111,40 @@
 	aub_attempt_free(attempt);
 }
 
-/* Returns whether the answer carries the ID of another request. */
+static bool states_not_run(const struct aub_http_head *head,
+			   const struct aub_platform *platform)
+{
+	return aub_http_head_find(head, platform->not_run) ||
+	       head->status == HTTP_STATUS_MISDIRECTED_REQUEST;
+}
+
+/*
+ * A faulty upstream may send bytes after a complete answer, and they are read
+ * as the answer to the next request on that connection. If they state that it
+ * did not run, it would run a second time elsewhere. A refusal without an ID is
+ * therefore believed only if no earlier answer can have been on its connection,
+ * or if the request may run twice. Another gateway sends no such bytes.
+ */
+static bool may_be_stray(const struct aub_upstream_attempt *attempt)
+{
+	const struct aub_route *route = attempt->request->route;
+
+	return *attempt->request->id && !attempt->relay &&
+	       aub_exchange_is_reused(attempt->exchange) &&
+	       !(route && route->idempotent);
+}
+
+/* Returns whether the answer is, or may be, not one to this request. */
 static bool is_for_other_request(const struct aub_upstream_attempt *attempt,
 				 const struct aub_http_head *head)
 {
-	const char *id = aub_http_head_find(
-		head, attempt->request->gateway->options.platform->request_id);
+	const struct aub_platform *platform =
+		attempt->request->gateway->options.platform;
+	const char *id = aub_http_head_find(head, platform->request_id);
 
-	return id && strcmp(id, attempt->request->id) != 0;
+	if (id)
+		return strcmp(id, attempt->request->id) != 0;
+	return states_not_run(head, platform) && may_be_stray(attempt);
 }
 
 static bool is_well_formed(const struct aub_upstream_attempt *attempt,
@@ -227,8 +253,7 @@
 		return;
 	}
 	attempt->status = head->status;
-	attempt->not_run = aub_http_head_find(head, platform->not_run) ||
-			   head->status == HTTP_STATUS_MISDIRECTED_REQUEST;
+	attempt->not_run = states_not_run(head, platform);
 	attempt->malformed = !is_well_formed(attempt, head);
 	attempt->content_length = attempt->request->is_head ? 0 :
 				  head->chunked		    ? -1 :
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -338,6 +338,11 @@
 		       exchange->sent_before_bytes;
 }
 
+bool aub_exchange_is_reused(const struct aub_exchange *exchange)
+{
+	return exchange->sent_before_bytes > 0;
+}
+
 static void on_ended(enum aub_stream_end_reason reason, bool in_message,
 		     void *context)
 {
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -317,6 +317,42 @@
 		400));
 }
 
+/* Guards against stray bytes that tell callers of a run that it wasn't one. */
+TEST_F(GatewayTest, DoesNotTakeStrayRefusalForAnswerToRequestThatRunsOnce)
+{
+	add_upstream("u1");
+	configure();
+	start_and_wait_until_ready();
+	auto first = send_request("POST", "/once/a", "id1");
+	ASSERT_TRUE(wait_for_answer(first));
+	platform_upstream_set_next_answer(upstreams[0],
+					  PLATFORM_ANSWER_STRAY_REFUSAL_FIRST);
+	auto second = send_request("POST", "/once/a", "id2");
+	ASSERT_TRUE(wait_for_answer(second));
+	EXPECT_EQ(second->status, 200u);
+	EXPECT_EQ(second->last_request_id, "id2");
+	EXPECT_EQ(platform_upstream_runs(upstreams[0]), 2u);
+}
+
+/* Guards against requests that are lost where a refusal can be believed. */
+TEST_F(GatewayTest, BelievesRefusalWithoutIdOnNewConnection)
+{
+	add_upstream("u1");
+	configure();
+	start_and_wait_until_ready();
+	platform_upstream_set_answer(upstreams[0],
+				     PLATFORM_ANSWER_UNIDENTIFIED_REFUSAL);
+	auto once = send_request("POST", "/once/a", "id1");
+	ASSERT_TRUE(wait_for_answer(once));
+	EXPECT_EQ(once->status, 503u);
+	/* On any connection if the request may run twice. */
+	for (int i = 0; i < 3; i++) {
+		auto safe = send_request("GET", "/safe/a", "id2");
+		ASSERT_TRUE(wait_for_answer(safe));
+		EXPECT_EQ(safe->status, 503u);
+	}
+}
+
 TEST_F(GatewayTest, DiscardsAnswersToOtherRequests)
 {
 	/*
--- a/tools/platform/upstream.c
+++ b/tools/platform/upstream.c
@@ -174,6 +174,12 @@
 	write_format(connection, "Content-Length: 0\r\n\r\n");
 }
 
+static void write_unidentified_refusal(struct connection *connection)
+{
+	write_format(connection, "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n"
+				 "Content-Length: 0\r\n\r\n");
+}
+
 /*
  * Writes the answer. Returns false if the stream must not be used any more or
  * no response was written.
@@ -219,6 +225,13 @@
 			       bytes + 7);
 		write_complete(connection, 200, id, true, bytes);
 		break;
+	case PLATFORM_ANSWER_STRAY_REFUSAL_FIRST:
+		write_unidentified_refusal(connection);
+		write_complete(connection, 200, id, true, bytes);
+		break;
+	case PLATFORM_ANSWER_UNIDENTIFIED_REFUSAL:
+		write_unidentified_refusal(connection);
+		break;
 	case PLATFORM_ANSWER_UNSTAMPED:
 		write_complete(connection, 200, id, false, bytes);
 		break;
@@ -313,6 +326,7 @@
 					      upstream->answer;
 
 	return answer != PLATFORM_ANSWER_OVERLOADED &&
+	       answer != PLATFORM_ANSWER_UNIDENTIFIED_REFUSAL &&
 	       answer != PLATFORM_ANSWER_MISDIRECTED;
 }
 
