gateway: count requests that time out among the answer times of a route

A planned stop takes a request if its route's recent requests were short. Requests that ended at their deadline were left out, so that a route whose upstream is stuck kept the times of before. CountsRequestsThatTimedOutAsLong sends eight quick requests and one that times out: with the observation only of answers the next one would be sent.

--- a/src/coordination/gateway_request.c
+++ b/src/coordination/gateway_request.c
@@ -59,6 +59,18 @@
 	aub_attempt_abort(attempt, AUB_GRANT_TIMEOUT);
 }
 
+/*
+ * Also called for requests that time out: those of a stuck upstream last
+ * longer than the ones that are answered.
+ */
+static void observe_answer_time(struct aub_request *request)
+{
+	gint64 now = request_now_us(request);
+
+	aub_answer_times_observe(&request->route->answer_times,
+				 now - request->start_us, now);
+}
+
 static void on_deadline(void *context, gint64 now_us);
 
 /* `deadline_us` is the request's own one; a planned stop may end it earlier. */
@@ -99,6 +111,8 @@
 		truncate_late_answer(request, now_us);
 		return;
 	}
+	if (request->attempt && !request->relayed)
+		observe_answer_time(request);
 	if (request->attempt)
 		abort_timed_out_attempt(request, request->attempt);
 	if (request->relayed)
@@ -477,10 +491,7 @@
 	}
 	if (!request->relayed) {
 		aub_request_clear_crashes(request);
-		aub_answer_times_observe(&request->route->answer_times,
-					 request_now_us(request) -
-						 request->start_us,
-					 request_now_us(request));
+		observe_answer_time(request);
 	}
 	aub_request_log(request, AUB_REQUEST_ANSWERED, attempt->status, "",
 			attempt->upstream);
--- a/tests/test_gateway_stop.cc
+++ b/tests/test_gateway_stop.cc
@@ -91,6 +91,20 @@
 	EXPECT_TRUE(wait_until_stopped());
 }
 
+/* Guards against taking an upstream that has become stuck for a fast one. */
+TEST_F(GatewayStopTest, CountsRequestsThatTimedOutAsLong)
+{
+	start(20);
+	send_requests("POST", "/once/a", 8);
+	platform_upstream_set_service_time(upstreams[0], 2500);
+	auto stuck = send_request("POST", "/once/a", "stuck", "", 1000);
+	ASSERT_TRUE(wait_for_answer(stuck));
+	ASSERT_EQ(stuck->status, 504u);
+	stop();
+	auto late = send_request("POST", "/once/a", "late");
+	expect_refused(late, 100);
+}
+
 /* Guards against a request that begins its work when its body is complete. */
 TEST_F(GatewayStopTest, RefusesRequestWhoseBodyEndsTooLate)
 {
