stand-in upstream: new answers don't change what soak seeds mean

The two answers are now the last ones, so that every seed draws what it drew before, and a stray refusal is sent only where an earlier answer was. No check, bound or seed is changed.

--- a/tools/platform/upstream.c
+++ b/tools/platform/upstream.c
@@ -63,6 +63,7 @@
 	enum platform_answer answer; /* to the request that is executing */
 	bool probe;
 	bool running;
+	bool answered; /* an earlier request on this connection */
 	/* The response was sent before the body was complete. */
 	bool early_answer_sent;
 	guint timer;
@@ -226,7 +227,8 @@
 		write_complete(connection, 200, id, true, bytes);
 		break;
 	case PLATFORM_ANSWER_STRAY_REFUSAL_FIRST:
-		write_unidentified_refusal(connection);
+		if (connection->answered)
+			write_unidentified_refusal(connection);
 		write_complete(connection, 200, id, true, bytes);
 		break;
 	case PLATFORM_ANSWER_UNIDENTIFIED_REFUSAL:
@@ -315,6 +317,7 @@
 	}
 	if (!write_answer(connection, connection->answer))
 		return;
+	connection->answered = true;
 	aub_http_stream_flush(connection->stream);
 	aub_http_stream_resume(connection->stream);
 }
--- a/tools/platform/upstream.h
+++ b/tools/platform/upstream.h
@@ -27,16 +27,19 @@
 	PLATFORM_ANSWER_DUPLICATED, /* the response, then a second one */
 	/* The response of another request, then its own. */
 	PLATFORM_ANSWER_MISMATCHED_FIRST,
-	/* A refusal that names no request, then its own. */
-	PLATFORM_ANSWER_STRAY_REFUSAL_FIRST,
 	PLATFORM_ANSWER_UNSTAMPED, /* 200 without the Response-Stamp header */
 	PLATFORM_ANSWER_FAILED, /* 500, executed */
 	PLATFORM_ANSWER_OVERLOADED, /* 503, not executed */
-	/* The same, without a Request-Id. */
-	PLATFORM_ANSWER_UNIDENTIFIED_REFUSAL,
 	PLATFORM_ANSWER_MISDIRECTED, /* 421, not executed */
 	/* 400 before the body has been read; the connection stays open. */
 	PLATFORM_ANSWER_EARLY_ERROR,
+	/* 503 without a Request-Id, not executed */
+	PLATFORM_ANSWER_UNIDENTIFIED_REFUSAL,
+	/*
+	 * The same as additional bytes after an earlier answer on the
+	 * connection, if there was one; then the request's own answer.
+	 */
+	PLATFORM_ANSWER_STRAY_REFUSAL_FIRST,
 };
 
 struct platform_upstream *platform_upstream_new(
