--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -460,3 +460,20 @@
 	ASSERT_TRUE(wait_for_answer(open));
 	EXPECT_EQ(open->status, 200u);
 }
+
+/* Guards against an odd name in the listing that keeps a new gateway idle. */
+TEST_F(GatewayTest, ServesAfterStartWhileOddNameIsListed)
+{
+	platform_store_put(store, "servers", "m&n+o#p%41 q\r\nr", "{}");
+	platform_store_put(store, "servers", "n", "{}");
+	add_upstream("u1");
+	platform_store_set_page_size(store, 1);
+	configure();
+	start_and_wait_until_ready();
+	for (int i = 0; i < 5; i++) {
+		auto caller = send_request("GET", "/safe/a",
+					   "id" + std::to_string(i));
+		ASSERT_TRUE(wait_for_answer(caller));
+		EXPECT_EQ(caller->status, 200u);
+	}
+}
--- a/tests/test_platform_codec.cc
+++ b/tests/test_platform_codec.cc
@@ -543,6 +543,37 @@
 	g_free(path);
 }
 
+/* Guards against a name of an object that becomes a part of a URL's syntax. */
+TEST(PlatformCodec, EncodesNamesInPathsOfAllKinds)
+{
+	static const char *const kinds[AUB_STORE_KINDS] = {
+		[AUB_STORE_ROUTING] = "config",
+		[AUB_STORE_UPSTREAMS] = "servers",
+		[AUB_STORE_EVACUATIONS] = "evacuations",
+		[AUB_STORE_ROLLOUTS] = "rollouts",
+		[AUB_STORE_MEMBERS] = "entries",
+	};
+	const std::string name = "a&b+c#d%41 /?\r\n\xc3\xa9-._~Z9";
+	const std::string encoded =
+		"a%26b%2Bc%23d%2541%20%2F%3F%0D%0A%C3%A9-._~Z9";
+
+	for (guint i = 0; i < AUB_STORE_KINDS; i++) {
+		enum aub_store_kind kind = (enum aub_store_kind)i;
+		const std::string path = std::string("/objects/") + kinds[i];
+		char *listing =
+			aub_platform.list_path(kind, name.c_str(), true);
+		char *object = aub_platform.object_path(kind, name.c_str());
+		char *state = aub_platform.state_path(kind, name.c_str());
+
+		EXPECT_EQ(path + "?after=" + encoded + "&stale_ok=1", listing);
+		EXPECT_EQ(path + "/" + encoded, object);
+		EXPECT_EQ(path + "/" + encoded + "/status", state);
+		g_free(listing);
+		g_free(object);
+		g_free(state);
+	}
+}
+
 /* Guards against an upstream whose version is unknown. */
 TEST(PlatformCodec, RejectsUpstreamWithoutVersion)
 {
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -627,3 +627,63 @@
 	share(r + 4, r + 5, changes(r + 5, { event("u1", r + 3, true) }));
 	EXPECT_EQ(present.count("u1"), 0u);
 }
+
+/* Names of entries of other writers that have a meaning in a call's head. */
+static const char *const odd_names[] = {
+	"m&stale_ok=0", "m+n",	"m#n",	  "m%41", "m%",
+	"m n",		"m\"n", "m/../n", "m?n",  "m\xc3\xa9",
+};
+
+/* Guards against a listing that a name with a meaning in a URL brings to a
+ * halt.
+ */
+TEST_F(StoreSyncTest, ListsBeyondNameThatHasAMeaningInAUrl)
+{
+	for (const char *name : odd_names) {
+		SCOPED_TRACE(name);
+		put_upstream("a");
+		platform_store_put(store, "servers", name, "7");
+		put_upstream("z1");
+		put_upstream("z2");
+		platform_store_set_page_size(store, 2);
+		start();
+		EXPECT_TRUE(run_until([&] { return present.count("z2") > 0; },
+				      1000));
+		/* Four pages of three kinds, and a watch of each. */
+		EXPECT_LE(platform_store_call_count(store), 7u);
+		aub_store_sync_free(sync);
+		sync = NULL;
+		present.clear();
+		platform_store_free(store);
+		store = platform_store_new(poller, timers);
+	}
+}
+
+/* Guards against a name that writes head fields or calls of its own. */
+TEST_F(StoreSyncTest, SendsNothingOfANameButTheName)
+{
+	static const char *const names[] = {
+		"m HTTP/1.1\r\nX-Injected: 1\r\n\r\n",
+		"m HTTP/1.1\r\nHost: x\r\n\r\nDELETE /objects/servers/z1?x=",
+	};
+
+	for (const char *name : names) {
+		SCOPED_TRACE(name);
+		put_upstream("a");
+		platform_store_put(store, "servers", name, "7");
+		put_upstream("z1");
+		put_upstream("z2");
+		platform_store_set_page_size(store, 2);
+		start();
+		run_for(500);
+		EXPECT_NE(platform_store_get(store, "servers", "z1"), nullptr);
+		EXPECT_TRUE(present.count("z2"));
+		/* Four pages of three kinds, and a watch of each. */
+		EXPECT_EQ(platform_store_call_count(store), 7u);
+		aub_store_sync_free(sync);
+		sync = NULL;
+		present.clear();
+		platform_store_free(store);
+		store = platform_store_new(poller, timers);
+	}
+}
--- a/tools/platform/store.c
+++ b/tools/platform/store.c
@@ -103,15 +103,29 @@
 	g_free(connection);
 }
 
+/* Returns `text` as a JSON string, freed with g_free(). */
+static char *json_quoted(const char *text)
+{
+	JsonNode *node = json_node_init_string(json_node_alloc(), text);
+	char *quoted = json_to_string(node, FALSE);
+
+	json_node_unref(node);
+	return quoted;
+}
+
 static char *object_text(const struct object *object)
 {
-	return g_strdup_printf(
-		"{\"metadata\":{\"name\":\"%s\",\"revision\":%" G_GINT64_FORMAT
+	char *name = json_quoted(object->name);
+	char *text = g_strdup_printf(
+		"{\"metadata\":{\"name\":%s,\"revision\":%" G_GINT64_FORMAT
 		",\"created\":%" G_GINT64_FORMAT
 		",\"finalizers\":%s,\"deleting\":%s},\"spec\":%s,\"status\":%s}",
-		object->name, object->revision, object->created,
-		object->finalizers, object->deleting ? "true" : "false",
-		object->spec, object->status);
+		name, object->revision, object->created, object->finalizers,
+		object->deleting ? "true" : "false", object->spec,
+		object->status);
+
+	g_free(name);
+	return text;
 }
 
 static struct object *object_find(const struct platform_store *store,
@@ -407,10 +421,20 @@
 	       !(first_page && store->first_page_is_fresh);
 }
 
+/* Returns a parameter of a query in which '+' stands for a blank, or NULL. */
+static char *form_parameter(const char *target, const char *name)
+{
+	char *text = g_strdelimit(g_strdup(target), "+", ' ');
+	char *value = aub_http_query_parameter(text, name);
+
+	g_free(text);
+	return value;
+}
+
 static void handle_list(struct connection *connection, const char *kind)
 {
 	struct platform_store *store = connection->store;
-	char *after = aub_http_query_parameter(connection->target, "after");
+	char *after = form_parameter(connection->target, "after");
 	bool cached = is_from_cache(connection, !after);
 	const GPtrArray *objects =
 		cached ? store->cached_objects : store->objects;
@@ -503,6 +527,17 @@
 	g_free(text);
 }
 
+/* Decodes the object's name in a split path; others are sent as they are. */
+static void unescape_name(char **parts, guint count)
+{
+	char *name = count >= 4 ? g_uri_unescape_string(parts[3], NULL) : NULL;
+
+	if (!name)
+		return;
+	g_free(parts[3]);
+	parts[3] = name;
+}
+
 static void handle_call(struct connection *connection)
 {
 	struct platform_store *store = connection->store;
@@ -513,6 +548,7 @@
 	guint count = g_strv_length(parts);
 	gint64 from_revision = query_number(connection->target, "watch");
 
+	unescape_name(parts, count);
 	if (count < 3 || strcmp(parts[1], "objects") != 0) {
 		reply(connection, 404, g_strdup("{}"));
 	} else if (connection->method == HTTP_DELETE && count == 4) {
