platform: continue a listing after the name that the store sent

What callers saw: an entry whose name is no text (bytes that are not UTF-8, or a NUL) stood last on a page of the listing, or alone on it. A gateway that started knew only the upstreams of the pages before it, and one that listed anew took all others for gone. No line said so.

Cause: the listing's cursor was the name of the page's last record. An object without a readable name has no record. If the page had none, the cursor was NULL, which also means "no further page".

Evidence: ScriptedStoreTest.ListsBeyondNamesThatAreNoText, whose store sends such names as msgpack's strings and byte strings.

Why the fix works: the cursor is a byte string of its own, the name of the last object that has one, as it was sent, whether the page was decoded whole or object by object. Each byte of it is encoded in the path. The objects without a readable name are counted, and a record-refused line says how many of which kind an answer had.

An object that could not be decoded because of a field beside its name, in its metadata, lost its name likewise, and a change of it was ignored: its name and revision are now read from the encoded bytes.

--- a/include/auburnstile/internal/document_span.h
+++ b/include/auburnstile/internal/document_span.h
@@ -33,6 +33,12 @@
 bool aub_span_find(const struct aub_span *map, const char *name,
 		   struct aub_span *value);
 
+/*
+ * Finds the bytes of an encoded string or byte string, which need not be text.
+ * Returns false if the value is of another type.
+ */
+bool aub_span_bytes(const struct aub_span *value, struct aub_span *bytes);
+
 /* Reads an encoded integer that is not negative. */
 bool aub_span_integer(const struct aub_span *value, gint64 *number);
 
--- a/include/auburnstile/internal/platform.h
+++ b/include/auburnstile/internal/platform.h
@@ -76,7 +76,12 @@
 struct aub_store_page {
 	gint64 revision; /* store revision to start a watch from */
 	bool more; /* continue the listing after `last` */
-	char *last;
+	/*
+	 * Name of the last object that has one, as the store sent it: it need
+	 * not be text. NULL: none has one.
+	 */
+	GBytes *last;
+	guint unnamed; /* objects without a readable name: no records */
 	GPtrArray *records; /* of struct aub_record */
 };
 
@@ -121,9 +126,9 @@
 
 	/*
 	 * Return the paths of store calls, to be freed with g_free(). `after`
-	 * may be NULL.
+	 * may be NULL; it and names may contain any bytes.
 	 */
-	char *(*list_path)(enum aub_store_kind kind, const char *after,
+	char *(*list_path)(enum aub_store_kind kind, GBytes *after,
 			   bool allow_stale);
 	char *(*watch_path)(enum aub_store_kind kind, gint64 revision,
 			    guint wait_ms);
--- a/include/auburnstile/internal/store_sync_internal.h
+++ b/include/auburnstile/internal/store_sync_internal.h
@@ -23,7 +23,8 @@
 	gint64 timer_due_us;
 	/* All changes up to it were received: where the next watch begins. */
 	gint64 revision;
-	char *next_page; /* token for the next page of a listing */
+	/* The listing goes on after this name; NULL: from its start. */
+	GBytes *next_page;
 	gint64 listing_revision; /* of the oldest page of the listing */
 	gint64 listing_changed; /* revision of the last change in the listing */
 	/* name -> gint64 *: the objects that exist, and their revisions */
@@ -87,6 +88,9 @@
 			     const struct aub_store_page *page, gint64 now_us);
 bool aub_store_apply_changes(struct aub_store_sync_task *task,
 			     const struct aub_store_page *page, gint64 now_us);
+/* Logs the objects of an answer that have no readable name. */
+void aub_store_log_unnamed(const struct aub_store_sync_task *task,
+			   const struct aub_store_page *page);
 /* Logs an answer that was refused as older than the copy. */
 void aub_store_log_outdated(const struct aub_store_sync_task *task,
 			    const struct aub_store_page *page,
--- a/src/coordination/store_changes.c
+++ b/src/coordination/store_changes.c
@@ -231,8 +231,9 @@
 		if (!is_known(task, record, 0))
 			apply_record(task, record, false, now_us);
 	}
-	g_free(task->next_page);
-	task->next_page = page->more ? g_strdup(page->last) : NULL;
+	g_clear_pointer(&task->next_page, g_bytes_unref);
+	if (page->more && page->last)
+		task->next_page = g_bytes_ref(page->last);
 	if (!task->next_page)
 		finish_listing(task, now_us);
 	return true;
@@ -278,10 +279,25 @@
 	task->step = AUB_STORE_LIST;
 	task->consistent_listing = consistent;
 	task->listing_unconfirmed = false;
-	g_clear_pointer(&task->next_page, g_free);
+	g_clear_pointer(&task->next_page, g_bytes_unref);
 	g_hash_table_remove_all(task->listed_names);
 }
 
+void aub_store_log_unnamed(const struct aub_store_sync_task *task,
+			   const struct aub_store_page *page)
+{
+	char *problem = g_strdup_printf(
+		"metadata.name must be UTF-8 text without NUL: %s, %u objects",
+		aub_store_kind_name(task->kind), page->unnamed);
+
+	aub_log_begin(AUB_LOG_RECORD_REFUSED);
+	aub_log_text("name", "");
+	aub_log_text("problem", problem);
+	aub_log_number("revision", page->revision);
+	aub_log_end();
+	g_free(problem);
+}
+
 void aub_store_log_outdated(const struct aub_store_sync_task *task,
 			    const struct aub_store_page *page,
 			    const char *source)
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -277,6 +277,8 @@
 		return;
 	}
 	store_answered(task, now_us);
+	if (page->unnamed)
+		aub_store_log_unnamed(task, page);
 	if (task->step == AUB_STORE_LIST)
 		applied = apply_listing(task, page, now_us);
 	else
@@ -472,7 +474,7 @@
 		g_hash_table_unref(task->existing_names);
 		g_hash_table_unref(task->listed_names);
 		g_hash_table_unref(task->withheld_removals);
-		g_free(task->next_page);
+		g_clear_pointer(&task->next_page, g_bytes_unref);
 	}
 	aub_http_call_cancel(sync->registration_call);
 	aub_timer_cancel(sync->options.timers, sync->registration_timer);
--- a/src/protocol/document_span.c
+++ b/src/protocol/document_span.c
@@ -146,15 +146,24 @@
 	return take_container(rest, 2, count);
 }
 
-static bool is_text(const struct aub_span *value, const char *text)
+bool aub_span_bytes(const struct aub_span *value, struct aub_span *bytes)
 {
 	struct aub_span rest = *value;
 	struct value_head head;
-	gsize length = strlen(text);
 
-	/* A string's text is at the end of its encoding. */
-	return take_head(&rest, &head) && head.counts_bytes &&
-	       rest.length == length && !memcmp(rest.data, text, length);
+	/* Extension types have a byte for the type besides those counted. */
+	if (!take_head(&rest, &head) || !head.counts_bytes || head.bytes)
+		return false;
+	*bytes = rest;
+	return true;
+}
+
+static bool is_text(const struct aub_span *value, const char *text)
+{
+	struct aub_span bytes;
+
+	return aub_span_bytes(value, &bytes) && bytes.length == strlen(text) &&
+	       !memcmp(bytes.data, text, bytes.length);
 }
 
 bool aub_span_find(const struct aub_span *map, const char *name,
--- a/src/state/store_records.c
+++ b/src/state/store_records.c
@@ -58,7 +58,7 @@
 {
 	if (!page)
 		return;
-	g_free(page->last);
+	g_clear_pointer(&page->last, g_bytes_unref);
 	g_ptr_array_unref(page->records);
 	g_free(page);
 }
--- a/tests/test_document_span.cc
+++ b/tests/test_document_span.cc
@@ -144,3 +144,25 @@
 	EXPECT_FALSE(aub_span_find(&value, "b", &value));
 	EXPECT_FALSE(aub_span_find(&map, "c", &value));
 }
+
+TEST(DocumentSpan, FindsBytesOfStrings)
+{
+	static const struct {
+		std::string value;
+		bool is_string;
+	} cases[] = {
+		{ "\xa2mn", true },	 { "\xd9\x02mn", true },
+		{ "\xc4\x02mn", true },	 { "\xc7\x02\x05mn", false },
+		{ "\xd5\x05mn", false }, { "\x92mn", false },
+		{ "\x07", false },
+	};
+
+	for (const auto &item : cases) {
+		struct aub_span value = span_of(item.value);
+		struct aub_span bytes = {};
+
+		EXPECT_EQ(aub_span_bytes(&value, &bytes), item.is_string);
+		if (item.is_string)
+			EXPECT_EQ(text_of(bytes), "mn");
+	}
+}
--- a/tests/test_platform_codec.cc
+++ b/tests/test_platform_codec.cc
@@ -41,6 +41,18 @@
 	return (const struct aub_record *)g_ptr_array_index(page->records, i);
 }
 
+/* Returns the name that a listing goes on after; "" if there is none. */
+static std::string last_name(const struct aub_store_page *page)
+{
+	gsize length = 0;
+	const char *name =
+		page->last ?
+			(const char *)g_bytes_get_data(page->last, &length) :
+			"";
+
+	return std::string(name, length);
+}
+
 static const char valid_entry[] =
 	"{\"address\":\"10.0.0.9:80\",\"details\":{\"service\":\"s\",\"version\""
 	":\"v1\",\"zone\":\"z\",\"slots\":2},\"status\":{\"state\":\"ready\","
@@ -54,7 +66,7 @@
 	ASSERT_NE(page, nullptr);
 	EXPECT_EQ(page->revision, 9);
 	EXPECT_TRUE(page->more);
-	EXPECT_STREQ(page->last, "u1");
+	EXPECT_EQ(last_name(page), "u1");
 	ASSERT_EQ(page->records->len, 1u);
 	const struct aub_upstream_record *upstream =
 		record_at(page, 0)->upstream;
@@ -169,7 +181,7 @@
 		ASSERT_NE(page, nullptr);
 		EXPECT_EQ(page->revision, 9);
 		EXPECT_TRUE(page->more);
-		EXPECT_STREQ(page->last, "u2");
+		EXPECT_EQ(last_name(page), "u2");
 		ASSERT_EQ(page->records->len, 3u);
 		EXPECT_NE(record_at(page, 0)->upstream, nullptr);
 		EXPECT_STREQ(record_at(page, 1)->name, "foreign");
@@ -181,6 +193,62 @@
 	}
 }
 
+/* The same where the field that can't be decoded stands beside the name. */
+TEST(PlatformCodec, KeepsNameOfEntryWhoseMetadataCannotBeDecoded)
+{
+	const std::string text =
+		list(item("u1", valid_entry) +
+		     ",{\"metadata\":{\"finalizers\":\"PLACEHOLDER\","
+		     "\"name\":\"foreign\",\"revision\":6},\"spec\":" +
+		     valid_entry + "}");
+
+	for (const std::string &value : undecodable_values()) {
+		struct aub_store_page *page =
+			decode_raw(page_with(text, value));
+
+		ASSERT_NE(page, nullptr);
+		EXPECT_EQ(last_name(page), "foreign");
+		ASSERT_EQ(page->records->len, 2u);
+		EXPECT_NE(record_at(page, 0)->upstream, nullptr);
+		EXPECT_STREQ(record_at(page, 1)->name, "foreign");
+		EXPECT_EQ(record_at(page, 1)->revision, 6);
+		EXPECT_EQ(record_at(page, 1)->upstream, nullptr);
+		EXPECT_NE(record_at(page, 1)->problem, nullptr);
+		aub_store_page_free(page);
+	}
+}
+
+/* Guards against a listing that ends at a name which is no text. */
+TEST(PlatformCodec, ContinuesListingAfterNameThatIsNoText)
+{
+	const std::string text = list(item("u1", valid_entry) + "," +
+				      item("PLACEHOLDER", valid_entry));
+	static const struct {
+		std::string encoded;
+		std::string name;
+	} cases[] = {
+		{ "\xa2\xff\xfe", "\xff\xfe" },
+		{ std::string("\xa3m\0n", 4), std::string("m\0n", 3) },
+		{ "\xc4\x02mn", "mn" },
+		{ "\x07", "u1" },
+		{ undecodable_values()[0], "u1" },
+		{ undecodable_values()[2], "u1" },
+	};
+
+	for (const auto &odd : cases) {
+		struct aub_store_page *page =
+			decode_raw(page_with(text, odd.encoded));
+
+		ASSERT_NE(page, nullptr);
+		EXPECT_TRUE(page->more);
+		EXPECT_EQ(last_name(page), odd.name);
+		EXPECT_EQ(page->unnamed, 1u);
+		ASSERT_EQ(page->records->len, 1u);
+		EXPECT_NE(record_at(page, 0)->upstream, nullptr);
+		aub_store_page_free(page);
+	}
+}
+
 /* The same for changes, of which one removes such an entry. */
 TEST(PlatformCodec, KeepsOtherChangesBesideOneThatCannotBeDecoded)
 {
@@ -560,14 +628,15 @@
 	for (guint i = 0; i < AUB_STORE_KINDS; i++) {
 		enum aub_store_kind kind = (enum aub_store_kind)i;
 		const std::string path = std::string("/objects/") + kinds[i];
-		char *listing =
-			aub_platform.list_path(kind, name.c_str(), true);
+		GBytes *after = g_bytes_new(name.data(), name.size());
+		char *listing = aub_platform.list_path(kind, after, true);
 		char *object = aub_platform.object_path(kind, name.c_str());
 		char *state = aub_platform.state_path(kind, name.c_str());
 
 		EXPECT_EQ(path + "?after=" + encoded + "&stale_ok=1", listing);
 		EXPECT_EQ(path + "/" + encoded, object);
 		EXPECT_EQ(path + "/" + encoded + "/status", state);
+		g_bytes_unref(after);
 		g_free(listing);
 		g_free(object);
 		g_free(state);
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -1,6 +1,7 @@
 /*
  * The local copy of the store: listing, watching, sharing changes, and outages.
  */
+#include "scripted_server.h"
 #include "store_fixture.h"
 
 #include <set>
@@ -15,6 +16,7 @@
 	std::vector<std::string> shared;
 	enum aub_watch_duty duty = AUB_WATCH_PRIMARY;
 	guint fleet_size = 0;
+	std::string address; /* of another store; empty: the stand-in's */
 	std::map<std::string, int> reports; /* by name */
 
 	void TearDown() override
@@ -54,7 +56,9 @@
 			.platform = &aub_platform,
 			.client = client,
 			.timers = timers,
-			.address = platform_store_address(store),
+			.address = address.empty() ?
+					   platform_store_address(store) :
+					   address.c_str(),
 			.changed = on_changed,
 			.batch_done = [](void *) {},
 			.share = on_share,
@@ -687,3 +691,107 @@
 		store = platform_store_new(poller, timers);
 	}
 }
+
+/* A store whose answers about upstreams are scripted, byte by byte. */
+class ScriptedStoreTest : public StoreSyncTest
+{
+      protected:
+	ScriptedServer server;
+	/* Returns the answer to a call; empty: none is sent. */
+	std::function<std::string(const std::string &target)> answer;
+	std::vector<std::string> targets; /* of calls about upstreams */
+
+	void SetUp() override
+	{
+		StoreSyncTest::SetUp();
+		address = "127.0.0.1:" + std::to_string(server.port);
+		server.script = [this](const std::string &request) {
+			size_t start = request.find(' ') + 1;
+			std::string target =
+				request.substr(start, request.find(' ', start) -
+							      start);
+
+			if (target.compare(0, 16, "/objects/servers") != 0)
+				return ScriptedReply{ "" };
+			targets.push_back(target);
+			return ScriptedReply{ answer(target) };
+		};
+	}
+	/* Returns an answer with a body that is packed from JSON. */
+	static std::string response(const std::string &body, guint status = 200)
+	{
+		return "HTTP/1.1 " + std::to_string(status) +
+		       " X\r\nContent-Type: application/msgpack\r\n"
+		       "Content-Length: " +
+		       std::to_string(body.size()) + "\r\n\r\n" + body;
+	}
+	static std::string item(const std::string &name)
+	{
+		return "{\"metadata\":{\"name\":\"" + name +
+		       "\",\"revision\":5},\"spec\":{\"address\":"
+		       "\"127.0.0.1:9\",\"details\":{\"service\":\"svc\","
+		       "\"zone\":\"z\",\"version\":\"v\",\"slots\":2},"
+		       "\"status\":{\"state\":\"ready\"},\"born\":1}}";
+	}
+	/*
+	 * Returns a page of a listing. The name PLACEHOLDER is replaced by the
+	 * encoded value `name`.
+	 */
+	static std::string page(const std::vector<std::string> &items,
+				bool more, const std::string &name = "")
+	{
+		const std::string placeholder = "\xabPLACEHOLDER";
+		std::string text = "{\"items\":[";
+
+		for (size_t i = 0; i < items.size(); i++)
+			text += (i ? "," : "") + items[i];
+		text += std::string("],\"more\":") + (more ? "true" : "false") +
+			",\"store_revision\":9}";
+		GBytes *bytes = platform_body_pack(text.data(), text.size());
+		gsize length;
+		const char *data =
+			(const char *)g_bytes_get_data(bytes, &length);
+		std::string body(data, length);
+		g_bytes_unref(bytes);
+		if (!name.empty())
+			body.replace(body.find(placeholder), placeholder.size(),
+				     name);
+		return response(body);
+	}
+	static bool is_watch(const std::string &target)
+	{
+		return target.find("watch=") != std::string::npos;
+	}
+};
+
+/* Guards against a listing that ends at a name which is no text. */
+TEST_F(ScriptedStoreTest, ListsBeyondNamesThatAreNoText)
+{
+	static const struct {
+		std::string name; /* encoded */
+		const char *after;
+	} cases[] = {
+		{ "\xa2\xff\xfe", "after=%FF%FE" },
+		{ std::string("\xa3m\0n", 4), "after=m%00n" },
+		{ std::string("\xc4\x03m\0n", 5), "after=m%00n" },
+		{ "\xd9\x02\xc3\x28", "after=%C3%28" },
+	};
+
+	for (const auto &odd : cases) {
+		SCOPED_TRACE(odd.after);
+		answer = [&](const std::string &target) {
+			if (is_watch(target))
+				return std::string();
+			if (target.find(odd.after) != std::string::npos)
+				return page({ item("z1") }, false);
+			return page({ item("PLACEHOLDER") }, true, odd.name);
+		};
+		start();
+		EXPECT_TRUE(run_until([&] { return present.count("z1") > 0; },
+				      500));
+		EXPECT_EQ(present.size(), 1u);
+		aub_store_sync_free(sync);
+		sync = NULL;
+		present.clear();
+	}
+}
