store copy: end a listing that makes no progress

What callers saw: while the store sent the same page of a listing again (or two by turns), the gateways asked for it again at once and without end: thousands of pages a second, no watch, and no service where they had just started. A page that said that there were more, with no name to go on after, ended the listing instead, and whatever stood behind it was taken for gone: upstreams that were known got no more requests.

Cause: nothing told whether a page brought the listing on, and the end of a listing had one meaning only, that all was shown.

Evidence: a scripted store that sends the same page, two pages by turns, or a page without names.

Why the fix works: a listing goes on only after a name that it has not gone on after before, so that it asks for each page once at most. If a page is not the last and can't be passed, the listing ends there: what it has shown is in use, nothing is taken for gone, and the watch from its revision receives all later changes. It is repeated after a second at first, then after twice that up to 30 s, each time spread by half, so that a fleet does not ask together. A store-incomplete line names the kind, and the call counts as no-progress.

What it costs: until a repeated listing is complete, objects behind the page that have not changed meanwhile are unknown to a gateway that starts, and removals that no watch has shown are not noticed.

--- a/include/auburnstile/internal/store_sync.h
+++ b/include/auburnstile/internal/store_sync.h
@@ -41,7 +41,10 @@
 	guint apply_ms;
 	/* Returns the number of other processes that share the store. */
 	guint (*fleet_size)(void *context);
-	/* Called when the first full listing of a kind has been read. */
+	/*
+	 * Called when the first listing of a kind has been read, as far as the
+	 * store shows it.
+	 */
 	void (*listed)(enum aub_store_kind kind, void *context);
 	void *context;
 };
@@ -99,6 +102,8 @@
 	AUB_STORE_NO_ANSWER, /* no connection, reset or timeout */
 	AUB_STORE_UNREADABLE, /* an answer that cannot be decoded */
 	AUB_STORE_OUTDATED, /* an answer that is older than the copy */
+	/* A page with which a listing can't go on, though there are more. */
+	AUB_STORE_NO_PROGRESS,
 	AUB_STORE_RESULTS
 };
 /*
--- a/include/auburnstile/internal/store_sync_internal.h
+++ b/include/auburnstile/internal/store_sync_internal.h
@@ -25,6 +25,10 @@
 	gint64 revision;
 	/* The listing goes on after this name; NULL: from its start. */
 	GBytes *next_page;
+	/* Names that the current listing has gone on after, as GBytes. */
+	GHashTable *cursors;
+	guint relist_timer; /* repeats an incomplete listing */
+	gint64 relist_us; /* delay before the next repetition */
 	gint64 listing_revision; /* of the oldest page of the listing */
 	gint64 listing_changed; /* revision of the last change in the listing */
 	/* name -> gint64 *: the objects that exist, and their revisions */
@@ -81,13 +85,16 @@
 };
 
 /*
- * Apply an answer: a page of a listing, or a page of changes. Return false and
- * apply nothing if it is older than the copy.
+ * Apply an answer: a page of a listing, or a page of changes. Return
+ * AUB_STORE_OUTDATED and apply nothing if it is older than the copy, and
+ * AUB_STORE_NO_PROGRESS if the listing has ended at a page that isn't its last.
  */
-bool aub_store_apply_listing(struct aub_store_sync_task *task,
-			     const struct aub_store_page *page, gint64 now_us);
-bool aub_store_apply_changes(struct aub_store_sync_task *task,
-			     const struct aub_store_page *page, gint64 now_us);
+enum aub_store_result aub_store_apply_listing(struct aub_store_sync_task *task,
+					      const struct aub_store_page *page,
+					      gint64 now_us);
+enum aub_store_result aub_store_apply_changes(struct aub_store_sync_task *task,
+					      const struct aub_store_page *page,
+					      gint64 now_us);
 /* Logs the objects of an answer that have no readable name. */
 void aub_store_log_unnamed(const struct aub_store_sync_task *task,
 			   const struct aub_store_page *page);
--- a/src/coordination/store_changes.c
+++ b/src/coordination/store_changes.c
@@ -143,12 +143,8 @@
  * Objects that have gone while the history was lost are only missing from the
  * listing. Its revision is announced for them, or the gateways that still have
  * the history would never ask for the change.
- *
- * Cached listings cost a tenth of a call. They contain the revision they are
- * from: processes that watch receive all later changes, and the others learn
- * from heartbeats that they are behind.
  */
-static void finish_listing(struct aub_store_sync_task *task, gint64 now_us)
+static void apply_missing(struct aub_store_sync_task *task, gint64 now_us)
 {
 	GList *names = g_hash_table_get_keys(task->existing_names);
 	GPtrArray *missing = g_ptr_array_new_with_free_func(g_free);
@@ -160,12 +156,23 @@
 	for (guint i = 0; i < missing->len; i++)
 		apply_removal(task, g_ptr_array_index(missing, i),
 			      is_mass_expiry(task, missing->len), now_us);
-	task->revision = task->listing_revision;
-	mark_changed(task, MIN(task->listing_changed, task->revision));
 	if (missing->len)
-		mark_changed(task, task->revision);
+		mark_changed(task, task->listing_revision);
 	g_ptr_array_unref(missing);
+}
+
+/*
+ * Cached listings cost a tenth of a call. They contain the revision they are
+ * from: processes that watch receive all later changes, and the others learn
+ * from heartbeats that they are behind.
+ */
+static void finish_listing(struct aub_store_sync_task *task)
+{
+	task->revision = task->listing_revision;
+	mark_changed(task, MIN(task->listing_changed, task->revision));
 	g_hash_table_remove_all(task->listed_names);
+	g_hash_table_remove_all(task->cursors);
+	g_clear_pointer(&task->next_page, g_bytes_unref);
 	task->step = AUB_STORE_WATCH;
 	task->listing_unconfirmed = !task->consistent_listing;
 	task->consistent_listing = false;
@@ -217,11 +224,28 @@
 		MAX(is_first ? 0 : task->listing_changed, last_change(page));
 }
 
-bool aub_store_apply_listing(struct aub_store_sync_task *task,
-			     const struct aub_store_page *page, gint64 now_us)
+/*
+ * Moves the listing on to the next page. Returns false if that would not be
+ * another one: a store that takes the name for a different one sends the same
+ * pages without end.
+ */
+static bool advance_cursor(struct aub_store_sync_task *task,
+			   const struct aub_store_page *page)
 {
-	if (is_outdated(task, page))
+	if (!page->last ||
+	    !g_hash_table_add(task->cursors, g_bytes_ref(page->last)))
 		return false;
+	g_clear_pointer(&task->next_page, g_bytes_unref);
+	task->next_page = g_bytes_ref(page->last);
+	return true;
+}
+
+enum aub_store_result aub_store_apply_listing(struct aub_store_sync_task *task,
+					      const struct aub_store_page *page,
+					      gint64 now_us)
+{
+	if (is_outdated(task, page))
+		return AUB_STORE_OUTDATED;
 	begin_page(task, page);
 	for (guint i = 0; i < page->records->len; i++) {
 		struct aub_record *record = g_ptr_array_index(page->records, i);
@@ -231,12 +255,13 @@
 		if (!is_known(task, record, 0))
 			apply_record(task, record, false, now_us);
 	}
-	g_clear_pointer(&task->next_page, g_bytes_unref);
-	if (page->more && page->last)
-		task->next_page = g_bytes_ref(page->last);
-	if (!task->next_page)
-		finish_listing(task, now_us);
-	return true;
+	if (page->more && advance_cursor(task, page))
+		return AUB_STORE_ANSWERED;
+	/* What an incomplete listing did not show may still exist. */
+	if (!page->more)
+		apply_missing(task, now_us);
+	finish_listing(task);
+	return page->more ? AUB_STORE_NO_PROGRESS : AUB_STORE_ANSWERED;
 }
 
 static guint count_removed(const struct aub_store_page *page)
@@ -250,14 +275,15 @@
 	return count;
 }
 
-bool aub_store_apply_changes(struct aub_store_sync_task *task,
-			     const struct aub_store_page *page, gint64 now_us)
+enum aub_store_result aub_store_apply_changes(struct aub_store_sync_task *task,
+					      const struct aub_store_page *page,
+					      gint64 now_us)
 {
 	bool mass_expiry = is_mass_expiry(task, count_removed(page));
 	gint64 complete = complete_revision(task);
 
 	if (is_outdated(task, page))
-		return false;
+		return AUB_STORE_OUTDATED;
 	for (guint i = 0; i < page->records->len; i++) {
 		struct aub_record *record = g_ptr_array_index(page->records, i);
 
@@ -271,7 +297,7 @@
 		task->known_revision =
 			/* The change was of another kind. */
 			task->announced_revision;
-	return true;
+	return AUB_STORE_ANSWERED;
 }
 
 void aub_store_relist(struct aub_store_sync_task *task, bool consistent)
@@ -281,6 +307,7 @@
 	task->listing_unconfirmed = false;
 	g_clear_pointer(&task->next_page, g_bytes_unref);
 	g_hash_table_remove_all(task->listed_names);
+	g_hash_table_remove_all(task->cursors);
 }
 
 void aub_store_log_unnamed(const struct aub_store_sync_task *task,
--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -45,6 +45,10 @@
 #define RETRY_PER_GATEWAY_US (10 * AUB_MS) /* per gateway of the fleet */
 #define RETRY_LARGE_FLEET_MAX_US (3000 * AUB_MS)
 
+/* Delay before an incomplete listing is repeated, doubled each time. */
+#define RELIST_MIN_US (1 * AUB_SECOND)
+#define RELIST_MAX_US (30 * AUB_SECOND)
+
 const char *aub_store_kind_name(enum aub_store_kind kind)
 {
 	static const char *const names[AUB_STORE_KINDS] = {
@@ -67,6 +71,7 @@
 		[AUB_STORE_NO_ANSWER] = "no-answer",
 		[AUB_STORE_UNREADABLE] = "unreadable",
 		[AUB_STORE_OUTDATED] = "outdated",
+		[AUB_STORE_NO_PROGRESS] = "no-progress",
 	};
 
 	return names[result];
@@ -214,39 +219,107 @@
 	schedule_task(task, changes || behind ? pause_us : 0);
 }
 
+/* Members are read once; later changes are learnt from heartbeats. */
+static bool is_followed(const struct aub_store_sync_task *task)
+{
+	return task->kind != AUB_STORE_MEMBERS &&
+	       (task->kind != AUB_STORE_ROLLOUTS ||
+		task->sync->options.follows_rollouts);
+}
+
+static void schedule_relist(struct aub_store_sync_task *task);
+
+static void on_relist_due(void *context, gint64 now_us)
+{
+	struct aub_store_sync_task *task = context;
+
+	task->relist_timer = 0;
+	if (task->step == AUB_STORE_LIST)
+		return;
+	if (task->failing) {
+		schedule_relist(task);
+		return;
+	}
+	aub_timer_cancel(task->sync->options.timers, task->timer);
+	task->timer = 0;
+	aub_http_call_cancel(task->call);
+	task->call = NULL;
+	aub_store_relist(task, false);
+	run_task(task);
+}
+
+/* Spreads the repetitions of a fleet, whose listings end together. */
+static void schedule_relist(struct aub_store_sync_task *task)
+{
+	struct aub_timer_service *timers = task->sync->options.timers;
+
+	if (!is_followed(task))
+		return;
+	aub_timer_cancel(timers, task->relist_timer);
+	task->relist_timer = aub_timer_at(
+		timers, "relist",
+		aub_timer_now(timers) + task->relist_us +
+			g_random_int_range(0, (gint32)(task->relist_us / 2)),
+		on_relist_due, task);
+	task->relist_us = MIN(task->relist_us * 2, RELIST_MAX_US);
+}
+
+/*
+ * A listing that can't go on is no reason to do without what it has shown, or
+ * without the changes to come: the watch goes on, and the listing is repeated.
+ */
+static void on_listing_stuck(struct aub_store_sync_task *task,
+			     const struct aub_store_page *page)
+{
+	aub_log_begin(AUB_LOG_STORE_INCOMPLETE);
+	aub_log_text("kind", aub_store_kind_name(task->kind));
+	aub_log_number("revision", page->revision);
+	aub_log_number("known", g_hash_table_size(task->existing_names));
+	aub_log_number("retry_ms", task->relist_us / AUB_MS);
+	aub_log_end();
+	schedule_relist(task);
+}
+
 /*
  * A cached listing that is older than the copy would undo changes, and a
- * process that does not watch might never learn of them again. Returns false if
- * the listing is restarted.
+ * process that does not watch might never learn of them again. It is restarted.
  */
-static bool apply_listing(struct aub_store_sync_task *task,
-			  const struct aub_store_page *page, gint64 now_us)
+static enum aub_store_result apply_listing(struct aub_store_sync_task *task,
+					   const struct aub_store_page *page,
+					   gint64 now_us)
 {
 	bool consistent = task->consistent_listing;
-	bool applied = aub_store_apply_listing(task, page, now_us);
+	enum aub_store_result result =
+		aub_store_apply_listing(task, page, now_us);
 
-	if (!applied) {
+	if (result == AUB_STORE_OUTDATED) {
 		aub_store_log_outdated(task, page, "listing");
 		aub_store_relist(task, true);
+	} else if (result == AUB_STORE_NO_PROGRESS) {
+		on_listing_stuck(task, page);
+	} else if (task->step == AUB_STORE_WATCH) {
+		task->relist_us = RELIST_MIN_US;
 	}
-	if (!applied && consistent)
+	if (result == AUB_STORE_OUTDATED && consistent)
 		store_failed(task, "outdated");
 	else
 		run_task(task);
-	return applied;
+	return result;
 }
 
-/* Returns false if the answer was overtaken by shared changes. */
-static bool apply_changes(struct aub_store_sync_task *task,
-			  const struct aub_store_page *page, bool watched,
-			  const char *body, gsize length)
+/* An answer that shared changes have overtaken is outdated. */
+static enum aub_store_result apply_changes(struct aub_store_sync_task *task,
+					   const struct aub_store_page *page,
+					   bool watched, const char *body,
+					   gsize length)
 {
 	const struct aub_store_sync_options *options = &task->sync->options;
 	gint64 before = task->changed_revision;
-	bool applied = aub_store_apply_changes(task, page,
-					       aub_timer_now(options->timers));
+	enum aub_store_result result =
+		aub_store_apply_changes(task, page,
+					aub_timer_now(options->timers));
 
-	if (!applied)
+	if (result == AUB_STORE_OUTDATED)
 		aub_store_log_outdated(task, page, "watch");
 	else if (page->records->len)
 		options->share(task->kind, before, task->changed_revision, body,
@@ -254,7 +327,7 @@
 	task->listing_unconfirmed = false;
 	task->staggered = watched && !page->records->len;
 	schedule_next_watch(task, page->records->len);
-	return applied;
+	return result;
 }
 
 /* `watched` tells that the call was a watch, which waits for changes. */
@@ -267,7 +340,7 @@
 	struct aub_store_page *page =
 		options->platform->decode_page(task->kind, body, length,
 					       &error);
-	bool applied;
+	enum aub_store_result result;
 
 	if (!page) {
 		aub_store_count_result(task->sync, task->kind,
@@ -280,12 +353,10 @@
 	if (page->unnamed)
 		aub_store_log_unnamed(task, page);
 	if (task->step == AUB_STORE_LIST)
-		applied = apply_listing(task, page, now_us);
+		result = apply_listing(task, page, now_us);
 	else
-		applied = apply_changes(task, page, watched, body, length);
-	aub_store_count_result(task->sync, task->kind,
-			       applied ? AUB_STORE_ANSWERED :
-					 AUB_STORE_OUTDATED);
+		result = apply_changes(task, page, watched, body, length);
+	aub_store_count_result(task->sync, task->kind, result);
 	options->batch_done(options->context);
 	aub_store_page_free(page);
 }
@@ -326,14 +397,6 @@
 	}
 }
 
-/* Members are read once; later changes are learnt from heartbeats. */
-static bool is_followed(const struct aub_store_sync_task *task)
-{
-	return task->kind != AUB_STORE_MEMBERS &&
-	       (task->kind != AUB_STORE_ROLLOUTS ||
-		task->sync->options.follows_rollouts);
-}
-
 /*
  * For rollout orders one watcher per zone suffices, because heartbeats report
  * them as well.
@@ -445,6 +508,11 @@
 		task->sync = sync;
 		task->kind = (enum aub_store_kind)i;
 		task->retry_us = AUB_STORE_RETRY_MIN_US;
+		task->relist_us = RELIST_MIN_US;
+		task->cursors =
+			g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
+					      (GDestroyNotify)g_bytes_unref,
+					      NULL);
 		task->existing_names =
 			g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      g_free);
@@ -471,6 +539,8 @@
 		aub_timer_cancel(sync->options.timers, task->timer);
 		aub_timer_cancel(sync->options.timers, task->removal_timer);
 		aub_timer_cancel(sync->options.timers, task->announced_timer);
+		aub_timer_cancel(sync->options.timers, task->relist_timer);
+		g_hash_table_unref(task->cursors);
 		g_hash_table_unref(task->existing_names);
 		g_hash_table_unref(task->listed_names);
 		g_hash_table_unref(task->withheld_removals);
@@ -573,7 +643,8 @@
 	if (!page)
 		return;
 	if (aub_store_apply_changes(task, page,
-				    aub_timer_now(sync->options.timers))) {
+				    aub_timer_now(sync->options.timers)) ==
+	    AUB_STORE_ANSWERED) {
 		task->announced_revision = MAX(task->announced_revision, until);
 		task->changed_revision = MAX(task->changed_revision, until);
 		task->known_revision = MAX(task->known_revision, until);
--- a/src/core/decision_log.c
+++ b/src/core/decision_log.c
@@ -43,6 +43,8 @@
 					 "the watch has a gap: listing anew" },
 	[AUB_LOG_STORE_OUTDATED] = { "store-outdated", AUB_LOG_STATE,
 				     "an answer was older than what is known" },
+	[AUB_LOG_STORE_INCOMPLETE] = { "store-incomplete", AUB_LOG_STATE,
+				       "a listing could not be read to its end" },
 	[AUB_LOG_PEER_ALIVE] = { "peer-heard", AUB_LOG_STATE,
 				 "another gateway is alive" },
 	[AUB_LOG_PEER_LOST] = { "peer-lost", AUB_LOG_STATE,
--- a/src/state/log_events.c
+++ b/src/state/log_events.c
@@ -35,6 +35,8 @@
 	  false },
 	{ "store-outdated", AUB_EVENT_STORE, NULL, NULL, NULL, "revision",
 	  false },
+	{ "store-incomplete", AUB_EVENT_STORE, NULL, NULL, NULL, "revision",
+	  false },
 	{ "peer-heard", AUB_EVENT_MEMBER, NULL, "zone", "peer", NULL, false },
 	{ "peer-lost", AUB_EVENT_MEMBER, NULL, "zone", "peer", NULL, false },
 	{ "datagram-refused", AUB_EVENT_FAILED, NULL, NULL, NULL, NULL, false },
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -795,3 +795,104 @@
 		present.clear();
 	}
 }
+
+/* Listings without progress: the answers to the calls, by their number. */
+static const struct {
+	const char *name;
+	std::function<std::string(size_t call)> names; /* "": no name */
+} stuck_listings[] = {
+	{ "the same page", [](size_t) { return "a"; } },
+	{ "two pages by turns",
+	  [](size_t call) { return call % 2 ? "b" : "a"; } },
+	{ "a page without names", [](size_t) { return ""; } },
+};
+
+class StuckListingTest : public ScriptedStoreTest
+{
+      protected:
+	size_t listings = 0; /* calls for pages */
+	bool stuck = true;
+	std::string watch_answer; /* to the first watch; empty: none */
+
+	/* Answers listings as `names` says while `stuck`, then in full. */
+	void script(const std::function<std::string(size_t)> &names)
+	{
+		answer = [this, names](const std::string &target) {
+			if (is_watch(target))
+				return std::exchange(watch_answer, "");
+			std::string name = names(listings++);
+			if (!stuck)
+				return page({ item("a"), item("z2") }, false);
+			return page({ name.empty() ? "{}" : item(name) }, true);
+		};
+	}
+};
+
+/* Guards against a listing without progress that is read without end. */
+TEST_F(StuckListingTest, EndsAndGoesOnWithWhatIsKnown)
+{
+	for (const auto &listing : stuck_listings) {
+		SCOPED_TRACE(listing.name);
+		listings = 0;
+		targets.clear();
+		watch_answer = response(changes(12, { event("z9", 12) }));
+		script(listing.names);
+		start();
+		EXPECT_TRUE(run_until([&] { return present.count("z9") > 0; },
+				      500));
+		run_for(300);
+		EXPECT_LE(listings, 3u);
+		EXPECT_EQ(present.count("a"),
+			  *listing.names(0).c_str() ? 1u : 0u);
+		aub_store_sync_free(sync);
+		sync = NULL;
+		present.clear();
+	}
+}
+
+/* Guards against upstreams that are taken for gone as a listing ended early. */
+TEST_F(StuckListingTest, KeepsWhatItDidNotShow)
+{
+	for (const auto &listing : stuck_listings) {
+		SCOPED_TRACE(listing.name);
+		stuck = false;
+		script(listing.names);
+		start();
+		ASSERT_TRUE(run_until([&] { return present.count("z2") > 0; },
+				      500));
+		run_for(50);
+		stuck = true;
+		listings = 0;
+		server.write(response("\x80", 410));
+		ASSERT_TRUE(run_until([&] { return listings > 0; }, 500));
+		run_for(300);
+		EXPECT_EQ(present.count("a"), 1u);
+		EXPECT_EQ(present.count("z2"), 1u);
+		aub_store_sync_free(sync);
+		sync = NULL;
+		present.clear();
+	}
+}
+
+/* Guards against upstreams that stay unknown once the store has recovered. */
+TEST_F(StuckListingTest, IsRepeatedUntilItIsComplete)
+{
+	for (enum aub_watch_duty each : { AUB_WATCH_PRIMARY, AUB_WATCH_NONE }) {
+		duty = each;
+		stuck = true;
+		listings = 0;
+		script(stuck_listings[0].names);
+		start();
+		run_for(300);
+		EXPECT_EQ(present, (std::set<std::string>{ "a" }));
+		stuck = false;
+		EXPECT_TRUE(run_until([&] { return present.count("z2") > 0; },
+				      3000));
+		size_t before = listings;
+		run_for(1500);
+		EXPECT_EQ(listings, before);
+		aub_store_sync_free(sync);
+		sync = NULL;
+		present.clear();
+	}
+}
