tests: share the fixture of an upstream that answers with faulty bytes

Moved out of test_gateway_endless without changes of its checks; the type EndlessBytes is now FaultyAnswer.

--- a/tests/test_gateway_endless.cc
+++ b/tests/test_gateway_endless.cc
@@ -2,7 +2,7 @@
  * Upstreams whose bytes don't end: bytes that are no answer, in a head or a
  * body, until the gateway closes the connection.
  */
-#include "gateway_fixture.h"
+#include "faulty_upstream_fixture.h"
 
 /*
  * What a probe may cost its upstream: the bound of a head, and what the buffers
@@ -10,19 +10,10 @@
  */
 #define PROBE_BYTES_MAX (1u << 20)
 
-#define STAMPED                                  \
-	"HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n" \
-	"Response-Stamp: stamp\r\n"
 #define NOT_RUN "HTTP/1.1 503 X\r\nRequest-Id: $ID\r\nNot-Executed: 1\r\n"
 
-struct EndlessBytes {
-	const char *name;
-	const char *start;
-	const char *unit;
-};
-
 /* No answer can come of these: its head doesn't end, or it has none. */
-static const struct EndlessBytes endless_heads[] = {
+static const struct FaultyAnswer endless_heads[] = {
 	{ "garbage without a line end", "", "\001garbage" },
 	{ "empty lines", "", "\r\n" },
 	{ "interim answers", "",
@@ -33,7 +24,7 @@
 };
 
 /* The head of these says that the answer is not the caller's. */
-static const struct EndlessBytes endless_ignored_bodies[] = {
+static const struct FaultyAnswer endless_ignored_bodies[] = {
 	{ "no stamp", "HTTP/1.1 200 OK\r\nRequest-Id: $ID\r\n\r\n", "x" },
 	{ "not run", NOT_RUN "\r\n", "x" },
 	{ "not run, a length", NOT_RUN "Content-Length: 99999999999\r\n\r\n",
@@ -44,7 +35,7 @@
 };
 
 /* Answers of other requests, which are skipped. */
-static const struct EndlessBytes endless_foreign_answers[] = {
+static const struct FaultyAnswer endless_foreign_answers[] = {
 	{ "another request's body",
 	  "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n", "x" },
 	{ "other requests' answers", "",
@@ -53,7 +44,7 @@
 };
 
 /* An answer of the caller's own that doesn't end. */
-static const struct EndlessBytes endless_bodies[] = {
+static const struct FaultyAnswer endless_bodies[] = {
 	{ "no length", STAMPED "\r\n", "x" },
 	{ "chunks", STAMPED "Transfer-Encoding: chunked\r\n\r\n",
 	  "5\r\nhello\r\n" },
@@ -62,78 +53,9 @@
 	{ "a length", STAMPED "Content-Length: 99999999999\r\n\r\n", "x" },
 };
 
-class EndlessTest : public GatewayTest
+class EndlessTest : public FaultyUpstreamTest
 {
       protected:
-	struct platform_upstream *faulty;
-	struct platform_upstream *sound;
-
-	void start()
-	{
-		max_attempts = 3;
-		timeout_ms = 2000;
-		faulty = add_upstream("faulty");
-		sound = add_upstream("sound");
-		configure();
-		start_and_wait_until_ready();
-	}
-	void set_endless(const struct EndlessBytes &bytes,
-			 bool in_probes = false)
-	{
-		platform_upstream_set_endless(faulty, bytes.start, bytes.unit,
-					      in_probes);
-	}
-	/* Sends requests until one has reached the faulty upstream. */
-	std::unique_ptr<Caller> send_to_faulty(const std::string &method,
-					       const std::string &target)
-	{
-		guint arrivals = platform_upstream_arrivals(faulty);
-		std::unique_ptr<Caller> caller;
-
-		for (int i = 0; i < 50; i++) {
-			caller = send_request(method, target, "r");
-			run_until(
-				[&] {
-					return caller->done() ||
-					       platform_upstream_arrivals(
-						       faulty) > arrivals;
-				},
-				2000);
-			if (platform_upstream_arrivals(faulty) > arrivals)
-				break;
-			run_for(10);
-		}
-		EXPECT_GT(platform_upstream_arrivals(faulty), arrivals);
-		return caller;
-	}
-	/* Expects that the sound upstream answers, long before the request's
-	 * end. */
-	void expect_answer_of_other(const struct EndlessBytes &bytes)
-	{
-		SCOPED_TRACE(bytes.name);
-		set_endless(bytes);
-		auto caller = send_to_faulty("GET", "/safe/a");
-		gint64 start_us = g_get_monotonic_time();
-		ASSERT_TRUE(wait_for_answer(caller));
-		EXPECT_EQ(caller->status, 200u);
-		EXPECT_EQ(caller->body, std::string(20, 'x'));
-		EXPECT_LT(g_get_monotonic_time() - start_us, 1000 * AUB_MS);
-		wait_until_up();
-	}
-	/* Expects that a request that runs at most once fails long before its
-	 * end. */
-	void expect_early_failure(const struct EndlessBytes &bytes)
-	{
-		SCOPED_TRACE(bytes.name);
-		set_endless(bytes);
-		auto caller = send_to_faulty("POST", "/once/a");
-		gint64 start_us = g_get_monotonic_time();
-		ASSERT_TRUE(wait_for_answer(caller));
-		EXPECT_EQ(caller->status, 502u);
-		EXPECT_EQ(caller->answers, 1u);
-		EXPECT_LT(g_get_monotonic_time() - start_us, 1000 * AUB_MS);
-		wait_until_up();
-	}
 	/* Returns whether back pressure stops the faulty upstream. */
 	bool stops_sending()
 	{
@@ -149,32 +71,15 @@
 		}
 		return false;
 	}
-	/* Waits until the faulty upstream is sound and gets requests again. */
-	void wait_until_up()
-	{
-		guint arrivals = platform_upstream_arrivals(faulty);
-		gint64 end_us = g_get_monotonic_time() + 8 * AUB_SECOND;
-
-		platform_upstream_set_endless(faulty, NULL, NULL, false);
-		while (platform_upstream_arrivals(faulty) == arrivals &&
-		       g_get_monotonic_time() < end_us) {
-			auto first = send_request("GET", "/safe/", "a");
-			auto second = send_request("GET", "/safe/", "b");
-
-			wait_for_answer(first);
-			wait_for_answer(second);
-		}
-		EXPECT_GT(platform_upstream_arrivals(faulty), arrivals);
-	}
 };
 
 /* Guards against a request that waits for an answer that can't come. */
 TEST_F(EndlessTest, SendsRequestElsewhereWhoseAnswerHasNoEndOfHead)
 {
 	start();
-	for (const struct EndlessBytes &bytes : endless_heads)
+	for (const struct FaultyAnswer &bytes : endless_heads)
 		expect_answer_of_other(bytes);
-	for (const struct EndlessBytes &bytes : endless_foreign_answers)
+	for (const struct FaultyAnswer &bytes : endless_foreign_answers)
 		expect_answer_of_other(bytes);
 }
 
@@ -182,9 +87,9 @@
 TEST_F(EndlessTest, PromisesNothingForRequestThatGotBytesThatAreNoAnswer)
 {
 	start();
-	for (const struct EndlessBytes &bytes : endless_heads)
+	for (const struct FaultyAnswer &bytes : endless_heads)
 		expect_early_failure(bytes);
-	for (const struct EndlessBytes &bytes : endless_foreign_answers)
+	for (const struct FaultyAnswer &bytes : endless_foreign_answers)
 		expect_early_failure(bytes);
 }
 
@@ -192,7 +97,7 @@
 TEST_F(EndlessTest, SendsRequestElsewhereWhoseAnswerIsNotForwarded)
 {
 	start();
-	for (const struct EndlessBytes &bytes : endless_ignored_bodies)
+	for (const struct FaultyAnswer &bytes : endless_ignored_bodies)
 		expect_answer_of_other(bytes);
 }
 
@@ -200,7 +105,7 @@
 TEST_F(EndlessTest, EndsAnswerWithoutEndAtDeadline)
 {
 	start();
-	for (const struct EndlessBytes &bytes : endless_bodies) {
+	for (const struct FaultyAnswer &bytes : endless_bodies) {
 		SCOPED_TRACE(bytes.name);
 		set_endless(bytes);
 		auto caller = send_to_faulty("POST", "/once/a");
@@ -220,7 +125,7 @@
 TEST_F(EndlessTest, ReadsNoMoreThanItsCallerDoes)
 {
 	start();
-	for (const struct EndlessBytes &bytes : endless_bodies) {
+	for (const struct FaultyAnswer &bytes : endless_bodies) {
 		SCOPED_TRACE(bytes.name);
 		set_endless(bytes);
 		auto caller = send_to_faulty("POST", "/once/a");
@@ -255,7 +160,7 @@
 /* Guards against probes that read without end, and against their answers. */
 TEST_F(EndlessTest, EndsProbesWhoseAnswerHasNoEnd)
 {
-	static const struct EndlessBytes probes[] = {
+	static const struct FaultyAnswer probes[] = {
 		{ "garbage", "", "\001garbage" },
 		{ "empty lines", "", "\r\n" },
 		{ "interim answers", "", "HTTP/1.1 102 X\r\n\r\n" },
@@ -273,7 +178,7 @@
 	};
 
 	start();
-	for (const struct EndlessBytes &bytes : probes) {
+	for (const struct FaultyAnswer &bytes : probes) {
 		SCOPED_TRACE(bytes.name);
 		set_endless(bytes, true);
 		guint probed = platform_upstream_probes(faulty);
