http stream: reject responses whose field names are no tokens

What callers saw: an upstream's answer with a blank in the name of a field, or between the name and the colon, was passed on with that line. "Content-Length : 2" and "Transfer-Encoding : chunked" decided where the body ended. A probe that was answered so counted as well answered.

Cause: the parsing library accepts a blank in a name, which RFC 9110 (5.6.2) does not. Only callers' requests were checked, where the gateway reads their head.

Why the fix works: the rule for callers' requests, that a name is a token, is now a function of the stream, which checks each name of each response as it is parsed: answers of upstreams, of other gateways, of the store, to probes, interim ones and trailers. The answer is malformed then, like one that the library refuses: the connection is closed, the upstream's attempt counts as lost, a request that may run again is sent to another one, and any other one ends with 502 at once.

Handled before, and kept as tests: control bytes and other bytes that are no token in names, an empty name, NUL and CR in values, two lengths.

--- a/include/auburnstile/internal/http_stream.h
+++ b/include/auburnstile/internal/http_stream.h
@@ -39,6 +39,8 @@
 const char *aub_http_head_find(const struct aub_http_head *head,
 			       const char *name);
 guint aub_http_head_count(const struct aub_http_head *head, const char *name);
+/* Returns whether the text is a token, such as a name (RFC 9110, 5.6.2). */
+bool aub_http_is_token(const char *text, gsize length);
 /*
  * Reads a number of digits with an optional fraction. Returns false if the
  * header is absent, repeated or in any other notation.
--- a/src/coordination/gateway_head.c
+++ b/src/coordination/gateway_head.c
@@ -4,9 +4,9 @@
 #include <string.h>
 
 /*
- * Returns whether all header names are tokens (RFC 9110, 5.6.2). The parser
- * accepts a space before the colon, and an upstream that ignores it would read
- * a header that is withheld from it under its proper name.
+ * Returns whether all header names are tokens. The parser accepts a space
+ * before the colon, and an upstream that ignores it would read a header that is
+ * withheld from it under its proper name.
  */
 static bool header_names_are_valid(const struct aub_http_head *head)
 {
@@ -15,10 +15,8 @@
 			g_array_index(head->headers, struct aub_http_header, i)
 				.name;
 
-		for (const char *c = name; *c; c++)
-			if (!g_ascii_isalnum(*c) &&
-			    !strchr("!#$%&'*+-.^_`|~", *c))
-				return false;
+		if (!aub_http_is_token(name, strlen(name)))
+			return false;
 	}
 	return true;
 }
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -92,6 +92,15 @@
 	return count;
 }
 
+bool aub_http_is_token(const char *text, gsize length)
+{
+	for (gsize i = 0; i < length; i++)
+		if (!g_ascii_isalnum(text[i]) &&
+		    (!text[i] || !strchr("!#$%&'*+-.^_`|~", text[i])))
+			return false;
+	return length > 0;
+}
+
 static gsize count_digits(const char *text)
 {
 	return strspn(text, "0123456789");
@@ -153,6 +162,13 @@
 {
 	struct aub_http_stream *stream = parser->data;
 
+	/*
+	 * The parser accepts a space in a name, and a length or coding that is
+	 * named so. Servers answer requests with such names themselves.
+	 */
+	if (parser->type == HTTP_RESPONSE && length &&
+	    !aub_http_is_token(data, length))
+		return -1;
 	if (stream->head_done)
 		return add_head_bytes(stream, length);
 	if (stream->in_value) {
--- a/tests/test_http_stream.cc
+++ b/tests/test_http_stream.cc
@@ -256,6 +256,64 @@
 	EXPECT_EQ(body, "abcdef");
 }
 
+/* Guards against heads that mean another thing when they come in pieces. */
+TEST_F(HttpStream, ParsesAResponseSplitAtAnyByte)
+{
+	const std::string text = "HTTP/1.1 100 Continue\r\n\r\n"
+				 "HTTP/1.1 103 X\r\nX-A: no\r\n\r\n"
+				 "HTTP/1.1 200 OK\r\nX-A: one\r\nX-Empty:\r\n"
+				 "Transfer-Encoding: chunked\r\n\r\n"
+				 "5\r\nhello\r\n0\r\nX-B: c\r\n\r\n";
+
+	for (size_t size = 1; size <= text.size(); size++) {
+		open(HTTP_RESPONSE);
+		for (size_t at = 0; at < text.size(); at += size)
+			send_and_run(text.substr(at, size));
+		EXPECT_EQ(log, "head  -1 one;complete;") << size;
+		EXPECT_EQ(body, "hello") << size;
+		log.clear();
+		body.clear();
+		TearDown();
+		peer = -1;
+		stream = NULL;
+		SetUp();
+	}
+}
+
+/* Guards against a response that no standard allows and the parser accepts. */
+TEST_F(HttpStream, RejectsMalformedResponseSplitAtAnyByte)
+{
+	static const std::string heads[] = {
+		"HTTP/1.1 200\r\nX A: b\r\n\r\n",
+		"HTTP/1.1 200\r\nX-A : b\r\n\r\n",
+		"HTTP/1.1 200\r\n X-A: b\r\n\r\n",
+		"HTTP/1.1 200\r\nX\001A: b\r\n\r\n",
+		std::string("HTTP/1.1 200\r\nX\0A: b\r\n\r\n", 25),
+		"HTTP/1.1 200\r\n: b\r\n\r\n",
+		std::string("HTTP/1.1 200\r\nX-A: b\0\r\n\r\n", 25),
+		"HTTP/1.1 200\r\nX-A: b\rc\r\n\r\n",
+		"HTTP/1.1 103 X\r\nX A: b\r\n\r\n",
+		"HTTP/1.1 200\r\nContent-Length: 1\r\n"
+		"Content-Length: 2\r\n\r\n",
+		"HTTP/1.1 200\r\nContent-Length: 1\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n",
+	};
+
+	for (const std::string &text : heads)
+		for (size_t size : { (size_t)1, (size_t)10, text.size() }) {
+			open(HTTP_RESPONSE);
+			for (size_t at = 0; at < text.size() && log.empty();
+			     at += size)
+				send_and_run(text.substr(at, size));
+			EXPECT_EQ(log, "refused;") << text << size;
+			log.clear();
+			TearDown();
+			peer = -1;
+			stream = NULL;
+			SetUp();
+		}
+}
+
 TEST_F(HttpStream, ReportsTruncatedResponse)
 {
 	open(HTTP_RESPONSE);
