http stream: reject responses whose status is none

What callers saw: an upstream answered with status 000, 099, 20 or 101. The request waited until its deadline and got 504, although nothing more could come; one that may be sent again was not sent elsewhere. A status 0200 reached callers as 200, and 600 as 600.

Cause: any status below 200 was taken for an interim response, which the final one follows. The parsing library reads a status as a number: it accepts fewer and more than three digits.

Evidence: test_gateway_malformed and test_http_stream.

Why the fix works: the stream accepts 100 to 599 (RFC 9110, 15) without 101, since no request asks for another protocol, and three digits, at their place in the status line (RFC 9112, 4). For the latter the parser stops at the begin of each response, also of the one behind an interim one. What is rejected ends like any malformed answer: the request goes elsewhere at once if it may, or ends with 502.

Nothing reached callers with 000, 099 and 1000 before; the tests stay.

--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -25,6 +25,16 @@
  */
 #define UNPARSED_HIGH_BYTES (64u << 10)
 
+/*
+ * A status line begins "HTTP/1.1 200" (RFC 9112, 4). The parser also accepts
+ * more or fewer digits.
+ */
+#define STATUS_BEGIN 9
+#define STATUS_END 12
+/* The range of valid status codes (RFC 9110, 15). */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
 struct header_offsets {
 	guint name; /* offsets into `text` */
 	guint value;
@@ -43,6 +53,9 @@
 	guint head_max_bytes; /* of the current head */
 	guint next_head_max_bytes;
 	gsize preamble_bytes; /* read since the last message, up to the head */
+	/* Bytes of a response's status line that were checked. */
+	guint status_line_bytes;
+	bool begun; /* the parser has stopped at the begin of a response */
 	bool in_value; /* the last header callback was for a value */
 	bool head_done; /* header fields that follow are trailers: discarded */
 	bool final_head_seen; /* of the current message; no interim answer's */
@@ -141,6 +154,11 @@
 	stream->in_value = true;
 	stream->head_done = false;
 	stream->in_message = true;
+	if (parser->type == HTTP_RESPONSE) {
+		stream->begun = true;
+		stream->status_line_bytes = 1;
+		http_parser_pause(parser, 1);
+	}
 	return 0;
 }
 
@@ -200,6 +218,13 @@
 	return add_head_bytes(stream, length + 2);
 }
 
+/* No request asks for a switch of protocols. */
+static bool is_valid_status(guint status)
+{
+	return status >= STATUS_MIN && status <= STATUS_MAX &&
+	       status != HTTP_STATUS_SWITCHING_PROTOCOLS;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct aub_http_stream *stream = parser->data;
@@ -226,6 +251,8 @@
 			       -1 :
 			       (gint64)parser->content_length;
 	head->keep_alive = http_should_keep_alive(parser);
+	if (parser->type == HTTP_RESPONSE && !is_valid_status(head->status))
+		return -1;
 	if (parser->type == HTTP_RESPONSE && head->status < 200)
 		return 0;
 	stream->final_head_seen = true;
@@ -344,13 +371,55 @@
 	       (gsize)PREAMBLE_MAX_HEADS * stream->head_max_bytes;
 }
 
+/* Returns whether the status, as far as it is in `data`, has three digits. */
+static bool check_status(struct aub_http_stream *stream, const char *data,
+			 gsize length)
+{
+	for (gsize i = 0; i < length; i++) {
+		guint at = stream->status_line_bytes;
+
+		if (at > STATUS_END)
+			return true;
+		if (at >= STATUS_BEGIN &&
+		    g_ascii_isdigit(data[i]) != (at < STATUS_END))
+			return false;
+		stream->status_line_bytes++;
+	}
+	return true;
+}
+
+/*
+ * Runs the parser, which stops at the begin of each response so that its status
+ * line can be checked. Returns how many bytes were consumed.
+ */
+static gsize run_parser(struct aub_http_stream *stream, const char *data,
+			gsize length, enum http_errno *error)
+{
+	gsize parsed = 0;
+
+	do {
+		const char *rest = data ? data + parsed : NULL;
+
+		if (!check_status(stream, rest, length - parsed)) {
+			*error = HPE_INVALID_STATUS;
+			return parsed;
+		}
+		stream->begun = false;
+		parsed += http_parser_execute(&stream->parser, &parser_settings,
+					      rest, length - parsed);
+		if (stream->begun)
+			http_parser_pause(&stream->parser, 0);
+	} while (stream->begun && parsed < length);
+	*error = HTTP_PARSER_ERRNO(&stream->parser);
+	return parsed;
+}
+
 /* Parses `length` bytes; returns how many were consumed. */
 static gsize stream_parse(struct aub_http_stream *stream, const char *data,
 			  gsize length)
 {
-	gsize parsed = http_parser_execute(&stream->parser, &parser_settings,
-					   data, length);
-	enum http_errno error = HTTP_PARSER_ERRNO(&stream->parser);
+	enum http_errno error;
+	gsize parsed = run_parser(stream, data, length, &error);
 
 	if (stream->freed || stream->end_reported)
 		return length;
@@ -534,6 +603,7 @@
 	stream->output = g_byte_array_new();
 	http_parser_init(&stream->parser, type);
 	stream->parser.data = stream;
+	stream->status_line_bytes = STATUS_END + 1;
 	stream->watch =
 		aub_poller_add(poller, fd, connecting ? EPOLLOUT : EPOLLIN,
 			       on_socket_event, stream);
--- a/tests/test_gateway_malformed.cc
+++ b/tests/test_gateway_malformed.cc
@@ -1,12 +1,24 @@
 /*
- * Upstreams whose answers have a malformed head: names of fields that are no
- * tokens, an ambiguous length.
+ * Upstreams whose answers have a malformed head: a status that is none, names
+ * of fields that are no tokens, an ambiguous length.
  */
 #include "faulty_upstream_fixture.h"
 
 #define OK_LENGTH "Content-Length: 2\r\n\r\nok"
-/* None of these is an answer (RFC 9110, 5.6.2; RFC 9112, 5). */
+#define WITH_STATUS(status)                          \
+	"HTTP/1.1 " status "\r\nRequest-Id: $ID\r\n" \
+	"Response-Stamp: stamp\r\n" OK_LENGTH
+
+/* None of these is an answer (RFC 9110, 5.6.2 and 15; RFC 9112, 4 and 5). */
 static const struct FaultyAnswer malformed_answers[] = {
+	{ "status 000", WITH_STATUS("000 X"), "" },
+	{ "status 099", WITH_STATUS("099 X"), "" },
+	{ "status 600", WITH_STATUS("600 X"), "" },
+	{ "status 1000", WITH_STATUS("1000 X"), "" },
+	{ "a status of two digits", WITH_STATUS("20 X"), "" },
+	{ "a status of four digits", WITH_STATUS("0200 OK"), "" },
+	{ "a status with a letter", WITH_STATUS("2O0 OK"), "" },
+	{ "a switch of protocols", WITH_STATUS("101 X"), "" },
 	{ "a blank in a name", STAMPED "X A: b\r\n" OK_LENGTH, "" },
 	{ "a blank before the colon", STAMPED "X-A : b\r\n" OK_LENGTH, "" },
 	{ "a tab before the colon", STAMPED "X-A\t: b\r\n" OK_LENGTH, "" },
--- a/tests/test_http_stream.cc
+++ b/tests/test_http_stream.cc
@@ -284,6 +284,15 @@
 TEST_F(HttpStream, RejectsMalformedResponseSplitAtAnyByte)
 {
 	static const std::string heads[] = {
+		"HTTP/1.1 000 X\r\n\r\n",
+		"HTTP/1.1 099 X\r\n\r\n",
+		"HTTP/1.1 600 X\r\n\r\n",
+		"HTTP/1.1 1000 X\r\n\r\n",
+		"HTTP/1.1 0200 X\r\n\r\n",
+		"HTTP/1.1 20 X\r\n\r\n",
+		"HTTP/1.1 200X\r\n\r\n",
+		"HTTP/1.1  200 X\r\n\r\n",
+		"HTTP/1.1 101 X\r\n\r\n",
 		"HTTP/1.1 200\r\nX A: b\r\n\r\n",
 		"HTTP/1.1 200\r\nX-A : b\r\n\r\n",
 		"HTTP/1.1 200\r\n X-A: b\r\n\r\n",
