http stream: an interim response has no body

What callers saw: an upstream sent "103" with a Content-Length of 3, three bytes, and then its answer "ok": callers got the body "abcok", with the upstream's stamp. With a length and no bytes, the length ate the head of the answer: 502 in place of a good answer, whose request had run.

Cause: the parsing library reads a body after an interim head that names a length, and the stream passed its bytes on before the final head.

Why the fix works: an interim response ends with its empty line, whatever its fields say (RFC 9112, 6.3). The stream tells the parser that it has no body. Bytes behind it that begin no response make the answer malformed, as elsewhere.

--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -253,8 +253,9 @@
 	head->keep_alive = http_should_keep_alive(parser);
 	if (parser->type == HTTP_RESPONSE && !is_valid_status(head->status))
 		return -1;
+	/* An interim response has no body, whatever its header fields say. */
 	if (parser->type == HTTP_RESPONSE && head->status < 200)
-		return 0;
+		return 1;
 	stream->final_head_seen = true;
 	stream->callbacks.head(head, stream->context);
 	if (stream->freed)
--- a/tests/test_gateway_malformed.cc
+++ b/tests/test_gateway_malformed.cc
@@ -42,6 +42,9 @@
 	  STAMPED "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
 		  "X A: b\r\n\r\n",
 	  "" },
+	{ "a body of an interim answer",
+	  "HTTP/1.1 103 X\r\nContent-Length: 3\r\n\r\nabc" STAMPED OK_LENGTH,
+	  "" },
 	{ "a blank in an interim answer's name",
 	  "HTTP/1.1 103 X\r\nX A: b\r\n\r\n" STAMPED OK_LENGTH, "" },
 };
@@ -70,6 +73,22 @@
 				     "/once/" + std::to_string(request++));
 }
 
+/* Guards against bytes behind an interim head that are taken for the body. */
+TEST_F(MalformedTest, IgnoresLengthOfInterimAnswer)
+{
+	start();
+	platform_upstream_set_endless(faulty,
+				      "HTTP/1.1 103 X\r\nContent-Length: 9\r\n"
+				      "\r\n" STAMPED OK_LENGTH,
+				      "", false);
+	for (int i = 0; i < 5; i++) {
+		auto caller = send_to_faulty("POST", "/once/a");
+		ASSERT_TRUE(wait_for_answer(caller));
+		EXPECT_EQ(caller->status, 200u);
+		EXPECT_EQ(caller->body, "ok");
+	}
+}
+
 /* Guards against an upstream that is taken for well by a malformed answer. */
 TEST_F(MalformedTest, TakesUpstreamForDownWhoseProbesAreAnsweredMalformed)
 {
--- a/tests/test_http_stream.cc
+++ b/tests/test_http_stream.cc
@@ -259,11 +259,12 @@
 /* Guards against heads that mean another thing when they come in pieces. */
 TEST_F(HttpStream, ParsesAResponseSplitAtAnyByte)
 {
-	const std::string text = "HTTP/1.1 100 Continue\r\n\r\n"
-				 "HTTP/1.1 103 X\r\nX-A: no\r\n\r\n"
-				 "HTTP/1.1 200 OK\r\nX-A: one\r\nX-Empty:\r\n"
-				 "Transfer-Encoding: chunked\r\n\r\n"
-				 "5\r\nhello\r\n0\r\nX-B: c\r\n\r\n";
+	const std::string text =
+		"HTTP/1.1 100 Continue\r\n\r\n"
+		"HTTP/1.1 103 X\r\nContent-Length: 4\r\nX-A: no\r\n\r\n"
+		"HTTP/1.1 200 OK\r\nX-A: one\r\nX-Empty:\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n"
+		"5\r\nhello\r\n0\r\nX-B: c\r\n\r\n";
 
 	for (size_t size = 1; size <= text.size(); size++) {
 		open(HTTP_RESPONSE);
