--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -477,3 +477,38 @@
 		EXPECT_EQ(caller->status, 200u);
 	}
 }
+
+/* Guards against a name of an entry that writes header fields of its own. */
+TEST_F(GatewayTest, SendsNothingToUpstreamWhoseNameIsNoHeaderValue)
+{
+	static const char *const names[] = {
+		"u2\r\nX-Injected: 1",
+		"u2\nX-Injected: 1",
+		"u2\r\n\r\nGET /injected HTTP/1.1\r\nRequest-Id: x",
+		" u2",
+		"u2 ",
+		"",
+		"u2\001",
+		"u2\177",
+	};
+	std::vector<struct platform_upstream *> odd;
+
+	add_upstream("u1");
+	configure();
+	start_and_wait_until_ready();
+	for (const char *name : names)
+		odd.push_back(add_upstream(name));
+	run_for(500);
+	for (int i = 0; i < 20; i++) {
+		auto caller = send_request("GET", "/safe/a",
+					   "id" + std::to_string(i));
+		ASSERT_TRUE(wait_for_answer(caller));
+		EXPECT_EQ(caller->status, 200u);
+	}
+	for (struct platform_upstream *upstream : odd) {
+		SCOPED_TRACE(platform_upstream_id(upstream));
+		EXPECT_EQ(platform_upstream_arrivals(upstream), 0u);
+		EXPECT_EQ(platform_upstream_header(upstream, "X-Injected"),
+			  nullptr);
+	}
+}
--- a/tests/test_platform_codec.cc
+++ b/tests/test_platform_codec.cc
@@ -116,6 +116,32 @@
 	}
 }
 
+/* Guards against a name of an entry that writes header fields of its own. */
+TEST(PlatformCodec, RefusesUpstreamWhoseNameIsNoHeaderValue)
+{
+	for (const char *name : { "", " u", "u ", "u\\r\\nX-A: b", "u\\nX",
+				  "u\\u0001", "u\\u007f", "u\\tv" }) {
+		struct aub_store_page *page =
+			decode(AUB_STORE_UPSTREAMS,
+			       list(item(name, valid_entry)));
+
+		ASSERT_NE(page, nullptr) << name;
+		ASSERT_EQ(page->records->len, 1u) << name;
+		EXPECT_EQ(record_at(page, 0)->upstream, nullptr) << name;
+		EXPECT_NE(record_at(page, 0)->problem, nullptr) << name;
+		aub_store_page_free(page);
+	}
+	for (const char *name : { "u v", "u&v", "u:v", "\xc3\xa9" }) {
+		struct aub_store_page *page =
+			decode(AUB_STORE_UPSTREAMS,
+			       list(item(name, valid_entry)));
+
+		ASSERT_NE(page, nullptr) << name;
+		EXPECT_NE(record_at(page, 0)->upstream, nullptr) << name;
+		aub_store_page_free(page);
+	}
+}
+
 TEST(PlatformCodec, DecodesWatchEvents)
 {
 	struct aub_store_page *page =
