--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -512,3 +512,34 @@
 			  nullptr);
 	}
 }
+
+/* Guards against an entry beside the configuration that takes its place. */
+TEST_F(GatewayTest, IgnoresConfigurationsUnderOtherNames)
+{
+	add_upstream("u1");
+	configure();
+	start_and_wait_until_ready();
+	for (const char *name : { "a", "main2", "z" }) {
+		std::string text = platform_store_get(store, "config", "main");
+
+		text.replace(text.find("\"version\":"), 10,
+			     "\"version\":900,\"n\":");
+		text.replace(text.find("/safe/"), 6, "/gone/");
+		platform_store_put(store, "config", name, text.c_str());
+	}
+	run_for(400);
+	auto caller = send_request("GET", "/safe/a", "id1");
+	ASSERT_TRUE(wait_for_answer(caller));
+	EXPECT_EQ(caller->status, 200u);
+	/* The operators' next version is in force nevertheless. */
+	max_body_bytes = 2;
+	configure();
+	run_for(400);
+	caller =
+		send_request("POST", "/once/a", "id3", "Content-Length: 3\r\n");
+	ASSERT_TRUE(wait_for_answer(caller));
+	EXPECT_EQ(caller->status, 413u);
+	caller = send_request("GET", "/safe/a", "id2");
+	ASSERT_TRUE(wait_for_answer(caller));
+	EXPECT_EQ(caller->status, 200u);
+}
