tests: odd entries of all kinds, and whole grace times

* Entries that are nested very deeply, with numbers too large or with ports out of range, and lists in place of maps, long names and other odd values, of each kind of object: in listings, in changes and removed again.
No process ends, and changes are followed. * Requests that run at most once, in calm, on new and on kept connections from the begin of a planned stop to its end, with the shortest grace time and with a long one: each that ran is answered with 200, and the others are refused or not accepted.

--- a/tests/test_gateway_stop.cc
+++ b/tests/test_gateway_stop.cc
@@ -57,6 +57,69 @@
 			ASSERT_EQ(caller->status, 200u);
 		}
 	}
+	/* Returns a connection that was opened and used before. */
+	std::unique_ptr<Caller> kept_connection()
+	{
+		auto caller = send_request("GET", "/safe/a", "kept");
+
+		EXPECT_TRUE(wait_for_answer(caller));
+		EXPECT_TRUE(caller->keep_alive);
+		return caller;
+	}
+	/*
+	 * Sends requests that run at most once from the begin of a stop to its
+	 * end, in calm, on new and on kept connections, and expects that each
+	 * is answered or not accepted.
+	 */
+	void expect_answers_through_stop(int grace_s)
+	{
+		const int service_ms = MIN(grace_s * 250, 400);
+		std::vector<std::unique_ptr<Caller>> callers;
+		std::vector<std::unique_ptr<Caller>> kept;
+		size_t used = 0; /* of those kept */
+		guint served = 0;
+
+		start((guint)service_ms);
+		settings.grace_s = grace_s;
+		aub_node_reload(node, &settings);
+		send_requests("POST", "/once/a", 8);
+		platform_upstream_set_service_time(upstreams[0], 10);
+		for (int i = 0; i < 40; i++)
+			kept.push_back(kept_connection());
+		platform_upstream_set_service_time(upstreams[0],
+						   (guint)service_ms);
+		guint runs_before = runs();
+		stop();
+		while (!stopped && ms_since_stop() < grace_s * 1000) {
+			callers.push_back(send_request(
+				"POST", "/once/a",
+				"r" + std::to_string(callers.size()), "",
+				4 * service_ms));
+			if (used < kept.size() && !kept[used]->ended)
+				kept[used]->send(
+					"POST /once/a HTTP/1.1\r\nHost: site\r\n"
+					"Request-Id: k" +
+					std::to_string(used) + "\r\n\r\n");
+			used++;
+			run_until([&] { return stopped; }, service_ms / 2);
+		}
+		EXPECT_TRUE(stopped);
+		EXPECT_LE(ms_since_stop(), grace_s * 1000);
+		run_for(50);
+		for (const auto &caller : callers) {
+			if (!caller->answers)
+				EXPECT_EQ(caller->end,
+					  AUB_STREAM_CONNECT_FAILED);
+			else if (caller->status == 200)
+				served++;
+			else
+				EXPECT_EQ(caller->status, 503u);
+		}
+		for (const auto &caller : kept)
+			served += caller->answers == 2 && caller->status == 200;
+		EXPECT_GE(served, 1u);
+		EXPECT_EQ(runs() - runs_before, served);
+	}
 };
 
 /* Guards against requests that are accepted during a stop and outlast it. */
@@ -241,3 +304,15 @@
 	EXPECT_FALSE(caller.keep_alive);
 	EXPECT_EQ(runs(), 2u);
 }
+
+/* Guards against requests late in the grace time that are cut off. */
+TEST_F(GatewayStopTest, AnswersRequestsThroughoutTheShortestGraceTime)
+{
+	expect_answers_through_stop(1);
+}
+
+/* The same where callers keep their addresses for a small part of the time. */
+TEST_F(GatewayStopTest, AnswersRequestsThroughoutALongGraceTime)
+{
+	expect_answers_through_stop(8);
+}
--- a/tests/test_node.cc
+++ b/tests/test_node.cc
@@ -543,3 +543,114 @@
 	ASSERT_TRUE(wait_for_answer(caller));
 	EXPECT_EQ(caller->status, 200u);
 }
+
+/* Entries of other writers, from their place in the platform's messages on. */
+static std::vector<std::string> odd_specs()
+{
+	std::string deep(300, '[');
+	std::string many = "{\"a\":[0";
+
+	deep += std::string(300, ']');
+	for (int i = 0; i < 20000; i++)
+		many += ",0";
+	return {
+		"null",
+		"7",
+		"[]",
+		"\"text\"",
+		deep,
+		"{\"details\":" + deep + ",\"address\":" + deep + "}",
+		many + "]}",
+		"{\"address\":\"127.0.0.1:99999\",\"details\":{\"service\":"
+		"\"svc\",\"version\":\"v\",\"zone\":\"z\",\"slots\":2},"
+		"\"status\":{\"state\":\"ready\"}}",
+		"{\"address\":\"127.0.0.1:-1\",\"details\":{\"service\":"
+		"\"svc\",\"version\":\"v\",\"zone\":\"z\",\"slots\":2},"
+		"\"status\":{\"state\":\"ready\"}}",
+		"{\"address\":\"127.0.0.1:0\",\"details\":{\"service\":"
+		"\"svc\",\"version\":\"v\",\"zone\":\"z\",\"slots\":2},"
+		"\"status\":{\"state\":\"ready\"}}",
+		"{\"address\":\"127.0.0.1:9\",\"details\":{\"service\":"
+		"\"svc\",\"version\":\"v\",\"zone\":\"z\",\"slots\":"
+		"9223372036854775807},\"status\":{\"state\":\"ready\","
+		"\"warmup_left_ms\":9223372036854775807},\"born\":"
+		"9223372036854775807}",
+		"{\"address\":\"127.0.0.1:9\",\"details\":{\"service\":"
+		"\"svc\",\"version\":\"v\",\"zone\":\"z\",\"slots\":1e300},"
+		"\"status\":{\"state\":\"ready\"},\"born\":-1e300}",
+		"{\"address\":[],\"details\":[],\"status\":[],\"ip\":[],"
+		"\"zone\":{},\"version\":[],\"routes\":[],\"services\":[]}",
+		"{\"ip\":\"999.1.1.1\",\"zone\":\"z\\r\\nx\"}",
+		"{\"ip\":\"127.0.0.1:80:\",\"zone\":\"z\",\"service\":\"x\","
+		"\"target_version\":\"v\",\"duration_s\":1e300}",
+		"{\"version\":9223372036854775807,\"routes\":{\"columns\":[],"
+		"\"rows\":[[]]},\"services\":{\"columns\":[],\"rows\":[[]]},"
+		"\"limits\":{}}",
+	};
+}
+
+class OddEntriesTest : public GatewayTest
+{
+      protected:
+	void put_odd_entries(const std::string &prefix)
+	{
+		const std::string long_name(5000, 'n');
+		int number = 0;
+
+		for (const char *kind : { "servers", "config", "evacuations",
+					  "rollouts", "entries" }) {
+			for (const std::string &spec : odd_specs())
+				platform_store_put(store, kind,
+						   (prefix +
+						    std::to_string(number++))
+							   .c_str(),
+						   spec.c_str());
+			platform_store_put(store, kind,
+					   (prefix + long_name).c_str(), "{}");
+		}
+	}
+	void expect_service()
+	{
+		for (int i = 0; i < 10; i++) {
+			auto caller = send_request("GET", "/safe/a",
+						   "id" + std::to_string(i));
+			ASSERT_TRUE(wait_for_answer(caller));
+			EXPECT_EQ(caller->status, 200u);
+		}
+	}
+};
+
+/* Guards against odd entries in a listing that end a gateway or its service. */
+TEST_F(OddEntriesTest, DoNotKeepAGatewayFromStarting)
+{
+	put_odd_entries("a");
+	put_odd_entries("z");
+	add_upstream("u1");
+	platform_store_set_page_size(store, 7);
+	configure();
+	start_and_wait_until_ready();
+	expect_service();
+}
+
+/* The same for entries that are written, changed and removed meanwhile. */
+TEST_F(OddEntriesTest, DoNotKeepAGatewayFromFollowingChanges)
+{
+	add_upstream("u1");
+	configure();
+	start_and_wait_until_ready();
+	put_odd_entries("a");
+	run_for(300);
+	expect_service();
+	for (int number = 0; number < 90; number++)
+		for (const char *kind : { "servers", "evacuations", "entries" })
+			platform_store_remove(
+				store, kind,
+				("a" + std::to_string(number)).c_str());
+	run_for(300);
+	/* Later changes arrive. */
+	auto second = add_upstream("u2");
+	EXPECT_TRUE(
+		run_until([&] { return platform_upstream_probes(second) > 0; },
+			  2000));
+	expect_service();
+}
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -796,6 +796,25 @@
 	}
 }
 
+/* Guards against very deep nesting that hides the others, or ends a process. */
+TEST_F(ScriptedStoreTest, ListsBesideVeryDeeplyNestedEntry)
+{
+	const std::string deep = std::string(200000, '\x91') + '\xc0';
+
+	answer = [&](const std::string &target) {
+		if (is_watch(target))
+			return std::string();
+		return page({ item("a"),
+			      "{\"metadata\":{\"name\":\"m\"},\"spec\":"
+			      "\"PLACEHOLDER\"}",
+			      item("z") },
+			    false, deep);
+	};
+	start();
+	EXPECT_TRUE(run_until([&] { return present.count("z") > 0; }, 500));
+	EXPECT_TRUE(present.count("a"));
+}
+
 /* Listings without progress: the answers to the calls, by their number. */
 static const struct {
 	const char *name;
