--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -401,7 +401,7 @@
 	do {
 		const char *rest = data ? data + parsed : NULL;
 
-		if (!check_status(stream, rest, length - parsed)) {
+		if (rest && !check_status(stream, rest, length - parsed)) {
 			*error = HPE_INVALID_STATUS;
 			return parsed;
 		}
--- a/tests/test_http_stream.cc
+++ b/tests/test_http_stream.cc
@@ -298,7 +298,7 @@
 		"HTTP/1.1 200\r\nX-A : b\r\n\r\n",
 		"HTTP/1.1 200\r\n X-A: b\r\n\r\n",
 		"HTTP/1.1 200\r\nX\001A: b\r\n\r\n",
-		std::string("HTTP/1.1 200\r\nX\0A: b\r\n\r\n", 25),
+		std::string("HTTP/1.1 200\r\nX\0A: b\r\n\r\n", 24),
 		"HTTP/1.1 200\r\n: b\r\n\r\n",
 		std::string("HTTP/1.1 200\r\nX-A: b\0\r\n\r\n", 25),
 		"HTTP/1.1 200\r\nX-A: b\rc\r\n\r\n",
