upstream client: report responses with a malformed head as lost

What callers of the second program (auburnstile-entry) saw: an answer with a control byte, a separator or a byte beyond ASCII in the name of a field, with that line passed on; a status 600.

Cause: libsoup checks names for white space only, and takes any status from 100 to 999.

Why the fix works: the names and the status of each whole response are checked by the functions that the gateway's streams use. The attempt ends as lost then, with an error that says so.

Handled before, and kept as tests: status 000, 099, 101, 0200 and 1000, a length or coding with a blank before its colon and a body of an interim response end the attempt as lost; a field with a blank in its name is removed, as RFC 9112 (5.1) allows.

--- a/include/auburnstile/internal/http_stream.h
+++ b/include/auburnstile/internal/http_stream.h
@@ -39,6 +39,11 @@
 const char *aub_http_head_find(const struct aub_http_head *head,
 			       const char *name);
 guint aub_http_head_count(const struct aub_http_head *head, const char *name);
+/*
+ * Returns whether a response may have the status (RFC 9110, 15). A switch of
+ * protocols is not accepted, as no request asks for one.
+ */
+bool aub_http_is_valid_status(guint status);
 /* Returns whether the text is a token, such as a name (RFC 9110, 5.6.2). */
 bool aub_http_is_token(const char *text, gsize length);
 /*
--- a/src/transport/http_stream.c
+++ b/src/transport/http_stream.c
@@ -218,8 +218,7 @@
 	return add_head_bytes(stream, length + 2);
 }
 
-/* No request asks for a switch of protocols. */
-static bool is_valid_status(guint status)
+bool aub_http_is_valid_status(guint status)
 {
 	return status >= STATUS_MIN && status <= STATUS_MAX &&
 	       status != HTTP_STATUS_SWITCHING_PROTOCOLS;
@@ -251,7 +250,8 @@
 			       -1 :
 			       (gint64)parser->content_length;
 	head->keep_alive = http_should_keep_alive(parser);
-	if (parser->type == HTTP_RESPONSE && !is_valid_status(head->status))
+	if (parser->type == HTTP_RESPONSE &&
+	    !aub_http_is_valid_status(head->status))
 		return -1;
 	/* An interim response has no body, whatever its header fields say. */
 	if (parser->type == HTTP_RESPONSE && head->status < 200)
--- a/src/transport/upstream_client.c
+++ b/src/transport/upstream_client.c
@@ -7,6 +7,7 @@
  */
 #include <auburnstile/error.h>
 #include <auburnstile/internal/headers.h>
+#include <auburnstile/internal/http_stream.h>
 #include <auburnstile/internal/upstream_client.h>
 #include <auburnstile/internal/upstream_request.h>
 #include <auburnstile/internal/upstream_signals.h>
@@ -300,6 +301,26 @@
 	return true;
 }
 
+/*
+ * libsoup accepts any byte in a field's name but white space: fields with it
+ * are removed. It also accepts statuses beyond 599.
+ */
+static bool head_is_valid(const struct aub_attempt *attempt)
+{
+	SoupMessageHeadersIter iterator;
+	const char *name;
+	const char *value;
+
+	soup_message_headers_iter_init(&iterator,
+				       soup_message_get_response_headers(
+					       attempt->message));
+	while (soup_message_headers_iter_next(&iterator, &name, &value))
+		if (!aub_http_is_token(name, strlen(name)))
+			return false;
+	return aub_http_is_valid_status(
+		soup_message_get_status(attempt->message));
+}
+
 /*
  * Responses to HEAD, 204 and 304 have no body, whatever Content-Length says
  * (RFC 9112, 6.3).
@@ -327,6 +348,8 @@
 	if (attempt->cancelled || attempt->timed_out)
 		fail_attempt_with(attempt, AUB_ERROR_TIMEOUT,
 				  "attempt cancelled or timed out");
+	else if (!head_is_valid(attempt))
+		fail_attempt_with(attempt, AUB_ERROR_INVALID, "malformed head");
 	else if (!complete)
 		fail_attempt_with(
 			attempt, AUB_ERROR_CLOSED,
--- a/tests/test_upstream_client.cc
+++ b/tests/test_upstream_client.cc
@@ -18,6 +18,7 @@
 	int status = 0;
 	std::string body;
 	std::string encoding;
+	guint headers = 0; /* that are passed on */
 	std::string error;
 };
 
@@ -39,6 +40,7 @@
 	if (answer->body.length)
 		outcome->body.assign((char *)answer->body.data,
 				     answer->body.length);
+	outcome->headers = answer->headers->len;
 	const char *encoding =
 		aub_headers_find(answer->headers, "Content-Encoding");
 	if (encoding)
@@ -182,6 +184,50 @@
 	EXPECT_EQ(peer.requests.size(), G_N_ELEMENTS(truncated));
 }
 
+/* Guards against a malformed head that is passed on to a caller. */
+TEST_F(UpstreamClient, ReportsMalformedResponsesAsLost)
+{
+	static const std::string body = "Content-Length: 2\r\n\r\nok";
+	static const std::string malformed[] = {
+		"HTTP/1.1 000 X\r\n" + body,
+		"HTTP/1.1 099 X\r\n" + body,
+		"HTTP/1.1 101 X\r\n" + body,
+		"HTTP/1.1 600 X\r\n" + body,
+		"HTTP/1.1 1000 X\r\n" + body,
+		"HTTP/1.1 0200 X\r\n" + body,
+		"HTTP/1.1 200 X\r\nX\001A: b\r\n" + body,
+		"HTTP/1.1 200 X\r\nX(A: b\r\n" + body,
+		"HTTP/1.1 200 X\r\nX\xc3\xa9: b\r\n" + body,
+		"HTTP/1.1 200 X\r\nContent-Length : 2\r\n\r\nok",
+		"HTTP/1.1 200 X\r\nTransfer-Encoding : chunked\r\n\r\n"
+		"2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 103 X\r\nContent-Length: 3\r\n\r\nabc"
+		"HTTP/1.1 200 X\r\n" +
+			body,
+	};
+
+	for (const std::string &bytes : malformed) {
+		set_reply(bytes, true);
+		Result result = send_and_wait("POST", true);
+		EXPECT_EQ(result.result, AUB_ATTEMPT_CONNECTION_LOST) << bytes;
+		EXPECT_NE(result.error, "") << bytes;
+	}
+}
+
+/* Guards against a field with a blank in its name that is passed on. */
+TEST_F(UpstreamClient, RemovesFieldsWithBlanksInTheirNames)
+{
+	for (const char *line : { "X A: b", "X-A : b", " X-A: b" }) {
+		set_reply("HTTP/1.1 200 X\r\n" + std::string(line) +
+				  "\r\nContent-Length: 2\r\n\r\nok",
+			  true);
+		Result result = send_and_wait("POST", true);
+		EXPECT_EQ(result.result, AUB_ATTEMPT_ANSWERED) << line;
+		EXPECT_EQ(result.body, "ok");
+		EXPECT_EQ(result.headers, 0u) << line;
+	}
+}
+
 TEST_F(UpstreamClient, ReportsNotConnectedOnlyForUnsentRequests)
 {
 	ScriptedServer *closed_peer = new ScriptedServer;
