--- a/src/coordination/store_sync.c
+++ b/src/coordination/store_sync.c
@@ -275,11 +275,19 @@
 	aub_log_text("kind", aub_store_kind_name(task->kind));
 	aub_log_number("revision", page->revision);
 	aub_log_number("known", g_hash_table_size(task->existing_names));
-	aub_log_number("retry_ms", task->relist_us / AUB_MS);
+	aub_log_number("retry_ms",
+		       is_followed(task) ? task->relist_us / AUB_MS : -1);
 	aub_log_end();
 	schedule_relist(task);
 }
 
+static void on_listing_complete(struct aub_store_sync_task *task)
+{
+	aub_timer_cancel(task->sync->options.timers, task->relist_timer);
+	task->relist_timer = 0;
+	task->relist_us = RELIST_MIN_US;
+}
+
 /*
  * A cached listing that is older than the copy would undo changes, and a
  * process that does not watch might never learn of them again. It is restarted.
@@ -298,7 +306,7 @@
 	} else if (result == AUB_STORE_NO_PROGRESS) {
 		on_listing_stuck(task, page);
 	} else if (task->step == AUB_STORE_WATCH) {
-		task->relist_us = RELIST_MIN_US;
+		on_listing_complete(task);
 	}
 	if (result == AUB_STORE_OUTDATED && consistent)
 		store_failed(task, "outdated");
--- a/tests/test_platform_codec.cc
+++ b/tests/test_platform_codec.cc
@@ -257,6 +257,7 @@
 		{ std::string("\xa3m\0n", 4), std::string("m\0n", 3) },
 		{ "\xc4\x02mn", "mn" },
 		{ "\x07", "u1" },
+		{ std::string("\xc4\0", 2), "u1" },
 		{ undecodable_values()[0], "u1" },
 		{ undecodable_values()[2], "u1" },
 	};
@@ -275,6 +276,24 @@
 	}
 }
 
+/* Guards against a listing that goes on after an empty name: from its start. */
+TEST(PlatformCodec, DoesNotContinueListingAfterEmptyName)
+{
+	const std::string items =
+		item("u1", valid_entry) + "," + item("", valid_entry);
+	struct aub_store_page *page = decode(AUB_STORE_UPSTREAMS, list(items));
+
+	ASSERT_NE(page, nullptr);
+	EXPECT_EQ(last_name(page), "u1");
+	aub_store_page_free(page);
+	page = decode_raw(
+		page_with(list(items + "," + item("PLACEHOLDER", "{}")),
+			  undecodable_values()[0]));
+	ASSERT_NE(page, nullptr);
+	EXPECT_EQ(last_name(page), "u1");
+	aub_store_page_free(page);
+}
+
 /* The same for changes, of which one removes such an entry. */
 TEST(PlatformCodec, KeepsOtherChangesBesideOneThatCannotBeDecoded)
 {
--- a/tests/test_store_sync.cc
+++ b/tests/test_store_sync.cc
@@ -815,6 +815,29 @@
 	EXPECT_TRUE(present.count("a"));
 }
 
+/* Guards against a store's answer that is read though its head is malformed. */
+TEST_F(ScriptedStoreTest, RetriesAfterAnswerWithMalformedHead)
+{
+	std::vector<std::string> heads = { "HTTP/1.1 200 X\r\nX A: b\r\n",
+					   "HTTP/1.1 000 X\r\n" };
+
+	answer = [&](const std::string &target) {
+		if (is_watch(target))
+			return std::string();
+		std::string text = page({ item("a") }, false);
+		if (heads.empty())
+			return text;
+		text.replace(0, text.find("\n") + 1, heads.back());
+		heads.pop_back();
+		return text;
+	};
+	start();
+	EXPECT_TRUE(run_until([&] { return present.count("a") > 0; }, 3000));
+	EXPECT_EQ(aub_store_sync_calls(sync, AUB_STORE_UPSTREAMS,
+				       AUB_STORE_NO_ANSWER),
+		  2u);
+}
+
 /* Listings without progress: the answers to the calls, by their number. */
 static const struct {
 	const char *name;
